--- a/bench/main.cc
+++ b/bench/main.cc
@@ -19,6 +19,7 @@
 #include "core/admission/owner_table.h"
 #include "core/control/leader_duties.h"
 #include "core/routing/ownership_memo.h"
+#include "core/routing/engine_owner.h"
 #include "core/routing/rendezvous.h"
 
 DEFINE_string(direct, "", "latency: address of the back end");
--- a/src/adapters/http/http_server.cc
+++ b/src/adapters/http/http_server.cc
@@ -178,6 +178,11 @@
   stream_.close();
 }
 
+void Exchange::breakOff() {
+  broken_ = true;
+  answered_ = true;
+}
+
 void Exchange::onHangUp(std::function<void()> hook) {
   hang_up_hook_ = std::move(hook);
   if (hung_up_ && hang_up_hook_) {
@@ -193,10 +198,14 @@
   }
 }
 
-Server::Server(WorkerPool& workers, ServerLimits limits, Handler handler, Refusal refusal)
-    : workers_(workers), limits_(limits), handler_(std::move(handler)),
+Server::Server(WorkerPool& workers, LimitsSource limits, Handler handler, Refusal refusal)
+    : workers_(workers), limits_(std::move(limits)), handler_(std::move(handler)),
       refusal_(std::move(refusal)) {}
 
+Server::Server(WorkerPool& workers, ServerLimits limits, Handler handler, Refusal refusal)
+    : Server(
+          workers, [limits] { return limits; }, std::move(handler), std::move(refusal)) {}
+
 Server::~Server() { stopAccepting(); }
 
 Result<std::string> Server::listen(const std::string& address) {
@@ -234,6 +243,18 @@
   }
 }
 
+void Server::closeIdle() {
+  const std::lock_guard lock(idle_mutex_);
+  for (beast::tcp_stream* idle : idle_) {
+    asio::post(idle->get_executor(), [this, idle] {
+      const std::lock_guard lock(idle_mutex_);
+      if (idle_.contains(idle)) {
+        idle->cancel();
+      }
+    });
+  }
+}
+
 awaitable<void> Server::accept() {
   const std::shared_ptr<tcp::acceptor> acceptor = acceptor_;
   while (acceptor->is_open()) {
@@ -254,7 +275,7 @@
   socket.set_option(tcp::no_delay(true), ignored);
   beast::tcp_stream stream(std::move(socket));
   const size_t open = stats_.open_connections.fetch_add(1) + 1;
-  if (open > limits_.connections) {
+  if (open > limits_().connections) {
     ++stats_.refused_connections;
     co_await refuse(stream, Status::service_unavailable, "max_connections is reached");
   } else {
@@ -267,7 +288,7 @@
 awaitable<void> Server::refuse(beast::tcp_stream& stream, Status status, std::string reason) {
   Response response = refusal_(status, reason);
   response.keep_alive(false);
-  stream.expires_after(limits_.read_timeout);
+  stream.expires_after(limits_().read_timeout);
   co_await beast::http::async_write(stream, response, kAwait);
   // Closing with unread input would reset the connection and lose the answer.
   beast::error_code ignored;
@@ -286,25 +307,41 @@
   }
 }
 
+/// Waits for the first bytes of a request. @return false when the connection is over.
+awaitable<bool> Server::awaitRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+  constexpr size_t kFirstRead = 4096;
+  {
+    const std::lock_guard lock(idle_mutex_);
+    idle_.insert(&stream);
+  }
+  stream.expires_after(limits_().idle_timeout);
+  const auto [failure, bytes] = co_await stream.async_read_some(buffer.prepare(kFirstRead), kAwait);
+  {
+    const std::lock_guard lock(idle_mutex_);
+    idle_.erase(&stream);
+  }
+  buffer.commit(bytes);
+  co_return !failure;
+}
+
 awaitable<void> Server::serveRequests(beast::tcp_stream& stream) {
   beast::flat_buffer buffer;
   while (true) {
     if (buffer.size() == 0) {
-      stream.expires_after(limits_.idle_timeout);
-      constexpr size_t kFirstRead = 4096;
-      const auto [failure, bytes] =
-          co_await stream.async_read_some(buffer.prepare(kFirstRead), kAwait);
-      if (failure) {
+      buffer.clear();
+      buffer.shrink_to_fit();
+      const bool arrived = co_await awaitRequest(stream, buffer);
+      if (!arrived) {
         co_return;
       }
-      buffer.commit(bytes);
     }
+    const ServerLimits limits = limits_();
     beast::http::request_parser<beast::http::string_body> parser;
-    parser.header_limit(limits_.header_bytes);
-    parser.body_limit(limits_.body_bytes);
+    parser.header_limit(limits.header_bytes);
+    parser.body_limit(limits.body_bytes);
     stream.expires_never();
     // A time limit of the stream's own would close it, and the caller would get no answer.
-    ReadDeadline deadline(stream, limits_.read_timeout);
+    ReadDeadline deadline(stream, limits.read_timeout);
     auto [failure, bytes] = co_await beast::http::async_read(stream, buffer, parser, kAwait);
     if (deadline.finish()) {
       failure = beast::error::timeout;
@@ -321,8 +358,14 @@
       co_return;
     }
     stream.expires_never();
+    const bool host_missing = parser.get().version() >= 11 && parser.get()[Field::host].empty();
+    if (host_missing) {
+      ++stats_.bad_requests;
+      co_await refuse(stream, Status::bad_request, "the Host header is missing");
+      co_return;
+    }
     const bool keep_alive = parser.get().keep_alive() && !closing_;
-    Exchange exchange(stream, parser.release(), limits_.read_timeout, keep_alive);
+    Exchange exchange(stream, parser.release(), limits.read_timeout, keep_alive);
     auto watch = std::make_shared<HangUpWatch>(&exchange);
     watch->start(stream.socket());
     ++in_progress_;
--- a/src/adapters/http/http_server.h
+++ b/src/adapters/http/http_server.h
@@ -6,9 +6,12 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include "adapters/http/http_types.h"
@@ -51,8 +54,10 @@
   bool keepAlive() const { return keep_alive_ && !broken_; }
   /// Closes the connection after this answer.
   void closeAfter() { keep_alive_ = false; }
-  /// Ends the connection without a further byte.
+  /// Ends the connection without a further byte; bytes under way may be lost.
   void abort();
+  /// Ends the connection after what was written, without the end of the answer.
+  void breakOff();
 
   /// Whether the caller has closed its connection.
   bool hungUp() const { return hung_up_; }
@@ -85,15 +90,20 @@
   using Handler = std::function<awaitable<void>(Exchange&)>;
   /// Makes the answer to a request that the server itself refuses.
   using Refusal = std::function<Response(Status status, const std::string& reason)>;
+  /// Gives the limits in force for the next request.
+  using LimitsSource = std::function<ServerLimits()>;
 
+  Server(WorkerPool& workers, LimitsSource limits, Handler handler, Refusal refusal);
   Server(WorkerPool& workers, ServerLimits limits, Handler handler, Refusal refusal);
   ~Server();
 
   /// @return the address in use, which matters for port zero.
   Result<std::string> listen(const std::string& address);
 
-  /// Accepts no more connections; requests in progress go on, idle connections are closed.
+  /// Accepts no more connections; requests in progress go on.
   void stopAccepting();
+  /// Closes connections that wait for their next request.
+  void closeIdle();
   /// Answers from now on close their connection.
   void closeConnections() { closing_ = true; }
 
@@ -105,16 +115,21 @@
   awaitable<void> accept();
   awaitable<void> serve(boost::asio::ip::tcp::socket socket);
   awaitable<void> serveRequests(boost::beast::tcp_stream& stream);
+  awaitable<bool> awaitRequest(boost::beast::tcp_stream& stream,
+                               boost::beast::flat_buffer& buffer);
   awaitable<void> refuse(boost::beast::tcp_stream& stream, Status status, std::string reason);
 
   WorkerPool& workers_;
-  const ServerLimits limits_;
+  const LimitsSource limits_;
   const Handler handler_;
   const Refusal refusal_;
   std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
   std::atomic<bool> closing_{false};
   std::atomic<size_t> in_progress_{0};
   ServerStats stats_;
+  std::mutex idle_mutex_;
+  /// Connections that wait for their next request; guarded by idle_mutex_.
+  std::set<boost::beast::tcp_stream*> idle_;
 };
 
 } // namespace workshatch::http
--- /dev/null
+++ b/src/adapters/link/link_pool.cc
@@ -0,0 +1,64 @@
+#include "adapters/link/link_pool.h"
+
+#include <chrono>
+#include <utility>
+
+namespace workshatch::link {
+
+namespace {
+
+constexpr std::chrono::milliseconds kDialLimit{400};
+constexpr int64_t kRetryMs = 200;
+
+} // namespace
+
+void LinkPool::send(const std::string& address, v1::RaftMessage message) {
+  v1::Frame frame;
+  frame.mutable_raft()->set_sender_address(own_address_);
+  *frame.mutable_raft()->add_messages() = std::move(message);
+  sendFrame(address, frame);
+}
+
+void LinkPool::sendFrame(const std::string& address, const v1::Frame& frame) {
+  auto& peer = peers_[address];
+  if (!peer) {
+    peer = std::make_unique<Peer>(context_);
+  }
+  if (peer->link && peer->link->isOpen()) {
+    peer->link->send(frame);
+    return;
+  }
+  peer->waiting = frame;
+  peer->has_waiting = true;
+  if (!peer->dialing && clock_.monotonicMs() >= peer->retry_at_ms) {
+    dial(address, *peer);
+  }
+}
+
+void LinkPool::dial(const std::string& address, Peer& peer) {
+  peer.dialing = true;
+  peer.dialer.dial(address, kDialLimit, [this, &peer](std::shared_ptr<FramedLink> link) {
+    peer.dialing = false;
+    if (!link) {
+      peer.retry_at_ms = clock_.monotonicMs() + kRetryMs;
+      return;
+    }
+    peer.link = std::move(link);
+    peer.link->start([](v1::Frame) {}, [&peer] { peer.link.reset(); });
+    if (std::exchange(peer.has_waiting, false)) {
+      peer.link->send(peer.waiting);
+      peer.waiting.Clear();
+    }
+  });
+}
+
+void LinkPool::close() {
+  for (auto& [address, peer] : peers_) {
+    peer->dialer.cancel();
+    if (peer->link) {
+      peer->link->close();
+    }
+  }
+}
+
+} // namespace workshatch::link
--- /dev/null
+++ b/src/adapters/settings/relay_settings.cc
@@ -0,0 +1,183 @@
+#include "adapters/settings/relay_settings.h"
+
+#include <fstream>
+#include <limits>
+#include <sstream>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "adapters/http/http_types.h"
+
+namespace workshatch::settings {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr double kMostMs = 3'600'000;
+constexpr double kMostPort = 65'535;
+constexpr double kMillisecondsPerSecond = 1000;
+
+/// Takes fields out of a JSON object and collects what is wrong with them.
+class FieldReader {
+public:
+  FieldReader(const json& object, std::string path, SettingsFaults& faults)
+      : object_(object), path_(std::move(path)), faults_(faults) {}
+
+  void text(const char* name, std::string& value, bool required) {
+    const json* field = find(name, required);
+    if (field != nullptr && !field->is_string()) {
+      fault(name, "must be text");
+    } else if (field != nullptr) {
+      value = field->get<std::string>();
+    }
+    if (required && field != nullptr && value.empty()) {
+      fault(name, "must not be empty");
+    }
+  }
+
+  void address(const char* name, std::string& value, bool required) {
+    text(name, value, required);
+    if (!value.empty() && !http::parseEndpoint(value)) {
+      fault(name, "must be \"ip:port\", not \"" + value + "\"");
+    }
+  }
+
+  void flag(const char* name, bool& value) {
+    const json* field = find(name, false);
+    if (field != nullptr && !field->is_boolean()) {
+      fault(name, "must be true or false");
+    } else if (field != nullptr) {
+      value = field->get<bool>();
+    }
+  }
+
+  template <typename Number> void number(const char* name, Number& value, double least, double most) {
+    const json* field = find(name, false);
+    if (field == nullptr) {
+      return;
+    }
+    if (!field->is_number() || field->get<double>() < least || field->get<double>() > most) {
+      std::ostringstream message;
+      message << "must be a number from " << least << " to " << most;
+      fault(name, message.str());
+      return;
+    }
+    value = static_cast<Number>(field->get<double>());
+  }
+
+  void addresses(const char* name, std::vector<std::string>& values) {
+    const json* field = find(name, true);
+    if (field == nullptr) {
+      return;
+    }
+    if (!field->is_array()) {
+      fault(name, "must be a list of \"ip:port\"");
+      return;
+    }
+    for (const json& entry : *field) {
+      if (!entry.is_string() || !http::parseEndpoint(entry.get<std::string>())) {
+        fault(name, "must be a list of \"ip:port\"");
+        return;
+      }
+      values.push_back(entry.get<std::string>());
+    }
+  }
+
+  const json* find(const char* name, bool required) {
+    const auto found = object_.find(name);
+    if (found != object_.end() && !found->is_null()) {
+      return &*found;
+    }
+    if (required) {
+      fault(name, "is missing");
+    }
+    return nullptr;
+  }
+
+  void fault(const char* name, const std::string& message) {
+    faults_.push_back(path_ + name + ": " + message);
+  }
+
+private:
+  const json& object_;
+  const std::string path_;
+  SettingsFaults& faults_;
+};
+
+void readBounds(FieldReader reader, RelayBounds& bounds) {
+  reader.number("revoked_key_ms", bounds.revoked_key_ms, 1, kMostMs);
+  reader.number("leaving_runner_ms", bounds.leaving_runner_ms, 1, kMostMs);
+  double stop_s = static_cast<double>(bounds.stop_ms) / kMillisecondsPerSecond;
+  reader.number("stop_s", stop_s, 0.1, kMostMs);
+  bounds.stop_ms = static_cast<int64_t>(stop_s * kMillisecondsPerSecond);
+  reader.number("repeat_ratio", bounds.repeat_ratio, 0, 1);
+  double window_s = static_cast<double>(bounds.repeat_window_ms) / kMillisecondsPerSecond;
+  reader.number("repeat_window_s", window_s, 0.1, kMostMs);
+  bounds.repeat_window_ms = static_cast<int64_t>(window_s * kMillisecondsPerSecond);
+  reader.number("repeat_slack", bounds.repeat_slack, 0, std::numeric_limits<uint32_t>::max());
+  reader.number("load_cap_factor", bounds.load_cap_factor, 1, 1000);
+  reader.number("endpoints_ttl_s", bounds.endpoints_ttl_s, 1, 3600);
+}
+
+} // namespace
+
+std::vector<std::string> RelaySettings::seedLinks() const {
+  std::vector<std::string> links;
+  for (const std::string& seed : seeds) {
+    links.push_back(seed.substr(0, seed.rfind(':') + 1) + std::to_string(link_port));
+  }
+  return links;
+}
+
+std::variant<RelaySettings, SettingsFaults> parseRelaySettings(const std::string& text) {
+  SettingsFaults faults;
+  const json document = json::parse(text, nullptr, false);
+  if (!document.is_object()) {
+    faults.emplace_back("the settings are not a JSON object");
+    return faults;
+  }
+  RelaySettings settings;
+  FieldReader reader(document, "", faults);
+  reader.text("name", settings.name, true);
+  reader.text("zone", settings.zone, true);
+  reader.text("ip", settings.ip, true);
+  reader.address("caller_address", settings.caller_address, false);
+  reader.address("ready_address", settings.ready_address, false);
+  reader.address("resolve_address", settings.resolve_address, false);
+  reader.address("operator_address", settings.operator_address, false);
+  reader.address("metrics_address", settings.metrics_address, false);
+  reader.number("link_port", settings.link_port, 1, kMostPort);
+  if (settings.link_port == 0) {
+    reader.fault("link_port", "is missing");
+  }
+  reader.addresses("seeds", settings.seeds);
+  reader.flag("first_start", settings.first_start);
+  reader.text("data_folder", settings.data_folder, false);
+  reader.address("runner_list_address", settings.runner_list_address, true);
+  reader.number("runner_list_calls", settings.runner_list_calls, 0.1, 1e6);
+  reader.number("replica_losses", settings.replica_losses, 0, 100);
+  const json* bounds = reader.find("bounds", false);
+  if (bounds != nullptr && bounds->is_object()) {
+    readBounds(FieldReader(*bounds, "bounds.", faults), settings.bounds);
+  } else if (bounds != nullptr) {
+    reader.fault("bounds", "must be an object");
+  }
+  if (!faults.empty()) {
+    return faults;
+  }
+  return settings;
+}
+
+std::variant<RelaySettings, SettingsFaults> loadRelaySettings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return SettingsFaults{path + ": cannot be read"};
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return parseRelaySettings(text.str());
+}
+
+} // namespace workshatch::settings
--- /dev/null
+++ b/src/adapters/settings/relay_settings.h
@@ -0,0 +1,60 @@
+/// @file
+/// Settings of a relay or a group replica, read from one JSON file.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace workshatch::settings {
+
+/// Bounds that the fleet keeps; the operators of the platform set them.
+struct RelayBounds {
+  int64_t revoked_key_ms = 5000;
+  int64_t leaving_runner_ms = 3000;
+  int64_t stop_ms = 8000;
+  double repeat_ratio = 0.2;
+  int64_t repeat_window_ms = 10'000;
+  double repeat_slack = 64;
+  double load_cap_factor = 2;
+  uint32_t endpoints_ttl_s = 2;
+};
+
+/// Addresses are "ip:port"; those of calls that the process does not serve are empty.
+struct RelaySettings {
+  std::string name;
+  std::string zone;
+  std::string ip;
+  std::string caller_address;
+  std::string ready_address;
+  std::string resolve_address;
+  std::string operator_address;
+  std::string metrics_address;
+  /// First of the ports for frames between own processes, alike on all machines.
+  uint16_t link_port = 0;
+  /// Operator addresses of some group replicas.
+  std::vector<std::string> seeds;
+  bool first_start = false;
+  std::string data_folder;
+  std::string runner_list_address;
+  /// Calls to the list that all processes together may make in a second.
+  double runner_list_calls = 10;
+  /// Losses of replicas that the group bears at once.
+  uint32_t replica_losses = 1;
+  RelayBounds bounds;
+
+  /// Addresses for frames of the replicas that `seeds` names.
+  std::vector<std::string> seedLinks() const;
+};
+
+/// What is wrong with a settings file: one line a field.
+using SettingsFaults = std::vector<std::string>;
+
+/// Reads and checks a settings file; names all faults at once. Unknown fields are ignored.
+std::variant<RelaySettings, SettingsFaults> loadRelaySettings(const std::string& path);
+
+/// As `loadRelaySettings`, from text.
+std::variant<RelaySettings, SettingsFaults> parseRelaySettings(const std::string& text);
+
+} // namespace workshatch::settings
--- /dev/null
+++ b/src/adapters/tcp_options.cc
@@ -0,0 +1,32 @@
+#include "adapters/tcp_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace workshatch::tcp_options {
+
+namespace {
+
+constexpr int kProbeIdleS = 1;
+constexpr int kProbeIntervalS = 1;
+constexpr int kProbes = 2;
+
+void set(int handle, int level, int name, int value) {
+  // An option that the system lacks leaves a slower detection; nothing else depends on it.
+  ::setsockopt(handle, level, name, &value, sizeof value);
+}
+
+} // namespace
+
+void setUp(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds silence) {
+  const int handle = socket.native_handle();
+  set(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+  set(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(silence.count()));
+  set(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(handle, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIdleS);
+  set(handle, IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalS);
+  set(handle, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+} // namespace workshatch::tcp_options
--- a/src/core/raft/raft_node.cc
+++ b/src/core/raft/raft_node.cc
@@ -190,6 +190,11 @@
   return found == progress_.end() ? 0 : found->second.match;
 }
 
+uint64_t RaftNode::ticksSinceReply(uint64_t member) const {
+  const auto found = progress_.find(member);
+  return found == progress_.end() ? 0 : now_ - found->second.active_tick;
+}
+
 void RaftNode::send(v1::RaftMessage message) {
   message.set_from(id_);
   if (message.term() == 0) {
--- a/src/core/raft/raft_node.h
+++ b/src/core/raft/raft_node.h
@@ -118,6 +118,9 @@
   /// Index up to which a member's log is known to match; leader only.
   uint64_t matchIndex(uint64_t member) const;
 
+  /// Ticks since a member last answered; leader only, zero for members that are not known.
+  uint64_t ticksSinceReply(uint64_t member) const;
+
   /// @return whether no other replica can have become leader yet: a majority answered a heartbeat
   /// that was sent less than an election timeout ago.
   bool hasLeaderLease() const;
--- /dev/null
+++ b/src/core/relay/configuration.h
@@ -0,0 +1,95 @@
+/// @file
+/// The configuration that operators send for relayed services: routes, services, caller limits and
+/// tenants.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/result.h"
+
+namespace workshatch::relay {
+
+/// How often a request of a route may run.
+enum class RouteKind {
+  /// May run more than once.
+  Repeatable,
+  /// Runs at most once for each attempt of a caller.
+  RunOnce,
+  /// Answered by a stream of events; runs at most once, unless it may be resumed.
+  Streaming,
+};
+
+/// A service that a route's requests go to, with its share of them.
+struct RouteTarget {
+  std::string service;
+  uint32_t weight = 1;
+};
+
+struct Route {
+  std::string name;
+  /// Host without port, in lower case.
+  std::string host;
+  /// Begins and ends with a slash.
+  std::string path_prefix;
+  RouteKind kind = RouteKind::RunOnce;
+  /// Longest time that a request is held.
+  uint32_t timeout_ms = 0;
+  /// Time within which an answer is worth its full credit.
+  uint32_t objective_ms = 0;
+  /// Rank; 0 is the most urgent.
+  uint32_t priority = 0;
+  /// Most runners that one attempt of a caller may run on.
+  uint32_t max_attempts = 1;
+  /// Needs no key.
+  bool anonymous = false;
+  /// Prompts of this route are cached by parts.
+  bool cached_prompts = false;
+  /// A broken stream may go on at another runner.
+  bool resumable = false;
+  /// Longest pause between events that still counts as in time; zero: not told.
+  uint32_t gap_ms = 0;
+  std::vector<RouteTarget> targets;
+};
+
+struct Service {
+  std::string name;
+  std::string health_path;
+  /// Connections that one runner takes from all callers.
+  uint32_t max_connections = 0;
+  /// Runners are model engines with a prompt cache.
+  bool model_engine = false;
+  /// Tokens that one engine keeps; zero: not told.
+  uint64_t engine_tokens = 0;
+};
+
+/// What a caller may send and how long it may take.
+struct CallerLimits {
+  uint32_t header_bytes = 16U * 1024;
+  uint32_t body_bytes = 4U * 1024 * 1024;
+  uint32_t header_timeout_ms = 3000;
+  uint32_t idle_timeout_ms = 15'000;
+};
+
+struct Tenant {
+  std::string name;
+  std::vector<std::string> keys;
+  /// Rank; 0 is the most urgent. Goes before a route's.
+  uint32_t priority = 0;
+};
+
+struct Configuration {
+  uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<Service> services;
+  CallerLimits limits;
+  /// Empty: no request needs a key.
+  std::vector<Tenant> tenants;
+};
+
+/// @return what makes the configuration invalid, naming the entry at fault, or nothing.
+std::optional<Error> findFault(const Configuration& configuration);
+
+} // namespace workshatch::relay
--- /dev/null
+++ b/src/core/relay/header_text.cc
@@ -0,0 +1,32 @@
+#include "core/relay/header_text.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace workshatch::relay {
+
+namespace {
+
+constexpr std::string_view kTokenSigns = "!#$%&'*+-.^_`|~";
+constexpr unsigned char kFirstPrintable = 0x20;
+constexpr unsigned char kDelete = 0x7f;
+
+bool isTokenSign(unsigned char sign) {
+  return std::isalnum(sign) != 0 || kTokenSigns.find(static_cast<char>(sign)) != std::string_view::npos;
+}
+
+bool isValueSign(unsigned char sign) {
+  return sign == '\t' || (sign >= kFirstPrintable && sign != kDelete);
+}
+
+} // namespace
+
+bool isHeaderName(std::string_view name) {
+  return !name.empty() && std::all_of(name.begin(), name.end(), isTokenSign);
+}
+
+bool isHeaderValue(std::string_view value) {
+  return std::all_of(value.begin(), value.end(), isValueSign);
+}
+
+} // namespace workshatch::relay
--- /dev/null
+++ b/src/core/relay/runner_table.cc
@@ -0,0 +1,218 @@
+#include "core/relay/runner_table.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+#include "core/routing/rendezvous.h"
+
+namespace workshatch::relay {
+
+namespace {
+
+/// Weight of the newest attempt in the failure rate.
+constexpr double kNewestWeight = 0.15;
+/// A runner is suspect when its failure rate is over twice its service's mean plus this.
+constexpr uint32_t kFailuresToAvoid = 3;
+constexpr int64_t kAvoidUnreachableMs = 500;
+constexpr int64_t kMostAvoidMs = 4000;
+constexpr int64_t kAvoidFailingMs = 1000;
+/// A full runner is left alone for a moment.
+constexpr int64_t kAvoidFullMs = 100;
+constexpr int64_t kAvoidMisdirectedMs = 5000;
+
+int64_t growingHold(int64_t first_ms, uint32_t failures) {
+  constexpr uint32_t kMostDoublings = 5;
+  const uint32_t doublings = std::min(failures == 0 ? 0 : failures - 1, kMostDoublings);
+  return std::min(first_ms << doublings, kMostAvoidMs);
+}
+
+bool isExcluded(const RunnerRequest& request, const Runner& runner) {
+  return std::find(request.excluded.begin(), request.excluded.end(), runner.entry.id()) !=
+         request.excluded.end();
+}
+
+} // namespace
+
+void RunnerTable::setList(const v1::RunnerList& list) {
+  std::unordered_map<std::string, std::shared_ptr<Runner>> known;
+  for (auto& runner : runners_) {
+    runner->gone = true;
+    known.emplace(runner->entry.id(), runner);
+  }
+  runners_.clear();
+  services_.clear();
+  list_version_ = list.version();
+  for (const v1::RunnerEntry& entry : list.runners()) {
+    auto& runner = known[entry.id()];
+    if (!runner) {
+      runner = std::make_shared<Runner>();
+      runner->fingerprint = routing::fingerprintOf(entry.id());
+    }
+    runner->entry = entry;
+    runner->gone = false;
+    runners_.push_back(runner);
+    services_[entry.service()].push_back(runner);
+  }
+}
+
+void RunnerTable::setSums(const v1::RunnerLoads& sums, const v1::RunnerLoads& reported,
+                          int64_t now_ms) {
+  const bool fits = sums.list_version() == list_version_ &&
+                    static_cast<size_t>(sums.in_progress_size()) == runners_.size();
+  if (!fits) {
+    return;
+  }
+  sums_at_ms_ = now_ms;
+  const bool own_known = reported.list_version() == list_version_ &&
+                         reported.in_progress_size() == sums.in_progress_size();
+  for (size_t i = 0; i < runners_.size(); ++i) {
+    const uint32_t total = sums.in_progress(static_cast<int>(i));
+    const uint32_t own = own_known ? reported.in_progress(static_cast<int>(i)) : 0;
+    runners_[i]->others_in_progress = total > own ? total - own : 0;
+  }
+}
+
+void RunnerTable::forgetStaleSums(int64_t now_ms) {
+  if (sums_at_ms_ == 0 || now_ms - sums_at_ms_ < options_.sums_valid_ms) {
+    return;
+  }
+  sums_at_ms_ = 0;
+  for (const auto& runner : runners_) {
+    runner->others_in_progress = 0;
+  }
+}
+
+v1::RunnerLoads RunnerTable::ownLoads() const {
+  v1::RunnerLoads loads;
+  loads.set_list_version(list_version_);
+  for (const auto& runner : runners_) {
+    loads.add_in_progress(runner->in_progress);
+  }
+  return loads;
+}
+
+RunnerTable::Candidates RunnerTable::candidatesFor(const RunnerRequest& request,
+                                                   bool* last_resort) const {
+  Candidates usable;
+  Candidates avoided;
+  const auto service = services_.find(request.service);
+  if (service == services_.end()) {
+    return usable;
+  }
+  for (const auto& runner : service->second) {
+    if (runner->entry.leaving() || isExcluded(request, *runner)) {
+      continue;
+    }
+    (runner->avoid_until_ms > request.now_ms ? avoided : usable).push_back(runner);
+  }
+  *last_resort = usable.empty() && !avoided.empty();
+  return *last_resort ? avoided : usable;
+}
+
+double RunnerTable::meanLoad(const Candidates& candidates) const {
+  uint64_t total = 0;
+  for (const auto& runner : candidates) {
+    total += runner->load();
+  }
+  return static_cast<double>(total) / static_cast<double>(candidates.size());
+}
+
+std::optional<RunnerChoice> RunnerTable::choose(const RunnerRequest& request) {
+  forgetStaleSums(request.now_ms);
+  bool last_resort = false;
+  Candidates candidates = candidatesFor(request, &last_resort);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  RunnerChoice choice = request.cache_key == 0 ? chooseByLoad(request, candidates)
+                                               : chooseByCache(request, std::move(candidates));
+  choice.last_resort = last_resort;
+  return choice;
+}
+
+RunnerChoice RunnerTable::chooseByCache(const RunnerRequest& request, Candidates candidates) const {
+  const double mean = meanLoad(candidates);
+  const double leave = options_.leave_factor * mean + options_.leave_slack;
+  const Candidates ranked = routing::rank(
+      request.cache_key, candidates,
+      [](const std::shared_ptr<Runner>& runner) -> const std::string& { return runner->entry.id(); });
+  RunnerChoice choice;
+  const size_t homes = std::min<size_t>(options_.homes, ranked.size());
+  for (size_t i = 0; i < homes; ++i) {
+    if (ranked[i]->load() + 1 <= leave) {
+      choice.runner = ranked[i];
+      return choice;
+    }
+    ++choice.passed_over;
+  }
+  RunnerChoice spread = chooseByLoad(request, candidates);
+  const double cap = options_.cap_factor * mean + options_.cap_slack;
+  // A home that is busy, but no busier than the rest, still saves the reading of the prompt.
+  for (size_t i = 0; i < homes; ++i) {
+    if (ranked[i]->load() + 1 <= cap && ranked[i]->load() <= spread.runner->load() + 2) {
+      choice.runner = ranked[i];
+      return choice;
+    }
+  }
+  spread.passed_over += choice.passed_over;
+  return spread;
+}
+
+RunnerChoice RunnerTable::chooseByLoad(const RunnerRequest& request,
+                                       const Candidates& candidates) const {
+  const auto costOf = [&](const Runner& runner) {
+    // A runner of another zone must be less loaded by one request to be worth the way.
+    const uint32_t distance = runner.entry.zone() == request.zone ? 0 : 1;
+    return runner.load() + distance;
+  };
+  const auto best = std::min_element(
+      candidates.begin(), candidates.end(), [&](const auto& left, const auto& right) {
+        const uint64_t left_draw = left->fingerprint ^ request.draw;
+        const uint64_t right_draw = right->fingerprint ^ request.draw;
+        return std::pair(costOf(*left), left_draw) < std::pair(costOf(*right), right_draw);
+      });
+  return RunnerChoice{.runner = *best};
+}
+
+void RunnerTable::endAttempt(Runner& runner, AttemptOutcome outcome, int64_t now_ms) const {
+  if (runner.in_progress > 0) {
+    --runner.in_progress;
+  }
+  switch (outcome) {
+  case AttemptOutcome::Succeeded:
+    runner.failure_rate *= 1 - kNewestWeight;
+    runner.failures_in_row = 0;
+    break;
+  case AttemptOutcome::Refused:
+    runner.avoid_until_ms = std::max(runner.avoid_until_ms, now_ms + kAvoidFullMs);
+    break;
+  case AttemptOutcome::Misdirected:
+    runner.avoid_until_ms = now_ms + kAvoidMisdirectedMs;
+    break;
+  case AttemptOutcome::Unreachable:
+    ++runner.failures_in_row;
+    runner.avoid_until_ms = now_ms + growingHold(kAvoidUnreachableMs, runner.failures_in_row);
+    break;
+  case AttemptOutcome::Failed:
+    runner.failure_rate = runner.failure_rate * (1 - kNewestWeight) + kNewestWeight;
+    ++runner.failures_in_row;
+    if (runner.failures_in_row >= kFailuresToAvoid) {
+      runner.avoid_until_ms =
+          now_ms + growingHold(kAvoidFailingMs, runner.failures_in_row - kFailuresToAvoid + 1);
+    }
+    break;
+  case AttemptOutcome::Abandoned:
+    break;
+  }
+}
+
+bool RunnerTable::hasUsable(const std::string& service, int64_t now_ms) const {
+  const auto found = services_.find(service);
+  return found != services_.end() &&
+         std::any_of(found->second.begin(), found->second.end(), [now_ms](const auto& runner) {
+           return !runner->entry.leaving() && runner->avoid_until_ms <= now_ms;
+         });
+}
+
+} // namespace workshatch::relay
--- /dev/null
+++ b/src/core/relay/runner_table.h
@@ -0,0 +1,131 @@
+/// @file
+/// The back ends that a relay knows, how loaded and how trustworthy each is, and the choice of one.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "workshatch/v1/relay.pb.h"
+
+namespace workshatch::relay {
+
+/// How an attempt at a runner ended.
+enum class AttemptOutcome {
+  Succeeded,
+  /// The runner said that it did not run the request, being full.
+  Refused,
+  /// Another runner has the address.
+  Misdirected,
+  /// No connection could be made.
+  Unreachable,
+  /// Broken off, spoilt, or a failure of the runner's own.
+  Failed,
+  /// Ended from our side (the caller left, a time limit); says nothing of the runner.
+  Abandoned,
+};
+
+/// One back end. Times are milliseconds of the steady clock.
+struct Runner {
+  v1::RunnerEntry entry;
+  /// Hash of the id, for ranking.
+  uint64_t fingerprint = 0;
+  /// Attempts of this relay that are in progress.
+  uint32_t in_progress = 0;
+  /// Attempts of the other relays, as of the last sums.
+  uint32_t others_in_progress = 0;
+  /// Moving share of failed attempts, 0 to 1.
+  double failure_rate = 0;
+  uint32_t failures_in_row = 0;
+  /// Not chosen before, unless nothing else is left.
+  int64_t avoid_until_ms = 0;
+  /// Gone from the list; kept only while attempts are in progress.
+  bool gone = false;
+
+  uint32_t load() const { return in_progress + others_in_progress; }
+};
+
+/// What the choice of a runner depends on.
+struct RunnerRequest {
+  std::string service;
+  /// Fingerprint of the shared part of the prompt; zero: no runner is preferred.
+  uint64_t cache_key = 0;
+  /// Breaks ties.
+  uint64_t draw = 0;
+  std::string zone;
+  /// Runners that were tried already.
+  std::vector<std::string> excluded;
+  int64_t now_ms = 0;
+};
+
+struct RunnerChoice {
+  std::shared_ptr<Runner> runner;
+  /// Candidates ranked before it that were passed over, being loaded or avoided.
+  uint32_t passed_over = 0;
+  /// All candidates were being avoided.
+  bool last_resort = false;
+};
+
+/// Rules of the choice.
+struct RunnerTableOptions {
+  /// No runner is given more than this multiple of its service's mean load, plus `cap_slack`.
+  double cap_factor = 2;
+  double cap_slack = 2;
+  /// Sums of the other relays' loads count for this long.
+  int64_t sums_valid_ms = 1500;
+  /// Homes that a cached part has.
+  uint32_t homes = 2;
+  /// A home is left for the next when its load is over `leave_factor` times the mean plus
+  /// `leave_slack`.
+  double leave_factor = 1.3;
+  double leave_slack = 3;
+};
+
+/// The runners of all services. Not safe for concurrent use.
+class RunnerTable {
+public:
+  explicit RunnerTable(RunnerTableOptions options) : options_(options) {}
+
+  /// Replaces the list; what is known of runners that stay is kept.
+  void setList(const v1::RunnerList& list);
+  uint64_t listVersion() const { return list_version_; }
+
+  /// Takes the sums over all relays, this one included, for the list that they name.
+  /// @param reported what this relay had reported itself when the sums were made
+  void setSums(const v1::RunnerLoads& sums, const v1::RunnerLoads& reported, int64_t now_ms);
+
+  /// This relay's attempts in progress, by position in the list.
+  v1::RunnerLoads ownLoads() const;
+
+  /// @return a runner, or nothing when the service has none left to try.
+  std::optional<RunnerChoice> choose(const RunnerRequest& request);
+
+  void beginAttempt(Runner& runner) const { ++runner.in_progress; }
+  void endAttempt(Runner& runner, AttemptOutcome outcome, int64_t now_ms) const;
+
+  /// @return whether a runner of the service may be chosen without last resort.
+  bool hasUsable(const std::string& service, int64_t now_ms) const;
+
+  const std::vector<std::shared_ptr<Runner>>& runners() const { return runners_; }
+
+private:
+  using Candidates = std::vector<std::shared_ptr<Runner>>;
+
+  Candidates candidatesFor(const RunnerRequest& request, bool* last_resort) const;
+  RunnerChoice chooseByCache(const RunnerRequest& request, Candidates candidates) const;
+  RunnerChoice chooseByLoad(const RunnerRequest& request, const Candidates& candidates) const;
+  double meanLoad(const Candidates& candidates) const;
+  void forgetStaleSums(int64_t now_ms);
+
+  const RunnerTableOptions options_;
+  uint64_t list_version_ = 0;
+  /// In the order of the list.
+  std::vector<std::shared_ptr<Runner>> runners_;
+  std::map<std::string, Candidates> services_;
+  int64_t sums_at_ms_ = 0;
+};
+
+} // namespace workshatch::relay
--- a/src/core/routing/ownership_memo.cc
+++ b/src/core/routing/ownership_memo.cc
@@ -1,6 +1,6 @@
 #include "core/routing/ownership_memo.h"
 
-#include "core/routing/rendezvous.h"
+#include "core/routing/engine_owner.h"
 
 namespace workshatch::routing {
 
--- a/src/core/routing/rendezvous.h
+++ b/src/core/routing/rendezvous.h
@@ -1,5 +1,5 @@
 /// @file
-/// Rendezvous hashing: which engine a session ranks first, and which router owns an engine.
+/// Rendezvous hashing: the order in which a key ranks nodes.
 ///
 /// Source: D. Thaler, C. Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998.
 #pragma once
@@ -11,8 +11,6 @@
 #include <utility>
 #include <vector>
 
-#include "workshatch/v1/control.pb.h"
-
 namespace workshatch::routing {
 
 /// @return the fingerprint of a session or prefix name; never zero, which means "no session".
@@ -45,10 +43,4 @@
   return ranked;
 }
 
-/// The router that owns an engine: of the active routers in the engine's zone, else of all active
-/// ones, the one with the highest weight.
-/// @return null when no router of the view is active.
-const v1::RouterEntry* ownerOf(const v1::View& view, const std::string& engine,
-                               const std::string& zone);
-
 } // namespace workshatch::routing
--- /dev/null
+++ b/src/daemon/group/group_membership.cc
@@ -0,0 +1,227 @@
+/// @file
+/// How a replica finds or forms its group, and how the leader changes the group's members.
+#include <algorithm>
+#include <utility>
+
+#include "adapters/logging/line_log.h"
+#include "daemon/group/group_replica.h"
+
+namespace workshatch::daemon {
+
+namespace {
+
+constexpr int64_t kSeekPeriodMs = 300;
+constexpr int64_t kMembershipPeriodMs = 200;
+/// A replica that hears no leader for so long asks whether it is still a member.
+constexpr int64_t kLonelyMs = 2500;
+/// A learner this close to the commit index has caught up.
+constexpr uint64_t kCaughtUpEntries = 4;
+/// Index and term of the snapshot that every replica of a new group starts from.
+constexpr uint64_t kFirstIndex = 1;
+constexpr uint64_t kFirstTerm = 1;
+
+} // namespace
+
+bool GroupReplica::isSeed(const std::string& address) const {
+  return std::find(options_.seeds.begin(), options_.seeds.end(), address) != options_.seeds.end();
+}
+
+void GroupReplica::seekGroup() {
+  const int64_t now = clock_.monotonicMs();
+  const bool ungrouped = node_->membership().members_size() == 0;
+  const bool voter = raft::votesIn(node_->membership(), id_);
+  const bool lonely = now - leader_heard_ms_ > kLonelyMs;
+  if (now < seek_due_ms_ || (voter && !lonely)) {
+    return;
+  }
+  seek_due_ms_ = now + kSeekPeriodMs;
+  if (ungrouped && !group_exists_ && options_.first_start && isSeed(options_.own_address)) {
+    sendHellos();
+    return;
+  }
+  sendJoins();
+}
+
+void GroupReplica::sendHellos() {
+  v1::ReplicaHello hello;
+  hello.set_id(id_);
+  hello.set_address(options_.own_address);
+  hello.set_founder(true);
+  hello.set_answer_wanted(true);
+  for (const std::string& seed : options_.seeds) {
+    if (seed != options_.own_address) {
+      send_hello_(seed, hello);
+    }
+  }
+  if (options_.seeds.size() == 1) {
+    formGroup();
+  }
+}
+
+void GroupReplica::sendJoins() {
+  v1::JoinRequest request;
+  request.set_id(id_);
+  request.set_address(options_.own_address);
+  std::vector<std::string> targets = memberAddresses();
+  targets.insert(targets.end(), options_.seeds.begin(), options_.seeds.end());
+  std::sort(targets.begin(), targets.end());
+  targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
+  for (const std::string& target : targets) {
+    if (target != options_.own_address) {
+      send_join_(target, request);
+    }
+  }
+}
+
+void GroupReplica::helloReceived(const v1::ReplicaHello& hello) {
+  const bool grouped = group_exists_ || node_->membership().members_size() != 0;
+  if (hello.answer_wanted()) {
+    v1::ReplicaHello answer;
+    answer.set_id(id_);
+    answer.set_address(options_.own_address);
+    answer.set_grouped(grouped);
+    answer.set_founder(!grouped && options_.first_start);
+    send_hello_(hello.address(), answer);
+  }
+  if (grouped) {
+    return;
+  }
+  if (hello.grouped()) {
+    // A group exists without this replica's state: it waits to be made a member.
+    group_exists_ = true;
+    founders_.clear();
+    return;
+  }
+  if (!hello.founder() || !isSeed(hello.address())) {
+    return;
+  }
+  founders_[hello.address()] = hello.id();
+  if (options_.first_start && isSeed(options_.own_address) &&
+      founders_.size() + 1 == options_.seeds.size()) {
+    formGroup();
+  }
+}
+
+void GroupReplica::formGroup() {
+  raft::RaftReady first;
+  first.snapshot.emplace();
+  first.snapshot->set_index(kFirstIndex);
+  first.snapshot->set_term(kFirstTerm);
+  first.snapshot->set_state(register_.save());
+  first.hard_state.emplace();
+  first.hard_state->set_term(kFirstTerm);
+  for (const std::string& address : options_.seeds) {
+    v1::RaftMember* member = first.snapshot->mutable_membership()->add_members();
+    member->set_address(address);
+    member->set_id(address == options_.own_address ? id_ : founders_.at(address));
+  }
+  if (isError(store_.write(first))) {
+    return;
+  }
+  raft::RaftRecovery recovery;
+  recovery.hard_state = *first.hard_state;
+  recovery.log.restore(*first.snapshot);
+  makeNode(std::move(recovery));
+  applied_ = kFirstIndex;
+  group_exists_ = true;
+  leader_heard_ms_ = clock_.monotonicMs();
+  line_log::write("group_formed", {{"id", id_}, {"members", options_.seeds}});
+}
+
+void GroupReplica::joinReceived(const v1::JoinRequest& request) {
+  if (node_->isLeader() && !unwritten_) {
+    joins_[request.address()] = request;
+  }
+}
+
+size_t GroupReplica::voterCount() const {
+  const v1::RaftMembership membership = node_->membership();
+  return static_cast<size_t>(
+      std::count_if(membership.members().begin(), membership.members().end(),
+                    [](const v1::RaftMember& member) { return !member.learner(); }));
+}
+
+void GroupReplica::stepMembership() {
+  const int64_t now = clock_.monotonicMs();
+  if (!node_->isLeader()) {
+    joins_.clear();
+    return;
+  }
+  if (now < membership_due_ms_ || joins_.empty() || !leads() || !node_->membershipCommitted()) {
+    return;
+  }
+  membership_due_ms_ = now + kMembershipPeriodMs;
+  for (const auto& [address, join] : joins_) {
+    if (stepJoin(join)) {
+      scheduleProcess();
+      return;
+    }
+  }
+  joins_.clear();
+}
+
+/// One step for a replica that asks to join. @return whether the membership is being changed.
+bool GroupReplica::stepJoin(const v1::JoinRequest& join) {
+  v1::RaftMembership membership = node_->membership();
+  auto* members = membership.mutable_members();
+  const auto own =
+      std::find_if(members->begin(), members->end(),
+                   [&](const v1::RaftMember& member) { return member.id() == join.id(); });
+  if (own != members->end() && !own->learner()) {
+    return false;
+  }
+  const auto former =
+      std::find_if(members->begin(), members->end(), [&](const v1::RaftMember& member) {
+        return member.address() == join.address() && member.id() != join.id();
+      });
+  const auto change = [&](const char* step) {
+    line_log::write("membership_change",
+                    {{"step", step}, {"id", join.id()}, {"address", join.address()}});
+    return node_->proposeMembership(membership).has_value();
+  };
+  if (own == members->end()) {
+    v1::RaftMember* learner = members->Add();
+    learner->set_id(join.id());
+    learner->set_address(join.address());
+    learner->set_learner(true);
+    return change("learner_added");
+  }
+  if (node_->matchIndex(join.id()) + kCaughtUpEntries < node_->commitIndex()) {
+    return false;
+  }
+  if (former != members->end()) {
+    // The replica at this address has lost its disk and with it its former identity.
+    members->erase(former);
+    return change("former_identity_removed");
+  }
+  if (voterCount() < options_.voters) {
+    own->set_learner(false);
+    return change("voter_added");
+  }
+  return replaceSilentVoter(std::move(membership));
+}
+
+/// Takes out the voter that has been silent longest, if one is gone; a learner then has its place.
+bool GroupReplica::replaceSilentVoter(v1::RaftMembership membership) {
+  auto* members = membership.mutable_members();
+  auto gone = members->end();
+  for (auto member = members->begin(); member != members->end(); ++member) {
+    const auto silent_ms =
+        static_cast<int64_t>(node_->ticksSinceReply(member->id())) * options_.tick_ms;
+    const bool candidate =
+        !member->learner() && member->id() != id_ && silent_ms >= options_.gone_ms;
+    if (candidate && (gone == members->end() || node_->ticksSinceReply(member->id()) >
+                                                    node_->ticksSinceReply(gone->id()))) {
+      gone = member;
+    }
+  }
+  if (gone == members->end()) {
+    return false;
+  }
+  line_log::write("membership_change",
+                  {{"step", "silent_voter_removed"}, {"id", gone->id()}, {"address", gone->address()}});
+  members->erase(gone);
+  return node_->proposeMembership(membership).has_value();
+}
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/group/group_replica.cc
@@ -0,0 +1,309 @@
+#include "daemon/group/group_replica.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "adapters/logging/line_log.h"
+#include "core/check.h"
+
+namespace workshatch::daemon {
+
+namespace {
+
+/// Ticks made up for at most, after the process was stopped for a while.
+constexpr int64_t kMostTicksBehind = 100;
+
+} // namespace
+
+GroupReplica::GroupReplica(boost::asio::io_context& context, GroupOptions options, LogStore& store,
+                           const Clock& clock, Random& random, ReplicaTransport& transport)
+    : context_(context), options_(std::move(options)), store_(store), clock_(clock),
+      random_(random), transport_(transport), tick_timer_(context) {}
+
+Result<std::monostate> GroupReplica::start() {
+  auto loaded = store_.load();
+  if (isError(loaded)) {
+    return errorOf(loaded);
+  }
+  StoredReplica& replica = std::get<StoredReplica>(loaded);
+  id_ = replica.id;
+  const v1::RaftSnapshot snapshot = replica.recovery.log.snapshot();
+  if (snapshot.index() != 0 && !register_.restore(snapshot.state())) {
+    return Error{"the snapshot in the data folder is not a state of this program"};
+  }
+  applied_ = snapshot.index();
+  group_exists_ = !replica.recovery.log.latestMembership().members().empty();
+  makeNode(std::move(replica.recovery));
+  next_tick_ms_ = clock_.monotonicMs() + options_.tick_ms;
+  leader_heard_ms_ = clock_.monotonicMs();
+  line_log::write("replica_started", {{"id", id_},
+                                      {"grouped", group_exists_},
+                                      {"version", register_.version()},
+                                      {"term", node_->term()}});
+  scheduleTick();
+  return std::monostate{};
+}
+
+void GroupReplica::makeNode(raft::RaftRecovery recovery) {
+  raft::RaftOptions raft_options;
+  raft_options.election_ticks = options_.election_ticks;
+  raft_options.trailing_entries = options_.trailing_entries;
+  node_ = std::make_unique<raft::RaftNode>(id_, raft_options, random_, std::move(recovery));
+}
+
+void GroupReplica::scheduleTick() {
+  tick_timer_.expires_after(std::chrono::milliseconds(options_.tick_ms));
+  tick_timer_.async_wait([this](boost::system::error_code failure) {
+    if (failure) {
+      return;
+    }
+    process();
+    scheduleTick();
+  });
+}
+
+void GroupReplica::makeUpTicks() {
+  const int64_t now = clock_.monotonicMs();
+  if ((now - next_tick_ms_) / options_.tick_ms > kMostTicksBehind) {
+    next_tick_ms_ = now - kMostTicksBehind * options_.tick_ms;
+  }
+  while (next_tick_ms_ <= now) {
+    next_tick_ms_ += options_.tick_ms;
+    node_->tick();
+  }
+}
+
+void GroupReplica::scheduleProcess() {
+  if (std::exchange(process_scheduled_, true)) {
+    return;
+  }
+  boost::asio::post(context_, [this] { process(); });
+}
+
+void GroupReplica::process() {
+  process_scheduled_ = false;
+  if (unwritten_ && !writeReady()) {
+    return;
+  }
+  makeUpTicks();
+  while (true) {
+    unwritten_ = node_->takeReady();
+    const bool nothing = !unwritten_->needsSync() && unwritten_->messages.empty() &&
+                         unwritten_->committed.empty() && unwritten_->reads.empty();
+    if (nothing) {
+      unwritten_.reset();
+      break;
+    }
+    if (!writeReady()) {
+      return;
+    }
+  }
+  noteLeadership();
+  compactIfDue();
+  seekGroup();
+  stepMembership();
+}
+
+/// Makes `unwritten_` durable and does what it asks for. Nothing may be sent or applied before.
+bool GroupReplica::writeReady() {
+  if (unwritten_->needsSync()) {
+    const auto written = store_.write(*unwritten_);
+    if (isError(written)) {
+      line_log::write("disk_failed", {{"error", errorOf(written).message}});
+      return false;
+    }
+  }
+  finishReady();
+  return true;
+}
+
+void GroupReplica::finishReady() {
+  raft::RaftReady ready = std::move(*unwritten_);
+  unwritten_.reset();
+  if (ready.snapshot) {
+    WORKSHATCH_CHECK(register_.restore(ready.snapshot->state()), "snapshot from the leader");
+    applied_ = ready.snapshot->index();
+    group_exists_ = true;
+    if (on_change_) {
+      on_change_();
+    }
+  }
+  node_->persisted();
+  for (v1::RaftMessage& message : ready.messages) {
+    const std::string address = addressOf(message.to());
+    if (!address.empty()) {
+      transport_.send(address, std::move(message));
+    }
+  }
+  for (const v1::RaftEntry& entry : ready.committed) {
+    applyEntry(entry);
+  }
+  answerStores();
+  for (const raft::ReadConfirmation& read : ready.reads) {
+    const auto found = reads_.find(read.context);
+    if (found != reads_.end()) {
+      const ReadCallback done = std::move(found->second);
+      reads_.erase(found);
+      done(read.confirmed ? &register_.stored() : nullptr);
+    }
+  }
+}
+
+void GroupReplica::applyEntry(const v1::RaftEntry& entry) {
+  applied_ = entry.index();
+  bytes_since_snapshot_ += entry.command().size();
+  if (entry.command().empty() || !register_.apply(entry.command())) {
+    return;
+  }
+  line_log::write("configuration_committed",
+                  {{"version", register_.version()}, {"term", node_->term()}});
+  if (on_change_) {
+    on_change_();
+  }
+}
+
+void GroupReplica::answerStores() {
+  std::vector<PendingStore> waiting;
+  for (PendingStore& pending : std::exchange(stores_, {})) {
+    if (register_.version() >= pending.version) {
+      pending.done(StoreOutcome::Stored);
+    } else {
+      waiting.push_back(std::move(pending));
+    }
+  }
+  for (PendingStore& pending : waiting) {
+    stores_.push_back(std::move(pending));
+  }
+}
+
+void GroupReplica::store(v1::StoredConfiguration configuration, StoreCallback done) {
+  if (unwritten_ || !leads()) {
+    done(StoreOutcome::NotLeader);
+    return;
+  }
+  const uint64_t version = configuration.version();
+  if (version <= register_.version()) {
+    done(StoreOutcome::Stored);
+    return;
+  }
+  v1::GroupCommand command;
+  *command.mutable_store() = std::move(configuration);
+  if (!node_->propose(command.SerializeAsString())) {
+    done(StoreOutcome::NotLeader);
+    return;
+  }
+  stores_.push_back(
+      PendingStore{.version = version, .term = node_->term(), .done = std::move(done)});
+  scheduleProcess();
+}
+
+void GroupReplica::read(ReadCallback done) {
+  if (unwritten_ || !leads()) {
+    done(nullptr);
+    return;
+  }
+  const uint64_t context = next_context_++;
+  reads_[context] = std::move(done);
+  node_->requestRead(context);
+  scheduleProcess();
+}
+
+bool GroupReplica::leads() {
+  if (unwritten_ || !node_) {
+    return false;
+  }
+  // Time first: after a freeze, an old leader must not answer before it knows how late it is.
+  makeUpTicks();
+  return node_->committedInTerm() && node_->hasLeaderLease();
+}
+
+int64_t GroupReplica::leadingForMs() const {
+  return was_leader_ ? clock_.monotonicMs() - leading_since_ms_ : 0;
+}
+
+void GroupReplica::noteLeadership() {
+  if (node_->leader() != 0) {
+    leader_heard_ms_ = clock_.monotonicMs();
+  }
+  const bool leader = node_->isLeader();
+  const bool new_term = leader && leader_term_ != node_->term();
+  if (was_leader_ && (!leader || new_term)) {
+    failPending();
+    line_log::write("leadership_lost", {{"term", node_->term()}});
+  }
+  if (leader && (!was_leader_ || new_term)) {
+    leading_since_ms_ = clock_.monotonicMs();
+    line_log::write("leadership_won", {{"term", node_->term()}, {"id", id_}});
+  }
+  was_leader_ = leader;
+  leader_term_ = leader ? node_->term() : 0;
+}
+
+void GroupReplica::failPending() {
+  for (PendingStore& pending : std::exchange(stores_, {})) {
+    pending.done(StoreOutcome::NotLeader);
+  }
+  for (auto& [context, done] : std::exchange(reads_, {})) {
+    done(nullptr);
+  }
+}
+
+void GroupReplica::compactIfDue() {
+  const bool due = applied_ >= node_->log().snapshot().index() + options_.snapshot_entries ||
+                   bytes_since_snapshot_ >= options_.snapshot_bytes;
+  if (!due) {
+    return;
+  }
+  bytes_since_snapshot_ = 0;
+  node_->compact(applied_, register_.save());
+  const auto stored = store_.compact(node_->log(), node_->hardState());
+  if (isError(stored)) {
+    line_log::write("snapshot_failed", {{"error", errorOf(stored).message}});
+  }
+}
+
+void GroupReplica::handOver() {
+  node_->transferLeadership();
+  process();
+}
+
+void GroupReplica::deliver(const v1::RaftBatch& batch) {
+  if (unwritten_) {
+    return;
+  }
+  makeUpTicks();
+  for (const v1::RaftMessage& message : batch.messages()) {
+    sender_addresses_[message.from()] = batch.sender_address();
+    node_->step(message);
+  }
+  scheduleProcess();
+}
+
+std::string GroupReplica::addressOf(uint64_t member) const {
+  const v1::RaftMembership membership = node_->membership();
+  for (const v1::RaftMember& candidate : membership.members()) {
+    if (candidate.id() == member) {
+      return candidate.address();
+    }
+  }
+  const auto sender = sender_addresses_.find(member);
+  return sender == sender_addresses_.end() ? "" : sender->second;
+}
+
+std::string GroupReplica::leaderAddress() const {
+  return node_->leader() == 0 || node_->leader() == id_ ? "" : addressOf(node_->leader());
+}
+
+std::vector<std::string> GroupReplica::memberAddresses() const {
+  std::vector<std::string> addresses;
+  const v1::RaftMembership membership = node_->membership();
+  for (const v1::RaftMember& member : membership.members()) {
+    addresses.push_back(member.address());
+  }
+  return addresses;
+}
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/group/group_replica.h
@@ -0,0 +1,167 @@
+/// @file
+/// A replica of the group that holds the configuration: runs the replicated log on an event loop.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/raft/raft_node.h"
+#include "core/relay/configuration_register.h"
+#include "ports/clock.h"
+#include "ports/log_store.h"
+#include "ports/random.h"
+#include "ports/replica_transport.h"
+
+namespace workshatch::daemon {
+
+struct GroupOptions {
+  /// Where other replicas reach this one.
+  std::string own_address;
+  /// Addresses of some replicas; on the first start of all, of those that form the group.
+  std::vector<std::string> seeds;
+  /// The whole system starts for the first time, with empty disks.
+  bool first_start = false;
+  /// Voters that the group grows to without taking one out.
+  size_t voters = 3;
+  int64_t tick_ms = 80;
+  uint32_t election_ticks = 10;
+  /// A voter that is silent for so long may be replaced by a replica at a new address.
+  int64_t gone_ms = 3000;
+  /// The log is compacted after so many entries, or so many bytes of commands.
+  uint64_t snapshot_entries = 48;
+  uint64_t snapshot_bytes = 512U * 1024;
+  uint64_t trailing_entries = 8;
+};
+
+enum class StoreOutcome {
+  /// Durable at a majority, and the version held is at least the one sent.
+  Stored,
+  /// This replica does not lead (any more); whether the change will be in force is not known.
+  NotLeader,
+};
+
+/// One replica. Lives on its event loop; not safe for concurrent use. While the disk refuses
+/// writes, the replica takes no part in anything.
+class GroupReplica {
+public:
+  using StoreCallback = std::function<void(StoreOutcome)>;
+  /// Null: this replica can't confirm that it knows the newest.
+  using ReadCallback = std::function<void(const v1::StoredConfiguration*)>;
+  using HelloSender = std::function<void(const std::string& address, v1::ReplicaHello hello)>;
+  using JoinSender = std::function<void(const std::string& address, v1::JoinRequest request)>;
+
+  GroupReplica(boost::asio::io_context& context, GroupOptions options, LogStore& store,
+               const Clock& clock, Random& random, ReplicaTransport& transport);
+  GroupReplica(const GroupReplica&) = delete;
+  GroupReplica& operator=(const GroupReplica&) = delete;
+
+  /// Set before `start`.
+  void onHelloWanted(HelloSender sender) { send_hello_ = std::move(sender); }
+  void onJoinWanted(JoinSender sender) { send_join_ = std::move(sender); }
+  /// Runs after each change of the stored configuration.
+  void onChange(std::function<void()> handler) { on_change_ = std::move(handler); }
+
+  /// Reads what is stored and begins to tick.
+  Result<std::monostate> start();
+  /// Hands leadership over if this replica leads.
+  void handOver();
+
+  void deliver(const v1::RaftBatch& batch);
+  void helloReceived(const v1::ReplicaHello& hello);
+  void joinReceived(const v1::JoinRequest& request);
+
+  /// Proposes a configuration; decides when it is applied whether it is above the held one.
+  void store(v1::StoredConfiguration configuration, StoreCallback done);
+  /// Reads the configuration after a majority has confirmed this leader.
+  void read(ReadCallback done);
+
+  /// @return whether this replica leads and no other can have become leader until now.
+  bool leads();
+  /// The leader's address as far as known; empty: not known or this one.
+  std::string leaderAddress() const;
+  std::vector<std::string> memberAddresses() const;
+  const v1::StoredConfiguration& stored() const { return register_.stored(); }
+  uint64_t id() const { return id_; }
+  uint64_t term() const { return node_->term(); }
+  /// Steady time since this replica won its present leadership.
+  int64_t leadingForMs() const;
+  void setSeeds(std::vector<std::string> seeds) { options_.seeds = std::move(seeds); }
+
+private:
+  struct PendingStore {
+    uint64_t version = 0;
+    uint64_t term = 0;
+    StoreCallback done;
+  };
+
+  void scheduleTick();
+  void makeUpTicks();
+  /// Processes soon, once for all that comes until then.
+  void scheduleProcess();
+  void process();
+  bool writeReady();
+  void finishReady();
+  void applyEntry(const v1::RaftEntry& entry);
+  void answerStores();
+  void failPending();
+  void compactIfDue();
+  void noteLeadership();
+  void seekGroup();
+  void sendHellos();
+  void sendJoins();
+  void formGroup();
+  void makeNode(raft::RaftRecovery recovery);
+  void stepMembership();
+  bool stepJoin(const v1::JoinRequest& join);
+  bool replaceSilentVoter(v1::RaftMembership membership);
+  size_t voterCount() const;
+  std::string addressOf(uint64_t member) const;
+  bool isSeed(const std::string& address) const;
+
+  boost::asio::io_context& context_;
+  GroupOptions options_;
+  LogStore& store_;
+  const Clock& clock_;
+  Random& random_;
+  ReplicaTransport& transport_;
+  boost::asio::steady_timer tick_timer_;
+  HelloSender send_hello_;
+  JoinSender send_join_;
+  std::function<void()> on_change_;
+
+  uint64_t id_ = 0;
+  std::unique_ptr<raft::RaftNode> node_;
+  relay::ConfigurationRegister register_;
+  int64_t next_tick_ms_ = 0;
+  bool process_scheduled_ = false;
+  /// What has to be written before anything else; set while the disk refuses it.
+  std::optional<raft::RaftReady> unwritten_;
+  uint64_t applied_ = 0;
+  uint64_t bytes_since_snapshot_ = 0;
+  bool was_leader_ = false;
+  uint64_t leader_term_ = 0;
+  int64_t leading_since_ms_ = 0;
+  int64_t leader_heard_ms_ = 0;
+  int64_t seek_due_ms_ = 0;
+  int64_t membership_due_ms_ = 0;
+  uint64_t next_context_ = 1;
+  std::vector<PendingStore> stores_;
+  std::map<uint64_t, ReadCallback> reads_;
+  /// Identities by address of founders that belong to no group.
+  std::map<std::string, uint64_t> founders_;
+  bool group_exists_ = false;
+  /// Replicas that ask to join, by address.
+  std::map<std::string, v1::JoinRequest> joins_;
+  /// Where messages of replicas came from that are not members here (yet).
+  std::map<uint64_t, std::string> sender_addresses_;
+};
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/group/group_role.cc
@@ -0,0 +1,166 @@
+#include "daemon/group/group_role.h"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "adapters/http/problem.h"
+#include "adapters/logging/line_log.h"
+
+namespace workshatch::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds kListPeriod{400};
+constexpr std::chrono::milliseconds kLogPeriod{50};
+/// Time for the last messages of a replica that hands over.
+constexpr std::chrono::milliseconds kHandOverTime{600};
+constexpr uint32_t kOperatorBodyBytes = 16U * 1024 * 1024;
+constexpr std::chrono::milliseconds kOperatorReadLimit{10'000};
+
+GroupOptions groupOptions(const settings::RelaySettings& settings, const std::string& own) {
+  GroupOptions options;
+  options.own_address = own;
+  options.seeds = settings.seedLinks();
+  options.first_start = settings.first_start;
+  options.voters = std::max<size_t>(options.voters, 2 * size_t{settings.replica_losses} + 1);
+  return options;
+}
+
+http::ServerLimits operatorLimits() {
+  http::ServerLimits limits;
+  limits.body_bytes = kOperatorBodyBytes;
+  limits.read_timeout = kOperatorReadLimit;
+  return limits;
+}
+
+http::Response refuseOperator(http::Status status, const std::string& reason) {
+  return http::makeProblem(
+      http::Problem{.status = status, .code = "bad_request", .detail = reason});
+}
+
+} // namespace
+
+GroupRole::GroupRole(settings::RelaySettings settings, WorkerPool& workers, const Clock& clock,
+                     RelayAdapters adapters)
+    : settings_(std::move(settings)), clock_(clock), context_(workers.context(0)),
+      adapters_(adapters),
+      link_address_(settings_.ip + ":" + std::to_string(settings_.link_port)),
+      random_(SeededRandom::fromEntropy()), store_(settings_.data_folder, random_),
+      links_(context_, clock, link_address_),
+      replica_(context_, groupOptions(settings_, link_address_), store_, clock, random_, links_),
+      hub_(replica_, clock),
+      operator_api_(context_, replica_, adapters.configurations, adapters.dialect,
+                    settings_.operator_address.substr(settings_.operator_address.rfind(':') + 1)),
+      reader_(context_, settings_.runner_list_address, adapters.runner_lists), listener_(context_),
+      operator_server_(
+          workers, operatorLimits(),
+          [this](http::Exchange& exchange) { return operator_api_.handle(exchange); },
+          refuseOperator),
+      log_timer_(context_), stop_timer_(context_) {}
+
+Result<std::monostate> GroupRole::start() {
+  replica_.onHelloWanted([this](const std::string& address, v1::ReplicaHello hello) {
+    v1::Frame frame;
+    *frame.mutable_hello() = std::move(hello);
+    links_.sendFrame(address, frame);
+  });
+  replica_.onJoinWanted([this](const std::string& address, v1::JoinRequest request) {
+    v1::Frame frame;
+    *frame.mutable_join() = std::move(request);
+    links_.sendFrame(address, frame);
+  });
+  replica_.onChange([this] { hub_.pushConfiguration(); });
+  if (auto started = replica_.start(); isError(started)) {
+    return started;
+  }
+  auto listening =
+      listener_.listen(link_address_, [this](const auto& link) { accept(link); });
+  if (isError(listening)) {
+    return listening;
+  }
+  auto serving = operator_server_.listen(settings_.operator_address);
+  if (isError(serving)) {
+    return errorOf(serving);
+  }
+  asio::co_spawn(context_, readRunnerLists(), asio::detached);
+  flushLog();
+  return std::monostate{};
+}
+
+void GroupRole::accept(const std::shared_ptr<link::FramedLink>& link) {
+  const std::weak_ptr<link::FramedLink> weak = link;
+  link->start(
+      [this, weak](const v1::Frame& frame) {
+        if (const auto sender = weak.lock()) {
+          frameReceived(sender, frame);
+        }
+      },
+      [] {});
+}
+
+void GroupRole::frameReceived(const std::shared_ptr<link::FramedLink>& link,
+                              const v1::Frame& frame) {
+  switch (frame.body_case()) {
+  case v1::Frame::kRaft:
+    replica_.deliver(frame.raft());
+    break;
+  case v1::Frame::kHello:
+    replica_.helloReceived(frame.hello());
+    break;
+  case v1::Frame::kJoin:
+    replica_.joinReceived(frame.join());
+    break;
+  case v1::Frame::kRenewal:
+    hub_.renewed(link, frame.renewal());
+    break;
+  default:
+    break;
+  }
+}
+
+http::awaitable<void> GroupRole::readRunnerLists() {
+  asio::steady_timer timer(context_);
+  while (true) {
+    if (replica_.leads()) {
+      Result<v1::RunnerList> list = co_await reader_.read();
+      if (isError(list)) {
+        line_log::write("runner_list_unread", {{"error", errorOf(list).message}});
+      } else {
+        hub_.runnersRead(std::move(std::get<v1::RunnerList>(list)));
+      }
+    }
+    timer.expires_after(kListPeriod);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
+void GroupRole::flushLog() {
+  line_log::flush();
+  log_timer_.expires_after(kLogPeriod);
+  log_timer_.async_wait([this](boost::system::error_code failure) {
+    if (!failure) {
+      flushLog();
+    }
+  });
+}
+
+void GroupRole::reload(const settings::RelaySettings& settings) {
+  replica_.setSeeds(settings.seedLinks());
+}
+
+void GroupRole::stop(std::function<void()> stopped) {
+  operator_server_.stopAccepting();
+  replica_.handOver();
+  stop_timer_.expires_after(kHandOverTime);
+  stop_timer_.async_wait([stopped = std::move(stopped)](boost::system::error_code) { stopped(); });
+}
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/group/group_role.h
@@ -0,0 +1,60 @@
+/// @file
+/// The group role: a replica of the configuration, its operator interface and its service to relays.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "adapters/disk/file_log_store.h"
+#include "adapters/http/http_server.h"
+#include "adapters/link/framed_link.h"
+#include "adapters/link/link_pool.h"
+#include "adapters/settings/relay_settings.h"
+#include "adapters/worker_pool.h"
+#include "daemon/group/group_replica.h"
+#include "daemon/group/operator_api.h"
+#include "daemon/group/relay_hub.h"
+#include "daemon/relay_adapters.h"
+#include "daemon/runner_list_reader.h"
+#include "ports/seeded_random.h"
+
+namespace workshatch::daemon {
+
+/// Lives on the first worker's event loop; `start`, `stop` and `reload` run on it.
+class GroupRole {
+public:
+  GroupRole(settings::RelaySettings settings, WorkerPool& workers, const Clock& clock,
+            RelayAdapters adapters);
+
+  Result<std::monostate> start();
+  /// Hands leadership over, then calls `stopped`.
+  void stop(std::function<void()> stopped);
+  void reload(const settings::RelaySettings& settings);
+
+private:
+  void accept(const std::shared_ptr<link::FramedLink>& link);
+  void frameReceived(const std::shared_ptr<link::FramedLink>& link, const v1::Frame& frame);
+  http::awaitable<void> readRunnerLists();
+  void flushLog();
+
+  const settings::RelaySettings settings_;
+  const Clock& clock_;
+  boost::asio::io_context& context_;
+  const RelayAdapters adapters_;
+  const std::string link_address_;
+  SeededRandom random_;
+  disk::FileLogStore store_;
+  link::LinkPool links_;
+  GroupReplica replica_;
+  RelayHub hub_;
+  OperatorApi operator_api_;
+  RunnerListReader reader_;
+  link::LinkListener listener_;
+  http::Server operator_server_;
+  boost::asio::steady_timer log_timer_;
+  boost::asio::steady_timer stop_timer_;
+};
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/group/operator_api.cc
@@ -0,0 +1,157 @@
+#include "daemon/group/operator_api.h"
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include "adapters/http/problem.h"
+#include "adapters/logging/line_log.h"
+
+namespace workshatch::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds kStoreLimit{3000};
+constexpr std::chrono::milliseconds kReadLimit{2000};
+constexpr uint32_t kRetryAfterMs = 200;
+
+/// A value that a callback sets and a coroutine waits for, up to a limit.
+template <typename Value> class Waiter {
+public:
+  explicit Waiter(asio::io_context& context) : timer_(context) {}
+
+  void set(Value value) {
+    if (!value_) {
+      value_ = std::move(value);
+      timer_.cancel();
+    }
+  }
+
+  http::awaitable<std::optional<Value>> wait(std::chrono::milliseconds limit) {
+    if (!value_) {
+      timer_.expires_after(limit);
+      co_await timer_.async_wait(kAwait);
+    }
+    co_return value_;
+  }
+
+private:
+  asio::steady_timer timer_;
+  std::optional<Value> value_;
+};
+
+http::Response problem(http::Status status, std::string code, std::string detail) {
+  const bool again = status == http::Status::service_unavailable;
+  return http::makeProblem(http::Problem{.status = status,
+                                         .code = std::move(code),
+                                         .detail = std::move(detail),
+                                         .retry_after_ms = again ? kRetryAfterMs : 0});
+}
+
+} // namespace
+
+http::awaitable<void> OperatorApi::handle(http::Exchange& exchange) {
+  const http::Verb method = exchange.request().method();
+  const bool is_put = exchange.path() == dialect_.paths().put_configuration;
+  const bool is_get = exchange.path() == dialect_.paths().get_configuration;
+  if (is_put && method == http::Verb::post) {
+    co_await put(exchange);
+  } else if (is_get && method == http::Verb::get) {
+    co_await get(exchange);
+  } else if (is_put || is_get) {
+    http::Response refusal = problem(http::Status::method_not_allowed, "method", "wrong method");
+    refusal.set(http::Field::allow, is_put ? "POST" : "GET");
+    co_await exchange.respond(std::move(refusal));
+  } else {
+    http::Response refusal = problem(http::Status::not_found, "no_call", "no such call");
+    co_await exchange.respond(std::move(refusal));
+  }
+}
+
+http::Response OperatorApi::elsewhere(const http::Exchange& exchange) const {
+  const std::string leader = replica_.leaderAddress();
+  const size_t colon = leader.rfind(':');
+  if (colon == std::string::npos) {
+    return problem(http::Status::service_unavailable, "no_leader", "no leader is known");
+  }
+  http::Response response =
+      problem(http::Status::temporary_redirect, "not_leader", "this replica does not lead");
+  const std::string location =
+      "http://" + leader.substr(0, colon) + ":" + port_ + std::string(exchange.target());
+  response.set(http::Field::location, location);
+  return response;
+}
+
+http::awaitable<StoreOutcome> OperatorApi::store(v1::StoredConfiguration configuration) {
+  const auto waiter = std::make_shared<Waiter<StoreOutcome>>(context_);
+  replica_.store(std::move(configuration),
+                 [waiter](StoreOutcome outcome) { waiter->set(outcome); });
+  const std::optional<StoreOutcome> outcome = co_await waiter->wait(kStoreLimit);
+  co_return outcome.value_or(StoreOutcome::NotLeader);
+}
+
+http::awaitable<void> OperatorApi::put(http::Exchange& exchange) {
+  const std::string& document = exchange.request().body();
+  const auto decoded = codec_.decode(document);
+  std::optional<Error> fault;
+  if (isError(decoded)) {
+    fault = errorOf(decoded);
+  } else {
+    fault = relay::findFault(std::get<relay::Configuration>(decoded));
+  }
+  if (fault) {
+    line_log::write("configuration_refused", {{"error", fault->message}});
+    http::Response refusal = problem(http::Status::bad_request, "invalid", fault->message);
+    co_await exchange.respond(std::move(refusal));
+    co_return;
+  }
+  if (!replica_.leads()) {
+    http::Response redirect = elsewhere(exchange);
+    co_await exchange.respond(std::move(redirect));
+    co_return;
+  }
+  v1::StoredConfiguration configuration;
+  configuration.set_version(std::get<relay::Configuration>(decoded).version);
+  configuration.set_document(document);
+  const uint64_t version = configuration.version();
+  const StoreOutcome outcome = co_await store(std::move(configuration));
+  line_log::write("configuration_put", {{"version", version},
+                                        {"stored", outcome == StoreOutcome::Stored},
+                                        {"held", replica_.stored().version()}});
+  http::Response response =
+      outcome == StoreOutcome::Stored
+          ? http::makeResponse(http::Status::ok, "application/json", "{}")
+          : problem(http::Status::service_unavailable, "not_confirmed", "no majority confirmed it");
+  co_await exchange.respond(std::move(response));
+}
+
+http::awaitable<void> OperatorApi::get(http::Exchange& exchange) {
+  if (!replica_.leads()) {
+    http::Response redirect = elsewhere(exchange);
+    co_await exchange.respond(std::move(redirect));
+    co_return;
+  }
+  using Read = std::optional<std::string>;
+  const auto waiter = std::make_shared<Waiter<Read>>(context_);
+  replica_.read([waiter](const v1::StoredConfiguration* stored) {
+    const bool known = stored != nullptr && stored->version() != 0;
+    waiter->set(known ? Read(stored->document()) : Read());
+  });
+  std::optional<Read> read = co_await waiter->wait(kReadLimit);
+  const bool known = read.has_value() && read->has_value();
+  http::Response response =
+      known ? http::makeResponse(http::Status::ok, "application/json", std::move(**read))
+            : problem(http::Status::service_unavailable, "not_confirmed", "no majority confirmed it");
+  co_await exchange.respond(std::move(response));
+}
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/group/relay_hub.cc
@@ -0,0 +1,157 @@
+#include "daemon/group/relay_hub.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <google/protobuf/util/message_differencer.h>
+
+#include "adapters/logging/line_log.h"
+
+namespace workshatch::daemon {
+
+namespace {
+
+/// A relay that renews nothing for so long leaves the list.
+constexpr int64_t kSilentMs = 1200;
+/// A new leader tells no list of relays before all had time to renew.
+constexpr int64_t kSettleMs = 1000;
+/// Versions of one term lie above those of the terms before.
+constexpr unsigned kTermShift = 24;
+
+} // namespace
+
+uint64_t RelayHub::nextVersion() { return (term_ << kTermShift) + ++changes_; }
+
+void RelayHub::renewed(const std::shared_ptr<link::FramedLink>& link,
+                       const v1::LeaseRenewal& renewal) {
+  v1::Frame frame;
+  v1::LeaseReply& reply = *frame.mutable_lease();
+  reply.set_sequence(renewal.sequence());
+  for (const std::string& member : replica_.memberAddresses()) {
+    reply.add_members(member);
+  }
+  if (!replica_.leads()) {
+    reply.set_leader_address(replica_.leaderAddress());
+    link->send(frame);
+    return;
+  }
+  if (term_ != replica_.term()) {
+    term_ = replica_.term();
+    relays_.clear();
+    runners_.Clear();
+    relay_list_.Clear();
+  }
+  Relay& relay = relays_[renewal.name()];
+  const bool joined = relay.renewal.incarnation() != renewal.incarnation();
+  relay.link = link;
+  relay.renewal = renewal;
+  relay.renewed_at_ms = clock_.monotonicMs();
+  if (joined) {
+    line_log::write("relay_joined", {{"relay", renewal.name()}, {"address", renewal.address()}});
+  }
+  dropSilent();
+  refreshRelayList();
+  reply.set_confirmed(true);
+  fillAnswer(renewal, reply);
+  link->send(frame);
+}
+
+void RelayHub::fillAnswer(const v1::LeaseRenewal& renewal, v1::LeaseReply& reply) {
+  if (replica_.stored().version() > renewal.configuration_version()) {
+    *reply.mutable_configuration() = replica_.stored();
+  }
+  if (runners_.version() != 0 && runners_.version() != renewal.runner_list_version()) {
+    *reply.mutable_runners() = runners_;
+  }
+  const bool settled = replica_.leadingForMs() >= kSettleMs;
+  if (settled && relay_list_.version() != renewal.relay_list_version()) {
+    *reply.mutable_relays() = relay_list_;
+  }
+  if (runners_.version() != 0) {
+    *reply.mutable_loads() = sumLoads();
+  }
+}
+
+void RelayHub::dropSilent() {
+  const int64_t oldest = clock_.monotonicMs() - kSilentMs;
+  std::erase_if(relays_, [&](const auto& entry) {
+    const bool silent = entry.second.renewed_at_ms < oldest;
+    if (silent) {
+      line_log::write("relay_silent", {{"relay", entry.first}});
+    }
+    return silent;
+  });
+}
+
+void RelayHub::refreshRelayList() {
+  v1::RelayList list;
+  for (const auto& [name, relay] : relays_) {
+    if (relay.renewal.ready()) {
+      v1::RelayEntry* entry = list.add_relays();
+      entry->set_address(relay.renewal.address());
+      entry->set_zone(relay.renewal.zone());
+    }
+  }
+  list.set_version(relay_list_.version());
+  if (relay_list_.version() != 0 &&
+      google::protobuf::util::MessageDifferencer::Equals(list, relay_list_)) {
+    return;
+  }
+  list.set_version(nextVersion());
+  relay_list_ = std::move(list);
+}
+
+v1::RunnerLoads RelayHub::sumLoads() const {
+  v1::RunnerLoads sums;
+  sums.set_list_version(runners_.version());
+  sums.mutable_in_progress()->Resize(runners_.runners_size(), 0);
+  for (const auto& [name, relay] : relays_) {
+    const v1::RunnerLoads& loads = relay.renewal.loads();
+    const bool fits = loads.list_version() == runners_.version() &&
+                      loads.in_progress_size() == sums.in_progress_size();
+    for (int i = 0; fits && i < loads.in_progress_size(); ++i) {
+      sums.set_in_progress(i, sums.in_progress(i) + loads.in_progress(i));
+    }
+  }
+  return sums;
+}
+
+void RelayHub::runnersRead(v1::RunnerList list) {
+  if (!replica_.leads()) {
+    return;
+  }
+  std::sort(list.mutable_runners()->begin(), list.mutable_runners()->end(),
+            [](const auto& left, const auto& right) { return left.id() < right.id(); });
+  list.set_version(runners_.version());
+  if (runners_.version() != 0 &&
+      google::protobuf::util::MessageDifferencer::Equals(list, runners_)) {
+    return;
+  }
+  term_ = replica_.term();
+  list.set_version(nextVersion());
+  runners_ = std::move(list);
+  line_log::write("runner_list",
+                  {{"version", runners_.version()}, {"runners", runners_.runners_size()}});
+  v1::Frame frame;
+  *frame.mutable_lease()->mutable_runners() = runners_;
+  for (const auto& [name, relay] : relays_) {
+    if (const auto link = relay.link.lock()) {
+      link->send(frame);
+    }
+  }
+}
+
+void RelayHub::pushConfiguration() {
+  if (relays_.empty() || !replica_.leads()) {
+    return;
+  }
+  v1::Frame frame;
+  *frame.mutable_lease()->mutable_configuration() = replica_.stored();
+  for (const auto& [name, relay] : relays_) {
+    if (const auto link = relay.link.lock()) {
+      link->send(frame);
+    }
+  }
+}
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/group/relay_hub.h
@@ -0,0 +1,57 @@
+/// @file
+/// What the leader of the group does for the relays: leases, pushes, sums of loads.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "adapters/link/framed_link.h"
+#include "daemon/group/group_replica.h"
+#include "ports/clock.h"
+
+namespace workshatch::daemon {
+
+/// Answers the renewals of relays. Lives on the replica's event loop; not safe for concurrent use.
+///
+/// A renewal is confirmed only while this replica leads and no other can have become leader; so a
+/// confirmed relay has, with the answer, every configuration acknowledged before it asked.
+class RelayHub {
+public:
+  RelayHub(GroupReplica& replica, const Clock& clock) : replica_(replica), clock_(clock) {}
+
+  void renewed(const std::shared_ptr<link::FramedLink>& link, const v1::LeaseRenewal& renewal);
+
+  /// Takes a list of runners read from the platform; pushes it when it differs.
+  void runnersRead(v1::RunnerList list);
+
+  /// Pushes the stored configuration to all relays.
+  void pushConfiguration();
+
+  /// The relays that callers may be sent to, and how many relays renew.
+  size_t relayCount() const { return relays_.size(); }
+
+private:
+  struct Relay {
+    std::weak_ptr<link::FramedLink> link;
+    v1::LeaseRenewal renewal;
+    int64_t renewed_at_ms = 0;
+  };
+
+  void dropSilent();
+  void refreshRelayList();
+  v1::RunnerLoads sumLoads() const;
+  uint64_t nextVersion();
+  void fillAnswer(const v1::LeaseRenewal& renewal, v1::LeaseReply& reply);
+
+  GroupReplica& replica_;
+  const Clock& clock_;
+  std::map<std::string, Relay> relays_;
+  v1::RunnerList runners_;
+  v1::RelayList relay_list_;
+  uint64_t term_ = 0;
+  uint64_t changes_ = 0;
+};
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/relay/control_link.cc
@@ -0,0 +1,150 @@
+#include "daemon/relay/control_link.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "adapters/logging/line_log.h"
+
+namespace workshatch::daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds kRenewPeriod{250};
+constexpr std::chrono::milliseconds kDialLimit{350};
+/// A link without an answer for so long is given up.
+constexpr int64_t kSilentMs = 800;
+/// A replica that knows no leader is left after so many answers.
+constexpr uint32_t kMostUnconfirmed = 2;
+
+} // namespace
+
+ControlLink::ControlLink(boost::asio::io_context& context, const Clock& clock,
+                         std::vector<std::string> seeds, RenewalSource make_renewal,
+                         ReplyHandler on_reply)
+    : context_(context), clock_(clock), seeds_(std::move(seeds)),
+      make_renewal_(std::move(make_renewal)), on_reply_(std::move(on_reply)), timer_(context),
+      dialer_(context) {}
+
+void ControlLink::start() {
+  step();
+  schedule();
+}
+
+void ControlLink::stop() {
+  timer_.cancel();
+  dialer_.cancel();
+  if (link_) {
+    link_->close();
+    link_.reset();
+  }
+}
+
+void ControlLink::schedule() {
+  timer_.expires_after(kRenewPeriod);
+  timer_.async_wait([this](boost::system::error_code failure) {
+    if (failure) {
+      return;
+    }
+    step();
+    schedule();
+  });
+}
+
+void ControlLink::step() {
+  if (!link_) {
+    if (!dialing_) {
+      dialNext();
+    }
+    return;
+  }
+  if (clock_.monotonicMs() - answered_at_ms_ > kSilentMs) {
+    drop("silent");
+    dialNext();
+    return;
+  }
+  renew();
+}
+
+void ControlLink::renewNow() {
+  if (link_) {
+    renew();
+  }
+}
+
+void ControlLink::renew() {
+  v1::Frame frame;
+  *frame.mutable_renewal() = make_renewal_();
+  link_->send(frame);
+}
+
+std::string ControlLink::nextCandidate() {
+  if (!hinted_leader_.empty()) {
+    return std::exchange(hinted_leader_, {});
+  }
+  std::vector<std::string> candidates = members_;
+  for (const std::string& seed : seeds_) {
+    if (std::find(candidates.begin(), candidates.end(), seed) == candidates.end()) {
+      candidates.push_back(seed);
+    }
+  }
+  return candidates.empty() ? "" : candidates[candidate_++ % candidates.size()];
+}
+
+void ControlLink::dialNext() {
+  const std::string address = nextCandidate();
+  if (!address.empty()) {
+    dial(address);
+  }
+}
+
+void ControlLink::dial(const std::string& address) {
+  dialing_ = true;
+  dialer_.dial(address, kDialLimit, [this, address](std::shared_ptr<link::FramedLink> link) {
+    dialing_ = false;
+    if (!link) {
+      dialNext();
+      return;
+    }
+    link_ = std::move(link);
+    link_address_ = address;
+    answered_at_ms_ = clock_.monotonicMs();
+    unconfirmed_ = 0;
+    link_->start([this](const v1::Frame& frame) { received(frame); }, [this] { drop("closed"); });
+    renew();
+  });
+}
+
+void ControlLink::drop(const char* reason) {
+  line_log::write("control_link_lost", {{"address", link_address_}, {"reason", reason}});
+  if (link_) {
+    const auto link = std::exchange(link_, nullptr);
+    link->close();
+  }
+}
+
+void ControlLink::received(const v1::Frame& frame) {
+  if (!frame.has_lease()) {
+    return;
+  }
+  const v1::LeaseReply& reply = frame.lease();
+  answered_at_ms_ = clock_.monotonicMs();
+  if (reply.members_size() != 0) {
+    members_.assign(reply.members().begin(), reply.members().end());
+  }
+  if (reply.sequence() == 0 || reply.confirmed()) {
+    unconfirmed_ = 0;
+    on_reply_(reply);
+    return;
+  }
+  const bool redirect = !reply.leader_address().empty() && reply.leader_address() != link_address_;
+  if (redirect) {
+    hinted_leader_ = reply.leader_address();
+  }
+  if (redirect || ++unconfirmed_ >= kMostUnconfirmed) {
+    drop(redirect ? "not_leader" : "no_leader");
+    dialNext();
+  }
+}
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/relay/control_link.h
@@ -0,0 +1,64 @@
+/// @file
+/// A relay's link to the leader of the group.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "adapters/link/framed_link.h"
+#include "ports/clock.h"
+
+namespace workshatch::daemon {
+
+/// Finds the leader among the group's members, keeps one link to it and renews the lease on it.
+/// Lives on one event loop; not safe for concurrent use.
+class ControlLink {
+public:
+  /// Makes the next renewal, with its sequence number.
+  using RenewalSource = std::function<v1::LeaseRenewal()>;
+  using ReplyHandler = std::function<void(const v1::LeaseReply&)>;
+
+  /// @param seeds addresses for frames of some replicas
+  ControlLink(boost::asio::io_context& context, const Clock& clock, std::vector<std::string> seeds,
+              RenewalSource make_renewal, ReplyHandler on_reply);
+
+  void start();
+  void stop();
+  /// Renews at once, for what can't wait for the next period.
+  void renewNow();
+  void setSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+
+private:
+  void schedule();
+  void step();
+  void renew();
+  void dialNext();
+  void dial(const std::string& address);
+  void received(const v1::Frame& frame);
+  void drop(const char* reason);
+  std::string nextCandidate();
+
+  boost::asio::io_context& context_;
+  const Clock& clock_;
+  std::vector<std::string> seeds_;
+  std::vector<std::string> members_;
+  const RenewalSource make_renewal_;
+  const ReplyHandler on_reply_;
+  boost::asio::steady_timer timer_;
+  link::LinkDialer dialer_;
+  bool dialing_ = false;
+  std::shared_ptr<link::FramedLink> link_;
+  std::string link_address_;
+  std::string hinted_leader_;
+  size_t candidate_ = 0;
+  int64_t answered_at_ms_ = 0;
+  uint32_t unconfirmed_ = 0;
+};
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/relay/relay_request.cc
@@ -0,0 +1,195 @@
+#include "daemon/relay/relay_request.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include <boost/beast/core/string.hpp>
+
+#include "core/relay/header_text.h"
+#include "core/routing/rendezvous.h"
+
+namespace workshatch::daemon {
+
+namespace {
+
+constexpr uint32_t kRetryWithoutLeaseMs = 500;
+constexpr uint32_t kRetryWhileStoppingMs = 50;
+constexpr uint32_t kMostPriority = 9;
+/// Priorities of a tenant lie this far apart, so that those of routes fit between.
+constexpr uint32_t kTenantStep = 3;
+
+bool sameName(std::string_view left, std::string_view right) {
+  return boost::beast::iequals(boost::beast::string_view(left.data(), left.size()),
+                               boost::beast::string_view(right.data(), right.size()));
+}
+
+/// Headers that concern one connection only, or that the relay sets itself.
+bool isOwnHeader(std::string_view name, const HeaderNames& names) {
+  constexpr std::array<std::string_view, 8> kConnectionHeaders = {
+      "connection", "keep-alive",        "transfer-encoding", "content-length",
+      "te",         "trailer",           "upgrade",           "expect"};
+  const auto same = [name](std::string_view other) { return sameName(name, other); };
+  const bool of_connection =
+      std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(), same) ||
+      same("proxy-connection") || same("proxy-authorization");
+  return of_connection || same(names.key) || same(names.tenant) || same(names.deadline) ||
+         same(names.target_runner) || same(names.priority);
+}
+
+/// @return whether the Connection header names `name`.
+bool namedByConnection(const http::Request& request, std::string_view name) {
+  const auto connection = request.find(http::Field::connection);
+  if (connection == request.end()) {
+    return false;
+  }
+  std::string_view rest = http::viewOf(connection->value());
+  while (!rest.empty()) {
+    const size_t comma = rest.find(',');
+    std::string_view token = rest.substr(0, comma);
+    const size_t begin = token.find_first_not_of(" \t");
+    const size_t end = token.find_last_not_of(" \t");
+    if (begin != std::string_view::npos && sameName(token.substr(begin, end - begin + 1), name)) {
+      return true;
+    }
+    rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
+  }
+  return false;
+}
+
+std::optional<int64_t> millisecondsOf(const std::optional<std::string>& text) {
+  if (!text) {
+    return std::nullopt;
+  }
+  double value = 0;
+  const auto [end, failure] = std::from_chars(text->data(), text->data() + text->size(), value);
+  if (failure != std::errc() || value < 0) {
+    return std::nullopt;
+  }
+  return static_cast<int64_t>(value);
+}
+
+http::Problem refusal(http::Status status, std::string code, std::string detail,
+                      const std::string& id, uint32_t retry_after_ms = 0) {
+  return http::Problem{.status = status,
+                       .code = std::move(code),
+                       .detail = std::move(detail),
+                       .retry_after_ms = retry_after_ms,
+                       .request_id = id};
+}
+
+void readPrompt(const http::Request& request, const RelayDialect& dialect, RelayRequest& relayed) {
+  const auto value = http::fieldOf(request, dialect.headers().prompt_parts);
+  if (!value) {
+    return;
+  }
+  const std::vector<PromptPart> parts = dialect.promptParts(*value);
+  for (const PromptPart& part : parts) {
+    relayed.prompt_tokens += part.tokens;
+  }
+  constexpr size_t kSharedFromEnd = 2;
+  if (parts.size() >= kSharedFromEnd) {
+    relayed.cache_key = routing::fingerprintOf(parts[parts.size() - kSharedFromEnd].id);
+  }
+}
+
+uint32_t priorityOf(const RelayRequest& relayed) {
+  const uint32_t of_tenant = relayed.tenant == nullptr ? 0 : relayed.tenant->priority;
+  return std::min(of_tenant * kTenantStep + std::min(relayed.route->priority, kTenantStep - 1),
+                  kMostPriority);
+}
+
+void appendHeader(std::string& out, std::string_view name, std::string_view value) {
+  // The one place where a header for a runner is written.
+  if (!relay::isHeaderName(name) || !relay::isHeaderValue(value)) {
+    return;
+  }
+  out.append(name).append(": ").append(value).append("\r\n");
+}
+
+} // namespace
+
+std::variant<RelayRequest, http::Problem> admit(const http::Request& request,
+                                                const RelayState& state) {
+  const HeaderNames& names = state.dialect.headers();
+  RelayRequest relayed;
+  relayed.received_ms = state.clock.monotonicMs();
+  relayed.id = http::fieldOf(request, names.request_id).value_or("");
+  const std::string& id = relayed.id;
+  if (state.refusing) {
+    return refusal(http::Status::service_unavailable, "stopping", "this relay is about to end", id,
+                   kRetryWhileStoppingMs);
+  }
+  if (!state.routes) {
+    return refusal(http::Status::service_unavailable, "no_configuration",
+                   "no configuration has arrived yet", id, kRetryWithoutLeaseMs);
+  }
+  if (id.empty()) {
+    return refusal(http::Status::bad_request, "no_request_id", names.request_id + " is missing",
+                   id);
+  }
+  const std::string target(http::viewOf(request.target()));
+  relayed.routes = state.routes;
+  relayed.route = state.routes->findRoute(http::viewOf(request[http::Field::host]),
+                                          http::pathOf(target));
+  const bool lease_holds = state.lease.holds(relayed.received_ms);
+  // Without a lease the configuration may be old: what it lacks may have been added since.
+  if (relayed.route == nullptr && lease_holds) {
+    return refusal(http::Status::not_found, "no_route", "no route for this host and path", id);
+  }
+  const bool needs_key = !state.routes->configuration().tenants.empty() &&
+                         (relayed.route == nullptr || !relayed.route->anonymous);
+  if (relayed.route == nullptr || (needs_key && !lease_holds)) {
+    return refusal(http::Status::service_unavailable, "no_lease",
+                   "this relay has lost touch with the group", id, kRetryWithoutLeaseMs);
+  }
+  if (needs_key) {
+    relayed.tenant = state.routes->findTenant(http::fieldOf(request, names.key).value_or(""));
+    if (relayed.tenant == nullptr) {
+      return refusal(http::Status::unauthorized, "unknown_key", "the key is not known", id);
+    }
+  }
+  relayed.draw = routing::fingerprintOf(id);
+  relayed.service = relay::RouteTable::pickService(*relayed.route, relayed.draw);
+  const int64_t allowed_ms = relayed.route->timeout_ms;
+  const auto told_ms = millisecondsOf(http::fieldOf(request, names.deadline));
+  relayed.deadline_ms = relayed.received_ms + std::min(told_ms.value_or(allowed_ms), allowed_ms);
+  readPrompt(request, state.dialect, relayed);
+  return relayed;
+}
+
+std::string formatForRunner(const http::Request& request, const RelayRequest& relayed,
+                            const RelayState& state, const AttemptHeaders& attempt) {
+  const HeaderNames& names = state.dialect.headers();
+  constexpr size_t kHeadBytes = 1024;
+  std::string out;
+  out.reserve(kHeadBytes + request.body().size());
+  out.append(http::viewOf(request.method_string())).append(" ");
+  out.append(http::viewOf(request.target())).append(" HTTP/1.1\r\n");
+  for (const auto& field : request) {
+    const std::string_view name = http::viewOf(field.name_string());
+    const bool replaced = sameName(name, names.last_event) && !attempt.last_event_id.empty();
+    if (!replaced && !isOwnHeader(name, names) && !namedByConnection(request, name)) {
+      appendHeader(out, name, http::viewOf(field.value()));
+    }
+  }
+  appendHeader(out, names.deadline, std::to_string(std::max<int64_t>(attempt.remaining_ms, 1)));
+  appendHeader(out, names.target_runner, attempt.runner_id);
+  appendHeader(out, names.priority, std::to_string(priorityOf(relayed)));
+  if (relayed.tenant != nullptr) {
+    appendHeader(out, names.tenant, relayed.tenant->name);
+  }
+  if (!attempt.last_event_id.empty()) {
+    appendHeader(out, names.last_event, attempt.last_event_id);
+  }
+  const bool has_body = !request.body().empty() || request.has_content_length() ||
+                        request.chunked() || request.method() == http::Verb::post;
+  if (has_body) {
+    appendHeader(out, "Content-Length", std::to_string(request.body().size()));
+  }
+  out.append("\r\n").append(request.body());
+  return out;
+}
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/relay/relay_role.cc
@@ -0,0 +1,301 @@
+#include "daemon/relay/relay_role.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "adapters/http/problem.h"
+#include "adapters/logging/line_log.h"
+#include "daemon/relay/relay_run.h"
+
+namespace workshatch::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds kHousekeepingPeriod{50};
+/// The group counts as silent after this; the relay then reads the list of runners itself.
+constexpr int64_t kGroupSilentMs = 1500;
+constexpr int64_t kOwnListPeriodMs = 1000;
+/// Relays that read the list at the same time spread their calls over this.
+constexpr uint64_t kOwnListJitterMs = 400;
+/// Callers of a zone stay in it while so many relays there are ready.
+constexpr size_t kRelaysOfZone = 2;
+constexpr size_t kMostAddresses = 64;
+/// New requests are taken for so long after a planned stop began.
+constexpr std::chrono::milliseconds kTakeWhileStopping{2800};
+/// Part of the time for a planned stop after which what is still in progress is cut.
+constexpr double kStopPart = 0.93;
+
+http::ServerLimits smallLimits() {
+  http::ServerLimits limits;
+  limits.body_bytes = 4096;
+  return limits;
+}
+
+http::Response refuseCaller(http::Status status, const std::string& reason) {
+  return http::makeProblem(
+      http::Problem{.status = status, .code = "bad_request", .detail = reason});
+}
+
+} // namespace
+
+RelayRole::RelayRole(settings::RelaySettings settings, WorkerPool& workers, const Clock& clock,
+                     RelayAdapters adapters)
+    : settings_(std::move(settings)), clock_(clock), context_(workers.context(0)),
+      adapters_(adapters), random_(SeededRandom::fromEntropy()), incarnation_(random_.next()),
+      state_(settings_, clock, adapters.dialect),
+      control_(
+          context_, clock, settings_.seedLinks(), [this] { return makeRenewal(); },
+          [this](const v1::LeaseReply& reply) { leaseReplied(reply); }),
+      reader_(context_, settings_.runner_list_address, adapters.runner_lists),
+      caller_server_(
+          workers, [this] { return callerLimits(); },
+          [this](http::Exchange& exchange) { return handle(exchange); }, refuseCaller),
+      ready_server_(
+          workers, smallLimits(),
+          [this](http::Exchange& exchange) { return tellReady(exchange); }, refuseCaller),
+      resolve_server_(
+          workers, smallLimits(),
+          [this](http::Exchange& exchange) { return tellAddresses(exchange); }, refuseCaller),
+      metrics_server_(
+          workers, smallLimits(),
+          [this](http::Exchange& exchange) { return tellMetrics(exchange); }, refuseCaller),
+      housekeeping_(context_) {}
+
+Result<std::monostate> RelayRole::start() {
+  struct Listener {
+    http::Server& server;
+    const std::string& address;
+  };
+  const std::array<Listener, 4> listeners = {Listener{caller_server_, settings_.caller_address},
+                                             Listener{ready_server_, settings_.ready_address},
+                                             Listener{resolve_server_, settings_.resolve_address},
+                                             Listener{metrics_server_, settings_.metrics_address}};
+  for (const Listener& listener : listeners) {
+    if (listener.address.empty()) {
+      continue;
+    }
+    auto listening = listener.server.listen(listener.address);
+    if (isError(listening)) {
+      return errorOf(listening);
+    }
+  }
+  control_.start();
+  housekeep();
+  asio::co_spawn(context_, readRunnersWithoutGroup(), asio::detached);
+  return std::monostate{};
+}
+
+http::ServerLimits RelayRole::callerLimits() const {
+  http::ServerLimits limits;
+  if (state_.routes) {
+    const relay::CallerLimits& told = state_.routes->configuration().limits;
+    limits.header_bytes = told.header_bytes;
+    limits.body_bytes = told.body_bytes;
+    limits.read_timeout = std::chrono::milliseconds(told.header_timeout_ms);
+    limits.idle_timeout = std::chrono::milliseconds(told.idle_timeout_ms);
+  }
+  return limits;
+}
+
+http::awaitable<void> RelayRole::handle(http::Exchange& exchange) {
+  if (state_.stopping) {
+    exchange.closeAfter();
+  }
+  auto admitted = admit(exchange.request(), state_);
+  if (auto* problem = std::get_if<http::Problem>(&admitted)) {
+    ++state_.stats.outcomes[problem->code];
+    line_log::write("request_refused", {{"request", problem->request_id},
+                                        {"reason", problem->code},
+                                        {"status", static_cast<unsigned>(problem->status)},
+                                        {"configuration",
+                                         state_.routes ? state_.routes->version() : 0},
+                                        {"lease_age_ms", state_.lease.ageMs(clock_.monotonicMs())}});
+    const uint32_t retry_after_ms = std::exchange(problem->retry_after_ms, 0);
+    http::Response response = http::makeProblem(*problem);
+    if (retry_after_ms != 0) {
+      response.set(http::Field::retry_after, adapters_.dialect.retryAfter(retry_after_ms));
+    }
+    co_await exchange.respond(std::move(response));
+    co_return;
+  }
+  const auto run = std::make_shared<RelayRun>(context_, state_, exchange,
+                                              std::move(std::get<RelayRequest>(admitted)));
+  co_await run->run();
+}
+
+bool RelayRole::ready() const {
+  return !state_.stopping && state_.routes && state_.lease.holds(clock_.monotonicMs());
+}
+
+http::awaitable<void> RelayRole::tellReady(http::Exchange& exchange) {
+  const bool known = exchange.path() == adapters_.dialect.paths().ready;
+  const http::Status refusal = known ? http::Status::service_unavailable : http::Status::not_found;
+  http::Response response = http::makeResponse(known && ready() ? http::Status::ok : refusal,
+                                               "text/plain", "");
+  co_await exchange.respond(std::move(response));
+}
+
+http::awaitable<void> RelayRole::tellAddresses(http::Exchange& exchange) {
+  if (exchange.path() != adapters_.dialect.paths().resolve) {
+    http::Response response = http::makeResponse(http::Status::not_found, "text/plain", "");
+    co_await exchange.respond(std::move(response));
+    co_return;
+  }
+  const std::string zone =
+      http::queryParameter(exchange.target(), adapters_.dialect.zoneParameter()).value_or("");
+  std::vector<std::string> near;
+  std::vector<std::string> all;
+  for (const v1::RelayEntry& relay : relays_.relays()) {
+    all.push_back(relay.address());
+    if (relay.zone() == zone) {
+      near.push_back(relay.address());
+    }
+  }
+  std::vector<std::string>& chosen = near.size() >= kRelaysOfZone ? near : all;
+  if (chosen.empty()) {
+    chosen.push_back(settings_.caller_address);
+  }
+  if (chosen.size() > kMostAddresses) {
+    std::shuffle(chosen.begin(), chosen.end(), std::minstd_rand(random_.next()));
+    chosen.resize(kMostAddresses);
+  }
+  http::Response response = http::makeResponse(
+      http::Status::ok, "application/json",
+      adapters_.dialect.addresses(chosen, settings_.bounds.endpoints_ttl_s));
+  co_await exchange.respond(std::move(response));
+}
+
+http::awaitable<void> RelayRole::tellMetrics(http::Exchange& exchange) {
+  http::Response response =
+      http::makeResponse(http::Status::ok, "text/plain; version=0.0.4", state_.stats.expose());
+  co_await exchange.respond(std::move(response));
+}
+
+v1::LeaseRenewal RelayRole::makeRenewal() {
+  v1::LeaseRenewal renewal;
+  renewal.set_sequence(state_.lease.renewalSent(clock_.monotonicMs()));
+  renewal.set_name(settings_.name);
+  renewal.set_incarnation(incarnation_);
+  renewal.set_address(settings_.caller_address);
+  renewal.set_zone(settings_.zone);
+  renewal.set_ready(!state_.stopping);
+  renewal.set_configuration_version(state_.routes ? state_.routes->version() : 0);
+  renewal.set_runner_list_version(state_.runners.listVersion());
+  renewal.set_relay_list_version(relays_.version());
+  reported_loads_ = state_.runners.ownLoads();
+  *renewal.mutable_loads() = reported_loads_;
+  ++state_.stats.renewals;
+  return renewal;
+}
+
+void RelayRole::leaseReplied(const v1::LeaseReply& reply) {
+  group_heard_ms_ = clock_.monotonicMs();
+  if (reply.has_configuration()) {
+    takeConfiguration(reply.configuration());
+  }
+  if (reply.has_runners()) {
+    state_.runners.setList(reply.runners());
+  }
+  if (reply.has_relays()) {
+    relays_ = reply.relays();
+    state_.budget.setRelays(static_cast<size_t>(relays_.relays_size()));
+  }
+  if (reply.has_loads()) {
+    state_.runners.setSums(reply.loads(), reported_loads_, clock_.monotonicMs());
+  }
+  if (reply.confirmed()) {
+    if (!state_.lease.everConfirmed()) {
+      line_log::write("lease_won", {{"sequence", reply.sequence()}});
+    }
+    state_.lease.confirmed(reply.sequence());
+  }
+}
+
+void RelayRole::takeConfiguration(const v1::StoredConfiguration& stored) {
+  if (state_.routes && stored.version() <= state_.routes->version()) {
+    return;
+  }
+  auto decoded = adapters_.configurations.decode(stored.document());
+  if (isError(decoded)) {
+    line_log::write("configuration_unreadable",
+                    {{"version", stored.version()}, {"error", errorOf(decoded).message}});
+    return;
+  }
+  state_.routes = std::make_shared<const relay::RouteTable>(
+      std::move(std::get<relay::Configuration>(decoded)));
+  line_log::write("configuration_in_force",
+                  {{"version", stored.version()},
+                   {"routes", state_.routes->configuration().routes.size()}});
+}
+
+http::awaitable<void> RelayRole::readRunnersWithoutGroup() {
+  asio::steady_timer timer(context_);
+  while (true) {
+    const auto jitter_ms = static_cast<int64_t>(random_.below(kOwnListJitterMs));
+    timer.expires_after(std::chrono::milliseconds(kOwnListPeriodMs + jitter_ms));
+    co_await timer.async_wait(kAwait);
+    if (clock_.monotonicMs() - group_heard_ms_ < kGroupSilentMs) {
+      continue;
+    }
+    Result<v1::RunnerList> list = co_await reader_.read();
+    const bool still_silent = clock_.monotonicMs() - group_heard_ms_ >= kGroupSilentMs;
+    if (isError(list)) {
+      line_log::write("runner_list_unread", {{"error", errorOf(list).message}});
+    } else if (still_silent) {
+      state_.runners.setList(std::get<v1::RunnerList>(list));
+    }
+  }
+}
+
+void RelayRole::housekeep() {
+  line_log::flush();
+  state_.connections.dropExpired();
+  housekeeping_.expires_after(kHousekeepingPeriod);
+  housekeeping_.async_wait([this](boost::system::error_code failure) {
+    if (!failure) {
+      housekeep();
+    }
+  });
+}
+
+void RelayRole::reload(const settings::RelaySettings& settings) {
+  control_.setSeeds(settings.seedLinks());
+}
+
+void RelayRole::stop(std::function<void()> stopped) {
+  state_.stopping = true;
+  control_.renewNow();
+  asio::co_spawn(context_, drain(std::move(stopped)), asio::detached);
+}
+
+http::awaitable<void> RelayRole::drain(std::function<void()> stopped) {
+  const int64_t begin = clock_.monotonicMs();
+  asio::steady_timer timer(context_);
+  caller_server_.closeConnections();
+  timer.expires_after(kTakeWhileStopping);
+  co_await timer.async_wait(kAwait);
+  state_.refusing = true;
+  caller_server_.stopAccepting();
+  caller_server_.closeIdle();
+  const auto last =
+      begin + static_cast<int64_t>(kStopPart * static_cast<double>(settings_.bounds.stop_ms));
+  while (caller_server_.requestsInProgress() > 0 && clock_.monotonicMs() < last) {
+    timer.expires_after(kHousekeepingPeriod);
+    co_await timer.async_wait(kAwait);
+  }
+  control_.stop();
+  line_log::write("drained", {{"left", caller_server_.requestsInProgress()},
+                              {"ms", clock_.monotonicMs() - begin}});
+  stopped();
+}
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/relay/relay_role.h
@@ -0,0 +1,68 @@
+/// @file
+/// The relay role: takes callers' requests, tells callers where to go, and keeps in touch with the
+/// group.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "adapters/http/http_server.h"
+#include "adapters/settings/relay_settings.h"
+#include "adapters/worker_pool.h"
+#include "daemon/relay/control_link.h"
+#include "daemon/relay/relay_state.h"
+#include "daemon/relay_adapters.h"
+#include "daemon/runner_list_reader.h"
+#include "ports/seeded_random.h"
+
+namespace workshatch::daemon {
+
+/// Lives on the first worker's event loop; `start`, `stop` and `reload` run on it.
+class RelayRole {
+public:
+  RelayRole(settings::RelaySettings settings, WorkerPool& workers, const Clock& clock,
+            RelayAdapters adapters);
+
+  Result<std::monostate> start();
+  /// A planned stop: takes no new connections once callers had time to learn of it, finishes what
+  /// is in progress, then calls `stopped`.
+  void stop(std::function<void()> stopped);
+  void reload(const settings::RelaySettings& settings);
+
+private:
+  http::awaitable<void> handle(http::Exchange& exchange);
+  http::awaitable<void> tellReady(http::Exchange& exchange);
+  http::awaitable<void> tellAddresses(http::Exchange& exchange);
+  http::awaitable<void> tellMetrics(http::Exchange& exchange);
+  http::awaitable<void> readRunnersWithoutGroup();
+  http::awaitable<void> drain(std::function<void()> stopped);
+  v1::LeaseRenewal makeRenewal();
+  void leaseReplied(const v1::LeaseReply& reply);
+  void takeConfiguration(const v1::StoredConfiguration& stored);
+  void housekeep();
+  bool ready() const;
+  http::ServerLimits callerLimits() const;
+
+  const settings::RelaySettings settings_;
+  const Clock& clock_;
+  boost::asio::io_context& context_;
+  const RelayAdapters adapters_;
+  SeededRandom random_;
+  const uint64_t incarnation_;
+  RelayState state_;
+  ControlLink control_;
+  RunnerListReader reader_;
+  v1::RelayList relays_;
+  v1::RunnerLoads reported_loads_;
+  int64_t group_heard_ms_ = 0;
+  http::Server caller_server_;
+  http::Server ready_server_;
+  http::Server resolve_server_;
+  http::Server metrics_server_;
+  boost::asio::steady_timer housekeeping_;
+};
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/relay/relay_run.h
@@ -0,0 +1,94 @@
+/// @file
+/// Serves one request: attempts at runners, one after another, until the caller has its answer.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "adapters/http/http_server.h"
+#include "adapters/http/runner_connection.h"
+#include "core/relay/event_splitter.h"
+#include "daemon/relay/relay_request.h"
+#include "daemon/relay/relay_state.h"
+
+namespace workshatch::daemon {
+
+/// One request in progress. Lives on the relay's event loop.
+///
+/// Guarantees: a request that may not be repeated is sent to no runner after one that may have run
+/// it; a refusal with 503 means that no runner has run it; only whole events reach the caller, and
+/// a stream looks complete only when its last runner ended it.
+class RelayRun : public std::enable_shared_from_this<RelayRun> {
+public:
+  RelayRun(boost::asio::io_context& context, RelayState& state, http::Exchange& exchange,
+           RelayRequest request);
+
+  /// Returns once the caller has its final answer or is gone.
+  http::awaitable<void> run();
+
+private:
+  /// How one attempt ended, as far as the next step depends on it.
+  enum class AttemptEnd {
+    /// The caller has its whole answer.
+    Answered,
+    /// No connection: no byte was sent.
+    Unreachable,
+    /// The runner said that it did not run the request.
+    NotRun,
+    /// The request may have run; no whole answer came.
+    Broken,
+  };
+
+  http::awaitable<AttemptEnd> attempt(relay::Runner& runner);
+  http::awaitable<bool> connect(const relay::Runner& runner);
+  http::awaitable<AttemptEnd> takeAnswer(relay::AttemptOutcome& outcome);
+  http::awaitable<AttemptEnd> takePlainAnswer(relay::AttemptOutcome& outcome);
+  http::awaitable<AttemptEnd> relayStream(relay::AttemptOutcome& outcome);
+  http::awaitable<bool> relayEvent(const relay::WholeEvent& event);
+  http::awaitable<void> finish();
+  http::awaitable<void> refuse(http::Status status, std::string code, std::string detail);
+
+  bool ended() const { return left_ || timed_out_; }
+  bool mayTryAgain(AttemptEnd last) const;
+  bool answerIsDue() const;
+  std::chrono::milliseconds silenceLimit(bool streaming) const;
+  http::Response answerHead() const;
+  void armDeadline();
+  void end();
+  void logOutcome(const std::string& outcome);
+
+  boost::asio::io_context& context_;
+  RelayState& state_;
+  http::Exchange& exchange_;
+  const RelayRequest request_;
+  boost::asio::steady_timer deadline_;
+  std::shared_ptr<http::RunnerConnection> connection_;
+
+  /// The caller has closed its connection.
+  bool left_ = false;
+  bool timed_out_ = false;
+  /// A runner may have run the request.
+  bool may_have_run_ = false;
+  bool stream_started_ = false;
+  uint32_t ran_attempts_ = 0;
+  /// Attempts that reached a runner.
+  uint32_t arrivals_ = 0;
+  std::vector<std::string> tried_;
+  std::string last_event_id_;
+  int64_t first_event_ms_ = 0;
+  int64_t last_event_ms_ = 0;
+  uint32_t events_ = 0;
+  /// The last failure that a runner answered itself, for the caller when nothing better comes.
+  std::optional<http::Response> failure_;
+  std::string last_error_;
+  AttemptEnd last_end_ = AttemptEnd::Unreachable;
+};
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/relay/relay_state.h
@@ -0,0 +1,53 @@
+/// @file
+/// What one relay knows and shares among its requests.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "adapters/http/runner_connection.h"
+#include "adapters/settings/relay_settings.h"
+#include "core/relay/retry_budget.h"
+#include "core/relay/route_table.h"
+#include "core/relay/runner_table.h"
+#include "core/relay/serving_lease.h"
+#include "daemon/relay/relay_stats.h"
+#include "ports/clock.h"
+#include "ports/relay_dialect.h"
+
+namespace workshatch::daemon {
+
+/// Part of the bound on revoked keys for which a lease counts; the rest covers requests that are
+/// already on their way to a runner.
+inline constexpr double kLeasePart = 0.8;
+
+/// Lives on the relay's event loop; not safe for concurrent use.
+struct RelayState {
+  RelayState(const settings::RelaySettings& settings, const Clock& time, const RelayDialect& names)
+      : clock(time), dialect(names), zone(settings.zone),
+        lease(static_cast<int64_t>(kLeasePart *
+                                   static_cast<double>(settings.bounds.revoked_key_ms))),
+        runners(relay::RunnerTableOptions{.cap_factor = settings.bounds.load_cap_factor}),
+        budget(relay::RetryBudgetOptions{.ratio = settings.bounds.repeat_ratio,
+                                         .window_ms = settings.bounds.repeat_window_ms,
+                                         .slack = settings.bounds.repeat_slack}),
+        connections(time) {}
+
+  const Clock& clock;
+  const RelayDialect& dialect;
+  const std::string zone;
+  /// The configuration in force; null: none has arrived yet. Its version never goes down.
+  std::shared_ptr<const relay::RouteTable> routes;
+  relay::ServingLease lease;
+  relay::RunnerTable runners;
+  relay::RetryBudget budget;
+  http::RunnerConnectionPool connections;
+  RelayStats stats;
+  /// A planned stop is in progress.
+  bool stopping = false;
+  /// New requests are refused, since the process is about to end.
+  bool refusing = false;
+};
+
+} // namespace workshatch::daemon
--- a/src/daemon/router/permit_client.cc
+++ b/src/daemon/router/permit_client.cc
@@ -10,7 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "adapters/logging/json_log.h"
-#include "core/routing/rendezvous.h"
+#include "core/routing/engine_owner.h"
 
 namespace workshatch::daemon {
 
--- a/src/daemon/router/request_handler.cc
+++ b/src/daemon/router/request_handler.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <nlohmann/json.hpp>
 
+#include "core/routing/engine_owner.h"
 #include "core/routing/rendezvous.h"
 #include "daemon/router/chat_request.h"
 
--- /dev/null
+++ b/src/daemon/runner_list_reader.cc
@@ -0,0 +1,55 @@
+#include "daemon/runner_list_reader.h"
+
+#include <chrono>
+#include <memory>
+#include <utility>
+#include <variant>
+
+namespace workshatch::daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds kConnectLimit{300};
+constexpr std::chrono::milliseconds kReadLimit{700};
+constexpr size_t kMostPageBytes = size_t{4} * 1024 * 1024;
+constexpr int kMostPages = 1000;
+
+} // namespace
+
+http::awaitable<Result<RunnerPage>> RunnerListReader::readPage(std::string page) {
+  http::Request request(http::Verb::get, codec_.target(page), 11);
+  const http::CallOptions options{.connect_timeout = kConnectLimit, .read_timeout = kReadLimit};
+  http::CallResult called = co_await client_.call(address_, std::move(request), options);
+  if (const auto* error = std::get_if<http::CallError>(&called)) {
+    co_return Error{error->message};
+  }
+  auto answer = std::move(std::get<std::unique_ptr<http::ClientAnswer>>(called));
+  auto body = co_await answer->readAll(kMostPageBytes);
+  if (const auto* error = std::get_if<http::CallError>(&body)) {
+    co_return Error{error->message};
+  }
+  if (answer->status() != http::Status::ok) {
+    co_return Error{"status " + std::to_string(static_cast<unsigned>(answer->status()))};
+  }
+  co_return codec_.decode(std::get<std::string>(body));
+}
+
+http::awaitable<Result<v1::RunnerList>> RunnerListReader::read() {
+  v1::RunnerList list;
+  std::string page;
+  for (int pages = 0; pages < kMostPages; ++pages) {
+    Result<RunnerPage> read = co_await readPage(page);
+    if (isError(read)) {
+      co_return errorOf(read);
+    }
+    RunnerPage& part = std::get<RunnerPage>(read);
+    list.mutable_runners()->MergeFrom(part.runners.runners());
+    page = part.next_page;
+    if (page.empty()) {
+      co_return list;
+    }
+  }
+  co_return Error{"the list does not end"};
+}
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/runner_list_reader.h
@@ -0,0 +1,35 @@
+/// @file
+/// Reads the list of runners from the platform.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "adapters/http/http_client.h"
+#include "core/result.h"
+#include "ports/runner_list_codec.h"
+
+namespace workshatch::daemon {
+
+/// Reads all pages of the list. Lives on one event loop.
+class RunnerListReader {
+public:
+  RunnerListReader(boost::asio::io_context& context, std::string address,
+                   const RunnerListCodec& codec)
+      : client_(context), address_(std::move(address)), codec_(codec) {}
+
+  /// @return the whole list without a version, or an error: no answer, too many calls, not a list.
+  http::awaitable<Result<v1::RunnerList>> read();
+
+private:
+  http::awaitable<Result<RunnerPage>> readPage(std::string page);
+
+  http::Client client_;
+  const std::string address_;
+  const RunnerListCodec& codec_;
+};
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/ports/relay_dialect.h
@@ -0,0 +1,79 @@
+/// @file
+/// Port: the names and small formats that callers, operators and runners use around a request.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/result.h"
+
+namespace workshatch {
+
+/// Names of headers, lower or upper case alike.
+struct HeaderNames {
+  /// Identity of one attempt of a caller, echoed by the runner.
+  std::string request_id;
+  /// The caller's key; never passed on.
+  std::string key;
+  /// Name of the key's tenant, set for the runner.
+  std::string tenant;
+  /// Milliseconds that the sender will wait.
+  std::string deadline;
+  /// The runner that is meant; any other declines.
+  std::string target_runner;
+  /// Urgency at a model engine, 0 the most urgent.
+  std::string priority;
+  /// Parts of the prompt.
+  std::string prompt_parts;
+  /// Marks the answer of a runner that did not run the request.
+  std::string not_run;
+  /// Marks the answer of a runner; a success counts only with it.
+  std::string signature;
+  /// Requests running, waiting, and slots of the answering runner.
+  std::string load;
+  /// Id of the last event that the caller has.
+  std::string last_event;
+};
+
+/// Paths of the calls that the system answers itself.
+struct CallPaths {
+  std::string resolve;
+  std::string ready;
+  std::string put_configuration;
+  std::string get_configuration;
+};
+
+/// A part of a prompt, in order; the last belongs to the request or its session.
+struct PromptPart {
+  std::string id;
+  uint64_t tokens = 0;
+};
+
+struct RunnerLoad {
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  uint32_t slots = 0;
+};
+
+/// Names and formats of one outside interface. Stateless; safe for concurrent use.
+class RelayDialect {
+public:
+  virtual ~RelayDialect() = default;
+
+  virtual const HeaderNames& headers() const = 0;
+  virtual const CallPaths& paths() const = 0;
+  /// @return the parts, or nothing when the value can't be read.
+  virtual std::vector<PromptPart> promptParts(std::string_view value) const = 0;
+  virtual std::optional<RunnerLoad> runnerLoad(std::string_view value) const = 0;
+  /// Body of the answer that tells a caller where to go.
+  virtual std::string addresses(const std::vector<std::string>& addresses, uint32_t ttl_s) const = 0;
+  /// Name of the query parameter that holds the caller's zone.
+  virtual std::string zoneParameter() const = 0;
+  /// Value of Retry-After.
+  virtual std::string retryAfter(uint32_t milliseconds) const = 0;
+};
+
+} // namespace workshatch
