Tests for the relay path; caller's text never becomes a header; 405 and Host checks

Cause: an outside client found that a chat without X-Session-Id put the caller's text into a header of the runner's request (smuggling), that a request without Host was served, and that DELETE /v1/endpoints was answered 200. A full disk left operators waiting. Ruled out: escaping the session text (it is a hash now); checks at each place.

--- a/scripts/check_style.sh
+++ b/scripts/check_style.sh
@@ -5,7 +5,8 @@
 cd "$(dirname "$0")/.."
 files=("$@")
 if [ "${#files[@]}" -eq 0 ]; then
-  mapfile -t files < <(git ls-files 'src/*.cc' 'src/*.h' 'tests/*.cc' 'tests/*.h' 'bench/*.cc' 'bench/*.h')
+  mapfile -t files < <(git ls-files 'src/*.cc' 'src/*.h' 'tests/*.cc' 'tests/*.h' 'bench/*.cc' 'bench/*.h' \
+    'platform/*.cc' 'platform/*.h')
 fi
 clang-format --dry-run --Werror "${files[@]}"
 echo "clang-format: ${#files[@]} files clean"
--- a/src/adapters/http/http_server.h
+++ b/src/adapters/http/http_server.h
@@ -115,8 +115,7 @@
   awaitable<void> accept();
   awaitable<void> serve(boost::asio::ip::tcp::socket socket);
   awaitable<void> serveRequests(boost::beast::tcp_stream& stream);
-  awaitable<bool> awaitRequest(boost::beast::tcp_stream& stream,
-                               boost::beast::flat_buffer& buffer);
+  awaitable<bool> awaitRequest(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer);
   awaitable<void> refuse(boost::beast::tcp_stream& stream, Status status, std::string reason);
 
   WorkerPool& workers_;
--- a/src/adapters/http/http_types.h
+++ b/src/adapters/http/http_types.h
@@ -11,6 +11,8 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "core/header_text.h"
+
 namespace workshatch::http {
 
 template <typename T> using awaitable = boost::asio::awaitable<T>;
@@ -34,6 +36,19 @@
   return std::string(viewOf(found->value()));
 }
 
+/// Sets a header. The one place where values of outside origin become headers: a value that could
+/// end its header or begin another message is left out.
+/// @return whether the header was set.
+template <typename Fields>
+bool setHeader(Fields& fields, std::string_view name, std::string_view value) {
+  if (!isHeaderName(name) || !isHeaderValue(value)) {
+    return false;
+  }
+  fields.set(boost::beast::string_view(name.data(), name.size()),
+             boost::beast::string_view(value.data(), value.size()));
+  return true;
+}
+
 /// Parses "ip:port", IPv6 in brackets.
 /// @return nothing when the text is not an IP literal with a port.
 std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
--- a/src/adapters/http/runner_connection.cc
+++ b/src/adapters/http/runner_connection.cc
@@ -71,7 +71,8 @@
 }
 
 awaitable<std::optional<CallError>>
-RunnerConnection::connect(const asio::ip::tcp::endpoint& endpoint, std::chrono::milliseconds limit) {
+RunnerConnection::connect(const asio::ip::tcp::endpoint& endpoint,
+                          std::chrono::milliseconds limit) {
   const auto self = shared_from_this();
   armSilence(limit);
   const auto [error] = co_await socket_.async_connect(endpoint, kAwait);
@@ -127,8 +128,7 @@
     parser_->get().body().size = part.size();
     parser_->get().body().more = true;
     armSilence(silence);
-    auto [error, bytes] =
-        co_await beast::http::async_read_some(socket_, buffer_, *parser_, kAwait);
+    auto [error, bytes] = co_await beast::http::async_read_some(socket_, buffer_, *parser_, kAwait);
     armSilence({});
     if (error == beast::http::error::need_buffer) {
       error = {};
--- a/src/adapters/link/framed_link.cc
+++ b/src/adapters/link/framed_link.cc
@@ -56,21 +56,20 @@
 void FramedLink::read() {
   const size_t filled = input_.size();
   input_.resize(filled + kReadBytes);
-  socket_.async_read_some(
-      asio::buffer(input_.data() + filled, kReadBytes),
-      [self = shared_from_this(), filled](error_code failure, size_t bytes) {
-        if (!self->open_) {
-          return;
-        }
-        self->input_.resize(filled + bytes);
-        if (failure || !self->takeFrames()) {
-          self->fail();
-          return;
-        }
-        if (self->open_) {
-          self->read();
-        }
-      });
+  socket_.async_read_some(asio::buffer(input_.data() + filled, kReadBytes),
+                          [self = shared_from_this(), filled](error_code failure, size_t bytes) {
+                            if (!self->open_) {
+                              return;
+                            }
+                            self->input_.resize(filled + bytes);
+                            if (failure || !self->takeFrames()) {
+                              self->fail();
+                              return;
+                            }
+                            if (self->open_) {
+                              self->read();
+                            }
+                          });
 }
 
 bool FramedLink::takeFrames() {
--- a/src/adapters/logging/line_log.cc
+++ b/src/adapters/logging/line_log.cc
@@ -28,8 +28,7 @@
 
 uint64_t wallMs() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+  return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
 bool readerTakesMore() {
--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -53,7 +53,8 @@
     }
   }
 
-  template <typename Number> void number(const char* name, Number& value, double least, double most) {
+  template <typename Number>
+  void number(const char* name, Number& value, double least, double most) {
     const json* field = find(name, false);
     if (field == nullptr) {
       return;
--- a/src/core/relay/header_text.cc
+++ b/src/core/header_text.cc
@@ -1,9 +1,9 @@
-#include "core/relay/header_text.h"
+#include "core/header_text.h"
 
 #include <algorithm>
 #include <cctype>
 
-namespace workshatch::relay {
+namespace workshatch {
 
 namespace {
 
@@ -12,7 +12,8 @@
 constexpr unsigned char kDelete = 0x7f;
 
 bool isTokenSign(unsigned char sign) {
-  return std::isalnum(sign) != 0 || kTokenSigns.find(static_cast<char>(sign)) != std::string_view::npos;
+  return std::isalnum(sign) != 0 ||
+         kTokenSigns.find(static_cast<char>(sign)) != std::string_view::npos;
 }
 
 bool isValueSign(unsigned char sign) {
@@ -29,4 +30,4 @@
   return std::all_of(value.begin(), value.end(), isValueSign);
 }
 
-} // namespace workshatch::relay
+} // namespace workshatch
--- a/src/core/relay/header_text.h
+++ b/src/core/header_text.h
@@ -4,7 +4,7 @@
 
 #include <string_view>
 
-namespace workshatch::relay {
+namespace workshatch {
 
 /// @return whether `name` is a token of RFC 9110.
 bool isHeaderName(std::string_view name);
@@ -13,4 +13,4 @@
 /// value can end its header or begin another request.
 bool isHeaderValue(std::string_view value);
 
-} // namespace workshatch::relay
+} // namespace workshatch
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -134,9 +134,11 @@
 RunnerChoice RunnerTable::chooseByCache(const RunnerRequest& request, Candidates candidates) const {
   const double mean = meanLoad(candidates);
   const double leave = options_.leave_factor * mean + options_.leave_slack;
-  const Candidates ranked = routing::rank(
-      request.cache_key, candidates,
-      [](const std::shared_ptr<Runner>& runner) -> const std::string& { return runner->entry.id(); });
+  const Candidates ranked =
+      routing::rank(request.cache_key, candidates,
+                    [](const std::shared_ptr<Runner>& runner) -> const std::string& {
+                      return runner->entry.id();
+                    });
   RunnerChoice choice;
   const size_t homes = std::min<size_t>(options_.homes, ranked.size());
   for (size_t i = 0; i < homes; ++i) {
--- a/src/core/relay/serving_lease.h
+++ b/src/core/relay/serving_lease.h
@@ -49,7 +49,7 @@
 private:
   static constexpr size_t kMostOutstanding = 64;
 
-  const int64_t length_ms_;
+  int64_t length_ms_;
   uint64_t sequence_ = 0;
   bool ever_confirmed_ = false;
   int64_t confirmed_sent_ms_ = 0;
--- a/src/daemon/group/group_membership.cc
+++ b/src/daemon/group/group_membership.cc
@@ -29,9 +29,8 @@
 void GroupReplica::seekGroup() {
   const int64_t now = clock_.monotonicMs();
   const bool ungrouped = node_->membership().members_size() == 0;
-  const bool voter = raft::votesIn(node_->membership(), id_);
   const bool lonely = now - leader_heard_ms_ > kLonelyMs;
-  if (now < seek_due_ms_ || (voter && !lonely)) {
+  if (now < seek_due_ms_ || (votes() && !lonely)) {
     return;
   }
   seek_due_ms_ = now + kSeekPeriodMs;
@@ -210,16 +209,17 @@
         static_cast<int64_t>(node_->ticksSinceReply(member->id())) * options_.tick_ms;
     const bool candidate =
         !member->learner() && member->id() != id_ && silent_ms >= options_.gone_ms;
-    if (candidate && (gone == members->end() || node_->ticksSinceReply(member->id()) >
-                                                    node_->ticksSinceReply(gone->id()))) {
+    if (candidate && (gone == members->end() ||
+                      node_->ticksSinceReply(member->id()) > node_->ticksSinceReply(gone->id()))) {
       gone = member;
     }
   }
   if (gone == members->end()) {
     return false;
   }
-  line_log::write("membership_change",
-                  {{"step", "silent_voter_removed"}, {"id", gone->id()}, {"address", gone->address()}});
+  line_log::write(
+      "membership_change",
+      {{"step", "silent_voter_removed"}, {"id", gone->id()}, {"address", gone->address()}});
   members->erase(gone);
   return node_->proposeMembership(membership).has_value();
 }
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -113,6 +113,8 @@
     const auto written = store_.write(*unwritten_);
     if (isError(written)) {
       line_log::write("disk_failed", {{"error", errorOf(written).message}});
+      // Who waits for a change or a read asks another replica.
+      failPending();
       return false;
     }
   }
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -37,7 +37,7 @@
   int64_t gone_ms = 3000;
   /// The log is compacted after so many entries, or so many bytes of commands.
   uint64_t snapshot_entries = 48;
-  uint64_t snapshot_bytes = 512U * 1024;
+  uint64_t snapshot_bytes = uint64_t{512} * 1024;
   uint64_t trailing_entries = 8;
 };
 
@@ -90,6 +90,8 @@
   std::vector<std::string> memberAddresses() const;
   const v1::StoredConfiguration& stored() const { return register_.stored(); }
   uint64_t id() const { return id_; }
+  /// @return whether this replica counts for majorities, as far as it knows.
+  bool votes() const { return raft::votesIn(node_->membership(), id_); }
   uint64_t term() const { return node_->term(); }
   /// Steady time since this replica won its present leadership.
   int64_t leadingForMs() const;
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -51,8 +51,7 @@
 GroupRole::GroupRole(settings::RelaySettings settings, WorkerPool& workers, const Clock& clock,
                      RelayAdapters adapters)
     : settings_(std::move(settings)), clock_(clock), context_(workers.context(0)),
-      adapters_(adapters),
-      link_address_(settings_.ip + ":" + std::to_string(settings_.link_port)),
+      adapters_(adapters), link_address_(settings_.ip + ":" + std::to_string(settings_.link_port)),
       random_(SeededRandom::fromEntropy()), store_(settings_.data_folder, random_),
       links_(context_, clock, link_address_),
       replica_(context_, groupOptions(settings_, link_address_), store_, clock, random_, links_),
@@ -81,8 +80,7 @@
   if (auto started = replica_.start(); isError(started)) {
     return started;
   }
-  auto listening =
-      listener_.listen(link_address_, [this](const auto& link) { accept(link); });
+  auto listening = listener_.listen(link_address_, [this](const auto& link) { accept(link); });
   if (isError(listening)) {
     return listening;
   }
--- a/src/daemon/group/group_role.h
+++ b/src/daemon/group/group_role.h
@@ -1,5 +1,6 @@
 /// @file
-/// The group role: a replica of the configuration, its operator interface and its service to relays.
+/// The group role: a replica of the configuration, its operator interface and its service to
+/// relays.
 #pragma once
 
 #include <functional>
--- a/src/daemon/group/operator_api.cc
+++ b/src/daemon/group/operator_api.cc
@@ -149,8 +149,9 @@
   std::optional<Read> read = co_await waiter->wait(kReadLimit);
   const bool known = read.has_value() && read->has_value();
   http::Response response =
-      known ? http::makeResponse(http::Status::ok, "application/json", std::move(**read))
-            : problem(http::Status::service_unavailable, "not_confirmed", "no majority confirmed it");
+      known
+          ? http::makeResponse(http::Status::ok, "application/json", std::move(**read))
+          : problem(http::Status::service_unavailable, "not_confirmed", "no majority confirmed it");
   co_await exchange.respond(std::move(response));
 }
 
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -7,7 +7,7 @@
 
 #include <boost/beast/core/string.hpp>
 
-#include "core/relay/header_text.h"
+#include "core/header_text.h"
 #include "core/routing/rendezvous.h"
 
 namespace workshatch::daemon {
@@ -28,8 +28,8 @@
 /// Headers that concern one connection only, or that the relay sets itself.
 bool isOwnHeader(std::string_view name, const HeaderNames& names) {
   constexpr std::array<std::string_view, 8> kConnectionHeaders = {
-      "connection", "keep-alive",        "transfer-encoding", "content-length",
-      "te",         "trailer",           "upgrade",           "expect"};
+      "connection", "keep-alive", "transfer-encoding", "content-length",
+      "te",         "trailer",    "upgrade",           "expect"};
   const auto same = [name](std::string_view other) { return sameName(name, other); };
   const bool of_connection =
       std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(), same) ||
@@ -102,7 +102,7 @@
 
 void appendHeader(std::string& out, std::string_view name, std::string_view value) {
   // The one place where a header for a runner is written.
-  if (!relay::isHeaderName(name) || !relay::isHeaderValue(value)) {
+  if (!isHeaderName(name) || !isHeaderValue(value)) {
     return;
   }
   out.append(name).append(": ").append(value).append("\r\n");
@@ -131,8 +131,8 @@
   }
   const std::string target(http::viewOf(request.target()));
   relayed.routes = state.routes;
-  relayed.route = state.routes->findRoute(http::viewOf(request[http::Field::host]),
-                                          http::pathOf(target));
+  relayed.route =
+      state.routes->findRoute(http::viewOf(request[http::Field::host]), http::pathOf(target));
   const bool lease_holds = state.lease.holds(relayed.received_ms);
   // Without a lease the configuration may be old: what it lacks may have been added since.
   if (relayed.route == nullptr && lease_holds) {
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -60,8 +60,8 @@
           workers, [this] { return callerLimits(); },
           [this](http::Exchange& exchange) { return handle(exchange); }, refuseCaller),
       ready_server_(
-          workers, smallLimits(),
-          [this](http::Exchange& exchange) { return tellReady(exchange); }, refuseCaller),
+          workers, smallLimits(), [this](http::Exchange& exchange) { return tellReady(exchange); },
+          refuseCaller),
       resolve_server_(
           workers, smallLimits(),
           [this](http::Exchange& exchange) { return tellAddresses(exchange); }, refuseCaller),
@@ -113,12 +113,12 @@
   auto admitted = admit(exchange.request(), state_);
   if (auto* problem = std::get_if<http::Problem>(&admitted)) {
     ++state_.stats.outcomes[problem->code];
-    line_log::write("request_refused", {{"request", problem->request_id},
-                                        {"reason", problem->code},
-                                        {"status", static_cast<unsigned>(problem->status)},
-                                        {"configuration",
-                                         state_.routes ? state_.routes->version() : 0},
-                                        {"lease_age_ms", state_.lease.ageMs(clock_.monotonicMs())}});
+    line_log::write("request_refused",
+                    {{"request", problem->request_id},
+                     {"reason", problem->code},
+                     {"status", static_cast<unsigned>(problem->status)},
+                     {"configuration", state_.routes ? state_.routes->version() : 0},
+                     {"lease_age_ms", state_.lease.ageMs(clock_.monotonicMs())}});
     const uint32_t retry_after_ms = std::exchange(problem->retry_after_ms, 0);
     http::Response response = http::makeProblem(*problem);
     if (retry_after_ms != 0) {
@@ -139,8 +139,8 @@
 http::awaitable<void> RelayRole::tellReady(http::Exchange& exchange) {
   const bool known = exchange.path() == adapters_.dialect.paths().ready;
   const http::Status refusal = known ? http::Status::service_unavailable : http::Status::not_found;
-  http::Response response = http::makeResponse(known && ready() ? http::Status::ok : refusal,
-                                               "text/plain", "");
+  http::Response response =
+      http::makeResponse(known && ready() ? http::Status::ok : refusal, "text/plain", "");
   co_await exchange.respond(std::move(response));
 }
 
@@ -168,9 +168,9 @@
     std::shuffle(chosen.begin(), chosen.end(), std::minstd_rand(random_.next()));
     chosen.resize(kMostAddresses);
   }
-  http::Response response = http::makeResponse(
-      http::Status::ok, "application/json",
-      adapters_.dialect.addresses(chosen, settings_.bounds.endpoints_ttl_s));
+  http::Response response =
+      http::makeResponse(http::Status::ok, "application/json",
+                         adapters_.dialect.addresses(chosen, settings_.bounds.endpoints_ttl_s));
   co_await exchange.respond(std::move(response));
 }
 
@@ -230,11 +230,11 @@
                     {{"version", stored.version()}, {"error", errorOf(decoded).message}});
     return;
   }
-  state_.routes = std::make_shared<const relay::RouteTable>(
-      std::move(std::get<relay::Configuration>(decoded)));
-  line_log::write("configuration_in_force",
-                  {{"version", stored.version()},
-                   {"routes", state_.routes->configuration().routes.size()}});
+  state_.routes =
+      std::make_shared<const relay::RouteTable>(std::move(std::get<relay::Configuration>(decoded)));
+  line_log::write(
+      "configuration_in_force",
+      {{"version", stored.version()}, {"routes", state_.routes->configuration().routes.size()}});
 }
 
 http::awaitable<void> RelayRole::readRunnersWithoutGroup() {
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -7,7 +7,7 @@
 #include <boost/beast/core/string.hpp>
 
 #include "adapters/logging/line_log.h"
-#include "core/relay/header_text.h"
+#include "core/header_text.h"
 
 namespace workshatch::daemon {
 
@@ -27,8 +27,8 @@
 /// Headers of a runner's answer that concern its connection only.
 bool isConnectionHeader(http::Field name) {
   constexpr std::array<http::Field, 7> kNames = {
-      http::Field::connection, http::Field::keep_alive,     http::Field::transfer_encoding,
-      http::Field::trailer,    http::Field::content_length, http::Field::upgrade,
+      http::Field::connection,      http::Field::keep_alive,     http::Field::transfer_encoding,
+      http::Field::trailer,         http::Field::content_length, http::Field::upgrade,
       http::Field::proxy_connection};
   return std::find(kNames.begin(), kNames.end(), name) != kNames.end();
 }
@@ -237,8 +237,8 @@
     co_return AttemptEnd::Broken;
   }
   const std::string_view type = http::viewOf(head[http::Field::content_type]);
-  const bool streaming = request_.route->kind == relay::RouteKind::Streaming &&
-                         isSuccess(status) && type.starts_with("text/event-stream");
+  const bool streaming = request_.route->kind == relay::RouteKind::Streaming && isSuccess(status) &&
+                         type.starts_with("text/event-stream");
   if (streaming) {
     co_return co_await relayStream(outcome);
   }
@@ -259,8 +259,7 @@
   response.result(head.result_int());
   for (const auto& field : head) {
     const bool load = boost::beast::iequals(field.name_string(), names.load);
-    if (!load && !isConnectionHeader(field.name()) &&
-        relay::isHeaderValue(http::viewOf(field.value()))) {
+    if (!load && !isConnectionHeader(field.name()) && isHeaderValue(http::viewOf(field.value()))) {
       response.insert(field.name(), field.name_string(), field.value());
     }
   }
@@ -416,20 +415,19 @@
 void RelayRun::logOutcome(const std::string& outcome) {
   ++state_.stats.outcomes[outcome];
   const int64_t now = state_.clock.monotonicMs();
-  line_log::write(
-      "request_ended",
-      {{"request", request_.id},
-       {"outcome", outcome},
-       {"route", request_.route->name},
-       {"service", request_.service},
-       {"tried", tried_},
-       {"ms", now - request_.received_ms},
-       {"first_ms", stream_started_ ? first_event_ms_ - request_.received_ms : -1},
-       {"events", events_},
-       {"configuration", request_.routes->version()},
-       {"runner_list", state_.runners.listVersion()},
-       {"lease_age_ms", state_.lease.ageMs(now)},
-       {"error", last_error_}});
+  line_log::write("request_ended",
+                  {{"request", request_.id},
+                   {"outcome", outcome},
+                   {"route", request_.route->name},
+                   {"service", request_.service},
+                   {"tried", tried_},
+                   {"ms", now - request_.received_ms},
+                   {"first_ms", stream_started_ ? first_event_ms_ - request_.received_ms : -1},
+                   {"events", events_},
+                   {"configuration", request_.routes->version()},
+                   {"runner_list", state_.runners.listVersion()},
+                   {"lease_age_ms", state_.lease.ageMs(now)},
+                   {"error", last_error_}});
 }
 
 } // namespace workshatch::daemon
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -26,8 +26,8 @@
 struct RelayState {
   RelayState(const settings::RelaySettings& settings, const Clock& time, const RelayDialect& names)
       : clock(time), dialect(names), zone(settings.zone),
-        lease(static_cast<int64_t>(kLeasePart *
-                                   static_cast<double>(settings.bounds.revoked_key_ms))),
+        lease(
+            static_cast<int64_t>(kLeasePart * static_cast<double>(settings.bounds.revoked_key_ms))),
         runners(relay::RunnerTableOptions{.cap_factor = settings.bounds.load_cap_factor}),
         budget(relay::RetryBudgetOptions{.ratio = settings.bounds.repeat_ratio,
                                          .window_ms = settings.bounds.repeat_window_ms,
--- a/src/daemon/router/chat_request.cc
+++ b/src/daemon/router/chat_request.cc
@@ -1,6 +1,9 @@
 #include "daemon/router/chat_request.h"
 
 #include <charconv>
+#include <sstream>
+
+#include "core/routing/rendezvous.h"
 
 namespace workshatch::daemon {
 
@@ -88,12 +91,15 @@
   if (const auto header = http::fieldOf(request, "X-Session-Id")) {
     return *header;
   }
-  std::string name;
+  std::string opening;
   const json& messages = body.at("messages");
   for (size_t i = 0; i < std::min(messages.size(), kNamingMessages); ++i) {
-    name += messages[i].at("content").get_ref<const std::string&>() + "\n";
+    opening += messages[i].at("content").get_ref<const std::string&>() + "\n";
   }
-  return name;
+  // The caller's text goes into a header of the request to the engine only as a fingerprint.
+  std::ostringstream name;
+  name << "opening-" << std::hex << routing::fingerprintOf(opening);
+  return name.str();
 }
 
 } // namespace workshatch::daemon
--- a/src/daemon/router/chat_request.h
+++ b/src/daemon/router/chat_request.h
@@ -20,7 +20,8 @@
 /// Load of a request in tokens: the prompt's estimate and the most tokens asked for.
 uint64_t tokenCost(const nlohmann::json& body);
 
-/// Name of the session: header `X-Session-Id`, else the conversation's first messages.
+/// Name of the session: header `X-Session-Id`, else a fingerprint of the conversation's first
+/// messages.
 std::string sessionNameOf(const http::Request& request, const nlohmann::json& body);
 
 } // namespace workshatch::daemon
--- a/src/daemon/router/chat_run.cc
+++ b/src/daemon/router/chat_run.cc
@@ -109,15 +109,15 @@
 http::Request ChatRun::upstreamRequest(const Placement& placement) const {
   http::Request request(http::Verb::post, "/v1/chat/completions", 11);
   request.set(http::Field::content_type, "application/json");
-  request.set("X-Request-Id", context_.id);
-  request.set("X-Tenant", context_.tenant);
-  request.set("X-Engine", std::to_string(placement.engine.number));
-  request.set("X-Priority", std::to_string(context_.priority));
+  http::setHeader(request, "X-Request-Id", context_.id);
+  http::setHeader(request, "X-Tenant", context_.tenant);
+  http::setHeader(request, "X-Engine", std::to_string(placement.engine.number));
+  http::setHeader(request, "X-Priority", std::to_string(context_.priority));
   if (!request_.session_name.empty()) {
-    request.set("X-Session-Id", request_.session_name);
+    http::setHeader(request, "X-Session-Id", request_.session_name);
   }
   if (delivered_ > 0) {
-    request.set("Last-Event-ID", std::to_string(delivered_));
+    http::setHeader(request, "Last-Event-ID", std::to_string(delivered_));
   }
   json body = request_.body;
   body["stream"] = true;
@@ -264,7 +264,7 @@
   http::Response head(http::Status::ok, 11);
   head.set(http::Field::content_type, "text/event-stream");
   head.set(http::Field::cache_control, "no-store");
-  head.set("X-Request-Id", context_.id);
+  http::setHeader(head, "X-Request-Id", context_.id);
   co_return co_await exchange_.startStream(std::move(head));
 }
 
@@ -285,8 +285,8 @@
       {"usage", usage_},
   };
   http::Response response = http::makeResponse(http::Status::ok, "application/json", body.dump());
-  response.set("X-Request-Id", context_.id);
-  response.set("X-Engine", placement.engine.engine);
+  http::setHeader(response, "X-Request-Id", context_.id);
+  http::setHeader(response, "X-Engine", placement.engine.engine);
   co_await exchange_.respond(std::move(response));
 }
 
--- a/src/daemon/router/request_handler.cc
+++ b/src/daemon/router/request_handler.cc
@@ -9,6 +9,7 @@
 
 #include "core/routing/engine_owner.h"
 #include "core/routing/rendezvous.h"
+#include "daemon/router/allowed_methods.h"
 #include "daemon/router/chat_request.h"
 
 namespace workshatch::daemon {
@@ -97,7 +98,15 @@
   if (draining_) {
     exchange.closeAfter();
   }
-  if (work) {
+  const std::string_view allowed = allowedMethods(path);
+  if (!allowed.empty() && !methodAllowed(allowed, exchange.request().method())) {
+    http::Response refusal = http::makeProblem(
+        http::Problem{.status = http::Status::method_not_allowed,
+                      .code = "method-not-allowed",
+                      .detail = "allowed for this path: " + std::string(allowed)});
+    refusal.set(http::Field::allow, std::string(allowed));
+    co_await exchange.respond(std::move(refusal));
+  } else if (work) {
     co_await serveWork(exchange);
   } else if (path == "/v1/endpoints") {
     co_await serveEndpoints(exchange);
--- a/src/daemon/router/service_run.cc
+++ b/src/daemon/router/service_run.cc
@@ -104,11 +104,11 @@
       request.set(field, value->value());
     }
   }
-  request.set("X-Request-Id", context_.id);
-  request.set("X-Tenant", context_.tenant);
-  request.set("X-Engine", std::to_string(placement.engine.number));
+  http::setHeader(request, "X-Request-Id", context_.id);
+  http::setHeader(request, "X-Tenant", context_.tenant);
+  http::setHeader(request, "X-Engine", std::to_string(placement.engine.number));
   if (!request_.idempotency_key.empty()) {
-    request.set("Idempotency-Key", request_.idempotency_key);
+    http::setHeader(request, "Idempotency-Key", request_.idempotency_key);
   }
   request.body() = exchange_.request().body();
   return request;
@@ -315,10 +315,10 @@
   logOutcome(context_, engine, http::Execution::Completed, recorded.http_status());
   http::Response response = http::makeResponse(static_cast<http::Status>(recorded.http_status()),
                                                recorded.content_type(), recorded.body());
-  response.set("X-Request-Id", context_.id);
-  response.set("X-Execution", "completed");
+  http::setHeader(response, "X-Request-Id", context_.id);
+  http::setHeader(response, "X-Execution", "completed");
   if (replayed) {
-    response.set("Idempotency-Replayed", "true");
+    http::setHeader(response, "Idempotency-Replayed", "true");
   }
   co_await exchange_.respond(std::move(response));
 }
--- a/src/ports/relay_dialect.h
+++ b/src/ports/relay_dialect.h
@@ -69,7 +69,8 @@
   virtual std::vector<PromptPart> promptParts(std::string_view value) const = 0;
   virtual std::optional<RunnerLoad> runnerLoad(std::string_view value) const = 0;
   /// Body of the answer that tells a caller where to go.
-  virtual std::string addresses(const std::vector<std::string>& addresses, uint32_t ttl_s) const = 0;
+  virtual std::string addresses(const std::vector<std::string>& addresses,
+                                uint32_t ttl_s) const = 0;
   /// Name of the query parameter that holds the caller's zone.
   virtual std::string zoneParameter() const = 0;
   /// Value of Retry-After.
--- /dev/null
+++ b/tests/unit/adapters/framed_link_test.cc
@@ -0,0 +1,76 @@
+/// @file
+/// Frames between own processes: whole, in order, whatever their size.
+#include <chrono>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+#include "adapters/link/framed_link.h"
+
+namespace workshatch::test {
+
+namespace {
+
+v1::Frame frameWith(uint64_t version, size_t size) {
+  v1::Frame frame;
+  frame.mutable_lease()->mutable_configuration()->set_version(version);
+  frame.mutable_lease()->mutable_configuration()->set_document(std::string(size, 'x'));
+  return frame;
+}
+
+} // namespace
+
+TEST_CASE("Frames of all sizes arrive whole and in order, and the end is noticed") {
+  boost::asio::io_context context;
+  link::LinkListener listener(context);
+  std::vector<std::shared_ptr<link::FramedLink>> accepted;
+  std::vector<uint64_t> versions;
+  size_t bytes = 0;
+  bool closed = false;
+  const std::string address = "127.0.0.1:48231";
+  const auto listening = listener.listen(address, [&](std::shared_ptr<link::FramedLink> taken) {
+    accepted.push_back(taken);
+    taken->start(
+        [&](const v1::Frame& frame) {
+          versions.push_back(frame.lease().configuration().version());
+          bytes += frame.lease().configuration().document().size();
+        },
+        [&] { closed = true; });
+  });
+  REQUIRE_FALSE(isError(listening));
+  link::LinkDialer dialer(context);
+  std::shared_ptr<link::FramedLink> opened;
+  dialer.dial(address, std::chrono::milliseconds(1000), [&](auto link) {
+    REQUIRE(link != nullptr);
+    opened = link;
+    opened->start([](const v1::Frame&) {}, [] {});
+    opened->send(frameWith(1, 0));
+    opened->send(frameWith(2, 1'000'000));
+    opened->send(frameWith(3, 10));
+  });
+  while (versions.size() < 3 && context.run_one_for(std::chrono::seconds(5)) != 0) {
+  }
+  CHECK(versions == std::vector<uint64_t>{1, 2, 3});
+  CHECK(bytes == 1'000'010);
+  opened->close();
+  while (!closed && context.run_one_for(std::chrono::seconds(5)) != 0) {
+  }
+  CHECK(closed);
+  CHECK_FALSE(opened->send(frameWith(4, 0)));
+}
+
+TEST_CASE("Dialing where nobody listens ends with no link") {
+  boost::asio::io_context context;
+  link::LinkDialer dialer(context);
+  bool ended = false;
+  dialer.dial("127.0.0.1:1", std::chrono::milliseconds(500), [&](auto link) {
+    CHECK(link == nullptr);
+    ended = true;
+  });
+  while (!ended && context.run_one_for(std::chrono::seconds(5)) != 0) {
+  }
+  CHECK(ended);
+}
+
+} // namespace workshatch::test
--- a/tests/unit/adapters/http_server_test.cc
+++ b/tests/unit/adapters/http_server_test.cc
@@ -77,6 +77,7 @@
         "HTTP/1.1 413 Payload Too Large");
   CHECK(server.send("GET / HTTP/1.1\r\nX: " + std::string(4000, 'x') + "\r\n\r\n") ==
         "HTTP/1.1 431 Request Header Fields Too Large");
+  CHECK(server.send("GET / HTTP/1.1\r\n\r\n") == "HTTP/1.1 400 Bad Request");
   // A request that never ends: the other caller does not wait for it.
   asio::io_context context;
   asio::ip::tcp::socket slow(context);
--- /dev/null
+++ b/tests/unit/core/relay/relay_parts_test.cc
@@ -0,0 +1,83 @@
+/// @file
+/// The lease, the budget of repeats, and whole events.
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "core/relay/event_splitter.h"
+#include "core/relay/retry_budget.h"
+#include "core/relay/serving_lease.h"
+
+namespace workshatch::test {
+
+TEST_CASE("A lease counts from the sending of the renewal that was confirmed") {
+  relay::ServingLease lease(1000);
+  CHECK_FALSE(lease.holds(0));
+  const uint64_t first = lease.renewalSent(100);
+  const uint64_t second = lease.renewalSent(400);
+  lease.confirmed(first);
+  CHECK(lease.holds(1099));
+  CHECK_FALSE(lease.holds(1100));
+  lease.confirmed(second);
+  CHECK(lease.holds(1399));
+  CHECK_FALSE(lease.holds(1400));
+}
+
+TEST_CASE("Late, repeated and unknown confirmations do not lengthen a lease") {
+  relay::ServingLease lease(1000);
+  const uint64_t first = lease.renewalSent(100);
+  const uint64_t second = lease.renewalSent(400);
+  lease.confirmed(second);
+  lease.confirmed(first);
+  lease.confirmed(second + 7);
+  CHECK(lease.ageMs(400) == 0);
+  CHECK_FALSE(lease.holds(1400));
+}
+
+TEST_CASE("The budget of repeats is a share of the slack and a part of the requests") {
+  relay::RetryBudget budget(
+      relay::RetryBudgetOptions{.ratio = 0.2, .window_ms = 1000, .slack = 20});
+  budget.setRelays(2);
+  for (int i = 0; i < 50; ++i) {
+    budget.noteRequest("s", 0);
+  }
+  int taken = 0;
+  while (budget.takeRepeat("s", 1)) {
+    ++taken;
+  }
+  // 0.7 of 10 of the slack and 10 earned.
+  CHECK(taken == 14);
+  CHECK_FALSE(budget.takeRepeat("s", 900));
+  CHECK(budget.takeRepeat("other", 900));
+  CHECK(budget.takeRepeat("s", 1100));
+}
+
+TEST_CASE("Events come whole, byte for byte, however the bytes arrive") {
+  const std::string stream = "id: 1\ndata: a\n\nevent: x\r\nid:2\r\ndata: b\r\n\r\ndata: c\n\n";
+  for (size_t step = 1; step <= stream.size(); ++step) {
+    relay::EventSplitter splitter;
+    std::string joined;
+    std::vector<std::string> ids;
+    for (size_t at = 0; at < stream.size(); at += step) {
+      splitter.feed(std::string_view(stream).substr(at, step));
+      while (const auto event = splitter.next()) {
+        joined += event->bytes;
+        ids.push_back(event->id);
+      }
+    }
+    CHECK(joined == stream);
+    CHECK(ids == std::vector<std::string>{"1", "2", ""});
+    CHECK_FALSE(splitter.hasPartialEvent());
+  }
+}
+
+TEST_CASE("A broken-off event is never given") {
+  relay::EventSplitter splitter;
+  splitter.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n");
+  CHECK(splitter.next());
+  CHECK_FALSE(splitter.next());
+  CHECK(splitter.hasPartialEvent());
+}
+
+} // namespace workshatch::test
--- /dev/null
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -0,0 +1,236 @@
+/// @file
+/// One relay's request handling on loopback, with runners whose answers a test scripts.
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include "adapters/http/http_server.h"
+#include "adapters/system_clock.h"
+#include "adapters/worker_pool.h"
+#include "daemon/relay/relay_run.h"
+#include "ports/relay_dialect.h"
+
+namespace workshatch::test {
+
+/// Names of this project's own, unlike those of any platform.
+class TestDialect : public RelayDialect {
+public:
+  const HeaderNames& headers() const override {
+    static const HeaderNames names = {.request_id = "W-Request",
+                                      .key = "W-Key",
+                                      .tenant = "W-Tenant",
+                                      .deadline = "W-Deadline",
+                                      .target_runner = "W-Runner",
+                                      .priority = "W-Priority",
+                                      .prompt_parts = "W-Parts",
+                                      .not_run = "W-Not-Run",
+                                      .signature = "W-Signature",
+                                      .load = "W-Load",
+                                      .last_event = "Last-Event-Id"};
+    return names;
+  }
+  const CallPaths& paths() const override {
+    static const CallPaths paths = {.resolve = "/where",
+                                    .ready = "/ready",
+                                    .put_configuration = "/put",
+                                    .get_configuration = "/get"};
+    return paths;
+  }
+  std::vector<PromptPart> promptParts(std::string_view) const override { return {}; }
+  std::optional<RunnerLoad> runnerLoad(std::string_view) const override { return std::nullopt; }
+  std::string addresses(const std::vector<std::string>&, uint32_t) const override { return ""; }
+  std::string zoneParameter() const override { return "zone"; }
+  std::string retryAfter(uint32_t milliseconds) const override {
+    return std::to_string(milliseconds);
+  }
+};
+
+/// A runner: takes connections one after another, reads a request on each and does as scripted.
+class ScriptedRunner {
+public:
+  using Socket = boost::asio::ip::tcp::socket;
+  /// Runs on the runner's thread with the request's head and body.
+  using Script = std::function<void(Socket&, const std::string& request)>;
+
+  explicit ScriptedRunner(Script script)
+      : acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        script_(std::move(script)), thread_([this] { serve(); }) {}
+  ~ScriptedRunner() {
+    stopping_ = true;
+    // Wakes the accept.
+    boost::asio::io_context context;
+    Socket wake(context);
+    boost::system::error_code ignored;
+    wake.connect(acceptor_.local_endpoint(), ignored);
+    thread_.join();
+  }
+  ScriptedRunner(const ScriptedRunner&) = delete;
+  ScriptedRunner& operator=(const ScriptedRunner&) = delete;
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  int requests() const { return requests_; }
+  const std::string& lastRequest() const { return last_request_; }
+
+private:
+  void serve() {
+    while (true) {
+      Socket socket(context_);
+      acceptor_.accept(socket);
+      if (stopping_) {
+        return;
+      }
+      boost::system::error_code failure;
+      std::string request;
+      boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", failure);
+      if (failure) {
+        continue;
+      }
+      last_request_ = request;
+      ++requests_;
+      script_(socket, request);
+    }
+  }
+
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  Script script_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> requests_{0};
+  std::string last_request_;
+  std::thread thread_;
+};
+
+inline void say(ScriptedRunner::Socket& socket, const std::string& bytes) {
+  boost::system::error_code ignored;
+  boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+}
+
+/// A signed answer with a body, to the request with this id.
+inline std::string signedAnswer(const std::string& id, const std::string& body,
+                                const std::string& status = "200 OK") {
+  return "HTTP/1.1 " + status + "\r\nW-Request: " + id +
+         "\r\nW-Signature: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline std::string streamHead(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nW-Request: " + id +
+         "\r\nW-Signature: s\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+inline std::string chunk(const std::string& data) {
+  std::ostringstream out;
+  out << std::hex << data.size() << "\r\n" << data << "\r\n";
+  return out.str();
+}
+
+constexpr const char* kLastChunk = "0\r\n\r\n";
+
+/// A relay's request handling over a server on loopback.
+class TestRelay {
+public:
+  explicit TestRelay(const relay::Route& route)
+      : state_(settings::RelaySettings{.zone = "z"}, clock_, dialect_),
+        server_(
+            workers_, http::ServerLimits{},
+            [this](http::Exchange& exchange) { return handle(exchange); },
+            [](http::Status status, const std::string&) {
+              return http::makeResponse(status, "text/plain", "");
+            }) {
+    relay::Configuration configuration;
+    configuration.version = 1;
+    configuration.services = {relay::Service{.name = "s"}};
+    configuration.tenants = {relay::Tenant{.name = "tenant-1", .keys = {"key-1"}}};
+    configuration.routes = {route};
+    state_.routes = std::make_shared<const relay::RouteTable>(std::move(configuration));
+    state_.lease.confirmed(state_.lease.renewalSent(clock_.monotonicMs()));
+    address_ = std::get<std::string>(server_.listen("127.0.0.1:0"));
+  }
+  ~TestRelay() { workers_.stop(); }
+  TestRelay(const TestRelay&) = delete;
+  TestRelay& operator=(const TestRelay&) = delete;
+
+  void addRunner(const std::string& id, const std::string& address) {
+    v1::RunnerEntry* entry = list_.add_runners();
+    entry->set_id(id);
+    entry->set_service("s");
+    entry->set_address(address);
+    entry->set_zone("z");
+    list_.set_version(list_.version() + 1);
+    state_.runners.setList(list_);
+  }
+  void start() { workers_.start(); }
+  daemon::RelayState& state() { return state_; }
+  const std::string& address() const { return address_; }
+
+  /// Sends a request for path `/` and returns everything that comes until the connection ends.
+  std::string ask(const std::string& id, const std::string& more_headers = "") const {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect(*http::parseEndpoint(address_));
+    boost::system::error_code failure;
+    boost::asio::write(socket, boost::asio::buffer(requestText(id, more_headers)), failure);
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), failure);
+    return answer;
+  }
+  static std::string requestText(const std::string& id, const std::string& more_headers = "") {
+    return "POST /work HTTP/1.1\r\nHost: h.example\r\nW-Request: " + id +
+           "\r\nW-Key: key-1\r\nW-Deadline: 3000\r\nConnection: close\r\n" + more_headers +
+           "Content-Length: 2\r\n\r\nhi";
+  }
+
+private:
+  http::awaitable<void> handle(http::Exchange& exchange) {
+    auto admitted = daemon::admit(exchange.request(), state_);
+    if (auto* problem = std::get_if<http::Problem>(&admitted)) {
+      http::Response response = http::makeProblem(*problem);
+      co_await exchange.respond(std::move(response));
+      co_return;
+    }
+    const auto run = std::make_shared<daemon::RelayRun>(
+        workers_.context(0), state_, exchange, std::move(std::get<daemon::RelayRequest>(admitted)));
+    co_await run->run();
+  }
+
+  const SystemClock clock_;
+  const TestDialect dialect_;
+  WorkerPool workers_{1};
+  daemon::RelayState state_;
+  v1::RunnerList list_;
+  http::Server server_;
+  std::string address_;
+};
+
+inline relay::Route testRoute(relay::RouteKind kind, uint32_t attempts, bool resumable = false) {
+  relay::Route route;
+  route.name = "r";
+  route.host = "h.example";
+  route.path_prefix = "/";
+  route.kind = kind;
+  route.timeout_ms = 2000;
+  route.objective_ms = 200;
+  route.max_attempts = attempts;
+  route.resumable = resumable;
+  route.targets.push_back(relay::RouteTarget{.service = "s"});
+  return route;
+}
+
+} // namespace workshatch::test
--- /dev/null
+++ b/tests/unit/daemon/relay/relay_run_test.cc
@@ -0,0 +1,226 @@
+/// @file
+/// What a caller and the runners see of one request: at most one run, whole answers, true refusals.
+#include <doctest/doctest.h>
+
+#include "unit/daemon/relay/relay_fixture.h"
+
+namespace workshatch::test {
+
+using relay::RouteKind;
+
+TEST_CASE("A request reaches the runner without the key, with tenant, target and time left") {
+  ScriptedRunner runner([](auto& socket, const auto&) { say(socket, signedAnswer("q1", "done")); });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", runner.address());
+  relay.start();
+  const std::string answer = relay.ask("q1", "W-Tenant: forged\r\nX-Other: kept\r\n");
+  CHECK(answer.starts_with("HTTP/1.1 200 OK"));
+  CHECK(answer.find("W-Signature: s") != std::string::npos);
+  CHECK(answer.ends_with("done"));
+  const std::string& request = runner.lastRequest();
+  CHECK(request.starts_with("POST /work HTTP/1.1\r\n"));
+  CHECK(request.find("key-1") == std::string::npos);
+  CHECK(request.find("forged") == std::string::npos);
+  CHECK(request.find("W-Tenant: tenant-1\r\n") != std::string::npos);
+  CHECK(request.find("W-Runner: runner-1\r\n") != std::string::npos);
+  CHECK(request.find("X-Other: kept\r\n") != std::string::npos);
+  const size_t deadline = request.find("W-Deadline: ");
+  REQUIRE(deadline != std::string::npos);
+  // The route allows less than the caller.
+  CHECK(std::stoi(request.substr(deadline + 12)) <= 2000);
+}
+
+TEST_CASE("A request without a known key, route or id is refused before any runner") {
+  ScriptedRunner runner([](auto&, const auto&) {});
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", runner.address());
+  relay.start();
+  CHECK(relay.ask("", "").starts_with("HTTP/1.1 400"));
+  CHECK(relay.ask("q1\r\nW-Key: other").starts_with("HTTP/1.1 401"));
+  CHECK(runner.requests() == 0);
+}
+
+TEST_CASE("A request that may run once is not sent again after it may have run") {
+  ScriptedRunner breaking([](auto& socket, const auto&) { socket.close(); });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 3));
+  relay.addRunner("runner-1", breaking.address());
+  relay.addRunner("runner-2", breaking.address());
+  relay.start();
+  CHECK(relay.ask("q1").starts_with("HTTP/1.1 502"));
+  CHECK(breaking.requests() == 1);
+}
+
+TEST_CASE("A runner that declined is followed by another; all declining is a true refusal") {
+  const std::string declined =
+      "HTTP/1.1 503 Full\r\nW-Request: q1\r\nW-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  ScriptedRunner full([&](auto& socket, const auto&) { say(socket, declined); });
+  ScriptedRunner free([](auto& socket, const auto&) { say(socket, signedAnswer("q1", "done")); });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", full.address());
+  relay.start();
+  const std::string refused = relay.ask("q1");
+  CHECK(refused.starts_with("HTTP/1.1 503"));
+  CHECK(refused.find("Retry-After") != std::string::npos);
+  relay.addRunner("runner-2", free.address());
+  CHECK(relay.ask("q1").ends_with("done"));
+}
+
+TEST_CASE("A repeatable request goes on to another runner after a failure") {
+  ScriptedRunner failing([](auto& socket, const auto&) {
+    say(socket, signedAnswer("q1", "bad", "500 Internal Server Error"));
+  });
+  ScriptedRunner working(
+      [](auto& socket, const auto&) { say(socket, signedAnswer("q1", "done")); });
+  TestRelay relay(testRoute(RouteKind::Repeatable, 2));
+  relay.addRunner("runner-1", failing.address());
+  relay.addRunner("runner-2", working.address());
+  relay.start();
+  for (int i = 0; i < 4; ++i) {
+    CHECK(relay.ask("q1").ends_with("done"));
+  }
+}
+
+TEST_CASE("The failure of a runner goes back as it is when nothing else may be tried") {
+  ScriptedRunner failing([](auto& socket, const auto&) {
+    say(socket, signedAnswer("q1", "bad", "500 Internal Server Error"));
+  });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", failing.address());
+  relay.start();
+  const std::string answer = relay.ask("q1");
+  CHECK(answer.starts_with("HTTP/1.1 500"));
+  CHECK(answer.find("W-Signature: s") != std::string::npos);
+  CHECK(answer.ends_with("bad"));
+}
+
+TEST_CASE("An answer of another request, cut short or unsigned never reaches a caller") {
+  std::string bytes;
+  SUBCASE("of another request") { bytes = signedAnswer("other", "done"); }
+  SUBCASE("cut short") {
+    bytes = signedAnswer("q1", "done");
+    bytes.resize(bytes.size() - 2);
+  }
+  SUBCASE("unsigned") { bytes = "HTTP/1.1 200 OK\r\nW-Request: q1\r\nContent-Length: 0\r\n\r\n"; }
+  SUBCASE("not HTTP") { bytes = "nonsense\r\n\r\n"; }
+  ScriptedRunner spoiling([&](auto& socket, const auto&) {
+    say(socket, bytes);
+    socket.close();
+  });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", spoiling.address());
+  relay.start();
+  CHECK(relay.ask("q1").starts_with("HTTP/1.1 502"));
+}
+
+TEST_CASE("A stream reaches the caller by whole events and ends only as its runner ended it") {
+  ScriptedRunner breaking([](auto& socket, const auto&) {
+    say(socket, streamHead("q1") + chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n"));
+    socket.close();
+  });
+  TestRelay relay(testRoute(RouteKind::Streaming, 1));
+  relay.addRunner("runner-1", breaking.address());
+  relay.start();
+  const std::string answer = relay.ask("q1");
+  CHECK(answer.find("data: a") != std::string::npos);
+  CHECK(answer.find("data: b") == std::string::npos);
+  CHECK_FALSE(answer.ends_with(kLastChunk));
+}
+
+TEST_CASE("A resumable stream goes on at another runner after its last whole event") {
+  ScriptedRunner breaking([](auto& socket, const auto& request) {
+    if (request.find("Last-Event-Id: 1") != std::string::npos) {
+      say(socket, streamHead("q1") + chunk("id: 2\ndata: b\n\n") + kLastChunk);
+      return;
+    }
+    say(socket, streamHead("q1") + chunk("id: 1\ndata: a\n\nid: 2\nda"));
+    socket.close();
+  });
+  TestRelay relay(testRoute(RouteKind::Streaming, 2, true));
+  relay.addRunner("runner-1", breaking.address());
+  relay.addRunner("runner-2", breaking.address());
+  relay.start();
+  const std::string answer = relay.ask("q1");
+  CHECK(answer.find("data: a\n\n") != std::string::npos);
+  CHECK(answer.find("data: b\n\n") != std::string::npos);
+  CHECK(answer.ends_with(kLastChunk));
+  CHECK(breaking.requests() == 2);
+}
+
+TEST_CASE("A runner that can't be reached costs nothing: another is tried") {
+  ScriptedRunner working(
+      [](auto& socket, const auto&) { say(socket, signedAnswer("q1", "done")); });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", "127.0.0.1:1");
+  relay.addRunner("runner-2", working.address());
+  relay.start();
+  for (int i = 0; i < 4; ++i) {
+    CHECK(relay.ask("q1").ends_with("done"));
+  }
+}
+
+TEST_CASE("A caller that hangs up ends the run at its runner") {
+  std::atomic<bool> runner_saw_end{false};
+  std::atomic<bool> runner_has_request{false};
+  ScriptedRunner waiting([&](auto& socket, const auto&) {
+    runner_has_request = true;
+    char byte = 0;
+    boost::system::error_code failure;
+    // The body, then the end of the connection.
+    while (!failure) {
+      socket.read_some(boost::asio::buffer(&byte, 1), failure);
+    }
+    runner_saw_end = true;
+  });
+  TestRelay relay(testRoute(RouteKind::Streaming, 1));
+  relay.addRunner("runner-1", waiting.address());
+  relay.start();
+  {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect(*http::parseEndpoint(relay.address()));
+    boost::asio::write(socket, boost::asio::buffer(TestRelay::requestText("q1")));
+    while (!runner_has_request) {
+      std::this_thread::yield();
+    }
+  }
+  const auto limit = std::chrono::steady_clock::now() + std::chrono::milliseconds(500);
+  while (!runner_saw_end && std::chrono::steady_clock::now() < limit) {
+    std::this_thread::yield();
+  }
+  CHECK(runner_saw_end);
+}
+
+TEST_CASE("At the time limit the caller gets its final answer") {
+  std::atomic<bool> over{false};
+  ScriptedRunner silent([&](auto& socket, const auto&) {
+    char bytes[64];
+    boost::system::error_code failure;
+    while (!failure) {
+      socket.read_some(boost::asio::buffer(bytes), failure);
+    }
+    over = true;
+  });
+  relay::Route route = testRoute(RouteKind::RunOnce, 1);
+  route.timeout_ms = 100;
+  TestRelay relay(route);
+  relay.addRunner("runner-1", silent.address());
+  relay.start();
+  const auto begin = std::chrono::steady_clock::now();
+  CHECK(relay.ask("q1").starts_with("HTTP/1.1 504"));
+  CHECK(std::chrono::steady_clock::now() - begin < std::chrono::milliseconds(350));
+}
+
+TEST_CASE("Without a lease a request with a key is refused with 503, not run") {
+  ScriptedRunner runner([](auto&, const auto&) {});
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", runner.address());
+  const int64_t length_ms = 4000;
+  relay.state().lease = relay::ServingLease(length_ms);
+  relay.start();
+  const std::string answer = relay.ask("q1");
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(answer.find("not-run") != std::string::npos);
+  CHECK(runner.requests() == 0);
+}
+
+} // namespace workshatch::test
