--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -31,7 +31,7 @@
   bool first_start = false;
   /// Voters that the group grows to without taking one out.
   size_t voters = 3;
-  int64_t tick_ms = 80;
+  int64_t tick_ms = 45;
   uint32_t election_ticks = 10;
   /// A voter that is silent for so long may be replaced by a replica at a new address.
   int64_t gone_ms = 3000;
@@ -83,6 +83,8 @@
   /// Reads the configuration after a majority has confirmed this leader.
   void read(ReadCallback done);
 
+  /// @return whether a leader is known, this one included.
+  bool knowsLeader() const { return node_->leader() != 0; }
   /// @return whether this replica leads and no other can have become leader until now.
   bool leads();
   /// The leader's address as far as known; empty: not known or this one.
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -94,14 +94,23 @@
 }
 
 void GroupRole::accept(const std::shared_ptr<link::FramedLink>& link) {
+  struct Sender {
+    std::string relay;
+    uint64_t incarnation = 0;
+  };
   const std::weak_ptr<link::FramedLink> weak = link;
+  const auto sender = std::make_shared<Sender>();
   link->start(
-      [this, weak](const v1::Frame& frame) {
-        if (const auto sender = weak.lock()) {
-          frameReceived(sender, frame);
+      [this, weak, sender](const v1::Frame& frame) {
+        if (frame.has_renewal()) {
+          sender->relay = frame.renewal().name();
+          sender->incarnation = frame.renewal().incarnation();
+        }
+        if (const auto from = weak.lock()) {
+          frameReceived(from, frame);
         }
       },
-      [] {});
+      [this, sender] { hub_.linkClosed(sender->relay, sender->incarnation); });
 }
 
 void GroupRole::frameReceived(const std::shared_ptr<link::FramedLink>& link,
@@ -127,7 +136,8 @@
 http::awaitable<void> GroupRole::readRunnerLists() {
   asio::steady_timer timer(context_);
   while (true) {
-    if (replica_.leads()) {
+    // Without a leader all replicas read, so that the next leader has a list from the start.
+    if (replica_.leads() || !replica_.knowsLeader()) {
       Result<v1::RunnerList> list = co_await reader_.read();
       if (isError(list)) {
         line_log::write("runner_list_unread", {{"error", errorOf(list).message}});
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -12,7 +12,7 @@
 namespace {
 
 /// A relay that renews nothing for so long leaves the list.
-constexpr int64_t kSilentMs = 1200;
+constexpr int64_t kSilentMs = 900;
 /// A new leader tells no list of relays before all had time to renew.
 constexpr int64_t kSettleMs = 1000;
 /// Versions of one term lie above those of the terms before.
@@ -22,6 +22,30 @@
 
 uint64_t RelayHub::nextVersion() { return (term_ << kTermShift) + ++changes_; }
 
+/// Begins a new leadership: relays register again, and versions lie above all earlier ones.
+void RelayHub::takeTerm() {
+  if (term_ == replica_.term()) {
+    return;
+  }
+  term_ = replica_.term();
+  relays_.clear();
+  relay_list_.Clear();
+  if (std::exchange(runners_read_, false)) {
+    runners_.set_version(nextVersion());
+  } else {
+    runners_.Clear();
+  }
+}
+
+void RelayHub::linkClosed(const std::string& relay, uint64_t incarnation) {
+  const auto found = relays_.find(relay);
+  const bool same = found != relays_.end() && found->second.renewal.incarnation() == incarnation;
+  if (same) {
+    // A process that died is missed at once; one that only lost its link renews on another.
+    relays_.erase(found);
+  }
+}
+
 void RelayHub::renewed(const std::shared_ptr<link::FramedLink>& link,
                        const v1::LeaseRenewal& renewal) {
   v1::Frame frame;
@@ -35,12 +59,7 @@
     link->send(frame);
     return;
   }
-  if (term_ != replica_.term()) {
-    term_ = replica_.term();
-    relays_.clear();
-    runners_.Clear();
-    relay_list_.Clear();
-  }
+  takeTerm();
   Relay& relay = relays_[renewal.name()];
   const bool joined = relay.renewal.incarnation() != renewal.incarnation();
   relay.link = link;
@@ -117,17 +136,20 @@
 }
 
 void RelayHub::runnersRead(v1::RunnerList list) {
+  std::sort(list.mutable_runners()->begin(), list.mutable_runners()->end(),
+            [](const auto& left, const auto& right) { return left.id() < right.id(); });
   if (!replica_.leads()) {
+    // Kept for the case that this replica becomes the leader.
+    runners_ = std::move(list);
+    runners_read_ = true;
     return;
   }
-  std::sort(list.mutable_runners()->begin(), list.mutable_runners()->end(),
-            [](const auto& left, const auto& right) { return left.id() < right.id(); });
+  takeTerm();
   list.set_version(runners_.version());
   if (runners_.version() != 0 &&
       google::protobuf::util::MessageDifferencer::Equals(list, runners_)) {
     return;
   }
-  term_ = replica_.term();
   list.set_version(nextVersion());
   runners_ = std::move(list);
   line_log::write("runner_list",
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -23,6 +23,9 @@
 
   void renewed(const std::shared_ptr<link::FramedLink>& link, const v1::LeaseRenewal& renewal);
 
+  /// Notes that the link of a relay's process has ended.
+  void linkClosed(const std::string& relay, uint64_t incarnation);
+
   /// Takes a list of runners read from the platform; pushes it when it differs.
   void runnersRead(v1::RunnerList list);
 
@@ -39,6 +42,7 @@
     int64_t renewed_at_ms = 0;
   };
 
+  void takeTerm();
   void dropSilent();
   void refreshRelayList();
   v1::RunnerLoads sumLoads() const;
@@ -49,6 +53,8 @@
   const Clock& clock_;
   std::map<std::string, Relay> relays_;
   v1::RunnerList runners_;
+  /// `runners_` was read while this replica did not lead, and has no version.
+  bool runners_read_ = false;
   v1::RelayList relay_list_;
   uint64_t term_ = 0;
   uint64_t changes_ = 0;
--- a/src/daemon/relay/control_link.cc
+++ b/src/daemon/relay/control_link.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRenewPeriod{250};
+/// Without a confirmed lease the leader is sought more often.
+constexpr std::chrono::milliseconds kSeekPeriod{80};
 constexpr std::chrono::milliseconds kDialLimit{350};
 /// A link without an answer for so long is given up.
 constexpr int64_t kSilentMs = 800;
@@ -41,7 +43,7 @@
 }
 
 void ControlLink::schedule() {
-  timer_.expires_after(kRenewPeriod);
+  timer_.expires_after(confirmed_ ? kRenewPeriod : kSeekPeriod);
   timer_.async_wait([this](boost::system::error_code failure) {
     if (failure) {
       return;
@@ -116,6 +118,7 @@
 }
 
 void ControlLink::drop(const char* reason) {
+  confirmed_ = false;
   line_log::write("control_link_lost", {{"address", link_address_}, {"reason", reason}});
   if (link_) {
     const auto link = std::exchange(link_, nullptr);
@@ -134,6 +137,7 @@
   }
   if (reply.sequence() == 0 || reply.confirmed()) {
     unconfirmed_ = 0;
+    confirmed_ = true;
     on_reply_(reply);
     return;
   }
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -14,7 +14,9 @@
 
 namespace {
 
-constexpr uint32_t kRetryWithoutLeaseMs = 500;
+/// A group that lost all its processes serves again within about this time; a caller that comes
+/// back then is served in time from its new attempt.
+constexpr uint32_t kRetryWithoutLeaseMs = 1000;
 constexpr uint32_t kRetryWhileStoppingMs = 50;
 constexpr uint32_t kMostPriority = 9;
 /// Priorities of a tenant lie this far apart, so that those of routes fit between.
