Model engines fetch cached parts from the likely holder; homes are left at the load cap

Change: a request names the runner ranked next for its part, leaving ones included, from which the engine takes what it lacks; two homes, left at the cap.

--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -128,12 +128,16 @@
   RunnerChoice choice = request.cache_key == 0 ? chooseByLoad(request, candidates)
                                                : chooseByCache(request, std::move(candidates));
   choice.last_resort = last_resort;
+  if (request.cache_key != 0) {
+    choice.likely_holder = likelyHolder(request, *choice.runner);
+  }
   return choice;
 }
 
 RunnerChoice RunnerTable::chooseByCache(const RunnerRequest& request, Candidates candidates) const {
   const double mean = meanLoad(candidates);
-  const double leave = options_.leave_factor * mean + options_.leave_slack;
+  const double cap = options_.cap_factor * mean + options_.cap_slack;
+  const double leave = std::min(options_.leave_factor * mean + options_.leave_slack, cap);
   const Candidates ranked =
       routing::rank(request.cache_key, candidates,
                     [](const std::shared_ptr<Runner>& runner) -> const std::string& {
@@ -149,7 +153,6 @@
     ++choice.passed_over;
   }
   RunnerChoice spread = chooseByLoad(request, candidates);
-  const double cap = options_.cap_factor * mean + options_.cap_slack;
   // A home that is busy, but no busier than the rest, still saves the reading of the prompt.
   for (size_t i = 0; i < homes; ++i) {
     if (ranked[i]->load() + 1 <= cap && ranked[i]->load() <= spread.runner->load() + 2) {
@@ -161,6 +164,25 @@
   return spread;
 }
 
+/// The first home of a part keeps it, or the second one did before the first was added. Runners
+/// that leave still give what they keep.
+std::shared_ptr<Runner> RunnerTable::likelyHolder(const RunnerRequest& request,
+                                                  const Runner& chosen) const {
+  std::shared_ptr<Runner> best;
+  uint64_t best_weight = 0;
+  for (const auto& runner : services_.at(request.service)) {
+    if (runner.get() == &chosen || runner->avoid_until_ms > request.now_ms) {
+      continue;
+    }
+    const uint64_t weight = routing::rendezvousWeight(request.cache_key, runner->entry.id());
+    if (!best || weight > best_weight) {
+      best = runner;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
 RunnerChoice RunnerTable::chooseByLoad(const RunnerRequest& request,
                                        const Candidates& candidates) const {
   const auto costOf = [&](const Runner& runner) {
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -67,6 +67,8 @@
   uint32_t passed_over = 0;
   /// All candidates were being avoided.
   bool last_resort = false;
+  /// Another runner that likely keeps the prompt's shared part; null: none.
+  std::shared_ptr<Runner> likely_holder;
 };
 
 /// Rules of the choice.
@@ -81,7 +83,7 @@
   /// A home is left for the next when its load is over `leave_factor` times the mean plus
   /// `leave_slack`.
   double leave_factor = 1.3;
-  double leave_slack = 3;
+  double leave_slack = 6;
 };
 
 /// The runners of all services. Not safe for concurrent use.
@@ -117,6 +119,7 @@
   Candidates candidatesFor(const RunnerRequest& request, bool* last_resort) const;
   RunnerChoice chooseByCache(const RunnerRequest& request, Candidates candidates) const;
   RunnerChoice chooseByLoad(const RunnerRequest& request, const Candidates& candidates) const;
+  std::shared_ptr<Runner> likelyHolder(const RunnerRequest& request, const Runner& chosen) const;
   double meanLoad(const Candidates& candidates) const;
   void forgetStaleSums(int64_t now_ms);
 
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -37,7 +37,7 @@
       std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(), same) ||
       same("proxy-connection") || same("proxy-authorization");
   return of_connection || same(names.key) || same(names.tenant) || same(names.deadline) ||
-         same(names.target_runner) || same(names.priority);
+         same(names.target_runner) || same(names.priority) || same(names.fetch_from);
 }
 
 /// @return whether the Connection header names `name`.
@@ -185,6 +185,9 @@
   if (!attempt.last_event_id.empty()) {
     appendHeader(out, names.last_event, attempt.last_event_id);
   }
+  if (!attempt.fetch_from.empty()) {
+    appendHeader(out, names.fetch_from, attempt.fetch_from);
+  }
   const bool has_body = !request.body().empty() || request.has_content_length() ||
                         request.chunked() || request.method() == http::Verb::post;
   if (has_body) {
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -49,6 +49,8 @@
   int64_t remaining_ms = 0;
   /// Empty: from the beginning.
   std::string last_event_id;
+  /// Address of a runner that likely keeps the prompt's shared part; empty: none.
+  std::string fetch_from;
 };
 
 /// @return the request's head and body as a runner gets them.
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -104,9 +104,8 @@
       }
       ++state_.stats.repeats;
     }
-    const std::shared_ptr<relay::Runner> runner = choice->runner;
-    tried_.push_back(runner->entry.id());
-    last_end_ = co_await attempt(*runner);
+    tried_.push_back(choice->runner->entry.id());
+    last_end_ = co_await attempt(*choice);
     if (last_end_ == AttemptEnd::Answered || !mayTryAgain(last_end_)) {
       break;
     }
@@ -152,7 +151,8 @@
   co_return !error;
 }
 
-http::awaitable<RelayRun::AttemptEnd> RelayRun::attempt(relay::Runner& runner) {
+http::awaitable<RelayRun::AttemptEnd> RelayRun::attempt(const relay::RunnerChoice& choice) {
+  relay::Runner& runner = *choice.runner;
   state_.runners.beginAttempt(runner);
   relay::AttemptOutcome outcome = relay::AttemptOutcome::Unreachable;
   AttemptEnd result = AttemptEnd::Unreachable;
@@ -160,10 +160,13 @@
   if (connected && !ended()) {
     const int64_t remaining_ms = request_.deadline_ms - state_.clock.monotonicMs();
     ++arrivals_;
-    std::string bytes = formatForRunner(exchange_.request(), request_, state_,
-                                        AttemptHeaders{.runner_id = runner.entry.id(),
-                                                       .remaining_ms = remaining_ms,
-                                                       .last_event_id = last_event_id_});
+    std::string bytes = formatForRunner(
+        exchange_.request(), request_, state_,
+        AttemptHeaders{.runner_id = runner.entry.id(),
+                       .remaining_ms = remaining_ms,
+                       .last_event_id = last_event_id_,
+                       .fetch_from =
+                           choice.likely_holder ? choice.likely_holder->entry.address() : ""});
     const auto error = co_await connection_->exchange(std::move(bytes), silenceLimit(false));
     if (error) {
       last_error_ = error->timed_out ? "silent" : error->message;
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -46,7 +46,7 @@
     Broken,
   };
 
-  http::awaitable<AttemptEnd> attempt(relay::Runner& runner);
+  http::awaitable<AttemptEnd> attempt(const relay::RunnerChoice& choice);
   http::awaitable<bool> connect(const relay::Runner& runner);
   http::awaitable<AttemptEnd> takeAnswer(relay::AttemptOutcome& outcome);
   http::awaitable<AttemptEnd> takePlainAnswer(relay::AttemptOutcome& outcome);
--- a/src/ports/relay_dialect.h
+++ b/src/ports/relay_dialect.h
@@ -36,6 +36,8 @@
   std::string load;
   /// Id of the last event that the caller has.
   std::string last_event;
+  /// Address of a runner from which the engine takes cached parts that it lacks itself.
+  std::string fetch_from;
 };
 
 /// Paths of the calls that the system answers itself.
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -41,7 +41,8 @@
                                       .not_run = "W-Not-Run",
                                       .signature = "W-Signature",
                                       .load = "W-Load",
-                                      .last_event = "Last-Event-Id"};
+                                      .last_event = "Last-Event-Id",
+                                      .fetch_from = "W-Fetch"};
     return names;
   }
   const CallPaths& paths() const override {
