Group: tick of 30 ms

Cause: in the closing windows (all processes killed) callers are refused until a leader is elected, which waits one election timeout after a restart. Ruled out: waiting relays (they seek every 80 ms). Change: tick 45 -> 30 ms, so an election timeout of 300 to 600 ms.

--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -31,7 +31,7 @@
   bool first_start = false;
   /// Voters that the group grows to without taking one out.
   size_t voters = 3;
-  int64_t tick_ms = 45;
+  int64_t tick_ms = 30;
   uint32_t election_ticks = 10;
   /// A voter that is silent for so long may be replaced by a replica at a new address.
   int64_t gone_ms = 3000;
