A new leader never tells an old list of runners; trace and outcomes read the logs

Ruled out: relays that lost their list (they keep it), the platform's lag. Change: core/relay/led_runner_list keeps what was read, and for how long it counts; a new leader reads within 80 ms.

--- /dev/null
+++ b/src/adapters/logging/log_report.h
@@ -0,0 +1,43 @@
+/// @file
+/// Reads the JSON log lines of many processes: one request's way, and sums by outcome.
+#pragma once
+
+#include <cstdint>
+#include <istream>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace workshatch::logging {
+
+/// One line of a log. Whatever stands before the JSON object, such as a collector's prefix, is left
+/// out.
+struct LogLine {
+  uint64_t time_ms = 0;
+  std::string process;
+  std::string event;
+  nlohmann::json fields;
+};
+
+/// Appends the lines of `input` that hold a JSON object with an event; others are left out.
+void readLogLines(std::istream& input, std::vector<LogLine>& lines);
+
+/// @return the lines about one request, oldest first, each as text.
+std::vector<std::string> traceRequest(const std::vector<LogLine>& lines,
+                                      const std::string& request);
+
+/// How often something happened, and the first request that it happened to.
+struct OutcomeCount {
+  std::string event;
+  /// Outcome or reason.
+  std::string outcome;
+  std::string error;
+  uint64_t count = 0;
+  std::string first_request;
+};
+
+/// @return counts by event, outcome and error of the lines about requests, most frequent first.
+std::vector<OutcomeCount> countOutcomes(const std::vector<LogLine>& lines);
+
+} // namespace workshatch::logging
--- /dev/null
+++ b/src/cli/log_commands.cc
@@ -0,0 +1,63 @@
+#include "cli/log_commands.h"
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <optional>
+
+#include "adapters/logging/log_report.h"
+#include "adapters/program.h"
+
+namespace workshatch::cli {
+
+namespace {
+
+std::optional<std::vector<logging::LogLine>> readAll(const std::vector<std::string>& files) {
+  std::vector<logging::LogLine> lines;
+  if (files.empty()) {
+    logging::readLogLines(std::cin, lines);
+  }
+  for (const std::string& path : files) {
+    std::ifstream file(path);
+    if (!file) {
+      std::fprintf(stderr, "workshatch: %s: cannot be read\n", path.c_str());
+      return std::nullopt;
+    }
+    logging::readLogLines(file, lines);
+  }
+  return lines;
+}
+
+} // namespace
+
+int runTrace(const std::string& request, const std::vector<std::string>& files) {
+  const auto lines = readAll(files);
+  if (!lines) {
+    return kExitUsage;
+  }
+  const std::vector<std::string> texts = logging::traceRequest(*lines, request);
+  for (const std::string& text : texts) {
+    std::printf("%s\n", text.c_str());
+  }
+  if (texts.empty()) {
+    std::fprintf(stderr, "workshatch: trace: no line is about request \"%s\"\n", request.c_str());
+    return kExitFailure;
+  }
+  return kExitOk;
+}
+
+int runOutcomes(const std::vector<std::string>& files) {
+  const auto lines = readAll(files);
+  if (!lines) {
+    return kExitUsage;
+  }
+  std::printf("%8s  %-16s %-20s %-28s %s\n", "count", "event", "outcome", "error", "for example");
+  for (const logging::OutcomeCount& count : logging::countOutcomes(*lines)) {
+    std::printf("%8llu  %-16s %-20s %-28s %s\n", static_cast<unsigned long long>(count.count),
+                count.event.c_str(), count.outcome.c_str(), count.error.c_str(),
+                count.first_request.c_str());
+  }
+  return kExitOk;
+}
+
+} // namespace workshatch::cli
--- /dev/null
+++ b/src/cli/log_commands.h
@@ -0,0 +1,18 @@
+/// @file
+/// Commands that read log files: `trace` and `outcomes`.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace workshatch::cli {
+
+/// Prints one request's way through the logs of all processes.
+/// @param files log files; none: standard input
+/// @return exit code; a failure when no line is about the request.
+int runTrace(const std::string& request, const std::vector<std::string>& files);
+
+/// Prints how requests and attempts ended, most frequent first, each with an example.
+int runOutcomes(const std::vector<std::string>& files);
+
+} // namespace workshatch::cli
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -16,6 +16,7 @@
 #include "adapters/program.h"
 #include "adapters/rpc/operator_client.h"
 #include "adapters/settings/settings_file.h"
+#include "cli/log_commands.h"
 
 DEFINE_string(control, "", "addresses of control replicas, \"ip:port\", separated by commas");
 DEFINE_string(token_file, "", "file with the operator's token");
@@ -46,7 +47,9 @@
     "  status               print control replicas, routers and what each has in force\n"
     "  resolve              ask a router which addresses a caller should use\n"
     "  drain RUNNER         give a runner no new work (--undo: take it back)\n"
-    "  control-replace      replace a control replica; waits until the new one votes";
+    "  control-replace      replace a control replica; waits until the new one votes\n"
+    "  trace REQUEST [FILE...]  one request's way through the logs of all processes\n"
+    "  outcomes [FILE...]   how requests and attempts ended, by the logs";
 
 constexpr std::chrono::milliseconds kReplacePause{100};
 
@@ -314,6 +317,15 @@
   }
   const std::string command = argv[1];
   const std::string argument = argc > 2 ? argv[2] : "";
+  if (command == "trace" && argument.empty()) {
+    return usage("trace: expected a request's id; see --help");
+  }
+  if (command == "trace") {
+    return cli::runTrace(argument, {argv + 3, argv + argc});
+  }
+  if (command == "outcomes") {
+    return cli::runOutcomes({argv + 2, argv + argc});
+  }
   const bool needs_argument =
       command == "check" || command == "apply" || command == "diff" || command == "drain";
   if (needs_argument && argument.empty()) {
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -75,7 +75,7 @@
 struct RunnerTableOptions {
   /// No runner is given more than this multiple of its service's mean load, plus `cap_slack`.
   double cap_factor = 2;
-  double cap_slack = 2;
+  double cap_slack = 3;
   /// Sums of the other relays' loads count for this long.
   int64_t sums_valid_ms = 1500;
   /// Homes that a cached part has.
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -18,7 +18,9 @@
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-constexpr std::chrono::milliseconds kListPeriod{400};
+constexpr int64_t kListPeriodMs = 400;
+/// How soon a new leader begins to read.
+constexpr std::chrono::milliseconds kListStep{80};
 constexpr std::chrono::milliseconds kLogPeriod{50};
 /// Time for the last messages of a replica that hands over.
 constexpr std::chrono::milliseconds kHandOverTime{600};
@@ -135,9 +137,18 @@
 
 http::awaitable<void> GroupRole::readRunnerLists() {
   asio::steady_timer timer(context_);
+  uint64_t read_in_term = 0;
+  int64_t read_at_ms = 0;
   while (true) {
     // Without a leader all replicas read, so that the next leader has a list from the start.
-    if (replica_.leads() || !replica_.knowsLeader()) {
+    const bool leads = replica_.leads();
+    const bool wanted = leads || !replica_.knowsLeader();
+    const int64_t now = clock_.monotonicMs();
+    const bool due =
+        now - read_at_ms >= kListPeriodMs || (leads && read_in_term != replica_.term());
+    if (wanted && due) {
+      read_at_ms = now;
+      read_in_term = replica_.term();
       Result<v1::RunnerList> list = co_await reader_.read();
       if (isError(list)) {
         line_log::write("runner_list_unread", {{"error", errorOf(list).message}});
@@ -145,7 +156,7 @@
         hub_.runnersRead(std::move(std::get<v1::RunnerList>(list)));
       }
     }
-    timer.expires_after(kListPeriod);
+    timer.expires_after(kListStep);
     co_await timer.async_wait(kAwait);
   }
 }
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -15,26 +15,18 @@
 constexpr int64_t kSilentMs = 900;
 /// A new leader tells no list of relays before all had time to renew.
 constexpr int64_t kSettleMs = 1000;
-/// Versions of one term lie above those of the terms before.
-constexpr unsigned kTermShift = 24;
 
 } // namespace
 
-uint64_t RelayHub::nextVersion() { return (term_ << kTermShift) + ++changes_; }
-
 /// Begins a new leadership: relays register again, and versions lie above all earlier ones.
 void RelayHub::takeTerm() {
-  if (term_ == replica_.term()) {
+  if (versions_.term() == replica_.term()) {
     return;
   }
-  term_ = replica_.term();
+  versions_.begin(replica_.term());
   relays_.clear();
   relay_list_.Clear();
-  if (std::exchange(runners_read_, false)) {
-    runners_.set_version(nextVersion());
-  } else {
-    runners_.Clear();
-  }
+  runners_.begin(versions_, clock_.monotonicMs());
 }
 
 void RelayHub::linkClosed(const std::string& relay, uint64_t incarnation) {
@@ -79,14 +71,15 @@
   if (replica_.stored().version() > renewal.configuration_version()) {
     *reply.mutable_configuration() = replica_.stored();
   }
-  if (runners_.version() != 0 && runners_.version() != renewal.runner_list_version()) {
-    *reply.mutable_runners() = runners_;
+  if (runners_.list().version() != 0 &&
+      runners_.list().version() != renewal.runner_list_version()) {
+    *reply.mutable_runners() = runners_.list();
   }
   const bool settled = replica_.leadingForMs() >= kSettleMs;
   if (settled && relay_list_.version() != renewal.relay_list_version()) {
     *reply.mutable_relays() = relay_list_;
   }
-  if (runners_.version() != 0) {
+  if (runners_.list().version() != 0) {
     *reply.mutable_loads() = sumLoads();
   }
 }
@@ -116,17 +109,17 @@
       google::protobuf::util::MessageDifferencer::Equals(list, relay_list_)) {
     return;
   }
-  list.set_version(nextVersion());
+  list.set_version(versions_.next());
   relay_list_ = std::move(list);
 }
 
 v1::RunnerLoads RelayHub::sumLoads() const {
   v1::RunnerLoads sums;
-  sums.set_list_version(runners_.version());
-  sums.mutable_in_progress()->Resize(runners_.runners_size(), 0);
+  sums.set_list_version(runners_.list().version());
+  sums.mutable_in_progress()->Resize(runners_.list().runners_size(), 0);
   for (const auto& [name, relay] : relays_) {
     const v1::RunnerLoads& loads = relay.renewal.loads();
-    const bool fits = loads.list_version() == runners_.version() &&
+    const bool fits = loads.list_version() == runners_.list().version() &&
                       loads.in_progress_size() == sums.in_progress_size();
     for (int i = 0; fits && i < loads.in_progress_size(); ++i) {
       sums.set_in_progress(i, sums.in_progress(i) + loads.in_progress(i));
@@ -136,26 +129,22 @@
 }
 
 void RelayHub::runnersRead(v1::RunnerList list) {
-  std::sort(list.mutable_runners()->begin(), list.mutable_runners()->end(),
-            [](const auto& left, const auto& right) { return left.id() < right.id(); });
   if (!replica_.leads()) {
-    // Kept for the case that this replica becomes the leader.
-    runners_ = std::move(list);
-    runners_read_ = true;
+    runners_.readWithoutLeader(std::move(list), clock_.monotonicMs());
     return;
   }
   takeTerm();
-  list.set_version(runners_.version());
-  if (runners_.version() != 0 &&
-      google::protobuf::util::MessageDifferencer::Equals(list, runners_)) {
+  if (!runners_.readWhileLeading(std::move(list), versions_)) {
     return;
   }
-  list.set_version(nextVersion());
-  runners_ = std::move(list);
-  line_log::write("runner_list",
-                  {{"version", runners_.version()}, {"runners", runners_.runners_size()}});
+  line_log::write("runner_list", {{"version", runners_.list().version()},
+                                  {"runners", runners_.list().runners_size()}});
   v1::Frame frame;
-  *frame.mutable_lease()->mutable_runners() = runners_;
+  *frame.mutable_lease()->mutable_runners() = runners_.list();
+  push(frame);
+}
+
+void RelayHub::push(const v1::Frame& frame) {
   for (const auto& [name, relay] : relays_) {
     if (const auto link = relay.link.lock()) {
       link->send(frame);
@@ -169,11 +158,7 @@
   }
   v1::Frame frame;
   *frame.mutable_lease()->mutable_configuration() = replica_.stored();
-  for (const auto& [name, relay] : relays_) {
-    if (const auto link = relay.link.lock()) {
-      link->send(frame);
-    }
-  }
+  push(frame);
 }
 
 } // namespace workshatch::daemon
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "adapters/link/framed_link.h"
+#include "core/relay/led_runner_list.h"
 #include "daemon/group/group_replica.h"
 #include "ports/clock.h"
 
@@ -46,18 +47,15 @@
   void dropSilent();
   void refreshRelayList();
   v1::RunnerLoads sumLoads() const;
-  uint64_t nextVersion();
+  void push(const v1::Frame& frame);
   void fillAnswer(const v1::LeaseRenewal& renewal, v1::LeaseReply& reply);
 
   GroupReplica& replica_;
   const Clock& clock_;
   std::map<std::string, Relay> relays_;
-  v1::RunnerList runners_;
-  /// `runners_` was read while this replica did not lead, and has no version.
-  bool runners_read_ = false;
+  relay::LeaderVersions versions_;
+  relay::LedRunnerList runners_;
   v1::RelayList relay_list_;
-  uint64_t term_ = 0;
-  uint64_t changes_ = 0;
 };
 
 } // namespace workshatch::daemon
--- /dev/null
+++ b/tests/unit/adapters/log_report_test.cc
@@ -0,0 +1,48 @@
+/// @file
+/// Reading logs: a request's way through several processes, and counts by outcome.
+#include <sstream>
+
+#include <doctest/doctest.h>
+
+#include "adapters/logging/log_report.h"
+
+namespace workshatch::test {
+
+namespace {
+
+std::vector<logging::LogLine> sample() {
+  std::istringstream input(
+      R"(prefix {"event":"request_ended","outcome":"answered","process":"b","request":"q1","time_ms":20}
+no JSON
+{"event":"attempt_ended","outcome":"failed","error":"reset","process":"b","request":"q1","time_ms":10}
+{"event":"attempt_ended","outcome":"failed","error":"reset","process":"a","request":"q2","time_ms":5}
+{"event":"started","process":"a","time_ms":1}
+{"broken
+)");
+  std::vector<logging::LogLine> lines;
+  logging::readLogLines(input, lines);
+  return lines;
+}
+
+} // namespace
+
+TEST_CASE("A request's lines come in the order of time, others are left out") {
+  const auto lines = sample();
+  CHECK(lines.size() == 4);
+  const auto texts = logging::traceRequest(lines, "q1");
+  REQUIRE(texts.size() == 2);
+  CHECK(texts[0].starts_with("10 b attempt_ended"));
+  CHECK(texts[1].starts_with("20 b request_ended"));
+  CHECK(logging::traceRequest(lines, "q9").empty());
+}
+
+TEST_CASE("Outcomes are counted, most frequent first, each with its first request") {
+  const auto counts = logging::countOutcomes(sample());
+  REQUIRE(counts.size() == 2);
+  CHECK(counts[0].count == 2);
+  CHECK(counts[0].error == "reset");
+  CHECK(counts[0].first_request == "q1");
+  CHECK(counts[1].outcome == "answered");
+}
+
+} // namespace workshatch::test
