Silent runners are avoided, relays share whom they suspect; events and metrics listed and checked

Change: a runner with attempts in progress that sends nothing for 0.5 s (engines) or 1 s is avoided and reported; two relays make a suspect for all. Sums and the list of relays are made at most every 60 ms, so a renewal costs the leader the same however many relays there are. A replica that ended no longer runs posted work (a unit test crashed once in seven runs: kill left a posted step behind). docs/EVENTS.md and scripts/check_docs.sh; lease age -1 before the first lease.

--- a/bench/main.cc
+++ b/bench/main.cc
@@ -18,8 +18,8 @@
 #include "adapters/worker_pool.h"
 #include "core/admission/owner_table.h"
 #include "core/control/leader_duties.h"
-#include "core/routing/ownership_memo.h"
 #include "core/routing/engine_owner.h"
+#include "core/routing/ownership_memo.h"
 #include "core/routing/rendezvous.h"
 
 DEFINE_string(direct, "", "latency: address of the back end");
--- /dev/null
+++ b/scripts/check_docs.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Fails when a log event or a metric of the relay and group roles is missing in docs/EVENTS.md.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+missing=0
+names=$(
+  # A call may begin on one line and name its event on the next.
+  cat $(git ls-files 'src/daemon/relay/*.cc' 'src/daemon/group/*.cc' 'platform/*.cc') | tr '\n' ' ' |
+    grep -oE 'line_log::write\( *"[a-z_]+"|expose[A-Za-z]*\(out, "[a-z_]+"' |
+    grep -oE '"[a-z_]+"' | tr -d '"' | sort -u
+)
+[ -n "$names" ] || { echo "no event or metric was found in the source" >&2; exit 1; }
+for name in $names; do
+  if ! grep -qE "\`$name(\`|\{)" docs/EVENTS.md; then
+    echo "docs/EVENTS.md lacks $name" >&2
+    missing=1
+  fi
+done
+[ "$missing" -eq 0 ]
+echo "docs: $(wc -w <<<"$names") events and metrics are listed"
--- /dev/null
+++ b/src/core/relay/load_sums.h
@@ -0,0 +1,30 @@
+/// @file
+/// Sums of what the relays report of the runners.
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "workshatch/v1/relay.pb.h"
+
+namespace workshatch::relay {
+
+/// Adds up reports about one list of runners. A runner is a suspect when more than one relay says
+/// so: a single relay may have lost its own way to it. Not safe for concurrent use.
+class LoadSums {
+public:
+  /// @param runners length of the list
+  LoadSums(uint64_t list_version, int runners);
+
+  /// Adds one relay's report; one about another list is left out.
+  void add(const v1::RunnerLoads& report);
+
+  v1::RunnerLoads sums() const;
+
+private:
+  v1::RunnerLoads sums_;
+  /// Relays that suspect a runner, by its position.
+  std::map<uint32_t, uint32_t> suspicions_;
+};
+
+} // namespace workshatch::relay
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -71,6 +71,11 @@
     const uint32_t own = own_known ? reported.in_progress(static_cast<int>(i)) : 0;
     runners_[i]->others_in_progress = total > own ? total - own : 0;
   }
+  for (const uint32_t position : sums.suspects()) {
+    if (position < runners_.size()) {
+      runners_[position]->suspected_until_ms = now_ms + options_.suspicion_ms;
+    }
+  }
 }
 
 void RunnerTable::forgetStaleSums(int64_t now_ms) {
@@ -83,15 +88,36 @@
   }
 }
 
-v1::RunnerLoads RunnerTable::ownLoads() const {
+v1::RunnerLoads RunnerTable::ownLoads(int64_t now_ms) const {
   v1::RunnerLoads loads;
   loads.set_list_version(list_version_);
-  for (const auto& runner : runners_) {
-    loads.add_in_progress(runner->in_progress);
+  for (size_t i = 0; i < runners_.size(); ++i) {
+    const Runner& runner = *runners_[i];
+    loads.add_in_progress(runner.in_progress);
+    const bool failing = runner.failures_in_row > 0 && runner.avoid_until_ms > now_ms;
+    if (failing || isSilent(runner, now_ms)) {
+      loads.add_suspects(static_cast<uint32_t>(i));
+    }
   }
   return loads;
 }
 
+bool RunnerTable::isSilent(const Runner& runner, int64_t now_ms) const {
+  const int64_t limit = runner.engine ? options_.silent_engine_ms : options_.silent_service_ms;
+  return runner.in_progress > 0 && now_ms - runner.sign_of_life_ms > limit;
+}
+
+bool RunnerTable::isAvoided(const Runner& runner, int64_t now_ms) const {
+  return runner.avoid_until_ms > now_ms || runner.suspected_until_ms > now_ms ||
+         isSilent(runner, now_ms);
+}
+
+void RunnerTable::beginAttempt(Runner& runner, int64_t now_ms) const {
+  if (runner.in_progress++ == 0) {
+    runner.sign_of_life_ms = now_ms;
+  }
+}
+
 RunnerTable::Candidates RunnerTable::candidatesFor(const RunnerRequest& request,
                                                    bool* last_resort) const {
   Candidates usable;
@@ -104,7 +130,7 @@
     if (runner->entry.leaving() || isExcluded(request, *runner)) {
       continue;
     }
-    (runner->avoid_until_ms > request.now_ms ? avoided : usable).push_back(runner);
+    (isAvoided(*runner, request.now_ms) ? avoided : usable).push_back(runner);
   }
   *last_resort = usable.empty() && !avoided.empty();
   return *last_resort ? avoided : usable;
@@ -129,6 +155,7 @@
                                                : chooseByCache(request, std::move(candidates));
   choice.last_resort = last_resort;
   if (request.cache_key != 0) {
+    choice.runner->engine = true;
     choice.likely_holder = likelyHolder(request, *choice.runner);
   }
   return choice;
@@ -171,7 +198,7 @@
   std::shared_ptr<Runner> best;
   uint64_t best_weight = 0;
   for (const auto& runner : services_.at(request.service)) {
-    if (runner.get() == &chosen || runner->avoid_until_ms > request.now_ms) {
+    if (runner.get() == &chosen || isAvoided(*runner, request.now_ms)) {
       continue;
     }
     const uint64_t weight = routing::rendezvousWeight(request.cache_key, runner->entry.id());
@@ -233,10 +260,11 @@
 
 bool RunnerTable::hasUsable(const std::string& service, int64_t now_ms) const {
   const auto found = services_.find(service);
-  return found != services_.end() &&
-         std::any_of(found->second.begin(), found->second.end(), [now_ms](const auto& runner) {
-           return !runner->entry.leaving() && runner->avoid_until_ms <= now_ms;
-         });
+  return found != services_.end() && std::any_of(found->second.begin(), found->second.end(),
+                                                 [this, now_ms](const auto& runner) {
+                                                   return !runner->entry.leaving() &&
+                                                          !isAvoided(*runner, now_ms);
+                                                 });
 }
 
 } // namespace workshatch::relay
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -37,9 +37,15 @@
   uint32_t in_progress = 0;
   /// Attempts of the other relays, as of the last sums.
   uint32_t others_in_progress = 0;
+  /// It has been sent prompts with cached parts.
+  bool engine = false;
   /// Moving share of failed attempts, 0 to 1.
   double failure_rate = 0;
   uint32_t failures_in_row = 0;
+  /// When it last sent anything, or the first of its present attempts began.
+  int64_t sign_of_life_ms = 0;
+  /// Other relays get no answer from it, as told until then.
+  int64_t suspected_until_ms = 0;
   /// Not chosen before, unless nothing else is left.
   int64_t avoid_until_ms = 0;
   /// Gone from the list; kept only while attempts are in progress.
@@ -78,6 +84,12 @@
   double cap_slack = 3;
   /// Sums of the other relays' loads count for this long.
   int64_t sums_valid_ms = 1500;
+  /// A runner with attempts in progress that sends nothing for so long is avoided: a model engine,
+  /// which sends events all the time, and any other.
+  int64_t silent_engine_ms = 500;
+  int64_t silent_service_ms = 1000;
+  /// What other relays tell of a runner counts for this long.
+  int64_t suspicion_ms = 600;
   /// Homes that a cached part has.
   uint32_t homes = 2;
   /// A home is left for the next when its load is over `leave_factor` times the mean plus
@@ -99,13 +111,16 @@
   /// @param reported what this relay had reported itself when the sums were made
   void setSums(const v1::RunnerLoads& sums, const v1::RunnerLoads& reported, int64_t now_ms);
 
-  /// This relay's attempts in progress, by position in the list.
-  v1::RunnerLoads ownLoads() const;
+  /// This relay's attempts in progress and the runners that do not answer it, by position in the
+  /// list.
+  v1::RunnerLoads ownLoads(int64_t now_ms) const;
 
   /// @return a runner, or nothing when the service has none left to try.
   std::optional<RunnerChoice> choose(const RunnerRequest& request);
 
-  void beginAttempt(Runner& runner) const { ++runner.in_progress; }
+  void beginAttempt(Runner& runner, int64_t now_ms) const;
+  /// Notes that bytes came from the runner.
+  void noteSignOfLife(Runner& runner, int64_t now_ms) const { runner.sign_of_life_ms = now_ms; }
   void endAttempt(Runner& runner, AttemptOutcome outcome, int64_t now_ms) const;
 
   /// @return whether a runner of the service may be chosen without last resort.
@@ -121,6 +136,8 @@
   RunnerChoice chooseByLoad(const RunnerRequest& request, const Candidates& candidates) const;
   std::shared_ptr<Runner> likelyHolder(const RunnerRequest& request, const Runner& chosen) const;
   double meanLoad(const Candidates& candidates) const;
+  bool isSilent(const Runner& runner, int64_t now_ms) const;
+  bool isAvoided(const Runner& runner, int64_t now_ms) const;
   void forgetStaleSums(int64_t now_ms);
 
   const RunnerTableOptions options_;
--- a/src/core/relay/serving_lease.h
+++ b/src/core/relay/serving_lease.h
@@ -41,8 +41,8 @@
 
   bool holds(int64_t now_ms) const { return ever_confirmed_ && ageMs(now_ms) < length_ms_; }
 
-  /// Milliseconds since the sending of the newest confirmed renewal; meaningless before the first.
-  int64_t ageMs(int64_t now_ms) const { return now_ms - confirmed_sent_ms_; }
+  /// Milliseconds since the sending of the newest confirmed renewal; -1 before the first.
+  int64_t ageMs(int64_t now_ms) const { return ever_confirmed_ ? now_ms - confirmed_sent_ms_ : -1; }
 
   bool everConfirmed() const { return ever_confirmed_; }
 
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -80,7 +80,11 @@
   if (std::exchange(process_scheduled_, true)) {
     return;
   }
-  boost::asio::post(context_, [this] { process(); });
+  boost::asio::post(context_, [this, alive = std::weak_ptr<char>(alive_)] {
+    if (!alive.expired()) {
+      process();
+    }
+  });
 }
 
 void GroupReplica::process() {
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -166,6 +166,8 @@
   std::map<std::string, v1::JoinRequest> joins_;
   /// Where messages of replicas came from that are not members here (yet).
   std::map<uint64_t, std::string> sender_addresses_;
+  /// Ends with the replica; work that was posted before is dropped then.
+  const std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
 
 } // namespace workshatch::daemon
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -6,6 +6,7 @@
 #include <google/protobuf/util/message_differencer.h>
 
 #include "adapters/logging/line_log.h"
+#include "core/relay/load_sums.h"
 
 namespace workshatch::daemon {
 
@@ -15,6 +16,9 @@
 constexpr int64_t kSilentMs = 900;
 /// A new leader tells no list of relays before all had time to renew.
 constexpr int64_t kSettleMs = 1000;
+/// Sums of loads and the list of relays are made anew at most this often, so that a renewal costs
+/// the leader the same however many relays there are.
+constexpr int64_t kRefreshMs = 60;
 
 } // namespace
 
@@ -26,6 +30,8 @@
   versions_.begin(replica_.term());
   relays_.clear();
   relay_list_.Clear();
+  sums_.Clear();
+  refresh_due_ms_ = 0;
   runners_.begin(versions_, clock_.monotonicMs());
 }
 
@@ -60,8 +66,12 @@
   if (joined) {
     line_log::write("relay_joined", {{"relay", renewal.name()}, {"address", renewal.address()}});
   }
-  dropSilent();
-  refreshRelayList();
+  if (joined || clock_.monotonicMs() >= refresh_due_ms_) {
+    refresh_due_ms_ = clock_.monotonicMs() + kRefreshMs;
+    dropSilent();
+    refreshRelayList();
+    sums_ = sumLoads();
+  }
   reply.set_confirmed(true);
   fillAnswer(renewal, reply);
   link->send(frame);
@@ -79,8 +89,8 @@
   if (settled && relay_list_.version() != renewal.relay_list_version()) {
     *reply.mutable_relays() = relay_list_;
   }
-  if (runners_.list().version() != 0) {
-    *reply.mutable_loads() = sumLoads();
+  if (sums_.list_version() != 0 && sums_.list_version() == runners_.list().version()) {
+    *reply.mutable_loads() = sums_;
   }
 }
 
@@ -114,18 +124,11 @@
 }
 
 v1::RunnerLoads RelayHub::sumLoads() const {
-  v1::RunnerLoads sums;
-  sums.set_list_version(runners_.list().version());
-  sums.mutable_in_progress()->Resize(runners_.list().runners_size(), 0);
+  relay::LoadSums sums(runners_.list().version(), runners_.list().runners_size());
   for (const auto& [name, relay] : relays_) {
-    const v1::RunnerLoads& loads = relay.renewal.loads();
-    const bool fits = loads.list_version() == runners_.list().version() &&
-                      loads.in_progress_size() == sums.in_progress_size();
-    for (int i = 0; fits && i < loads.in_progress_size(); ++i) {
-      sums.set_in_progress(i, sums.in_progress(i) + loads.in_progress(i));
-    }
+    sums.add(relay.renewal.loads());
   }
-  return sums;
+  return sums.sums();
 }
 
 void RelayHub::runnersRead(v1::RunnerList list) {
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -33,9 +33,6 @@
   /// Pushes the stored configuration to all relays.
   void pushConfiguration();
 
-  /// The relays that callers may be sent to, and how many relays renew.
-  size_t relayCount() const { return relays_.size(); }
-
 private:
   struct Relay {
     std::weak_ptr<link::FramedLink> link;
@@ -56,6 +53,9 @@
   relay::LeaderVersions versions_;
   relay::LedRunnerList runners_;
   v1::RelayList relay_list_;
+  /// Requests in progress by runner, over all relays.
+  v1::RunnerLoads sums_;
+  int64_t refresh_due_ms_ = 0;
 };
 
 } // namespace workshatch::daemon
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -191,7 +191,7 @@
   renewal.set_configuration_version(state_.routes ? state_.routes->version() : 0);
   renewal.set_runner_list_version(state_.runners.listVersion());
   renewal.set_relay_list_version(relays_.version());
-  reported_loads_ = state_.runners.ownLoads();
+  reported_loads_ = state_.runners.ownLoads(clock_.monotonicMs());
   *renewal.mutable_loads() = reported_loads_;
   ++state_.stats.renewals;
   return renewal;
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -103,8 +103,11 @@
         break;
       }
       ++state_.stats.repeats;
+      state_.stats.resumed_streams += stream_started_ ? 1 : 0;
     }
     tried_.push_back(choice->runner->entry.id());
+    load_at_choice_ = choice->runner->load();
+    passed_over_ = choice->passed_over;
     last_end_ = co_await attempt(*choice);
     if (last_end_ == AttemptEnd::Answered || !mayTryAgain(last_end_)) {
       break;
@@ -115,6 +118,10 @@
   co_await finish();
 }
 
+void RelayRun::noteSignOfLife(relay::Runner& runner) {
+  state_.runners.noteSignOfLife(runner, state_.clock.monotonicMs());
+}
+
 bool RelayRun::mayTryAgain(AttemptEnd last) const {
   if (last != AttemptEnd::Broken) {
     return true;
@@ -153,7 +160,7 @@
 
 http::awaitable<RelayRun::AttemptEnd> RelayRun::attempt(const relay::RunnerChoice& choice) {
   relay::Runner& runner = *choice.runner;
-  state_.runners.beginAttempt(runner);
+  state_.runners.beginAttempt(runner, state_.clock.monotonicMs());
   relay::AttemptOutcome outcome = relay::AttemptOutcome::Unreachable;
   AttemptEnd result = AttemptEnd::Unreachable;
   const bool connected = co_await connect(runner);
@@ -173,7 +180,8 @@
       outcome = relay::AttemptOutcome::Failed;
       result = AttemptEnd::Broken;
     } else {
-      result = co_await takeAnswer(outcome);
+      noteSignOfLife(runner);
+      result = co_await takeAnswer(runner, outcome);
     }
   }
   if (result == AttemptEnd::Broken || result == AttemptEnd::Answered) {
@@ -202,7 +210,8 @@
   co_return result;
 }
 
-http::awaitable<RelayRun::AttemptEnd> RelayRun::takeAnswer(relay::AttemptOutcome& outcome) {
+http::awaitable<RelayRun::AttemptEnd> RelayRun::takeAnswer(relay::Runner& runner,
+                                                           relay::AttemptOutcome& outcome) {
   const HeaderNames& names = state_.dialect.headers();
   const auto& head = connection_->head();
   const unsigned status = head.result_int();
@@ -243,7 +252,7 @@
   const bool streaming = request_.route->kind == relay::RouteKind::Streaming && isSuccess(status) &&
                          type.starts_with("text/event-stream");
   if (streaming) {
-    co_return co_await relayStream(outcome);
+    co_return co_await relayStream(runner, outcome);
   }
   if (stream_started_) {
     last_error_ = "no stream to go on with: " + std::to_string(status);
@@ -329,7 +338,8 @@
   co_return co_await exchange_.write(event.bytes);
 }
 
-http::awaitable<RelayRun::AttemptEnd> RelayRun::relayStream(relay::AttemptOutcome& outcome) {
+http::awaitable<RelayRun::AttemptEnd> RelayRun::relayStream(relay::Runner& runner,
+                                                            relay::AttemptOutcome& outcome) {
   relay::EventSplitter splitter;
   while (true) {
     auto part = co_await connection_->read(silenceLimit(true));
@@ -342,6 +352,7 @@
     if (text.empty()) {
       break;
     }
+    noteSignOfLife(runner);
     splitter.feed(text);
     while (const auto event = splitter.next()) {
       if (ended()) {
@@ -424,6 +435,8 @@
                    {"route", request_.route->name},
                    {"service", request_.service},
                    {"tried", tried_},
+                   {"runner_load", load_at_choice_},
+                   {"passed_over", passed_over_},
                    {"ms", now - request_.received_ms},
                    {"first_ms", stream_started_ ? first_event_ms_ - request_.received_ms : -1},
                    {"events", events_},
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -48,14 +48,15 @@
 
   http::awaitable<AttemptEnd> attempt(const relay::RunnerChoice& choice);
   http::awaitable<bool> connect(const relay::Runner& runner);
-  http::awaitable<AttemptEnd> takeAnswer(relay::AttemptOutcome& outcome);
+  http::awaitable<AttemptEnd> takeAnswer(relay::Runner& runner, relay::AttemptOutcome& outcome);
   http::awaitable<AttemptEnd> takePlainAnswer(relay::AttemptOutcome& outcome);
-  http::awaitable<AttemptEnd> relayStream(relay::AttemptOutcome& outcome);
+  http::awaitable<AttemptEnd> relayStream(relay::Runner& runner, relay::AttemptOutcome& outcome);
   http::awaitable<bool> relayEvent(const relay::WholeEvent& event);
   http::awaitable<void> finish();
   http::awaitable<void> refuse(http::Status status, std::string code, std::string detail);
 
   bool ended() const { return left_ || timed_out_; }
+  void noteSignOfLife(relay::Runner& runner);
   bool mayTryAgain(AttemptEnd last) const;
   bool answerIsDue() const;
   std::chrono::milliseconds silenceLimit(bool streaming) const;
@@ -81,6 +82,9 @@
   /// Attempts that reached a runner.
   uint32_t arrivals_ = 0;
   std::vector<std::string> tried_;
+  /// What the last choice of a runner rested on, for the log.
+  uint32_t load_at_choice_ = 0;
+  uint32_t passed_over_ = 0;
   std::string last_event_id_;
   int64_t first_event_ms_ = 0;
   int64_t last_event_ms_ = 0;
--- a/tests/unit/core/relay/relay_parts_test.cc
+++ b/tests/unit/core/relay/relay_parts_test.cc
@@ -14,6 +14,7 @@
 TEST_CASE("A lease counts from the sending of the renewal that was confirmed") {
   relay::ServingLease lease(1000);
   CHECK_FALSE(lease.holds(0));
+  CHECK(lease.ageMs(500) == -1);
   const uint64_t first = lease.renewalSent(100);
   const uint64_t second = lease.renewalSent(400);
   lease.confirmed(first);
--- a/tests/unit/core/relay/runner_table_test.cc
+++ b/tests/unit/core/relay/runner_table_test.cc
@@ -2,6 +2,7 @@
 /// The choice of a runner: homes of cached prompts, loads, runners that fail or leave.
 #include <doctest/doctest.h>
 
+#include "core/relay/load_sums.h"
 #include "core/relay/runner_table.h"
 
 namespace workshatch::test {
@@ -34,7 +35,7 @@
   const auto home = table.choose(wish(42))->runner;
   for (int i = 0; i < 3; ++i) {
     CHECK(table.choose(wish(42))->runner == home);
-    table.beginAttempt(*home);
+    table.beginAttempt(*home, 1000);
   }
 }
 
@@ -43,7 +44,7 @@
   table.setList(listOf(8));
   const auto home = table.choose(wish(42))->runner;
   for (int i = 0; i < 12; ++i) {
-    table.beginAttempt(*home);
+    table.beginAttempt(*home, 1000);
   }
   const auto other = table.choose(wish(42));
   CHECK(other->runner != home);
@@ -58,11 +59,11 @@
   sums.add_in_progress(9);
   sums.add_in_progress(0);
   sums.add_in_progress(9);
-  table.setSums(sums, table.ownLoads(), 1000);
+  table.setSums(sums, table.ownLoads(1000), 1000);
   CHECK(table.choose(wish())->runner->entry.id() == "r1");
   sums.set_list_version(6);
   sums.set_in_progress(1, 100);
-  table.setSums(sums, table.ownLoads(), 1000);
+  table.setSums(sums, table.ownLoads(1000), 1000);
   CHECK(table.choose(wish())->runner->load() == 0);
   relay::RunnerRequest later = wish();
   later.now_ms = 10'000;
@@ -86,7 +87,7 @@
   relay::RunnerTable table({});
   table.setList(listOf(2));
   const auto bad = table.choose(wish())->runner;
-  table.beginAttempt(*bad);
+  table.beginAttempt(*bad, 1000);
   table.endAttempt(*bad, relay::AttemptOutcome::Unreachable, 1000);
   relay::RunnerRequest request = wish();
   request.now_ms = 1001;
@@ -101,13 +102,51 @@
   relay::RunnerTable table({});
   table.setList(listOf(2, 1));
   const auto runner = table.runners()[0];
-  table.beginAttempt(*runner);
+  table.beginAttempt(*runner, 1000);
   table.setList(listOf(3, 2));
   CHECK(table.runners()[0] == runner);
-  CHECK(table.ownLoads().in_progress(0) == 1);
+  CHECK(table.ownLoads(1000).in_progress(0) == 1);
   table.setList(v1::RunnerList());
   table.endAttempt(*runner, relay::AttemptOutcome::Succeeded, 1000);
   CHECK(runner->gone);
 }
 
+TEST_CASE("A runner that falls silent with requests in progress is avoided and reported") {
+  relay::RunnerTable table({});
+  table.setList(listOf(4, 7));
+  const auto home = table.choose(wish(42))->runner;
+  table.beginAttempt(*home, 1000);
+  relay::RunnerRequest later = wish(42);
+  later.now_ms = 1400;
+  CHECK(table.choose(later)->runner == home);
+  later.now_ms = 1600;
+  CHECK(table.choose(later)->runner != home);
+  CHECK(table.ownLoads(1600).suspects_size() == 1);
+  table.noteSignOfLife(*home, 1600);
+  CHECK(table.choose(later)->runner == home);
+  CHECK(table.ownLoads(1600).suspects_size() == 0);
+}
+
+TEST_CASE("A runner that other relays suspect is avoided for a while") {
+  relay::RunnerTable table({});
+  table.setList(listOf(4, 7));
+  const auto home = table.choose(wish(42))->runner;
+  relay::LoadSums sums(7, 4);
+  v1::RunnerLoads report = table.ownLoads(1000);
+  for (uint32_t i = 0; i < 4; ++i) {
+    if (table.runners()[i] == home) {
+      report.add_suspects(i);
+    }
+  }
+  sums.add(report);
+  CHECK(sums.sums().suspects_size() == 0);
+  sums.add(report);
+  REQUIRE(sums.sums().suspects_size() == 1);
+  table.setSums(sums.sums(), table.ownLoads(1000), 1000);
+  CHECK(table.choose(wish(42))->runner != home);
+  relay::RunnerRequest later = wish(42);
+  later.now_ms = 2000;
+  CHECK(table.choose(later)->runner == home);
+}
+
 } // namespace workshatch::test
