--- /dev/null
+++ b/tests/unit/daemon/relay/relay_role_test.cc
@@ -0,0 +1,154 @@
+/// @file
+/// The relay role with a leader that a test plays: addresses, readiness, a planned stop.
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <thread>
+
+#include <boost/asio/post.hpp>
+#include <doctest/doctest.h>
+
+#include "adapters/http/simple_get.h"
+#include "adapters/link/framed_link.h"
+#include "daemon/relay/relay_role.h"
+#include "unit/daemon/relay/relay_fixture.h"
+
+namespace workshatch::test {
+
+namespace {
+
+/// Any document is the configuration of the fixture's one route.
+class OneRouteCodec : public ConfigurationCodec {
+public:
+  Result<relay::Configuration> decode(std::string_view) const override {
+    relay::Configuration configuration;
+    configuration.version = 1;
+    configuration.services = {relay::Service{.name = "s"}};
+    configuration.tenants = {relay::Tenant{.name = "tenant-1", .keys = {"key-1"}}};
+    configuration.routes = {testRoute(relay::RouteKind::RunOnce, 1)};
+    return configuration;
+  }
+};
+
+class NoListCodec : public RunnerListCodec {
+public:
+  std::string target(const std::string&) const override { return "/list"; }
+  Result<RunnerPage> decode(std::string_view) const override { return Error{"no list"}; }
+};
+
+/// Confirms each renewal and tells one runner and the relays it knows.
+class PlayedLeader {
+public:
+  PlayedLeader(const std::string& address, std::string runner_address)
+      : listener_(workers_.context(0)), runner_address_(std::move(runner_address)) {
+    const auto listening =
+        listener_.listen(address, [this](std::shared_ptr<link::FramedLink> link) {
+          links_.push_back(link);
+          link->start(
+              [this, weak = std::weak_ptr(link)](const v1::Frame& frame) {
+                if (const auto from = weak.lock()) {
+                  answer(*from, frame.renewal());
+                }
+              },
+              [] {});
+        });
+    REQUIRE_FALSE(isError(listening));
+    workers_.start();
+  }
+  ~PlayedLeader() { workers_.stop(); }
+  PlayedLeader(const PlayedLeader&) = delete;
+  PlayedLeader& operator=(const PlayedLeader&) = delete;
+
+  bool relayIsReady() const { return relay_ready_; }
+
+private:
+  void answer(link::FramedLink& link, const v1::LeaseRenewal& renewal) {
+    relay_ready_ = renewal.ready();
+    v1::Frame frame;
+    v1::LeaseReply& reply = *frame.mutable_lease();
+    reply.set_sequence(renewal.sequence());
+    reply.set_confirmed(true);
+    reply.mutable_configuration()->set_version(1);
+    reply.mutable_runners()->set_version(1);
+    v1::RunnerEntry* runner = reply.mutable_runners()->add_runners();
+    runner->set_id("runner-1");
+    runner->set_service("s");
+    runner->set_address(runner_address_);
+    link.send(frame);
+  }
+
+  WorkerPool workers_{1};
+  link::LinkListener listener_;
+  const std::string runner_address_;
+  std::vector<std::shared_ptr<link::FramedLink>> links_;
+  std::atomic<bool> relay_ready_{false};
+};
+
+template <typename Condition> bool soon(Condition condition) {
+  const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (!condition() && std::chrono::steady_clock::now() < limit) {
+    std::this_thread::yield();
+  }
+  return condition();
+}
+
+} // namespace
+
+TEST_CASE("A planned stop finishes what is in progress, tells callers, and then ends") {
+  std::atomic<bool> runner_may_answer{false};
+  std::atomic<bool> runner_has_request{false};
+  ScriptedRunner runner([&](auto& socket, const auto&) {
+    runner_has_request = true;
+    while (!runner_may_answer) {
+      std::this_thread::yield();
+    }
+    say(socket, signedAnswer("q1", "done"));
+  });
+  const PlayedLeader leader("127.0.0.1:48241", runner.address());
+  settings::RelaySettings settings;
+  settings.name = "relay-1";
+  settings.zone = "z";
+  settings.caller_address = "127.0.0.1:48242";
+  settings.ready_address = "127.0.0.1:48243";
+  settings.resolve_address = "127.0.0.1:48244";
+  settings.runner_list_address = "127.0.0.1:1";
+  settings.seeds = {"127.0.0.1:1"};
+  settings.link_port = 48241;
+  const SystemClock clock;
+  const TestDialect dialect;
+  const OneRouteCodec configurations;
+  const NoListCodec runner_lists;
+  WorkerPool workers(1);
+  daemon::RelayRole role(settings, workers, clock,
+                         daemon::RelayAdapters{.dialect = dialect,
+                                               .configurations = configurations,
+                                               .runner_lists = runner_lists});
+  REQUIRE_FALSE(isError(role.start()));
+  workers.start();
+  const auto ready = [&] { return !isError(http::simpleGet(settings.ready_address, "/ready")); };
+  REQUIRE(soon(ready));
+
+  std::string answer;
+  std::thread caller([&] {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect(*http::parseEndpoint(settings.caller_address));
+    boost::system::error_code failure;
+    boost::asio::write(socket, boost::asio::buffer(TestRelay::requestText("q1")), failure);
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), failure);
+  });
+  REQUIRE(soon([&] { return runner_has_request.load(); }));
+  std::atomic<bool> stopped{false};
+  boost::asio::post(workers.context(0), [&] { role.stop([&] { stopped = true; }); });
+  CHECK(soon([&] { return !leader.relayIsReady(); }));
+  CHECK_FALSE(ready());
+  CHECK_FALSE(stopped);
+  runner_may_answer = true;
+  caller.join();
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  CHECK(answer.ends_with("done"));
+  CHECK(soon([&] { return stopped.load(); }));
+  workers.stop();
+}
+
+} // namespace workshatch::test
