--- a/tests/unit/daemon/group/group_replica_test.cc
+++ b/tests/unit/daemon/group/group_replica_test.cc
@@ -191,7 +191,7 @@
   }
 
   boost::asio::io_context context_;
-  const SystemClock clock_;
+  const SystemClock clock_{};
   SeededRandom random_{7};
   std::map<std::string, std::unique_ptr<Transport>> transports_;
   std::map<std::string, Machine> machines_;
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -211,8 +211,8 @@
     co_await run->run();
   }
 
-  const SystemClock clock_;
-  const TestDialect dialect_;
+  const SystemClock clock_{};
+  const TestDialect dialect_{};
   WorkerPool workers_{1};
   daemon::RelayState state_;
   v1::RunnerList list_;
