--- a/src/daemon/relay/control_link.cc
+++ b/src/daemon/relay/control_link.cc
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds kDialLimit{350};
 /// A link without an answer for so long is given up.
 constexpr int64_t kSilentMs = 800;
+/// Attempts to reach a replica between two steps.
+constexpr uint32_t kDialsPerStep = 3;
 /// A replica that knows no leader is left after so many answers.
 constexpr uint32_t kMostUnconfirmed = 2;
 
@@ -54,6 +56,7 @@
 }
 
 void ControlLink::step() {
+  dials_left_ = kDialsPerStep;
   if (!link_) {
     if (!dialing_) {
       dialNext();
@@ -94,6 +97,11 @@
 }
 
 void ControlLink::dialNext() {
+  // Addresses that refuse at once, and replicas that each name the other, must not make a loop.
+  if (dials_left_ == 0) {
+    return;
+  }
+  --dials_left_;
   const std::string address = nextCandidate();
   if (!address.empty()) {
     dial(address);
--- a/src/daemon/relay/control_link.h
+++ b/src/daemon/relay/control_link.h
@@ -59,6 +59,8 @@
   size_t candidate_ = 0;
   int64_t answered_at_ms_ = 0;
   uint32_t unconfirmed_ = 0;
+  /// Attempts that may still be made before the next step.
+  uint32_t dials_left_ = 0;
   /// The present link leads to a leader.
   bool confirmed_ = false;
 };
--- a/tests/unit/adapters/framed_link_test.cc
+++ b/tests/unit/adapters/framed_link_test.cc
@@ -28,7 +28,7 @@
   std::vector<uint64_t> versions;
   size_t bytes = 0;
   bool closed = false;
-  const std::string address = "127.0.0.1:48231";
+  const std::string address = "127.0.0.1:18231";
   const auto listening = listener.listen(address, [&](std::shared_ptr<link::FramedLink> taken) {
     accepted.push_back(taken);
     taken->start(
--- a/tests/unit/daemon/relay/relay_role_test.cc
+++ b/tests/unit/daemon/relay/relay_role_test.cc
@@ -104,16 +104,16 @@
     }
     say(socket, signedAnswer("q1", "done"));
   });
-  const PlayedLeader leader("127.0.0.1:48241", runner.address());
+  const PlayedLeader leader("127.0.0.1:18241", runner.address());
   settings::RelaySettings settings;
   settings.name = "relay-1";
   settings.zone = "z";
-  settings.caller_address = "127.0.0.1:48242";
-  settings.ready_address = "127.0.0.1:48243";
-  settings.resolve_address = "127.0.0.1:48244";
+  settings.caller_address = "127.0.0.1:18242";
+  settings.ready_address = "127.0.0.1:18243";
+  settings.resolve_address = "127.0.0.1:18244";
   settings.runner_list_address = "127.0.0.1:1";
   settings.seeds = {"127.0.0.1:1"};
-  settings.link_port = 48241;
+  settings.link_port = 18241;
   const SystemClock clock;
   const TestDialect dialect;
   const OneRouteCodec configurations;
