Raft: heartbeats carry no entries that are under way

Cause: each heartbeat (every 30 ms) set a follower's next entry back to what it had answered, so that an entry that takes longer than a heartbeat to arrive was sent again each time. Ruled out: losses of links (the relays' links broke only after the leader was late). Change: a heartbeat names the last entry sent; a follower that lacks it rejects and gets it again. Test: raft_replication_test (failed before: 10 entries in 5 heartbeats).

--- a/src/core/raft/raft_replication.cc
+++ b/src/core/raft/raft_replication.cc
@@ -31,9 +31,9 @@
   heartbeat_due_ = now_ + options_.heartbeat_ticks;
   ++round_;
   round_ticks_[round_] = now_;
-  for (auto& [peer, progress] : progress_) {
-    // What was sent and never answered is sent again.
-    progress.next = std::min(progress.next, progress.match + 1);
+  for (const auto& [peer, progress] : progress_) {
+    // Entries under way are not sent again: a follower that lacks them rejects this heartbeat, which
+    // names the last of them.
     sendAppend(peer, true);
   }
   confirmReads();
