Load cap: sums of other owners are corrected for what they lag behind

Besides, an owner subtracted its present load from a sum that held its earlier one, so that what had ended since counted as other owners' load. Ruled out: the sampler's own time between engines (the excess stands for 0.4 s); permits of the dead router (its engines showed none). Change: an owner subtracts the load that it reported; a fall of the others' load is taken to go on. Tests: two in owner_table_test (failed before: 83 permits for 29).

--- a/src/core/admission/owner_table.cc
+++ b/src/core/admission/owner_table.cc
@@ -91,18 +91,25 @@
   for (const v1::PoolLoad& total : totals) {
     Pool& pool = pools_[total.service()];
     std::shift_right(pool.others.begin(), pool.others.end(), 1);
-    // The sum holds this owner's load as it was then; it has changed since by little.
-    pool.others.front() = total.load() > pool.own_load ? total.load() - pool.own_load : 0;
+    // The sum holds this owner's load as it was reported; what has ended since is nobody else's.
+    const uint64_t own = std::max(pool.own_load, pool.reported_load);
+    pool.others.front() = total.load() > own ? total.load() - own : 0;
   }
 }
 
-uint64_t OwnerTable::poolTotal(const Pool& pool) const {
-  return pool.own_load + *std::min_element(pool.others.begin(), pool.others.end());
+uint64_t OwnerTable::othersNow(const Pool& pool) {
+  // A router that died is in the sums until its report is too old, while its callers come back
+  // elsewhere: the least of the last sums counts.
+  const uint64_t least = *std::min_element(pool.others.begin(), pool.others.end());
+  // After such a death the load falls faster than sums arrive: a fall is taken to go on.
+  const uint64_t fall = pool.others[1] > pool.others[0] ? pool.others[1] - pool.others[0] : 0;
+  return least > fall ? least - fall : 0;
 }
 
 bool OwnerTable::fits(const Engine& engine, uint64_t cost) const {
   const Pool& pool = pools_.at(engine.facts.service);
-  return engine.load + cost <= loadCap(pool.policy, poolTotal(pool), pool.engines, cost);
+  return engine.load + cost <=
+         loadCap(pool.policy, pool.own_load + othersNow(pool), pool.engines, cost);
 }
 
 v1::PermitReply OwnerTable::request(const v1::PermitRequest& request, int64_t now_ms) {
@@ -249,7 +256,7 @@
   return replies;
 }
 
-std::vector<v1::PoolLoad> OwnerTable::poolLoads() const {
+std::vector<v1::PoolLoad> OwnerTable::reportLoads() {
   std::map<std::string, v1::PoolLoad> loads;
   for (const auto& [name, engine] : engines_) {
     if (!engine.counts()) {
@@ -260,6 +267,10 @@
     load.set_load(load.load() + engine.load);
     load.set_engines(load.engines() + 1);
   }
+  for (auto& [service, pool] : pools_) {
+    const auto reported = loads.find(service);
+    pool.reported_load = reported == loads.end() ? 0 : reported->second.load();
+  }
   std::vector<v1::PoolLoad> result;
   for (auto& [service, load] : loads) {
     result.push_back(std::move(load));
--- a/src/core/admission/owner_table.h
+++ b/src/core/admission/owner_table.h
@@ -64,8 +64,8 @@
   /// Answers that became due: permits for waiters, refusals at their deadline.
   std::vector<v1::PermitReply> takeReplies(int64_t now_ms);
 
-  /// Load of the owned engines, by pool.
-  std::vector<v1::PoolLoad> poolLoads() const;
+  /// Load of the owned engines, by pool, for the next report to control.
+  std::vector<v1::PoolLoad> reportLoads();
   uint64_t loadOf(const std::string& engine) const;
   size_t permitCount() const;
   size_t waitingCount() const;
@@ -85,12 +85,15 @@
     uint32_t engines = 0;
     /// Load of the engines owned here that are in use.
     uint64_t own_load = 0;
-    /// Load of all other owners in the last sums, newest first. The least of them counts: a router
-    /// that died is in the sums until its report is too old, while its callers come back elsewhere.
+    /// `own_load` as it was last reported, which the next sums contain.
+    uint64_t reported_load = 0;
+    /// Load of all other owners in the last sums, newest first.
     std::array<uint64_t, 3> others{};
   };
 
-  uint64_t poolTotal(const Pool& pool) const;
+  /// Load of the other owners now, estimated from sums that are some hundred milliseconds old. An
+  /// estimate that is too low only makes callers wait.
+  static uint64_t othersNow(const Pool& pool);
   bool fits(const Engine& engine, uint64_t cost) const;
   void grant(Engine& engine, const v1::PermitRequest& request);
   v1::PermitReply refuseOrQueue(Engine& engine, const v1::PermitRequest& request, int64_t now_ms);
--- a/src/daemon/router/router_role.cc
+++ b/src/daemon/router/router_role.cc
@@ -169,7 +169,7 @@
   const uint64_t reported_view = tables_.reportedView();
   request.set_view_in_force(reported_view);
   const std::vector<v1::PoolLoad> loads =
-      tables_.withOwners([](admission::OwnerTable& owners) { return owners.poolLoads(); });
+      tables_.withOwners([](admission::OwnerTable& owners) { return owners.reportLoads(); });
   for (const v1::PoolLoad& load : loads) {
     *request.add_loads() = load;
   }
--- a/tests/unit/core/admission/owner_table_test.cc
+++ b/tests/unit/core/admission/owner_table_test.cc
@@ -41,13 +41,26 @@
   return table;
 }
 
-void setOthers(admission::OwnerTable& table, uint64_t total) {
+void setTotal(admission::OwnerTable& table, uint64_t total) {
   v1::PoolLoad load;
   load.set_service("pool");
   load.set_load(total);
+  table.setTotals({load});
+}
+
+void setOthers(admission::OwnerTable& table, uint64_t total) {
   for (int i = 0; i < 3; ++i) {
-    table.setTotals({load});
+    setTotal(table, total);
+  }
+}
+
+/// Asks for permits until one is refused. @return how many were granted.
+uint64_t fill(admission::OwnerTable& table, uint64_t first_sequence) {
+  uint64_t sequence = first_sequence;
+  while (table.request(requestOf(sequence), 0).verdict() == v1::PERMIT_GRANTED) {
+    ++sequence;
   }
+  return sequence - first_sequence;
 }
 
 } // namespace
@@ -124,12 +137,12 @@
   for (uint64_t sequence = 1; sequence <= 4; ++sequence) {
     CHECK(table.request(requestOf(sequence), 0).verdict() == v1::PERMIT_GRANTED);
   }
-  CHECK(table.poolLoads().at(0).load() == 4);
+  CHECK(table.reportLoads().at(0).load() == 4);
   table.setEngines({{.engine = "m/0", .service = "pool", .leaving = true, .owned = true}});
-  CHECK(table.poolLoads().empty());
+  CHECK(table.reportLoads().empty());
   table.release(requestOf(1).permit(), "m/0");
   table.setEngines({{.engine = "m/0", .service = "pool", .owned = true}});
-  CHECK(table.poolLoads().at(0).load() == 3);
+  CHECK(table.reportLoads().at(0).load() == 3);
 }
 
 TEST_CASE("a new owner counts the permits that holders report") {
@@ -175,4 +188,26 @@
   CHECK(table.request(request, 10).verdict() == v1::PERMIT_GRANTED);
 }
 
+TEST_CASE("while the other owners' load falls, the fall is taken to go on") {
+  admission::OwnerTable table = tableOf(0);
+  setOthers(table, 100);
+  setTotal(table, 60);
+  // Others hold 20 by now, the engine may hold x <= ceil(1.15 * (20 + x) / 2).
+  CHECK(fill(table, 1) == 29);
+}
+
+TEST_CASE("own load that ended since it was reported is not taken for the other owners'") {
+  admission::OwnerTable table = tableOf(0);
+  setOthers(table, 20);
+  const uint64_t held = fill(table, 1);
+  REQUIRE(held == 29);
+  CHECK(table.reportLoads().at(0).load() == held);
+  for (uint64_t sequence = 1; sequence <= held; ++sequence) {
+    table.release(requestOf(sequence).permit(), "m/0");
+  }
+  // Three sums that still hold the reported load.
+  setOthers(table, 20 + held);
+  CHECK(fill(table, 1000) == 29);
+}
+
 } // namespace workshatch::test
