--- a/src/adapters/link/framed_link.cc
+++ b/src/adapters/link/framed_link.cc
@@ -62,6 +62,7 @@
                               return;
                             }
                             self->input_.resize(filled + bytes);
+                            self->bytes_received_ += bytes;
                             if (failure || !self->takeFrames()) {
                               self->fail();
                               return;
--- a/src/adapters/link/framed_link.h
+++ b/src/adapters/link/framed_link.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -43,6 +44,9 @@
 
   bool isOpen() const { return open_; }
 
+  /// Bytes that arrived since the link began; grows also while a large frame is arriving.
+  uint64_t bytesReceived() const { return bytes_received_; }
+
 private:
   void read();
   /// @return false when the bytes are no frame.
@@ -52,6 +56,7 @@
 
   Socket socket_;
   bool open_ = true;
+  uint64_t bytes_received_ = 0;
   std::string input_;
   std::string queued_;
   std::string writing_;
--- /dev/null
+++ b/src/daemon/configuration_transfer.cc
@@ -0,0 +1,117 @@
+#include "daemon/configuration_transfer.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "adapters/compression/deflate.h"
+#include "core/check.h"
+#include "core/relay/text_patch.h"
+
+namespace workshatch::daemon {
+
+namespace {
+
+constexpr size_t kMostDocuments = 8;
+/// Older documents are given up beyond this; the newest two are kept whatever their size.
+constexpr size_t kMostBytes = size_t{4} * 1024 * 1024;
+constexpr size_t kLeastDocuments = 2;
+
+} // namespace
+
+v1::StoredConfiguration packConfiguration(uint64_t version, std::string_view document) {
+  v1::StoredConfiguration stored;
+  stored.set_version(version);
+  stored.set_compressed_document(compression::deflate(document));
+  stored.set_document_bytes(document.size());
+  return stored;
+}
+
+Result<std::string> documentOf(const v1::StoredConfiguration& stored) {
+  return compression::inflate(stored.compressed_document(), stored.document_bytes());
+}
+
+void ConfigurationSender::add(const v1::StoredConfiguration& stored) {
+  const uint64_t newest = documents_.empty() ? 0 : documents_.back().version;
+  if (stored.version() <= newest) {
+    return;
+  }
+  Result<std::string> document = documentOf(stored);
+  // Only what this program packed is ever stored.
+  WORKSHATCH_CHECK(!isError(document), "a stored configuration is damaged");
+  documents_.push_back(
+      Document{.version = stored.version(), .text = std::move(std::get<std::string>(document))});
+  bytes_ += documents_.back().text.size();
+  updates_.clear();
+  while (documents_.size() > kMostDocuments ||
+         (bytes_ > kMostBytes && documents_.size() > kLeastDocuments)) {
+    dropOldest();
+  }
+}
+
+void ConfigurationSender::dropOldest() {
+  bytes_ -= documents_.front().text.size();
+  documents_.pop_front();
+}
+
+const ConfigurationSender::Document* ConfigurationSender::find(uint64_t version) const {
+  const auto found =
+      std::find_if(documents_.begin(), documents_.end(),
+                   [version](const Document& held) { return held.version == version; });
+  return found == documents_.end() ? nullptr : &*found;
+}
+
+const v1::ConfigurationUpdate& ConfigurationSender::updateFrom(uint64_t base_version) {
+  const uint64_t known_base = find(base_version) == nullptr ? 0 : base_version;
+  const auto made = updates_.find(known_base);
+  if (made != updates_.end()) {
+    return made->second;
+  }
+  return updates_.emplace(known_base, makeUpdate(known_base)).first->second;
+}
+
+v1::ConfigurationUpdate ConfigurationSender::makeUpdate(uint64_t base_version) const {
+  v1::ConfigurationUpdate update;
+  if (documents_.empty()) {
+    return update;
+  }
+  const Document* base = find(base_version);
+  const std::string_view base_text = base == nullptr ? std::string_view() : base->text;
+  relay::TextPatch patch = relay::makePatch(base_text, documents_.back().text);
+  update.set_version(documents_.back().version);
+  update.set_base_version(base_version);
+  *update.mutable_patch() = std::move(patch.pieces);
+  update.set_literal_bytes(patch.literals.size());
+  update.set_compressed_literals(compression::deflate(patch.literals));
+  return update;
+}
+
+Result<bool> ReceivedConfiguration::take(const v1::ConfigurationUpdate& update) {
+  if (update.version() <= version_) {
+    return false;
+  }
+  if (update.base_version() != 0 && update.base_version() != version_) {
+    return Error{"the update is for another version"};
+  }
+  auto literals = compression::inflate(update.compressed_literals(), update.literal_bytes());
+  if (isError(literals)) {
+    return errorOf(literals);
+  }
+  const std::string_view base = update.base_version() == 0 ? std::string_view() : document_;
+  auto document = relay::applyPatch(
+      base, relay::TextPatch{.pieces = update.patch(),
+                             .literals = std::move(std::get<std::string>(literals))});
+  if (isError(document)) {
+    return errorOf(document);
+  }
+  version_ = update.version();
+  document_ = std::move(std::get<std::string>(document));
+  return true;
+}
+
+void ReceivedConfiguration::forget() {
+  version_ = 0;
+  document_.clear();
+}
+
+} // namespace workshatch::daemon
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -78,7 +78,7 @@
     *frame.mutable_join() = std::move(request);
     links_.sendFrame(address, frame);
   });
-  replica_.onChange([this] { hub_.pushConfiguration(); });
+  replica_.onChange([this] { hub_.configurationStored(); });
   if (auto started = replica_.start(); isError(started)) {
     return started;
   }
--- a/src/daemon/group/group_role.h
+++ b/src/daemon/group/group_role.h
@@ -18,21 +18,22 @@
 #include "daemon/group/operator_api.h"
 #include "daemon/group/relay_hub.h"
 #include "daemon/relay_adapters.h"
+#include "daemon/role.h"
 #include "daemon/runner_list_reader.h"
 #include "ports/seeded_random.h"
 
 namespace workshatch::daemon {
 
 /// Lives on the first worker's event loop; `start`, `stop` and `reload` run on it.
-class GroupRole {
+class GroupRole : public Role {
 public:
   GroupRole(settings::RelaySettings settings, WorkerPool& workers, const Clock& clock,
             RelayAdapters adapters);
 
-  Result<std::monostate> start();
+  Result<std::monostate> start() override;
   /// Hands leadership over, then calls `stopped`.
-  void stop(std::function<void()> stopped);
-  void reload(const settings::RelaySettings& settings);
+  void stop(std::function<void()> stopped) override;
+  void reload(const settings::RelaySettings& settings) override;
 
 private:
   void accept(const std::shared_ptr<link::FramedLink>& link);
--- a/src/daemon/group/operator_api.cc
+++ b/src/daemon/group/operator_api.cc
@@ -12,6 +12,7 @@
 
 #include "adapters/http/problem.h"
 #include "adapters/logging/line_log.h"
+#include "daemon/configuration_transfer.h"
 
 namespace workshatch::daemon {
 
@@ -119,11 +120,8 @@
     co_await exchange.respond(std::move(redirect));
     co_return;
   }
-  v1::StoredConfiguration configuration;
-  configuration.set_version(std::get<relay::Configuration>(decoded).version);
-  configuration.set_document(document);
-  const uint64_t version = configuration.version();
-  const StoreOutcome outcome = co_await store(std::move(configuration));
+  const uint64_t version = std::get<relay::Configuration>(decoded).version;
+  const StoreOutcome outcome = co_await store(packConfiguration(version, document));
   line_log::write("configuration_put", {{"version", version},
                                         {"stored", outcome == StoreOutcome::Stored},
                                         {"held", replica_.stored().version()}});
@@ -140,18 +138,17 @@
     co_await exchange.respond(std::move(redirect));
     co_return;
   }
-  using Read = std::optional<std::string>;
-  const auto waiter = std::make_shared<Waiter<Read>>(context_);
+  const auto waiter = std::make_shared<Waiter<Result<std::string>>>(context_);
   replica_.read([waiter](const v1::StoredConfiguration* stored) {
     const bool known = stored != nullptr && stored->version() != 0;
-    waiter->set(known ? Read(stored->document()) : Read());
+    waiter->set(known ? documentOf(*stored) : Error{"nothing is confirmed"});
   });
-  std::optional<Read> read = co_await waiter->wait(kReadLimit);
-  const bool known = read.has_value() && read->has_value();
-  http::Response response =
-      known
-          ? http::makeResponse(http::Status::ok, "application/json", std::move(**read))
-          : problem(http::Status::service_unavailable, "not_confirmed", "no majority confirmed it");
+  auto read = co_await waiter->wait(kReadLimit);
+  const bool known = read.has_value() && !isError(*read);
+  http::Response response = known ? http::makeResponse(http::Status::ok, "application/json",
+                                                       std::move(std::get<std::string>(*read)))
+                                  : problem(http::Status::service_unavailable, "not_confirmed",
+                                            "no majority confirmed it");
   co_await exchange.respond(std::move(response));
 }
 
--- /dev/null
+++ b/src/daemon/group/redirect_role.h
@@ -0,0 +1,40 @@
+/// @file
+/// The group's role on a machine without a disk: operators are sent to the replicas.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "adapters/http/http_server.h"
+#include "adapters/settings/relay_settings.h"
+#include "adapters/worker_pool.h"
+#include "daemon/role.h"
+
+namespace workshatch::daemon {
+
+/// Answers each call of an operator with 307 to one of the seeds, in turn. Holds no state of the
+/// group, so it neither votes nor counts as a replica.
+class RedirectRole : public Role {
+public:
+  RedirectRole(settings::RelaySettings settings, WorkerPool& workers);
+
+  Result<std::monostate> start() override;
+  void stop(std::function<void()> stopped) override;
+  void reload(const settings::RelaySettings& settings) override;
+
+private:
+  http::awaitable<void> handle(http::Exchange& exchange);
+  /// The next seed that isn't this machine; empty: there is none.
+  std::string nextSeed();
+  void flushLog();
+
+  settings::RelaySettings settings_;
+  size_t next_seed_ = 0;
+  http::Server operator_server_;
+  boost::asio::steady_timer log_timer_;
+};
+
+} // namespace workshatch::daemon
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -60,7 +60,12 @@
   takeTerm();
   Relay& relay = relays_[renewal.name()];
   const bool joined = relay.renewal.incarnation() != renewal.incarnation();
-  relay.link = link;
+  if (relay.link.lock() != link) {
+    relay.link = link;
+    relay.sent = SentVersions{.configuration = renewal.configuration_version(),
+                              .runner_list = renewal.runner_list_version(),
+                              .relay_list = renewal.relay_list_version()};
+  }
   relay.renewal = renewal;
   relay.renewed_at_ms = clock_.monotonicMs();
   if (joined) {
@@ -73,21 +78,38 @@
     sums_ = sumLoads();
   }
   reply.set_confirmed(true);
-  fillAnswer(renewal, reply);
+  fillAnswer(relay, reply);
   link->send(frame);
 }
 
-void RelayHub::fillAnswer(const v1::LeaseRenewal& renewal, v1::LeaseReply& reply) {
-  if (replica_.stored().version() > renewal.configuration_version()) {
-    *reply.mutable_configuration() = replica_.stored();
+void RelayHub::addConfiguration(Relay& relay, v1::LeaseReply& reply) {
+  const uint64_t version = replica_.stored().version();
+  if (version <= relay.sent.configuration) {
+    return;
   }
-  if (runners_.list().version() != 0 &&
-      runners_.list().version() != renewal.runner_list_version()) {
-    *reply.mutable_runners() = runners_.list();
+  configurations_.add(replica_.stored());
+  *reply.mutable_configuration() = configurations_.updateFrom(relay.sent.configuration);
+  relay.sent.configuration = version;
+}
+
+void RelayHub::addRunners(Relay& relay, v1::LeaseReply& reply) const {
+  const v1::RunnerList& list = runners_.list();
+  if (list.version() == 0 || list.version() == relay.sent.runner_list) {
+    return;
   }
+  *reply.mutable_runners() = list;
+  relay.sent.runner_list = list.version();
+}
+
+/// Adds what the relay lacks. What is on its way on the relay's link is not sent again: a large
+/// configuration would fill the link of a slow relay with copies.
+void RelayHub::fillAnswer(Relay& relay, v1::LeaseReply& reply) {
+  addConfiguration(relay, reply);
+  addRunners(relay, reply);
   const bool settled = replica_.leadingForMs() >= kSettleMs;
-  if (settled && relay_list_.version() != renewal.relay_list_version()) {
+  if (settled && relay_list_.version() != relay.sent.relay_list) {
     *reply.mutable_relays() = relay_list_;
+    relay.sent.relay_list = relay_list_.version();
   }
   if (sums_.list_version() != 0 && sums_.list_version() == runners_.list().version()) {
     *reply.mutable_loads() = sums_;
@@ -142,26 +164,32 @@
   }
   line_log::write("runner_list", {{"version", runners_.list().version()},
                                   {"runners", runners_.list().runners_size()}});
-  v1::Frame frame;
-  *frame.mutable_lease()->mutable_runners() = runners_.list();
-  push(frame);
-}
-
-void RelayHub::push(const v1::Frame& frame) {
-  for (const auto& [name, relay] : relays_) {
-    if (const auto link = relay.link.lock()) {
-      link->send(frame);
+  for (auto& [name, relay] : relays_) {
+    const auto link = relay.link.lock();
+    if (!link) {
+      continue;
     }
+    v1::Frame frame;
+    addRunners(relay, *frame.mutable_lease());
+    link->send(frame);
   }
 }
 
-void RelayHub::pushConfiguration() {
-  if (relays_.empty() || !replica_.leads()) {
+void RelayHub::configurationStored() {
+  // A replica that does not lead remembers it too: it may have to tell the difference later.
+  configurations_.add(replica_.stored());
+  if (!replica_.leads()) {
     return;
   }
-  v1::Frame frame;
-  *frame.mutable_lease()->mutable_configuration() = replica_.stored();
-  push(frame);
+  for (auto& [name, relay] : relays_) {
+    const auto link = relay.link.lock();
+    if (!link) {
+      continue;
+    }
+    v1::Frame frame;
+    addConfiguration(relay, *frame.mutable_lease());
+    link->send(frame);
+  }
 }
 
 } // namespace workshatch::daemon
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -9,6 +9,7 @@
 
 #include "adapters/link/framed_link.h"
 #include "core/relay/led_runner_list.h"
+#include "daemon/configuration_transfer.h"
 #include "daemon/group/group_replica.h"
 #include "ports/clock.h"
 
@@ -30,26 +31,35 @@
   /// Takes a list of runners read from the platform; pushes it when it differs.
   void runnersRead(v1::RunnerList list);
 
-  /// Pushes the stored configuration to all relays.
-  void pushConfiguration();
+  /// Takes note of a new stored configuration; the leader pushes it to all relays.
+  void configurationStored();
 
 private:
+  /// Versions that a relay has once it has read all that was sent on its link.
+  struct SentVersions {
+    uint64_t configuration = 0;
+    uint64_t runner_list = 0;
+    uint64_t relay_list = 0;
+  };
   struct Relay {
     std::weak_ptr<link::FramedLink> link;
     v1::LeaseRenewal renewal;
     int64_t renewed_at_ms = 0;
+    SentVersions sent;
   };
 
   void takeTerm();
   void dropSilent();
   void refreshRelayList();
   v1::RunnerLoads sumLoads() const;
-  void push(const v1::Frame& frame);
-  void fillAnswer(const v1::LeaseRenewal& renewal, v1::LeaseReply& reply);
+  void fillAnswer(Relay& relay, v1::LeaseReply& reply);
+  void addConfiguration(Relay& relay, v1::LeaseReply& reply);
+  void addRunners(Relay& relay, v1::LeaseReply& reply) const;
 
   GroupReplica& replica_;
   const Clock& clock_;
   std::map<std::string, Relay> relays_;
+  ConfigurationSender configurations_;
   relay::LeaderVersions versions_;
   relay::LedRunnerList runners_;
   v1::RelayList relay_list_;
--- a/src/daemon/relay/control_link.cc
+++ b/src/daemon/relay/control_link.cc
@@ -14,7 +14,7 @@
 /// Without a confirmed lease the leader is sought more often.
 constexpr std::chrono::milliseconds kSeekPeriod{80};
 constexpr std::chrono::milliseconds kDialLimit{350};
-/// A link without an answer for so long is given up.
+/// A link on which nothing comes for so long is given up.
 constexpr int64_t kSilentMs = 800;
 /// Attempts to reach a replica between two steps.
 constexpr uint32_t kDialsPerStep = 3;
@@ -63,7 +63,8 @@
     }
     return;
   }
-  if (clock_.monotonicMs() - answered_at_ms_ > kSilentMs) {
+  noteBytes();
+  if (clock_.monotonicMs() - heard_at_ms_ > kSilentMs) {
     drop("silent");
     dialNext();
     return;
@@ -71,6 +72,20 @@
   renew();
 }
 
+/// A large frame may take longer to arrive than a link may be silent.
+void ControlLink::noteBytes() {
+  const uint64_t bytes = link_->bytesReceived();
+  if (std::exchange(heard_bytes_, bytes) != bytes) {
+    heard_at_ms_ = clock_.monotonicMs();
+  }
+}
+
+void ControlLink::reconnect() {
+  if (link_) {
+    drop("reconnect");
+  }
+}
+
 void ControlLink::renewNow() {
   if (link_) {
     renew();
@@ -118,7 +133,8 @@
     }
     link_ = std::move(link);
     link_address_ = address;
-    answered_at_ms_ = clock_.monotonicMs();
+    heard_at_ms_ = clock_.monotonicMs();
+    heard_bytes_ = 0;
     unconfirmed_ = 0;
     link_->start([this](const v1::Frame& frame) { received(frame); }, [this] { drop("closed"); });
     renew();
@@ -139,7 +155,6 @@
     return;
   }
   const v1::LeaseReply& reply = frame.lease();
-  answered_at_ms_ = clock_.monotonicMs();
   if (reply.members_size() != 0) {
     members_.assign(reply.members().begin(), reply.members().end());
   }
--- a/src/daemon/relay/control_link.h
+++ b/src/daemon/relay/control_link.h
@@ -32,6 +32,8 @@
   void stop();
   /// Renews at once, for what can't wait for the next period.
   void renewNow();
+  /// Gives the present link up and seeks the leader anew.
+  void reconnect();
   void setSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
 
 private:
@@ -42,6 +44,7 @@
   void dial(const std::string& address);
   void received(const v1::Frame& frame);
   void drop(const char* reason);
+  void noteBytes();
   std::string nextCandidate();
 
   boost::asio::io_context& context_;
@@ -57,7 +60,9 @@
   std::string link_address_;
   std::string hinted_leader_;
   size_t candidate_ = 0;
-  int64_t answered_at_ms_ = 0;
+  /// When bytes last came on the link, or the link began.
+  int64_t heard_at_ms_ = 0;
+  uint64_t heard_bytes_ = 0;
   uint32_t unconfirmed_ = 0;
   /// Attempts that may still be made before the next step.
   uint32_t dials_left_ = 0;
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -188,7 +188,7 @@
   renewal.set_address(settings_.caller_address);
   renewal.set_zone(settings_.zone);
   renewal.set_ready(!state_.stopping);
-  renewal.set_configuration_version(state_.routes ? state_.routes->version() : 0);
+  renewal.set_configuration_version(received_.version());
   renewal.set_runner_list_version(state_.runners.listVersion());
   renewal.set_relay_list_version(relays_.version());
   reported_loads_ = state_.runners.ownLoads(clock_.monotonicMs());
@@ -199,8 +199,11 @@
 
 void RelayRole::leaseReplied(const v1::LeaseReply& reply) {
   group_heard_ms_ = clock_.monotonicMs();
-  if (reply.has_configuration()) {
-    takeConfiguration(reply.configuration());
+  if (reply.has_configuration() && !takeConfiguration(reply.configuration())) {
+    // Without it a confirmation would be worth nothing; the next link brings the whole document.
+    received_.forget();
+    control_.reconnect();
+    return;
   }
   if (reply.has_runners()) {
     state_.runners.setList(reply.runners());
@@ -220,21 +223,32 @@
   }
 }
 
-void RelayRole::takeConfiguration(const v1::StoredConfiguration& stored) {
-  if (state_.routes && stored.version() <= state_.routes->version()) {
-    return;
+bool RelayRole::takeConfiguration(const v1::ConfigurationUpdate& update) {
+  const Result<bool> taken = received_.take(update);
+  if (isError(taken)) {
+    line_log::write("configuration_update_unfit", {{"version", update.version()},
+                                                   {"base", update.base_version()},
+                                                   {"held", received_.version()},
+                                                   {"error", errorOf(taken).message}});
+    return false;
   }
-  auto decoded = adapters_.configurations.decode(stored.document());
+  const bool newer = !state_.routes || received_.version() > state_.routes->version();
+  if (!std::get<bool>(taken) || !newer) {
+    return true;
+  }
+  auto decoded = adapters_.configurations.decode(received_.document());
   if (isError(decoded)) {
     line_log::write("configuration_unreadable",
-                    {{"version", stored.version()}, {"error", errorOf(decoded).message}});
-    return;
+                    {{"version", received_.version()}, {"error", errorOf(decoded).message}});
+    return true;
   }
   state_.routes =
       std::make_shared<const relay::RouteTable>(std::move(std::get<relay::Configuration>(decoded)));
-  line_log::write(
-      "configuration_in_force",
-      {{"version", stored.version()}, {"routes", state_.routes->configuration().routes.size()}});
+  line_log::write("configuration_in_force",
+                  {{"version", received_.version()},
+                   {"base", update.base_version()},
+                   {"routes", state_.routes->configuration().routes.size()}});
+  return true;
 }
 
 http::awaitable<void> RelayRole::readRunnersWithoutGroup() {
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -12,25 +12,27 @@
 #include "adapters/http/http_server.h"
 #include "adapters/settings/relay_settings.h"
 #include "adapters/worker_pool.h"
+#include "daemon/configuration_transfer.h"
 #include "daemon/relay/control_link.h"
 #include "daemon/relay/relay_state.h"
 #include "daemon/relay_adapters.h"
+#include "daemon/role.h"
 #include "daemon/runner_list_reader.h"
 #include "ports/seeded_random.h"
 
 namespace workshatch::daemon {
 
 /// Lives on the first worker's event loop; `start`, `stop` and `reload` run on it.
-class RelayRole {
+class RelayRole : public Role {
 public:
   RelayRole(settings::RelaySettings settings, WorkerPool& workers, const Clock& clock,
             RelayAdapters adapters);
 
-  Result<std::monostate> start();
+  Result<std::monostate> start() override;
   /// A planned stop: takes no new connections once callers had time to learn of it, finishes what
   /// is in progress, then calls `stopped`.
-  void stop(std::function<void()> stopped);
-  void reload(const settings::RelaySettings& settings);
+  void stop(std::function<void()> stopped) override;
+  void reload(const settings::RelaySettings& settings) override;
 
 private:
   http::awaitable<void> handle(http::Exchange& exchange);
@@ -41,7 +43,8 @@
   http::awaitable<void> drain(std::function<void()> stopped);
   v1::LeaseRenewal makeRenewal();
   void leaseReplied(const v1::LeaseReply& reply);
-  void takeConfiguration(const v1::StoredConfiguration& stored);
+  /// @return false when the update does not fit what is held.
+  bool takeConfiguration(const v1::ConfigurationUpdate& update);
   void housekeep();
   bool ready() const;
   http::ServerLimits callerLimits() const;
@@ -55,6 +58,7 @@
   RelayState state_;
   ControlLink control_;
   RunnerListReader reader_;
+  ReceivedConfiguration received_;
   v1::RelayList relays_;
   v1::RunnerLoads reported_loads_;
   int64_t group_heard_ms_ = 0;
--- a/tests/unit/adapters/framed_link_test.cc
+++ b/tests/unit/adapters/framed_link_test.cc
@@ -15,7 +15,7 @@
 v1::Frame frameWith(uint64_t version, size_t size) {
   v1::Frame frame;
   frame.mutable_lease()->mutable_configuration()->set_version(version);
-  frame.mutable_lease()->mutable_configuration()->set_document(std::string(size, 'x'));
+  frame.mutable_lease()->mutable_configuration()->set_compressed_literals(std::string(size, 'x'));
   return frame;
 }
 
@@ -34,7 +34,7 @@
     taken->start(
         [&](const v1::Frame& frame) {
           versions.push_back(frame.lease().configuration().version());
-          bytes += frame.lease().configuration().document().size();
+          bytes += frame.lease().configuration().compressed_literals().size();
         },
         [&] { closed = true; });
   });
--- a/tests/unit/core/relay/route_table_test.cc
+++ b/tests/unit/core/relay/route_table_test.cc
@@ -94,14 +94,14 @@
   const auto store = [&](uint64_t version, const std::string& document) {
     v1::GroupCommand command;
     command.mutable_store()->set_version(version);
-    command.mutable_store()->set_document(document);
+    command.mutable_store()->set_compressed_document(document);
     return held.apply(command.SerializeAsString());
   };
   CHECK(store(5, "five"));
   CHECK_FALSE(store(5, "other"));
   CHECK_FALSE(store(4, "four"));
   CHECK_FALSE(held.apply("no command"));
-  CHECK(held.stored().document() == "five");
+  CHECK(held.stored().compressed_document() == "five");
   relay::ConfigurationRegister restored;
   CHECK(restored.restore(held.save()));
   CHECK(restored.version() == 5);
--- /dev/null
+++ b/tests/unit/daemon/configuration_transfer_test.cc
@@ -0,0 +1,77 @@
+/// @file
+/// How a configuration travels: whole once, then by differences.
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "daemon/configuration_transfer.h"
+
+namespace workshatch::test {
+
+namespace {
+
+std::string documentAt(uint64_t version, size_t routes) {
+  std::string document = "{\"version\":" + std::to_string(version) + ",\"routes\":[";
+  for (size_t i = 0; i < routes; ++i) {
+    document += "{\"name\":\"route-" + std::to_string(i) + "\",\"timeout\":4000},";
+  }
+  return document + "]}";
+}
+
+v1::StoredConfiguration storedAt(uint64_t version, size_t routes) {
+  return daemon::packConfiguration(version, documentAt(version, routes));
+}
+
+} // namespace
+
+TEST_CASE("A stored configuration gives back its document, a damaged one an error") {
+  v1::StoredConfiguration stored = storedAt(4, 100);
+  CHECK(stored.compressed_document().size() < documentAt(4, 100).size() / 3);
+  CHECK(std::get<std::string>(daemon::documentOf(stored)) == documentAt(4, 100));
+  stored.mutable_compressed_document()->pop_back();
+  CHECK(isError(daemon::documentOf(stored)));
+}
+
+TEST_CASE("A receiver of nothing gets the whole document compressed, then small differences") {
+  daemon::ConfigurationSender sender;
+  daemon::ReceivedConfiguration receiver;
+  sender.add(storedAt(3, 1000));
+  const v1::ConfigurationUpdate& whole = sender.updateFrom(receiver.version());
+  CHECK(whole.ByteSizeLong() < documentAt(3, 1000).size() / 3);
+  CHECK(std::get<bool>(receiver.take(whole)));
+  CHECK(receiver.document() == documentAt(3, 1000));
+  sender.add(storedAt(8, 1001));
+  const v1::ConfigurationUpdate& difference = sender.updateFrom(receiver.version());
+  CHECK(difference.ByteSizeLong() < 300);
+  CHECK(std::get<bool>(receiver.take(difference)));
+  CHECK(receiver.version() == 8);
+  CHECK(receiver.document() == documentAt(8, 1001));
+}
+
+TEST_CASE("A receiver with an unknown version gets the whole document") {
+  daemon::ConfigurationSender sender;
+  sender.add(storedAt(9, 10));
+  CHECK(sender.updateFrom(5).base_version() == 0);
+  for (uint64_t version = 10; version < 30; ++version) {
+    sender.add(storedAt(version, 10));
+  }
+  CHECK(sender.updateFrom(9).base_version() == 0);
+  CHECK(sender.updateFrom(28).base_version() == 28);
+}
+
+TEST_CASE("An older update changes nothing, an unfit one is an error and forgetting mends it") {
+  daemon::ConfigurationSender sender;
+  daemon::ReceivedConfiguration receiver;
+  sender.add(storedAt(1, 10));
+  sender.add(storedAt(2, 10));
+  REQUIRE(std::get<bool>(receiver.take(sender.updateFrom(0))));
+  CHECK_FALSE(std::get<bool>(receiver.take(sender.updateFrom(1))));
+  sender.add(storedAt(3, 10));
+  CHECK(isError(receiver.take(sender.updateFrom(1))));
+  CHECK(receiver.version() == 2);
+  receiver.forget();
+  CHECK(std::get<bool>(receiver.take(sender.updateFrom(receiver.version()))));
+  CHECK(receiver.version() == 3);
+}
+
+} // namespace workshatch::test
--- a/tests/unit/daemon/group/group_replica_test.cc
+++ b/tests/unit/daemon/group/group_replica_test.cc
@@ -68,6 +68,9 @@
 /// Replicas on one event loop; messages to machines that are down are lost.
 class Group {
 public:
+  /// @param voters as many as the group grows to
+  explicit Group(size_t voters = 3) : voters_(voters) {}
+
   struct Machine {
     std::unique_ptr<MemoryStore> disk;
     std::unique_ptr<GroupReplica> replica;
@@ -82,6 +85,7 @@
     options.own_address = address;
     options.seeds = {"a", "b", "c"};
     options.first_start = first_start;
+    options.voters = voters_;
     options.tick_ms = 10;
     options.gone_ms = 200;
     options.snapshot_entries = 4;
@@ -124,7 +128,7 @@
         asked = true;
         v1::StoredConfiguration configuration;
         configuration.set_version(version);
-        configuration.set_document("v" + std::to_string(version));
+        configuration.set_compressed_document("v" + std::to_string(version));
         leading->store(configuration, [&](StoreOutcome outcome) {
           stored = outcome == StoreOutcome::Stored;
           asked = false;
@@ -141,7 +145,7 @@
       if (leading != nullptr) {
         asked = true;
         leading->read([&](const v1::StoredConfiguration* stored) {
-          document = stored == nullptr ? "" : stored->document();
+          document = stored == nullptr ? "" : stored->compressed_document();
           asked = false;
         });
       }
@@ -190,6 +194,7 @@
     });
   }
 
+  const size_t voters_;
   boost::asio::io_context context_;
   const SystemClock clock_{};
   SeededRandom random_{7};
@@ -264,6 +269,40 @@
   }
 }
 
+TEST_CASE("Replicas beyond the first three become voters, and two of five may be lost") {
+  Group group(5);
+  startFirst(group);
+  group.start("d", 44, true);
+  group.start("e", 55, true);
+  REQUIRE(group.runUntil([&] { return group.at("d").votes() && group.at("e").votes(); }));
+  REQUIRE(group.store(2));
+  for (const char* address : {"a", "b"}) {
+    group.kill(address);
+  }
+  CHECK(group.store(3));
+  CHECK(group.read() == "v3");
+}
+
+TEST_CASE("Two of five lose their disks while the others lose power: what was acknowledged stays") {
+  Group group(5);
+  startFirst(group);
+  group.start("d", 44, true);
+  group.start("e", 55, true);
+  REQUIRE(group.runUntil([&] { return group.at("d").votes() && group.at("e").votes(); }));
+  REQUIRE(group.store(7));
+  for (const char* address : {"a", "b", "c", "d", "e"}) {
+    group.kill(address);
+  }
+  group.wipe("a");
+  group.wipe("b");
+  uint64_t id = 100;
+  for (const char* address : {"a", "b", "c", "d", "e"}) {
+    group.start(address, ++id, false);
+  }
+  CHECK(group.read() == "v7");
+  CHECK(group.store(8));
+}
+
 TEST_CASE("A leader whose disk is full gives its place to another, and comes back") {
   Group group;
   startFirst(group);
--- /dev/null
+++ b/tests/unit/daemon/group/redirect_role_test.cc
@@ -0,0 +1,73 @@
+/// @file
+/// The group's role on a machine without a disk.
+#include <memory>
+#include <string>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include "adapters/http/http_types.h"
+#include "daemon/group/redirect_role.h"
+
+namespace workshatch::test {
+
+namespace {
+
+constexpr const char* kOwnAddress = "127.0.0.1:18261";
+
+/// Runs the role and asks it as an operator would.
+class RunningRole {
+public:
+  explicit RunningRole(std::vector<std::string> seeds)
+      : role_(settings::RelaySettings{.operator_address = kOwnAddress, .seeds = std::move(seeds)},
+              workers_) {
+    REQUIRE_FALSE(isError(role_.start()));
+    workers_.start();
+  }
+  ~RunningRole() { workers_.stop(); }
+  RunningRole(const RunningRole&) = delete;
+  RunningRole& operator=(const RunningRole&) = delete;
+
+  static std::string ask() {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect(*http::parseEndpoint(kOwnAddress));
+    const std::string request =
+        "GET /get?x=1 HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n";
+    boost::system::error_code failure;
+    boost::asio::write(socket, boost::asio::buffer(request), failure);
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), failure);
+    return answer;
+  }
+
+private:
+  WorkerPool workers_{1};
+  daemon::RedirectRole role_;
+};
+
+bool contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("A machine without a disk sends operators to each seed in turn, never to itself") {
+  const RunningRole role({kOwnAddress, "10.0.0.1:90", "10.0.0.2:90"});
+  const std::string first = RunningRole::ask();
+  CHECK(contains(first, "HTTP/1.1 307"));
+  CHECK(contains(first, "Location: http://10.0.0.1:90/get?x=1\r\n"));
+  CHECK(contains(RunningRole::ask(), "Location: http://10.0.0.2:90/get?x=1\r\n"));
+  CHECK(contains(RunningRole::ask(), "Location: http://10.0.0.1:90/get?x=1\r\n"));
+}
+
+TEST_CASE("A machine without a disk that knows no replica asks operators to come back") {
+  const RunningRole role({kOwnAddress});
+  const std::string answer = RunningRole::ask();
+  CHECK(contains(answer, "HTTP/1.1 503"));
+  CHECK(contains(answer, "Retry-After:"));
+}
+
+} // namespace workshatch::test
--- a/tests/unit/daemon/relay/relay_role_test.cc
+++ b/tests/unit/daemon/relay/relay_role_test.cc
@@ -68,7 +68,8 @@
     v1::LeaseReply& reply = *frame.mutable_lease();
     reply.set_sequence(renewal.sequence());
     reply.set_confirmed(true);
-    reply.mutable_configuration()->set_version(1);
+    configurations_.add(daemon::packConfiguration(1, "any"));
+    *reply.mutable_configuration() = configurations_.updateFrom(renewal.configuration_version());
     reply.mutable_runners()->set_version(1);
     v1::RunnerEntry* runner = reply.mutable_runners()->add_runners();
     runner->set_id("runner-1");
@@ -80,6 +81,7 @@
   WorkerPool workers_{1};
   link::LinkListener listener_;
   const std::string runner_address_;
+  daemon::ConfigurationSender configurations_;
   std::vector<std::shared_ptr<link::FramedLink>> links_;
   std::atomic<bool> relay_ready_{false};
 };
