Load cap: growth in steps between sums; permits of silent routers count in no sum

Ruled out: the number of engines (12 throughout), late sums (23 to 38 ms old when the filling began), streams that are older than the check's second (they last 0.6 to 0.7 s).

--- a/src/core/admission/owner_table.cc
+++ b/src/core/admission/owner_table.cc
@@ -68,6 +68,7 @@
       // The holders report their permits to the new owner.
       engine.permits.clear();
       engine.load = 0;
+      engine.heard_load = 0;
     }
     engine.facts = facts;
     Pool& pool = pools_[facts.service];
@@ -78,7 +79,7 @@
       ++pool.engines;
     }
     if (engine.counts()) {
-      pool.own_load += engine.load;
+      pool.own_load += engine.heard_load;
     }
   }
   std::erase_if(engines_, [](const auto& entry) {
@@ -95,6 +96,36 @@
     const uint64_t own = std::max(pool.own_load, pool.reported_load);
     pool.others.front() = total.load() > own ? total.load() - own : 0;
   }
+  noteLoadsAtSums();
+}
+
+void OwnerTable::setSilentRouters(const std::vector<v1::RouterKey>& routers) {
+  std::set<std::pair<std::string, uint64_t>> silent;
+  for (const v1::RouterKey& router : routers) {
+    silent.emplace(router.name(), router.incarnation());
+  }
+  if (silent == silent_routers_) {
+    return;
+  }
+  silent_routers_ = std::move(silent);
+  for (auto& [service, pool] : pools_) {
+    pool.own_load = 0;
+  }
+  for (auto& [name, engine] : engines_) {
+    engine.heard_load = 0;
+    for (const auto& [permit, cost] : engine.permits) {
+      engine.heard_load += isSilent(permit) ? 0 : cost;
+    }
+    if (engine.counts()) {
+      pools_[engine.facts.service].own_load += engine.heard_load;
+    }
+  }
+}
+
+void OwnerTable::noteLoadsAtSums() {
+  for (auto& [name, engine] : engines_) {
+    engine.load_at_sums = engine.load;
+  }
 }
 
 uint64_t OwnerTable::othersNow(const Pool& pool) {
@@ -108,8 +139,12 @@
 
 bool OwnerTable::fits(const Engine& engine, uint64_t cost) const {
   const Pool& pool = pools_.at(engine.facts.service);
-  return engine.load + cost <=
-         loadCap(pool.policy, pool.own_load + othersNow(pool), pool.engines, cost);
+  const uint64_t total = pool.own_load + othersNow(pool);
+  const uint64_t cap = loadCap(pool.policy, total, pool.engines, cost);
+  // Sums are older than the time that a fleet's load needs to halve: an engine that is idle while
+  // the others are not is filled in steps, with new sums between.
+  const uint64_t step = std::max(2 * cost, cap / 2);
+  return engine.load + cost <= std::min(cap, engine.load_at_sums + step);
 }
 
 v1::PermitReply OwnerTable::request(const v1::PermitRequest& request, int64_t now_ms) {
@@ -159,15 +194,33 @@
 }
 
 void OwnerTable::grant(Engine& engine, const v1::PermitRequest& request) {
-  engine.permits[keyOf(request.permit())] = request.cost();
-  engine.load += request.cost();
-  pools_[engine.facts.service].own_load += request.cost();
+  const PermitKey permit = keyOf(request.permit());
+  engine.permits[permit] = request.cost();
+  addLoad(engine, permit, request.cost());
+}
+
+bool OwnerTable::isSilent(const PermitKey& permit) const {
+  return silent_routers_.contains({permit.router, permit.incarnation});
+}
+
+void OwnerTable::addLoad(Engine& engine, const PermitKey& permit, uint64_t cost) {
+  engine.load += cost;
+  if (isSilent(permit)) {
+    return;
+  }
+  engine.heard_load += cost;
+  if (engine.counts()) {
+    pools_[engine.facts.service].own_load += cost;
+  }
 }
 
 void OwnerTable::takeBack(Engine& engine, std::map<PermitKey, uint64_t>::iterator permit) {
   engine.load -= permit->second;
-  if (engine.counts()) {
-    pools_[engine.facts.service].own_load -= permit->second;
+  if (!isSilent(permit->first)) {
+    engine.heard_load -= permit->second;
+    if (engine.counts()) {
+      pools_[engine.facts.service].own_load -= permit->second;
+    }
   }
   engine.permits.erase(permit);
 }
@@ -192,12 +245,10 @@
     // Not listed here yet; the list that names it keeps the load.
     engine.facts = EngineFacts{.engine = held.engine(), .service = held.service(), .live = false};
   }
-  const bool added = engine.permits.emplace(keyOf(held.permit()), held.cost()).second;
+  const PermitKey permit = keyOf(held.permit());
+  const bool added = engine.permits.emplace(permit, held.cost()).second;
   if (added) {
-    engine.load += held.cost();
-    if (engine.counts()) {
-      pools_[engine.facts.service].own_load += held.cost();
-    }
+    addLoad(engine, permit, held.cost());
   }
 }
 
@@ -264,7 +315,7 @@
     }
     v1::PoolLoad& load = loads[engine.facts.service];
     load.set_service(engine.facts.service);
-    load.set_load(load.load() + engine.load);
+    load.set_load(load.load() + engine.heard_load);
     load.set_engines(load.engines() + 1);
   }
   for (auto& [service, pool] : pools_) {
--- a/src/core/admission/owner_table.h
+++ b/src/core/admission/owner_table.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/admission/fair_queue.h"
@@ -48,6 +49,10 @@
   /// Takes the pools' sums as control reported them, own loads included.
   void setTotals(const std::vector<v1::PoolLoad>& totals);
 
+  /// Routers that may be dead. Their permits go on holding the places of an engine, but count in no
+  /// sum: the callers behind them come back elsewhere and are counted there.
+  void setSilentRouters(const std::vector<v1::RouterKey>& routers);
+
   v1::PermitReply request(const v1::PermitRequest& request, int64_t now_ms);
 
   /// Ends a permit or a wait for one.
@@ -74,6 +79,10 @@
   struct Engine {
     EngineFacts facts;
     uint64_t load = 0;
+    /// Load of the permits whose routers are not silent.
+    uint64_t heard_load = 0;
+    /// Load when the last sums came.
+    uint64_t load_at_sums = 0;
     std::map<PermitKey, uint64_t> permits;
     FairQueue queue;
 
@@ -83,7 +92,7 @@
   struct Pool {
     PoolPolicy policy;
     uint32_t engines = 0;
-    /// Load of the engines owned here that are in use.
+    /// Load of the engines owned here that are in use, without that of silent routers.
     uint64_t own_load = 0;
     /// `own_load` as it was last reported, which the next sums contain.
     uint64_t reported_load = 0;
@@ -94,6 +103,9 @@
   /// Load of the other owners now, estimated from sums that are some hundred milliseconds old. An
   /// estimate that is too low only makes callers wait.
   static uint64_t othersNow(const Pool& pool);
+  bool isSilent(const PermitKey& permit) const;
+  void addLoad(Engine& engine, const PermitKey& permit, uint64_t cost);
+  void noteLoadsAtSums();
   bool fits(const Engine& engine, uint64_t cost) const;
   void grant(Engine& engine, const v1::PermitRequest& request);
   v1::PermitReply refuseOrQueue(Engine& engine, const v1::PermitRequest& request, int64_t now_ms);
@@ -104,6 +116,8 @@
   std::unordered_map<std::string, Engine> engines_;
   std::map<std::string, Pool> pools_;
   std::map<std::string, uint32_t> tenant_weights_;
+  /// Names and incarnations.
+  std::set<std::pair<std::string, uint64_t>> silent_routers_;
   MovedSessions moved_;
 };
 
--- a/src/core/control/leader_duties.cc
+++ b/src/core/control/leader_duties.cc
@@ -48,6 +48,9 @@
   if (request.view_in_force() != view.number()) {
     *reply.mutable_view() = view;
   }
+  for (v1::RouterKey& router : leases_.silent(view, now_ms)) {
+    *reply.add_silent() = std::move(router);
+  }
   for (v1::PoolLoad& total : leases_.totals(view, now_ms)) {
     *reply.add_totals() = std::move(total);
   }
--- a/src/core/control/router_leases.h
+++ b/src/core/control/router_leases.h
@@ -50,6 +50,9 @@
   /// only makes owners wait.
   std::vector<v1::PoolLoad> totals(const v1::View& view, int64_t now_ms) const;
 
+  /// Routers of the view whose loads `totals` leaves out.
+  std::vector<v1::RouterKey> silent(const v1::View& view, int64_t now_ms) const;
+
   v1::RouterStatus status(const v1::RouterEntry& router, int64_t now_ms) const;
 
 private:
@@ -62,6 +65,7 @@
   };
 
   const RouterRecord* find(const v1::RouterEntry& router) const;
+  bool isSilent(const v1::RouterEntry& router, int64_t now_ms) const;
 
   const LeaseOptions options_;
   std::map<std::string, RouterRecord> records_;
--- a/src/daemon/router/router_tables.cc
+++ b/src/daemon/router/router_tables.cc
@@ -36,7 +36,9 @@
     withOwners([&](admission::OwnerTable& owners) { owners.configure(*after.configuration); });
   }
   const std::vector<v1::PoolLoad> totals(reply.totals().begin(), reply.totals().end());
+  const std::vector<v1::RouterKey> silent(reply.silent().begin(), reply.silent().end());
   withOwners([&](admission::OwnerTable& owners) {
+    owners.setSilentRouters(silent);
     owners.setTotals(totals);
     if (after.view->number() != before.view->number()) {
       owners.keepRouters(*after.view);
