An attempt of a request has a file and a result of its own; unused parts are gone; list reading keeps to its rate

Mending: five places that set error, outcome and connection by hand are one (RelayRun::broken); an attempt returns its outcome in place of an out-parameter; members and methods that nothing read are removed. The settings' rate of calls to the platform's list was read and not used: relays that read the list themselves while the group is silent (79 relays, 4 pages each a second) would have made 316 calls/s where 50 are taken.

--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -48,7 +48,6 @@
 
   /// Ends the connection; what is in progress on it fails.
   void close();
-  bool isClosed() const { return closed_; }
 
   /// @return whether the answer ended whole, the request was sent whole, and nothing else came, so
   /// that the next request may follow.
@@ -83,7 +82,6 @@
   void give(const std::string& address, std::shared_ptr<RunnerConnection> connection);
   /// Closes connections that have waited too long.
   void dropExpired();
-  void dropAll(const std::string& address) { idle_.erase(address); }
 
 private:
   struct Idle {
--- a/src/core/relay/configuration.h
+++ b/src/core/relay/configuration.h
@@ -45,20 +45,13 @@
   uint32_t max_attempts = 1;
   /// Needs no key.
   bool anonymous = false;
-  /// Prompts of this route are cached by parts.
-  bool cached_prompts = false;
   /// A broken stream may go on at another runner.
   bool resumable = false;
-  /// Longest pause between events that still counts as in time; zero: not told.
-  uint32_t gap_ms = 0;
   std::vector<RouteTarget> targets;
 };
 
 struct Service {
   std::string name;
-  std::string health_path;
-  /// Connections that one runner takes from all callers.
-  uint32_t max_connections = 0;
   /// Runners are model engines with a prompt cache.
   bool model_engine = false;
   /// Tokens that one engine keeps; zero: not told.
--- a/src/core/relay/event_splitter.h
+++ b/src/core/relay/event_splitter.h
@@ -27,8 +27,6 @@
   /// @return whether bytes of an unfinished event are left.
   bool hasPartialEvent() const { return !buffer_.empty(); }
 
-  /// Bytes of an unfinished event.
-  size_t partialBytes() const { return buffer_.size(); }
 
 private:
   std::string buffer_;
--- /dev/null
+++ b/src/core/relay/list_period.h
@@ -0,0 +1,33 @@
+/// @file
+/// How often the platform's list of runners may be read.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+
+namespace workshatch::relay {
+
+/// What the reading of the list depends on.
+struct ListReading {
+  /// Calls that one reading takes.
+  size_t pages = 1;
+  /// Processes that read at the same time.
+  size_t readers = 1;
+  /// Calls that the platform takes from all processes together in a second.
+  double calls_per_s = 1;
+  /// The period when the rate allows it, in milliseconds.
+  int64_t wanted_ms = 0;
+};
+
+/// @return milliseconds from one reading to the next, so that all readers together use at most half
+/// of the rate; the rest is for restarts and changes of the leader.
+inline int64_t listPeriodMs(const ListReading& reading) {
+  constexpr double kPartOfRate = 0.5;
+  constexpr double kMsPerSecond = 1000;
+  const auto calls = static_cast<double>(reading.pages * reading.readers);
+  const double least_ms = kMsPerSecond * calls / (kPartOfRate * reading.calls_per_s);
+  return std::max(reading.wanted_ms, static_cast<int64_t>(least_ms));
+}
+
+} // namespace workshatch::relay
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -258,13 +258,4 @@
   }
 }
 
-bool RunnerTable::hasUsable(const std::string& service, int64_t now_ms) const {
-  const auto found = services_.find(service);
-  return found != services_.end() && std::any_of(found->second.begin(), found->second.end(),
-                                                 [this, now_ms](const auto& runner) {
-                                                   return !runner->entry.leaving() &&
-                                                          !isAvoided(*runner, now_ms);
-                                                 });
-}
-
 } // namespace workshatch::relay
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -123,9 +123,6 @@
   void noteSignOfLife(Runner& runner, int64_t now_ms) const { runner.sign_of_life_ms = now_ms; }
   void endAttempt(Runner& runner, AttemptOutcome outcome, int64_t now_ms) const;
 
-  /// @return whether a runner of the service may be chosen without last resort.
-  bool hasUsable(const std::string& service, int64_t now_ms) const;
-
   const std::vector<std::shared_ptr<Runner>>& runners() const { return runners_; }
 
 private:
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -10,6 +10,7 @@
 
 #include "adapters/http/problem.h"
 #include "adapters/logging/line_log.h"
+#include "core/relay/list_period.h"
 
 namespace workshatch::daemon {
 
@@ -144,8 +145,11 @@
     const bool leads = replica_.leads();
     const bool wanted = leads || !replica_.knowsLeader();
     const int64_t now = clock_.monotonicMs();
-    const bool due =
-        now - read_at_ms >= kListPeriodMs || (leads && read_in_term != replica_.term());
+    const int64_t period_ms =
+        relay::listPeriodMs(relay::ListReading{.pages = reader_.pages(),
+                                               .calls_per_s = settings_.runner_list_calls,
+                                               .wanted_ms = kListPeriodMs});
+    const bool due = now - read_at_ms >= period_ms || (leads && read_in_term != replica_.term());
     if (wanted && due) {
       read_at_ms = now;
       read_in_term = replica_.term();
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -87,9 +87,6 @@
     return;
   }
   const std::vector<PromptPart> parts = dialect.promptParts(*value);
-  for (const PromptPart& part : parts) {
-    relayed.prompt_tokens += part.tokens;
-  }
   constexpr size_t kSharedFromEnd = 2;
   if (parts.size() >= kSharedFromEnd) {
     relayed.cache_key = routing::fingerprintOf(parts[parts.size() - kSharedFromEnd].id);
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -27,8 +27,6 @@
   int64_t deadline_ms = 0;
   /// Fingerprint of the shared part of the prompt; zero: none.
   uint64_t cache_key = 0;
-  /// Tokens of the prompt.
-  uint64_t prompt_tokens = 0;
   uint64_t draw = 0;
 
   /// Whether an attempt that may have run may be followed by another.
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -11,6 +11,7 @@
 
 #include "adapters/http/problem.h"
 #include "adapters/logging/line_log.h"
+#include "core/relay/list_period.h"
 #include "daemon/relay/relay_run.h"
 
 namespace workshatch::daemon {
@@ -23,7 +24,7 @@
 constexpr std::chrono::milliseconds kHousekeepingPeriod{50};
 /// The group counts as silent after this; the relay then reads the list of runners itself.
 constexpr int64_t kGroupSilentMs = 1500;
-constexpr int64_t kOwnListPeriodMs = 1000;
+constexpr int64_t kOwnListStepMs = 1000;
 /// Relays that read the list at the same time spread their calls over this.
 constexpr uint64_t kOwnListJitterMs = 400;
 /// Callers of a zone stay in it while so many relays there are ready.
@@ -255,11 +256,19 @@
   asio::steady_timer timer(context_);
   while (true) {
     const auto jitter_ms = static_cast<int64_t>(random_.below(kOwnListJitterMs));
-    timer.expires_after(std::chrono::milliseconds(kOwnListPeriodMs + jitter_ms));
+    timer.expires_after(std::chrono::milliseconds(kOwnListStepMs + jitter_ms));
     co_await timer.async_wait(kAwait);
-    if (clock_.monotonicMs() - group_heard_ms_ < kGroupSilentMs) {
+    const int64_t now = clock_.monotonicMs();
+    // Without the group all relays read: together they keep to the platform's rate.
+    const int64_t period_ms = relay::listPeriodMs(
+        relay::ListReading{.pages = reader_.pages(),
+                           .readers = std::max<size_t>(relays_.relays().size(), 1),
+                           .calls_per_s = settings_.runner_list_calls,
+                           .wanted_ms = kOwnListStepMs});
+    if (now - group_heard_ms_ < kGroupSilentMs || now - own_list_read_ms_ < period_ms) {
       continue;
     }
+    own_list_read_ms_ = now;
     Result<v1::RunnerList> list = co_await reader_.read();
     const bool still_silent = clock_.monotonicMs() - group_heard_ms_ >= kGroupSilentMs;
     if (isError(list)) {
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -62,6 +62,8 @@
   v1::RelayList relays_;
   v1::RunnerLoads reported_loads_;
   int64_t group_heard_ms_ = 0;
+  /// When this relay last read the list of runners itself.
+  int64_t own_list_read_ms_ = 0;
   http::Server caller_server_;
   http::Server ready_server_;
   http::Server resolve_server_;
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -46,21 +46,35 @@
     Broken,
   };
 
+  /// How an attempt ended for the request and for what is known of the runner.
+  struct AttemptResult {
+    AttemptEnd end = AttemptEnd::Unreachable;
+    relay::AttemptOutcome outcome = relay::AttemptOutcome::Unreachable;
+  };
+
+  // One attempt (relay_attempt.cc).
   http::awaitable<AttemptEnd> attempt(const relay::RunnerChoice& choice);
+  http::awaitable<AttemptResult> callRunner(const relay::RunnerChoice& choice);
   http::awaitable<bool> connect(const relay::Runner& runner);
-  http::awaitable<AttemptEnd> takeAnswer(relay::Runner& runner, relay::AttemptOutcome& outcome);
-  http::awaitable<AttemptEnd> takePlainAnswer(relay::AttemptOutcome& outcome);
-  http::awaitable<AttemptEnd> relayStream(relay::Runner& runner, relay::AttemptOutcome& outcome);
+  http::awaitable<std::optional<http::CallError>> send(const relay::RunnerChoice& choice);
+  http::awaitable<AttemptResult> takeAnswer(relay::Runner& runner);
+  http::awaitable<AttemptResult> takeRefusal(relay::AttemptOutcome outcome);
+  http::awaitable<AttemptResult> takePlainAnswer();
+  http::awaitable<AttemptResult> relayStream(relay::Runner& runner);
   http::awaitable<bool> relayEvent(const relay::WholeEvent& event);
+  AttemptResult broken(std::string error);
+  void noteEnd(relay::Runner& runner, const AttemptResult& result);
+  void releaseConnection(const relay::Runner& runner);
+  http::Response answerHead() const;
+  std::chrono::milliseconds silenceLimit(bool streaming) const;
+  void noteSignOfLife(relay::Runner& runner);
+
+  // The request as a whole (relay_run.cc).
   http::awaitable<void> finish();
   http::awaitable<void> refuse(http::Status status, std::string code, std::string detail);
 
   bool ended() const { return left_ || timed_out_; }
-  void noteSignOfLife(relay::Runner& runner);
   bool mayTryAgain(AttemptEnd last) const;
-  bool answerIsDue() const;
-  std::chrono::milliseconds silenceLimit(bool streaming) const;
-  http::Response answerHead() const;
   void armDeadline();
   void end();
   void logOutcome(const std::string& outcome);
--- a/src/daemon/runner_list_reader.cc
+++ b/src/daemon/runner_list_reader.cc
@@ -12,7 +12,7 @@
 constexpr std::chrono::milliseconds kConnectLimit{300};
 constexpr std::chrono::milliseconds kReadLimit{700};
 constexpr size_t kMostPageBytes = size_t{4} * 1024 * 1024;
-constexpr int kMostPages = 1000;
+constexpr size_t kMostPages = 1000;
 
 } // namespace
 
@@ -37,7 +37,7 @@
 http::awaitable<Result<v1::RunnerList>> RunnerListReader::read() {
   v1::RunnerList list;
   std::string page;
-  for (int pages = 0; pages < kMostPages; ++pages) {
+  for (size_t pages = 1; pages <= kMostPages; ++pages) {
     Result<RunnerPage> read = co_await readPage(page);
     if (isError(read)) {
       co_return errorOf(read);
@@ -46,6 +46,7 @@
     list.mutable_runners()->MergeFrom(part.runners.runners());
     page = part.next_page;
     if (page.empty()) {
+      pages_ = pages;
       co_return list;
     }
   }
--- a/src/daemon/runner_list_reader.h
+++ b/src/daemon/runner_list_reader.h
@@ -24,12 +24,16 @@
   /// @return the whole list without a version, or an error: no answer, too many calls, not a list.
   http::awaitable<Result<v1::RunnerList>> read();
 
+  /// Calls that the last whole reading took; one before the first.
+  size_t pages() const { return pages_; }
+
 private:
   http::awaitable<Result<RunnerPage>> readPage(std::string page);
 
   http::Client client_;
   const std::string address_;
   const RunnerListCodec& codec_;
+  size_t pages_ = 1;
 };
 
 } // namespace workshatch::daemon
