Metrics: group replicas tell theirs, relays their lease, versions and load by runner

The text format has one place (adapters/metrics/text_format), from which both roles' metrics are made.

--- a/scripts/check_docs.sh
+++ b/scripts/check_docs.sh
@@ -6,7 +6,7 @@
 names=$(
   # A call may begin on one line and name its event on the next.
   cat $(git ls-files 'src/daemon/relay/*.cc' 'src/daemon/group/*.cc' 'platform/*.cc') | tr '\n' ' ' |
-    grep -oE 'line_log::write\( *"[a-z_]+"|expose[A-Za-z]*\(out, "[a-z_]+"' |
+    grep -oE 'line_log::write\( *"[a-z_]+"|expose[A-Za-z]*\((out|text), "[a-z_]+"' |
     grep -oE '"[a-z_]+"' | tr -d '"' | sort -u
 )
 [ -n "$names" ] || { echo "no event or metric was found in the source" >&2; exit 1; }
--- a/src/daemon/group/group_membership.cc
+++ b/src/daemon/group/group_membership.cc
@@ -174,6 +174,7 @@
         return member.address() == join.address() && member.id() != join.id();
       });
   const auto change = [&](const char* step) {
+    ++stats_.membership_changes;
     line_log::write("membership_change",
                     {{"step", step}, {"id", join.id()}, {"address", join.address()}});
     return node_->proposeMembership(membership).has_value();
@@ -217,6 +218,7 @@
   if (gone == members->end()) {
     return false;
   }
+  ++stats_.membership_changes;
   line_log::write(
       "membership_change",
       {{"step", "silent_voter_removed"}, {"id", gone->id()}, {"address", gone->address()}});
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -114,8 +114,11 @@
 /// Makes `unwritten_` durable and does what it asks for. Nothing may be sent or applied before.
 bool GroupReplica::writeReady() {
   if (unwritten_->needsSync()) {
+    const int64_t begin_ms = clock_.monotonicMs();
     const auto written = store_.write(*unwritten_);
+    stats_.disk_write.add(clock_.monotonicMs() - begin_ms);
     if (isError(written)) {
+      ++stats_.disk_failures;
       line_log::write("disk_failed", {{"error", errorOf(written).message}});
       // Who waits for a change or a read asks another replica.
       failPending();
@@ -238,10 +241,12 @@
   const bool new_term = leader && leader_term_ != node_->term();
   if (was_leader_ && (!leader || new_term)) {
     failPending();
+    ++stats_.leaderships_lost;
     line_log::write("leadership_lost", {{"term", node_->term()}});
   }
   if (leader && (!was_leader_ || new_term)) {
     leading_since_ms_ = clock_.monotonicMs();
+    ++stats_.leaderships_won;
     line_log::write("leadership_won", {{"term", node_->term()}, {"id", id_}});
   }
   was_leader_ = leader;
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -15,6 +15,7 @@
 
 #include "core/raft/raft_node.h"
 #include "core/relay/configuration_register.h"
+#include "daemon/group/group_stats.h"
 #include "ports/clock.h"
 #include "ports/log_store.h"
 #include "ports/random.h"
@@ -95,6 +96,8 @@
   /// @return whether this replica counts for majorities, as far as it knows.
   bool votes() const { return raft::votesIn(node_->membership(), id_); }
   uint64_t term() const { return node_->term(); }
+  size_t voterCount() const;
+  const GroupStats& stats() const { return stats_; }
   /// Steady time since this replica won its present leadership.
   int64_t leadingForMs() const;
   void setSeeds(std::vector<std::string> seeds) { options_.seeds = std::move(seeds); }
@@ -126,7 +129,6 @@
   void stepMembership();
   bool stepJoin(const v1::JoinRequest& join);
   bool replaceSilentVoter(v1::RaftMembership membership);
-  size_t voterCount() const;
   std::string addressOf(uint64_t member) const;
   bool isSeed(const std::string& address) const;
 
@@ -144,6 +146,7 @@
   uint64_t id_ = 0;
   std::unique_ptr<raft::RaftNode> node_;
   relay::ConfigurationRegister register_;
+  GroupStats stats_;
   int64_t next_tick_ms_ = 0;
   bool process_scheduled_ = false;
   /// What has to be written before anything else; set while the disk refuses it.
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -10,6 +10,7 @@
 
 #include "adapters/http/problem.h"
 #include "adapters/logging/line_log.h"
+#include "adapters/metrics/text_format.h"
 #include "core/relay/list_period.h"
 
 namespace workshatch::daemon {
@@ -66,6 +67,9 @@
           workers, operatorLimits(),
           [this](http::Exchange& exchange) { return operator_api_.handle(exchange); },
           refuseOperator),
+      metrics_server_(
+          workers, operatorLimits(),
+          [this](http::Exchange& exchange) { return tellMetrics(exchange); }, refuseOperator),
       log_timer_(context_), stop_timer_(context_) {}
 
 Result<std::monostate> GroupRole::start() {
@@ -91,6 +95,12 @@
   if (isError(serving)) {
     return errorOf(serving);
   }
+  if (!settings_.metrics_address.empty()) {
+    auto telling = metrics_server_.listen(settings_.metrics_address);
+    if (isError(telling)) {
+      return errorOf(telling);
+    }
+  }
   asio::co_spawn(context_, readRunnerLists(), asio::detached);
   flushLog();
   return std::monostate{};
@@ -165,6 +175,28 @@
   }
 }
 
+http::awaitable<void> GroupRole::tellMetrics(http::Exchange& exchange) {
+  std::string text;
+  replica_.stats().expose(text);
+  metrics::exposeGauge(text, "group_term", "term of the replicated log",
+                       static_cast<int64_t>(replica_.term()));
+  metrics::exposeGauge(text, "group_leads", "1 while this replica leads with a lease",
+                       replica_.leads() ? 1 : 0);
+  metrics::exposeGauge(text, "group_knows_leader", "1 while a leader is known",
+                       replica_.knowsLeader() ? 1 : 0);
+  metrics::exposeGauge(text, "group_voters", "voters of the group",
+                       static_cast<int64_t>(replica_.voterCount()));
+  metrics::exposeGauge(text, "group_configuration_version", "version stored here",
+                       static_cast<int64_t>(replica_.stored().version()));
+  metrics::exposeGauge(text, "group_relays", "relays that renew with this replica",
+                       static_cast<int64_t>(hub_.relayCount()));
+  metrics::exposeGauge(text, "group_runners", "runners in the list that it tells",
+                       static_cast<int64_t>(hub_.runners().runners_size()));
+  http::Response response =
+      http::makeResponse(http::Status::ok, "text/plain; version=0.0.4", std::move(text));
+  co_await exchange.respond(std::move(response));
+}
+
 void GroupRole::flushLog() {
   line_log::flush();
   log_timer_.expires_after(kLogPeriod);
--- a/src/daemon/group/group_role.h
+++ b/src/daemon/group/group_role.h
@@ -39,6 +39,7 @@
   void accept(const std::shared_ptr<link::FramedLink>& link);
   void frameReceived(const std::shared_ptr<link::FramedLink>& link, const v1::Frame& frame);
   http::awaitable<void> readRunnerLists();
+  http::awaitable<void> tellMetrics(http::Exchange& exchange);
   void flushLog();
 
   const settings::RelaySettings settings_;
@@ -55,6 +56,7 @@
   RunnerListReader reader_;
   link::LinkListener listener_;
   http::Server operator_server_;
+  http::Server metrics_server_;
   boost::asio::steady_timer log_timer_;
   boost::asio::steady_timer stop_timer_;
 };
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -31,6 +31,10 @@
   /// Takes a list of runners read from the platform; pushes it when it differs.
   void runnersRead(v1::RunnerList list);
 
+  /// Relays that renew with this replica.
+  size_t relayCount() const { return relays_.size(); }
+  const v1::RunnerList& runners() const { return runners_.list(); }
+
   /// Takes note of a new stored configuration; the leader pushes it to all relays.
   void configurationStored();
 
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -11,6 +11,7 @@
 
 #include "adapters/http/problem.h"
 #include "adapters/logging/line_log.h"
+#include "adapters/metrics/text_format.h"
 #include "core/relay/list_period.h"
 #include "daemon/relay/relay_run.h"
 
@@ -176,11 +177,43 @@
 }
 
 http::awaitable<void> RelayRole::tellMetrics(http::Exchange& exchange) {
+  std::string text;
+  state_.stats.expose(text);
+  exposeGauges(text);
   http::Response response =
-      http::makeResponse(http::Status::ok, "text/plain; version=0.0.4", state_.stats.expose());
+      http::makeResponse(http::Status::ok, "text/plain; version=0.0.4", std::move(text));
   co_await exchange.respond(std::move(response));
 }
 
+void RelayRole::exposeGauges(std::string& out) const {
+  const int64_t now = clock_.monotonicMs();
+  metrics::exposeGauge(out, "relay_requests_in_progress", "requests that are being served",
+                       static_cast<int64_t>(caller_server_.requestsInProgress()));
+  metrics::exposeGauge(out, "relay_lease_age_ms", "time since the confirmed renewal was sent",
+                       state_.lease.ageMs(now));
+  metrics::exposeGauge(out, "relay_ready", "1 while callers are sent here", ready() ? 1 : 0);
+  metrics::exposeGauge(out, "relay_configuration_version", "version in force",
+                       static_cast<int64_t>(state_.routes ? state_.routes->version() : 0));
+  metrics::exposeGauge(out, "relay_runner_list_version", "version of the list of runners",
+                       static_cast<int64_t>(state_.runners.listVersion()));
+  metrics::exposeGauge(out, "relay_relays", "relays that callers are told",
+                       static_cast<int64_t>(relays_.relays_size()));
+  metrics::LabelledCounts loads;
+  metrics::LabelledCounts failures;
+  for (const auto& runner : state_.runners.runners()) {
+    if (runner->load() != 0) {
+      loads[runner->entry.id()] = runner->load();
+    }
+    if (runner->failures_in_row != 0) {
+      failures[runner->entry.id()] = runner->failures_in_row;
+    }
+  }
+  metrics::exposeGauges(out, "relay_runner_load", "requests at a runner, from all relays", "runner",
+                        loads);
+  metrics::exposeGauges(out, "relay_runner_failures", "failures of a runner in a row", "runner",
+                        failures);
+}
+
 v1::LeaseRenewal RelayRole::makeRenewal() {
   v1::LeaseRenewal renewal;
   renewal.set_sequence(state_.lease.renewalSent(clock_.monotonicMs()));
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -47,6 +47,7 @@
   bool takeConfiguration(const v1::ConfigurationUpdate& update);
   void housekeep();
   bool ready() const;
+  void exposeGauges(std::string& out) const;
   http::ServerLimits callerLimits() const;
 
   const settings::RelaySettings settings_;
