The list of runners travels as differences, loads name only runners with work

Change: RunnerListHistory tells what came, went and changed; counts are sparse where most are zero; long sums go out less often (2 KB/s a relay); members only when they changed; the list of relays is made anew every 3 ms x relays. Tests: runner_updates_test.

--- a/src/core/relay/event_splitter.h
+++ b/src/core/relay/event_splitter.h
@@ -27,7 +27,6 @@
   /// @return whether bytes of an unfinished event are left.
   bool hasPartialEvent() const { return !buffer_.empty(); }
 
-
 private:
   std::string buffer_;
   /// Where the search for the event's end goes on.
--- a/src/core/relay/load_sums.h
+++ b/src/core/relay/load_sums.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <vector>
 
 #include "workshatch/v1/relay.pb.h"
 
@@ -14,7 +15,8 @@
 class LoadSums {
 public:
   /// @param runners length of the list
-  LoadSums(uint64_t list_version, int runners);
+  LoadSums(uint64_t list_version, size_t runners)
+      : list_version_(list_version), counts_(runners, 0) {}
 
   /// Adds one relay's report; one about another list is left out.
   void add(const v1::RunnerLoads& report);
@@ -22,7 +24,9 @@
   v1::RunnerLoads sums() const;
 
 private:
-  v1::RunnerLoads sums_;
+  const uint64_t list_version_;
+  /// Requests in progress by position in the list.
+  std::vector<uint32_t> counts_;
   /// Relays that suspect a runner, by its position.
   std::map<uint32_t, uint32_t> suspicions_;
 };
--- /dev/null
+++ b/src/core/relay/runner_list_history.cc
@@ -0,0 +1,103 @@
+#include "core/relay/runner_list_history.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+#include <google/protobuf/util/message_differencer.h>
+
+namespace workshatch::relay {
+
+namespace {
+
+constexpr size_t kMostLists = 8;
+
+bool comesBefore(const v1::RunnerEntry& left, const v1::RunnerEntry& right) {
+  return left.id() < right.id();
+}
+
+bool sameEntry(const v1::RunnerEntry& left, const v1::RunnerEntry& right) {
+  return google::protobuf::util::MessageDifferencer::Equals(left, right);
+}
+
+/// Both lists are sorted by id.
+v1::RunnerListUpdate differenceOf(const v1::RunnerList& base, const v1::RunnerList& target) {
+  v1::RunnerListUpdate update;
+  auto old = base.runners().begin();
+  auto now = target.runners().begin();
+  while (old != base.runners().end() || now != target.runners().end()) {
+    const bool only_old =
+        now == target.runners().end() || (old != base.runners().end() && comesBefore(*old, *now));
+    const bool only_now = old == base.runners().end() || (!only_old && comesBefore(*now, *old));
+    if (only_old) {
+      update.add_removed((old++)->id());
+    } else if (only_now) {
+      *update.add_changed() = *now++;
+    } else {
+      if (!sameEntry(*old, *now)) {
+        *update.add_changed() = *now;
+      }
+      ++old;
+      ++now;
+    }
+  }
+  return update;
+}
+
+} // namespace
+
+void RunnerListHistory::add(const v1::RunnerList& list) {
+  lists_.push_back(list);
+  updates_.clear();
+  if (lists_.size() > kMostLists) {
+    lists_.pop_front();
+  }
+}
+
+void RunnerListHistory::clear() {
+  lists_.clear();
+  updates_.clear();
+}
+
+const v1::RunnerList* RunnerListHistory::find(uint64_t version) const {
+  const auto found = std::find_if(lists_.begin(), lists_.end(), [version](const auto& list) {
+    return list.version() == version;
+  });
+  return found == lists_.end() ? nullptr : &*found;
+}
+
+const v1::RunnerListUpdate& RunnerListHistory::updateFrom(uint64_t base_version) {
+  const v1::RunnerList* base = find(base_version);
+  const uint64_t known_base = base == nullptr ? 0 : base_version;
+  v1::RunnerListUpdate& update = updates_[known_base];
+  if (update.version() == 0 && !lists_.empty()) {
+    update = differenceOf(base == nullptr ? v1::RunnerList() : *base, lists_.back());
+    update.set_version(lists_.back().version());
+    update.set_base_version(known_base);
+  }
+  return update;
+}
+
+Result<v1::RunnerList> applyUpdate(v1::RunnerList base, const v1::RunnerListUpdate& update) {
+  if (update.base_version() == 0) {
+    base.clear_runners();
+  } else if (base.version() != update.base_version()) {
+    return Error{"the update is for another list"};
+  }
+  std::set<std::string> dropped(update.removed().begin(), update.removed().end());
+  for (const v1::RunnerEntry& entry : update.changed()) {
+    dropped.insert(entry.id());
+  }
+  auto* runners = base.mutable_runners();
+  runners->erase(
+      std::remove_if(runners->begin(), runners->end(),
+                     [&](const v1::RunnerEntry& entry) { return dropped.contains(entry.id()); }),
+      runners->end());
+  runners->MergeFrom(update.changed());
+  std::sort(runners->begin(), runners->end(), comesBefore);
+  base.set_version(update.version());
+  return base;
+}
+
+} // namespace workshatch::relay
--- /dev/null
+++ b/src/core/relay/runner_list_history.h
@@ -0,0 +1,40 @@
+/// @file
+/// Differences between the lists of runners that one leader told.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+
+#include "core/result.h"
+#include "workshatch/v1/relay.pb.h"
+
+namespace workshatch::relay {
+
+/// Remembers the newest lists and makes updates between them. Lists are sorted by id. Not safe for
+/// concurrent use.
+class RunnerListHistory {
+public:
+  void add(const v1::RunnerList& list);
+  /// Forgets everything: another term begins.
+  void clear();
+
+  /// @param base_version what the receiver holds
+  /// @return the update to the newest list, whole when the base is not remembered; valid until the
+  /// next `add` or `clear`.
+  const v1::RunnerListUpdate& updateFrom(uint64_t base_version);
+
+private:
+  const v1::RunnerList* find(uint64_t version) const;
+
+  /// By rising version.
+  std::deque<v1::RunnerList> lists_;
+  /// Updates to the newest list, by base version; zero: whole.
+  std::map<uint64_t, v1::RunnerListUpdate> updates_;
+};
+
+/// @param base the list that the receiver holds, sorted by id
+/// @return the list after the update, or an error when the update is for another base.
+Result<v1::RunnerList> applyUpdate(v1::RunnerList base, const v1::RunnerListUpdate& update);
+
+} // namespace workshatch::relay
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -4,6 +4,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "core/relay/runner_loads.h"
 #include "core/routing/rendezvous.h"
 
 namespace workshatch::relay {
@@ -56,19 +57,28 @@
   }
 }
 
+v1::RunnerList RunnerTable::list() const {
+  v1::RunnerList list;
+  list.set_version(list_version_);
+  for (const auto& runner : runners_) {
+    *list.add_runners() = runner->entry;
+  }
+  return list;
+}
+
 void RunnerTable::setSums(const v1::RunnerLoads& sums, const v1::RunnerLoads& reported,
                           int64_t now_ms) {
-  const bool fits = sums.list_version() == list_version_ &&
-                    static_cast<size_t>(sums.in_progress_size()) == runners_.size();
-  if (!fits) {
+  const auto totals =
+      sums.list_version() == list_version_ ? countsOf(sums, runners_.size()) : std::nullopt;
+  if (!totals) {
     return;
   }
   sums_at_ms_ = now_ms;
-  const bool own_known = reported.list_version() == list_version_ &&
-                         reported.in_progress_size() == sums.in_progress_size();
+  const auto owns =
+      reported.list_version() == list_version_ ? countsOf(reported, runners_.size()) : std::nullopt;
   for (size_t i = 0; i < runners_.size(); ++i) {
-    const uint32_t total = sums.in_progress(static_cast<int>(i));
-    const uint32_t own = own_known ? reported.in_progress(static_cast<int>(i)) : 0;
+    const uint32_t total = (*totals)[i];
+    const uint32_t own = owns ? (*owns)[i] : 0;
     runners_[i]->others_in_progress = total > own ? total - own : 0;
   }
   for (const uint32_t position : sums.suspects()) {
@@ -91,14 +101,17 @@
 v1::RunnerLoads RunnerTable::ownLoads(int64_t now_ms) const {
   v1::RunnerLoads loads;
   loads.set_list_version(list_version_);
+  std::vector<uint32_t> counts;
+  counts.reserve(runners_.size());
   for (size_t i = 0; i < runners_.size(); ++i) {
     const Runner& runner = *runners_[i];
-    loads.add_in_progress(runner.in_progress);
+    counts.push_back(runner.in_progress);
     const bool failing = runner.failures_in_row > 0 && runner.avoid_until_ms > now_ms;
     if (failing || isSilent(runner, now_ms)) {
       loads.add_suspects(static_cast<uint32_t>(i));
     }
   }
+  setCounts(loads, counts);
   return loads;
 }
 
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -83,7 +83,7 @@
   double cap_factor = 2;
   double cap_slack = 3;
   /// Sums of the other relays' loads count for this long.
-  int64_t sums_valid_ms = 1500;
+  int64_t sums_valid_ms = 2500;
   /// A runner with attempts in progress that sends nothing for so long is avoided: a model engine,
   /// which sends events all the time, and any other.
   int64_t silent_engine_ms = 500;
@@ -106,6 +106,8 @@
   /// Replaces the list; what is known of runners that stay is kept.
   void setList(const v1::RunnerList& list);
   uint64_t listVersion() const { return list_version_; }
+  /// The list in use.
+  v1::RunnerList list() const;
 
   /// Takes the sums over all relays, this one included, for the list that they name.
   /// @param reported what this relay had reported itself when the sums were made
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -19,6 +19,11 @@
 /// Sums of loads and the list of relays are made anew at most this often, so that a renewal costs
 /// the leader the same however many relays there are.
 constexpr int64_t kRefreshMs = 60;
+/// The list of relays goes to each of them: in a large fleet it is made anew less often.
+constexpr int64_t kRefreshMsForRelay = 3;
+constexpr int64_t kSumsBytesPerSecond = 2048;
+constexpr int64_t kMostBetweenSumsMs = 1000;
+constexpr int64_t kMsPerSecond = 1000;
 
 } // namespace
 
@@ -33,6 +38,10 @@
   sums_.Clear();
   refresh_due_ms_ = 0;
   runners_.begin(versions_, clock_.monotonicMs());
+  runner_history_.clear();
+  if (runners_.list().version() != 0) {
+    runner_history_.add(runners_.list());
+  }
 }
 
 void RelayHub::linkClosed(const std::string& relay, uint64_t incarnation) {
@@ -49,10 +58,10 @@
   v1::Frame frame;
   v1::LeaseReply& reply = *frame.mutable_lease();
   reply.set_sequence(renewal.sequence());
-  for (const std::string& member : replica_.memberAddresses()) {
-    reply.add_members(member);
-  }
   if (!replica_.leads()) {
+    for (const std::string& member : replica_.memberAddresses()) {
+      reply.add_members(member);
+    }
     reply.set_leader_address(replica_.leaderAddress());
     link->send(frame);
     return;
@@ -71,8 +80,8 @@
   if (joined) {
     line_log::write("relay_joined", {{"relay", renewal.name()}, {"address", renewal.address()}});
   }
-  if (joined || clock_.monotonicMs() >= refresh_due_ms_) {
-    refresh_due_ms_ = clock_.monotonicMs() + kRefreshMs;
+  if (clock_.monotonicMs() >= refresh_due_ms_) {
+    refresh_due_ms_ = clock_.monotonicMs() + refreshPeriodMs();
     dropSilent();
     refreshRelayList();
     sums_ = sumLoads();
@@ -92,28 +101,54 @@
   relay.sent.configuration = version;
 }
 
-void RelayHub::addRunners(Relay& relay, v1::LeaseReply& reply) const {
+int64_t RelayHub::refreshPeriodMs() const {
+  return std::max(kRefreshMs, static_cast<int64_t>(relays_.size()) * kRefreshMsForRelay);
+}
+
+void RelayHub::addMembers(Relay& relay, v1::LeaseReply& reply) const {
+  std::vector<std::string> members = replica_.memberAddresses();
+  if (members == relay.sent.members) {
+    return;
+  }
+  reply.mutable_members()->Assign(members.begin(), members.end());
+  relay.sent.members = std::move(members);
+}
+
+/// Sums of a large fleet are long; they are told less often, so that a relay's share of its link
+/// stays the same.
+void RelayHub::addSums(Relay& relay, v1::LeaseReply& reply) const {
+  const int64_t now = clock_.monotonicMs();
+  const bool known = sums_.list_version() != 0 && sums_.list_version() == runners_.list().version();
+  if (!known || now < relay.sent.sums_due_ms) {
+    return;
+  }
+  *reply.mutable_loads() = sums_;
+  const auto bytes = static_cast<int64_t>(sums_.ByteSizeLong());
+  relay.sent.sums_due_ms =
+      now + std::min(kMostBetweenSumsMs, bytes * kMsPerSecond / kSumsBytesPerSecond);
+}
+
+void RelayHub::addRunners(Relay& relay, v1::LeaseReply& reply) {
   const v1::RunnerList& list = runners_.list();
   if (list.version() == 0 || list.version() == relay.sent.runner_list) {
     return;
   }
-  *reply.mutable_runners() = list;
+  *reply.mutable_runners() = runner_history_.updateFrom(relay.sent.runner_list);
   relay.sent.runner_list = list.version();
 }
 
 /// Adds what the relay lacks. What is on its way on the relay's link is not sent again: a large
 /// configuration would fill the link of a slow relay with copies.
 void RelayHub::fillAnswer(Relay& relay, v1::LeaseReply& reply) {
+  addMembers(relay, reply);
   addConfiguration(relay, reply);
   addRunners(relay, reply);
+  addSums(relay, reply);
   const bool settled = replica_.leadingForMs() >= kSettleMs;
   if (settled && relay_list_.version() != relay.sent.relay_list) {
     *reply.mutable_relays() = relay_list_;
     relay.sent.relay_list = relay_list_.version();
   }
-  if (sums_.list_version() != 0 && sums_.list_version() == runners_.list().version()) {
-    *reply.mutable_loads() = sums_;
-  }
 }
 
 void RelayHub::dropSilent() {
@@ -146,7 +181,8 @@
 }
 
 v1::RunnerLoads RelayHub::sumLoads() const {
-  relay::LoadSums sums(runners_.list().version(), runners_.list().runners_size());
+  relay::LoadSums sums(runners_.list().version(),
+                       static_cast<size_t>(runners_.list().runners_size()));
   for (const auto& [name, relay] : relays_) {
     sums.add(relay.renewal.loads());
   }
@@ -162,6 +198,7 @@
   if (!runners_.readWhileLeading(std::move(list), versions_)) {
     return;
   }
+  runner_history_.add(runners_.list());
   line_log::write("runner_list", {{"version", runners_.list().version()},
                                   {"runners", runners_.list().runners_size()}});
   for (auto& [name, relay] : relays_) {
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -6,9 +6,11 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "adapters/link/framed_link.h"
 #include "core/relay/led_runner_list.h"
+#include "core/relay/runner_list_history.h"
 #include "daemon/configuration_transfer.h"
 #include "daemon/group/group_replica.h"
 #include "ports/clock.h"
@@ -44,6 +46,9 @@
     uint64_t configuration = 0;
     uint64_t runner_list = 0;
     uint64_t relay_list = 0;
+    std::vector<std::string> members;
+    /// When sums of loads may be sent again.
+    int64_t sums_due_ms = 0;
   };
   struct Relay {
     std::weak_ptr<link::FramedLink> link;
@@ -58,7 +63,10 @@
   v1::RunnerLoads sumLoads() const;
   void fillAnswer(Relay& relay, v1::LeaseReply& reply);
   void addConfiguration(Relay& relay, v1::LeaseReply& reply);
-  void addRunners(Relay& relay, v1::LeaseReply& reply) const;
+  void addRunners(Relay& relay, v1::LeaseReply& reply);
+  void addMembers(Relay& relay, v1::LeaseReply& reply) const;
+  void addSums(Relay& relay, v1::LeaseReply& reply) const;
+  int64_t refreshPeriodMs() const;
 
   GroupReplica& replica_;
   const Clock& clock_;
@@ -66,6 +74,7 @@
   ConfigurationSender configurations_;
   relay::LeaderVersions versions_;
   relay::LedRunnerList runners_;
+  relay::RunnerListHistory runner_history_;
   v1::RelayList relay_list_;
   /// Requests in progress by runner, over all relays.
   v1::RunnerLoads sums_;
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -13,6 +13,7 @@
 #include "adapters/logging/line_log.h"
 #include "adapters/metrics/text_format.h"
 #include "core/relay/list_period.h"
+#include "core/relay/runner_list_history.h"
 #include "daemon/relay/relay_run.h"
 
 namespace workshatch::daemon {
@@ -239,8 +240,9 @@
     control_.reconnect();
     return;
   }
-  if (reply.has_runners()) {
-    state_.runners.setList(reply.runners());
+  if (reply.has_runners() && !takeRunners(reply.runners())) {
+    control_.reconnect();
+    return;
   }
   if (reply.has_relays()) {
     relays_ = reply.relays();
@@ -257,6 +259,18 @@
   }
 }
 
+bool RelayRole::takeRunners(const v1::RunnerListUpdate& update) {
+  auto list = relay::applyUpdate(state_.runners.list(), update);
+  if (isError(list)) {
+    line_log::write("runner_list_update_unfit", {{"version", update.version()},
+                                                 {"base", update.base_version()},
+                                                 {"held", state_.runners.listVersion()}});
+    return false;
+  }
+  state_.runners.setList(std::get<v1::RunnerList>(list));
+  return true;
+}
+
 bool RelayRole::takeConfiguration(const v1::ConfigurationUpdate& update) {
   const Result<bool> taken = received_.take(update);
   if (isError(taken)) {
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -44,6 +44,7 @@
   v1::LeaseRenewal makeRenewal();
   void leaseReplied(const v1::LeaseReply& reply);
   /// @return false when the update does not fit what is held.
+  bool takeRunners(const v1::RunnerListUpdate& update);
   bool takeConfiguration(const v1::ConfigurationUpdate& update);
   void housekeep();
   bool ready() const;
--- /dev/null
+++ b/tests/unit/core/relay/runner_updates_test.cc
@@ -0,0 +1,89 @@
+/// @file
+/// What of the list of runners and of their loads travels between leader and relays.
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "core/relay/runner_list_history.h"
+#include "core/relay/runner_loads.h"
+#include "ports/seeded_random.h"
+
+namespace workshatch::test {
+
+namespace {
+
+v1::RunnerList listOf(uint64_t version, std::initializer_list<const char*> ids) {
+  v1::RunnerList list;
+  list.set_version(version);
+  for (const char* id : ids) {
+    list.add_runners()->set_id(id);
+  }
+  return list;
+}
+
+v1::RunnerList applied(const v1::RunnerList& base, const v1::RunnerListUpdate& update) {
+  const auto list = relay::applyUpdate(base, update);
+  REQUIRE_FALSE(isError(list));
+  return std::get<v1::RunnerList>(list);
+}
+
+} // namespace
+
+TEST_CASE("A relay that holds a remembered list is told what came, went and changed") {
+  relay::RunnerListHistory history;
+  const v1::RunnerList first = listOf(1, {"a", "b", "c", "d"});
+  v1::RunnerList second = listOf(2, {"a", "c", "d", "e"});
+  second.mutable_runners(2)->set_leaving(true);
+  history.add(first);
+  history.add(second);
+  const v1::RunnerListUpdate& update = history.updateFrom(1);
+  CHECK(update.removed_size() == 1);
+  CHECK(update.changed_size() == 2);
+  CHECK(applied(first, update).SerializeAsString() == second.SerializeAsString());
+  CHECK(history.updateFrom(2).changed_size() == 0);
+}
+
+TEST_CASE("A relay with an unknown list is told the whole list") {
+  relay::RunnerListHistory history;
+  const v1::RunnerList list = listOf(7, {"a", "b"});
+  history.add(list);
+  CHECK(applied(listOf(3, {"x"}), history.updateFrom(3)).SerializeAsString() ==
+        list.SerializeAsString());
+  history.clear();
+  history.add(listOf(9, {"a"}));
+  CHECK(history.updateFrom(7).base_version() == 0);
+}
+
+TEST_CASE("An update for another list is an error") {
+  relay::RunnerListHistory history;
+  history.add(listOf(1, {"a"}));
+  history.add(listOf(2, {"a", "b"}));
+  CHECK(isError(relay::applyUpdate(listOf(5, {"a"}), history.updateFrom(1))));
+}
+
+TEST_CASE("Counts arrive as they were written, few or many") {
+  SeededRandom random(3);
+  for (int i = 0; i < 500; ++i) {
+    std::vector<uint32_t> counts(random.below(40));
+    const uint64_t part = random.below(4);
+    for (uint32_t& count : counts) {
+      count = random.below(4) < part ? static_cast<uint32_t>(random.below(300)) : 0;
+    }
+    v1::RunnerLoads loads;
+    relay::setCounts(loads, counts);
+    CHECK(relay::countsOf(loads, counts.size()) == counts);
+  }
+}
+
+TEST_CASE("A report of a large fleet names only the runners with work") {
+  std::vector<uint32_t> counts(3000, 0);
+  counts[17] = 2;
+  counts[2999] = 1;
+  v1::RunnerLoads loads;
+  relay::setCounts(loads, counts);
+  CHECK(loads.ByteSizeLong() < 20);
+  CHECK(relay::countsOf(loads, 3000) == counts);
+  CHECK_FALSE(relay::countsOf(loads, 2999));
+}
+
+} // namespace workshatch::test
--- a/tests/unit/daemon/relay/relay_role_test.cc
+++ b/tests/unit/daemon/relay/relay_role_test.cc
@@ -71,7 +71,7 @@
     configurations_.add(daemon::packConfiguration(1, "any"));
     *reply.mutable_configuration() = configurations_.updateFrom(renewal.configuration_version());
     reply.mutable_runners()->set_version(1);
-    v1::RunnerEntry* runner = reply.mutable_runners()->add_runners();
+    v1::RunnerEntry* runner = reply.mutable_runners()->add_changed();
     runner->set_id("runner-1");
     runner->set_service("s");
     runner->set_address(runner_address_);
