Long lists travel compressed; relays that just started leave the platform's rate to the group

Besides, the list of relays (9 KB) went to each of them uncompressed. Change: a relay without a first lease waits 4 s before it reads by itself and takes at least ten relays for readers; long lists of runners and the list of relays are compressed once for all. Tests: runner_updates_test (long list, damaged list).

--- a/src/adapters/compression/deflate.cc
+++ b/src/core/compression/deflate.cc
@@ -1,4 +1,4 @@
-#include "adapters/compression/deflate.h"
+#include "core/compression/deflate.h"
 
 #include <zlib.h>
 
@@ -37,4 +37,17 @@
   return out;
 }
 
+v1::Compressed packMessage(const google::protobuf::MessageLite& message) {
+  const std::string bytes = message.SerializeAsString();
+  v1::Compressed packed;
+  packed.set_data(deflate(bytes));
+  packed.set_message_bytes(bytes.size());
+  return packed;
+}
+
+bool unpackMessage(const v1::Compressed& packed, google::protobuf::MessageLite& message) {
+  const Result<std::string> bytes = inflate(packed.data(), packed.message_bytes());
+  return !isError(bytes) && message.ParseFromString(std::get<std::string>(bytes));
+}
+
 } // namespace workshatch::compression
--- a/src/adapters/compression/deflate.h
+++ b/src/core/compression/deflate.h
@@ -6,7 +6,10 @@
 #include <string>
 #include <string_view>
 
+#include <google/protobuf/message_lite.h>
+
 #include "core/result.h"
+#include "workshatch/v1/relay.pb.h"
 
 namespace workshatch::compression {
 
@@ -17,4 +20,10 @@
 /// @return the bytes, or an error when the input is no whole zlib stream of that size.
 Result<std::string> inflate(std::string_view bytes, size_t bytes_out);
 
+/// @return the message, compressed.
+v1::Compressed packMessage(const google::protobuf::MessageLite& message);
+
+/// @return whether `message` now holds what was packed.
+bool unpackMessage(const v1::Compressed& packed, google::protobuf::MessageLite& message);
+
 } // namespace workshatch::compression
--- a/src/core/relay/runner_list_history.cc
+++ b/src/core/relay/runner_list_history.cc
@@ -7,11 +7,15 @@
 
 #include <google/protobuf/util/message_differencer.h>
 
+#include "core/compression/deflate.h"
+
 namespace workshatch::relay {
 
 namespace {
 
 constexpr size_t kMostLists = 8;
+/// Entries from which an update is compressed.
+constexpr int kLongUpdate = 20;
 
 bool comesBefore(const v1::RunnerEntry& left, const v1::RunnerEntry& right) {
   return left.id() < right.id();
@@ -45,6 +49,15 @@
   return update;
 }
 
+void compressLong(v1::RunnerListUpdate& update) {
+  if (update.changed_size() < kLongUpdate) {
+    return;
+  }
+  v1::RunnerList changed;
+  changed.mutable_runners()->Swap(update.mutable_changed());
+  *update.mutable_more_changed() = compression::packMessage(changed);
+}
+
 } // namespace
 
 void RunnerListHistory::add(const v1::RunnerList& list) {
@@ -75,6 +88,7 @@
     update = differenceOf(base == nullptr ? v1::RunnerList() : *base, lists_.back());
     update.set_version(lists_.back().version());
     update.set_base_version(known_base);
+    compressLong(update);
   }
   return update;
 }
@@ -85,8 +99,13 @@
   } else if (base.version() != update.base_version()) {
     return Error{"the update is for another list"};
   }
+  v1::RunnerList changed;
+  if (update.has_more_changed() && !compression::unpackMessage(update.more_changed(), changed)) {
+    return Error{"the update is damaged"};
+  }
+  changed.mutable_runners()->MergeFrom(update.changed());
   std::set<std::string> dropped(update.removed().begin(), update.removed().end());
-  for (const v1::RunnerEntry& entry : update.changed()) {
+  for (const v1::RunnerEntry& entry : changed.runners()) {
     dropped.insert(entry.id());
   }
   auto* runners = base.mutable_runners();
@@ -94,7 +113,7 @@
       std::remove_if(runners->begin(), runners->end(),
                      [&](const v1::RunnerEntry& entry) { return dropped.contains(entry.id()); }),
       runners->end());
-  runners->MergeFrom(update.changed());
+  runners->MergeFrom(changed.runners());
   std::sort(runners->begin(), runners->end(), comesBefore);
   base.set_version(update.version());
   return base;
--- a/src/daemon/configuration_transfer.cc
+++ b/src/daemon/configuration_transfer.cc
@@ -4,7 +4,7 @@
 #include <string_view>
 #include <utility>
 
-#include "adapters/compression/deflate.h"
+#include "core/compression/deflate.h"
 #include "core/check.h"
 #include "core/relay/text_patch.h"
 
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -6,6 +6,7 @@
 #include <google/protobuf/util/message_differencer.h>
 
 #include "adapters/logging/line_log.h"
+#include "core/compression/deflate.h"
 #include "core/relay/load_sums.h"
 
 namespace workshatch::daemon {
@@ -35,6 +36,7 @@
   versions_.begin(replica_.term());
   relays_.clear();
   relay_list_.Clear();
+  packed_relay_list_ = compression::packMessage(relay_list_);
   sums_.Clear();
   refresh_due_ms_ = 0;
   runners_.begin(versions_, clock_.monotonicMs());
@@ -146,7 +148,7 @@
   addSums(relay, reply);
   const bool settled = replica_.leadingForMs() >= kSettleMs;
   if (settled && relay_list_.version() != relay.sent.relay_list) {
-    *reply.mutable_relays() = relay_list_;
+    *reply.mutable_relays() = packed_relay_list_;
     relay.sent.relay_list = relay_list_.version();
   }
 }
@@ -178,6 +180,7 @@
   }
   list.set_version(versions_.next());
   relay_list_ = std::move(list);
+  packed_relay_list_ = compression::packMessage(relay_list_);
 }
 
 v1::RunnerLoads RelayHub::sumLoads() const {
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -76,6 +76,8 @@
   relay::LedRunnerList runners_;
   relay::RunnerListHistory runner_history_;
   v1::RelayList relay_list_;
+  /// `relay_list_` as it is sent.
+  v1::Compressed packed_relay_list_;
   /// Requests in progress by runner, over all relays.
   v1::RunnerLoads sums_;
   int64_t refresh_due_ms_ = 0;
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -12,6 +12,7 @@
 #include "adapters/http/problem.h"
 #include "adapters/logging/line_log.h"
 #include "adapters/metrics/text_format.h"
+#include "core/compression/deflate.h"
 #include "core/relay/list_period.h"
 #include "core/relay/runner_list_history.h"
 #include "daemon/relay/relay_run.h"
@@ -26,7 +27,10 @@
 constexpr std::chrono::milliseconds kHousekeepingPeriod{50};
 /// The group counts as silent after this; the relay then reads the list of runners itself.
 constexpr int64_t kGroupSilentMs = 1500;
+constexpr int64_t kGroupSilentAtStartMs = 4000;
 constexpr int64_t kOwnListStepMs = 1000;
+/// Relays are taken to be at least so many.
+constexpr size_t kReadersAssumed = 10;
 /// Relays that read the list at the same time spread their calls over this.
 constexpr uint64_t kOwnListJitterMs = 400;
 /// Callers of a zone stay in it while so many relays there are ready.
@@ -91,6 +95,7 @@
       return errorOf(listening);
     }
   }
+  group_heard_ms_ = clock_.monotonicMs();
   control_.start();
   housekeep();
   asio::co_spawn(context_, readRunnersWithoutGroup(), asio::detached);
@@ -244,8 +249,7 @@
     control_.reconnect();
     return;
   }
-  if (reply.has_relays()) {
-    relays_ = reply.relays();
+  if (reply.has_relays() && compression::unpackMessage(reply.relays(), relays_)) {
     state_.budget.setRelays(static_cast<size_t>(relays_.relays_size()));
   }
   if (reply.has_loads()) {
@@ -306,13 +310,15 @@
     timer.expires_after(std::chrono::milliseconds(kOwnListStepMs + jitter_ms));
     co_await timer.async_wait(kAwait);
     const int64_t now = clock_.monotonicMs();
+    // A relay that does not know how many there are leaves the rate to the group for longer.
+    const int64_t silent_ms = state_.lease.everConfirmed() ? kGroupSilentMs : kGroupSilentAtStartMs;
     // Without the group all relays read: together they keep to the platform's rate.
-    const int64_t period_ms = relay::listPeriodMs(
-        relay::ListReading{.pages = reader_.pages(),
-                           .readers = std::max<size_t>(relays_.relays().size(), 1),
-                           .calls_per_s = settings_.runner_list_calls,
-                           .wanted_ms = kOwnListStepMs});
-    if (now - group_heard_ms_ < kGroupSilentMs || now - own_list_read_ms_ < period_ms) {
+    const int64_t period_ms = relay::listPeriodMs(relay::ListReading{
+        .pages = reader_.pages(),
+        .readers = std::max<size_t>(static_cast<size_t>(relays_.relays_size()), kReadersAssumed),
+        .calls_per_s = settings_.runner_list_calls,
+        .wanted_ms = kOwnListStepMs});
+    if (now - group_heard_ms_ < silent_ms || now - own_list_read_ms_ < period_ms) {
       continue;
     }
     own_list_read_ms_ = now;
--- a/tests/unit/core/relay/runner_updates_test.cc
+++ b/tests/unit/core/relay/runner_updates_test.cc
@@ -54,6 +54,26 @@
   CHECK(history.updateFrom(7).base_version() == 0);
 }
 
+TEST_CASE("A long list travels compressed") {
+  relay::RunnerListHistory history;
+  v1::RunnerList list;
+  list.set_version(4);
+  for (int i = 100; i < 400; ++i) {
+    v1::RunnerEntry* entry = list.add_runners();
+    entry->set_id("runner-" + std::to_string(i));
+    entry->set_service("model-pool");
+    entry->set_address("10.128.1.2:" + std::to_string(8000 + i));
+    entry->set_zone("zone-a");
+  }
+  history.add(list);
+  const v1::RunnerListUpdate& update = history.updateFrom(0);
+  CHECK(update.ByteSizeLong() < list.ByteSizeLong() / 3);
+  CHECK(applied({}, update).SerializeAsString() == list.SerializeAsString());
+  v1::RunnerListUpdate damaged = update;
+  damaged.mutable_more_changed()->mutable_data()->pop_back();
+  CHECK(isError(relay::applyUpdate({}, damaged)));
+}
+
 TEST_CASE("An update for another list is an error") {
   relay::RunnerListHistory history;
   history.add(listOf(1, {"a"}));
