--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -13,8 +13,12 @@
 
 namespace {
 
-/// A relay that renews nothing for so long leaves the list.
-constexpr int64_t kSilentMs = 900;
+/// A relay that renews nothing for so many periods leaves the list.
+constexpr double kSilentPeriods = 3.6;
+/// Relays renew this often; in a large fleet less often, so that all together cost the leader the
+/// same.
+constexpr int64_t kRenewMs = 250;
+constexpr int64_t kRenewMsForRelay = 3;
 /// A new leader tells no list of relays before all had time to renew.
 constexpr int64_t kSettleMs = 1000;
 /// Sums of loads and the list of relays are made anew at most this often, so that a renewal costs
@@ -89,6 +93,7 @@
     sums_ = sumLoads();
   }
   reply.set_confirmed(true);
+  reply.set_renew_period_ms(static_cast<uint32_t>(renewPeriodMs()));
   fillAnswer(relay, reply);
   link->send(frame);
 }
@@ -107,6 +112,10 @@
   return std::max(kRefreshMs, static_cast<int64_t>(relays_.size()) * kRefreshMsForRelay);
 }
 
+int64_t RelayHub::renewPeriodMs() const {
+  return std::max(kRenewMs, static_cast<int64_t>(relays_.size()) * kRenewMsForRelay);
+}
+
 void RelayHub::addMembers(Relay& relay, v1::LeaseReply& reply) const {
   std::vector<std::string> members = replica_.memberAddresses();
   if (members == relay.sent.members) {
@@ -154,7 +163,9 @@
 }
 
 void RelayHub::dropSilent() {
-  const int64_t oldest = clock_.monotonicMs() - kSilentMs;
+  const auto silent_ms =
+      static_cast<int64_t>(kSilentPeriods * static_cast<double>(renewPeriodMs()));
+  const int64_t oldest = clock_.monotonicMs() - silent_ms;
   std::erase_if(relays_, [&](const auto& entry) {
     const bool silent = entry.second.renewed_at_ms < oldest;
     if (silent) {
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -67,6 +67,7 @@
   void addMembers(Relay& relay, v1::LeaseReply& reply) const;
   void addSums(Relay& relay, v1::LeaseReply& reply) const;
   int64_t refreshPeriodMs() const;
+  int64_t renewPeriodMs() const;
 
   GroupReplica& replica_;
   const Clock& clock_;
--- a/src/daemon/relay/control_link.cc
+++ b/src/daemon/relay/control_link.cc
@@ -10,12 +10,14 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kRenewPeriod{250};
 /// Without a confirmed lease the leader is sought more often.
 constexpr std::chrono::milliseconds kSeekPeriod{80};
 constexpr std::chrono::milliseconds kDialLimit{350};
-/// A link on which nothing comes for so long is given up.
+/// A link on which nothing comes for so long, or for so many periods, is given up.
 constexpr int64_t kSilentMs = 800;
+constexpr int64_t kSilentPeriods = 3;
+/// The longest period that a leader may ask for, so that a lease outlives two of them.
+constexpr std::chrono::milliseconds kMostPeriod{1200};
 /// Attempts to reach a replica between two steps.
 constexpr uint32_t kDialsPerStep = 3;
 /// A replica that knows no leader is left after so many answers.
@@ -45,7 +47,7 @@
 }
 
 void ControlLink::schedule() {
-  timer_.expires_after(confirmed_ ? kRenewPeriod : kSeekPeriod);
+  timer_.expires_after(confirmed_ ? renew_period_ : kSeekPeriod);
   timer_.async_wait([this](boost::system::error_code failure) {
     if (failure) {
       return;
@@ -64,7 +66,8 @@
     return;
   }
   noteBytes();
-  if (clock_.monotonicMs() - heard_at_ms_ > kSilentMs) {
+  const int64_t silent_ms = std::max(kSilentMs, kSilentPeriods * renew_period_.count());
+  if (clock_.monotonicMs() - heard_at_ms_ > silent_ms) {
     drop("silent");
     dialNext();
     return;
@@ -161,6 +164,9 @@
   if (reply.sequence() == 0 || reply.confirmed()) {
     unconfirmed_ = 0;
     confirmed_ = true;
+    if (reply.renew_period_ms() != 0) {
+      renew_period_ = std::min(std::chrono::milliseconds(reply.renew_period_ms()), kMostPeriod);
+    }
     on_reply_(reply);
     return;
   }
--- a/src/daemon/relay/control_link.h
+++ b/src/daemon/relay/control_link.h
@@ -2,6 +2,7 @@
 /// A relay's link to the leader of the group.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -57,6 +58,8 @@
   link::LinkDialer dialer_;
   bool dialing_ = false;
   std::shared_ptr<link::FramedLink> link_;
+  /// As the leader told it last.
+  std::chrono::milliseconds renew_period_{250};
   std::string link_address_;
   std::string hinted_leader_;
   size_t candidate_ = 0;
