--- a/src/core/raft/raft_replication.cc
+++ b/src/core/raft/raft_replication.cc
@@ -32,8 +32,8 @@
   ++round_;
   round_ticks_[round_] = now_;
   for (const auto& [peer, progress] : progress_) {
-    // Entries under way are not sent again: a follower that lacks them rejects this heartbeat, which
-    // names the last of them.
+    // Entries under way are not sent again: a follower that lacks them rejects this heartbeat,
+    // which names the last of them.
     sendAppend(peer, true);
   }
   confirmReads();
--- a/src/core/relay/runner_list_history.cc
+++ b/src/core/relay/runner_list_history.cc
@@ -5,8 +5,6 @@
 #include <string>
 #include <utility>
 
-#include <google/protobuf/util/message_differencer.h>
-
 #include "core/compression/deflate.h"
 
 namespace workshatch::relay {
@@ -21,8 +19,11 @@
   return left.id() < right.id();
 }
 
+/// Field by field: comparing by reflection takes a leader of thousands of runners too long.
 bool sameEntry(const v1::RunnerEntry& left, const v1::RunnerEntry& right) {
-  return google::protobuf::util::MessageDifferencer::Equals(left, right);
+  return left.id() == right.id() && left.leaving() == right.leaving() &&
+         left.slots() == right.slots() && left.address() == right.address() &&
+         left.service() == right.service() && left.zone() == right.zone();
 }
 
 /// Both lists are sorted by id.
--- a/src/core/relay/serving_lease.h
+++ b/src/core/relay/serving_lease.h
@@ -41,6 +41,9 @@
 
   bool holds(int64_t now_ms) const { return ever_confirmed_ && ageMs(now_ms) < length_ms_; }
 
+  /// @return whether the last confirmation is so new that what it did not bring does not exist.
+  bool isFresh(int64_t now_ms) const { return holds(now_ms) && ageMs(now_ms) <= kFreshMs; }
+
   /// Milliseconds since the sending of the newest confirmed renewal; -1 before the first.
   int64_t ageMs(int64_t now_ms) const { return ever_confirmed_ ? now_ms - confirmed_sent_ms_ : -1; }
 
@@ -48,6 +51,8 @@
 
 private:
   static constexpr size_t kMostOutstanding = 64;
+  /// Longer than the longest period of renewals, shorter than a change may take to be in force.
+  static constexpr int64_t kFreshMs = 1800;
 
   int64_t length_ms_;
   uint64_t sequence_ = 0;
--- a/src/daemon/configuration_transfer.cc
+++ b/src/daemon/configuration_transfer.cc
@@ -4,8 +4,8 @@
 #include <string_view>
 #include <utility>
 
-#include "core/compression/deflate.h"
 #include "core/check.h"
+#include "core/compression/deflate.h"
 #include "core/relay/text_patch.h"
 
 namespace workshatch::daemon {
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -133,8 +133,9 @@
   relayed.route =
       state.routes->findRoute(http::viewOf(request[http::Field::host]), http::pathOf(target));
   const bool lease_holds = state.lease.holds(relayed.received_ms);
-  // Without a lease the configuration may be old: what it lacks may have been added since.
-  if (relayed.route == nullptr && lease_holds) {
+  const bool lease_is_fresh = state.lease.isFresh(relayed.received_ms);
+  // With an older lease the configuration may be old: what it lacks may have been added since.
+  if (relayed.route == nullptr && lease_is_fresh) {
     return refusal(http::Status::not_found, "no_route", "no route for this host and path", id);
   }
   const bool needs_key = !state.routes->configuration().tenants.empty() &&
@@ -145,6 +146,10 @@
   }
   if (needs_key) {
     relayed.tenant = state.routes->findTenant(http::fieldOf(request, names.key).value_or(""));
+    if (relayed.tenant == nullptr && !lease_is_fresh) {
+      return refusal(http::Status::service_unavailable, "no_lease",
+                     "this relay has lost touch with the group", id, kRetryWithoutLeaseMs);
+    }
     if (relayed.tenant == nullptr) {
       return refusal(http::Status::unauthorized, "unknown_key", "the key is not known", id);
     }
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -183,11 +183,15 @@
 
   /// Sends a request for path `/` and returns everything that comes until the connection ends.
   std::string ask(const std::string& id, const std::string& more_headers = "") const {
+    return send(requestText(id, more_headers));
+  }
+  /// As `ask`, with the whole request given.
+  std::string send(const std::string& request) const {
     boost::asio::io_context context;
     boost::asio::ip::tcp::socket socket(context);
     socket.connect(*http::parseEndpoint(address_));
     boost::system::error_code failure;
-    boost::asio::write(socket, boost::asio::buffer(requestText(id, more_headers)), failure);
+    boost::asio::write(socket, boost::asio::buffer(request), failure);
     std::string answer;
     boost::asio::read(socket, boost::asio::dynamic_buffer(answer), failure);
     return answer;
--- a/tests/unit/daemon/relay/relay_run_test.cc
+++ b/tests/unit/daemon/relay/relay_run_test.cc
@@ -223,4 +223,25 @@
   CHECK(runner.requests() == 0);
 }
 
+TEST_CASE("A relay that was out of touch for a while serves what it knows and denies nothing") {
+  ScriptedRunner runner([](auto& socket, const auto&) { say(socket, signedAnswer("q1", "done")); });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", runner.address());
+  const int64_t length_ms = 60'000;
+  const int64_t age_ms = 5'000;
+  relay::ServingLease lease(length_ms);
+  lease.confirmed(lease.renewalSent(SystemClock().monotonicMs() - age_ms));
+  relay.state().lease = lease;
+  relay.start();
+  CHECK(relay.ask("q1").starts_with("HTTP/1.1 200"));
+  const std::string unknown_key = "W-Key: key-9\r\n";
+  std::string request = TestRelay::requestText("q2");
+  request.replace(request.find("W-Key: key-1\r\n"), unknown_key.size(), unknown_key);
+  CHECK(relay.send(request).starts_with("HTTP/1.1 503"));
+  std::string elsewhere = TestRelay::requestText("q3");
+  elsewhere.replace(elsewhere.find("h.example"), 9, "x.example");
+  CHECK(relay.send(elsewhere).starts_with("HTTP/1.1 503"));
+  CHECK(runner.requests() == 1);
+}
+
 } // namespace workshatch::test
