--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -12,6 +12,7 @@
 #include "adapters/logging/line_log.h"
 #include "adapters/metrics/text_format.h"
 #include "core/relay/list_period.h"
+#include "daemon/group/operator_server.h"
 
 namespace workshatch::daemon {
 
@@ -23,11 +24,8 @@
 constexpr int64_t kListPeriodMs = 400;
 /// How soon a new leader begins to read.
 constexpr std::chrono::milliseconds kListStep{80};
-constexpr std::chrono::milliseconds kLogPeriod{50};
 /// Time for the last messages of a replica that hands over.
 constexpr std::chrono::milliseconds kHandOverTime{600};
-constexpr uint32_t kOperatorBodyBytes = 16U * 1024 * 1024;
-constexpr std::chrono::milliseconds kOperatorReadLimit{10'000};
 
 GroupOptions groupOptions(const settings::RelaySettings& settings, const std::string& own) {
   GroupOptions options;
@@ -38,18 +36,6 @@
   return options;
 }
 
-http::ServerLimits operatorLimits() {
-  http::ServerLimits limits;
-  limits.body_bytes = kOperatorBodyBytes;
-  limits.read_timeout = kOperatorReadLimit;
-  return limits;
-}
-
-http::Response refuseOperator(http::Status status, const std::string& reason) {
-  return http::makeProblem(
-      http::Problem{.status = status, .code = "bad_request", .detail = reason});
-}
-
 } // namespace
 
 GroupRole::GroupRole(settings::RelaySettings settings, WorkerPool& workers, const Clock& clock,
@@ -70,7 +56,7 @@
       metrics_server_(
           workers, operatorLimits(),
           [this](http::Exchange& exchange) { return tellMetrics(exchange); }, refuseOperator),
-      log_timer_(context_), stop_timer_(context_) {}
+      log_flusher_(context_), stop_timer_(context_) {}
 
 Result<std::monostate> GroupRole::start() {
   replica_.onHelloWanted([this](const std::string& address, v1::ReplicaHello hello) {
@@ -102,7 +88,7 @@
     }
   }
   asio::co_spawn(context_, readRunnerLists(), asio::detached);
-  flushLog();
+  log_flusher_.start();
   return std::monostate{};
 }
 
@@ -197,16 +183,6 @@
   co_await exchange.respond(std::move(response));
 }
 
-void GroupRole::flushLog() {
-  line_log::flush();
-  log_timer_.expires_after(kLogPeriod);
-  log_timer_.async_wait([this](boost::system::error_code failure) {
-    if (!failure) {
-      flushLog();
-    }
-  });
-}
-
 void GroupRole::reload(const settings::RelaySettings& settings) {
   replica_.setSeeds(settings.seedLinks());
 }
--- a/src/daemon/group/group_role.h
+++ b/src/daemon/group/group_role.h
@@ -12,6 +12,7 @@
 #include "adapters/http/http_server.h"
 #include "adapters/link/framed_link.h"
 #include "adapters/link/link_pool.h"
+#include "adapters/logging/log_flusher.h"
 #include "adapters/settings/relay_settings.h"
 #include "adapters/worker_pool.h"
 #include "daemon/group/group_replica.h"
@@ -40,7 +41,6 @@
   void frameReceived(const std::shared_ptr<link::FramedLink>& link, const v1::Frame& frame);
   http::awaitable<void> readRunnerLists();
   http::awaitable<void> tellMetrics(http::Exchange& exchange);
-  void flushLog();
 
   const settings::RelaySettings settings_;
   const Clock& clock_;
@@ -57,7 +57,7 @@
   link::LinkListener listener_;
   http::Server operator_server_;
   http::Server metrics_server_;
-  boost::asio::steady_timer log_timer_;
+  LogFlusher log_flusher_;
   boost::asio::steady_timer stop_timer_;
 };
 
--- /dev/null
+++ b/src/daemon/group/operator_server.h
@@ -0,0 +1,30 @@
+/// @file
+/// What the servers for operators have in common.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "adapters/http/http_server.h"
+#include "adapters/http/problem.h"
+
+namespace workshatch::daemon {
+
+/// Limits for operators: a whole configuration in one request, sent from anywhere.
+inline http::ServerLimits operatorLimits() {
+  constexpr uint64_t kBodyBytes = uint64_t{16} * 1024 * 1024;
+  constexpr std::chrono::milliseconds kReadLimit{10'000};
+  http::ServerLimits limits;
+  limits.body_bytes = kBodyBytes;
+  limits.read_timeout = kReadLimit;
+  return limits;
+}
+
+/// The answer to a request that the server itself refuses.
+inline http::Response refuseOperator(http::Status status, const std::string& reason) {
+  return http::makeProblem(
+      http::Problem{.status = status, .code = "bad_request", .detail = reason});
+}
+
+} // namespace workshatch::daemon
--- a/src/daemon/group/redirect_role.cc
+++ b/src/daemon/group/redirect_role.cc
@@ -1,30 +1,17 @@
 #include "daemon/group/redirect_role.h"
 
-#include <chrono>
 #include <utility>
 
 #include "adapters/http/problem.h"
 #include "adapters/logging/line_log.h"
+#include "daemon/group/operator_server.h"
 
 namespace workshatch::daemon {
 
 namespace {
 
-constexpr std::chrono::milliseconds kLogPeriod{50};
-constexpr uint32_t kOperatorBodyBytes = 16U * 1024 * 1024;
 constexpr uint32_t kRetryAfterMs = 200;
 
-http::ServerLimits operatorLimits() {
-  http::ServerLimits limits;
-  limits.body_bytes = kOperatorBodyBytes;
-  return limits;
-}
-
-http::Response refuseOperator(http::Status status, const std::string& reason) {
-  return http::makeProblem(
-      http::Problem{.status = status, .code = "bad_request", .detail = reason});
-}
-
 } // namespace
 
 RedirectRole::RedirectRole(settings::RelaySettings settings, WorkerPool& workers)
@@ -32,7 +19,7 @@
       operator_server_(
           workers, operatorLimits(), [this](http::Exchange& exchange) { return handle(exchange); },
           refuseOperator),
-      log_timer_(workers.context(0)) {}
+      log_flusher_(workers.context(0)) {}
 
 Result<std::monostate> RedirectRole::start() {
   auto serving = operator_server_.listen(settings_.operator_address);
@@ -40,7 +27,7 @@
     return errorOf(serving);
   }
   line_log::write("operators_redirected", {{"seeds", settings_.seeds}});
-  flushLog();
+  log_flusher_.start();
   return std::monostate{};
 }
 
@@ -71,16 +58,6 @@
   co_await exchange.respond(std::move(response));
 }
 
-void RedirectRole::flushLog() {
-  line_log::flush();
-  log_timer_.expires_after(kLogPeriod);
-  log_timer_.async_wait([this](boost::system::error_code failure) {
-    if (!failure) {
-      flushLog();
-    }
-  });
-}
-
 void RedirectRole::reload(const settings::RelaySettings& settings) {
   settings_.seeds = settings.seeds;
 }
--- a/src/daemon/group/redirect_role.h
+++ b/src/daemon/group/redirect_role.h
@@ -6,9 +6,8 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "adapters/http/http_server.h"
+#include "adapters/logging/log_flusher.h"
 #include "adapters/settings/relay_settings.h"
 #include "adapters/worker_pool.h"
 #include "daemon/role.h"
@@ -29,12 +28,11 @@
   http::awaitable<void> handle(http::Exchange& exchange);
   /// The next seed that isn't this machine; empty: there is none.
   std::string nextSeed();
-  void flushLog();
 
   settings::RelaySettings settings_;
   size_t next_seed_ = 0;
   http::Server operator_server_;
-  boost::asio::steady_timer log_timer_;
+  LogFlusher log_flusher_;
 };
 
 } // namespace workshatch::daemon
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -75,7 +75,7 @@
       metrics_server_(
           workers, smallLimits(),
           [this](http::Exchange& exchange) { return tellMetrics(exchange); }, refuseCaller),
-      housekeeping_(context_) {}
+      housekeeping_(context_), log_flusher_(context_) {}
 
 Result<std::monostate> RelayRole::start() {
   struct Listener {
@@ -97,6 +97,7 @@
   }
   group_heard_ms_ = clock_.monotonicMs();
   control_.start();
+  log_flusher_.start();
   housekeep();
   asio::co_spawn(context_, readRunnersWithoutGroup(), asio::detached);
   return std::monostate{};
@@ -333,7 +334,6 @@
 }
 
 void RelayRole::housekeep() {
-  line_log::flush();
   state_.connections.dropExpired();
   housekeeping_.expires_after(kHousekeepingPeriod);
   housekeeping_.async_wait([this](boost::system::error_code failure) {
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "adapters/http/http_server.h"
+#include "adapters/logging/log_flusher.h"
 #include "adapters/settings/relay_settings.h"
 #include "adapters/worker_pool.h"
 #include "daemon/configuration_transfer.h"
@@ -71,6 +72,7 @@
   http::Server resolve_server_;
   http::Server metrics_server_;
   boost::asio::steady_timer housekeeping_;
+  LogFlusher log_flusher_;
 };
 
 } // namespace workshatch::daemon
