Mending after a reading of the whole change: what stood twice is one

Cause: the change had written again what the project had, or had it twice itself. Found by reading the diff; behaviour stays as it was, but that the metrics server of a group replica takes 4 KB of body in place of 16 MB, as the relay's does. Change: the routers' metrics use metrics/text_format, and the content type has one name; order and equality of runner entries (relay/runner_entry.h) serve the leader's list and its history, so the whole list is compared field by field too; limits and refusals of servers stand in daemon/server_limits.h; the hub has one push and one rule for periods; own loads of pools are summed at one place; a silent router's record is looked up once; one refusal for relays out of touch. Ruled out as not worth it now: StoredConfiguration and ConfigurationUpdate carry compressed bytes and sizes beside the message Compressed; to use it there changes the stored format and four tests.

--- a/src/adapters/metrics/router_stats.cc
+++ b/src/adapters/metrics/router_stats.cc
@@ -2,21 +2,14 @@
 
 #include <algorithm>
 
+#include "adapters/metrics/text_format.h"
+
 namespace workshatch::metrics {
 
 namespace {
 
 constexpr double kMicrosPerSecond = 1e6;
 
-std::string header(const std::string& name, const std::string& help, const std::string& type) {
-  return "# HELP workshatch_" + name + " " + help + "\n# TYPE workshatch_" + name + " " + type +
-         "\n";
-}
-
-std::string exposeCounter(const std::string& name, const std::string& help, uint64_t value) {
-  return header(name, help, "counter") + "workshatch_" + name + " " + std::to_string(value) + "\n";
-}
-
 std::string seconds(uint64_t microseconds) {
   return std::to_string(static_cast<double>(microseconds) / kMicrosPerSecond);
 }
@@ -30,8 +23,8 @@
 }
 
 std::string LatencyHistogram::expose(const std::string& name, const std::string& help) const {
-  std::string text = header(name, help, "histogram");
-  const std::string full = "workshatch_" + name;
+  std::string text;
+  const std::string full = beginMetric(text, name, help, "histogram");
   uint64_t cumulative = 0;
   for (size_t i = 0; i < counts_.size(); ++i) {
     cumulative += counts_[i].load();
@@ -46,7 +39,7 @@
 std::string RouterStats::expose() const {
   std::string text;
 // NOLINTNEXTLINE(cppcoreguidelines-macro-usage)
-#define WORKSHATCH_EXPOSE(name, help) text += exposeCounter(#name, help, name.load());
+#define WORKSHATCH_EXPOSE(name, help) exposeCounter(text, #name, help, name.load());
   WORKSHATCH_ROUTER_COUNTERS(WORKSHATCH_EXPOSE)
 #undef WORKSHATCH_EXPOSE
   text += decision_latency.expose("decision_seconds", "time from request to chosen engine");
@@ -54,7 +47,9 @@
 }
 
 std::string exposeGauge(const std::string& name, const std::string& help, uint64_t value) {
-  return header(name, help, "gauge") + "workshatch_" + name + " " + std::to_string(value) + "\n";
+  std::string text;
+  exposeGauge(text, name, help, static_cast<int64_t>(value));
+  return text;
 }
 
 } // namespace workshatch::metrics
--- a/src/adapters/metrics/text_format.cc
+++ b/src/adapters/metrics/text_format.cc
@@ -9,14 +9,6 @@
 
 constexpr const char* kPrefix = "workshatch_";
 
-/// @return the metric's full name.
-std::string beginMetric(std::string& out, const std::string& name, const std::string& help,
-                        const std::string& type) {
-  std::string full = kPrefix + name;
-  out += "# HELP " + full + " " + help + "\n# TYPE " + full + " " + type + "\n";
-  return full;
-}
-
 void appendLabelled(std::string& out, const std::string& full, const std::string& label,
                     const LabelledCounts& values) {
   for (const auto& [value, count] : values) {
@@ -26,6 +18,13 @@
 
 } // namespace
 
+std::string beginMetric(std::string& out, const std::string& name, const std::string& help,
+                        const std::string& type) {
+  std::string full = kPrefix + name;
+  out += "# HELP " + full + " " + help + "\n# TYPE " + full + " " + type + "\n";
+  return full;
+}
+
 void exposeCounter(std::string& out, const std::string& name, const std::string& help,
                    uint64_t value) {
   const std::string full = beginMetric(out, name, help, "counter");
--- a/src/core/admission/owner_table.cc
+++ b/src/core/admission/owner_table.cc
@@ -60,7 +60,6 @@
   }
   for (auto& [name, pool] : pools_) {
     pool.engines = 0;
-    pool.own_load = 0;
   }
   for (const EngineFacts& facts : engines) {
     Engine& engine = engines_[facts.engine];
@@ -78,10 +77,8 @@
     if (facts.live && !facts.leaving) {
       ++pool.engines;
     }
-    if (engine.counts()) {
-      pool.own_load += engine.heard_load;
-    }
   }
+  sumOwnLoads();
   std::erase_if(engines_, [](const auto& entry) {
     const Engine& engine = entry.second;
     return !engine.facts.live && engine.permits.empty() && engine.queue.size() == 0;
@@ -96,7 +93,9 @@
     const uint64_t own = std::max(pool.own_load, pool.reported_load);
     pool.others.front() = total.load() > own ? total.load() - own : 0;
   }
-  noteLoadsAtSums();
+  for (auto& [name, engine] : engines_) {
+    engine.load_at_sums = engine.load;
+  }
 }
 
 void OwnerTable::setSilentRouters(const std::vector<v1::RouterKey>& routers) {
@@ -108,23 +107,23 @@
     return;
   }
   silent_routers_ = std::move(silent);
-  for (auto& [service, pool] : pools_) {
-    pool.own_load = 0;
-  }
   for (auto& [name, engine] : engines_) {
     engine.heard_load = 0;
     for (const auto& [permit, cost] : engine.permits) {
       engine.heard_load += isSilent(permit) ? 0 : cost;
     }
-    if (engine.counts()) {
-      pools_[engine.facts.service].own_load += engine.heard_load;
-    }
   }
+  sumOwnLoads();
 }
 
-void OwnerTable::noteLoadsAtSums() {
-  for (auto& [name, engine] : engines_) {
-    engine.load_at_sums = engine.load;
+void OwnerTable::sumOwnLoads() {
+  for (auto& [service, pool] : pools_) {
+    pool.own_load = 0;
+  }
+  for (const auto& [name, engine] : engines_) {
+    if (engine.counts()) {
+      pools_[engine.facts.service].own_load += engine.heard_load;
+    }
   }
 }
 
--- a/src/core/admission/owner_table.h
+++ b/src/core/admission/owner_table.h
@@ -105,7 +105,8 @@
   static uint64_t othersNow(const Pool& pool);
   bool isSilent(const PermitKey& permit) const;
   void addLoad(Engine& engine, const PermitKey& permit, uint64_t cost);
-  void noteLoadsAtSums();
+  /// Makes the pools' own loads anew from those of the engines.
+  void sumOwnLoads();
   bool fits(const Engine& engine, uint64_t cost) const;
   void grant(Engine& engine, const v1::PermitRequest& request);
   v1::PermitReply refuseOrQueue(Engine& engine, const v1::PermitRequest& request, int64_t now_ms);
--- a/src/core/control/router_leases.cc
+++ b/src/core/control/router_leases.cc
@@ -72,15 +72,17 @@
   return settled_view_;
 }
 
-bool RouterLeases::isSilent(const v1::RouterEntry& router, int64_t now_ms) const {
+const RouterLeases::RouterRecord* RouterLeases::findHeard(const v1::RouterEntry& router,
+                                                          int64_t now_ms) const {
   const RouterRecord* record = find(router);
-  return record == nullptr || now_ms - record->renewed_ms > options_.load_report_ms;
+  const bool heard = record != nullptr && now_ms - record->renewed_ms <= options_.load_report_ms;
+  return heard ? record : nullptr;
 }
 
 std::vector<v1::RouterKey> RouterLeases::silent(const v1::View& view, int64_t now_ms) const {
   std::vector<v1::RouterKey> routers;
   for (const v1::RouterEntry& router : view.routers()) {
-    if (isSilent(router, now_ms)) {
+    if (findHeard(router, now_ms) == nullptr) {
       v1::RouterKey& key = routers.emplace_back();
       key.set_name(router.name());
       key.set_incarnation(router.incarnation());
@@ -92,10 +94,11 @@
 std::vector<v1::PoolLoad> RouterLeases::totals(const v1::View& view, int64_t now_ms) const {
   std::map<std::string, v1::PoolLoad> sums;
   for (const v1::RouterEntry& router : view.routers()) {
-    if (isSilent(router, now_ms)) {
+    const RouterRecord* record = findHeard(router, now_ms);
+    if (record == nullptr) {
       continue;
     }
-    for (const v1::PoolLoad& load : find(router)->loads) {
+    for (const v1::PoolLoad& load : record->loads) {
       v1::PoolLoad& sum = sums[load.service()];
       sum.set_service(load.service());
       sum.set_load(sum.load() + load.load());
--- a/src/core/control/router_leases.h
+++ b/src/core/control/router_leases.h
@@ -65,7 +65,8 @@
   };
 
   const RouterRecord* find(const v1::RouterEntry& router) const;
-  bool isSilent(const v1::RouterEntry& router, int64_t now_ms) const;
+  /// The record of a router that renewed lately; null: it is silent.
+  const RouterRecord* findHeard(const v1::RouterEntry& router, int64_t now_ms) const;
 
   const LeaseOptions options_;
   std::map<std::string, RouterRecord> records_;
--- a/src/core/relay/led_runner_list.cc
+++ b/src/core/relay/led_runner_list.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <google/protobuf/util/message_differencer.h>
+#include "core/relay/runner_entry.h"
 
 namespace workshatch::relay {
 
@@ -13,8 +13,12 @@
 constexpr int64_t kFreshMs = 1000;
 
 void sortById(v1::RunnerList& list) {
-  std::sort(list.mutable_runners()->begin(), list.mutable_runners()->end(),
-            [](const auto& left, const auto& right) { return left.id() < right.id(); });
+  std::sort(list.mutable_runners()->begin(), list.mutable_runners()->end(), comesBefore);
+}
+
+bool sameRunners(const v1::RunnerList& left, const v1::RunnerList& right) {
+  return std::equal(left.runners().begin(), left.runners().end(), right.runners().begin(),
+                    right.runners().end(), sameEntry);
 }
 
 } // namespace
@@ -31,9 +35,8 @@
 
 bool LedRunnerList::readWhileLeading(v1::RunnerList list, LeaderVersions& versions) {
   sortById(list);
-  list.set_version(list_.version());
   const bool known = list_.version() != 0;
-  if (known && google::protobuf::util::MessageDifferencer::Equals(list, list_)) {
+  if (known && sameRunners(list, list_)) {
     return false;
   }
   list.set_version(versions.next());
--- /dev/null
+++ b/src/core/relay/runner_entry.h
@@ -0,0 +1,21 @@
+/// @file
+/// Order and equality of the entries of a list of runners.
+#pragma once
+
+#include "workshatch/v1/relay.pb.h"
+
+namespace workshatch::relay {
+
+/// Lists of runners are sorted by id.
+inline bool comesBefore(const v1::RunnerEntry& left, const v1::RunnerEntry& right) {
+  return left.id() < right.id();
+}
+
+/// Field by field: comparing by reflection takes a leader of thousands of runners too long.
+inline bool sameEntry(const v1::RunnerEntry& left, const v1::RunnerEntry& right) {
+  return left.id() == right.id() && left.leaving() == right.leaving() &&
+         left.slots() == right.slots() && left.address() == right.address() &&
+         left.service() == right.service() && left.zone() == right.zone();
+}
+
+} // namespace workshatch::relay
--- a/src/core/relay/runner_list_history.cc
+++ b/src/core/relay/runner_list_history.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/compression/deflate.h"
+#include "core/relay/runner_entry.h"
 
 namespace workshatch::relay {
 
@@ -15,17 +16,6 @@
 /// Entries from which an update is compressed.
 constexpr int kLongUpdate = 20;
 
-bool comesBefore(const v1::RunnerEntry& left, const v1::RunnerEntry& right) {
-  return left.id() < right.id();
-}
-
-/// Field by field: comparing by reflection takes a leader of thousands of runners too long.
-bool sameEntry(const v1::RunnerEntry& left, const v1::RunnerEntry& right) {
-  return left.id() == right.id() && left.leaving() == right.leaving() &&
-         left.slots() == right.slots() && left.address() == right.address() &&
-         left.service() == right.service() && left.zone() == right.zone();
-}
-
 /// Both lists are sorted by id.
 v1::RunnerListUpdate differenceOf(const v1::RunnerList& base, const v1::RunnerList& target) {
   v1::RunnerListUpdate update;
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -12,7 +12,7 @@
 #include "adapters/logging/line_log.h"
 #include "adapters/metrics/text_format.h"
 #include "core/relay/list_period.h"
-#include "daemon/group/operator_server.h"
+#include "daemon/server_limits.h"
 
 namespace workshatch::daemon {
 
@@ -52,10 +52,10 @@
       operator_server_(
           workers, operatorLimits(),
           [this](http::Exchange& exchange) { return operator_api_.handle(exchange); },
-          refuseOperator),
+          refuseBadRequest),
       metrics_server_(
-          workers, operatorLimits(),
-          [this](http::Exchange& exchange) { return tellMetrics(exchange); }, refuseOperator),
+          workers, smallLimits(),
+          [this](http::Exchange& exchange) { return tellMetrics(exchange); }, refuseBadRequest),
       log_flusher_(context_), stop_timer_(context_) {}
 
 Result<std::monostate> GroupRole::start() {
@@ -179,7 +179,7 @@
   metrics::exposeGauge(text, "group_runners", "runners in the list that it tells",
                        static_cast<int64_t>(hub_.runners().runners_size()));
   http::Response response =
-      http::makeResponse(http::Status::ok, "text/plain; version=0.0.4", std::move(text));
+      http::makeResponse(http::Status::ok, metrics::kContentType, std::move(text));
   co_await exchange.respond(std::move(response));
 }
 
--- a/src/daemon/group/redirect_role.cc
+++ b/src/daemon/group/redirect_role.cc
@@ -4,7 +4,7 @@
 
 #include "adapters/http/problem.h"
 #include "adapters/logging/line_log.h"
-#include "daemon/group/operator_server.h"
+#include "daemon/server_limits.h"
 
 namespace workshatch::daemon {
 
@@ -18,7 +18,7 @@
     : settings_(std::move(settings)),
       operator_server_(
           workers, operatorLimits(), [this](http::Exchange& exchange) { return handle(exchange); },
-          refuseOperator),
+          refuseBadRequest),
       log_flusher_(workers.context(0)) {}
 
 Result<std::monostate> RedirectRole::start() {
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -15,17 +15,15 @@
 
 /// A relay that renews nothing for so many periods leaves the list.
 constexpr double kSilentPeriods = 3.6;
-/// Relays renew this often; in a large fleet less often, so that all together cost the leader the
-/// same.
 constexpr int64_t kRenewMs = 250;
-constexpr int64_t kRenewMsForRelay = 3;
 /// A new leader tells no list of relays before all had time to renew.
 constexpr int64_t kSettleMs = 1000;
 /// Sums of loads and the list of relays are made anew at most this often, so that a renewal costs
 /// the leader the same however many relays there are.
 constexpr int64_t kRefreshMs = 60;
-/// The list of relays goes to each of them: in a large fleet it is made anew less often.
-constexpr int64_t kRefreshMsForRelay = 3;
+/// Periods grow with the fleet by so much for each relay, so that all relays together cost the
+/// leader the same however many there are.
+constexpr int64_t kMsForRelay = 3;
 constexpr int64_t kSumsBytesPerSecond = 2048;
 constexpr int64_t kMostBetweenSumsMs = 1000;
 constexpr int64_t kMsPerSecond = 1000;
@@ -87,13 +85,13 @@
     line_log::write("relay_joined", {{"relay", renewal.name()}, {"address", renewal.address()}});
   }
   if (clock_.monotonicMs() >= refresh_due_ms_) {
-    refresh_due_ms_ = clock_.monotonicMs() + refreshPeriodMs();
+    refresh_due_ms_ = clock_.monotonicMs() + periodForFleet(kRefreshMs);
     dropSilent();
     refreshRelayList();
     sums_ = sumLoads();
   }
   reply.set_confirmed(true);
-  reply.set_renew_period_ms(static_cast<uint32_t>(renewPeriodMs()));
+  reply.set_renew_period_ms(static_cast<uint32_t>(periodForFleet(kRenewMs)));
   fillAnswer(relay, reply);
   link->send(frame);
 }
@@ -108,12 +106,8 @@
   relay.sent.configuration = version;
 }
 
-int64_t RelayHub::refreshPeriodMs() const {
-  return std::max(kRefreshMs, static_cast<int64_t>(relays_.size()) * kRefreshMsForRelay);
-}
-
-int64_t RelayHub::renewPeriodMs() const {
-  return std::max(kRenewMs, static_cast<int64_t>(relays_.size()) * kRenewMsForRelay);
+int64_t RelayHub::periodForFleet(int64_t least_ms) const {
+  return std::max(least_ms, static_cast<int64_t>(relays_.size()) * kMsForRelay);
 }
 
 void RelayHub::addMembers(Relay& relay, v1::LeaseReply& reply) const {
@@ -164,7 +158,7 @@
 
 void RelayHub::dropSilent() {
   const auto silent_ms =
-      static_cast<int64_t>(kSilentPeriods * static_cast<double>(renewPeriodMs()));
+      static_cast<int64_t>(kSilentPeriods * static_cast<double>(periodForFleet(kRenewMs)));
   const int64_t oldest = clock_.monotonicMs() - silent_ms;
   std::erase_if(relays_, [&](const auto& entry) {
     const bool silent = entry.second.renewed_at_ms < oldest;
@@ -215,13 +209,17 @@
   runner_history_.add(runners_.list());
   line_log::write("runner_list", {{"version", runners_.list().version()},
                                   {"runners", runners_.list().runners_size()}});
+  pushToAll([this](Relay& relay, v1::LeaseReply& news) { addRunners(relay, news); });
+}
+
+void RelayHub::pushToAll(const std::function<void(Relay&, v1::LeaseReply&)>& add) {
   for (auto& [name, relay] : relays_) {
     const auto link = relay.link.lock();
     if (!link) {
       continue;
     }
     v1::Frame frame;
-    addRunners(relay, *frame.mutable_lease());
+    add(relay, *frame.mutable_lease());
     link->send(frame);
   }
 }
@@ -232,15 +230,7 @@
   if (!replica_.leads()) {
     return;
   }
-  for (auto& [name, relay] : relays_) {
-    const auto link = relay.link.lock();
-    if (!link) {
-      continue;
-    }
-    v1::Frame frame;
-    addConfiguration(relay, *frame.mutable_lease());
-    link->send(frame);
-  }
+  pushToAll([this](Relay& relay, v1::LeaseReply& news) { addConfiguration(relay, news); });
 }
 
 } // namespace workshatch::daemon
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -66,8 +67,10 @@
   void addRunners(Relay& relay, v1::LeaseReply& reply);
   void addMembers(Relay& relay, v1::LeaseReply& reply) const;
   void addSums(Relay& relay, v1::LeaseReply& reply) const;
-  int64_t refreshPeriodMs() const;
-  int64_t renewPeriodMs() const;
+  /// Sends each relay a frame with what `add` puts in.
+  void pushToAll(const std::function<void(Relay&, v1::LeaseReply&)>& add);
+  /// @return `least_ms`, or more in a large fleet.
+  int64_t periodForFleet(int64_t least_ms) const;
 
   GroupReplica& replica_;
   const Clock& clock_;
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -81,6 +81,11 @@
                        .request_id = id};
 }
 
+http::Problem outOfTouch(const std::string& id) {
+  return refusal(http::Status::service_unavailable, "no_lease",
+                 "this relay has lost touch with the group", id, kRetryWithoutLeaseMs);
+}
+
 void readPrompt(const http::Request& request, const RelayDialect& dialect, RelayRequest& relayed) {
   const auto value = http::fieldOf(request, dialect.headers().prompt_parts);
   if (!value) {
@@ -141,14 +146,12 @@
   const bool needs_key = !state.routes->configuration().tenants.empty() &&
                          (relayed.route == nullptr || !relayed.route->anonymous);
   if (relayed.route == nullptr || (needs_key && !lease_holds)) {
-    return refusal(http::Status::service_unavailable, "no_lease",
-                   "this relay has lost touch with the group", id, kRetryWithoutLeaseMs);
+    return outOfTouch(id);
   }
   if (needs_key) {
     relayed.tenant = state.routes->findTenant(http::fieldOf(request, names.key).value_or(""));
     if (relayed.tenant == nullptr && !lease_is_fresh) {
-      return refusal(http::Status::service_unavailable, "no_lease",
-                     "this relay has lost touch with the group", id, kRetryWithoutLeaseMs);
+      return outOfTouch(id);
     }
     if (relayed.tenant == nullptr) {
       return refusal(http::Status::unauthorized, "unknown_key", "the key is not known", id);
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -16,6 +16,7 @@
 #include "core/relay/list_period.h"
 #include "core/relay/runner_list_history.h"
 #include "daemon/relay/relay_run.h"
+#include "daemon/server_limits.h"
 
 namespace workshatch::daemon {
 
@@ -41,17 +42,6 @@
 /// Part of the time for a planned stop after which what is still in progress is cut.
 constexpr double kStopPart = 0.93;
 
-http::ServerLimits smallLimits() {
-  http::ServerLimits limits;
-  limits.body_bytes = 4096;
-  return limits;
-}
-
-http::Response refuseCaller(http::Status status, const std::string& reason) {
-  return http::makeProblem(
-      http::Problem{.status = status, .code = "bad_request", .detail = reason});
-}
-
 } // namespace
 
 RelayRole::RelayRole(settings::RelaySettings settings, WorkerPool& workers, const Clock& clock,
@@ -65,16 +55,16 @@
       reader_(context_, settings_.runner_list_address, adapters.runner_lists),
       caller_server_(
           workers, [this] { return callerLimits(); },
-          [this](http::Exchange& exchange) { return handle(exchange); }, refuseCaller),
+          [this](http::Exchange& exchange) { return handle(exchange); }, refuseBadRequest),
       ready_server_(
           workers, smallLimits(), [this](http::Exchange& exchange) { return tellReady(exchange); },
-          refuseCaller),
+          refuseBadRequest),
       resolve_server_(
           workers, smallLimits(),
-          [this](http::Exchange& exchange) { return tellAddresses(exchange); }, refuseCaller),
+          [this](http::Exchange& exchange) { return tellAddresses(exchange); }, refuseBadRequest),
       metrics_server_(
           workers, smallLimits(),
-          [this](http::Exchange& exchange) { return tellMetrics(exchange); }, refuseCaller),
+          [this](http::Exchange& exchange) { return tellMetrics(exchange); }, refuseBadRequest),
       housekeeping_(context_), log_flusher_(context_) {}
 
 Result<std::monostate> RelayRole::start() {
@@ -188,7 +178,7 @@
   state_.stats.expose(text);
   exposeGauges(text);
   http::Response response =
-      http::makeResponse(http::Status::ok, "text/plain; version=0.0.4", std::move(text));
+      http::makeResponse(http::Status::ok, metrics::kContentType, std::move(text));
   co_await exchange.respond(std::move(response));
 }
 
--- a/src/daemon/router/request_handler.cc
+++ b/src/daemon/router/request_handler.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <nlohmann/json.hpp>
 
+#include "adapters/metrics/text_format.h"
 #include "core/routing/engine_owner.h"
 #include "core/routing/rendezvous.h"
 #include "daemon/router/allowed_methods.h"
@@ -379,7 +380,7 @@
   text += metrics::exposeGauge("permits", "permits given out by this owner", gauges.permits);
   text += metrics::exposeGauge("waiting", "requests waiting at this owner", gauges.waiting);
   http::Response response =
-      http::makeResponse(http::Status::ok, "text/plain; version=0.0.4", std::move(text));
+      http::makeResponse(http::Status::ok, metrics::kContentType, std::move(text));
   co_await exchange.respond(std::move(response));
 }
 
--- a/src/daemon/group/operator_server.h
+++ b/src/daemon/server_limits.h
@@ -1,5 +1,5 @@
 /// @file
-/// What the servers for operators have in common.
+/// Limits and refusals that the servers of several roles have in common.
 #pragma once
 
 #include <chrono>
@@ -21,8 +21,16 @@
   return limits;
 }
 
+/// Limits for calls without a body: readiness, addresses, metrics.
+inline http::ServerLimits smallLimits() {
+  constexpr uint64_t kBodyBytes = 4096;
+  http::ServerLimits limits;
+  limits.body_bytes = kBodyBytes;
+  return limits;
+}
+
 /// The answer to a request that the server itself refuses.
-inline http::Response refuseOperator(http::Status status, const std::string& reason) {
+inline http::Response refuseBadRequest(http::Status status, const std::string& reason) {
   return http::makeProblem(
       http::Problem{.status = status, .code = "bad_request", .detail = reason});
 }
