Headers that only the system may set never pass from a caller

Cause: the relay dropped the headers that it sets itself, by name; those that runners obey and that it does not use (a reserved place, pinning, a copy of a run's memory) passed as the caller sent them. Change: the adapter holds the names in one list, a line each.

--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -36,8 +36,8 @@
   const bool of_connection =
       std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(), same) ||
       same("proxy-connection") || same("proxy-authorization");
-  return of_connection || same(names.key) || same(names.tenant) || same(names.deadline) ||
-         same(names.target_runner) || same(names.priority) || same(names.fetch_from);
+  return of_connection || same(names.key) || same(names.deadline) ||
+         std::any_of(names.system_only.begin(), names.system_only.end(), same);
 }
 
 /// @return whether the Connection header names `name`.
--- a/src/ports/relay_dialect.h
+++ b/src/ports/relay_dialect.h
@@ -38,6 +38,9 @@
   std::string last_event;
   /// Address of a runner from which the engine takes cached parts that it lacks itself.
   std::string fetch_from;
+  /// Headers that runners obey as orders of the system; those that a caller sends are dropped, also
+  /// where this relay sets none of them itself.
+  std::vector<std::string> system_only;
 };
 
 /// Paths of the calls that the system answers itself.
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -31,18 +31,20 @@
 class TestDialect : public RelayDialect {
 public:
   const HeaderNames& headers() const override {
-    static const HeaderNames names = {.request_id = "W-Request",
-                                      .key = "W-Key",
-                                      .tenant = "W-Tenant",
-                                      .deadline = "W-Deadline",
-                                      .target_runner = "W-Runner",
-                                      .priority = "W-Priority",
-                                      .prompt_parts = "W-Parts",
-                                      .not_run = "W-Not-Run",
-                                      .signature = "W-Signature",
-                                      .load = "W-Load",
-                                      .last_event = "Last-Event-Id",
-                                      .fetch_from = "W-Fetch"};
+    static const HeaderNames names = {
+        .request_id = "W-Request",
+        .key = "W-Key",
+        .tenant = "W-Tenant",
+        .deadline = "W-Deadline",
+        .target_runner = "W-Runner",
+        .priority = "W-Priority",
+        .prompt_parts = "W-Parts",
+        .not_run = "W-Not-Run",
+        .signature = "W-Signature",
+        .load = "W-Load",
+        .last_event = "Last-Event-Id",
+        .fetch_from = "W-Fetch",
+        .system_only = {"W-Tenant", "W-Runner", "W-Priority", "W-Fetch", "W-Reserved"}};
     return names;
   }
   const CallPaths& paths() const override {
@@ -161,6 +163,9 @@
     configuration.tenants = {relay::Tenant{.name = "tenant-1", .keys = {"key-1"}}};
     configuration.routes = {route};
     state_.routes = std::make_shared<const relay::RouteTable>(std::move(configuration));
+    // As if told long ago, so that its share of the slack has accrued.
+    constexpr int64_t kLongAgoMs = 60'000;
+    state_.budget.setRelays(1, clock_.monotonicMs() - kLongAgoMs);
     state_.lease.confirmed(state_.lease.renewalSent(clock_.monotonicMs()));
     address_ = std::get<std::string>(server_.listen("127.0.0.1:0"));
   }
--- a/tests/unit/daemon/relay/relay_run_test.cc
+++ b/tests/unit/daemon/relay/relay_run_test.cc
@@ -30,6 +30,18 @@
   CHECK(std::stoi(request.substr(deadline + 12)) <= 2000);
 }
 
+TEST_CASE("Headers that only the system may set never come from a caller") {
+  ScriptedRunner runner([](auto& socket, const auto&) { say(socket, signedAnswer("q1", "done")); });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", runner.address());
+  relay.start();
+  const std::string answer = relay.ask(
+      "q1", "W-Reserved: forged\r\nw-runner: forged\r\nW-PRIORITY: forged\r\nW-Fetch: forged\r\n");
+  CHECK(answer.ends_with("done"));
+  CHECK(runner.lastRequest().find("forged") == std::string::npos);
+  CHECK(runner.lastRequest().find("W-Runner: runner-1\r\n") != std::string::npos);
+}
+
 TEST_CASE("A request without a known key, route or id is refused before any runner") {
   ScriptedRunner runner([](auto&, const auto&) {});
   TestRelay relay(testRoute(RouteKind::RunOnce, 1));
