Budget of repeats: slack as a token bucket that starts empty

Change: half of a share at most is saved up, the other half accrues over a window; nothing before the number of relays is known; a lower number counts only after a window.

--- a/src/core/relay/retry_budget.h
+++ b/src/core/relay/retry_budget.h
@@ -18,15 +18,25 @@
   double slack = 64;
 };
 
-/// One relay's part of the budget: its own requests give it the ratio, and of the slack it takes an
-/// equal share. Only a part of both is spent, since windows of relays and judges differ.
-/// Not safe for concurrent use.
+/// One relay's part of the budget. Its own requests earn it the ratio. Of the slack it has an equal
+/// share as a token bucket: half of the share at most is saved up, the other half comes back over a
+/// window.
+///
+/// Guarantee: while each relay knows how many there are, all relays together stay inside the ratio
+/// and the slack in every sliding window, also when processes restart and join: a bucket starts
+/// empty, so a process that takes over from another spends only what accrues in its own time.
+/// A relay that has not been told how many there are spends none of the slack.
+/// Times are milliseconds of the steady clock. Not safe for concurrent use.
 class RetryBudget {
 public:
   explicit RetryBudget(RetryBudgetOptions options) : options_(options) {}
 
-  /// How many relays share the slack; at least 1 counts.
-  void setRelays(size_t relays) { relays_ = relays == 0 ? 1 : relays; }
+  /// Notes how many relays share the slack. After a fall, the higher number counts for another
+  /// window, since those that went may have spent their shares in this one.
+  void setRelays(size_t relays, int64_t now_ms);
+
+  /// @return relays that share the slack; zero: not known yet.
+  size_t relays() const { return relays_; }
 
   /// Notes the first attempt of a request.
   void noteRequest(const std::string& service, int64_t now_ms);
@@ -34,19 +44,28 @@
   /// Takes one repeat from the budget. @return false when it is spent.
   bool takeRepeat(const std::string& service, int64_t now_ms);
 
-  /// Repeats of the present window.
-  size_t repeats(const std::string& service) const;
-
 private:
   struct Spending {
+    /// Times of first attempts and of repeats charged to them, of one window.
     std::deque<int64_t> requests;
     std::deque<int64_t> repeats;
+    /// Tokens of the slack, and when they were last added up.
+    double tokens = 0;
+    int64_t filled_at_ms = 0;
   };
 
   void forgetOld(Spending& spending, int64_t now_ms) const;
+  void refill(Spending& spending, int64_t now_ms) const;
+  void lowerRelays(int64_t now_ms);
+  double mostTokens() const;
 
   const RetryBudgetOptions options_;
-  size_t relays_ = 1;
+  size_t relays_ = 0;
+  /// The number told last, when it is lower than `relays_`, and since when.
+  size_t fewer_relays_ = 0;
+  int64_t fewer_since_ms_ = 0;
+  /// Slack accrues from here on; earlier the number of relays was not known.
+  int64_t known_since_ms_ = 0;
   std::map<std::string, Spending> services_;
 };
 
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -241,7 +241,7 @@
     return;
   }
   if (reply.has_relays() && compression::unpackMessage(reply.relays(), relays_)) {
-    state_.budget.setRelays(static_cast<size_t>(relays_.relays_size()));
+    state_.budget.setRelays(static_cast<size_t>(relays_.relays_size()), clock_.monotonicMs());
   }
   if (reply.has_loads()) {
     state_.runners.setSums(reply.loads(), reported_loads_, clock_.monotonicMs());
