Admission: no runner is filled past its places; what can't be served is refused at once

Ruled out: memory of the engines (running prompts fill less than half of it) and relays' processors (4% of a core). Change: a runner gets requests up to its places (place_limits), the last of them kept for the more urgent; over that a request waits in a bounded line for a fifth of its objective, most urgent first, and is then refused unheard with a Retry-After from the pace at which requests end. Relays that see the same sums share out what was free. A part of a prompt that overflows its home goes to the next in its ranking with room, not to the least loaded. After three runners that declined the request is refused.

--- /dev/null
+++ b/src/core/relay/place_limits.h
@@ -0,0 +1,39 @@
+/// @file
+/// How full a runner may be before a request is not sent to it any more.
+#pragma once
+
+#include <cstdint>
+
+namespace workshatch::relay {
+
+/// What a request's claim on a busy runner depends on.
+struct Standing {
+  /// 0 is the most urgent, 9 the least.
+  uint32_t priority = 0;
+  /// The request's tenant uses more than its share of the fleet.
+  bool over_share = false;
+};
+
+/// Trunk reservation: the last places of a runner are kept for the more urgent requests, so that
+/// those find one without waiting, and without preempting what runs.
+struct PlaceLimitOptions {
+  /// Part of a runner's places that the least urgent requests leave free, for each step of
+  /// priority. With 48 places two; fewer are lost in what sums of loads lag behind.
+  double part_by_priority = 0.05;
+  /// Further part that a tenant over its share leaves free.
+  double part_over_share = 0.25;
+  /// No request is kept from more than this part. A fleet that refuses work while half of its
+  /// places are free serves nobody better.
+  double least_part = 0.6;
+  /// Requests in progress at a plain service's runner, as a multiple of its places. What is over
+  /// one waits in the runner's queue, for two services' times at most.
+  double service_factor = 3;
+};
+
+/// @param places requests that the runner works on at the same time; zero: not known
+/// @param engine a model engine, where a request that waits for a place delays its first event
+/// @return requests in progress up to which another one of this standing is sent there.
+uint32_t placeLimit(const PlaceLimitOptions& options, uint32_t places, bool engine,
+                    const Standing& standing);
+
+} // namespace workshatch::relay
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -19,8 +19,10 @@
 constexpr int64_t kMostAvoidMs = 4000;
 constexpr int64_t kAvoidFailingMs = 1000;
 /// A full runner is left alone for a moment.
-constexpr int64_t kAvoidFullMs = 100;
+constexpr int64_t kFullMs = 100;
 constexpr int64_t kAvoidMisdirectedMs = 5000;
+/// Fineness of the lots by which relays share a place.
+constexpr uint64_t kLots = 1024;
 
 int64_t growingHold(int64_t first_ms, uint32_t failures) {
   constexpr uint32_t kMostDoublings = 5;
@@ -80,6 +82,7 @@
     const uint32_t total = (*totals)[i];
     const uint32_t own = owns ? (*owns)[i] : 0;
     runners_[i]->others_in_progress = total > own ? total - own : 0;
+    runners_[i]->in_progress_at_sums = runners_[i]->in_progress;
   }
   for (const uint32_t position : sums.suspects()) {
     if (position < runners_.size()) {
@@ -157,12 +160,57 @@
   return static_cast<double>(total) / static_cast<double>(candidates.size());
 }
 
-std::optional<RunnerChoice> RunnerTable::choose(const RunnerRequest& request) {
+/// Most requests that this relay may have at a runner before the next sums. All relays see the same
+/// sums: if each took all that was free, a runner would get it once from each. So each keeps what
+/// it had, takes an equal part of what was free, and gives back its part of what was too much.
+/// Parts of a request are drawn by lot.
+uint32_t RunnerTable::mostBetweenSums(const RunnerRequest& request, const Runner& runner,
+                                      uint32_t limit) const {
+  const uint32_t load_at_sums = runner.others_in_progress + runner.in_progress_at_sums;
+  const uint32_t own = runner.in_progress_at_sums;
+  if (load_at_sums > limit) {
+    return own * limit / load_at_sums;
+  }
+  const double part = static_cast<double>(limit - load_at_sums) / static_cast<double>(relays_);
+  const auto whole = static_cast<uint32_t>(part);
+  const double lot = static_cast<double>(request.draw % kLots) / kLots;
+  return own + whole + (lot < part - whole ? 1 : 0);
+}
+
+bool RunnerTable::hasPlace(const RunnerRequest& request, const Runner& runner, bool busy) const {
+  if (request.past_limits) {
+    return true;
+  }
+  const uint32_t limit =
+      placeLimit(options_.places, runner.entry.slots(), request.engine, request.standing);
+  if (runner.load() >= limit || runner.full_until_ms > request.now_ms) {
+    return false;
+  }
+  return !busy || runner.in_progress < mostBetweenSums(request, runner, limit);
+}
+
+/// @return whether most of the places of these runners are taken.
+bool RunnerTable::isBusy(const Candidates& candidates) const {
+  uint64_t load = 0;
+  uint64_t places = 0;
+  for (const auto& runner : candidates) {
+    load += runner->load();
+    places += runner->entry.slots();
+  }
+  return static_cast<double>(load) > options_.busy_part * static_cast<double>(places);
+}
+
+std::variant<RunnerChoice, NoRunner> RunnerTable::choose(const RunnerRequest& request) {
   forgetStaleSums(request.now_ms);
   bool last_resort = false;
   Candidates candidates = candidatesFor(request, &last_resort);
   if (candidates.empty()) {
-    return std::nullopt;
+    return NoRunner::NoneLeft;
+  }
+  const bool busy = isBusy(candidates);
+  std::erase_if(candidates, [&](const auto& runner) { return !hasPlace(request, *runner, busy); });
+  if (candidates.empty()) {
+    return NoRunner::AllFull;
   }
   RunnerChoice choice = request.cache_key == 0 ? chooseByLoad(request, candidates)
                                                : chooseByCache(request, std::move(candidates));
@@ -184,23 +232,17 @@
                       return runner->entry.id();
                     });
   RunnerChoice choice;
-  const size_t homes = std::min<size_t>(options_.homes, ranked.size());
-  for (size_t i = 0; i < homes; ++i) {
-    if (ranked[i]->load() + 1 <= leave) {
-      choice.runner = ranked[i];
+  // The further a runner ranks, the less likely it has the part: the first with room, not the least
+  // loaded, so that a part in demand comes to as few runners as it needs.
+  for (const auto& runner : ranked) {
+    if (runner->load() + 1 <= leave) {
+      choice.runner = runner;
       return choice;
     }
     ++choice.passed_over;
   }
   RunnerChoice spread = chooseByLoad(request, candidates);
-  // A home that is busy, but no busier than the rest, still saves the reading of the prompt.
-  for (size_t i = 0; i < homes; ++i) {
-    if (ranked[i]->load() + 1 <= cap && ranked[i]->load() <= spread.runner->load() + 2) {
-      choice.runner = ranked[i];
-      return choice;
-    }
-  }
-  spread.passed_over += choice.passed_over;
+  spread.passed_over = choice.passed_over;
   return spread;
 }
 
@@ -249,7 +291,7 @@
     runner.failures_in_row = 0;
     break;
   case AttemptOutcome::Refused:
-    runner.avoid_until_ms = std::max(runner.avoid_until_ms, now_ms + kAvoidFullMs);
+    runner.full_until_ms = now_ms + kFullMs;
     break;
   case AttemptOutcome::Misdirected:
     runner.avoid_until_ms = now_ms + kAvoidMisdirectedMs;
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -5,10 +5,11 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
+#include "core/relay/place_limits.h"
 #include "workshatch/v1/relay.pb.h"
 
 namespace workshatch::relay {
@@ -37,6 +38,8 @@
   uint32_t in_progress = 0;
   /// Attempts of the other relays, as of the last sums.
   uint32_t others_in_progress = 0;
+  /// Attempts of this relay when the last sums came.
+  uint32_t in_progress_at_sums = 0;
   /// It has been sent prompts with cached parts.
   bool engine = false;
   /// Moving share of failed attempts, 0 to 1.
@@ -48,6 +51,8 @@
   int64_t suspected_until_ms = 0;
   /// Not chosen before, unless nothing else is left.
   int64_t avoid_until_ms = 0;
+  /// It declined a request, being full; taken to be so until then.
+  int64_t full_until_ms = 0;
   /// Gone from the list; kept only while attempts are in progress.
   bool gone = false;
 
@@ -65,6 +70,11 @@
   /// Runners that were tried already.
   std::vector<std::string> excluded;
   int64_t now_ms = 0;
+  /// The service's runners are model engines.
+  bool engine = false;
+  Standing standing;
+  /// Goes to a full runner rather than to none, as the rest of a stream that broke does.
+  bool past_limits = false;
 };
 
 struct RunnerChoice {
@@ -77,6 +87,14 @@
   std::shared_ptr<Runner> likely_holder;
 };
 
+/// Why there is no choice.
+enum class NoRunner {
+  /// The service has no runner that was not tried yet.
+  NoneLeft,
+  /// All runners are as full as they may be for this request.
+  AllFull,
+};
+
 /// Rules of the choice.
 struct RunnerTableOptions {
   /// No runner is given more than this multiple of its service's mean load, plus `cap_slack`.
@@ -90,12 +108,14 @@
   int64_t silent_service_ms = 1000;
   /// What other relays tell of a runner counts for this long.
   int64_t suspicion_ms = 600;
-  /// Homes that a cached part has.
-  uint32_t homes = 2;
-  /// A home is left for the next when its load is over `leave_factor` times the mean plus
-  /// `leave_slack`.
+  /// A runner is left for the next in a part's ranking when its load is over `leave_factor` times
+  /// the mean plus `leave_slack`.
   double leave_factor = 1.3;
   double leave_slack = 6;
+  PlaceLimitOptions places;
+  /// Over this part of a service's places, what relays take between two sums is shared out. Below
+  /// it the places that are free outlast what all relays send in that time.
+  double busy_part = 0.6;
 };
 
 /// The runners of all services. Not safe for concurrent use.
@@ -117,8 +137,10 @@
   /// list.
   v1::RunnerLoads ownLoads(int64_t now_ms) const;
 
-  /// @return a runner, or nothing when the service has none left to try.
-  std::optional<RunnerChoice> choose(const RunnerRequest& request);
+  /// Notes how many relays send requests to these runners.
+  void setRelays(size_t relays) { relays_ = relays == 0 ? 1 : relays; }
+
+  std::variant<RunnerChoice, NoRunner> choose(const RunnerRequest& request);
 
   void beginAttempt(Runner& runner, int64_t now_ms) const;
   /// Notes that bytes came from the runner.
@@ -131,6 +153,10 @@
   using Candidates = std::vector<std::shared_ptr<Runner>>;
 
   Candidates candidatesFor(const RunnerRequest& request, bool* last_resort) const;
+  bool hasPlace(const RunnerRequest& request, const Runner& runner, bool busy) const;
+  uint32_t mostBetweenSums(const RunnerRequest& request, const Runner& runner,
+                           uint32_t limit) const;
+  bool isBusy(const Candidates& candidates) const;
   RunnerChoice chooseByCache(const RunnerRequest& request, Candidates candidates) const;
   RunnerChoice chooseByLoad(const RunnerRequest& request, const Candidates& candidates) const;
   std::shared_ptr<Runner> likelyHolder(const RunnerRequest& request, const Runner& chosen) const;
@@ -145,6 +171,7 @@
   std::vector<std::shared_ptr<Runner>> runners_;
   std::map<std::string, Candidates> services_;
   int64_t sums_at_ms_ = 0;
+  size_t relays_ = 1;
 };
 
 } // namespace workshatch::relay
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -92,10 +92,16 @@
     may_have_run_ = true;
     ++ran_attempts_;
   }
+  declines_ += result.outcome == relay::AttemptOutcome::Refused ? 1 : 0;
   const bool abandoned = ended() && result.end != AttemptEnd::Answered;
   const relay::AttemptOutcome outcome =
       abandoned ? relay::AttemptOutcome::Abandoned : result.outcome;
-  state_.runners.endAttempt(runner, outcome, state_.clock.monotonicMs());
+  const int64_t now_ms = state_.clock.monotonicMs();
+  state_.runners.endAttempt(runner, outcome, now_ms);
+  if (result.end == AttemptEnd::Answered) {
+    state_.return_times.noteEnded(request_.service, now_ms);
+  }
+  state_.line.callNext(request_.service);
   ++state_.stats.attempts[nameOf(outcome)];
   if (result.end != AttemptEnd::Answered) {
     line_log::write("attempt_ended", {{"request", request_.id},
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -163,6 +163,9 @@
   const auto told_ms = millisecondsOf(http::fieldOf(request, names.deadline));
   relayed.deadline_ms = relayed.received_ms + std::min(told_ms.value_or(allowed_ms), allowed_ms);
   readPrompt(request, state.dialect, relayed);
+  const relay::Service* service = state.routes->findService(relayed.service);
+  relayed.engine = service != nullptr && service->model_engine;
+  relayed.standing.priority = priorityOf(relayed);
   return relayed;
 }
 
@@ -183,7 +186,7 @@
   }
   appendHeader(out, names.deadline, std::to_string(std::max<int64_t>(attempt.remaining_ms, 1)));
   appendHeader(out, names.target_runner, attempt.runner_id);
-  appendHeader(out, names.priority, std::to_string(priorityOf(relayed)));
+  appendHeader(out, names.priority, std::to_string(relayed.standing.priority));
   if (relayed.tenant != nullptr) {
     appendHeader(out, names.tenant, relayed.tenant->name);
   }
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -28,6 +28,10 @@
   /// Fingerprint of the shared part of the prompt; zero: none.
   uint64_t cache_key = 0;
   uint64_t draw = 0;
+  /// The service's runners are model engines.
+  bool engine = false;
+  /// Claim on a busy runner; its priority is also told to the runner.
+  relay::Standing standing;
 
   /// Whether an attempt that may have run may be followed by another.
   bool repeatable() const {
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -241,10 +241,13 @@
     return;
   }
   if (reply.has_relays() && compression::unpackMessage(reply.relays(), relays_)) {
-    state_.budget.setRelays(static_cast<size_t>(relays_.relays_size()), clock_.monotonicMs());
+    const auto relays = static_cast<size_t>(relays_.relays_size());
+    state_.budget.setRelays(relays, clock_.monotonicMs());
+    state_.runners.setRelays(relays);
   }
   if (reply.has_loads()) {
     state_.runners.setSums(reply.loads(), reported_loads_, clock_.monotonicMs());
+    state_.line.callNextOfEach();
   }
   if (reply.confirmed()) {
     if (!state_.lease.everConfirmed()) {
@@ -263,6 +266,7 @@
     return false;
   }
   state_.runners.setList(std::get<v1::RunnerList>(list));
+  state_.line.callNextOfEach();
   return true;
 }
 
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -3,22 +3,33 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "adapters/logging/line_log.h"
 
 namespace workshatch::daemon {
 
 namespace {
 
-constexpr uint32_t kRetryAfterFullMs = 150;
+constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
+/// When no runner answers: about as long as another takes to be found or started again.
+constexpr uint32_t kRetryWithoutRunnerMs = 150;
+/// Part of the objective for which a request waits for a place. A caller that is refused by then
+/// can still be served in time elsewhere or later.
+constexpr double kWaitPart = 0.2;
+/// After so many runners that declined, the service is taken to be full.
+constexpr uint32_t kMostDeclines = 3;
 
 } // namespace
 
 RelayRun::RelayRun(boost::asio::io_context& context, RelayState& state, http::Exchange& exchange,
                    RelayRequest request)
     : context_(context), state_(state), exchange_(exchange), request_(std::move(request)),
-      deadline_(context) {}
+      deadline_(context), wait_(context) {}
 
 void RelayRun::end() {
+  wait_.cancel();
   if (connection_) {
     connection_->close();
   }
@@ -47,27 +58,20 @@
   });
   state_.budget.noteRequest(request_.service, request_.received_ms);
   while (!ended()) {
-    const auto choice =
-        state_.runners.choose(relay::RunnerRequest{.service = request_.service,
-                                                   .cache_key = request_.cache_key,
-                                                   .draw = request_.draw,
-                                                   .zone = state_.zone,
-                                                   .excluded = tried_,
-                                                   .now_ms = state_.clock.monotonicMs()});
-    if (!choice) {
+    const auto chosen = chooseRunner();
+    const auto* choice = std::get_if<relay::RunnerChoice>(&chosen);
+    all_full_ = choice == nullptr && std::get<relay::NoRunner>(chosen) == relay::NoRunner::AllFull;
+    if (all_full_ && co_await awaitPlace()) {
+      continue;
+    }
+    if (choice == nullptr || !mayRepeat()) {
       break;
     }
-    if (arrivals_ > 0) {
-      if (!state_.budget.takeRepeat(request_.service, state_.clock.monotonicMs())) {
-        ++state_.stats.repeats_refused;
-        break;
-      }
-      ++state_.stats.repeats;
-      state_.stats.resumed_streams += stream_started_ ? 1 : 0;
+    noteChoice(*choice);
+    if (line_place_.number != 0) {
+      // Where there was one place, there may be another for the next in line.
+      state_.line.callNext(request_.service);
     }
-    tried_.push_back(choice->runner->entry.id());
-    load_at_choice_ = choice->runner->load();
-    passed_over_ = choice->passed_over;
     last_end_ = co_await attempt(*choice);
     if (last_end_ == AttemptEnd::Answered || !mayTryAgain(last_end_)) {
       break;
@@ -78,7 +82,78 @@
   co_await finish();
 }
 
+relay::RunnerRequest RelayRun::runnerRequest() const {
+  return relay::RunnerRequest{.service = request_.service,
+                              .cache_key = request_.cache_key,
+                              .draw = request_.draw,
+                              .zone = state_.zone,
+                              .excluded = tried_,
+                              .now_ms = state_.clock.monotonicMs(),
+                              .engine = request_.engine,
+                              .standing = request_.standing,
+                              .past_limits = stream_started_};
+}
+
+/// A request that has not waited yet does not overtake those that do.
+std::variant<relay::RunnerChoice, relay::NoRunner> RelayRun::chooseRunner() {
+  const bool newcomer = line_place_.number == 0 && arrivals_ == 0;
+  if (newcomer && state_.line.hasBefore(request_.service, request_.standing.priority)) {
+    return relay::NoRunner::AllFull;
+  }
+  return state_.runners.choose(runnerRequest());
+}
+
+/// Waits for a place at some runner.
+/// @return whether to choose again; otherwise the request is to be refused.
+http::awaitable<bool> RelayRun::awaitPlace() {
+  const auto part_ms = static_cast<int64_t>(kWaitPart * request_.route->objective_ms);
+  const int64_t left_ms = request_.received_ms + part_ms - state_.clock.monotonicMs();
+  if (left_ms <= 0) {
+    co_return false;
+  }
+  if (line_place_.number == 0) {
+    line_place_ = state_.line.newPlace(request_.standing.priority, request_.deadline_ms);
+  }
+  bool called = false;
+  wait_.expires_after(std::chrono::milliseconds(left_ms));
+  const bool joined = state_.line.join(request_.service, line_place_,
+                                       [this, &called](relay::WaitingLine::Call call) {
+                                         called = call == relay::WaitingLine::Call::Try;
+                                         wait_.cancel();
+                                       });
+  if (!joined) {
+    co_return false;
+  }
+  co_await wait_.async_wait(kAwait);
+  state_.line.leave(request_.service, line_place_);
+  waited_until_ms_ = state_.clock.monotonicMs();
+  co_return called && !ended();
+}
+
+/// Repeats are taken from the budget.
+bool RelayRun::mayRepeat() {
+  if (arrivals_ == 0) {
+    return true;
+  }
+  if (!state_.budget.takeRepeat(request_.service, state_.clock.monotonicMs())) {
+    ++state_.stats.repeats_refused;
+    return false;
+  }
+  ++state_.stats.repeats;
+  state_.stats.resumed_streams += stream_started_ ? 1 : 0;
+  return true;
+}
+
+void RelayRun::noteChoice(const relay::RunnerChoice& choice) {
+  tried_.push_back(choice.runner->entry.id());
+  load_at_choice_ = choice.runner->load();
+  passed_over_ = choice.passed_over;
+}
+
 bool RelayRun::mayTryAgain(AttemptEnd last) const {
+  if (last == AttemptEnd::NotRun && declines_ >= kMostDeclines) {
+    return false;
+  }
   if (last != AttemptEnd::Broken) {
     return true;
   }
@@ -94,11 +169,19 @@
                         .request_id = request_.id};
   http::Response response = http::makeProblem(problem);
   if (status == http::Status::service_unavailable) {
-    response.set(http::Field::retry_after, state_.dialect.retryAfter(kRetryAfterFullMs));
+    response.set(http::Field::retry_after, state_.dialect.retryAfter(retryAfterMs()));
   }
   co_await exchange_.respond(std::move(response));
 }
 
+uint32_t RelayRun::retryAfterMs() const {
+  if (!all_full_ && declines_ == 0) {
+    return kRetryWithoutRunnerMs;
+  }
+  const int64_t now_ms = state_.clock.monotonicMs();
+  return state_.return_times.nextAfterMs(request_.service, request_.deadline_ms - now_ms, now_ms);
+}
+
 http::awaitable<void> RelayRun::finish() {
   if (last_end_ == AttemptEnd::Answered) {
     logOutcome("answered");
@@ -120,9 +203,10 @@
     co_return;
   }
   if (!may_have_run_) {
-    logOutcome(timed_out_ ? "not_run_timed_out" : "not_run");
-    co_await refuse(http::Status::service_unavailable, "no_runner",
-                    "no runner could take the request");
+    const bool full = all_full_ || declines_ > 0;
+    logOutcome(timed_out_ ? "not_run_timed_out" : full ? "all_full" : "not_run");
+    co_await refuse(http::Status::service_unavailable, full ? "all_full" : "no_runner",
+                    full ? "all runners are full" : "no runner could take the request");
     co_return;
   }
   if (timed_out_) {
@@ -137,21 +221,25 @@
 void RelayRun::logOutcome(const std::string& outcome) {
   ++state_.stats.outcomes[outcome];
   const int64_t now = state_.clock.monotonicMs();
-  line_log::write("request_ended",
-                  {{"request", request_.id},
-                   {"outcome", outcome},
-                   {"route", request_.route->name},
-                   {"service", request_.service},
-                   {"tried", tried_},
-                   {"runner_load", load_at_choice_},
-                   {"passed_over", passed_over_},
-                   {"ms", now - request_.received_ms},
-                   {"first_ms", stream_started_ ? first_event_ms_ - request_.received_ms : -1},
-                   {"events", events_},
-                   {"configuration", request_.routes->version()},
-                   {"runner_list", state_.runners.listVersion()},
-                   {"lease_age_ms", state_.lease.ageMs(now)},
-                   {"error", last_error_}});
+  line_log::write(
+      "request_ended",
+      {{"request", request_.id},
+       {"outcome", outcome},
+       {"route", request_.route->name},
+       {"service", request_.service},
+       {"tried", tried_},
+       {"runner_load", load_at_choice_},
+       {"passed_over", passed_over_},
+       {"priority", request_.standing.priority},
+       {"declines", declines_},
+       {"waited_ms", waited_until_ms_ == 0 ? 0 : waited_until_ms_ - request_.received_ms},
+       {"ms", now - request_.received_ms},
+       {"first_ms", stream_started_ ? first_event_ms_ - request_.received_ms : -1},
+       {"events", events_},
+       {"configuration", request_.routes->version()},
+       {"runner_list", state_.runners.listVersion()},
+       {"lease_age_ms", state_.lease.ageMs(now)},
+       {"error", last_error_}});
 }
 
 } // namespace workshatch::daemon
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -70,8 +71,14 @@
   void noteSignOfLife(relay::Runner& runner);
 
   // The request as a whole (relay_run.cc).
+  relay::RunnerRequest runnerRequest() const;
+  std::variant<relay::RunnerChoice, relay::NoRunner> chooseRunner();
+  http::awaitable<bool> awaitPlace();
+  bool mayRepeat();
+  void noteChoice(const relay::RunnerChoice& choice);
   http::awaitable<void> finish();
   http::awaitable<void> refuse(http::Status status, std::string code, std::string detail);
+  uint32_t retryAfterMs() const;
 
   bool ended() const { return left_ || timed_out_; }
   bool mayTryAgain(AttemptEnd last) const;
@@ -84,6 +91,8 @@
   http::Exchange& exchange_;
   const RelayRequest request_;
   boost::asio::steady_timer deadline_;
+  /// Ends the wait for a place.
+  boost::asio::steady_timer wait_;
   std::shared_ptr<http::RunnerConnection> connection_;
 
   /// The caller has closed its connection.
@@ -93,8 +102,15 @@
   bool may_have_run_ = false;
   bool stream_started_ = false;
   uint32_t ran_attempts_ = 0;
-  /// Attempts that reached a runner.
+  /// Attempts that reached a runner, and those of them that the runner declined.
   uint32_t arrivals_ = 0;
+  uint32_t declines_ = 0;
+  /// All runners were as full as they may be for this request.
+  bool all_full_ = false;
+  /// Place in the line; its number is zero before the request first waited.
+  relay::LinePlace line_place_;
+  /// When the last wait for a place ended.
+  int64_t waited_until_ms_ = 0;
   std::vector<std::string> tried_;
   /// What the last choice of a runner rested on, for the log.
   uint32_t load_at_choice_ = 0;
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -9,9 +9,11 @@
 #include "adapters/http/runner_connection.h"
 #include "adapters/settings/relay_settings.h"
 #include "core/relay/retry_budget.h"
+#include "core/relay/return_times.h"
 #include "core/relay/route_table.h"
 #include "core/relay/runner_table.h"
 #include "core/relay/serving_lease.h"
+#include "core/relay/waiting_line.h"
 #include "daemon/relay/relay_stats.h"
 #include "ports/clock.h"
 #include "ports/relay_dialect.h"
@@ -22,6 +24,10 @@
 /// already on their way to a runner.
 inline constexpr double kLeasePart = 0.8;
 
+/// Requests of a service that wait at one relay for a place, at most. With 48 places on a runner
+/// and ten relays, some ten places become free here in the time that a request waits.
+inline constexpr size_t kMostWaiting = 48;
+
 /// Lives on the relay's event loop; not safe for concurrent use.
 struct RelayState {
   RelayState(const settings::RelaySettings& settings, const Clock& time, const RelayDialect& names)
@@ -42,6 +48,8 @@
   relay::ServingLease lease;
   relay::RunnerTable runners;
   relay::RetryBudget budget;
+  relay::WaitingLine line{kMostWaiting};
+  relay::ReturnTimes return_times;
   http::RunnerConnectionPool connections;
   RelayStats stats;
   /// A planned stop is in progress.
--- /dev/null
+++ b/tests/unit/core/relay/place_limits_test.cc
@@ -0,0 +1,44 @@
+/// @file
+/// How full a runner may be for a request.
+#include <initializer_list>
+#include <limits>
+
+#include <doctest/doctest.h>
+
+#include "core/relay/place_limits.h"
+
+namespace workshatch::test {
+
+using relay::placeLimit;
+using relay::PlaceLimitOptions;
+using relay::Standing;
+
+TEST_CASE("The last places of an engine are kept for the more urgent requests") {
+  const PlaceLimitOptions options;
+  CHECK(placeLimit(options, 48, true, Standing{.priority = 0}) == 48);
+  CHECK(placeLimit(options, 48, true, Standing{.priority = 1}) == 45);
+  CHECK(placeLimit(options, 48, true, Standing{.priority = 2}) == 43);
+  CHECK(placeLimit(options, 48, true, Standing{.priority = 2, .over_share = true}) <
+        placeLimit(options, 48, true, Standing{.priority = 5}));
+}
+
+TEST_CASE("Nothing is kept from more than half of the places") {
+  const PlaceLimitOptions options;
+  for (uint32_t priority = 0; priority <= 9; ++priority) {
+    for (const bool over_share : {false, true}) {
+      CAPTURE(priority);
+      const Standing standing{.priority = priority, .over_share = over_share};
+      CHECK(placeLimit(options, 48, true, standing) > 24);
+      CHECK(placeLimit(options, 12, true, standing) > 6);
+      CHECK(placeLimit(options, 1, true, standing) == 1);
+    }
+  }
+}
+
+TEST_CASE("A plain service may have a short queue; unknown places are no limit") {
+  const PlaceLimitOptions options;
+  CHECK(placeLimit(options, 6, false, Standing{}) == 18);
+  CHECK(placeLimit(options, 0, true, Standing{}) == std::numeric_limits<uint32_t>::max());
+}
+
+} // namespace workshatch::test
--- a/tests/unit/core/relay/runner_table_test.cc
+++ b/tests/unit/core/relay/runner_table_test.cc
@@ -1,5 +1,11 @@
 /// @file
 /// The choice of a runner: homes of cached prompts, loads, runners that fail or leave.
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
 #include <doctest/doctest.h>
 
 #include "core/relay/load_sums.h"
@@ -27,14 +33,21 @@
       .service = "s", .cache_key = cache_key, .draw = 1, .zone = "z", .now_ms = 1000};
 }
 
+std::optional<relay::RunnerChoice> chosen(relay::RunnerTable& table,
+                                          const relay::RunnerRequest& request) {
+  const auto choice = table.choose(request);
+  const auto* made = std::get_if<relay::RunnerChoice>(&choice);
+  return made == nullptr ? std::nullopt : std::optional(*made);
+}
+
 } // namespace
 
 TEST_CASE("A cached prompt goes to the same home while loads allow") {
   relay::RunnerTable table({});
   table.setList(listOf(8));
-  const auto home = table.choose(wish(42))->runner;
+  const auto home = chosen(table, wish(42))->runner;
   for (int i = 0; i < 3; ++i) {
-    CHECK(table.choose(wish(42))->runner == home);
+    CHECK(chosen(table, wish(42))->runner == home);
     table.beginAttempt(*home, 1000);
   }
 }
@@ -42,11 +55,11 @@
 TEST_CASE("A home that is loaded over the rest is left") {
   relay::RunnerTable table({});
   table.setList(listOf(8));
-  const auto home = table.choose(wish(42))->runner;
+  const auto home = chosen(table, wish(42))->runner;
   for (int i = 0; i < 12; ++i) {
     table.beginAttempt(*home, 1000);
   }
-  const auto other = table.choose(wish(42));
+  const auto other = chosen(table, wish(42));
   CHECK(other->runner != home);
   CHECK(other->passed_over >= 1);
 }
@@ -60,14 +73,14 @@
   sums.add_in_progress(0);
   sums.add_in_progress(9);
   table.setSums(sums, table.ownLoads(1000), 1000);
-  CHECK(table.choose(wish())->runner->entry.id() == "r1");
+  CHECK(chosen(table, wish())->runner->entry.id() == "r1");
   sums.set_list_version(6);
   sums.set_in_progress(1, 100);
   table.setSums(sums, table.ownLoads(1000), 1000);
-  CHECK(table.choose(wish())->runner->load() == 0);
+  CHECK(chosen(table, wish())->runner->load() == 0);
   relay::RunnerRequest later = wish();
   later.now_ms = 10'000;
-  (void)table.choose(later);
+  (void)chosen(table, later);
   CHECK(table.runners()[0]->load() == 0);
 }
 
@@ -78,26 +91,104 @@
   table.setList(list);
   relay::RunnerRequest request = wish();
   request.excluded = {"r1"};
-  CHECK(table.choose(request)->runner->entry.id() == "r2");
+  CHECK(chosen(table, request)->runner->entry.id() == "r2");
   request.excluded = {"r1", "r2"};
-  CHECK_FALSE(table.choose(request));
+  CHECK_FALSE(chosen(table, request));
 }
 
 TEST_CASE("A runner that can't be reached is avoided, but is the last resort") {
   relay::RunnerTable table({});
   table.setList(listOf(2));
-  const auto bad = table.choose(wish())->runner;
+  const auto bad = chosen(table, wish())->runner;
   table.beginAttempt(*bad, 1000);
   table.endAttempt(*bad, relay::AttemptOutcome::Unreachable, 1000);
   relay::RunnerRequest request = wish();
   request.now_ms = 1001;
-  CHECK(table.choose(request)->runner != bad);
-  request.excluded = {table.choose(request)->runner->entry.id()};
-  const auto last = table.choose(request);
+  CHECK(chosen(table, request)->runner != bad);
+  request.excluded = {chosen(table, request)->runner->entry.id()};
+  const auto last = chosen(table, request);
   CHECK(last->runner == bad);
   CHECK(last->last_resort);
 }
 
+TEST_CASE("Full runners get nothing more; a stream that broke goes on all the same") {
+  relay::RunnerTable table({});
+  v1::RunnerList list = listOf(2);
+  for (v1::RunnerEntry& entry : *list.mutable_runners()) {
+    entry.set_slots(2);
+  }
+  table.setList(list);
+  relay::RunnerRequest request = wish(42);
+  request.engine = true;
+  for (int i = 0; i < 4; ++i) {
+    const auto choice = chosen(table, request);
+    REQUIRE(choice);
+    table.beginAttempt(*choice->runner, 1000);
+  }
+  CHECK(std::get<relay::NoRunner>(table.choose(request)) == relay::NoRunner::AllFull);
+  relay::RunnerRequest urgent = request;
+  urgent.past_limits = true;
+  CHECK(chosen(table, urgent));
+  table.endAttempt(*table.runners()[1], relay::AttemptOutcome::Succeeded, 1000);
+  CHECK(chosen(table, request)->runner == table.runners()[1]);
+}
+
+TEST_CASE("A runner that declined counts as full for a moment, not as failing") {
+  relay::RunnerTable table({});
+  table.setList(listOf(1));
+  const auto runner = chosen(table, wish())->runner;
+  table.beginAttempt(*runner, 1000);
+  table.endAttempt(*runner, relay::AttemptOutcome::Refused, 1000);
+  CHECK(std::get<relay::NoRunner>(table.choose(wish())) == relay::NoRunner::AllFull);
+  relay::RunnerRequest later = wish();
+  later.now_ms = 1200;
+  CHECK(chosen(table, later));
+  CHECK(table.ownLoads(1000).suspects_size() == 0);
+}
+
+TEST_CASE("Relays that see the same sums fill a busy runner no further than it may be") {
+  constexpr size_t kRelays = 10;
+  constexpr uint32_t kPlaces = 48;
+  v1::RunnerList list = listOf(1, 7);
+  list.mutable_runners(0)->set_slots(kPlaces);
+  uint32_t before = 0;
+  SUBCASE("some places are free") { before = 33; }
+  SUBCASE("few places are free") { before = 45; }
+  SUBCASE("it is too full") { before = 70; }
+  std::vector<std::unique_ptr<relay::RunnerTable>> relays;
+  v1::RunnerLoads sums;
+  sums.set_list_version(7);
+  sums.add_in_progress(before);
+  uint32_t total = 0;
+  for (size_t i = 0; i < kRelays; ++i) {
+    auto table = std::make_unique<relay::RunnerTable>(relay::RunnerTableOptions{});
+    table->setList(list);
+    table->setRelays(kRelays);
+    const uint32_t own = before / kRelays + (i < before % kRelays ? 1 : 0);
+    for (uint32_t started = 0; started < own; ++started) {
+      table->beginAttempt(*table->runners()[0], 1000);
+    }
+    table->setSums(sums, table->ownLoads(1000), 1000);
+    relays.push_back(std::move(table));
+  }
+  for (uint64_t round = 0; round < 200; ++round) {
+    for (auto& table : relays) {
+      relay::RunnerRequest request = wish(42);
+      request.engine = true;
+      request.draw = round * 5;
+      if (chosen(*table, request)) {
+        table->beginAttempt(*table->runners()[0], 1000);
+      }
+    }
+  }
+  for (auto& table : relays) {
+    total += table->runners()[0]->in_progress;
+  }
+  // A lot that wins again and again adds one for each relay at most.
+  CHECK(total <= std::max(before, kPlaces + static_cast<uint32_t>(kRelays)));
+  CHECK(total >= std::min(before, kPlaces));
+}
+
 TEST_CASE("What is known of a runner outlives a new list") {
   relay::RunnerTable table({});
   table.setList(listOf(2, 1));
@@ -114,23 +205,23 @@
 TEST_CASE("A runner that falls silent with requests in progress is avoided and reported") {
   relay::RunnerTable table({});
   table.setList(listOf(4, 7));
-  const auto home = table.choose(wish(42))->runner;
+  const auto home = chosen(table, wish(42))->runner;
   table.beginAttempt(*home, 1000);
   relay::RunnerRequest later = wish(42);
   later.now_ms = 1400;
-  CHECK(table.choose(later)->runner == home);
+  CHECK(chosen(table, later)->runner == home);
   later.now_ms = 1600;
-  CHECK(table.choose(later)->runner != home);
+  CHECK(chosen(table, later)->runner != home);
   CHECK(table.ownLoads(1600).suspects_size() == 1);
   table.noteSignOfLife(*home, 1600);
-  CHECK(table.choose(later)->runner == home);
+  CHECK(chosen(table, later)->runner == home);
   CHECK(table.ownLoads(1600).suspects_size() == 0);
 }
 
 TEST_CASE("A runner that other relays suspect is avoided for a while") {
   relay::RunnerTable table({});
   table.setList(listOf(4, 7));
-  const auto home = table.choose(wish(42))->runner;
+  const auto home = chosen(table, wish(42))->runner;
   relay::LoadSums sums(7, 4);
   v1::RunnerLoads report = table.ownLoads(1000);
   for (uint32_t i = 0; i < 4; ++i) {
@@ -143,10 +234,10 @@
   sums.add(report);
   REQUIRE(sums.sums().suspects_size() == 1);
   table.setSums(sums.sums(), table.ownLoads(1000), 1000);
-  CHECK(table.choose(wish(42))->runner != home);
+  CHECK(chosen(table, wish(42))->runner != home);
   relay::RunnerRequest later = wish(42);
   later.now_ms = 2000;
-  CHECK(table.choose(later)->runner == home);
+  CHECK(chosen(table, later)->runner == home);
 }
 
 } // namespace workshatch::test
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -173,17 +173,20 @@
   TestRelay(const TestRelay&) = delete;
   TestRelay& operator=(const TestRelay&) = delete;
 
-  void addRunner(const std::string& id, const std::string& address) {
+  /// @param slots zero: not told
+  void addRunner(const std::string& id, const std::string& address, uint32_t slots = 0) {
     v1::RunnerEntry* entry = list_.add_runners();
     entry->set_id(id);
     entry->set_service("s");
     entry->set_address(address);
     entry->set_zone("z");
+    entry->set_slots(slots);
     list_.set_version(list_.version() + 1);
     state_.runners.setList(list_);
   }
   void start() { workers_.start(); }
   daemon::RelayState& state() { return state_; }
+  boost::asio::io_context& context() { return workers_.context(0); }
   const std::string& address() const { return address_; }
 
   /// Sends a request for path `/` and returns everything that comes until the connection ends.
--- a/tests/unit/daemon/relay/relay_run_test.cc
+++ b/tests/unit/daemon/relay/relay_run_test.cc
@@ -77,6 +77,34 @@
   CHECK(relay.ask("q1").ends_with("done"));
 }
 
+TEST_CASE("A request waits a little for a place and is refused unheard when none becomes free") {
+  ScriptedRunner runner([](auto& socket, const auto&) { say(socket, signedAnswer("q1", "done")); });
+  relay::Route route = testRoute(RouteKind::RunOnce, 1);
+  route.objective_ms = 1000;
+  TestRelay relay(route);
+  relay.addRunner("runner-1", runner.address(), 1);
+  // A plain service may have three requests for each place.
+  const auto busy = relay.state().runners.runners()[0];
+  busy->in_progress = 3;
+  relay.start();
+  const auto begin = std::chrono::steady_clock::now();
+  const std::string refused = relay.ask("q1");
+  const auto waited = std::chrono::steady_clock::now() - begin;
+  CHECK(refused.starts_with("HTTP/1.1 503"));
+  CHECK(refused.find("Retry-After") != std::string::npos);
+  CHECK(refused.find("all_full") != std::string::npos);
+  CHECK(runner.requests() == 0);
+  CHECK(waited >= std::chrono::milliseconds(150));
+  // Once a place is free, the one that waits is called.
+  boost::asio::post(relay.context(), [&] { busy->in_progress = 3; });
+  boost::asio::steady_timer free_place(relay.context(), std::chrono::milliseconds(50));
+  free_place.async_wait([&](boost::system::error_code) {
+    busy->in_progress = 2;
+    relay.state().line.callNext("s");
+  });
+  CHECK(relay.ask("q1").ends_with("done"));
+}
+
 TEST_CASE("A repeatable request goes on to another runner after a failure") {
   ScriptedRunner failing([](auto& socket, const auto&) {
     say(socket, signedAnswer("q1", "bad", "500 Internal Server Error"));
