Retry-After without a lease from the time without a confirmation; named policy mechanisms

Cause: callers refused for want of a lease were sent away for 1 s always, though a group that was killed as a whole gives leases again 160 ms after its start. Change: what has been silent for some time is taken to be so for as long again, 200 ms to 1 s. Each mechanism that decides is one checked setting of the member policy.

--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -122,6 +122,22 @@
   reader.number("endpoints_ttl_s", bounds.endpoints_ttl_s, 1, 3600);
 }
 
+void readPolicy(FieldReader reader, relay::Policy& policy) {
+  reader.flag("prompt_homes", policy.prompt_homes);
+  reader.flag("fetch_cached_parts", policy.fetch_cached_parts);
+  reader.flag("shared_loads", policy.shared_loads);
+  reader.flag("shared_suspicions", policy.shared_suspicions);
+  reader.flag("hold_downs", policy.hold_downs);
+  reader.flag("silence_limits", policy.silence_limits);
+  reader.flag("own_zone_first", policy.own_zone_first);
+  reader.flag("place_limits", policy.place_limits);
+  reader.flag("shared_places", policy.shared_places);
+  reader.flag("waiting_line", policy.waiting_line);
+  reader.flag("paced_returns", policy.paced_returns);
+  reader.flag("tenant_shares", policy.tenant_shares);
+  reader.flag("repeats", policy.repeats);
+}
+
 } // namespace
 
 std::vector<std::string> RelaySettings::seedLinks() const {
@@ -165,6 +181,12 @@
   } else if (bounds != nullptr) {
     reader.fault("bounds", "must be an object");
   }
+  const json* policy = reader.find("policy", false);
+  if (policy != nullptr && policy->is_object()) {
+    readPolicy(FieldReader(*policy, "policy.", faults), settings.policy);
+  } else if (policy != nullptr) {
+    reader.fault("policy", "must be an object");
+  }
   if (!faults.empty()) {
     return faults;
   }
--- a/src/adapters/settings/relay_settings.h
+++ b/src/adapters/settings/relay_settings.h
@@ -7,6 +7,8 @@
 #include <variant>
 #include <vector>
 
+#include "core/relay/policy.h"
+
 namespace workshatch::settings {
 
 /// Bounds that the fleet keeps; the operators of the platform set them.
@@ -43,6 +45,7 @@
   /// Losses of replicas that the group bears at once.
   uint32_t replica_losses = 1;
   RelayBounds bounds;
+  relay::Policy policy;
 
   /// Addresses for frames of the replicas that `seeds` names.
   std::vector<std::string> seedLinks() const;
--- /dev/null
+++ b/src/core/relay/policy.h
@@ -0,0 +1,39 @@
+/// @file
+/// Which mechanisms decide how a relay chooses, repeats and refuses. Each can be turned off by
+/// itself, so that its worth can be measured (scripts/ablation.sh).
+#pragma once
+
+namespace workshatch::relay {
+
+/// Settings of the member "policy"; all on by default.
+struct Policy {
+  /// Prompts go to the runners that rank first for their shared part; off: to the least loaded.
+  bool prompt_homes = true;
+  /// Engines are told a runner from which they can take cached parts of a prompt.
+  bool fetch_cached_parts = true;
+  /// Requests of the other relays count in a runner's load.
+  bool shared_loads = true;
+  /// Runners that two relays suspect are avoided by all.
+  bool shared_suspicions = true;
+  /// Runners that fail or can't be reached are avoided for a while.
+  bool hold_downs = true;
+  /// Runners that fall silent with requests in progress are avoided, and repeatable requests leave
+  /// them for another.
+  bool silence_limits = true;
+  /// Between runners that are equally loaded, one of the own zone is chosen.
+  bool own_zone_first = true;
+  /// Runners are filled up to their places only; off: whatever is asked is sent.
+  bool place_limits = true;
+  /// What relays take of a busy runner between two sums is shared out.
+  bool shared_places = true;
+  /// Requests wait a moment for a place.
+  bool waiting_line = true;
+  /// Refused callers come back at the pace of the service; off: after a fixed time.
+  bool paced_returns = true;
+  /// Tenants that use more than their share leave places to others on a busy fleet.
+  bool tenant_shares = true;
+  /// The relay sends on repeats within the budget only; off: no repeats at all.
+  bool repeats = true;
+};
+
+} // namespace workshatch::relay
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -81,11 +81,12 @@
   for (size_t i = 0; i < runners_.size(); ++i) {
     const uint32_t total = (*totals)[i];
     const uint32_t own = owns ? (*owns)[i] : 0;
-    runners_[i]->others_in_progress = total > own ? total - own : 0;
+    const bool others = options_.policy.shared_loads && total > own;
+    runners_[i]->others_in_progress = others ? total - own : 0;
     runners_[i]->in_progress_at_sums = runners_[i]->in_progress;
   }
   for (const uint32_t position : sums.suspects()) {
-    if (position < runners_.size()) {
+    if (position < runners_.size() && options_.policy.shared_suspicions) {
       runners_[position]->suspected_until_ms = now_ms + options_.suspicion_ms;
     }
   }
@@ -120,7 +121,8 @@
 
 bool RunnerTable::isSilent(const Runner& runner, int64_t now_ms) const {
   const int64_t limit = runner.engine ? options_.silent_engine_ms : options_.silent_service_ms;
-  return runner.in_progress > 0 && now_ms - runner.sign_of_life_ms > limit;
+  return options_.policy.silence_limits && runner.in_progress > 0 &&
+         now_ms - runner.sign_of_life_ms > limit;
 }
 
 bool RunnerTable::isAvoided(const Runner& runner, int64_t now_ms) const {
@@ -178,7 +180,7 @@
 }
 
 bool RunnerTable::hasPlace(const RunnerRequest& request, const Runner& runner, bool busy) const {
-  if (request.past_limits) {
+  if (request.past_limits || !options_.policy.place_limits) {
     return true;
   }
   const uint32_t limit =
@@ -186,7 +188,8 @@
   if (runner.load() >= limit || runner.full_until_ms > request.now_ms) {
     return false;
   }
-  return !busy || runner.in_progress < mostBetweenSums(request, runner, limit);
+  return !busy || !options_.policy.shared_places ||
+         runner.in_progress < mostBetweenSums(request, runner, limit);
 }
 
 /// @return whether most of the places of these runners are taken.
@@ -212,12 +215,15 @@
   if (candidates.empty()) {
     return NoRunner::AllFull;
   }
-  RunnerChoice choice = request.cache_key == 0 ? chooseByLoad(request, candidates)
-                                               : chooseByCache(request, std::move(candidates));
+  const bool by_prompt = request.cache_key != 0 && options_.policy.prompt_homes;
+  RunnerChoice choice =
+      by_prompt ? chooseByCache(request, std::move(candidates)) : chooseByLoad(request, candidates);
   choice.last_resort = last_resort;
   if (request.cache_key != 0) {
     choice.runner->engine = true;
-    choice.likely_holder = likelyHolder(request, *choice.runner);
+    if (options_.policy.fetch_cached_parts) {
+      choice.likely_holder = likelyHolder(request, *choice.runner);
+    }
   }
   return choice;
 }
@@ -269,7 +275,8 @@
                                        const Candidates& candidates) const {
   const auto costOf = [&](const Runner& runner) {
     // A runner of another zone must be less loaded by one request to be worth the way.
-    const uint32_t distance = runner.entry.zone() == request.zone ? 0 : 1;
+    const bool near = runner.entry.zone() == request.zone || !options_.policy.own_zone_first;
+    const uint32_t distance = near ? 0 : 1;
     return runner.load() + distance;
   };
   const auto best = std::min_element(
@@ -285,6 +292,9 @@
   if (runner.in_progress > 0) {
     --runner.in_progress;
   }
+  if (!options_.policy.hold_downs) {
+    return;
+  }
   switch (outcome) {
   case AttemptOutcome::Succeeded:
     runner.failure_rate *= 1 - kNewestWeight;
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/relay/place_limits.h"
+#include "core/relay/policy.h"
 #include "workshatch/v1/relay.pb.h"
 
 namespace workshatch::relay {
@@ -113,6 +114,7 @@
   double leave_factor = 1.3;
   double leave_slack = 6;
   PlaceLimitOptions places;
+  Policy policy;
   /// Over this part of a service's places, what relays take between two sums is shared out. Below
   /// it the places that are free outlast what all relays send in that time.
   double busy_part = 0.6;
--- a/src/core/relay/serving_lease.h
+++ b/src/core/relay/serving_lease.h
@@ -47,6 +47,12 @@
   /// Milliseconds since the sending of the newest confirmed renewal; -1 before the first.
   int64_t ageMs(int64_t now_ms) const { return ever_confirmed_ ? now_ms - confirmed_sent_ms_ : -1; }
 
+  /// Milliseconds without a confirmation: since the sending of the last, or since the start.
+  /// @param started_ms when the process started
+  int64_t unconfirmedForMs(int64_t now_ms, int64_t started_ms) const {
+    return now_ms - (ever_confirmed_ ? confirmed_sent_ms_ : started_ms);
+  }
+
   bool everConfirmed() const { return ever_confirmed_; }
 
 private:
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -58,7 +58,8 @@
 }
 
 std::chrono::milliseconds RelayRun::silenceLimit(bool streaming) const {
-  const bool another = request_.repeatable() && ran_attempts_ + 1 < request_.route->max_attempts;
+  const bool another = state_.policy.silence_limits && request_.repeatable() &&
+                       ran_attempts_ + 1 < request_.route->max_attempts;
   if (!another) {
     return std::chrono::milliseconds(0);
   }
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -14,9 +14,10 @@
 
 namespace {
 
-/// A group that lost all its processes serves again within about this time; a caller that comes
-/// back then is served in time from its new attempt.
-constexpr uint32_t kRetryWithoutLeaseMs = 1000;
+/// Bounds of when to come back while there is no lease: a group that lost all its processes gives
+/// leases again some 150 ms after they started; a longer silence is a cut, whose end nobody knows.
+constexpr int64_t kSoonestWithoutLeaseMs = 200;
+constexpr int64_t kLatestWithoutLeaseMs = 1000;
 constexpr uint32_t kRetryWhileStoppingMs = 50;
 constexpr uint32_t kMostPriority = 9;
 /// Priorities of a tenant lie this far apart, so that those of routes fit between.
@@ -81,9 +82,17 @@
                        .request_id = id};
 }
 
-http::Problem outOfTouch(const std::string& id) {
+/// What has lasted for some time is taken to last for as long again.
+uint32_t retryWithoutLeaseMs(const RelayState& state, int64_t now_ms) {
+  const int64_t silent_ms = state.lease.unconfirmedForMs(now_ms, state.started_ms);
+  return static_cast<uint32_t>(
+      std::clamp(silent_ms, kSoonestWithoutLeaseMs, kLatestWithoutLeaseMs));
+}
+
+http::Problem outOfTouch(const RelayState& state, const RelayRequest& relayed) {
   return refusal(http::Status::service_unavailable, "no_lease",
-                 "this relay has lost touch with the group", id, kRetryWithoutLeaseMs);
+                 "this relay has lost touch with the group", relayed.id,
+                 retryWithoutLeaseMs(state, relayed.received_ms));
 }
 
 void readPrompt(const http::Request& request, const RelayDialect& dialect, RelayRequest& relayed) {
@@ -127,7 +136,8 @@
   }
   if (!state.routes) {
     return refusal(http::Status::service_unavailable, "no_configuration",
-                   "no configuration has arrived yet", id, kRetryWithoutLeaseMs);
+                   "no configuration has arrived yet", id,
+                   retryWithoutLeaseMs(state, relayed.received_ms));
   }
   if (id.empty()) {
     return refusal(http::Status::bad_request, "no_request_id", names.request_id + " is missing",
@@ -146,12 +156,12 @@
   const bool needs_key = !state.routes->configuration().tenants.empty() &&
                          (relayed.route == nullptr || !relayed.route->anonymous);
   if (relayed.route == nullptr || (needs_key && !lease_holds)) {
-    return outOfTouch(id);
+    return outOfTouch(state, relayed);
   }
   if (needs_key) {
     relayed.tenant = state.routes->findTenant(http::fieldOf(request, names.key).value_or(""));
     if (relayed.tenant == nullptr && !lease_is_fresh) {
-      return outOfTouch(id);
+      return outOfTouch(state, relayed);
     }
     if (relayed.tenant == nullptr) {
       return refusal(http::Status::unauthorized, "unknown_key", "the key is not known", id);
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -96,7 +96,7 @@
 
 /// A request that has not waited yet does not overtake those that do.
 std::variant<relay::RunnerChoice, relay::NoRunner> RelayRun::chooseRunner() {
-  const bool newcomer = line_place_.number == 0 && arrivals_ == 0;
+  const bool newcomer = state_.policy.waiting_line && line_place_.number == 0 && arrivals_ == 0;
   if (newcomer && state_.line.hasBefore(request_.service, request_.standing.priority)) {
     return relay::NoRunner::AllFull;
   }
@@ -108,7 +108,7 @@
 http::awaitable<bool> RelayRun::awaitPlace() {
   const auto part_ms = static_cast<int64_t>(kWaitPart * request_.route->objective_ms);
   const int64_t left_ms = request_.received_ms + part_ms - state_.clock.monotonicMs();
-  if (left_ms <= 0) {
+  if (left_ms <= 0 || !state_.policy.waiting_line) {
     co_return false;
   }
   if (line_place_.number == 0) {
@@ -135,7 +135,8 @@
   if (arrivals_ == 0) {
     return true;
   }
-  if (!state_.budget.takeRepeat(request_.service, state_.clock.monotonicMs())) {
+  if (!state_.policy.repeats ||
+      !state_.budget.takeRepeat(request_.service, state_.clock.monotonicMs())) {
     ++state_.stats.repeats_refused;
     return false;
   }
@@ -175,7 +176,7 @@
 }
 
 uint32_t RelayRun::retryAfterMs() const {
-  if (!all_full_ && declines_ == 0) {
+  if ((!all_full_ && declines_ == 0) || !state_.policy.paced_returns) {
     return kRetryWithoutRunnerMs;
   }
   const int64_t now_ms = state_.clock.monotonicMs();
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -34,11 +34,13 @@
       : clock(time), dialect(names), zone(settings.zone),
         lease(
             static_cast<int64_t>(kLeasePart * static_cast<double>(settings.bounds.revoked_key_ms))),
-        runners(relay::RunnerTableOptions{.cap_factor = settings.bounds.load_cap_factor}),
+        policy(settings.policy),
+        runners(relay::RunnerTableOptions{.cap_factor = settings.bounds.load_cap_factor,
+                                          .policy = settings.policy}),
         budget(relay::RetryBudgetOptions{.ratio = settings.bounds.repeat_ratio,
                                          .window_ms = settings.bounds.repeat_window_ms,
                                          .slack = settings.bounds.repeat_slack}),
-        connections(time) {}
+        connections(time), started_ms(time.monotonicMs()) {}
 
   const Clock& clock;
   const RelayDialect& dialect;
@@ -46,12 +48,14 @@
   /// The configuration in force; null: none has arrived yet. Its version never goes down.
   std::shared_ptr<const relay::RouteTable> routes;
   relay::ServingLease lease;
+  const relay::Policy policy;
   relay::RunnerTable runners;
   relay::RetryBudget budget;
   relay::WaitingLine line{kMostWaiting};
   relay::ReturnTimes return_times;
   http::RunnerConnectionPool connections;
   RelayStats stats;
+  const int64_t started_ms;
   /// A planned stop is in progress.
   bool stopping = false;
   /// New requests are refused, since the process is about to end.
--- a/tests/unit/core/relay/relay_parts_test.cc
+++ b/tests/unit/core/relay/relay_parts_test.cc
@@ -24,6 +24,13 @@
   CHECK_FALSE(lease.holds(1400));
 }
 
+TEST_CASE("Time without a confirmation counts from the start, then from the last one's sending") {
+  relay::ServingLease lease(1000);
+  CHECK(lease.unconfirmedForMs(500, 200) == 300);
+  lease.confirmed(lease.renewalSent(600));
+  CHECK(lease.unconfirmedForMs(1750, 200) == 1150);
+}
+
 TEST_CASE("Late, repeated and unknown confirmations do not lengthen a lease") {
   relay::ServingLease lease(1000);
   const uint64_t first = lease.renewalSent(100);
