--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -14,6 +14,7 @@
 #include "adapters/metrics/text_format.h"
 #include "core/compression/deflate.h"
 #include "core/relay/list_period.h"
+#include "core/relay/relay_addresses.h"
 #include "core/relay/runner_list_history.h"
 #include "daemon/relay/relay_run.h"
 #include "daemon/server_limits.h"
@@ -34,9 +35,6 @@
 constexpr size_t kReadersAssumed = 10;
 /// Relays that read the list at the same time spread their calls over this.
 constexpr uint64_t kOwnListJitterMs = 400;
-/// Callers of a zone stay in it while so many relays there are ready.
-constexpr size_t kRelaysOfZone = 2;
-constexpr size_t kMostAddresses = 64;
 /// New requests are taken for so long after a planned stop began.
 constexpr std::chrono::milliseconds kTakeWhileStopping{2800};
 /// Part of the time for a planned stop after which what is still in progress is cut.
@@ -149,24 +147,14 @@
     co_await exchange.respond(std::move(response));
     co_return;
   }
-  const std::string zone =
-      http::queryParameter(exchange.target(), adapters_.dialect.zoneParameter()).value_or("");
-  std::vector<std::string> near;
-  std::vector<std::string> all;
-  for (const v1::RelayEntry& relay : relays_.relays()) {
-    all.push_back(relay.address());
-    if (relay.zone() == zone) {
-      near.push_back(relay.address());
-    }
-  }
-  std::vector<std::string>& chosen = near.size() >= kRelaysOfZone ? near : all;
-  if (chosen.empty()) {
-    chosen.push_back(settings_.caller_address);
-  }
-  if (chosen.size() > kMostAddresses) {
-    std::shuffle(chosen.begin(), chosen.end(), std::minstd_rand(random_.next()));
-    chosen.resize(kMostAddresses);
-  }
+  const std::vector<std::string> chosen = relay::addressesFor(
+      relays_,
+      relay::AddressQuestion{
+          .zone = http::queryParameter(exchange.target(), adapters_.dialect.zoneParameter())
+                      .value_or(""),
+          .own_address = settings_.caller_address,
+          .in_touch = state_.lease.isFresh(clock_.monotonicMs()),
+          .draw = random_.next()});
   http::Response response =
       http::makeResponse(http::Status::ok, "application/json",
                          adapters_.dialect.addresses(chosen, settings_.bounds.endpoints_ttl_s));
@@ -224,6 +212,9 @@
   renewal.set_relay_list_version(relays_.version());
   reported_loads_ = state_.runners.ownLoads(clock_.monotonicMs());
   *renewal.mutable_loads() = reported_loads_;
+  if (state_.routes) {
+    *renewal.mutable_tenants() = state_.tenants.report(state_.routes->configuration());
+  }
   ++state_.stats.renewals;
   return renewal;
 }
@@ -247,6 +238,9 @@
   }
   if (reply.has_loads()) {
     state_.runners.setSums(reply.loads(), reported_loads_, clock_.monotonicMs());
+    if (state_.routes) {
+      state_.tenants.setOverShare(reply.over_share(), state_.routes->configuration());
+    }
     state_.line.callNextOfEach();
   }
   if (reply.confirmed()) {
