--- a/src/core/relay/place_limits.h
+++ b/src/core/relay/place_limits.h
@@ -12,6 +12,8 @@
   uint32_t priority = 0;
   /// The request's tenant uses more than its share of the fleet.
   bool over_share = false;
+  /// Draws the few of each priority that count as the most urgent.
+  uint64_t draw = 0;
 };
 
 /// Trunk reservation: the last places of a runner are kept for the more urgent requests, so that
@@ -20,6 +22,9 @@
   /// Part of a runner's places that the least urgent requests leave free, for each step of
   /// priority. With 48 places two; fewer are lost in what sums of loads lag behind.
   double part_by_priority = 0.05;
+  /// One request in so many counts as the most urgent, whatever its priority, so that no kind of
+  /// request starves while more urgent ones alone fill the fleet.
+  uint64_t one_in_is_urgent = 8;
   /// Further part that a tenant over its share leaves free. With a quarter, a fleet that could have
   /// served all refused 7 in 100 of a day with one tenant at ten times its usual.
   double part_over_share = 0.1;
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -176,6 +176,7 @@
   const relay::Service* service = state.routes->findService(relayed.service);
   relayed.engine = service != nullptr && service->model_engine;
   relayed.standing.priority = priorityOf(relayed);
+  relayed.standing.draw = relayed.draw;
   relayed.standing.over_share = state.policy.tenant_shares && relayed.tenant != nullptr &&
                                 state.tenants.overShare(relayed.tenant->name);
   return relayed;
