Waiting requests are called when holds end; a runner that declined while idle is tried again soon

Cause, by reading the code: a runner that declined counts as full for 100 ms, and nothing calls those who wait when that ends; a service of one runner refused callers for a decline that had passed. A replica without a leader remembers each relay's link once, not once for each renewal.

--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -18,8 +18,10 @@
 constexpr int64_t kAvoidUnreachableMs = 500;
 constexpr int64_t kMostAvoidMs = 4000;
 constexpr int64_t kAvoidFailingMs = 1000;
-/// A full runner is left alone for a moment.
+/// A full runner is left alone for a moment; for a shorter one where few requests are known to be
+/// there, since it may decline for a reason that has passed already.
 constexpr int64_t kFullMs = 100;
+constexpr int64_t kFullThoughIdleMs = 20;
 constexpr int64_t kAvoidMisdirectedMs = 5000;
 /// Fineness of the lots by which relays share a place.
 constexpr uint64_t kLots = 1024;
@@ -301,7 +303,8 @@
     runner.failures_in_row = 0;
     break;
   case AttemptOutcome::Refused:
-    runner.full_until_ms = now_ms + kFullMs;
+    runner.full_until_ms =
+        now_ms + (2 * runner.load() < runner.entry.slots() ? kFullThoughIdleMs : kFullMs);
     break;
   case AttemptOutcome::Misdirected:
     runner.avoid_until_ms = now_ms + kAvoidMisdirectedMs;
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -68,7 +68,7 @@
   if (!replica_.isLeader()) {
     nameLeader(link, renewal.sequence());
     if (!replica_.knowsLeader()) {
-      leaderless_.push_back(link);
+      noteLeaderless(link);
     }
     return;
   }
@@ -79,6 +79,14 @@
   startRoundSoon();
 }
 
+void RelayHub::noteLeaderless(const std::shared_ptr<link::FramedLink>& link) {
+  std::erase_if(leaderless_, [&](const std::weak_ptr<link::FramedLink>& waiting) {
+    const auto known = waiting.lock();
+    return !known || known == link;
+  });
+  leaderless_.push_back(link);
+}
+
 /// Tells a relay who leads, as far as this replica knows; confirms nothing.
 void RelayHub::nameLeader(const std::shared_ptr<link::FramedLink>& link, uint64_t sequence) const {
   v1::Frame frame;
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -75,6 +75,7 @@
 
   void takeTerm();
   void noteRenewal(const std::shared_ptr<link::FramedLink>& link, const v1::LeaseRenewal& renewal);
+  void noteLeaderless(const std::shared_ptr<link::FramedLink>& link);
   void nameLeader(const std::shared_ptr<link::FramedLink>& link, uint64_t sequence) const;
   void startRoundSoon();
   void startRound();
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -323,6 +323,8 @@
 
 void RelayRole::housekeep() {
   state_.connections.dropExpired();
+  // Runners that declined count as full for a time only, of whose end nothing else tells.
+  state_.line.callNextOfEach();
   housekeeping_.expires_after(kHousekeepingPeriod);
   housekeeping_.async_wait([this](boost::system::error_code failure) {
     if (!failure) {
--- a/tests/unit/core/relay/runner_table_test.cc
+++ b/tests/unit/core/relay/runner_table_test.cc
@@ -146,6 +146,22 @@
   CHECK(table.ownLoads(1000).suspects_size() == 0);
 }
 
+TEST_CASE("A runner that declined with few requests is tried again soon") {
+  relay::RunnerTable table({});
+  v1::RunnerList list = listOf(1);
+  list.mutable_runners(0)->set_slots(6);
+  table.setList(list);
+  const auto runner = chosen(table, wish())->runner;
+  const auto declineWith = [&](uint32_t others) {
+    runner->others_in_progress = others;
+    table.beginAttempt(*runner, 1000);
+    table.endAttempt(*runner, relay::AttemptOutcome::Refused, 1000);
+    return runner->full_until_ms;
+  };
+  CHECK(declineWith(1) == 1020);
+  CHECK(declineWith(5) == 1100);
+}
+
 TEST_CASE("Relays that see the same sums fill a busy runner no further than it may be") {
   constexpr size_t kRelays = 10;
   constexpr uint32_t kPlaces = 48;
