--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -147,6 +147,7 @@
     {"own_zone_first", &relay::Policy::own_zone_first},
     {"place_limits", &relay::Policy::place_limits},
     {"shared_places", &relay::Policy::shared_places},
+    {"few_homes", &relay::Policy::few_homes},
     {"waiting_line", &relay::Policy::waiting_line},
     {"paced_returns", &relay::Policy::paced_returns},
     {"tenant_shares", &relay::Policy::tenant_shares},
--- a/src/core/relay/policy.h
+++ b/src/core/relay/policy.h
@@ -26,6 +26,8 @@
   bool place_limits = true;
   /// What relays take of a busy runner between two sums is shared out.
   bool shared_places = true;
+  /// On a busy fleet prompts go to few of the runners that rank for them.
+  bool few_homes = true;
   /// Requests wait a moment for a place.
   bool waiting_line = true;
   /// Refused callers come back at the pace of the service; off: after a fixed time.
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -46,7 +46,9 @@
     known.emplace(runner->entry.id(), runner);
   }
   runners_.clear();
-  services_.clear();
+  for (auto& [service, state] : services_) {
+    state.runners.clear();
+  }
   list_version_ = list.version();
   for (const v1::RunnerEntry& entry : list.runners()) {
     auto& runner = known[entry.id()];
@@ -57,7 +59,7 @@
     runner->entry = entry;
     runner->gone = false;
     runners_.push_back(runner);
-    services_[entry.service()].push_back(runner);
+    services_[entry.service()].runners.push_back(runner);
   }
 }
 
@@ -87,6 +89,9 @@
     runners_[i]->others_in_progress = others ? total - own : 0;
     runners_[i]->in_progress_at_sums = runners_[i]->in_progress;
   }
+  for (auto& [service, state] : services_) {
+    state.asked_before_sums = std::exchange(state.asked_since_sums, 0);
+  }
   for (const uint32_t position : sums.suspects()) {
     if (position < runners_.size() && options_.policy.shared_suspicions) {
       runners_[position]->suspected_until_ms = now_ms + options_.suspicion_ms;
@@ -146,7 +151,7 @@
   if (service == services_.end()) {
     return usable;
   }
-  for (const auto& runner : service->second) {
+  for (const auto& runner : service->second.runners) {
     if (runner->entry.leaving() || isExcluded(request, *runner)) {
       continue;
     }
@@ -164,24 +169,39 @@
   return static_cast<double>(total) / static_cast<double>(candidates.size());
 }
 
-/// Most requests that this relay may have at a runner before the next sums. All relays see the same
-/// sums: if each took all that was free, a runner would get it once from each. So each keeps what
-/// it had, takes an equal part of what was free, and gives back its part of what was too much.
-/// Parts of a request are drawn by lot.
-uint32_t RunnerTable::mostBetweenSums(const RunnerRequest& request, const Runner& runner,
-                                      uint32_t limit) const {
-  const uint32_t load_at_sums = runner.others_in_progress + runner.in_progress_at_sums;
+/// All relays see the same sums: if each took all that was free, a runner would get it once from
+/// each. So where more is asked between two sums than was free, a request takes a place with the
+/// chance that lets all relays together take what was free; where a runner was too full, each relay
+/// gives back its part of what was too much.
+bool RunnerTable::takesShare(const RunnerRequest& request, const Runner& runner,
+                             uint32_t limit) const {
   const uint32_t own = runner.in_progress_at_sums;
+  const uint32_t load_at_sums = runner.others_in_progress + own;
   if (load_at_sums > limit) {
-    return own * limit / load_at_sums;
+    return runner.in_progress < own * limit / load_at_sums;
+  }
+  if (runner.in_progress < own) {
+    return true;
   }
-  const double part = static_cast<double>(limit - load_at_sums) / static_cast<double>(relays_);
-  const auto whole = static_cast<uint32_t>(part);
+  const double free = limit - load_at_sums;
+  const double chance = free / std::max(expectedAt(request.service), 1.0);
   const double lot = static_cast<double>(request.draw % kLots) / kLots;
-  return own + whole + (lot < part - whole ? 1 : 0);
+  return lot < chance;
+}
+
+/// Requests that all relays together have for a runner of the service between two sums, as far as
+/// this relay's own requests tell.
+double RunnerTable::expectedAt(const std::string& service) const {
+  const auto found = services_.find(service);
+  if (found == services_.end() || found->second.runners.empty()) {
+    return 0;
+  }
+  const uint32_t asked = std::max(found->second.asked_before_sums, found->second.asked_since_sums);
+  return static_cast<double>(asked) * static_cast<double>(relays_) /
+         static_cast<double>(found->second.runners.size());
 }
 
-bool RunnerTable::hasPlace(const RunnerRequest& request, const Runner& runner, bool busy) const {
+bool RunnerTable::hasPlace(const RunnerRequest& request, const Runner& runner) const {
   if (request.past_limits || !options_.policy.place_limits) {
     return true;
   }
@@ -190,8 +210,9 @@
   if (runner.load() >= limit || runner.full_until_ms > request.now_ms) {
     return false;
   }
-  return !busy || !options_.policy.shared_places ||
-         runner.in_progress < mostBetweenSums(request, runner, limit);
+  // A plain service's requests end many times between two sums: what was free then says little.
+  const bool shared = options_.policy.shared_places && request.engine;
+  return !shared || takesShare(request, runner, limit);
 }
 
 /// @return whether most of the places of these runners are taken.
@@ -205,6 +226,19 @@
   return static_cast<double>(load) > options_.busy_part * static_cast<double>(places);
 }
 
+/// On a busy fleet a prompt goes only to the runners that rank first for its part. To read a long
+/// part anew on yet another runner takes more of it than the request itself.
+void RunnerTable::keepHomes(const RunnerRequest& request, Candidates& candidates) const {
+  if (candidates.size() <= options_.busy_homes) {
+    return;
+  }
+  candidates = routing::rank(request.cache_key, std::move(candidates),
+                             [](const std::shared_ptr<Runner>& runner) -> const std::string& {
+                               return runner->entry.id();
+                             });
+  candidates.resize(options_.busy_homes);
+}
+
 std::variant<RunnerChoice, NoRunner> RunnerTable::choose(const RunnerRequest& request) {
   forgetStaleSums(request.now_ms);
   bool last_resort = false;
@@ -212,12 +246,15 @@
   if (candidates.empty()) {
     return NoRunner::NoneLeft;
   }
-  const bool busy = isBusy(candidates);
-  std::erase_if(candidates, [&](const auto& runner) { return !hasPlace(request, *runner, busy); });
+  services_[request.service].asked_since_sums += request.asks_again ? 0 : 1;
+  const bool by_prompt = request.cache_key != 0 && options_.policy.prompt_homes;
+  if (by_prompt && isBusy(candidates) && options_.policy.few_homes && !request.past_limits) {
+    keepHomes(request, candidates);
+  }
+  std::erase_if(candidates, [&](const auto& runner) { return !hasPlace(request, *runner); });
   if (candidates.empty()) {
     return NoRunner::AllFull;
   }
-  const bool by_prompt = request.cache_key != 0 && options_.policy.prompt_homes;
   RunnerChoice choice =
       by_prompt ? chooseByCache(request, std::move(candidates)) : chooseByLoad(request, candidates);
   choice.last_resort = last_resort;
@@ -260,7 +297,7 @@
                                                   const Runner& chosen) const {
   std::shared_ptr<Runner> best;
   uint64_t best_weight = 0;
-  for (const auto& runner : services_.at(request.service)) {
+  for (const auto& runner : services_.at(request.service).runners) {
     if (runner.get() == &chosen || isAvoided(*runner, request.now_ms)) {
       continue;
     }
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -74,6 +74,8 @@
   /// The service's runners are model engines.
   bool engine = false;
   Standing standing;
+  /// It asked before and waited; counts once in what is asked of the service.
+  bool asks_again = false;
   /// Goes to a full runner rather than to none, as the rest of a stream that broke does.
   bool past_limits = false;
 };
@@ -115,9 +117,11 @@
   double leave_slack = 6;
   PlaceLimitOptions places;
   Policy policy;
-  /// Over this part of a service's places, what relays take between two sums is shared out. Below
-  /// it the places that are free outlast what all relays send in that time.
-  double busy_part = 0.6;
+  /// A service counts as busy over this part of its places. With what is kept for the more urgent,
+  /// few of the rest are free then.
+  double busy_part = 0.85;
+  /// Runners that a part of a prompt may be on while the service is busy.
+  size_t busy_homes = 3;
 };
 
 /// The runners of all services. Not safe for concurrent use.
@@ -155,10 +159,11 @@
   using Candidates = std::vector<std::shared_ptr<Runner>>;
 
   Candidates candidatesFor(const RunnerRequest& request, bool* last_resort) const;
-  bool hasPlace(const RunnerRequest& request, const Runner& runner, bool busy) const;
-  uint32_t mostBetweenSums(const RunnerRequest& request, const Runner& runner,
-                           uint32_t limit) const;
+  bool hasPlace(const RunnerRequest& request, const Runner& runner) const;
+  bool takesShare(const RunnerRequest& request, const Runner& runner, uint32_t limit) const;
+  double expectedAt(const std::string& service) const;
   bool isBusy(const Candidates& candidates) const;
+  void keepHomes(const RunnerRequest& request, Candidates& candidates) const;
   RunnerChoice chooseByCache(const RunnerRequest& request, Candidates candidates) const;
   RunnerChoice chooseByLoad(const RunnerRequest& request, const Candidates& candidates) const;
   std::shared_ptr<Runner> likelyHolder(const RunnerRequest& request, const Runner& chosen) const;
@@ -171,7 +176,13 @@
   uint64_t list_version_ = 0;
   /// In the order of the list.
   std::vector<std::shared_ptr<Runner>> runners_;
-  std::map<std::string, Candidates> services_;
+  struct Service {
+    Candidates runners;
+    /// Requests of this relay since the last sums, and between the two before them.
+    uint32_t asked_since_sums = 0;
+    uint32_t asked_before_sums = 0;
+  };
+  std::map<std::string, Service> services_;
   int64_t sums_at_ms_ = 0;
   size_t relays_ = 1;
 };
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -91,6 +91,7 @@
                               .now_ms = state_.clock.monotonicMs(),
                               .engine = request_.engine,
                               .standing = request_.standing,
+                              .asks_again = line_place_.number != 0,
                               .past_limits = stream_started_};
 }
 
