--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -201,12 +201,21 @@
          static_cast<double>(found->second.runners.size());
 }
 
-bool RunnerTable::hasPlace(const RunnerRequest& request, const Runner& runner) const {
+/// While most places of the service are free, a home may have a few requests more than places: they
+/// wait there for less time than it takes to read their prompts elsewhere.
+uint32_t RunnerTable::limitOf(const RunnerRequest& request, const Runner& runner, bool busy) const {
+  const uint32_t places = runner.entry.slots();
+  if (!busy && request.engine && places != 0) {
+    return places + static_cast<uint32_t>(options_.leave_slack);
+  }
+  return placeLimit(options_.places, places, request.engine, request.standing);
+}
+
+bool RunnerTable::hasPlace(const RunnerRequest& request, const Runner& runner, bool busy) const {
   if (request.past_limits || !options_.policy.place_limits) {
     return true;
   }
-  const uint32_t limit =
-      placeLimit(options_.places, runner.entry.slots(), request.engine, request.standing);
+  const uint32_t limit = limitOf(request, runner, busy);
   if (runner.load() >= limit || runner.full_until_ms > request.now_ms) {
     return false;
   }
@@ -248,10 +257,11 @@
   }
   services_[request.service].asked_since_sums += request.asks_again ? 0 : 1;
   const bool by_prompt = request.cache_key != 0 && options_.policy.prompt_homes;
-  if (by_prompt && isBusy(candidates) && options_.policy.few_homes && !request.past_limits) {
+  const bool busy = isBusy(candidates);
+  if (busy && by_prompt && options_.policy.few_homes && !request.past_limits) {
     keepHomes(request, candidates);
   }
-  std::erase_if(candidates, [&](const auto& runner) { return !hasPlace(request, *runner); });
+  std::erase_if(candidates, [&](const auto& runner) { return !hasPlace(request, *runner, busy); });
   if (candidates.empty()) {
     return NoRunner::AllFull;
   }
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -159,7 +159,8 @@
   using Candidates = std::vector<std::shared_ptr<Runner>>;
 
   Candidates candidatesFor(const RunnerRequest& request, bool* last_resort) const;
-  bool hasPlace(const RunnerRequest& request, const Runner& runner) const;
+  uint32_t limitOf(const RunnerRequest& request, const Runner& runner, bool busy) const;
+  bool hasPlace(const RunnerRequest& request, const Runner& runner, bool busy) const;
   bool takesShare(const RunnerRequest& request, const Runner& runner, uint32_t limit) const;
   double expectedAt(const std::string& service) const;
   bool isBusy(const Candidates& candidates) const;
--- a/src/daemon/relay/control_link.cc
+++ b/src/daemon/relay/control_link.cc
@@ -12,7 +12,8 @@
 
 /// Without a confirmed lease the leader is sought more often.
 constexpr std::chrono::milliseconds kSeekPeriod{80};
-constexpr std::chrono::milliseconds kDialLimit{350};
+/// Several round trips between regions; a machine without power does not answer at all.
+constexpr std::chrono::milliseconds kDialLimit{150};
 /// A link on which nothing comes for so long, or for so many periods, is given up.
 constexpr int64_t kSilentMs = 800;
 constexpr int64_t kSilentPeriods = 3;
