--- a/tests/unit/core/raft/raft_simulation_test.cc
+++ b/tests/unit/core/raft/raft_simulation_test.cc
@@ -24,6 +24,17 @@
   return command;
 }
 
+/// Replicas restart fast, and leaders are cut off.
+FaultRates fastRestarts() {
+  FaultRates rates;
+  rates.isolate = 15;
+  rates.crash = 30;
+  rates.restart = 700;
+  rates.cut = 25;
+  rates.lose = 10;
+  return rates;
+}
+
 /// Runs one history and checks that the group comes back to work after it heals.
 void runHistory(uint64_t seed, size_t replicas, FaultRates rates, HistoryTotals& totals,
                 bool leases = true) {
@@ -77,12 +88,7 @@
 TEST_CASE(
     "a leader's lease and its reads hold when replicas restart fast and leaders are cut off") {
   HistoryTotals totals;
-  FaultRates rates;
-  rates.isolate = 15;
-  rates.crash = 30;
-  rates.restart = 700;
-  rates.cut = 25;
-  rates.lose = 10;
+  const FaultRates rates = fastRestarts();
   for (uint64_t seed = 3001; seed <= 3600; ++seed) {
     runHistory(seed, 3, rates, totals);
   }
@@ -91,12 +97,7 @@
 
 TEST_CASE("reads hold without leases, when replicas restart fast and stand for election at once") {
   HistoryTotals totals;
-  FaultRates rates;
-  rates.isolate = 15;
-  rates.crash = 30;
-  rates.restart = 700;
-  rates.cut = 25;
-  rates.lose = 10;
+  const FaultRates rates = fastRestarts();
   for (uint64_t seed = 7001; seed <= 7600; ++seed) {
     runHistory(seed, 3, rates, totals, false);
   }
