--- a/src/core/raft/raft_node.h
+++ b/src/core/raft/raft_node.h
@@ -24,8 +24,9 @@
   /// A follower that hears no leader for this long, up to twice as long, stands for election.
   uint32_t election_ticks = 10;
   /// A replica that has heard no leader since it started stands for election after at least one
-  /// tick and at most so many; zero: as any follower. After a restart of all replicas nobody has to
-  /// be waited for, and where a leader is alive, pre-vote keeps the others from voting.
+  /// tick and at most so many, then twice as many and so on, until it is as slow as any follower;
+  /// zero: as any follower at once. After a restart of all replicas nobody has to be waited for,
+  /// and where a leader is alive, pre-vote keeps the others from voting.
   uint32_t first_election_ticks = 0;
   /// A replica that started lately votes for nobody, since a leader may still rely on its lease.
   /// Without it `hasLeaderLease` promises nothing, and only confirmed reads may be relied on.
