A router never says "not-run" of a stream that is taken up again

Cause: refusals that come before the run of a request (no lease, a tenant's limit) said "not-run" of everything. A caller whose stream broke off takes it up under the same id, from router to router; the one it meets without a lease called a request "not-run" that had run. Ruled out: runners that decline (they count a run after they took it), kept connections that break (counted as sent), connections that are not made.

--- a/src/daemon/router/chat_request.cc
+++ b/src/daemon/router/chat_request.cc
@@ -16,12 +16,13 @@
 constexpr uint64_t kMostTokens = 1'000'000;
 /// Messages that name a conversation: the instructions and the first question.
 constexpr size_t kNamingMessages = 2;
+constexpr const char* kLastEventHeader = "Last-Event-ID";
 
 BadRequest bad(const std::string& detail) { return BadRequest{.detail = detail}; }
 
 std::variant<ChatRequest, BadRequest> readLastEvent(const http::Request& request,
                                                     ChatRequest chat) {
-  const auto last_event = http::fieldOf(request, "Last-Event-ID");
+  const auto last_event = http::fieldOf(request, kLastEventHeader);
   if (!last_event) {
     return chat;
   }
@@ -79,6 +80,10 @@
   return readLastEvent(request, std::move(chat));
 }
 
+bool takesUpStream(const http::Request& request) {
+  return http::fieldOf(request, kLastEventHeader).has_value();
+}
+
 uint64_t tokenCost(const json& body) {
   uint64_t characters = 0;
   for (const json& message : body.at("messages")) {
--- a/src/daemon/router/chat_run.cc
+++ b/src/daemon/router/chat_run.cc
@@ -35,10 +35,7 @@
                  metrics::RouterStats& stats, const Clock& clock)
     : exchange_(exchange), context_(context), request_(std::move(request)), selector_(selector),
       tables_(tables), client_(client), stats_(stats), clock_(clock),
-      delivered_(request_.events_received) {
-  // A caller that has events of the answer knows that the request ran.
-  context_.sent = request_.events_received > 0;
-}
+      delivered_(request_.events_received) {}
 
 http::awaitable<Selection> ChatRun::nextPlacement(const std::string& last_engine, Attempt last) {
   if (last == Attempt::Resume && !last_engine.empty()) {
--- a/src/daemon/router/request_handler.cc
+++ b/src/daemon/router/request_handler.cc
@@ -131,7 +131,8 @@
                                               const RequestContext& context,
                                               http::Problem problem) {
   problem.request_id = context.id;
-  ++parts_.stats.answers_not_run_total;
+  problem.execution = context.sent ? http::Execution::Unknown : http::Execution::NotRun;
+  ++(context.sent ? parts_.stats.answers_unknown_total : parts_.stats.answers_not_run_total);
   logOutcome(context, "", problem.execution, static_cast<unsigned>(problem.status));
   http::Response response = http::makeProblem(problem);
   co_await exchange.respond(std::move(response));
@@ -167,6 +168,8 @@
   context.started = std::chrono::steady_clock::now();
   context.started_ms = parts_.clock.monotonicMs();
   context.id = http::fieldOf(exchange.request(), "X-Request-Id").value_or(newRequestId());
+  // A caller that has events of the answer knows that the request ran, whatever is refused now.
+  context.sent = takesUpStream(exchange.request());
   context.in_force = parts_.tables.inForce();
   if (!parts_.tables.mayServe()) {
     ++parts_.stats.not_serving_total;
