Requests wait for the first lease of a relay that has just started

Cause: after a loss of power machines come back one after the other. Ruled out: the search for the leader (relays beside a leading group have their lease 5 to 30 ms after the start); the election (lease_won 50 to 100 ms after the last replica's start).

Change: a relay that never had a lease lets a request wait for it, for 3 in 100 of the caller's patience, until 600 ms after its start; then it is refused as before. At most 256 wait.

--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -151,6 +151,7 @@
     {"waiting_line", &relay::Policy::waiting_line},
     {"paced_returns", &relay::Policy::paced_returns},
     {"tenant_shares", &relay::Policy::tenant_shares},
+    {"first_lease_wait", &relay::Policy::first_lease_wait},
     {"repeats", &relay::Policy::repeats},
 };
 
--- a/src/core/relay/policy.h
+++ b/src/core/relay/policy.h
@@ -34,6 +34,8 @@
   bool paced_returns = true;
   /// Tenants that use more than their share leave places to others on a busy fleet.
   bool tenant_shares = true;
+  /// Requests wait a moment for the first lease of a relay that has just started.
+  bool first_lease_wait = true;
   /// The relay sends on repeats within the budget only; off: no repeats at all.
   bool repeats = true;
 };
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/core/string.hpp>
 
 #include "core/header_text.h"
+#include "core/relay/first_lease.h"
 #include "core/routing/rendezvous.h"
 
 namespace workshatch::daemon {
@@ -124,10 +125,11 @@
 } // namespace
 
 std::variant<RelayRequest, http::Problem> admit(const http::Request& request,
-                                                const RelayState& state) {
+                                                const RelayState& state, int64_t received_ms) {
   const HeaderNames& names = state.dialect.headers();
+  const int64_t now_ms = state.clock.monotonicMs();
   RelayRequest relayed;
-  relayed.received_ms = state.clock.monotonicMs();
+  relayed.received_ms = received_ms;
   relayed.id = http::fieldOf(request, names.request_id).value_or("");
   const std::string& id = relayed.id;
   if (state.refusing) {
@@ -136,8 +138,7 @@
   }
   if (!state.routes) {
     return refusal(http::Status::service_unavailable, "no_configuration",
-                   "no configuration has arrived yet", id,
-                   retryWithoutLeaseMs(state, relayed.received_ms));
+                   "no configuration has arrived yet", id, retryWithoutLeaseMs(state, now_ms));
   }
   if (id.empty()) {
     return refusal(http::Status::bad_request, "no_request_id", names.request_id + " is missing",
@@ -147,8 +148,8 @@
   relayed.routes = state.routes;
   relayed.route =
       state.routes->findRoute(http::viewOf(request[http::Field::host]), http::pathOf(target));
-  const bool lease_holds = state.lease.holds(relayed.received_ms);
-  const bool lease_is_fresh = state.lease.isFresh(relayed.received_ms);
+  const bool lease_holds = state.lease.holds(now_ms);
+  const bool lease_is_fresh = state.lease.isFresh(now_ms);
   // With an older lease the configuration may be old: what it lacks may have been added since.
   if (relayed.route == nullptr && lease_is_fresh) {
     return refusal(http::Status::not_found, "no_route", "no route for this host and path", id);
@@ -182,6 +183,14 @@
   return relayed;
 }
 
+int64_t leaseWaitMs(const http::Request& request, const RelayState& state, int64_t received_ms) {
+  if (state.lease.everConfirmed() || !state.policy.first_lease_wait) {
+    return 0;
+  }
+  const auto patience_ms = millisecondsOf(http::fieldOf(request, state.dialect.headers().deadline));
+  return relay::firstLeaseWaitMs(received_ms - state.started_ms, patience_ms.value_or(0));
+}
+
 std::string formatForRunner(const http::Request& request, const RelayRequest& relayed,
                             const RelayState& state, const AttemptHeaders& attempt) {
   const HeaderNames& names = state.dialect.headers();
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -41,9 +41,14 @@
 };
 
 /// Checks and routes a request.
+/// @param received_ms when the request had come
 /// @return the request, or the refusal that the caller gets.
 std::variant<RelayRequest, http::Problem> admit(const http::Request& request,
-                                                const RelayState& state);
+                                                const RelayState& state, int64_t received_ms);
+
+/// @return for how many milliseconds this request may wait for the relay's first lease; zero: the
+/// relay has had one, or none is expected soon.
+int64_t leaseWaitMs(const http::Request& request, const RelayState& state, int64_t received_ms);
 
 /// What differs from attempt to attempt of one request.
 struct AttemptHeaders {
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -63,7 +63,7 @@
       metrics_server_(
           workers, smallLimits(),
           [this](http::Exchange& exchange) { return tellMetrics(exchange); }, refuseBadRequest),
-      housekeeping_(context_), log_flusher_(context_) {}
+      lease_wait_(context_), housekeeping_(context_), log_flusher_(context_) {}
 
 Result<std::monostate> RelayRole::start() {
   struct Listener {
@@ -107,13 +107,19 @@
   if (state_.stopping) {
     exchange.closeAfter();
   }
-  auto admitted = admit(exchange.request(), state_);
+  const int64_t received_ms = clock_.monotonicMs();
+  const int64_t wait_ms = leaseWaitMs(exchange.request(), state_, received_ms);
+  if (wait_ms > 0) {
+    co_await lease_wait_.wait(std::chrono::milliseconds(wait_ms));
+  }
+  auto admitted = admit(exchange.request(), state_, received_ms);
   if (auto* problem = std::get_if<http::Problem>(&admitted)) {
     ++state_.stats.outcomes[problem->code];
     line_log::write("request_refused",
                     {{"request", problem->request_id},
                      {"reason", problem->code},
                      {"status", static_cast<unsigned>(problem->status)},
+                     {"waited_ms", clock_.monotonicMs() - received_ms},
                      {"configuration", state_.routes ? state_.routes->version() : 0},
                      {"lease_age_ms", state_.lease.ageMs(clock_.monotonicMs())}});
     const uint32_t retry_after_ms = std::exchange(problem->retry_after_ms, 0);
@@ -248,6 +254,7 @@
       line_log::write("lease_won", {{"sequence", reply.sequence()}});
     }
     state_.lease.confirmed(reply.sequence());
+    lease_wait_.wakeAll();
   }
 }
 
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -15,6 +15,7 @@
 #include "adapters/worker_pool.h"
 #include "daemon/configuration_transfer.h"
 #include "daemon/relay/control_link.h"
+#include "daemon/relay/lease_wait.h"
 #include "daemon/relay/relay_state.h"
 #include "daemon/relay_adapters.h"
 #include "daemon/role.h"
@@ -71,6 +72,7 @@
   http::Server ready_server_;
   http::Server resolve_server_;
   http::Server metrics_server_;
+  LeaseWait lease_wait_;
   boost::asio::steady_timer housekeeping_;
   LogFlusher log_flusher_;
 };
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -212,7 +212,7 @@
 
 private:
   http::awaitable<void> handle(http::Exchange& exchange) {
-    auto admitted = daemon::admit(exchange.request(), state_);
+    auto admitted = daemon::admit(exchange.request(), state_, clock_.monotonicMs());
     if (auto* problem = std::get_if<http::Problem>(&admitted)) {
       http::Response response = http::makeProblem(*problem);
       co_await exchange.respond(std::move(response));
