Callers keep addresses for longer while relays are silent

Cause: a caller whose addresses are over asks the nearest machines where to go, from a list that is not ours, and gives each a second. Ruled out: the 0.9 s until the leader drops a silent relay (the windows stay as bad ten seconds later); refusals of relays that are cut off (they end in a second attempt).

Change: the leader counts relays that fell silent with their link open in the last half minute and tells the number with the list; while it is not zero, addresses are to be kept for the longest time that the platform counts (degraded_endpoints_ttl_s) in place of 1 s. Policy address_lifetimes.

--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -130,6 +130,7 @@
   reader.number("repeat_slack", bounds.repeat_slack, 0, std::numeric_limits<uint32_t>::max());
   reader.number("load_cap_factor", bounds.load_cap_factor, 1, 1000);
   reader.number("endpoints_ttl_s", bounds.endpoints_ttl_s, 1, 3600);
+  reader.number("degraded_endpoints_ttl_s", bounds.degraded_endpoints_ttl_s, 1, 3600);
 }
 
 struct PolicyFlag {
@@ -151,6 +152,7 @@
     {"waiting_line", &relay::Policy::waiting_line},
     {"paced_returns", &relay::Policy::paced_returns},
     {"tenant_shares", &relay::Policy::tenant_shares},
+    {"address_lifetimes", &relay::Policy::address_lifetimes},
     {"first_lease_wait", &relay::Policy::first_lease_wait},
     {"repeats", &relay::Policy::repeats},
 };
--- a/src/adapters/settings/relay_settings.h
+++ b/src/adapters/settings/relay_settings.h
@@ -21,6 +21,8 @@
   double repeat_slack = 64;
   double load_cap_factor = 2;
   uint32_t endpoints_ttl_s = 2;
+  /// The same while some relays are silent.
+  uint32_t degraded_endpoints_ttl_s = 5;
 };
 
 /// Addresses are "ip:port"; those of calls that the process does not serve are empty.
--- a/src/core/relay/policy.h
+++ b/src/core/relay/policy.h
@@ -36,6 +36,8 @@
   bool tenant_shares = true;
   /// Requests wait a moment for the first lease of a relay that has just started.
   bool first_lease_wait = true;
+  /// Callers keep addresses for longer while relays are silent.
+  bool address_lifetimes = true;
   /// The relay sends on repeats within the budget only; off: no repeats at all.
   bool repeats = true;
 };
--- a/src/core/relay/relay_addresses.h
+++ b/src/core/relay/relay_addresses.h
@@ -24,4 +24,18 @@
 /// @return relays of the caller's zone, or of all zones where too few are there; never empty.
 std::vector<std::string> addressesFor(const v1::RelayList& relays, const AddressQuestion& question);
 
+/// How long callers keep an answer, in seconds.
+struct AddressLifetimes {
+  /// Short, so that callers soon learn of relays that came or went.
+  uint32_t ordinary_s = 1;
+  /// While relays are silent. Callers also ask those, from a list that is not ours, and wait for a
+  /// time limit each time; to ask seldom costs them less than to keep an older answer does.
+  uint32_t degraded_s = 5;
+};
+
+/// @return how long callers may keep the addresses of this list.
+inline uint32_t addressesLifetimeS(const v1::RelayList& relays, const AddressLifetimes& lifetimes) {
+  return relays.silent() == 0 ? lifetimes.ordinary_s : lifetimes.degraded_s;
+}
+
 } // namespace workshatch::relay
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -43,6 +43,7 @@
   }
   versions_.begin(replica_.term());
   relays_.clear();
+  silent_relays_.clear();
   relay_list_.Clear();
   packed_relay_list_ = compression::packMessage(relay_list_);
   sums_.Clear();
@@ -119,6 +120,7 @@
   }
   relay.renewal = renewal;
   relay.renewed_at_ms = clock_.monotonicMs();
+  silent_relays_.heard(renewal.name());
   if (joined) {
     line_log::write("relay_joined", {{"relay", renewal.name()}, {"address", renewal.address()}});
   }
@@ -267,6 +269,7 @@
     const bool silent = entry.second.renewed_at_ms < oldest;
     if (silent) {
       line_log::write("relay_silent", {{"relay", entry.first}});
+      silent_relays_.fellSilent(entry.first, clock_.monotonicMs());
     }
     return silent;
   });
@@ -274,6 +277,7 @@
 
 void RelayHub::refreshRelayList() {
   v1::RelayList list;
+  list.set_silent(silent_relays_.count(clock_.monotonicMs()));
   for (const auto& [name, relay] : relays_) {
     if (relay.renewal.ready()) {
       v1::RelayEntry* entry = list.add_relays();
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -15,6 +15,7 @@
 #include "adapters/link/framed_link.h"
 #include "core/relay/led_runner_list.h"
 #include "core/relay/runner_list_history.h"
+#include "core/relay/silent_relays.h"
 #include "daemon/configuration_transfer.h"
 #include "daemon/group/group_replica.h"
 #include "ports/clock.h"
@@ -102,6 +103,7 @@
   relay::LeaderVersions versions_;
   relay::LedRunnerList runners_;
   relay::RunnerListHistory runner_history_;
+  relay::SilentRelays silent_relays_;
   v1::RelayList relay_list_;
   /// `relay_list_` as it is sent.
   v1::Compressed packed_relay_list_;
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -163,10 +163,18 @@
           .draw = random_.next()});
   http::Response response =
       http::makeResponse(http::Status::ok, "application/json",
-                         adapters_.dialect.addresses(chosen, settings_.bounds.endpoints_ttl_s));
+                         adapters_.dialect.addresses(chosen, addressesLifetimeS()));
   co_await exchange.respond(std::move(response));
 }
 
+uint32_t RelayRole::addressesLifetimeS() const {
+  const relay::AddressLifetimes lifetimes{
+      .ordinary_s = settings_.bounds.endpoints_ttl_s,
+      .degraded_s = state_.policy.address_lifetimes ? settings_.bounds.degraded_endpoints_ttl_s
+                                                    : settings_.bounds.endpoints_ttl_s};
+  return relay::addressesLifetimeS(relays_, lifetimes);
+}
+
 http::awaitable<void> RelayRole::tellMetrics(http::Exchange& exchange) {
   std::string text;
   state_.stats.expose(text);
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -52,6 +52,7 @@
   bool ready() const;
   void exposeGauges(std::string& out) const;
   http::ServerLimits callerLimits() const;
+  uint32_t addressesLifetimeS() const;
 
   const settings::RelaySettings settings_;
   const Clock& clock_;
--- a/tests/unit/core/relay/relay_addresses_test.cc
+++ b/tests/unit/core/relay/relay_addresses_test.cc
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include "core/relay/relay_addresses.h"
+#include "core/relay/silent_relays.h"
 
 namespace workshatch::test {
 
@@ -53,4 +54,27 @@
   CHECK(relay::addressesFor(list, question) != first);
 }
 
+TEST_CASE("Callers keep addresses for longer while relays are silent") {
+  const relay::AddressLifetimes lifetimes{.ordinary_s = 1, .degraded_s = 5};
+  v1::RelayList list;
+  add(list, "a1", "a");
+  CHECK(relay::addressesLifetimeS(list, lifetimes) == 1);
+  list.set_silent(1);
+  CHECK(relay::addressesLifetimeS(list, lifetimes) == 5);
+}
+
+TEST_CASE("A silent relay is counted until it is heard again, or for half a minute") {
+  relay::SilentRelays silent;
+  silent.fellSilent("a", 1'000);
+  silent.fellSilent("b", 2'000);
+  CHECK(silent.count(2'000) == 2);
+  silent.heard("a");
+  CHECK(silent.count(3'000) == 1);
+  CHECK(silent.count(32'000) == 1);
+  CHECK(silent.count(32'001) == 0);
+  silent.fellSilent("a", 40'000);
+  silent.clear();
+  CHECK(silent.count(40'000) == 0);
+}
+
 } // namespace workshatch::test
