Cached parts come from where they were sent, or from their former home

Cause: a prompt named the runner that ranks next for its part. And a part's first prompt read the part before it anew, which many parts share and some other runner had.

Change: core/relay/part_sources. A relay remembers for 10 s where it sent a part; else it names the runner that ranked first before the newest were listed; at its own home a part is there or nowhere, and then the part before it is taken from where this relay sent that. Runner has a file of its own. part_sources_test (none tested the choice before).

--- /dev/null
+++ b/src/core/relay/runner.h
@@ -0,0 +1,43 @@
+/// @file
+/// One back end as a relay knows it.
+#pragma once
+
+#include <cstdint>
+
+#include "workshatch/v1/relay.pb.h"
+
+namespace workshatch::relay {
+
+/// One back end. Times are milliseconds of the steady clock.
+struct Runner {
+  v1::RunnerEntry entry;
+  /// Hash of the id, for ranking.
+  uint64_t fingerprint = 0;
+  /// Attempts of this relay that are in progress.
+  uint32_t in_progress = 0;
+  /// Attempts of the other relays, as of the last sums.
+  uint32_t others_in_progress = 0;
+  /// Attempts of this relay when the last sums came.
+  uint32_t in_progress_at_sums = 0;
+  /// It has been sent prompts with cached parts.
+  bool engine = false;
+  /// Moving share of failed attempts, 0 to 1.
+  double failure_rate = 0;
+  uint32_t failures_in_row = 0;
+  /// When it last sent anything, or the first of its present attempts began.
+  int64_t sign_of_life_ms = 0;
+  /// Other relays get no answer from it, as told until then.
+  int64_t suspected_until_ms = 0;
+  /// Not chosen before, unless nothing else is left.
+  int64_t avoid_until_ms = 0;
+  /// It declined a request, being full; taken to be so until then.
+  int64_t full_until_ms = 0;
+  /// When it came into the list; zero: it was in the first one.
+  int64_t listed_since_ms = 0;
+  /// Gone from the list; kept only while attempts are in progress.
+  bool gone = false;
+
+  uint32_t load() const { return in_progress + others_in_progress; }
+};
+
+} // namespace workshatch::relay
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -39,7 +39,8 @@
 
 } // namespace
 
-void RunnerTable::setList(const v1::RunnerList& list) {
+void RunnerTable::setList(const v1::RunnerList& list, int64_t now_ms) {
+  const bool first = runners_.empty();
   std::unordered_map<std::string, std::shared_ptr<Runner>> known;
   for (auto& runner : runners_) {
     runner->gone = true;
@@ -55,6 +56,7 @@
     if (!runner) {
       runner = std::make_shared<Runner>();
       runner->fingerprint = routing::fingerprintOf(entry.id());
+      runner->listed_since_ms = first ? 0 : now_ms;
     }
     runner->entry = entry;
     runner->gone = false;
@@ -271,8 +273,9 @@
   if (request.cache_key != 0) {
     choice.runner->engine = true;
     if (options_.policy.fetch_cached_parts) {
-      choice.likely_holder = likelyHolder(request, *choice.runner);
+      choice.part_source = sourceOfParts(request, *choice.runner);
     }
+    part_sources_.noteSent(request.cache_key, request.parent_key, choice.runner, request.now_ms);
   }
   return choice;
 }
@@ -301,23 +304,15 @@
   return spread;
 }
 
-/// The first home of a part keeps it, or the second one did before the first was added. Runners
-/// that leave still give what they keep.
-std::shared_ptr<Runner> RunnerTable::likelyHolder(const RunnerRequest& request,
-                                                  const Runner& chosen) const {
-  std::shared_ptr<Runner> best;
-  uint64_t best_weight = 0;
-  for (const auto& runner : services_.at(request.service).runners) {
-    if (runner.get() == &chosen || isAvoided(*runner, request.now_ms)) {
-      continue;
-    }
-    const uint64_t weight = routing::rendezvousWeight(request.cache_key, runner->entry.id());
-    if (!best || weight > best_weight) {
-      best = runner;
-      best_weight = weight;
-    }
-  }
-  return best;
+std::shared_ptr<Runner> RunnerTable::sourceOfParts(const RunnerRequest& request,
+                                                   const Runner& chosen) const {
+  return part_sources_.sourceFor(SourceQuestion{
+      .part = request.cache_key,
+      .parent = request.parent_key,
+      .chosen = &chosen,
+      .runners = &services_.at(request.service).runners,
+      .avoided = [&](const Runner& runner) { return isAvoided(runner, request.now_ms); },
+      .now_ms = request.now_ms});
 }
 
 RunnerChoice RunnerTable::chooseByLoad(const RunnerRequest& request,
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -9,8 +9,10 @@
 #include <variant>
 #include <vector>
 
+#include "core/relay/part_sources.h"
 #include "core/relay/place_limits.h"
 #include "core/relay/policy.h"
+#include "core/relay/runner.h"
 #include "workshatch/v1/relay.pb.h"
 
 namespace workshatch::relay {
@@ -30,41 +32,13 @@
   Abandoned,
 };
 
-/// One back end. Times are milliseconds of the steady clock.
-struct Runner {
-  v1::RunnerEntry entry;
-  /// Hash of the id, for ranking.
-  uint64_t fingerprint = 0;
-  /// Attempts of this relay that are in progress.
-  uint32_t in_progress = 0;
-  /// Attempts of the other relays, as of the last sums.
-  uint32_t others_in_progress = 0;
-  /// Attempts of this relay when the last sums came.
-  uint32_t in_progress_at_sums = 0;
-  /// It has been sent prompts with cached parts.
-  bool engine = false;
-  /// Moving share of failed attempts, 0 to 1.
-  double failure_rate = 0;
-  uint32_t failures_in_row = 0;
-  /// When it last sent anything, or the first of its present attempts began.
-  int64_t sign_of_life_ms = 0;
-  /// Other relays get no answer from it, as told until then.
-  int64_t suspected_until_ms = 0;
-  /// Not chosen before, unless nothing else is left.
-  int64_t avoid_until_ms = 0;
-  /// It declined a request, being full; taken to be so until then.
-  int64_t full_until_ms = 0;
-  /// Gone from the list; kept only while attempts are in progress.
-  bool gone = false;
-
-  uint32_t load() const { return in_progress + others_in_progress; }
-};
-
 /// What the choice of a runner depends on.
 struct RunnerRequest {
   std::string service;
   /// Fingerprint of the shared part of the prompt; zero: no runner is preferred.
   uint64_t cache_key = 0;
+  /// Fingerprint of the shared part before it; zero: none.
+  uint64_t parent_key = 0;
   /// Breaks ties.
   uint64_t draw = 0;
   std::string zone;
@@ -86,8 +60,8 @@
   uint32_t passed_over = 0;
   /// All candidates were being avoided.
   bool last_resort = false;
-  /// Another runner that likely keeps the prompt's shared part; null: none.
-  std::shared_ptr<Runner> likely_holder;
+  /// Another runner that likely keeps parts of the prompt which the chosen one lacks; null: none.
+  std::shared_ptr<Runner> part_source;
 };
 
 /// Why there is no choice.
@@ -130,7 +104,7 @@
   explicit RunnerTable(RunnerTableOptions options) : options_(options) {}
 
   /// Replaces the list; what is known of runners that stay is kept.
-  void setList(const v1::RunnerList& list);
+  void setList(const v1::RunnerList& list, int64_t now_ms);
   uint64_t listVersion() const { return list_version_; }
   /// The list in use.
   v1::RunnerList list() const;
@@ -167,7 +141,7 @@
   void keepHomes(const RunnerRequest& request, Candidates& candidates) const;
   RunnerChoice chooseByCache(const RunnerRequest& request, Candidates candidates) const;
   RunnerChoice chooseByLoad(const RunnerRequest& request, const Candidates& candidates) const;
-  std::shared_ptr<Runner> likelyHolder(const RunnerRequest& request, const Runner& chosen) const;
+  std::shared_ptr<Runner> sourceOfParts(const RunnerRequest& request, const Runner& chosen) const;
   double meanLoad(const Candidates& candidates) const;
   bool isSilent(const Runner& runner, int64_t now_ms) const;
   bool isAvoided(const Runner& runner, int64_t now_ms) const;
@@ -184,6 +158,7 @@
     uint32_t asked_before_sums = 0;
   };
   std::map<std::string, Service> services_;
+  PartSources part_sources_;
   int64_t sums_at_ms_ = 0;
   size_t relays_ = 1;
 };
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -135,8 +135,7 @@
       AttemptHeaders{.runner_id = choice.runner->entry.id(),
                      .remaining_ms = remaining_ms,
                      .last_event_id = last_event_id_,
-                     .fetch_from =
-                         choice.likely_holder ? choice.likely_holder->entry.address() : ""});
+                     .fetch_from = choice.part_source ? choice.part_source->entry.address() : ""});
   co_return co_await connection_->exchange(std::move(bytes), silenceLimit(false));
 }
 
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -106,6 +106,9 @@
   if (parts.size() >= kSharedFromEnd) {
     relayed.cache_key = routing::fingerprintOf(parts[parts.size() - kSharedFromEnd].id);
   }
+  if (parts.size() > kSharedFromEnd) {
+    relayed.parent_key = routing::fingerprintOf(parts[parts.size() - kSharedFromEnd - 1].id);
+  }
 }
 
 uint32_t priorityOf(const RelayRequest& relayed) {
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -27,6 +27,8 @@
   int64_t deadline_ms = 0;
   /// Fingerprint of the shared part of the prompt; zero: none.
   uint64_t cache_key = 0;
+  /// Fingerprint of the shared part before that one; zero: none.
+  uint64_t parent_key = 0;
   uint64_t draw = 0;
   /// The service's runners are model engines.
   bool engine = false;
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -274,7 +274,7 @@
                                                  {"held", state_.runners.listVersion()}});
     return false;
   }
-  state_.runners.setList(std::get<v1::RunnerList>(list));
+  state_.runners.setList(std::get<v1::RunnerList>(list), clock_.monotonicMs());
   state_.line.callNextOfEach();
   return true;
 }
@@ -331,7 +331,7 @@
     if (isError(list)) {
       line_log::write("runner_list_unread", {{"error", errorOf(list).message}});
     } else if (still_silent) {
-      state_.runners.setList(std::get<v1::RunnerList>(list));
+      state_.runners.setList(std::get<v1::RunnerList>(list), clock_.monotonicMs());
     }
   }
 }
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -85,6 +85,7 @@
 relay::RunnerRequest RelayRun::runnerRequest() const {
   return relay::RunnerRequest{.service = request_.service,
                               .cache_key = request_.cache_key,
+                              .parent_key = request_.parent_key,
                               .draw = request_.draw,
                               .zone = state_.zone,
                               .excluded = tried_,
--- /dev/null
+++ b/tests/unit/core/relay/part_sources_test.cc
@@ -0,0 +1,103 @@
+/// @file
+/// From which runner a prompt's cached parts are taken.
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "core/relay/part_sources.h"
+#include "core/routing/rendezvous.h"
+
+namespace workshatch::test {
+
+namespace {
+
+using Runners = std::vector<std::shared_ptr<relay::Runner>>;
+
+constexpr uint64_t kPart = 42;
+constexpr uint64_t kParent = 7;
+constexpr int64_t kNowMs = 100'000;
+
+std::shared_ptr<relay::Runner> runnerNamed(const std::string& id) {
+  auto runner = std::make_shared<relay::Runner>();
+  runner->entry.set_id(id);
+  return runner;
+}
+
+/// @return runners in the order in which they rank for the part.
+Runners rankedFor(uint64_t part, int count) {
+  Runners runners;
+  for (int i = 0; i < count; ++i) {
+    runners.push_back(runnerNamed("r" + std::to_string(i)));
+  }
+  return routing::rank(part, std::move(runners),
+                       [](const auto& runner) -> const std::string& { return runner->entry.id(); });
+}
+
+relay::SourceQuestion question(const Runners& runners, const relay::Runner& chosen,
+                               int64_t now_ms = kNowMs) {
+  return relay::SourceQuestion{
+      .part = kPart,
+      .parent = kParent,
+      .chosen = &chosen,
+      .runners = &runners,
+      .avoided = [now_ms](const relay::Runner& runner) { return runner.avoid_until_ms > now_ms; },
+      .now_ms = now_ms};
+}
+
+} // namespace
+
+TEST_CASE("A part comes from the runner that this relay sent it to lately") {
+  const Runners ranked = rankedFor(kPart, 5);
+  relay::PartSources sources;
+  sources.noteSent(kPart, kParent, ranked[3], kNowMs - 1'000);
+  CHECK(sources.sourceFor(question(ranked, *ranked[0])) == ranked[3]);
+  // It has the part itself.
+  CHECK(sources.sourceFor(question(ranked, *ranked[3])) == nullptr);
+  // That was long ago: the ranking tells more.
+  CHECK(sources.sourceFor(question(ranked, *ranked[1], kNowMs + 20'000)) == ranked[0]);
+  // It is not to be asked now.
+  ranked[3]->avoid_until_ms = kNowMs + 1;
+  CHECK(sources.sourceFor(question(ranked, *ranked[1])) == ranked[0]);
+  ranked[3]->avoid_until_ms = 0;
+  ranked[3]->gone = true;
+  CHECK(sources.sourceFor(question(ranked, *ranked[1])) == ranked[0]);
+}
+
+TEST_CASE("A new runner takes parts from the one that ranked first before it and others came") {
+  const Runners ranked = rankedFor(kPart, 5);
+  ranked[0]->listed_since_ms = kNowMs - 1'000;
+  ranked[1]->listed_since_ms = kNowMs - 1'000;
+  const relay::PartSources sources;
+  CHECK(sources.sourceFor(question(ranked, *ranked[0])) == ranked[2]);
+  // By then the part has come to the first.
+  CHECK(sources.sourceFor(question(ranked, *ranked[1], kNowMs + 60'000)) == ranked[0]);
+}
+
+TEST_CASE("A home that was avoided lately takes parts from the next, which stood in for it") {
+  const Runners ranked = rankedFor(kPart, 5);
+  const relay::PartSources sources;
+  ranked[0]->avoid_until_ms = kNowMs - 1'000;
+  CHECK(sources.sourceFor(question(ranked, *ranked[0])) == ranked[1]);
+}
+
+TEST_CASE("At its home a part is there or nowhere: the part before it may be elsewhere") {
+  const Runners ranked = rankedFor(kPart, 5);
+  relay::PartSources sources;
+  CHECK(sources.sourceFor(question(ranked, *ranked[0])) == nullptr);
+  sources.noteSent(kPart + 1, kParent, ranked[4], kNowMs - 1'000);
+  CHECK(sources.sourceFor(question(ranked, *ranked[0])) == ranked[4]);
+}
+
+TEST_CASE("A bounded number of parts is remembered, and old ones give way") {
+  const Runners ranked = rankedFor(kPart, 3);
+  relay::PartSources sources;
+  for (uint64_t part = 1'000; part < 3'000; ++part) {
+    sources.noteSent(part, 0, ranked[2], kNowMs - 60'000);
+  }
+  sources.noteSent(kPart, kParent, ranked[2], kNowMs);
+  CHECK(sources.sourceFor(question(ranked, *ranked[0])) == ranked[2]);
+}
+
+} // namespace workshatch::test
--- a/tests/unit/core/relay/runner_table_test.cc
+++ b/tests/unit/core/relay/runner_table_test.cc
@@ -45,7 +45,7 @@
 
 TEST_CASE("A cached prompt goes to the same home while loads allow") {
   relay::RunnerTable table({});
-  table.setList(listOf(8));
+  table.setList(listOf(8), 0);
   const auto home = chosen(table, wish(42))->runner;
   for (int i = 0; i < 3; ++i) {
     CHECK(chosen(table, wish(42))->runner == home);
@@ -55,7 +55,7 @@
 
 TEST_CASE("A home that is loaded over the rest is left") {
   relay::RunnerTable table({});
-  table.setList(listOf(8));
+  table.setList(listOf(8), 0);
   const auto home = chosen(table, wish(42))->runner;
   for (int i = 0; i < 12; ++i) {
     table.beginAttempt(*home, 1000);
@@ -67,7 +67,7 @@
 
 TEST_CASE("Loads of the other relays count until they are stale") {
   relay::RunnerTable table({});
-  table.setList(listOf(3, 7));
+  table.setList(listOf(3, 7), 0);
   v1::RunnerLoads sums;
   sums.set_list_version(7);
   sums.add_in_progress(9);
@@ -89,7 +89,7 @@
   relay::RunnerTable table({});
   v1::RunnerList list = listOf(3);
   list.mutable_runners(0)->set_leaving(true);
-  table.setList(list);
+  table.setList(list, 0);
   relay::RunnerRequest request = wish();
   request.excluded = {"r1"};
   CHECK(chosen(table, request)->runner->entry.id() == "r2");
@@ -99,7 +99,7 @@
 
 TEST_CASE("A runner that can't be reached is avoided, but is the last resort") {
   relay::RunnerTable table({});
-  table.setList(listOf(2));
+  table.setList(listOf(2), 0);
   const auto bad = chosen(table, wish())->runner;
   table.beginAttempt(*bad, 1000);
   table.endAttempt(*bad, relay::AttemptOutcome::Unreachable, 1000);
@@ -118,7 +118,7 @@
   for (v1::RunnerEntry& entry : *list.mutable_runners()) {
     entry.set_slots(10);
   }
-  table.setList(list);
+  table.setList(list, 0);
   relay::RunnerRequest request = wish(42);
   request.engine = true;
   for (int i = 0; i < 10; ++i) {
@@ -139,7 +139,7 @@
   for (v1::RunnerEntry& entry : *list.mutable_runners()) {
     entry.set_slots(4);
   }
-  table.setList(list);
+  table.setList(list, 0);
   relay::RunnerRequest request = wish(42);
   request.engine = true;
   request.standing.priority = 9;
@@ -162,7 +162,7 @@
 
 TEST_CASE("A runner that declined counts as full for a moment, not as failing") {
   relay::RunnerTable table({});
-  table.setList(listOf(1));
+  table.setList(listOf(1), 0);
   const auto runner = chosen(table, wish())->runner;
   table.beginAttempt(*runner, 1000);
   table.endAttempt(*runner, relay::AttemptOutcome::Refused, 1000);
@@ -177,7 +177,7 @@
   relay::RunnerTable table({});
   v1::RunnerList list = listOf(1);
   list.mutable_runners(0)->set_slots(6);
-  table.setList(list);
+  table.setList(list, 0);
   const auto runner = chosen(table, wish())->runner;
   const auto declineWith = [&](uint32_t others) {
     runner->others_in_progress = others;
@@ -205,7 +205,7 @@
   uint32_t total = 0;
   for (size_t i = 0; i < kRelays; ++i) {
     auto table = std::make_unique<relay::RunnerTable>(relay::RunnerTableOptions{});
-    table->setList(list);
+    table->setList(list, 0);
     table->setRelays(kRelays);
     const uint32_t own = before / kRelays + (i < before % kRelays ? 1 : 0);
     for (uint32_t started = 0; started < own; ++started) {
@@ -239,20 +239,20 @@
 
 TEST_CASE("What is known of a runner outlives a new list") {
   relay::RunnerTable table({});
-  table.setList(listOf(2, 1));
+  table.setList(listOf(2, 1), 0);
   const auto runner = table.runners()[0];
   table.beginAttempt(*runner, 1000);
-  table.setList(listOf(3, 2));
+  table.setList(listOf(3, 2), 0);
   CHECK(table.runners()[0] == runner);
   CHECK(table.ownLoads(1000).in_progress(0) == 1);
-  table.setList(v1::RunnerList());
+  table.setList(v1::RunnerList(), 0);
   table.endAttempt(*runner, relay::AttemptOutcome::Succeeded, 1000);
   CHECK(runner->gone);
 }
 
 TEST_CASE("A runner that falls silent with requests in progress is avoided and reported") {
   relay::RunnerTable table({});
-  table.setList(listOf(4, 7));
+  table.setList(listOf(4, 7), 0);
   const auto home = chosen(table, wish(42))->runner;
   table.beginAttempt(*home, 1000);
   relay::RunnerRequest later = wish(42);
@@ -268,7 +268,7 @@
 
 TEST_CASE("A runner that other relays suspect is avoided for a while") {
   relay::RunnerTable table({});
-  table.setList(listOf(4, 7));
+  table.setList(listOf(4, 7), 0);
   const auto home = chosen(table, wish(42))->runner;
   relay::LoadSums sums(7, 4);
   v1::RunnerLoads report = table.ownLoads(1000);
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -182,7 +182,7 @@
     entry->set_zone("z");
     entry->set_slots(slots);
     list_.set_version(list_.version() + 1);
-    state_.runners.setList(list_);
+    state_.runners.setList(list_, 0);
   }
   void start() { workers_.start(); }
   daemon::RelayState& state() { return state_; }
