--- a/src/adapters/link/framed_link.cc
+++ b/src/adapters/link/framed_link.cc
@@ -105,7 +105,9 @@
     fail();
     return false;
   }
-  appendLength(queued_, static_cast<uint32_t>(frame.ByteSizeLong()));
+  const auto frame_bytes = static_cast<uint32_t>(frame.ByteSizeLong());
+  bytes_queued_ += kLengthBytes + frame_bytes;
+  appendLength(queued_, frame_bytes);
   frame.AppendToString(&queued_);
   if (writing_.empty()) {
     write();
--- a/src/adapters/link/framed_link.h
+++ b/src/adapters/link/framed_link.h
@@ -46,6 +46,8 @@
 
   /// Bytes that arrived since the link began; grows also while a large frame is arriving.
   uint64_t bytesReceived() const { return bytes_received_; }
+  /// Bytes of the frames that were queued since the link began.
+  uint64_t bytesQueued() const { return bytes_queued_; }
 
 private:
   void read();
@@ -57,6 +59,7 @@
   Socket socket_;
   bool open_ = true;
   uint64_t bytes_received_ = 0;
+  uint64_t bytes_queued_ = 0;
   std::string input_;
   std::string queued_;
   std::string writing_;
@@ -82,6 +85,11 @@
   LinkHandler on_link_;
 };
 
+/// How long a link may take to come up: several round trips between regions. A machine without
+/// power does not answer at all, and a lost opening packet is sent again only after seconds:
+/// another attempt is the quicker way.
+inline constexpr std::chrono::milliseconds kDialLimit{150};
+
 /// Opens one link. Lives on one event loop; destroyed, it gives up.
 class LinkDialer {
 public:
--- a/src/adapters/link/link_pool.cc
+++ b/src/adapters/link/link_pool.cc
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Several round trips between regions. A machine without power does not answer at all, and a lost
-/// opening packet is sent again only after seconds: another attempt is the quicker way.
-constexpr std::chrono::milliseconds kDialLimit{150};
 /// A replica that refused a connection may be about to start: after a restart of all, the first
 /// election waits for this.
 constexpr int64_t kRetryMs = 50;
--- a/src/core/relay/retry_budget.cc
+++ b/src/core/relay/retry_budget.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/relay/time_window.h"
+
 namespace workshatch::relay {
 
 namespace {
@@ -12,12 +14,6 @@
 /// A bucket that is full and refills for a window gives its content twice.
 constexpr double kBucketsInWindow = 2;
 
-void dropBefore(std::deque<int64_t>& times, int64_t oldest_ms) {
-  while (!times.empty() && times.front() <= oldest_ms) {
-    times.pop_front();
-  }
-}
-
 } // namespace
 
 void RetryBudget::setRelays(size_t relays, int64_t now_ms) {
@@ -64,8 +60,8 @@
 }
 
 void RetryBudget::forgetOld(Spending& spending, int64_t now_ms) const {
-  dropBefore(spending.requests, now_ms - options_.window_ms);
-  dropBefore(spending.repeats, now_ms - options_.window_ms);
+  dropUntil(spending.requests, now_ms - options_.window_ms);
+  dropUntil(spending.repeats, now_ms - options_.window_ms);
 }
 
 void RetryBudget::noteRequest(const std::string& service, int64_t now_ms) {
--- a/src/core/relay/retry_budget.h
+++ b/src/core/relay/retry_budget.h
@@ -36,7 +36,6 @@
   void setRelays(size_t relays, int64_t now_ms);
 
   /// @return relays that share the slack; zero: not known yet.
-  size_t relays() const { return relays_; }
 
   /// Notes the first attempt of a request.
   void noteRequest(const std::string& service, int64_t now_ms);
--- a/src/core/relay/return_times.cc
+++ b/src/core/relay/return_times.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/relay/time_window.h"
+
 namespace workshatch::relay {
 
 namespace {
@@ -21,17 +23,13 @@
 void ReturnTimes::noteEnded(const std::string& service, int64_t now_ms) {
   std::deque<int64_t>& ended = services_[service].ended;
   ended.push_back(now_ms);
-  while (ended.front() < now_ms - kPaceWindowMs) {
-    ended.pop_front();
-  }
+  dropUntil(ended, now_ms - kPaceWindowMs - 1);
 }
 
 uint32_t ReturnTimes::nextAfterMs(const std::string& service, int64_t left_ms, int64_t now_ms) {
   Service& state = services_[service];
   std::deque<int64_t>& ended = state.ended;
-  while (!ended.empty() && ended.front() < now_ms - kPaceWindowMs) {
-    ended.pop_front();
-  }
+  dropUntil(ended, now_ms - kPaceWindowMs - 1);
   const double returns = std::max(kPartForReturns * static_cast<double>(ended.size()), 1.0);
   const auto gap_ms = static_cast<int64_t>(static_cast<double>(kPaceWindowMs) / returns);
   const auto latest_ms = static_cast<int64_t>(kMostOfTimeLeft * static_cast<double>(left_ms));
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -187,7 +187,7 @@
   }
   const double free = limit - load_at_sums;
   const double chance = free / std::max(expectedAt(request.service), 1.0);
-  const double lot = static_cast<double>(request.draw % kLots) / kLots;
+  const double lot = static_cast<double>(request.standing.draw % kLots) / kLots;
   return lot < chance;
 }
 
@@ -237,19 +237,6 @@
   return static_cast<double>(load) > options_.busy_part * static_cast<double>(places);
 }
 
-/// On a busy fleet a prompt goes only to the runners that rank first for its part. To read a long
-/// part anew on yet another runner takes more of it than the request itself.
-void RunnerTable::keepHomes(const RunnerRequest& request, Candidates& candidates) const {
-  if (candidates.size() <= options_.busy_homes) {
-    return;
-  }
-  candidates = routing::rank(request.cache_key, std::move(candidates),
-                             [](const std::shared_ptr<Runner>& runner) -> const std::string& {
-                               return runner->entry.id();
-                             });
-  candidates.resize(options_.busy_homes);
-}
-
 std::variant<RunnerChoice, NoRunner> RunnerTable::choose(const RunnerRequest& request) {
   forgetStaleSums(request.now_ms);
   bool last_resort = false;
@@ -260,15 +247,22 @@
   services_[request.service].asked_since_sums += request.asks_again ? 0 : 1;
   const bool by_prompt = request.cache_key != 0 && options_.policy.prompt_homes;
   const bool busy = isBusy(candidates);
-  if (busy && by_prompt && options_.policy.few_homes && !request.past_limits) {
-    keepHomes(request, candidates);
+  if (by_prompt) {
+    candidates = routing::rank(request.cache_key, std::move(candidates),
+                               [](const std::shared_ptr<Runner>& runner) -> const std::string& {
+                                 return runner->entry.id();
+                               });
+  }
+  if (by_prompt && busy && options_.policy.few_homes && !request.past_limits) {
+    // To read a long part anew on yet another runner takes more of it than the request itself.
+    candidates.resize(std::min(candidates.size(), options_.busy_homes));
   }
   std::erase_if(candidates, [&](const auto& runner) { return !hasPlace(request, *runner, busy); });
   if (candidates.empty()) {
     return NoRunner::AllFull;
   }
   RunnerChoice choice =
-      by_prompt ? chooseByCache(request, std::move(candidates)) : chooseByLoad(request, candidates);
+      by_prompt ? chooseByCache(request, candidates) : chooseByLoad(request, candidates);
   choice.last_resort = last_resort;
   if (request.cache_key != 0) {
     choice.runner->engine = true;
@@ -280,15 +274,11 @@
   return choice;
 }
 
-RunnerChoice RunnerTable::chooseByCache(const RunnerRequest& request, Candidates candidates) const {
-  const double mean = meanLoad(candidates);
+RunnerChoice RunnerTable::chooseByCache(const RunnerRequest& request,
+                                        const Candidates& ranked) const {
+  const double mean = meanLoad(ranked);
   const double cap = options_.cap_factor * mean + options_.cap_slack;
   const double leave = std::min(options_.leave_factor * mean + options_.leave_slack, cap);
-  const Candidates ranked =
-      routing::rank(request.cache_key, candidates,
-                    [](const std::shared_ptr<Runner>& runner) -> const std::string& {
-                      return runner->entry.id();
-                    });
   RunnerChoice choice;
   // The further a runner ranks, the less likely it has the part: the first with room, not the least
   // loaded, so that a part in demand comes to as few runners as it needs.
@@ -299,7 +289,7 @@
     }
     ++choice.passed_over;
   }
-  RunnerChoice spread = chooseByLoad(request, candidates);
+  RunnerChoice spread = chooseByLoad(request, ranked);
   spread.passed_over = choice.passed_over;
   return spread;
 }
@@ -325,8 +315,8 @@
   };
   const auto best = std::min_element(
       candidates.begin(), candidates.end(), [&](const auto& left, const auto& right) {
-        const uint64_t left_draw = left->fingerprint ^ request.draw;
-        const uint64_t right_draw = right->fingerprint ^ request.draw;
+        const uint64_t left_draw = left->fingerprint ^ request.standing.draw;
+        const uint64_t right_draw = right->fingerprint ^ request.standing.draw;
         return std::pair(costOf(*left), left_draw) < std::pair(costOf(*right), right_draw);
       });
   return RunnerChoice{.runner = *best};
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -39,14 +39,13 @@
   uint64_t cache_key = 0;
   /// Fingerprint of the shared part before it; zero: none.
   uint64_t parent_key = 0;
-  /// Breaks ties.
-  uint64_t draw = 0;
   std::string zone;
   /// Runners that were tried already.
   std::vector<std::string> excluded;
   int64_t now_ms = 0;
   /// The service's runners are model engines.
   bool engine = false;
+  /// Its draw also breaks ties.
   Standing standing;
   /// It asked before and waited; counts once in what is asked of the service.
   bool asks_again = false;
@@ -139,8 +138,7 @@
   bool takesShare(const RunnerRequest& request, const Runner& runner, uint32_t limit) const;
   double expectedAt(const std::string& service) const;
   bool isBusy(const Candidates& candidates) const;
-  void keepHomes(const RunnerRequest& request, Candidates& candidates) const;
-  RunnerChoice chooseByCache(const RunnerRequest& request, Candidates candidates) const;
+  RunnerChoice chooseByCache(const RunnerRequest& request, const Candidates& ranked) const;
   RunnerChoice chooseByLoad(const RunnerRequest& request, const Candidates& candidates) const;
   std::shared_ptr<Runner> sourceOfParts(const RunnerRequest& request, const Runner& chosen) const;
   double meanLoad(const Candidates& candidates) const;
--- a/src/daemon/relay/control_link.cc
+++ b/src/daemon/relay/control_link.cc
@@ -12,8 +12,6 @@
 
 /// Without a confirmed lease the leader is sought more often.
 constexpr std::chrono::milliseconds kSeekPeriod{80};
-/// Several round trips between regions; a machine without power does not answer at all.
-constexpr std::chrono::milliseconds kDialLimit{150};
 /// A link on which nothing comes for so long, or for so many periods, is given up.
 constexpr int64_t kSilentMs = 800;
 constexpr int64_t kSilentPeriods = 3;
@@ -90,6 +88,15 @@
   }
 }
 
+ControlLink::Traffic ControlLink::traffic() const {
+  Traffic traffic = earlier_traffic_;
+  if (link_) {
+    traffic.sent += link_->bytesQueued();
+    traffic.received += link_->bytesReceived();
+  }
+  return traffic;
+}
+
 void ControlLink::renewNow() {
   if (link_) {
     renew();
@@ -129,7 +136,7 @@
 
 void ControlLink::dial(const std::string& address) {
   dialing_ = true;
-  dialer_.dial(address, kDialLimit, [this, address](std::shared_ptr<link::FramedLink> link) {
+  dialer_.dial(address, link::kDialLimit, [this, address](std::shared_ptr<link::FramedLink> link) {
     dialing_ = false;
     if (!link) {
       dialNext();
@@ -148,6 +155,7 @@
 void ControlLink::drop(const char* reason) {
   confirmed_ = false;
   line_log::write("control_link_lost", {{"address", link_address_}, {"reason", reason}});
+  earlier_traffic_ = traffic();
   if (link_) {
     const auto link = std::exchange(link_, nullptr);
     link->close();
--- a/src/daemon/relay/control_link.h
+++ b/src/daemon/relay/control_link.h
@@ -37,6 +37,13 @@
   void reconnect();
   void setSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
 
+  /// Bytes of frames to and from the leaders, over all links so far.
+  struct Traffic {
+    uint64_t sent = 0;
+    uint64_t received = 0;
+  };
+  Traffic traffic() const;
+
 private:
   void schedule();
   void step();
@@ -67,6 +74,8 @@
   /// When bytes last came on the link, or the link began.
   int64_t heard_at_ms_ = 0;
   uint64_t heard_bytes_ = 0;
+  /// Traffic of the links before the present one.
+  Traffic earlier_traffic_;
   uint32_t unconfirmed_ = 0;
   /// Attempts that may still be made before the next step.
   uint32_t dials_left_ = 0;
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -171,8 +171,8 @@
       return refusal(http::Status::unauthorized, "unknown_key", "the key is not known", id);
     }
   }
-  relayed.draw = routing::fingerprintOf(id);
-  relayed.service = relay::RouteTable::pickService(*relayed.route, relayed.draw);
+  relayed.standing.draw = routing::fingerprintOf(id);
+  relayed.service = relay::RouteTable::pickService(*relayed.route, relayed.standing.draw);
   const int64_t allowed_ms = relayed.route->timeout_ms;
   const auto told_ms = millisecondsOf(http::fieldOf(request, names.deadline));
   relayed.deadline_ms = relayed.received_ms + std::min(told_ms.value_or(allowed_ms), allowed_ms);
@@ -180,7 +180,6 @@
   const relay::Service* service = state.routes->findService(relayed.service);
   relayed.engine = service != nullptr && service->model_engine;
   relayed.standing.priority = priorityOf(relayed);
-  relayed.standing.draw = relayed.draw;
   relayed.standing.over_share = state.policy.tenant_shares && relayed.tenant != nullptr &&
                                 state.tenants.overShare(relayed.tenant->name);
   return relayed;
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -29,7 +29,6 @@
   uint64_t cache_key = 0;
   /// Fingerprint of the shared part before that one; zero: none.
   uint64_t parent_key = 0;
-  uint64_t draw = 0;
   /// The service's runners are model engines.
   bool engine = false;
   /// Claim on a busy runner; its priority is also told to the runner.
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -197,6 +197,11 @@
                        static_cast<int64_t>(state_.runners.listVersion()));
   metrics::exposeGauge(out, "relay_relays", "relays that callers are told",
                        static_cast<int64_t>(relays_.relays_size()));
+  const ControlLink::Traffic traffic = control_.traffic();
+  metrics::exposeGauge(out, "relay_control_sent_bytes", "frames to the group's leaders",
+                       static_cast<int64_t>(traffic.sent));
+  metrics::exposeGauge(out, "relay_control_received_bytes", "frames from the group's leaders",
+                       static_cast<int64_t>(traffic.received));
   metrics::LabelledCounts loads;
   metrics::LabelledCounts failures;
   for (const auto& runner : state_.runners.runners()) {
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -86,7 +86,6 @@
   return relay::RunnerRequest{.service = request_.service,
                               .cache_key = request_.cache_key,
                               .parent_key = request_.parent_key,
-                              .draw = request_.draw,
                               .zone = state_.zone,
                               .excluded = tried_,
                               .now_ms = state_.clock.monotonicMs(),
--- a/tests/unit/core/relay/load_cap_test.cc
+++ b/tests/unit/core/relay/load_cap_test.cc
@@ -33,8 +33,8 @@
 constexpr uint64_t kShortestMs = 60;
 constexpr uint64_t kLongestMs = 700;
 /// What operators allow. They take it as broken where 3 in 100 of the requests of five seconds miss
-/// it; here it is a third of that, since the simulation has no slow links, nor runners that come and
-/// go. Renewals every 250 ms that aimed at the cap itself came to 1.1 to 2.2 in 100.
+/// it; here it is a third of that, since the simulation has no slow links, nor runners that come
+/// and go. Renewals every 250 ms that aimed at the cap itself came to 1.1 to 2.2 in 100.
 constexpr double kCapFactor = 2;
 constexpr double kCapSlack = 3;
 constexpr int64_t kWindowMs = 5'000;
@@ -132,10 +132,10 @@
       const size_t at = random_.below(kRelays);
       const relay::RunnerRequest request{.service = "s",
                                          .cache_key = drawPart(),
-                                         .draw = random_.next(),
                                          .zone = "z",
                                          .now_ms = now_ms,
-                                         .engine = true};
+                                         .engine = true,
+                                         .standing = {.draw = random_.next()}};
       const auto choice = relays_[at]->choose(request);
       if (const auto* chosen = std::get_if<relay::RunnerChoice>(&choice)) {
         send(at, chosen->runner, now_ms);
--- a/tests/unit/core/relay/runner_table_test.cc
+++ b/tests/unit/core/relay/runner_table_test.cc
@@ -31,7 +31,7 @@
 
 relay::RunnerRequest wish(uint64_t cache_key = 0) {
   return relay::RunnerRequest{
-      .service = "s", .cache_key = cache_key, .draw = 1, .zone = "z", .now_ms = 1000};
+      .service = "s", .cache_key = cache_key, .zone = "z", .now_ms = 1000, .standing = {.draw = 1}};
 }
 
 std::optional<relay::RunnerChoice> chosen(relay::RunnerTable& table,
@@ -223,7 +223,7 @@
     for (auto& table : relays) {
       relay::RunnerRequest request = wish(42);
       request.engine = true;
-      request.draw = random();
+      request.standing.draw = random();
       if (chosen(*table, request)) {
         table->beginAttempt(*table->runners()[0], 1000);
       }
