--- a/src/core/relay/part_sources.cc
+++ b/src/core/relay/part_sources.cc
@@ -23,13 +23,13 @@
   return runner.avoid_until_ms != 0 && now_ms - runner.avoid_until_ms < kKeptMs;
 }
 
-/// @return the runner that ranked first for the part before the newest were listed; null: none.
-std::shared_ptr<Runner> formerHome(const SourceQuestion& question) {
+/// @return of the runners that `usable` accepts, the one that ranks first for the part; null: none.
+template <typename Usable>
+std::shared_ptr<Runner> firstRanked(const SourceQuestion& question, Usable usable) {
   std::shared_ptr<Runner> best;
   uint64_t best_weight = 0;
   for (const auto& runner : *question.runners) {
-    if (isNew(*runner, question.now_ms) ||
-        (runner.get() != question.chosen && question.avoided(*runner))) {
+    if (!usable(*runner)) {
       continue;
     }
     const uint64_t weight = routing::rendezvousWeight(question.part, runner->entry.id());
@@ -41,21 +41,19 @@
   return best;
 }
 
-/// @return the runner that ranks first for the part after the chosen one; null: none.
+/// @return the runner that ranked first for the part before the newest were listed; null: none.
+std::shared_ptr<Runner> formerHome(const SourceQuestion& question) {
+  return firstRanked(question, [&](const Runner& runner) {
+    const bool here = &runner == question.chosen;
+    return !isNew(runner, question.now_ms) && (here || !question.avoided(runner));
+  });
+}
+
+/// @return the runner that ranks first for the part beside the chosen one; null: none.
 std::shared_ptr<Runner> nextInRanking(const SourceQuestion& question) {
-  std::shared_ptr<Runner> best;
-  uint64_t best_weight = 0;
-  for (const auto& runner : *question.runners) {
-    if (runner.get() == question.chosen || question.avoided(*runner)) {
-      continue;
-    }
-    const uint64_t weight = routing::rendezvousWeight(question.part, runner->entry.id());
-    if (!best || weight > best_weight) {
-      best = runner;
-      best_weight = weight;
-    }
-  }
-  return best;
+  return firstRanked(question, [&](const Runner& runner) {
+    return &runner != question.chosen && !question.avoided(runner);
+  });
 }
 
 } // namespace
--- a/src/core/relay/renewal_period.h
+++ b/src/core/relay/renewal_period.h
@@ -8,9 +8,9 @@
 
 namespace workshatch::relay {
 
-/// Loads are known to the others after one to two periods. With 250 ms ten relays went over the
-/// load cap in the worst five seconds of quiet days (3 to 6 in 100 of the requests), with 100 ms in
-/// half as many; on overload days 2 in 100 more of the requests were served.
+/// What a relay knows of the others' loads is one to two periods old. With 250 ms ten relays sent 3
+/// to 6 in 100 requests over the load cap in the worst five seconds of quiet days, with 100 ms half
+/// as many; on overload days 2 in 100 more of the requests were served.
 inline constexpr int64_t kRenewalPeriodMs = 100;
 
 /// Periods grow with the fleet by so much for each relay, so that all relays together cost the
--- a/src/daemon/relay/lease_wait.h
+++ b/src/daemon/relay/lease_wait.h
@@ -25,9 +25,9 @@
   void wakeAll();
 
 private:
-  /// Requests that arrive in 200 ms at a relay with five times its share of 2,500 a second before
-  /// 390 relays, several times over: bounds memory, not service.
-  static constexpr size_t kMostWaiting = 256;
+  /// Bounds memory: twice the requests of a whole site of ten relays (250 a second) in the 600 ms
+  /// for which a first lease is waited for.
+  static constexpr size_t kMostWaiting = 300;
 
   boost::asio::io_context& context_;
   /// Timers of those that wait; each lives in its coroutine.
--- a/tests/unit/daemon/relay/lease_wait_test.cc
+++ b/tests/unit/daemon/relay/lease_wait_test.cc
@@ -57,7 +57,7 @@
     boost::asio::co_spawn(context, ask(), boost::asio::detached);
   }
   context.poll();
-  CHECK(ended == kAsked - 256);
+  CHECK(ended == kAsked - 300);
   lease_wait.wakeAll();
   context.run();
   CHECK(ended == kAsked);
