Requests that find all runners full are refused at once

On a full fleet a request waited for a fifth of its objective, then most were refused all the same, with less time left to come back; what came meanwhile with no more urgency was not even tried.

Change: policy waiting_line is off by default. It stays as a setting with its tests. New test: refused at once, unheard.

--- a/src/core/relay/policy.h
+++ b/src/core/relay/policy.h
@@ -5,7 +5,7 @@
 
 namespace workshatch::relay {
 
-/// Settings of the member "policy"; all on by default.
+/// Settings of the member "policy"; on by default where nothing else is said.
 struct Policy {
   /// Prompts go to the runners that rank first for their shared part; off: to the least loaded.
   bool prompt_homes = true;
@@ -28,8 +28,9 @@
   bool shared_places = true;
   /// On a busy fleet prompts go to few of the runners that rank for them.
   bool few_homes = true;
-  /// Requests wait a moment for a place.
-  bool waiting_line = true;
+  /// Requests wait a moment for a place. Off by default: on overload days relays that refuse at
+  /// once refuse fewer requests, and fewer are served late (docs/DECISIONS.md).
+  bool waiting_line = false;
   /// Refused callers come back at the pace of the service; off: after a fixed time.
   bool paced_returns = true;
   /// Tenants that use more than their share leave places to others on a busy fleet.
--- a/tests/unit/adapters/relay_settings_test.cc
+++ b/tests/unit/adapters/relay_settings_test.cc
@@ -15,7 +15,7 @@
  "seeds":["10.0.0.1:90","10.0.0.2:90"],"first_start":true,"data_folder":"",
  "runner_list_address":"10.9.0.1:81","unknown":1,
  "bounds":{"revoked_key_ms":4000,"stop_s":7.5,"repeat_slack":58},
- "policy":{"waiting_line":false}})";
+ "policy":{"waiting_line":true,"tenant_shares":false}})";
 
 } // namespace
 
@@ -30,7 +30,8 @@
   CHECK(settings->bounds.stop_ms == 7500);
   CHECK(settings->bounds.repeat_slack == 58);
   CHECK(settings->bounds.repeat_window_ms == 10'000);
-  CHECK_FALSE(settings->policy.waiting_line);
+  CHECK(settings->policy.waiting_line);
+  CHECK_FALSE(settings->policy.tenant_shares);
   CHECK(settings->policy.place_limits);
 }
 
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -149,8 +149,8 @@
 /// A relay's request handling over a server on loopback.
 class TestRelay {
 public:
-  explicit TestRelay(const relay::Route& route)
-      : state_(settings::RelaySettings{.zone = "z"}, clock_, dialect_),
+  explicit TestRelay(const relay::Route& route, const relay::Policy& policy = {})
+      : state_(settings::RelaySettings{.zone = "z", .policy = policy}, clock_, dialect_),
         server_(
             workers_, http::ServerLimits{},
             [this](http::Exchange& exchange) { return handle(exchange); },
--- a/tests/unit/daemon/relay/relay_run_test.cc
+++ b/tests/unit/daemon/relay/relay_run_test.cc
@@ -77,12 +77,31 @@
   CHECK(relay.ask("q1").ends_with("done"));
 }
 
-TEST_CASE("A request waits a little for a place and is refused unheard when none becomes free") {
+TEST_CASE("A request that finds all runners full is refused at once, unheard") {
   ScriptedRunner runner([](auto& socket, const auto&) { say(socket, signedAnswer("q1", "done")); });
   relay::Route route = testRoute(RouteKind::RunOnce, 1);
-  route.objective_ms = 1000;
+  // A wait would last for a fifth of this.
+  route.objective_ms = 60'000;
   TestRelay relay(route);
   relay.addRunner("runner-1", runner.address(), 1);
+  const auto busy = relay.state().runners.runners()[0];
+  busy->in_progress = 3;
+  relay.start();
+  const std::string refused = relay.ask("q1");
+  CHECK(refused.starts_with("HTTP/1.1 503"));
+  CHECK(refused.find("Retry-After") != std::string::npos);
+  CHECK(refused.find("all_full") != std::string::npos);
+  CHECK(runner.requests() == 0);
+  boost::asio::post(relay.context(), [&] { busy->in_progress = 2; });
+  CHECK(relay.ask("q1").ends_with("done"));
+}
+
+TEST_CASE("With a waiting line a request waits a little for a place, and is then refused unheard") {
+  ScriptedRunner runner([](auto& socket, const auto&) { say(socket, signedAnswer("q1", "done")); });
+  relay::Route route = testRoute(RouteKind::RunOnce, 1);
+  route.objective_ms = 1000;
+  TestRelay relay(route, relay::Policy{.waiting_line = true});
+  relay.addRunner("runner-1", runner.address(), 1);
   // A plain service may have three requests for each place.
   const auto busy = relay.state().runners.runners()[0];
   busy->in_progress = 3;
