--- a/tests/unit/core/relay/load_cap_test.cc
+++ b/tests/unit/core/relay/load_cap_test.cc
@@ -13,7 +13,6 @@
 #include "core/relay/load_sums.h"
 #include "core/relay/renewal_period.h"
 #include "core/relay/runner_table.h"
-#include "core/routing/rendezvous.h"
 #include "ports/seeded_random.h"
 
 namespace workshatch::test {
--- a/tests/unit/daemon/relay/lease_wait_test.cc
+++ b/tests/unit/daemon/relay/lease_wait_test.cc
@@ -2,7 +2,6 @@
 /// Requests that come to a relay before its first lease.
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 
 #include "core/relay/first_lease.h"
--- a/tests/unit/daemon/relay/relay_run_test.cc
+++ b/tests/unit/daemon/relay/relay_run_test.cc
@@ -91,6 +91,8 @@
   CHECK(refused.starts_with("HTTP/1.1 503"));
   CHECK(refused.find("Retry-After") != std::string::npos);
   CHECK(refused.find("all_full") != std::string::npos);
+  // One that had waited would have ended at its time limit.
+  CHECK(relay.state().stats.outcomes["all_full"] == 1);
   CHECK(runner.requests() == 0);
   boost::asio::post(relay.context(), [&] { busy->in_progress = 2; });
   CHECK(relay.ask("q1").ends_with("done"));
