Owners give the places of runners: one relay counts what all have there

Cause: at 300 relays renewals come every 900 ms, so sums of loads are one to two seconds old, on requests that last 60 ms to 2 s. Change: a relay, named by rendezvous hashing over the relays that callers are told, counts for each runner what all relays hold there, as told by datagrams, and gives a place up to the limit that the asker names. Relays tell how much they hold, so a lost datagram is made up for by the next or expires after 3.5 s. An owner that does not answer within 30 ms is left for a second; sums decide then. Prompts ask their homes in the order of the ranking, plain requests the less used of two drawn by lot. The owner table of the product's own plane was not taken over: it needs one owner by a view that all have acknowledged, permits by name and their releases acknowledged, three times the messages; here a soft limit is enough.

--- a/src/adapters/datagram/peer_socket.h
+++ b/src/adapters/datagram/peer_socket.h
@@ -6,11 +6,12 @@
 #include <functional>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/udp.hpp>
 
 #include "adapters/address_book.h"
+#include "adapters/datagram/udp_socket.h"
 #include "core/result.h"
 #include "workshatch/v1/peer.pb.h"
 
@@ -43,17 +44,15 @@
   const PeerStats& stats() const { return stats_; }
 
 private:
-  void receive();
+  void received(std::string_view bytes);
 
-  boost::asio::ip::udp::socket socket_;
+  UdpSocket socket_;
   const std::string key_;
   const AddressBook addresses_;
   const std::string name_;
   const uint64_t incarnation_;
   Receiver receiver_;
   std::atomic<uint64_t> sequence_{0};
-  boost::asio::ip::udp::endpoint from_;
-  std::string buffer_;
   PeerStats stats_;
 };
 
--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "adapters/http/http_types.h"
+#include "core/address_text.h"
 
 namespace workshatch::settings {
 
@@ -149,6 +150,7 @@
     {"place_limits", &relay::Policy::place_limits},
     {"shared_places", &relay::Policy::shared_places},
     {"few_homes", &relay::Policy::few_homes},
+    {"place_owners", &relay::Policy::place_owners},
     {"waiting_line", &relay::Policy::waiting_line},
     {"paced_returns", &relay::Policy::paced_returns},
     {"tenant_shares", &relay::Policy::tenant_shares},
@@ -172,7 +174,7 @@
 std::vector<std::string> RelaySettings::seedLinks() const {
   std::vector<std::string> links;
   for (const std::string& seed : seeds) {
-    links.push_back(seed.substr(0, seed.rfind(':') + 1) + std::to_string(link_port));
+    links.push_back(withPort(seed, link_port));
   }
   return links;
 }
--- /dev/null
+++ b/src/core/relay/place_owner.cc
@@ -0,0 +1,89 @@
+#include "core/relay/place_owner.h"
+
+#include <algorithm>
+
+namespace workshatch::relay {
+
+namespace {
+
+/// What was not told again counts no longer: room for one lost message and a busy sender.
+constexpr int64_t kUseValidMs = 2 * kTellPlacesAgainMs + 500;
+/// All who use a runner have told its owner by then.
+constexpr int64_t kLearningMs = kTellPlacesAgainMs + 500;
+
+} // namespace
+
+PlaceOwner::Places& PlaceOwner::placesOf(uint64_t runner, int64_t now_ms) {
+  const auto [found, added] = runners_.try_emplace(runner);
+  if (added) {
+    found->second.known_since_ms = now_ms;
+  }
+  return found->second;
+}
+
+void PlaceOwner::setHeld(Places& places, Use& use, uint32_t held) {
+  places.load += held - use.held;
+  use.held = held;
+}
+
+void PlaceOwner::take(Places& places, const std::string& relay, const v1::PlaceUse& told,
+                      int64_t now_ms) {
+  Use& use = places.uses[relay];
+  const bool old = use.incarnation == told.incarnation() && told.sequence() <= use.sequence;
+  if (old) {
+    return;
+  }
+  use.incarnation = told.incarnation();
+  use.sequence = told.sequence();
+  use.told_ms = now_ms;
+  setHeld(places, use, told.held());
+}
+
+PlaceOwner::Decision PlaceOwner::claim(const std::string& relay, const v1::PlaceClaim& claim,
+                                       uint32_t told_load, int64_t now_ms) {
+  Places& places = placesOf(claim.use().runner(), now_ms);
+  take(places, relay, claim.use(), now_ms);
+  const bool learning = now_ms - places.known_since_ms < kLearningMs;
+  const uint32_t load = learning ? std::max(places.load, told_load) : places.load;
+  if (load >= claim.limit()) {
+    return Decision{.granted = false, .load = load};
+  }
+  Use& use = places.uses[relay];
+  setHeld(places, use, use.held + 1);
+  return Decision{.granted = true, .load = load + 1};
+}
+
+void PlaceOwner::noteUse(const std::string& relay, const v1::PlaceUse& use, int64_t now_ms) {
+  take(placesOf(use.runner(), now_ms), relay, use, now_ms);
+}
+
+void PlaceOwner::forgetRelay(const std::string& relay) {
+  for (auto& [runner, places] : runners_) {
+    const auto found = places.uses.find(relay);
+    if (found != places.uses.end()) {
+      setHeld(places, found->second, 0);
+      places.uses.erase(found);
+    }
+  }
+}
+
+void PlaceOwner::forgetStale(int64_t now_ms) {
+  for (auto& [runner, places] : runners_) {
+    for (auto entry = places.uses.begin(); entry != places.uses.end();) {
+      if (now_ms - entry->second.told_ms < kUseValidMs) {
+        ++entry;
+        continue;
+      }
+      setHeld(places, entry->second, 0);
+      entry = places.uses.erase(entry);
+    }
+  }
+  std::erase_if(runners_, [](const auto& entry) { return entry.second.uses.empty(); });
+}
+
+uint32_t PlaceOwner::loadOf(uint64_t runner) const {
+  const auto found = runners_.find(runner);
+  return found == runners_.end() ? 0 : found->second.load;
+}
+
+} // namespace workshatch::relay
--- /dev/null
+++ b/src/core/relay/place_owners.cc
@@ -0,0 +1,59 @@
+#include "core/relay/place_owners.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "core/routing/rendezvous.h"
+
+namespace workshatch::relay {
+
+namespace {
+
+/// An owner that did not answer is asked again after this: one request in that time pays the wait
+/// for its answer, at each relay.
+constexpr int64_t kSilentMs = 1000;
+
+} // namespace
+
+std::vector<std::string> PlaceOwners::setRelays(std::vector<std::string> relays) {
+  std::sort(relays.begin(), relays.end());
+  std::vector<std::string> left;
+  std::set_difference(relays_.begin(), relays_.end(), relays.begin(), relays.end(),
+                      std::back_inserter(left));
+  for (const std::string& relay : left) {
+    silent_until_ms_.erase(relay);
+  }
+  relays_ = std::move(relays);
+  ranked_first_.clear();
+  return left;
+}
+
+const std::string* PlaceOwners::ownerOf(uint64_t runner) {
+  if (relays_.empty()) {
+    return nullptr;
+  }
+  const auto [found, added] = ranked_first_.try_emplace(runner);
+  if (added) {
+    uint64_t best_weight = 0;
+    for (size_t i = 0; i < relays_.size(); ++i) {
+      const uint64_t weight = routing::rendezvousWeight(runner, relays_[i]);
+      if (weight > best_weight) {
+        best_weight = weight;
+        found->second = i;
+      }
+    }
+  }
+  return &relays_[found->second];
+}
+
+void PlaceOwners::noteSilent(const std::string& owner, int64_t now_ms) {
+  silent_until_ms_[owner] = now_ms + kSilentMs;
+}
+
+bool PlaceOwners::isSilent(const std::string& owner, int64_t now_ms) const {
+  const auto found = silent_until_ms_.find(owner);
+  return found != silent_until_ms_.end() && now_ms < found->second;
+}
+
+} // namespace workshatch::relay
--- a/src/core/relay/policy.h
+++ b/src/core/relay/policy.h
@@ -24,6 +24,9 @@
   bool own_zone_first = true;
   /// Runners are filled up to their places only; off: whatever is asked is sent.
   bool place_limits = true;
+  /// One relay counts what all have at a runner, and gives places there; off: each relay goes by
+  /// sums of loads.
+  bool place_owners = true;
   /// What relays take of a busy runner between two sums is shared out.
   bool shared_places = true;
   /// On a busy fleet prompts go to few of the runners that rank for them.
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -1,6 +1,7 @@
 #include "core/relay/runner_table.h"
 
 #include <algorithm>
+#include <iterator>
 #include <unordered_map>
 #include <utility>
 
@@ -139,6 +140,12 @@
          isSilent(runner, now_ms);
 }
 
+void RunnerTable::noteLoad(Runner& runner, uint32_t load) const {
+  if (options_.policy.shared_loads) {
+    runner.others_in_progress = load > runner.in_progress ? load - runner.in_progress : 0;
+  }
+}
+
 void RunnerTable::beginAttempt(Runner& runner, int64_t now_ms) const {
   if (runner.in_progress++ == 0) {
     runner.sign_of_life_ms = now_ms;
@@ -253,32 +260,81 @@
                                  return runner->entry.id();
                                });
   }
+  std::optional<RunnerChoice> choice =
+      request.asks_owners && !request.past_limits
+          ? chooseOffer(request, candidates, by_prompt, busy)
+          : chooseBySums(request, std::move(candidates), by_prompt, busy);
+  if (!choice) {
+    return NoRunner::AllFull;
+  }
+  choice->last_resort = last_resort;
+  if (request.cache_key != 0 && options_.policy.fetch_cached_parts) {
+    choice->part_source = sourceOfParts(request, *choice->runner);
+  }
+  return *std::move(choice);
+}
+
+void RunnerTable::noteSent(const RunnerRequest& request, const RunnerChoice& choice) {
+  if (request.cache_key == 0) {
+    return;
+  }
+  choice.runner->engine = true;
+  part_sources_.noteSent(request.cache_key, request.parent_key, choice.runner, request.now_ms);
+}
+
+uint32_t RunnerTable::loadOf(uint64_t fingerprint) const {
+  const auto found =
+      std::find_if(runners_.begin(), runners_.end(), [fingerprint](const auto& runner) {
+        return runner->fingerprint == fingerprint;
+      });
+  return found == runners_.end() ? 0 : (*found)->load();
+}
+
+double RunnerTable::leaveLoad(double mean) const {
+  return std::min(options_.leave_factor * mean + options_.leave_slack, capLoad(mean));
+}
+
+/// The next runner whose owner is asked for a place.
+std::optional<RunnerChoice> RunnerTable::chooseOffer(const RunnerRequest& request,
+                                                     const Candidates& candidates, bool by_prompt,
+                                                     bool busy) const {
+  const double mean = meanLoad(candidates);
+  Candidates open;
+  std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(open),
+               [&](const auto& runner) { return runner->full_until_ms <= request.now_ms; });
+  const auto offer = nextOffer(
+      options_.placement, PlacementQuestion{.candidates = open,
+                                            .refused = request.refused_places,
+                                            .by_prompt = by_prompt,
+                                            .engine = request.engine,
+                                            .busy = busy,
+                                            .standing = request.standing,
+                                            .leave_load = static_cast<uint32_t>(leaveLoad(mean)),
+                                            .cap_load = static_cast<uint32_t>(capLoad(mean))});
+  if (!offer) {
+    return std::nullopt;
+  }
+  return RunnerChoice{
+      .runner = offer->runner, .passed_over = offer->passed_over, .limit = offer->limit};
+}
+
+std::optional<RunnerChoice> RunnerTable::chooseBySums(const RunnerRequest& request,
+                                                      Candidates candidates, bool by_prompt,
+                                                      bool busy) const {
   if (by_prompt && busy && options_.policy.few_homes && !request.past_limits) {
     // To read a long part anew on yet another runner takes more of it than the request itself.
     candidates.resize(std::min(candidates.size(), options_.busy_homes));
   }
   std::erase_if(candidates, [&](const auto& runner) { return !hasPlace(request, *runner, busy); });
   if (candidates.empty()) {
-    return NoRunner::AllFull;
-  }
-  RunnerChoice choice =
-      by_prompt ? chooseByCache(request, candidates) : chooseByLoad(request, candidates);
-  choice.last_resort = last_resort;
-  if (request.cache_key != 0) {
-    choice.runner->engine = true;
-    if (options_.policy.fetch_cached_parts) {
-      choice.part_source = sourceOfParts(request, *choice.runner);
-    }
-    part_sources_.noteSent(request.cache_key, request.parent_key, choice.runner, request.now_ms);
+    return std::nullopt;
   }
-  return choice;
+  return by_prompt ? chooseByCache(request, candidates) : chooseByLoad(request, candidates);
 }
 
 RunnerChoice RunnerTable::chooseByCache(const RunnerRequest& request,
                                         const Candidates& ranked) const {
-  const double mean = meanLoad(ranked);
-  const double cap = options_.cap_factor * mean + options_.cap_slack;
-  const double leave = std::min(options_.leave_factor * mean + options_.leave_slack, cap);
+  const double leave = leaveLoad(meanLoad(ranked));
   RunnerChoice choice;
   // The further a runner ranks, the less likely it has the part: the first with room, not the least
   // loaded, so that a part in demand comes to as few runners as it needs.
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -5,12 +5,14 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "core/relay/part_sources.h"
 #include "core/relay/place_limits.h"
+#include "core/relay/placement.h"
 #include "core/relay/policy.h"
 #include "core/relay/runner.h"
 #include "workshatch/v1/relay.pb.h"
@@ -51,6 +53,10 @@
   bool asks_again = false;
   /// Goes to a full runner rather than to none, as the rest of a stream that broke does.
   bool past_limits = false;
+  /// Owners count the places of runners, and are asked for one.
+  bool asks_owners = false;
+  /// Runners whose owners gave no place.
+  std::vector<std::string> refused_places;
 };
 
 struct RunnerChoice {
@@ -59,6 +65,9 @@
   uint32_t passed_over = 0;
   /// All candidates were being avoided.
   bool last_resort = false;
+  /// Where owners are asked: requests in progress there, this one included, up to which a place is
+  /// taken.
+  uint32_t limit = 0;
   /// Another runner that likely keeps parts of the prompt which the chosen one lacks; null: none.
   std::shared_ptr<Runner> part_source;
 };
@@ -90,6 +99,7 @@
   double leave_factor = 1.3;
   double leave_slack = 6;
   PlaceLimitOptions places;
+  PlacementOptions placement;
   Policy policy;
   /// A service counts as busy over this part of its places. With what is kept for the more urgent,
   /// few of the rest are free then.
@@ -121,6 +131,17 @@
   void setRelays(size_t relays) { relays_ = relays == 0 ? 1 : relays; }
 
   std::variant<RunnerChoice, NoRunner> choose(const RunnerRequest& request);
+  /// @return milliseconds since the sums of loads came; -1: none count.
+  int64_t sumsAgeMs(int64_t now_ms) const { return sums_at_ms_ == 0 ? -1 : now_ms - sums_at_ms_; }
+
+  /// Notes that the request goes to the runner chosen, which then has its shared parts.
+  void noteSent(const RunnerRequest& request, const RunnerChoice& choice);
+
+  /// @return the load by the last sums of the runner with this fingerprint; zero: not known.
+  uint32_t loadOf(uint64_t fingerprint) const;
+
+  /// Notes what an owner told of a runner's load; it counts until the next sums.
+  void noteLoad(Runner& runner, uint32_t load) const;
 
   void beginAttempt(Runner& runner, int64_t now_ms) const;
   /// Notes that bytes came from the runner.
@@ -138,6 +159,13 @@
   bool takesShare(const RunnerRequest& request, const Runner& runner, uint32_t limit) const;
   double expectedAt(const std::string& service) const;
   bool isBusy(const Candidates& candidates) const;
+  std::optional<RunnerChoice> chooseOffer(const RunnerRequest& request,
+                                          const Candidates& candidates, bool by_prompt,
+                                          bool busy) const;
+  std::optional<RunnerChoice> chooseBySums(const RunnerRequest& request, Candidates candidates,
+                                           bool by_prompt, bool busy) const;
+  double capLoad(double mean) const { return options_.cap_factor * mean + options_.cap_slack; }
+  double leaveLoad(double mean) const;
   RunnerChoice chooseByCache(const RunnerRequest& request, const Candidates& ranked) const;
   RunnerChoice chooseByLoad(const RunnerRequest& request, const Candidates& candidates) const;
   std::shared_ptr<Runner> sourceOfParts(const RunnerRequest& request, const Runner& chosen) const;
--- /dev/null
+++ b/src/daemon/relay/place_client.h
@@ -0,0 +1,145 @@
+/// @file
+/// Places at runners, asked of their owners: other relays, or this one.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "adapters/datagram/udp_socket.h"
+#include "core/relay/held_places.h"
+#include "core/relay/place_owner.h"
+#include "core/relay/place_owners.h"
+#include "ports/clock.h"
+
+namespace workshatch::daemon {
+
+class PlaceClient;
+
+/// One place at a runner, given back when it ends.
+class PlaceHold {
+public:
+  /// Holds nothing.
+  PlaceHold() = default;
+  PlaceHold(std::weak_ptr<PlaceClient> client, uint64_t runner)
+      : client_(std::move(client)), runner_(runner) {}
+  ~PlaceHold() { giveBack(); }
+  PlaceHold(PlaceHold&& other) noexcept
+      : client_(std::move(other.client_)), runner_(other.runner_) {
+    other.client_.reset();
+  }
+  PlaceHold& operator=(PlaceHold&& other) noexcept;
+  PlaceHold(const PlaceHold&) = delete;
+  PlaceHold& operator=(const PlaceHold&) = delete;
+
+  void giveBack();
+
+private:
+  std::weak_ptr<PlaceClient> client_;
+  uint64_t runner_ = 0;
+};
+
+enum class PlaceVerdict {
+  Granted,
+  /// The runner is as full as the claim allows.
+  Refused,
+  /// No owner is known, or it did not answer in time.
+  Unanswered,
+};
+
+struct PlaceReply {
+  PlaceVerdict verdict = PlaceVerdict::Unanswered;
+  /// Requests in progress at the runner, the granted one included; not set without an answer.
+  uint32_t load = 0;
+  /// Holds something only when granted.
+  PlaceHold place;
+};
+
+/// Asks owners for places, answers the claims of other relays, and tells owners what is held here.
+/// Lives on the relay's event loop; not safe for concurrent use.
+///
+/// Guarantees: a claim waits for its answer no longer than `kAnswerLimit`; an owner that did not
+/// answer is not asked again for a second, so that its silence delays few requests; nothing here
+/// ever keeps a request from being served by what the sums of loads tell.
+class PlaceClient : public std::enable_shared_from_this<PlaceClient> {
+public:
+  /// @return the load of a runner by the last sums.
+  using LoadSource = std::function<uint32_t(uint64_t runner)>;
+
+  /// Figures since the start.
+  struct Counts {
+    uint64_t granted = 0;
+    uint64_t refused = 0;
+    uint64_t unanswered = 0;
+    /// Claims of other relays that were answered here.
+    uint64_t answered = 0;
+    uint64_t sent_bytes = 0;
+    uint64_t received_bytes = 0;
+  };
+
+  PlaceClient(boost::asio::io_context& context, const Clock& clock, uint32_t incarnation,
+              LoadSource told_load)
+      : context_(context), clock_(clock), socket_(context), held_(incarnation),
+        told_load_(std::move(told_load)) {}
+
+  /// @param address "ip:port" for datagrams between relays
+  Result<std::monostate> open(const std::string& address);
+  void close() { socket_.close(); }
+
+  /// Replaces the relays that own runners, by their addresses for datagrams.
+  void setRelays(std::vector<std::string> relays);
+
+  /// Asks for a place. @param limit requests in progress there, this one included, at most
+  boost::asio::awaitable<PlaceReply> claim(uint64_t runner, uint32_t limit);
+  /// Takes a place without asking; the owner is told.
+  PlaceHold hold(uint64_t runner);
+
+  /// Tells owners again what is held, and drops what others no longer tell. Runs often.
+  void tick();
+
+  const Counts& counts() const { return counts_; }
+  /// Runners of which other relays tell this one what they hold.
+  size_t ownedRunners() const { return owner_.runnerCount(); }
+
+private:
+  friend class PlaceHold;
+
+  /// A claim that waits for its answer; lives in the claim's coroutine.
+  struct Pending {
+    explicit Pending(boost::asio::io_context& context) : timer(context) {}
+    boost::asio::steady_timer timer;
+    bool answered = false;
+    v1::PlaceAnswer answer;
+  };
+
+  void giveBack(uint64_t runner);
+  void tellOwner(uint64_t runner);
+  void send(const std::string& address, const v1::Frame& frame);
+  void received(std::string_view bytes, const datagram::UdpSocket::Endpoint& from);
+  void answerClaim(const v1::PlaceClaim& claim, const datagram::UdpSocket::Endpoint& from);
+  PlaceReply replyFor(uint64_t runner, bool granted, uint32_t load);
+
+  boost::asio::io_context& context_;
+  const Clock& clock_;
+  datagram::UdpSocket socket_;
+  std::string own_address_;
+  relay::HeldPlaces held_;
+  relay::PlaceOwners owners_;
+  relay::PlaceOwner owner_;
+  const LoadSource told_load_;
+  /// By sequence.
+  std::map<uint64_t, Pending*> pending_;
+  int64_t stale_due_ms_ = 0;
+  Counts counts_;
+};
+
+} // namespace workshatch::daemon
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -162,6 +162,7 @@
   }
   const AttemptResult result = co_await callRunner(choice);
   releaseConnection(runner);
+  place_.giveBack();
   noteEnd(runner, result);
   co_return result.end;
 }
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -12,6 +12,7 @@
 #include "adapters/http/problem.h"
 #include "adapters/logging/line_log.h"
 #include "adapters/metrics/text_format.h"
+#include "core/address_text.h"
 #include "core/compression/deflate.h"
 #include "core/relay/list_period.h"
 #include "core/relay/relay_addresses.h"
@@ -51,6 +52,9 @@
           context_, clock, settings_.seedLinks(), [this] { return makeRenewal(); },
           [this](const v1::LeaseReply& reply) { leaseReplied(reply); }),
       reader_(context_, settings_.runner_list_address, adapters.runner_lists),
+      places_(std::make_shared<PlaceClient>(
+          context_, clock, static_cast<uint32_t>(incarnation_),
+          [this](uint64_t runner) { return state_.runners.loadOf(runner); })),
       caller_server_(
           workers, [this] { return callerLimits(); },
           [this](http::Exchange& exchange) { return handle(exchange); }, refuseBadRequest),
@@ -83,6 +87,11 @@
       return errorOf(listening);
     }
   }
+  auto places_open = places_->open(withPort(settings_.caller_address, settings_.link_port));
+  if (isError(places_open)) {
+    return errorOf(places_open);
+  }
+  state_.places = places_;
   group_heard_ms_ = clock_.monotonicMs();
   control_.start();
   log_flusher_.start();
@@ -202,6 +211,21 @@
                        static_cast<int64_t>(traffic.sent));
   metrics::exposeGauge(out, "relay_control_received_bytes", "frames from the group's leaders",
                        static_cast<int64_t>(traffic.received));
+  const PlaceClient::Counts& places = places_->counts();
+  metrics::exposeGauge(out, "relay_places_granted", "places that owners gave",
+                       static_cast<int64_t>(places.granted));
+  metrics::exposeGauge(out, "relay_places_refused", "claims for places that owners refused",
+                       static_cast<int64_t>(places.refused));
+  metrics::exposeGauge(out, "relay_places_unanswered", "claims that no owner answered in time",
+                       static_cast<int64_t>(places.unanswered));
+  metrics::exposeGauge(out, "relay_places_answered", "claims of other relays answered here",
+                       static_cast<int64_t>(places.answered));
+  metrics::exposeGauge(out, "relay_places_sent_bytes", "datagrams sent for places",
+                       static_cast<int64_t>(places.sent_bytes));
+  metrics::exposeGauge(out, "relay_places_received_bytes", "datagrams received for places",
+                       static_cast<int64_t>(places.received_bytes));
+  metrics::exposeGauge(out, "relay_places_runners", "runners whose places are counted here",
+                       static_cast<int64_t>(places_->ownedRunners()));
   metrics::LabelledCounts loads;
   metrics::LabelledCounts failures;
   for (const auto& runner : state_.runners.runners()) {
@@ -254,6 +278,11 @@
     const auto relays = static_cast<size_t>(relays_.relays_size());
     state_.budget.setRelays(relays, clock_.monotonicMs());
     state_.runners.setRelays(relays);
+    std::vector<std::string> owners;
+    for (const v1::RelayEntry& relay : relays_.relays()) {
+      owners.push_back(withPort(relay.address(), settings_.link_port));
+    }
+    places_->setRelays(std::move(owners));
   }
   if (reply.has_loads()) {
     state_.runners.setSums(reply.loads(), reported_loads_, clock_.monotonicMs());
@@ -343,6 +372,7 @@
 
 void RelayRole::housekeep() {
   state_.connections.dropExpired();
+  places_->tick();
   // Runners that declined count as full for a time only, of whose end nothing else tells.
   state_.line.callNextOfEach();
   housekeeping_.expires_after(kHousekeepingPeriod);
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -63,6 +64,8 @@
   RelayState state_;
   ControlLink control_;
   RunnerListReader reader_;
+  /// Shared with the places that requests hold, which may outlive the role.
+  const std::shared_ptr<PlaceClient> places_;
   ReceivedConfiguration received_;
   v1::RelayList relays_;
   v1::RunnerLoads reported_loads_;
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -58,7 +58,10 @@
   });
   state_.budget.noteRequest(request_.service, request_.received_ms);
   while (!ended()) {
-    const auto chosen = chooseRunner();
+    const auto chosen = co_await findPlace();
+    if (ended()) {
+      break;
+    }
     const auto* choice = std::get_if<relay::RunnerChoice>(&chosen);
     all_full_ = choice == nullptr && std::get<relay::NoRunner>(chosen) == relay::NoRunner::AllFull;
     if (all_full_ && co_await awaitPlace()) {
@@ -91,8 +94,46 @@
                               .now_ms = state_.clock.monotonicMs(),
                               .engine = request_.engine,
                               .standing = request_.standing,
-                              .asks_again = line_place_.number != 0,
-                              .past_limits = stream_started_};
+                              .asks_again = line_place_.number != 0 || !refused_places_.empty(),
+                              .past_limits = stream_started_,
+                              .asks_owners = asksOwners(),
+                              .refused_places = refused_places_};
+}
+
+bool RelayRun::asksOwners() const { return state_.places && state_.policy.place_owners; }
+
+/// Chooses runners until one has a place, by its owner where owners are asked.
+http::awaitable<std::variant<relay::RunnerChoice, relay::NoRunner>> RelayRun::findPlace() {
+  auto chosen = chooseRunner();
+  while (!ended()) {
+    const auto* choice = std::get_if<relay::RunnerChoice>(&chosen);
+    if (choice == nullptr || !asksOwners() || co_await takePlace(*choice)) {
+      break;
+    }
+    refused_places_.push_back(choice->runner->entry.id());
+    chosen = chooseRunner();
+  }
+  co_return chosen;
+}
+
+/// @return whether the request may be sent to the runner.
+http::awaitable<bool> RelayRun::takePlace(const relay::RunnerChoice& choice) {
+  const uint64_t runner = choice.runner->fingerprint;
+  if (stream_started_) {
+    place_ = state_.places->hold(runner);
+    co_return true;
+  }
+  PlaceReply reply = co_await state_.places->claim(runner, choice.limit);
+  if (reply.verdict == PlaceVerdict::Unanswered) {
+    // Without the owner what the sums tell must do.
+    ++unanswered_claims_;
+    const bool fits = choice.runner->load() < choice.limit;
+    place_ = fits ? state_.places->hold(runner) : PlaceHold();
+    co_return fits;
+  }
+  place_ = std::move(reply.place);
+  state_.runners.noteLoad(*choice.runner, reply.load);
+  co_return reply.verdict == PlaceVerdict::Granted;
 }
 
 /// A request that has not waited yet does not overtake those that do.
@@ -147,9 +188,11 @@
 }
 
 void RelayRun::noteChoice(const relay::RunnerChoice& choice) {
+  state_.runners.noteSent(runnerRequest(), choice);
   tried_.push_back(choice.runner->entry.id());
   load_at_choice_ = choice.runner->load();
   passed_over_ = choice.passed_over;
+  place_limit_ = choice.limit;
 }
 
 bool RelayRun::mayTryAgain(AttemptEnd last) const {
@@ -235,6 +278,10 @@
        {"priority", request_.standing.priority},
        {"over_share", request_.standing.over_share},
        {"declines", declines_},
+       {"place_limit", place_limit_},
+       {"places_refused", refused_places_.size()},
+       {"owners_silent", unanswered_claims_},
+       {"sums_age_ms", state_.runners.sumsAgeMs(now)},
        {"waited_ms", waited_until_ms_ == 0 ? 0 : waited_until_ms_ - request_.received_ms},
        {"ms", now - request_.received_ms},
        {"first_ms", stream_started_ ? first_event_ms_ - request_.received_ms : -1},
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -73,6 +73,9 @@
   // The request as a whole (relay_run.cc).
   relay::RunnerRequest runnerRequest() const;
   std::variant<relay::RunnerChoice, relay::NoRunner> chooseRunner();
+  http::awaitable<std::variant<relay::RunnerChoice, relay::NoRunner>> findPlace();
+  http::awaitable<bool> takePlace(const relay::RunnerChoice& choice);
+  bool asksOwners() const;
   http::awaitable<bool> awaitPlace();
   bool mayRepeat();
   void noteChoice(const relay::RunnerChoice& choice);
@@ -112,9 +115,16 @@
   /// When the last wait for a place ended.
   int64_t waited_until_ms_ = 0;
   std::vector<std::string> tried_;
+  /// Runners whose owners gave no place.
+  std::vector<std::string> refused_places_;
+  /// Owners that did not answer in time.
+  uint32_t unanswered_claims_ = 0;
+  /// The place at the runner of the present attempt.
+  PlaceHold place_;
   /// What the last choice of a runner rested on, for the log.
   uint32_t load_at_choice_ = 0;
   uint32_t passed_over_ = 0;
+  uint32_t place_limit_ = 0;
   std::string last_event_id_;
   int64_t first_event_ms_ = 0;
   int64_t last_event_ms_ = 0;
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -15,6 +15,7 @@
 #include "core/relay/serving_lease.h"
 #include "core/relay/tenant_shares.h"
 #include "core/relay/waiting_line.h"
+#include "daemon/relay/place_client.h"
 #include "daemon/relay/relay_stats.h"
 #include "ports/clock.h"
 #include "ports/relay_dialect.h"
@@ -52,6 +53,8 @@
   const relay::Policy policy;
   relay::RunnerTable runners;
   relay::RetryBudget budget;
+  /// Null: owners are not asked for places.
+  std::shared_ptr<PlaceClient> places;
   relay::WaitingLine line{kMostWaiting};
   relay::ReturnTimes return_times;
   relay::TenantUse tenants;
--- a/tests/unit/core/relay/runner_table_test.cc
+++ b/tests/unit/core/relay/runner_table_test.cc
@@ -38,7 +38,11 @@
                                           const relay::RunnerRequest& request) {
   const auto choice = table.choose(request);
   const auto* made = std::get_if<relay::RunnerChoice>(&choice);
-  return made == nullptr ? std::nullopt : std::optional(*made);
+  if (made == nullptr) {
+    return std::nullopt;
+  }
+  table.noteSent(request, *made);
+  return *made;
 }
 
 } // namespace
--- /dev/null
+++ b/tests/unit/daemon/relay/place_client_test.cc
@@ -0,0 +1,150 @@
+/// @file
+/// Claims for places between relays on loopback: grants, refusals, owners that are silent or gone.
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <doctest/doctest.h>
+
+#include "adapters/system_clock.h"
+#include "daemon/relay/place_client.h"
+
+namespace workshatch::test {
+
+namespace {
+
+using daemon::PlaceClient;
+using daemon::PlaceReply;
+using daemon::PlaceVerdict;
+
+const std::string kFirst = "127.0.0.1:18301";
+const std::string kSecond = "127.0.0.1:18302";
+constexpr std::chrono::seconds kTestLimit{5};
+
+/// Two relays on one event loop.
+struct TwoRelays {
+  TwoRelays() {
+    REQUIRE_FALSE(isError(first->open(kFirst)));
+    REQUIRE_FALSE(isError(second->open(kSecond)));
+    first->setRelays({kFirst, kSecond});
+    second->setRelays({kFirst, kSecond});
+  }
+
+  /// @return a runner that the relay with this address owns.
+  static uint64_t ownedBy(const std::string& address) {
+    relay::PlaceOwners owners;
+    owners.setRelays({kFirst, kSecond});
+    uint64_t runner = 1;
+    while (*owners.ownerOf(runner) != address) {
+      ++runner;
+    }
+    return runner;
+  }
+
+  PlaceReply claim(PlaceClient& client, uint64_t runner, uint32_t limit) {
+    std::optional<PlaceReply> reply;
+    boost::asio::co_spawn(
+        context,
+        [&]() -> boost::asio::awaitable<void> { reply = co_await client.claim(runner, limit); },
+        boost::asio::detached);
+    run([&] { return reply.has_value(); });
+    REQUIRE(reply.has_value());
+    return std::move(*reply);
+  }
+
+  /// Runs the event loop until `done`, or the test's limit.
+  template <typename Done> void run(Done done) {
+    const auto last = std::chrono::steady_clock::now() + kTestLimit;
+    context.restart();
+    while (!done() && std::chrono::steady_clock::now() < last) {
+      context.run_one_for(std::chrono::milliseconds(10));
+    }
+  }
+
+  SystemClock clock;
+  boost::asio::io_context context;
+  uint32_t told_load = 0;
+  std::shared_ptr<PlaceClient> first =
+      std::make_shared<PlaceClient>(context, clock, 1, [this](uint64_t) { return told_load; });
+  std::shared_ptr<PlaceClient> second =
+      std::make_shared<PlaceClient>(context, clock, 2, [this](uint64_t) { return told_load; });
+};
+
+} // namespace
+
+TEST_CASE("Relays share the places of a runner, whoever owns it") {
+  TwoRelays relays;
+  for (const std::string& owner : {kFirst, kSecond}) {
+    const uint64_t runner = TwoRelays::ownedBy(owner);
+    PlaceReply one = relays.claim(*relays.first, runner, 2);
+    CHECK(one.verdict == PlaceVerdict::Granted);
+    CHECK(one.load == 1);
+    const PlaceReply two = relays.claim(*relays.second, runner, 2);
+    CHECK(two.verdict == PlaceVerdict::Granted);
+    CHECK(relays.claim(*relays.first, runner, 2).verdict == PlaceVerdict::Refused);
+    CHECK(relays.claim(*relays.second, runner, 2).verdict == PlaceVerdict::Refused);
+    // The place goes to another as soon as it is given back.
+    one.place.giveBack();
+    PlaceReply next;
+    relays.run([&] {
+      next = relays.claim(*relays.second, runner, 2);
+      return next.verdict == PlaceVerdict::Granted;
+    });
+    CHECK(next.load == 2);
+  }
+}
+
+TEST_CASE("A claim at an owner that is silent ends soon, the next ones at once") {
+  TwoRelays relays;
+  const uint64_t runner = TwoRelays::ownedBy(kSecond);
+  relays.second->close();
+  // The address is held by a process that answers nothing, as a frozen one does.
+  boost::asio::ip::udp::socket silent(relays.context,
+                                      {boost::asio::ip::make_address("127.0.0.1"), 18302});
+  const auto begin = std::chrono::steady_clock::now();
+  CHECK(relays.claim(*relays.first, runner, 2).verdict == PlaceVerdict::Unanswered);
+  CHECK(std::chrono::steady_clock::now() - begin >= std::chrono::milliseconds(30));
+  CHECK(relays.claim(*relays.first, runner, 2).verdict == PlaceVerdict::Unanswered);
+  CHECK(relays.first->counts().unanswered == 2);
+  // Only the first was sent.
+  CHECK(silent.available() > 0);
+  const size_t one_datagram = silent.available();
+  CHECK(relays.claim(*relays.first, runner, 2).verdict == PlaceVerdict::Unanswered);
+  CHECK(silent.available() == one_datagram);
+}
+
+TEST_CASE("Without a list of relays no owner is known") {
+  TwoRelays relays;
+  relays.first->setRelays({});
+  CHECK(relays.claim(*relays.first, 1, 2).verdict == PlaceVerdict::Unanswered);
+}
+
+TEST_CASE("What is held is told to an owner that takes over") {
+  TwoRelays relays;
+  const uint64_t runner = TwoRelays::ownedBy(kSecond);
+  const PlaceReply held = relays.claim(*relays.first, runner, 5);
+  CHECK(held.verdict == PlaceVerdict::Granted);
+  // The owner leaves: the first relay owns all runners and knows what it holds itself.
+  relays.first->setRelays({kFirst});
+  relays.second->setRelays({kFirst});
+  const PlaceReply other = relays.claim(*relays.second, runner, 5);
+  CHECK(other.verdict == PlaceVerdict::Granted);
+  CHECK(other.load == 2);
+}
+
+TEST_CASE("Places that are held may outlive the client") {
+  PlaceReply held;
+  {
+    TwoRelays relays;
+    held = relays.claim(*relays.first, TwoRelays::ownedBy(kFirst), 5);
+    CHECK(held.verdict == PlaceVerdict::Granted);
+  }
+  held.place.giveBack();
+}
+
+} // namespace workshatch::test
