Limits of places follow a mean load that is known: newer sums, homes asked again

By the relays' logs 261 of 1,327 prompts of the first 12 s were refused by all homes: the cap follows the mean of the sums, which was too low while the load grew (0 to 2 s), after the leader was cut off (no sums, hence a mean of zero, 6 s) and at a new leader or a new list of runners (sums of the relays that had renewed since, 10 s). Ruled out: silent owners (1 claim of 1,327). Change: no cap without sums; the leader adds reports about older lists at the positions of the newest one, makes sums every 100 ms in place of 900 at 300 relays, and tells none in its first second; when a runner drawn by lot is over the cap as well as the homes, the homes are asked once more up to their places; the cap is the bound itself, since owners count exactly.

--- a/src/core/relay/load_sums.cc
+++ b/src/core/relay/load_sums.cc
@@ -26,6 +26,24 @@
   }
 }
 
+void LoadSums::addMoved(const v1::RunnerLoads& report,
+                        const std::vector<std::optional<uint32_t>>& positions) {
+  const auto counts = countsOf(report, positions.size());
+  if (!counts) {
+    return;
+  }
+  for (size_t i = 0; i < positions.size(); ++i) {
+    if (positions[i]) {
+      counts_[*positions[i]] += (*counts)[i];
+    }
+  }
+  for (const uint32_t position : report.suspects()) {
+    if (position < positions.size() && positions[position]) {
+      ++suspicions_[*positions[position]];
+    }
+  }
+}
+
 v1::RunnerLoads LoadSums::sums() const {
   v1::RunnerLoads sums;
   sums.set_list_version(list_version_);
--- a/src/core/relay/load_sums.h
+++ b/src/core/relay/load_sums.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "workshatch/v1/relay.pb.h"
@@ -20,6 +21,11 @@
 
   /// Adds one relay's report; one about another list is left out.
   void add(const v1::RunnerLoads& report);
+  /// Adds a report about an older list. Without it the sums would lack, for a whole period of
+  /// renewals after each change of the list, the relays that have not renewed since.
+  /// @param positions where the runners of the older list stand in this one
+  void addMoved(const v1::RunnerLoads& report,
+                const std::vector<std::optional<uint32_t>>& positions);
 
   v1::RunnerLoads sums() const;
 
--- a/src/core/relay/placement.cc
+++ b/src/core/relay/placement.cc
@@ -8,11 +8,6 @@
 
 using Candidates = std::vector<std::shared_ptr<Runner>>;
 
-bool isRefused(const PlacementQuestion& question, const Runner& runner) {
-  const auto& refused = question.refused;
-  return std::find(refused.begin(), refused.end(), runner.entry.id()) != refused.end();
-}
-
 /// Finalizer of MurmurHash3: nearby numbers give unrelated ones.
 uint64_t mixed(uint64_t number) {
   number = (number ^ (number >> 33U)) * 0xff51afd7ed558ccdU;
@@ -20,78 +15,101 @@
   return number ^ (number >> 33U);
 }
 
+uint32_t capped(const PlacementQuestion& question, uint32_t limit) {
+  return std::min(limit, question.cap_load.value_or(limit));
+}
+
+uint32_t fullLimit(const PlacementOptions& options, const PlacementQuestion& question,
+                   const Runner& runner) {
+  return placeLimit(options.places, runner.entry.slots(), question.engine, question.standing);
+}
+
+/// Up to the load cap, or somewhat over the places.
 uint32_t homeLimit(const PlacementOptions& options, const PlacementQuestion& question,
                    const Runner& runner) {
   const uint32_t places = runner.entry.slots();
-  if (question.busy) {
-    const uint32_t limit = placeLimit(options.places, places, question.engine, question.standing);
-    return std::min(limit, question.cap_load);
-  }
-  const uint32_t limit = std::min(question.leave_load, question.cap_load);
-  return places == 0 ? limit : std::min(limit, places + options.home_slack);
+  const uint32_t limit =
+      places == 0 ? fullLimit(options, question, runner) : places + options.home_slack;
+  return capped(question, limit);
 }
 
-uint32_t drawLimit(const PlacementOptions& options, const PlacementQuestion& question,
-                   const Runner& runner, size_t draw) {
-  const uint32_t limit =
-      placeLimit(options.places, runner.entry.slots(), question.engine, question.standing);
-  if (draw + 1 >= options.draws) {
-    // Better over the cap than to turn a request away while places are free.
-    return limit;
+/// @param lot differs from draw to draw of one request
+/// @return the less used of two runners drawn by lot from those after the first `homes`.
+std::shared_ptr<Runner> drawRunner(const PlacementQuestion& question, size_t homes, uint64_t lot) {
+  const size_t count = question.candidates.size() - homes;
+  constexpr uint64_t kDrawsOfALot = 2;
+  const uint64_t first_draw = question.standing.draw + kDrawsOfALot * lot;
+  const auto& first = question.candidates[homes + mixed(first_draw) % count];
+  const auto& second = question.candidates[homes + mixed(first_draw + 1) % count];
+  return second->load() < first->load() ? second : first;
+}
+
+/// On a busy service: few homes, each up to its places.
+std::optional<PlaceOffer> offerBusyHome(const PlacementOptions& options,
+                                        const PlacementQuestion& question) {
+  const size_t homes = std::min(options.busy_homes, question.candidates.size());
+  if (question.refused >= homes) {
+    return std::nullopt;
   }
-  const bool no_queue = !question.busy && draw < options.draws_without_queue;
-  const uint32_t places = runner.entry.slots();
-  const uint32_t wanted = no_queue && places != 0 ? std::min(limit, places) : limit;
-  return std::min(wanted, question.cap_load);
+  const auto& home = question.candidates[question.refused];
+  return PlaceOffer{.runner = home,
+                    .limit = fullLimit(options, question, *home),
+                    .passed_over = static_cast<uint32_t>(question.refused)};
 }
 
-/// The less used of two runners drawn by lot.
-std::shared_ptr<Runner> drawOne(const Candidates& candidates, uint64_t lot) {
-  const auto& first = candidates[mixed(lot) % candidates.size()];
-  const auto& second = candidates[mixed(lot + 1) % candidates.size()];
-  return second->load() < first->load() ? second : first;
+/// The homes up to the load cap, one runner drawn by lot, then the first homes up to their places.
+std::optional<PlaceOffer> offerHome(const PlacementOptions& options,
+                                    const PlacementQuestion& question) {
+  const size_t homes = std::min(options.homes, question.candidates.size());
+  if (question.refused < homes) {
+    const auto& home = question.candidates[question.refused];
+    return PlaceOffer{.runner = home,
+                      .limit = homeLimit(options, question, *home),
+                      .passed_over = static_cast<uint32_t>(question.refused)};
+  }
+  const size_t drawn = question.candidates.size() > homes ? 1 : 0;
+  if (question.refused < homes + drawn) {
+    const auto runner = drawRunner(question, homes, 0);
+    return PlaceOffer{.runner = runner,
+                      .limit = capped(question, fullLimit(options, question, *runner)),
+                      .passed_over = static_cast<uint32_t>(homes)};
+  }
+  const size_t again = question.refused - homes - drawn;
+  if (again >= std::min(options.homes_asked_again, homes)) {
+    return std::nullopt;
+  }
+  const auto& home = question.candidates[again];
+  return PlaceOffer{.runner = home,
+                    .limit = fullLimit(options, question, *home),
+                    .passed_over = static_cast<uint32_t>(again)};
 }
 
+/// Runners drawn by lot, the last of them up to its queue.
 std::optional<PlaceOffer> offerByLot(const PlacementOptions& options,
-                                     const PlacementQuestion& question, size_t homes) {
-  const size_t refused_homes = std::min(homes, question.refused.size());
-  const size_t draw = question.refused.size() - refused_homes;
-  Candidates rest;
-  for (size_t i = homes; i < question.candidates.size(); ++i) {
-    if (!isRefused(question, *question.candidates[i])) {
-      rest.push_back(question.candidates[i]);
-    }
-  }
-  if (draw >= options.draws || rest.empty()) {
+                                     const PlacementQuestion& question) {
+  const size_t draws = std::min(options.draws, question.candidates.size());
+  if (question.refused >= draws) {
     return std::nullopt;
   }
-  constexpr uint64_t kLotsOfADraw = 2;
-  const auto runner = drawOne(rest, question.standing.draw + kLotsOfADraw * draw);
-  // With nobody left to ask after this one, its limit is the last one's.
-  const size_t rank = rest.size() == 1 ? options.draws - 1 : draw;
-  return PlaceOffer{.runner = runner,
-                    .limit = drawLimit(options, question, *runner, rank),
-                    .passed_over = static_cast<uint32_t>(homes)};
+  const auto runner = drawRunner(question, 0, question.refused);
+  const uint32_t places = runner->entry.slots();
+  const uint32_t limit = fullLimit(options, question, *runner);
+  const bool last = question.refused + 1 == draws;
+  const bool may_wait = last || question.busy || places == 0;
+  return PlaceOffer{.runner = runner, .limit = may_wait ? limit : std::min(limit, places)};
 }
 
 } // namespace
 
 std::optional<PlaceOffer> nextOffer(const PlacementOptions& options,
                                     const PlacementQuestion& question) {
-  const size_t wanted = question.busy ? options.busy_homes : options.homes;
-  const size_t homes = question.by_prompt ? std::min(wanted, question.candidates.size()) : 0;
-  for (size_t i = 0; i < homes; ++i) {
-    const auto& home = question.candidates[i];
-    if (!isRefused(question, *home)) {
-      return PlaceOffer{.runner = home,
-                        .limit = homeLimit(options, question, *home),
-                        .passed_over = static_cast<uint32_t>(i)};
-    }
-  }
-  if (question.by_prompt && question.busy) {
+  if (question.candidates.empty()) {
     return std::nullopt;
   }
-  return offerByLot(options, question, homes);
+  if (!question.by_prompt) {
+    return offerByLot(options, question);
+  }
+  return question.busy ? offerBusyHome(options, question) : offerHome(options, question);
 }
 
 } // namespace workshatch::relay
--- a/src/core/relay/placement.h
+++ b/src/core/relay/placement.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <string>
 #include <vector>
 
 #include "core/relay/place_limits.h"
@@ -18,18 +17,21 @@
 /// request asks one runner after the other, each up to a limit, until an owner gives a place.
 ///
 /// Prompts ask their homes in the order of the ranking, so that a shared part comes to as few
-/// runners as it needs. Requests without a shared part ask the less used of two drawn by lot:
+/// runners as it needs: to read a long part on yet another runner, or to copy it there, costs more
+/// than the request itself. Requests without a shared part ask the less used of two drawn by lot:
 /// relays that all chose the least used by the same old sums would meet at one runner.
 struct PlacementOptions {
-  /// Homes that a prompt asks while the service is not busy, and while it is. To read a long part
-  /// anew on yet another runner takes more of it than the request itself.
+  /// Homes that a prompt asks while the service is not busy, and while it is.
   size_t homes = 4;
   size_t busy_homes = 3;
-  /// Runners drawn by lot that are asked after the homes, or where there are none. Each costs a
-  /// round trip.
+  /// Homes that are asked once more, up to their places, when a runner drawn by lot is over the
+  /// load cap as well as the homes: then all are, and the mean load that the cap follows is old. It
+  /// lags by one to two seconds; with limits that followed it, 2 in 10 prompts went past all homes
+  /// while the load of the fleet was growing.
+  size_t homes_asked_again = 2;
+  /// Runners drawn by lot that a request without a shared part asks; the last may let it wait in
+  /// the runner's queue.
   size_t draws = 3;
-  /// Draws that ask for a place without waiting in the runner's queue.
-  size_t draws_without_queue = 2;
   /// Requests over its places that a home may have while the service is not busy: they wait there
   /// for less time than it takes to read their prompts elsewhere.
   uint32_t home_slack = 6;
@@ -40,18 +42,16 @@
 struct PlacementQuestion {
   /// Runners that may be used; for a prompt in the ranking of its shared part.
   const std::vector<std::shared_ptr<Runner>>& candidates;
-  /// Ids of the runners whose owners gave no place.
-  const std::vector<std::string>& refused;
+  /// Offers of this request that were refused so far.
+  size_t refused = 0;
   /// `candidates` are ranked.
   bool by_prompt = false;
   bool engine = false;
   /// Most places of the service are taken.
   bool busy = false;
   Standing standing;
-  /// Load at which a home is left for the next in the ranking while the service is not busy.
-  uint32_t leave_load = 0;
-  /// Load over which no runner is filled while others are below.
-  uint32_t cap_load = 0;
+  /// Load over which no runner is filled while others are below; none while the mean is not known.
+  std::optional<uint32_t> cap_load;
 };
 
 /// A runner to ask for a place.
--- a/src/core/relay/runner_list_history.cc
+++ b/src/core/relay/runner_list_history.cc
@@ -54,6 +54,7 @@
 void RunnerListHistory::add(const v1::RunnerList& list) {
   lists_.push_back(list);
   updates_.clear();
+  positions_.clear();
   if (lists_.size() > kMostLists) {
     lists_.pop_front();
   }
@@ -62,6 +63,7 @@
 void RunnerListHistory::clear() {
   lists_.clear();
   updates_.clear();
+  positions_.clear();
 }
 
 const v1::RunnerList* RunnerListHistory::find(uint64_t version) const {
@@ -84,6 +86,28 @@
   return update;
 }
 
+const std::vector<std::optional<uint32_t>>* RunnerListHistory::positionsFrom(uint64_t version) {
+  const v1::RunnerList* old = find(version);
+  if (old == nullptr) {
+    return nullptr;
+  }
+  const auto [found, added] = positions_.try_emplace(version);
+  if (!added) {
+    return &found->second;
+  }
+  const v1::RunnerList& newest = lists_.back();
+  int position = 0;
+  for (const v1::RunnerEntry& entry : old->runners()) {
+    while (position < newest.runners_size() && comesBefore(newest.runners(position), entry)) {
+      ++position;
+    }
+    const bool same =
+        position < newest.runners_size() && newest.runners(position).id() == entry.id();
+    found->second.push_back(same ? std::optional(static_cast<uint32_t>(position)) : std::nullopt);
+  }
+  return &found->second;
+}
+
 Result<v1::RunnerList> applyUpdate(v1::RunnerList base, const v1::RunnerListUpdate& update) {
   if (update.base_version() == 0) {
     base.clear_runners();
--- a/src/core/relay/runner_list_history.h
+++ b/src/core/relay/runner_list_history.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
+#include <vector>
 
 #include "core/result.h"
 #include "workshatch/v1/relay.pb.h"
@@ -24,6 +26,11 @@
   /// next `add` or `clear`.
   const v1::RunnerListUpdate& updateFrom(uint64_t base_version);
 
+  /// @return for each position in the list of that version the position of the same runner in the
+  /// newest one, none where it has gone; null: the list is not remembered. Valid until the next
+  /// `add` or `clear`.
+  const std::vector<std::optional<uint32_t>>* positionsFrom(uint64_t version);
+
 private:
   const v1::RunnerList* find(uint64_t version) const;
 
@@ -31,6 +38,8 @@
   std::deque<v1::RunnerList> lists_;
   /// Updates to the newest list, by base version; zero: whole.
   std::map<uint64_t, v1::RunnerListUpdate> updates_;
+  /// Positions in the newest list, by the version of another.
+  std::map<uint64_t, std::vector<std::optional<uint32_t>>> positions_;
 };
 
 /// @param base the list that the receiver holds, sorted by id
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -290,27 +290,30 @@
   return found == runners_.end() ? 0 : (*found)->load();
 }
 
-double RunnerTable::leaveLoad(double mean) const {
-  return std::min(options_.leave_factor * mean + options_.leave_slack, capLoad(mean));
+/// Without sums the mean is not known: there is no cap then.
+std::optional<uint32_t> RunnerTable::ownersCap(const Candidates& candidates) const {
+  if (sums_at_ms_ == 0) {
+    return std::nullopt;
+  }
+  return static_cast<uint32_t>(options_.cap_factor * meanLoad(candidates) +
+                               options_.owners_cap_slack);
 }
 
 /// The next runner whose owner is asked for a place.
 std::optional<RunnerChoice> RunnerTable::chooseOffer(const RunnerRequest& request,
                                                      const Candidates& candidates, bool by_prompt,
                                                      bool busy) const {
-  const double mean = meanLoad(candidates);
   Candidates open;
   std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(open),
                [&](const auto& runner) { return runner->full_until_ms <= request.now_ms; });
-  const auto offer = nextOffer(
-      options_.placement, PlacementQuestion{.candidates = open,
-                                            .refused = request.refused_places,
-                                            .by_prompt = by_prompt,
-                                            .engine = request.engine,
-                                            .busy = busy,
-                                            .standing = request.standing,
-                                            .leave_load = static_cast<uint32_t>(leaveLoad(mean)),
-                                            .cap_load = static_cast<uint32_t>(capLoad(mean))});
+  const auto offer =
+      nextOffer(options_.placement, PlacementQuestion{.candidates = open,
+                                                      .refused = request.refused_places,
+                                                      .by_prompt = by_prompt,
+                                                      .engine = request.engine,
+                                                      .busy = busy,
+                                                      .standing = request.standing,
+                                                      .cap_load = ownersCap(candidates)});
   if (!offer) {
     return std::nullopt;
   }
@@ -334,7 +337,9 @@
 
 RunnerChoice RunnerTable::chooseByCache(const RunnerRequest& request,
                                         const Candidates& ranked) const {
-  const double leave = leaveLoad(meanLoad(ranked));
+  const double mean = meanLoad(ranked);
+  const double cap = options_.cap_factor * mean + options_.cap_slack;
+  const double leave = std::min(options_.leave_factor * mean + options_.leave_slack, cap);
   RunnerChoice choice;
   // The further a runner ranks, the less likely it has the part: the first with room, not the least
   // loaded, so that a part in demand comes to as few runners as it needs.
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -55,8 +55,8 @@
   bool past_limits = false;
   /// Owners count the places of runners, and are asked for one.
   bool asks_owners = false;
-  /// Runners whose owners gave no place.
-  std::vector<std::string> refused_places;
+  /// Owners that gave no place so far.
+  size_t refused_places = 0;
 };
 
 struct RunnerChoice {
@@ -100,6 +100,8 @@
   double leave_slack = 6;
   PlaceLimitOptions places;
   PlacementOptions placement;
+  /// As `cap_slack`, where owners count the load: nothing has to be left for what is not known yet.
+  double owners_cap_slack = 3;
   Policy policy;
   /// A service counts as busy over this part of its places. With what is kept for the more urgent,
   /// few of the rest are free then.
@@ -164,8 +166,7 @@
                                           bool busy) const;
   std::optional<RunnerChoice> chooseBySums(const RunnerRequest& request, Candidates candidates,
                                            bool by_prompt, bool busy) const;
-  double capLoad(double mean) const { return options_.cap_factor * mean + options_.cap_slack; }
-  double leaveLoad(double mean) const;
+  std::optional<uint32_t> ownersCap(const Candidates& candidates) const;
   RunnerChoice chooseByCache(const RunnerRequest& request, const Candidates& ranked) const;
   RunnerChoice chooseByLoad(const RunnerRequest& request, const Candidates& candidates) const;
   std::shared_ptr<Runner> sourceOfParts(const RunnerRequest& request, const Runner& chosen) const;
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -21,11 +21,14 @@
 constexpr double kSilentPeriods = 3.6;
 /// A link that loses packets may miss some periods of a small fleet.
 constexpr int64_t kLeastSilentMs = 500;
-/// A new leader tells no list of relays before all had time to renew.
+/// A new leader tells no list of relays and no sums before all had time to renew.
 constexpr int64_t kSettleMs = 1000;
 /// Sums of loads and the list of relays are made anew at most this often, so that a renewal costs
 /// the leader the same however many relays there are.
 constexpr int64_t kRefreshMs = 30;
+/// Sums are made anew more often than that: at 300 relays every 100 ms. They then lag behind by a
+/// renewal's way and half a period, in place of a period and a half.
+constexpr int64_t kRelaysSummedInAMs = 3;
 constexpr int64_t kSumsBytesPerSecond = 2048;
 constexpr int64_t kMostBetweenSumsMs = 1000;
 constexpr int64_t kMsPerSecond = 1000;
@@ -47,6 +50,7 @@
   packed_relay_list_ = compression::packMessage(relay_list_);
   sums_.Clear();
   refresh_due_ms_ = 0;
+  sums_due_ms_ = 0;
   runners_.begin(versions_, clock_.monotonicMs());
   runner_history_.clear();
   if (runners_.list().version() != 0) {
@@ -123,13 +127,18 @@
   if (joined) {
     line_log::write("relay_joined", {{"relay", renewal.name()}, {"address", renewal.address()}});
   }
-  if (clock_.monotonicMs() >= refresh_due_ms_) {
-    refresh_due_ms_ = clock_.monotonicMs() + relay::periodForFleet(kRefreshMs, relays_.size());
+  const int64_t now_ms = clock_.monotonicMs();
+  if (now_ms >= refresh_due_ms_) {
+    refresh_due_ms_ = now_ms + relay::periodForFleet(kRefreshMs, relays_.size());
     dropSilent();
     refreshRelayList();
-    sums_ = sumLoads();
     over_share_ = sumTenants();
   }
+  if (now_ms >= sums_due_ms_) {
+    sums_due_ms_ =
+        now_ms + std::max(kRefreshMs, static_cast<int64_t>(relays_.size()) / kRelaysSummedInAMs);
+    sums_ = sumLoads();
+  }
 }
 
 void RelayHub::startRoundSoon() {
@@ -223,7 +232,11 @@
 /// stays the same.
 void RelayHub::addSums(Relay& relay, v1::LeaseReply& reply) const {
   const int64_t now = clock_.monotonicMs();
-  const bool known = sums_.list_version() != 0 && sums_.list_version() == runners_.list().version();
+  // A new leader knows the loads of the relays that have renewed since; too low a mean would make
+  // limits that follow it refuse places that are free.
+  const bool settled = replica_.leadingForMs() >= kSettleMs;
+  const bool known =
+      settled && sums_.list_version() != 0 && sums_.list_version() == runners_.list().version();
   if (!known || now < relay.sent.sums_due_ms) {
     return;
   }
@@ -293,11 +306,16 @@
   packed_relay_list_ = compression::packMessage(relay_list_);
 }
 
-v1::RunnerLoads RelayHub::sumLoads() const {
-  relay::LoadSums sums(runners_.list().version(),
-                       static_cast<size_t>(runners_.list().runners_size()));
+v1::RunnerLoads RelayHub::sumLoads() {
+  const uint64_t version = runners_.list().version();
+  relay::LoadSums sums(version, static_cast<size_t>(runners_.list().runners_size()));
   for (const auto& [name, relay] : relays_) {
-    sums.add(relay.renewal.loads());
+    const v1::RunnerLoads& loads = relay.renewal.loads();
+    if (loads.list_version() == version) {
+      sums.add(loads);
+    } else if (const auto* positions = runner_history_.positionsFrom(loads.list_version())) {
+      sums.addMoved(loads, *positions);
+    }
   }
   return sums.sums();
 }
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -84,7 +84,7 @@
   void confirm(const Unconfirmed& renewal);
   void dropSilent();
   void refreshRelayList();
-  v1::RunnerLoads sumLoads() const;
+  v1::RunnerLoads sumLoads();
   v1::TenantPositions sumTenants() const;
   void fillAnswer(Relay& relay, v1::LeaseReply& reply);
   void addConfiguration(Relay& relay, v1::LeaseReply& reply);
@@ -109,6 +109,7 @@
   v1::RunnerLoads sums_;
   v1::TenantPositions over_share_;
   int64_t refresh_due_ms_ = 0;
+  int64_t sums_due_ms_ = 0;
 
   std::vector<Unconfirmed> unconfirmed_;
   bool round_in_progress_ = false;
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -94,7 +94,7 @@
                               .now_ms = state_.clock.monotonicMs(),
                               .engine = request_.engine,
                               .standing = request_.standing,
-                              .asks_again = line_place_.number != 0 || !refused_places_.empty(),
+                              .asks_again = line_place_.number != 0 || refused_places_ != 0,
                               .past_limits = stream_started_,
                               .asks_owners = asksOwners(),
                               .refused_places = refused_places_};
@@ -110,7 +110,7 @@
     if (choice == nullptr || !asksOwners() || co_await takePlace(*choice)) {
       break;
     }
-    refused_places_.push_back(choice->runner->entry.id());
+    ++refused_places_;
     chosen = chooseRunner();
   }
   co_return chosen;
@@ -193,6 +193,7 @@
   load_at_choice_ = choice.runner->load();
   passed_over_ = choice.passed_over;
   place_limit_ = choice.limit;
+  part_source_ = choice.part_source ? choice.part_source->entry.id() : "";
 }
 
 bool RelayRun::mayTryAgain(AttemptEnd last) const {
@@ -278,8 +279,9 @@
        {"priority", request_.standing.priority},
        {"over_share", request_.standing.over_share},
        {"declines", declines_},
+       {"part_source", part_source_},
        {"place_limit", place_limit_},
-       {"places_refused", refused_places_.size()},
+       {"places_refused", refused_places_},
        {"owners_silent", unanswered_claims_},
        {"sums_age_ms", state_.runners.sumsAgeMs(now)},
        {"waited_ms", waited_until_ms_ == 0 ? 0 : waited_until_ms_ - request_.received_ms},
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -115,8 +115,8 @@
   /// When the last wait for a place ended.
   int64_t waited_until_ms_ = 0;
   std::vector<std::string> tried_;
-  /// Runners whose owners gave no place.
-  std::vector<std::string> refused_places_;
+  /// Owners that gave no place.
+  uint32_t refused_places_ = 0;
   /// Owners that did not answer in time.
   uint32_t unanswered_claims_ = 0;
   /// The place at the runner of the present attempt.
@@ -125,6 +125,7 @@
   uint32_t load_at_choice_ = 0;
   uint32_t passed_over_ = 0;
   uint32_t place_limit_ = 0;
+  std::string part_source_;
   std::string last_event_id_;
   int64_t first_event_ms_ = 0;
   int64_t last_event_ms_ = 0;
--- a/tests/unit/core/relay/runner_updates_test.cc
+++ b/tests/unit/core/relay/runner_updates_test.cc
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include "core/relay/load_sums.h"
 #include "core/relay/runner_list_history.h"
 #include "core/relay/runner_loads.h"
 #include "ports/seeded_random.h"
@@ -106,4 +107,37 @@
   CHECK_FALSE(relay::countsOf(loads, 2999));
 }
 
+TEST_CASE("Reports about an older list count at the same runners of the newest") {
+  relay::RunnerListHistory history;
+  v1::RunnerList old;
+  old.set_version(3);
+  for (const char* id : {"a", "b", "d"}) {
+    old.add_runners()->set_id(id);
+  }
+  v1::RunnerList now;
+  now.set_version(4);
+  for (const char* id : {"b", "c", "d"}) {
+    now.add_runners()->set_id(id);
+  }
+  history.add(old);
+  history.add(now);
+  CHECK(history.positionsFrom(2) == nullptr);
+  const auto* positions = history.positionsFrom(3);
+  REQUIRE(positions != nullptr);
+  CHECK(*positions == std::vector<std::optional<uint32_t>>{std::nullopt, 0, 2});
+
+  v1::RunnerLoads report;
+  report.set_list_version(3);
+  relay::setCounts(report, {5, 6, 7});
+  report.add_suspects(2);
+  relay::LoadSums sums(4, 3);
+  sums.add(report);
+  CHECK(*relay::countsOf(sums.sums(), 3) == std::vector<uint32_t>{0, 0, 0});
+  sums.addMoved(report, *positions);
+  sums.addMoved(report, *positions);
+  CHECK(*relay::countsOf(sums.sums(), 3) == std::vector<uint32_t>{12, 0, 14});
+  REQUIRE(sums.sums().suspects_size() == 1);
+  CHECK(sums.sums().suspects(0) == 2);
+}
+
 } // namespace workshatch::test
