Parts that many prompts share come from the runner that ranks first for them; the list read by need

So most is the start: each of 250 runners reads the four long parts that all prompts of a kind begin with, since a relay that sends two of them a second does not know yet where they are. Ruled out: sources that are leaving (release reads little again). Change: where a relay does not know, the source of the part before the last is the runner that ranks first for it.

--- a/src/core/relay/list_period.h
+++ b/src/core/relay/list_period.h
@@ -20,6 +20,14 @@
   int64_t wanted_ms = 0;
 };
 
+/// How often the leader wants the list: a runner that is leaving has to be known everywhere within
+/// `leaving_runner_ms`. A quarter of it leaves room for a reading that fails and for the way to the
+/// relays; no other bound needs the list sooner.
+inline int64_t wantedListPeriodMs(int64_t leaving_runner_ms) {
+  constexpr int64_t kReadingsInBound = 4;
+  return leaving_runner_ms / kReadingsInBound;
+}
+
 /// @return milliseconds from one reading to the next, so that all readers together use at most half
 /// of the rate; the rest is for restarts and changes of the leader.
 inline int64_t listPeriodMs(const ListReading& reading) {
--- a/src/core/relay/part_sources.cc
+++ b/src/core/relay/part_sources.cc
@@ -23,16 +23,16 @@
   return runner.avoid_until_ms != 0 && now_ms - runner.avoid_until_ms < kKeptMs;
 }
 
-/// @return of the runners that `usable` accepts, the one that ranks first for the part; null: none.
+/// @return of the runners that `usable` accepts, the one that ranks first for a part; null: none.
 template <typename Usable>
-std::shared_ptr<Runner> firstRanked(const SourceQuestion& question, Usable usable) {
+std::shared_ptr<Runner> firstRanked(const SourceQuestion& question, uint64_t part, Usable usable) {
   std::shared_ptr<Runner> best;
   uint64_t best_weight = 0;
   for (const auto& runner : *question.runners) {
     if (!usable(*runner)) {
       continue;
     }
-    const uint64_t weight = routing::rendezvousWeight(question.part, runner->entry.id());
+    const uint64_t weight = routing::rendezvousWeight(part, runner->entry.id());
     if (!best || weight > best_weight) {
       best = runner;
       best_weight = weight;
@@ -43,15 +43,15 @@
 
 /// @return the runner that ranked first for the part before the newest were listed; null: none.
 std::shared_ptr<Runner> formerHome(const SourceQuestion& question) {
-  return firstRanked(question, [&](const Runner& runner) {
+  return firstRanked(question, question.part, [&](const Runner& runner) {
     const bool here = &runner == question.chosen;
     return !isNew(runner, question.now_ms) && (here || !question.avoided(runner));
   });
 }
 
-/// @return the runner that ranks first for the part beside the chosen one; null: none.
-std::shared_ptr<Runner> nextInRanking(const SourceQuestion& question) {
-  return firstRanked(question, [&](const Runner& runner) {
+/// @return the runner that ranks first for a part beside the chosen one; null: none.
+std::shared_ptr<Runner> nextInRanking(const SourceQuestion& question, uint64_t part) {
+  return firstRanked(question, part, [&](const Runner& runner) {
     return &runner != question.chosen && !question.avoided(runner);
   });
 }
@@ -100,10 +100,18 @@
     return home;
   }
   if (!home || wasAvoidedLately(*question.chosen, question.now_ms)) {
-    return nextInRanking(question);
+    return nextInRanking(question, question.part);
   }
   // The part is here or nowhere; the one before it, which many parts share, may be elsewhere.
-  return other(lastSentTo(question.parent, question));
+  if (question.parent == 0) {
+    return nullptr;
+  }
+  if (const auto sent = lastSentTo(question.parent, question)) {
+    return other(sent);
+  }
+  // A part that many share is nearly everywhere; all relays take it from one runner, until they
+  // have seen it go elsewhere.
+  return nextInRanking(question, question.parent);
 }
 
 } // namespace workshatch::relay
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -1,5 +1,6 @@
 #include "daemon/group/group_role.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -21,7 +22,6 @@
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-constexpr int64_t kListPeriodMs = 400;
 /// How soon a new leader begins to read.
 constexpr std::chrono::milliseconds kListStep{80};
 /// Time for the last messages of a replica that hands over.
@@ -142,10 +142,14 @@
     const bool leads = replica_.leads();
     const bool wanted = leads || !replica_.knowsLeader();
     const int64_t now = clock_.monotonicMs();
+    const auto readers =
+        leads ? 1 : std::max<int64_t>(1, static_cast<int64_t>(replica_.voterCount()));
+    const int64_t wanted_ms = relay::wantedListPeriodMs(settings_.bounds.leaving_runner_ms);
+    // Replicas without a leader cost the platform no more than a leader does.
     const int64_t period_ms =
         relay::listPeriodMs(relay::ListReading{.pages = reader_.pages(),
                                                .calls_per_s = settings_.runner_list_calls,
-                                               .wanted_ms = kListPeriodMs});
+                                               .wanted_ms = wanted_ms * readers});
     const bool due = now - read_at_ms >= period_ms || (leads && read_in_term != replica_.term());
     if (wanted && due) {
       read_at_ms = now;
--- a/tests/unit/core/relay/list_period_test.cc
+++ b/tests/unit/core/relay/list_period_test.cc
@@ -18,4 +18,9 @@
   CHECK(relay::listPeriodMs(many) == 12'640);
 }
 
+TEST_CASE("A leaving runner is read of four times within its bound") {
+  CHECK(relay::wantedListPeriodMs(4000) == 1000);
+  CHECK(relay::wantedListPeriodMs(3000) == 750);
+}
+
 } // namespace workshatch::test
