--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -11,7 +11,6 @@
 
 #include "adapters/http/problem.h"
 #include "adapters/logging/line_log.h"
-#include "adapters/metrics/text_format.h"
 #include "core/address_text.h"
 #include "core/compression/deflate.h"
 #include "core/relay/list_period.h"
@@ -184,64 +183,6 @@
   return relay::addressesLifetimeS(relays_, lifetimes);
 }
 
-http::awaitable<void> RelayRole::tellMetrics(http::Exchange& exchange) {
-  std::string text;
-  state_.stats.expose(text);
-  exposeGauges(text);
-  http::Response response =
-      http::makeResponse(http::Status::ok, metrics::kContentType, std::move(text));
-  co_await exchange.respond(std::move(response));
-}
-
-void RelayRole::exposeGauges(std::string& out) const {
-  const int64_t now = clock_.monotonicMs();
-  metrics::exposeGauge(out, "relay_requests_in_progress", "requests that are being served",
-                       static_cast<int64_t>(caller_server_.requestsInProgress()));
-  metrics::exposeGauge(out, "relay_lease_age_ms", "time since the confirmed renewal was sent",
-                       state_.lease.ageMs(now));
-  metrics::exposeGauge(out, "relay_ready", "1 while callers are sent here", ready() ? 1 : 0);
-  metrics::exposeGauge(out, "relay_configuration_version", "version in force",
-                       static_cast<int64_t>(state_.routes ? state_.routes->version() : 0));
-  metrics::exposeGauge(out, "relay_runner_list_version", "version of the list of runners",
-                       static_cast<int64_t>(state_.runners.listVersion()));
-  metrics::exposeGauge(out, "relay_relays", "relays that callers are told",
-                       static_cast<int64_t>(relays_.relays_size()));
-  const ControlLink::Traffic traffic = control_.traffic();
-  metrics::exposeGauge(out, "relay_control_sent_bytes", "frames to the group's leaders",
-                       static_cast<int64_t>(traffic.sent));
-  metrics::exposeGauge(out, "relay_control_received_bytes", "frames from the group's leaders",
-                       static_cast<int64_t>(traffic.received));
-  const PlaceClient::Counts& places = places_->counts();
-  metrics::exposeGauge(out, "relay_places_granted", "places that owners gave",
-                       static_cast<int64_t>(places.granted));
-  metrics::exposeGauge(out, "relay_places_refused", "claims for places that owners refused",
-                       static_cast<int64_t>(places.refused));
-  metrics::exposeGauge(out, "relay_places_unanswered", "claims that no owner answered in time",
-                       static_cast<int64_t>(places.unanswered));
-  metrics::exposeGauge(out, "relay_places_answered", "claims of other relays answered here",
-                       static_cast<int64_t>(places.answered));
-  metrics::exposeGauge(out, "relay_places_sent_bytes", "datagrams sent for places",
-                       static_cast<int64_t>(places.sent_bytes));
-  metrics::exposeGauge(out, "relay_places_received_bytes", "datagrams received for places",
-                       static_cast<int64_t>(places.received_bytes));
-  metrics::exposeGauge(out, "relay_places_runners", "runners whose places are counted here",
-                       static_cast<int64_t>(places_->ownedRunners()));
-  metrics::LabelledCounts loads;
-  metrics::LabelledCounts failures;
-  for (const auto& runner : state_.runners.runners()) {
-    if (runner->load() != 0) {
-      loads[runner->entry.id()] = runner->load();
-    }
-    if (runner->failures_in_row != 0) {
-      failures[runner->entry.id()] = runner->failures_in_row;
-    }
-  }
-  metrics::exposeGauges(out, "relay_runner_load", "requests at a runner, from all relays", "runner",
-                        loads);
-  metrics::exposeGauges(out, "relay_runner_failures", "failures of a runner in a row", "runner",
-                        failures);
-}
-
 v1::LeaseRenewal RelayRole::makeRenewal() {
   v1::LeaseRenewal renewal;
   renewal.set_sequence(state_.lease.renewalSent(clock_.monotonicMs()));
