A request that waited, or that a runner declined, asks the owners from the first again

Cause, by reading the change: the number of refused offers was kept over the whole request, so that after a wait in the line, or at a second attempt, the search for a place went on where the first had ended. With the waiting line on (it is off by default) a request that was called never found the place. Now each search begins anew; the log tells the sum. The test fails without the change (refused at the end of its wait).

--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -26,9 +26,9 @@
 /// Sums of loads and the list of relays are made anew at most this often, so that a renewal costs
 /// the leader the same however many relays there are.
 constexpr int64_t kRefreshMs = 30;
-/// Sums are made anew more often than that: at 300 relays every 100 ms. They then lag behind by a
-/// renewal's way and half a period, in place of a period and a half.
-constexpr int64_t kRelaysSummedInAMs = 3;
+/// Sums are made anew after one millisecond for so many relays: at 300 every 100 ms. They then lag
+/// behind by a renewal's way and half a period of renewals, in place of a period and a half.
+constexpr int64_t kSummedRelaysPerMs = 3;
 constexpr int64_t kSumsBytesPerSecond = 2048;
 constexpr int64_t kMostBetweenSumsMs = 1000;
 constexpr int64_t kMsPerSecond = 1000;
@@ -136,7 +136,7 @@
   }
   if (now_ms >= sums_due_ms_) {
     sums_due_ms_ =
-        now_ms + std::max(kRefreshMs, static_cast<int64_t>(relays_.size()) / kRelaysSummedInAMs);
+        now_ms + std::max(kRefreshMs, static_cast<int64_t>(relays_.size()) / kSummedRelaysPerMs);
     sums_ = sumLoads();
   }
 }
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -80,6 +80,7 @@
       break;
     }
   }
+  place_.giveBack();
   deadline_.cancel();
   exchange_.onHangUp(nullptr);
   co_await finish();
@@ -94,23 +95,25 @@
                               .now_ms = state_.clock.monotonicMs(),
                               .engine = request_.engine,
                               .standing = request_.standing,
-                              .asks_again = line_place_.number != 0 || refused_places_ != 0,
+                              .asks_again = line_place_.number != 0 || offers_refused_ != 0,
                               .past_limits = stream_started_,
                               .asks_owners = asksOwners(),
-                              .refused_places = refused_places_};
+                              .refused_places = offers_refused_};
 }
 
 bool RelayRun::asksOwners() const { return state_.places && state_.policy.place_owners; }
 
 /// Chooses runners until one has a place, by its owner where owners are asked.
 http::awaitable<std::variant<relay::RunnerChoice, relay::NoRunner>> RelayRun::findPlace() {
+  offers_refused_ = 0;
   auto chosen = chooseRunner();
   while (!ended()) {
     const auto* choice = std::get_if<relay::RunnerChoice>(&chosen);
     if (choice == nullptr || !asksOwners() || co_await takePlace(*choice)) {
       break;
     }
-    ++refused_places_;
+    ++offers_refused_;
+    ++places_refused_;
     chosen = chooseRunner();
   }
   co_return chosen;
@@ -281,7 +284,7 @@
        {"declines", declines_},
        {"part_source", part_source_},
        {"place_limit", place_limit_},
-       {"places_refused", refused_places_},
+       {"places_refused", places_refused_},
        {"owners_silent", unanswered_claims_},
        {"sums_age_ms", state_.runners.sumsAgeMs(now)},
        {"waited_ms", waited_until_ms_ == 0 ? 0 : waited_until_ms_ - request_.received_ms},
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -115,8 +115,9 @@
   /// When the last wait for a place ended.
   int64_t waited_until_ms_ = 0;
   std::vector<std::string> tried_;
-  /// Owners that gave no place.
-  uint32_t refused_places_ = 0;
+  /// Owners that gave no place, in the present search for one and in all.
+  uint32_t offers_refused_ = 0;
+  uint32_t places_refused_ = 0;
   /// Owners that did not answer in time.
   uint32_t unanswered_claims_ = 0;
   /// The place at the runner of the present attempt.
--- a/tests/unit/daemon/relay/relay_run_test.cc
+++ b/tests/unit/daemon/relay/relay_run_test.cc
@@ -165,6 +165,45 @@
   CHECK(relay.ask("q1").ends_with("done"));
 }
 
+TEST_CASE("A request that waited asks the owners from the first again") {
+  ScriptedRunner runner([](auto& socket, const auto&) { say(socket, signedAnswer("q1", "done")); });
+  relay::Route route = testRoute(RouteKind::RunOnce, 1);
+  // It waits for a fifth of this at most.
+  route.objective_ms = 10'000;
+  TestRelay relay(route, relay::Policy{.waiting_line = true});
+  relay.addRunner("runner-1", runner.address(), 1);
+  const uint64_t fingerprint = relay.state().runners.runners()[0]->fingerprint;
+  const std::string own_address = "127.0.0.1:18304";
+  const auto places = std::make_shared<daemon::PlaceClient>(relay.context(), relay.state().clock, 1,
+                                                            [](uint64_t) { return 0U; });
+  REQUIRE_FALSE(isError(places->open(own_address)));
+  places->setRelays({own_address});
+  relay.state().places = places;
+  std::vector<daemon::PlaceHold> taken;
+  for (int i = 0; i < 3; ++i) {
+    taken.push_back(places->hold(fingerprint));
+  }
+  relay.start();
+  std::thread frees([&] {
+    // Once the request waits, a place becomes free and the first in line is called.
+    std::atomic<bool> waits{false};
+    while (!waits) {
+      std::promise<void> looked;
+      boost::asio::post(relay.context(), [&] {
+        waits = relay.state().line.length("s") == 1;
+        if (waits) {
+          taken.pop_back();
+          relay.state().line.callNext("s");
+        }
+        looked.set_value();
+      });
+      looked.get_future().wait();
+    }
+  });
+  CHECK(relay.ask("q1").find("done") != std::string::npos);
+  frees.join();
+}
+
 TEST_CASE("A repeatable request goes on to another runner after a failure") {
   ScriptedRunner failing([](auto& socket, const auto&) {
     say(socket, signedAnswer("q1", "bad", "500 Internal Server Error"));
