Tests of a request's place share their setup

Last reading: two tests of relay_run_test made the relay the owner of its runner and took its three places by the same fourteen lines. No source of the product changed.

--- a/tests/unit/daemon/relay/relay_run_test.cc
+++ b/tests/unit/daemon/relay/relay_run_test.cc
@@ -13,6 +13,30 @@
 
 using relay::RouteKind;
 
+namespace {
+
+/// Makes the relay the owner of all runners. @param address for its datagrams
+std::shared_ptr<daemon::PlaceClient> ownPlaces(TestRelay& relay, const std::string& address) {
+  auto places = std::make_shared<daemon::PlaceClient>(relay.context(), relay.state().clock, 1,
+                                                      [](uint64_t) { return 0U; });
+  REQUIRE_FALSE(isError(places->open(address)));
+  places->setRelays({address});
+  relay.state().places = places;
+  return places;
+}
+
+/// Takes all three places that a plain service's only runner has for its one worker.
+std::vector<daemon::PlaceHold> takeThree(TestRelay& relay) {
+  const uint64_t fingerprint = relay.state().runners.runners()[0]->fingerprint;
+  std::vector<daemon::PlaceHold> taken;
+  for (int i = 0; i < 3; ++i) {
+    taken.push_back(relay.state().places->hold(fingerprint));
+  }
+  return taken;
+}
+
+} // namespace
+
 TEST_CASE("A request reaches the runner without the key, with tenant, target and time left") {
   ScriptedRunner runner([](auto& socket, const auto&) { say(socket, signedAnswer("q1", "done")); });
   TestRelay relay(testRoute(RouteKind::RunOnce, 1));
@@ -107,18 +131,8 @@
   ScriptedRunner runner([](auto& socket, const auto&) { say(socket, signedAnswer("q1", "done")); });
   TestRelay relay(testRoute(RouteKind::RunOnce, 1));
   relay.addRunner("runner-1", runner.address(), 1);
-  const uint64_t fingerprint = relay.state().runners.runners()[0]->fingerprint;
-  const std::string own_address = "127.0.0.1:18303";
-  const auto places = std::make_shared<daemon::PlaceClient>(relay.context(), relay.state().clock, 1,
-                                                            [](uint64_t) { return 0U; });
-  REQUIRE_FALSE(isError(places->open(own_address)));
-  places->setRelays({own_address});
-  relay.state().places = places;
-  // By the owner all three places that a plain service has for each worker are taken.
-  std::vector<daemon::PlaceHold> taken;
-  for (int i = 0; i < 3; ++i) {
-    taken.push_back(places->hold(fingerprint));
-  }
+  const auto places = ownPlaces(relay, "127.0.0.1:18303");
+  std::vector<daemon::PlaceHold> taken = takeThree(relay);
   relay.start();
   const std::string refused = relay.ask("q1");
   CHECK(refused.starts_with("HTTP/1.1 503"));
@@ -172,17 +186,8 @@
   route.objective_ms = 10'000;
   TestRelay relay(route, relay::Policy{.waiting_line = true});
   relay.addRunner("runner-1", runner.address(), 1);
-  const uint64_t fingerprint = relay.state().runners.runners()[0]->fingerprint;
-  const std::string own_address = "127.0.0.1:18304";
-  const auto places = std::make_shared<daemon::PlaceClient>(relay.context(), relay.state().clock, 1,
-                                                            [](uint64_t) { return 0U; });
-  REQUIRE_FALSE(isError(places->open(own_address)));
-  places->setRelays({own_address});
-  relay.state().places = places;
-  std::vector<daemon::PlaceHold> taken;
-  for (int i = 0; i < 3; ++i) {
-    taken.push_back(places->hold(fingerprint));
-  }
+  const auto places = ownPlaces(relay, "127.0.0.1:18304");
+  std::vector<daemon::PlaceHold> taken = takeThree(relay);
   relay.start();
   std::thread frees([&] {
     // Once the request waits, a place becomes free and the first in line is called.
