One relay counts which engines keep a part of a prompt, and names the source

Ruled out: spills past the home (3.5 in 100 prompts) as the reason of the reading; a place on few engines for each part (needs the demand of a part at all relays).

Change: core/relay/part_directory, asked by datagram while the connection is made.

--- a/src/core/relay/policy.h
+++ b/src/core/relay/policy.h
@@ -11,6 +11,9 @@
   bool prompt_homes = true;
   /// Engines are told a runner from which they can take cached parts of a prompt.
   bool fetch_cached_parts = true;
+  /// One relay counts which engines keep a part of a prompt, and names the source; off: each relay
+  /// goes by what it sent itself and by the ranking.
+  bool part_directory = true;
   /// Requests of the other relays count in a runner's load.
   bool shared_loads = true;
   /// Runners that two relays suspect are avoided by all.
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -180,17 +180,26 @@
   part_sources_.noteSent(request.cache_key, request.parent_key, choice.runner, request.now_ms);
 }
 
-OwnedRunner RunnerTable::ownedRunner(uint64_t fingerprint, int64_t now_ms) const {
+std::shared_ptr<Runner> RunnerTable::find(uint64_t fingerprint) const {
   const auto found = by_fingerprint_.find(fingerprint);
-  if (found == by_fingerprint_.end()) {
+  return found == by_fingerprint_.end() ? nullptr : found->second;
+}
+
+bool RunnerTable::isCopySource(uint64_t fingerprint, int64_t now_ms) const {
+  const auto runner = find(fingerprint);
+  return runner && !isAvoided(*runner, now_ms);
+}
+
+OwnedRunner RunnerTable::ownedRunner(uint64_t fingerprint, int64_t now_ms) const {
+  const auto runner = find(fingerprint);
+  if (!runner) {
     return OwnedRunner{};
   }
-  const Runner& runner = *found->second;
-  return OwnedRunner{.told_load = runner.load(),
+  return OwnedRunner{.told_load = runner->load(),
                      .listed = true,
-                     .evacuated = runner.evacuated,
-                     .cold_ms = coldMs(runner, now_ms),
-                     .cold_pace = cold_runners_.paceOf(runner.entry.service())};
+                     .evacuated = runner->evacuated,
+                     .cold_ms = coldMs(*runner, now_ms),
+                     .cold_pace = cold_runners_.paceOf(runner->entry.service())};
 }
 
 void RunnerTable::endAttempt(Runner& runner, AttemptOutcome outcome, int64_t now_ms) const {
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -161,6 +161,11 @@
   /// Notes that the request goes to the runner chosen, which then has its shared parts.
   void noteSent(const RunnerRequest& request, const RunnerChoice& choice);
 
+  /// @return the runner with this fingerprint; null: none is listed.
+  std::shared_ptr<Runner> find(uint64_t fingerprint) const;
+  /// @return whether the runner is listed and answers, so that parts can be copied from it.
+  bool isCopySource(uint64_t fingerprint, int64_t now_ms) const;
+
   /// @return what the owner of the runner with this fingerprint knows of it.
   OwnedRunner ownedRunner(uint64_t fingerprint, int64_t now_ms) const;
 
--- /dev/null
+++ b/src/daemon/relay/part_client.cc
@@ -0,0 +1,123 @@
+#include "daemon/relay/part_client.h"
+
+#include <utility>
+#include <vector>
+
+namespace workshatch::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// What was not used for long is looked for so often.
+constexpr int64_t kForgetPeriodMs = 2000;
+
+} // namespace
+
+PartClient::PartClient(std::shared_ptr<RelayPeers> peers, const Clock& clock,
+                       relay::PartDirectory::Usable usable)
+    : peers_(std::move(peers)), clock_(clock), usable_(std::move(usable)) {
+  peers_->onFrame(v1::Frame::kPartQuestion,
+                  [this](const v1::Frame& frame, const std::string& from) {
+                    answerQuestion(frame.part_question(), from);
+                  });
+  peers_->onFrame(v1::Frame::kPartNotSent, [this](const v1::Frame& frame, const std::string&) {
+    const v1::PartNotSent& told = frame.part_not_sent();
+    directory_.noteNotSent(
+        relay::PromptTarget{.part = told.part(), .parent = told.parent(), .runner = told.runner()});
+  });
+  peers_->onAnswer(v1::Frame::kPartAnswer,
+                   [](const v1::Frame& frame) { return frame.part_answer().sequence(); });
+  peers_->observeRelayList(
+      RelayPeers::RelayListObserver{.before = [] {},
+                                    .after =
+                                        [this](const std::vector<std::string>&) {
+                                          directory_.noteOwnersChanged(clock_.monotonicMs());
+                                        }});
+}
+
+PartClient::Question PartClient::ask(const relay::PromptTarget& prompt) {
+  Question asked(*this);
+  const std::string* counting = peers_->ownerOf(prompt.group());
+  if (counting == nullptr || peers_->isSilent(*counting)) {
+    return asked;
+  }
+  if (*counting == peers_->ownAddress()) {
+    asked.own_ = directory_.sourceFor(prompt, usable_, clock_.monotonicMs());
+    return asked;
+  }
+  v1::Frame frame;
+  v1::PartQuestion& question = *frame.mutable_part_question();
+  question.set_sequence(++sequence_);
+  question.set_part(prompt.part);
+  question.set_parent(prompt.parent);
+  question.set_runner(prompt.runner);
+  asked.call_ = std::make_unique<PeerCall>(
+      peers_, *counting, AnswerKey{.kind = v1::Frame::kPartAnswer, .sequence = sequence_}, frame);
+  return asked;
+}
+
+asio::awaitable<std::optional<relay::PartSource>> PartClient::Question::answer() {
+  if (own_) {
+    co_return client_.count(*own_);
+  }
+  const v1::Frame* answer = nullptr;
+  if (call_) {
+    answer = co_await call_->answer();
+  }
+  if (answer == nullptr) {
+    ++client_.counts_.unanswered;
+    co_return std::nullopt;
+  }
+  co_return client_.count(relay::PartSource{.known = answer->part_answer().known(),
+                                            .runner = answer->part_answer().source()});
+}
+
+relay::PartSource PartClient::count(const relay::PartSource& source) {
+  if (source.runner != 0) {
+    ++counts_.source_named;
+  } else {
+    ++(source.known ? counts_.no_source : counts_.unknown);
+  }
+  return source;
+}
+
+void PartClient::tellNotSent(const relay::PromptTarget& prompt) {
+  const std::string* counting = peers_->ownerOf(prompt.group());
+  if (counting == nullptr) {
+    return;
+  }
+  if (*counting == peers_->ownAddress()) {
+    directory_.noteNotSent(prompt);
+    return;
+  }
+  v1::Frame frame;
+  v1::PartNotSent& told = *frame.mutable_part_not_sent();
+  told.set_part(prompt.part);
+  told.set_parent(prompt.parent);
+  told.set_runner(prompt.runner);
+  peers_->send(*counting, frame);
+}
+
+void PartClient::answerQuestion(const v1::PartQuestion& question, const std::string& from) {
+  const relay::PartSource source = directory_.sourceFor(
+      relay::PromptTarget{
+          .part = question.part(), .parent = question.parent(), .runner = question.runner()},
+      usable_, clock_.monotonicMs());
+  v1::Frame frame;
+  v1::PartAnswer& answer = *frame.mutable_part_answer();
+  answer.set_sequence(question.sequence());
+  answer.set_known(source.known);
+  answer.set_source(source.runner);
+  peers_->send(from, frame);
+}
+
+void PartClient::tick() {
+  const int64_t now_ms = clock_.monotonicMs();
+  if (now_ms >= stale_due_ms_) {
+    stale_due_ms_ = now_ms + kForgetPeriodMs;
+    directory_.forgetStale(now_ms);
+  }
+}
+
+} // namespace workshatch::daemon
--- a/src/daemon/relay/place_client.h
+++ b/src/daemon/relay/place_client.h
@@ -7,18 +7,14 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
-#include "adapters/datagram/udp_socket.h"
 #include "core/relay/held_places.h"
 #include "core/relay/place_owner.h"
-#include "core/relay/place_owners.h"
+#include "daemon/relay/relay_peers.h"
 #include "ports/clock.h"
 
 namespace workshatch::daemon {
@@ -69,9 +65,7 @@
 /// Asks owners for places, answers the claims of other relays, and tells owners what is held here.
 /// Lives on the relay's event loop; not safe for concurrent use.
 ///
-/// Guarantees: a claim waits for its answer no longer than `kAnswerLimit`; an owner that did not
-/// answer is not asked again for a second, so that its silence delays few requests; nothing here
-/// ever keeps a request from being served by what the sums of loads tell.
+/// Guarantee: nothing here ever keeps a request from being served by what the sums of loads tell.
 class PlaceClient : public std::enable_shared_from_this<PlaceClient> {
 public:
   /// @return what this relay's tables tell of a runner.
@@ -86,21 +80,10 @@
     uint64_t unanswered = 0;
     /// Claims of other relays that were answered here.
     uint64_t answered = 0;
-    uint64_t sent_bytes = 0;
-    uint64_t received_bytes = 0;
   };
 
-  PlaceClient(boost::asio::io_context& context, const Clock& clock, uint32_t incarnation,
-              RunnerSource runner_source)
-      : context_(context), clock_(clock), socket_(context), held_(incarnation),
-        runner_source_(std::move(runner_source)) {}
-
-  /// @param address "ip:port" for datagrams between relays
-  Result<std::monostate> open(const std::string& address);
-  void close() { socket_.close(); }
-
-  /// Replaces the relays that own runners, by their addresses for datagrams.
-  void setRelays(std::vector<std::string> relays);
+  PlaceClient(std::shared_ptr<RelayPeers> peers, const Clock& clock, uint32_t incarnation,
+              RunnerSource runner_source);
 
   /// Asks for a place.
   /// @param limit requests in progress there, this one included, at most
@@ -119,31 +102,20 @@
 private:
   friend class PlaceHold;
 
-  /// A claim that waits for its answer; lives in the claim's coroutine.
-  struct Pending {
-    explicit Pending(boost::asio::io_context& context) : timer(context) {}
-    boost::asio::steady_timer timer;
-    bool answered = false;
-    v1::PlaceAnswer answer;
-  };
-
+  void noteOwners();
+  void tellNewOwners(const std::vector<std::string>& left);
   void giveBack(uint64_t runner);
   void tellOwner(uint64_t runner);
-  void send(const std::string& address, const v1::Frame& frame);
-  void received(std::string_view bytes, const datagram::UdpSocket::Endpoint& from);
-  void answerClaim(const v1::PlaceClaim& claim, const datagram::UdpSocket::Endpoint& from);
+  void answerClaim(const v1::PlaceClaim& claim, const std::string& from);
   PlaceReply replyFor(uint64_t runner, const relay::PlaceOwner::Decision& decision);
 
-  boost::asio::io_context& context_;
+  const std::shared_ptr<RelayPeers> peers_;
   const Clock& clock_;
-  datagram::UdpSocket socket_;
-  std::string own_address_;
   relay::HeldPlaces held_;
-  relay::PlaceOwners owners_;
   relay::PlaceOwner owner_;
   const RunnerSource runner_source_;
-  /// By sequence.
-  std::map<uint64_t, Pending*> pending_;
+  /// Owners of the runners with places held, as of before the list of relays changed.
+  std::map<uint64_t, std::string> owners_before_;
   int64_t stale_due_ms_ = 0;
   Counts counts_;
 };
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -144,17 +144,44 @@
 http::awaitable<std::optional<http::CallError>> RelayRun::send(const relay::RunnerChoice& choice) {
   ++arrivals_;
   const int64_t remaining_ms = request_.deadline_ms - state_.clock.monotonicMs();
-  std::string bytes = formatForRunner(
-      exchange_.request(), request_, state_,
-      AttemptHeaders{.runner_id = choice.runner->entry.id(),
-                     .remaining_ms = remaining_ms,
-                     .last_event_id = last_event_id_,
-                     .fetch_from = choice.part_source ? choice.part_source->entry.address() : ""});
+  std::string bytes =
+      formatForRunner(exchange_.request(), request_, state_,
+                      AttemptHeaders{.runner_id = choice.runner->entry.id(),
+                                     .remaining_ms = remaining_ms,
+                                     .last_event_id = last_event_id_,
+                                     .fetch_from = source_ ? source_->entry.address() : ""});
   co_return co_await connection_->exchange(std::move(bytes), silenceLimit(false));
 }
 
+relay::PromptTarget RelayRun::promptTarget(const relay::Runner& runner) const {
+  return relay::PromptTarget{
+      .part = request_.cache_key, .parent = request_.parent_key, .runner = runner.fingerprint};
+}
+
+/// Asks who keeps parts of the prompt; the answer comes while a connection is made.
+std::optional<PartClient::Question> RelayRun::askForSource(const relay::Runner& runner) {
+  const bool asks = request_.cache_key != 0 && state_.parts && state_.policy.part_directory &&
+                    state_.policy.fetch_cached_parts;
+  return asks ? std::optional(state_.parts->ask(promptTarget(runner))) : std::nullopt;
+}
+
+/// @return the runner that the directory names; without its word the one that this relay guesses.
+http::awaitable<std::shared_ptr<relay::Runner>>
+RelayRun::takeSource(std::optional<PartClient::Question> question,
+                     const relay::RunnerChoice& choice) {
+  std::optional<relay::PartSource> told;
+  if (question) {
+    told = co_await question->answer();
+  }
+  if (!told || !told->known) {
+    co_return choice.part_source;
+  }
+  co_return told->runner == 0 ? nullptr : state_.runners.find(told->runner);
+}
+
 http::awaitable<RelayRun::AttemptResult> RelayRun::callRunner(const relay::RunnerChoice& choice) {
   relay::Runner& runner = *choice.runner;
+  auto question = askForSource(runner);
   const ConnectOutcome connected = co_await connect(runner);
   if (connected != ConnectOutcome::Connected || ended()) {
     const bool gone = connected == ConnectOutcome::Refused;
@@ -168,6 +195,12 @@
     co_return AttemptResult{.end = AttemptEnd::Withdrawn,
                             .outcome = relay::AttemptOutcome::Withdrawn};
   }
+  source_ = co_await takeSource(std::move(question), choice);
+  part_source_ = source_ ? source_->entry.id() : "";
+  if (ended()) {
+    co_return AttemptResult{.end = AttemptEnd::Withdrawn,
+                            .outcome = relay::AttemptOutcome::Withdrawn};
+  }
   const auto error = co_await send(choice);
   if (error) {
     co_return broken(error->timed_out ? "silent" : error->message);
@@ -186,6 +219,10 @@
   const AttemptResult result = co_await callRunner(choice);
   releaseConnection(runner);
   place_.giveBack();
+  const bool reached = result.end == AttemptEnd::Answered || result.end == AttemptEnd::Broken;
+  if (!reached && request_.cache_key != 0 && state_.parts) {
+    state_.parts->tellNotSent(promptTarget(runner));
+  }
   noteEnd(runner, result);
   co_return result.end;
 }
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -47,10 +47,27 @@
                        static_cast<int64_t>(places.unanswered));
   metrics::exposeGauge(out, "relay_places_answered", "claims of other relays answered here",
                        static_cast<int64_t>(places.answered));
-  metrics::exposeGauge(out, "relay_places_sent_bytes", "datagrams sent for places",
-                       static_cast<int64_t>(places.sent_bytes));
-  metrics::exposeGauge(out, "relay_places_received_bytes", "datagrams received for places",
-                       static_cast<int64_t>(places.received_bytes));
+  const RelayPeers::Counts& peers = peers_->counts();
+  metrics::exposeGauge(out, "relay_peers_sent_bytes", "datagrams sent to other relays",
+                       static_cast<int64_t>(peers.sent_bytes));
+  metrics::exposeGauge(out, "relay_peers_received_bytes", "datagrams received from other relays",
+                       static_cast<int64_t>(peers.received_bytes));
+  metrics::exposeGauge(out, "relay_peers_unreadable", "datagrams that were no known message",
+                       static_cast<int64_t>(peers.unreadable));
+  metrics::exposeGauge(out, "relay_peers_late_answers", "answers that came after their limit",
+                       static_cast<int64_t>(peers.late_answers));
+  const PartClient::Counts& parts = parts_->counts();
+  metrics::exposeGauge(out, "relay_parts_source_named", "prompts for which a source was named",
+                       static_cast<int64_t>(parts.source_named));
+  metrics::exposeGauge(out, "relay_parts_no_source", "prompts whose runner keeps what there is",
+                       static_cast<int64_t>(parts.no_source));
+  metrics::exposeGauge(out, "relay_parts_unknown",
+                       "questions that the relay asked could not answer",
+                       static_cast<int64_t>(parts.unknown));
+  metrics::exposeGauge(out, "relay_parts_unanswered", "questions that nobody answered in time",
+                       static_cast<int64_t>(parts.unanswered));
+  metrics::exposeGauge(out, "relay_parts_counted", "parts of prompts that are counted here",
+                       static_cast<int64_t>(parts_->countedParts()));
   metrics::exposeGauge(out, "relay_places_runners", "runners whose places are counted here",
                        static_cast<int64_t>(places_->ownedRunners()));
   metrics::exposeGauge(out, "relay_places_held_back",
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -51,11 +51,17 @@
           context_, clock, settings_.seedLinks(), [this] { return makeRenewal(); },
           [this](const v1::LeaseReply& reply) { leaseReplied(reply); }),
       reader_(context_, settings_.runner_list_address, adapters.runner_lists),
-      places_(std::make_shared<PlaceClient>(context_, clock, static_cast<uint32_t>(incarnation_),
+      peers_(std::make_shared<RelayPeers>(context_, clock)),
+      places_(std::make_shared<PlaceClient>(peers_, clock, static_cast<uint32_t>(incarnation_),
                                             [this](uint64_t runner) {
                                               return state_.runners.ownedRunner(
                                                   runner, clock_.monotonicMs());
                                             })),
+      parts_(std::make_shared<PartClient>(peers_, clock,
+                                          [this](uint64_t runner) {
+                                            return state_.runners.isCopySource(
+                                                runner, clock_.monotonicMs());
+                                          })),
       caller_server_(
           workers, [this] { return callerLimits(); },
           [this](http::Exchange& exchange) { return handle(exchange); }, refuseBadRequest),
@@ -88,11 +94,12 @@
       return errorOf(listening);
     }
   }
-  auto places_open = places_->open(withPort(settings_.caller_address, settings_.link_port));
-  if (isError(places_open)) {
-    return errorOf(places_open);
+  auto peers_open = peers_->open(withPort(settings_.caller_address, settings_.link_port));
+  if (isError(peers_open)) {
+    return errorOf(peers_open);
   }
   state_.places = places_;
+  state_.parts = parts_;
   group_heard_ms_ = clock_.monotonicMs();
   control_.start();
   log_flusher_.start();
@@ -229,7 +236,7 @@
     for (const v1::RelayEntry& relay : relays_.relays()) {
       owners.push_back(withPort(relay.address(), settings_.link_port));
     }
-    places_->setRelays(std::move(owners));
+    peers_->setRelays(std::move(owners));
   }
   if (reply.has_loads()) {
     state_.runners.setSums(reply.loads(), reported_loads_, clock_.monotonicMs());
@@ -336,6 +343,7 @@
 void RelayRole::housekeep() {
   state_.connections.dropExpired();
   places_->tick();
+  parts_->tick();
   // Runners that declined count as full for a time only, of whose end nothing else tells.
   state_.line.callNextOfEach();
   housekeeping_.expires_after(kHousekeepingPeriod);
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -65,8 +65,10 @@
   RelayState state_;
   ControlLink control_;
   RunnerListReader reader_;
+  const std::shared_ptr<RelayPeers> peers_;
   /// Shared with the places that requests hold, which may outlive the role.
   const std::shared_ptr<PlaceClient> places_;
+  const std::shared_ptr<PartClient> parts_;
   ReceivedConfiguration received_;
   v1::RelayList relays_;
   v1::EvacuationList evacuations_;
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -202,7 +202,6 @@
   load_at_choice_ = choice.runner->load();
   passed_over_ = choice.passed_over;
   place_limit_ = choice.limit;
-  part_source_ = choice.part_source ? choice.part_source->entry.id() : "";
 }
 
 bool RelayRun::mayTryAgain(AttemptEnd last) const {
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -68,6 +68,10 @@
   http::awaitable<AttemptResult> callRunner(const relay::RunnerChoice& choice);
   http::awaitable<ConnectOutcome> connect(const relay::Runner& runner);
   http::awaitable<std::optional<http::CallError>> send(const relay::RunnerChoice& choice);
+  std::optional<PartClient::Question> askForSource(const relay::Runner& runner);
+  http::awaitable<std::shared_ptr<relay::Runner>>
+  takeSource(std::optional<PartClient::Question> question, const relay::RunnerChoice& choice);
+  relay::PromptTarget promptTarget(const relay::Runner& runner) const;
   http::awaitable<AttemptResult> takeAnswer(relay::Runner& runner);
   http::awaitable<AttemptResult> takeRefusal(relay::AttemptOutcome outcome);
   http::awaitable<AttemptResult> takePlainAnswer();
@@ -140,6 +144,8 @@
   uint32_t passed_over_ = 0;
   uint32_t place_limit_ = 0;
   std::string part_source_;
+  /// From which runner the present attempt's runner takes parts; null: from none.
+  std::shared_ptr<relay::Runner> source_;
   std::string last_event_id_;
   int64_t first_event_ms_ = 0;
   int64_t last_event_ms_ = 0;
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -15,6 +15,7 @@
 #include "core/relay/serving_lease.h"
 #include "core/relay/tenant_shares.h"
 #include "core/relay/waiting_line.h"
+#include "daemon/relay/part_client.h"
 #include "daemon/relay/place_client.h"
 #include "daemon/relay/relay_stats.h"
 #include "ports/clock.h"
@@ -57,6 +58,8 @@
   relay::RetryBudget budget;
   /// Null: owners are not asked for places.
   std::shared_ptr<PlaceClient> places;
+  /// Null: nobody is asked for the sources of parts.
+  std::shared_ptr<PartClient> parts;
   relay::WaitingLine line{kMostWaiting};
   relay::ReturnTimes return_times;
   relay::TenantUse tenants;
--- a/tests/unit/daemon/relay/place_client_test.cc
+++ b/tests/unit/daemon/relay/place_client_test.cc
@@ -21,6 +21,7 @@
 using daemon::PlaceClient;
 using daemon::PlaceReply;
 using daemon::PlaceVerdict;
+using daemon::RelayPeers;
 
 const std::string kFirst = "127.0.0.1:18301";
 const std::string kSecond = "127.0.0.1:18302";
@@ -29,10 +30,10 @@
 /// Two relays on one event loop.
 struct TwoRelays {
   TwoRelays() {
-    REQUIRE_FALSE(isError(first->open(kFirst)));
-    REQUIRE_FALSE(isError(second->open(kSecond)));
-    first->setRelays({kFirst, kSecond});
-    second->setRelays({kFirst, kSecond});
+    REQUIRE_FALSE(isError(first_peers->open(kFirst)));
+    REQUIRE_FALSE(isError(second_peers->open(kSecond)));
+    first_peers->setRelays({kFirst, kSecond});
+    second_peers->setRelays({kFirst, kSecond});
   }
 
   /// @return a runner that the relay with this address owns.
@@ -69,10 +70,12 @@
   SystemClock clock;
   boost::asio::io_context context;
   relay::OwnedRunner told{.listed = true};
+  std::shared_ptr<RelayPeers> first_peers = std::make_shared<RelayPeers>(context, clock);
+  std::shared_ptr<RelayPeers> second_peers = std::make_shared<RelayPeers>(context, clock);
   std::shared_ptr<PlaceClient> first =
-      std::make_shared<PlaceClient>(context, clock, 1, [this](uint64_t) { return told; });
+      std::make_shared<PlaceClient>(first_peers, clock, 1, [this](uint64_t) { return told; });
   std::shared_ptr<PlaceClient> second =
-      std::make_shared<PlaceClient>(context, clock, 2, [this](uint64_t) { return told; });
+      std::make_shared<PlaceClient>(second_peers, clock, 2, [this](uint64_t) { return told; });
 };
 
 } // namespace
@@ -102,7 +105,7 @@
 TEST_CASE("A claim at an owner that is silent ends soon, the next ones at once") {
   TwoRelays relays;
   const uint64_t runner = TwoRelays::ownedBy(kSecond);
-  relays.second->close();
+  relays.second_peers->close();
   // The address is held by a process that answers nothing, as a frozen one does.
   boost::asio::ip::udp::socket silent(relays.context,
                                       {boost::asio::ip::make_address("127.0.0.1"), 18302});
@@ -120,7 +123,7 @@
 
 TEST_CASE("Without a list of relays no owner is known") {
   TwoRelays relays;
-  relays.first->setRelays({});
+  relays.first_peers->setRelays({});
   CHECK(relays.claim(*relays.first, 1, 2).verdict == PlaceVerdict::Unanswered);
 }
 
@@ -130,8 +133,8 @@
   const PlaceReply held = relays.claim(*relays.first, runner, 5);
   CHECK(held.verdict == PlaceVerdict::Granted);
   // The owner leaves: the first relay owns all runners and knows what it holds itself.
-  relays.first->setRelays({kFirst});
-  relays.second->setRelays({kFirst});
+  relays.first_peers->setRelays({kFirst});
+  relays.second_peers->setRelays({kFirst});
   const PlaceReply other = relays.claim(*relays.second, runner, 5);
   CHECK(other.verdict == PlaceVerdict::Granted);
   CHECK(other.load == 2);
--- a/tests/unit/daemon/relay/relay_run_test.cc
+++ b/tests/unit/daemon/relay/relay_run_test.cc
@@ -15,15 +15,29 @@
 
 namespace {
 
+/// The datagrams of a relay, and what it asks of the owners of runners.
+struct Places {
+  std::shared_ptr<daemon::RelayPeers> peers;
+  std::shared_ptr<daemon::PlaceClient> client;
+};
+
+/// @param address for datagrams
+Places placesAt(TestRelay& relay, const std::string& address, uint32_t incarnation,
+                daemon::PlaceClient::RunnerSource runner_source) {
+  Places places;
+  places.peers = std::make_shared<daemon::RelayPeers>(relay.context(), relay.state().clock);
+  REQUIRE_FALSE(isError(places.peers->open(address)));
+  places.client = std::make_shared<daemon::PlaceClient>(places.peers, relay.state().clock,
+                                                        incarnation, std::move(runner_source));
+  return places;
+}
+
 /// Makes the relay the owner of all runners. @param address for its datagrams
-std::shared_ptr<daemon::PlaceClient> ownPlaces(TestRelay& relay, const std::string& address) {
-  auto places =
-      std::make_shared<daemon::PlaceClient>(relay.context(), relay.state().clock, 1, [](uint64_t) {
-        return relay::OwnedRunner{.listed = true};
-      });
-  REQUIRE_FALSE(isError(places->open(address)));
-  places->setRelays({address});
-  relay.state().places = places;
+Places ownPlaces(TestRelay& relay, const std::string& address) {
+  Places places =
+      placesAt(relay, address, 1, [](uint64_t) { return relay::OwnedRunner{.listed = true}; });
+  places.peers->setRelays({address});
+  relay.state().places = places.client;
   return places;
 }
 
@@ -149,8 +163,8 @@
   given_back.get_future().wait();
   CHECK(relay.ask("q1").find("done") != std::string::npos);
   CHECK(relay.ask("q1").find("done") != std::string::npos);
-  CHECK(places->counts().granted == 2);
-  CHECK(places->counts().refused == 1);
+  CHECK(places.client->counts().granted == 2);
+  CHECK(places.client->counts().refused == 1);
 }
 
 TEST_CASE("With a waiting line a request waits a little for a place, and is then refused unheard") {
@@ -311,15 +325,13 @@
   v1::EvacuationList evacuations;
   std::atomic<int> claims{0};
   // The order reaches this relay while the owner, which does not know it yet, grants its claim.
-  const auto owner =
-      std::make_shared<daemon::PlaceClient>(relay.context(), relay.state().clock, 2, [&](uint64_t) {
-        ++claims;
-        relay.state().runners.setEvacuations(evacuations, 1);
-        return relay::OwnedRunner{.listed = true};
-      });
-  REQUIRE_FALSE(isError(owner->open("127.0.0.1:18307")));
-  const auto places = ownPlaces(relay, "127.0.0.1:18308");
-  places->setRelays({"127.0.0.1:18307"});
+  const Places owner = placesAt(relay, "127.0.0.1:18307", 2, [&](uint64_t) {
+    ++claims;
+    relay.state().runners.setEvacuations(evacuations, 1);
+    return relay::OwnedRunner{.listed = true};
+  });
+  const Places places = ownPlaces(relay, "127.0.0.1:18308");
+  places.peers->setRelays({"127.0.0.1:18307"});
   relay.start();
   CHECK(relay.ask("q1").ends_with("done"));
   CHECK(claims == 1);
@@ -327,7 +339,7 @@
   evacuations.add_zones()->set_zone("z");
   const std::string answer = relay.ask("q1");
   CHECK(claims == 2);
-  CHECK(places->counts().granted == 2);
+  CHECK(places.client->counts().granted == 2);
   CHECK(answer.starts_with("HTTP/1.1 503"));
   CHECK(answer.find("not-run") != std::string::npos);
   CHECK(runner.requests() == 1);
