Requests run in the regions of their route and tenant, and callers are sent to relays of their region

Cause: allowedRegions of routes and tenants was not read (rule HOME); addresses went from the caller's zone to all regions.

Change: core/relay/home_regions; both lists bind; a runner whose zone the settings do not name is in none of the regions named; no parts are copied from other regions. The settings tell the region of each zone. Tests by rule.

--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fstream>
 #include <limits>
+#include <map>
 #include <sstream>
 #include <utility>
 
@@ -88,19 +89,20 @@
     }
   }
 
-  void texts(const char* name, std::vector<std::string>& values) {
+  /// An object whose members are texts.
+  void textMap(const char* name, std::map<std::string, std::string>& values) {
     const json* field = find(name, false);
     if (field == nullptr) {
       return;
     }
     const bool texts_only =
-        field->is_array() && std::all_of(field->begin(), field->end(),
-                                         [](const json& entry) { return entry.is_string(); });
+        field->is_object() && std::all_of(field->begin(), field->end(),
+                                          [](const json& entry) { return entry.is_string(); });
     if (!texts_only) {
-      fault(name, "must be a list of texts");
+      fault(name, "must be an object of texts");
       return;
     }
-    values = field->get<std::vector<std::string>>();
+    values = field->get<std::map<std::string, std::string>>();
   }
 
   const json* find(const char* name, bool required) {
@@ -209,7 +211,9 @@
   FieldReader reader(document, "", faults);
   reader.text("name", settings.name, true);
   reader.text("zone", settings.zone, true);
-  reader.texts("zones", settings.zones);
+  std::map<std::string, std::string> zones;
+  reader.textMap("zones", zones);
+  settings.zones = relay::ZoneRegions(std::move(zones));
   reader.text("ip", settings.ip, true);
   reader.address("caller_address", settings.caller_address, false);
   reader.address("ready_address", settings.ready_address, false);
--- a/src/adapters/settings/relay_settings.h
+++ b/src/adapters/settings/relay_settings.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/relay/home_regions.h"
 #include "core/relay/policy.h"
 
 namespace workshatch::settings {
@@ -33,8 +34,8 @@
 struct RelaySettings {
   std::string name;
   std::string zone;
-  /// All zones; operators may evacuate these. Empty: not told, any name is taken.
-  std::vector<std::string> zones;
+  /// All zones, with their regions. Empty: not told.
+  relay::ZoneRegions zones;
   std::string ip;
   std::string caller_address;
   std::string ready_address;
--- a/src/core/relay/configuration.h
+++ b/src/core/relay/configuration.h
@@ -48,6 +48,8 @@
   /// A broken stream may go on at another runner.
   bool resumable = false;
   std::vector<RouteTarget> targets;
+  /// Regions in which its requests may run; empty: any.
+  std::vector<std::string> home_regions;
 };
 
 struct Service {
@@ -75,6 +77,8 @@
   std::vector<std::string> keys;
   /// Rank; 0 is the most urgent. Goes before a route's.
   uint32_t priority = 0;
+  /// Regions in which its requests may run; empty: any. Binds beside a route's.
+  std::vector<std::string> home_regions;
 };
 
 struct Configuration {
--- a/src/core/relay/part_directory.cc
+++ b/src/core/relay/part_directory.cc
@@ -8,8 +8,9 @@
 
 /// Engines keep what was used lately; within this time a part is very likely still there.
 constexpr int64_t kKeptMs = 20'000;
-/// A part of a few thousand tokens has been read by then, also in the first second of a day, when engines
-/// read nothing but new prompts. With 250 ms 3 to 18 in 100 more tokens were read again (three days).
+/// A part of a few thousand tokens has been read by then, also in the first second of a day, when
+/// engines read nothing but new prompts. With 250 ms 3 to 18 in 100 more tokens were read again
+/// (three days).
 constexpr int64_t kReadMs = 1000;
 /// After so long every part in use has been told of: prompts of one part that come less often than
 /// this gain little by a source.
--- a/src/core/relay/relay_addresses.cc
+++ b/src/core/relay/relay_addresses.cc
@@ -7,27 +7,35 @@
 
 namespace {
 
-/// Callers of a zone stay in it while so many relays there are ready.
-constexpr size_t kRelaysOfZone = 2;
+/// Callers stay in their zone, or in their region, while so many relays there are ready.
+constexpr size_t kEnoughRelays = 2;
 /// Callers take no more of an answer.
 constexpr size_t kMostAddresses = 64;
 
 } // namespace
 
-std::vector<std::string> addressesFor(const v1::RelayList& relays,
+std::vector<std::string> addressesFor(const v1::RelayList& relays, const ZoneRegions& zones,
                                       const AddressQuestion& question) {
-  std::vector<std::string> near;
+  std::vector<std::string> in_zone;
+  std::vector<std::string> in_region;
   std::vector<std::string> all;
+  const std::string of_zone = zones.regionOf(question.zone);
+  const std::string& region = of_zone.empty() ? question.region : of_zone;
   for (const v1::RelayEntry& relay : relays.relays()) {
     if (relay.address() == question.own_address && !question.in_touch) {
       continue;
     }
     all.push_back(relay.address());
     if (relay.zone() == question.zone) {
-      near.push_back(relay.address());
+      in_zone.push_back(relay.address());
+    }
+    if (!region.empty() && zones.regionOf(relay.zone()) == region) {
+      in_region.push_back(relay.address());
     }
   }
-  std::vector<std::string> chosen = near.size() >= kRelaysOfZone ? near : all;
+  std::vector<std::string> chosen = in_zone.size() >= kEnoughRelays     ? in_zone
+                                    : in_region.size() >= kEnoughRelays ? in_region
+                                                                        : all;
   if (chosen.empty()) {
     chosen.push_back(question.own_address);
   }
--- a/src/core/relay/relay_addresses.h
+++ b/src/core/relay/relay_addresses.h
@@ -6,13 +6,15 @@
 #include <string>
 #include <vector>
 
+#include "core/relay/home_regions.h"
 #include "workshatch/v1/relay.pb.h"
 
 namespace workshatch::relay {
 
 struct AddressQuestion {
-  /// The caller's zone.
+  /// The caller's zone and region; empty: not told.
   std::string zone;
+  std::string region;
   /// The relay that answers, and whether the group confirmed it lately. Out of touch it leaves
   /// itself out: it would soon refuse whoever came.
   std::string own_address;
@@ -21,8 +23,11 @@
   uint64_t draw = 0;
 };
 
-/// @return relays of the caller's zone, or of all zones where too few are there; never empty.
-std::vector<std::string> addressesFor(const v1::RelayList& relays, const AddressQuestion& question);
+/// @return relays of the caller's zone; of its region where too few are in the zone; of all regions
+/// where too few are in that; never empty. Requests that may run in their caller's region only then
+/// stay in it.
+std::vector<std::string> addressesFor(const v1::RelayList& relays, const ZoneRegions& zones,
+                                      const AddressQuestion& question);
 
 /// How long callers keep an answer, in seconds.
 struct AddressLifetimes {
--- a/src/core/relay/runner.h
+++ b/src/core/relay/runner.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 #include "workshatch/v1/relay.pb.h"
 
@@ -32,6 +33,8 @@
   int64_t avoid_until_ms = 0;
   /// It declined a request, being full; taken to be so until then.
   int64_t full_until_ms = 0;
+  /// Region of its zone; empty: not known.
+  std::string region;
   /// Its zone is evacuated: it gets no requests.
   bool evacuated = false;
   /// It counts as cold until then.
--- a/src/core/relay/runner_choice.cc
+++ b/src/core/relay/runner_choice.cc
@@ -30,7 +30,8 @@
     return usable;
   }
   for (const auto& runner : service->second.runners) {
-    if (runner->entry.leaving() || runner->evacuated || isExcluded(request, *runner)) {
+    const bool open = !runner->entry.leaving() && !runner->evacuated;
+    if (!open || !isHome(request.home_regions, *runner) || isExcluded(request, *runner)) {
       continue;
     }
     // Only an owner keeps the pace of a cold runner.
@@ -226,13 +227,16 @@
 
 std::shared_ptr<Runner> RunnerTable::sourceOfParts(const RunnerRequest& request,
                                                    const Runner& chosen) const {
-  return part_sources_.sourceFor(SourceQuestion{
-      .part = request.cache_key,
-      .parent = request.parent_key,
-      .chosen = &chosen,
-      .runners = &services_.at(request.service).runners,
-      .avoided = [&](const Runner& runner) { return isAvoided(runner, request.now_ms); },
-      .now_ms = request.now_ms});
+  return part_sources_.sourceFor(SourceQuestion{.part = request.cache_key,
+                                                .parent = request.parent_key,
+                                                .chosen = &chosen,
+                                                .runners = &services_.at(request.service).runners,
+                                                .avoided =
+                                                    [&](const Runner& runner) {
+                                                      return isAvoided(runner, request.now_ms) ||
+                                                             !isHome(request.home_regions, runner);
+                                                    },
+                                                .now_ms = request.now_ms});
 }
 
 RunnerChoice RunnerTable::chooseByLoad(const RunnerRequest& request,
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -65,6 +65,7 @@
   // It held when the list was read: the next update must not count it again.
   runner.entry.clear_cold_ms();
   runner.gone = false;
+  runner.region = options_.zones.regionOf(entry.zone());
   runner.evacuated = evacuated_zones_.contains(entry.zone());
   cold_runners_.noteTold(runner, entry.cold_ms(), now_ms);
   if (came) {
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -10,10 +10,12 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
 #include "core/relay/cold_runners.h"
+#include "core/relay/home_regions.h"
 #include "core/relay/part_sources.h"
 #include "core/relay/place_limits.h"
 #include "core/relay/place_owner.h"
@@ -56,6 +58,8 @@
   int64_t now_ms = 0;
   /// The service's runners are model engines.
   bool engine = false;
+  /// Regions in which it may run.
+  HomeRegions home_regions;
   /// Its draw also breaks ties.
   Standing standing;
   /// It asked before and waited; counts once in what is asked of the service.
@@ -112,6 +116,8 @@
   /// Bound on the requests of a second at a cold runner: a multiple of what it bears, plus a slack.
   double cold_factor = 1.5;
   double cold_slack = 5;
+  /// Empty: requests may run in any region.
+  ZoneRegions zones;
   /// As `cap_slack`, where owners count the load: nothing has to be left for what is not known yet.
   double owners_cap_slack = 3;
   Policy policy;
@@ -126,7 +132,7 @@
 class RunnerTable {
 public:
   explicit RunnerTable(RunnerTableOptions options)
-      : options_(options), cold_runners_(options.cold_factor, options.cold_slack) {}
+      : options_(std::move(options)), cold_runners_(options_.cold_factor, options_.cold_slack) {}
 
   /// Takes what the configuration says of cold runners.
   void setServices(const std::vector<Service>& services) {
@@ -166,6 +172,11 @@
   /// @return whether the runner is listed and answers, so that parts can be copied from it.
   bool isCopySource(uint64_t fingerprint, int64_t now_ms) const;
 
+  /// @return whether the regions of a request let it run at, or copy from, the runner.
+  bool isHome(const HomeRegions& regions, const Runner& runner) const {
+    return options_.zones.empty() || regions.allow(runner.region);
+  }
+
   /// @return what the owner of the runner with this fingerprint knows of it.
   OwnedRunner ownedRunner(uint64_t fingerprint, int64_t now_ms) const;
 
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -98,8 +98,7 @@
 /// A zone may have runners only, so that no machine of the system names it in its settings.
 bool GroupRole::zoneExists(const std::string& zone) const {
   const auto& runners = hub_.runners().runners();
-  return settings_.zones.empty() ||
-         std::find(settings_.zones.begin(), settings_.zones.end(), zone) != settings_.zones.end() ||
+  return settings_.zones.empty() || settings_.zones.contains(zone) ||
          std::any_of(runners.begin(), runners.end(),
                      [&](const v1::RunnerEntry& runner) { return runner.zone() == zone; });
 }
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -176,7 +176,8 @@
   if (!told || !told->known) {
     co_return choice.part_source;
   }
-  co_return told->runner == 0 ? nullptr : state_.runners.find(told->runner);
+  const auto source = told->runner == 0 ? nullptr : state_.runners.find(told->runner);
+  co_return source&& state_.runners.isHome(homeRegions(), *source) ? source : nullptr;
 }
 
 http::awaitable<RelayRun::AttemptResult> RelayRun::callRunner(const relay::RunnerChoice& choice) {
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -171,10 +171,12 @@
     co_return;
   }
   const std::vector<std::string> chosen = relay::addressesFor(
-      relays_,
+      relays_, settings_.zones,
       relay::AddressQuestion{
           .zone = http::queryParameter(exchange.target(), adapters_.dialect.zoneParameter())
                       .value_or(""),
+          .region = http::queryParameter(exchange.target(), adapters_.dialect.regionParameter())
+                        .value_or(""),
           .own_address = settings_.caller_address,
           .in_touch = state_.lease.isFresh(clock_.monotonicMs()),
           .draw = random_.next()});
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -86,6 +86,12 @@
   co_await finish();
 }
 
+relay::HomeRegions RelayRun::homeRegions() const {
+  return relay::HomeRegions{
+      .of_route = &request_.route->home_regions,
+      .of_tenant = request_.tenant == nullptr ? nullptr : &request_.tenant->home_regions};
+}
+
 relay::RunnerRequest RelayRun::runnerRequest() const {
   return relay::RunnerRequest{.service = request_.service,
                               .cache_key = request_.cache_key,
@@ -94,6 +100,7 @@
                               .excluded = tried_,
                               .now_ms = state_.clock.monotonicMs(),
                               .engine = request_.engine,
+                              .home_regions = homeRegions(),
                               .standing = request_.standing,
                               .asks_again = line_place_.number != 0 || offers_refused_ != 0,
                               .past_limits = stream_started_,
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -86,6 +86,7 @@
   void noteCold(relay::Runner& runner);
 
   // The request as a whole (relay_run.cc).
+  relay::HomeRegions homeRegions() const;
   relay::RunnerRequest runnerRequest() const;
   std::variant<relay::RunnerChoice, relay::NoRunner> chooseRunner();
   http::awaitable<std::variant<relay::RunnerChoice, relay::NoRunner>> findPlace();
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -41,6 +41,7 @@
         runners(relay::RunnerTableOptions{.cap_factor = settings.bounds.load_cap_factor,
                                           .cold_factor = settings.bounds.cold_factor,
                                           .cold_slack = settings.bounds.cold_slack,
+                                          .zones = settings.zones,
                                           .policy = settings.policy}),
         budget(relay::RetryBudgetOptions{.ratio = settings.bounds.repeat_ratio,
                                          .window_ms = settings.bounds.repeat_window_ms,
--- a/src/ports/relay_dialect.h
+++ b/src/ports/relay_dialect.h
@@ -89,6 +89,8 @@
                                 uint32_t ttl_s) const = 0;
   /// Name of the query parameter that holds the caller's zone.
   virtual std::string zoneParameter() const = 0;
+  /// Name of the query parameter that holds the caller's region.
+  virtual std::string regionParameter() const = 0;
   /// Value of Retry-After.
   virtual std::string retryAfter(uint32_t milliseconds) const = 0;
 };
--- a/tests/unit/adapters/relay_settings_test.cc
+++ b/tests/unit/adapters/relay_settings_test.cc
@@ -13,7 +13,7 @@
 constexpr const char* kSettings = R"({"name":"n1","zone":"z","ip":"10.0.0.1",
  "caller_address":"10.0.0.1:80","ready_address":"","link_port":7000,
  "seeds":["10.0.0.1:90","10.0.0.2:90"],"first_start":true,"data_folder":"",
- "runner_list_address":"10.9.0.1:81","unknown":1,"zones":["z","y"],
+ "runner_list_address":"10.9.0.1:81","unknown":1,"zones":{"z":"here","y":"there"},
  "bounds":{"revoked_key_ms":4000,"stop_s":7.5,"repeat_slack":58,"cold_factor":2,
   "cold_slack":7},
  "policy":{"waiting_line":true,"tenant_shares":false}})";
@@ -28,7 +28,9 @@
   CHECK(settings->first_start);
   CHECK(settings->seedLinks() == std::vector<std::string>{"10.0.0.1:7000", "10.0.0.2:7000"});
   CHECK(settings->bounds.revoked_key_ms == 4000);
-  CHECK(settings->zones == std::vector<std::string>{"z", "y"});
+  CHECK(settings->zones.regionOf("z") == "here");
+  CHECK(settings->zones.regionOf("y") == "there");
+  CHECK(settings->zones.regionOf("x").empty());
   CHECK(settings->bounds.cold_factor == 2);
   CHECK(settings->bounds.cold_slack == 7);
   CHECK(settings->bounds.stop_ms == 7500);
--- a/tests/unit/core/relay/relay_addresses_test.cc
+++ b/tests/unit/core/relay/relay_addresses_test.cc
@@ -19,6 +19,8 @@
   entry->set_zone(zone);
 }
 
+const relay::ZoneRegions kZones({{"a", "east"}, {"b", "west"}, {"c", "west"}});
+
 } // namespace
 
 TEST_CASE("Callers stay in their zone while two relays there are ready") {
@@ -27,9 +29,24 @@
   add(list, "a2", "a");
   add(list, "b1", "b");
   const relay::AddressQuestion of_a{.zone = "a", .own_address = "a1"};
-  CHECK(relay::addressesFor(list, of_a) == std::vector<std::string>{"a1", "a2"});
+  CHECK(relay::addressesFor(list, kZones, of_a) == std::vector<std::string>{"a1", "a2"});
+  const relay::AddressQuestion of_b{.zone = "b", .own_address = "a1"};
+  CHECK(relay::addressesFor(list, kZones, of_b).size() == 3);
+}
+
+TEST_CASE("Callers of a zone with too few relays stay in their region where it has enough") {
+  v1::RelayList list;
+  add(list, "a1", "a");
+  add(list, "a2", "a");
+  add(list, "b1", "b");
+  add(list, "c1", "c");
   const relay::AddressQuestion of_b{.zone = "b", .own_address = "a1"};
-  CHECK(relay::addressesFor(list, of_b).size() == 3);
+  CHECK(relay::addressesFor(list, kZones, of_b) == std::vector<std::string>{"b1", "c1"});
+  // A zone without relays that the settings do not name: the caller's word on its region counts.
+  const relay::AddressQuestion elsewhere{.zone = "d", .region = "west", .own_address = "a1"};
+  CHECK(relay::addressesFor(list, kZones, elsewhere) == std::vector<std::string>{"b1", "c1"});
+  const relay::AddressQuestion nowhere{.zone = "d", .own_address = "a1"};
+  CHECK(relay::addressesFor(list, kZones, nowhere).size() == 4);
 }
 
 TEST_CASE("A relay that is out of touch sends callers to the others, unless it knows of none") {
@@ -38,8 +55,8 @@
   add(list, "a2", "a");
   add(list, "b1", "b");
   const relay::AddressQuestion question{.zone = "a", .own_address = "a1", .in_touch = false};
-  CHECK(relay::addressesFor(list, question) == std::vector<std::string>{"a2", "b1"});
-  CHECK(relay::addressesFor(v1::RelayList(), question) == std::vector<std::string>{"a1"});
+  CHECK(relay::addressesFor(list, kZones, question) == std::vector<std::string>{"a2", "b1"});
+  CHECK(relay::addressesFor(v1::RelayList(), kZones, question) == std::vector<std::string>{"a1"});
 }
 
 TEST_CASE("Of many relays a bounded number is told, another for each draw") {
@@ -48,10 +65,10 @@
     add(list, "r" + std::to_string(i), "a");
   }
   relay::AddressQuestion question{.zone = "a", .own_address = "r0", .draw = 1};
-  const std::vector<std::string> first = relay::addressesFor(list, question);
+  const std::vector<std::string> first = relay::addressesFor(list, kZones, question);
   CHECK(std::set<std::string>(first.begin(), first.end()).size() == 64);
   question.draw = 2;
-  CHECK(relay::addressesFor(list, question) != first);
+  CHECK(relay::addressesFor(list, kZones, question) != first);
 }
 
 TEST_CASE("Callers keep addresses for longer while relays are silent") {
--- a/tests/unit/daemon/group/group_role_test.cc
+++ b/tests/unit/daemon/group/group_role_test.cc
@@ -45,7 +45,7 @@
     settings::RelaySettings settings;
     settings.name = "replica-1";
     settings.zone = "north";
-    settings.zones = {"north", "south"};
+    settings.zones = relay::ZoneRegions({{"north", "here"}, {"south", "here"}});
     settings.ip = "127.0.0.1";
     settings.operator_address = kOperatorAddress;
     settings.link_port = kLinkPort;
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -70,6 +70,7 @@
   std::optional<RunnerLoad> runnerLoad(std::string_view) const override { return std::nullopt; }
   std::string addresses(const std::vector<std::string>&, uint32_t) const override { return ""; }
   std::string zoneParameter() const override { return "zone"; }
+  std::string regionParameter() const override { return "region"; }
   std::string retryAfter(uint32_t milliseconds) const override {
     return std::to_string(milliseconds);
   }
