Refused callers come back in turn again: the return while an answer can be in time is taken back

The plain service is short of places for two seconds there: who comes back in 50 ms meets the same crowd and takes places from others, who comes back in turn (250 to 750 ms) comes after it. Nothing at a relay tells a short overload from a long one early enough.

--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -240,14 +240,7 @@
     return kRetryWithoutRunnerMs;
   }
   const int64_t now_ms = state_.clock.monotonicMs();
-  return state_.return_times.nextAfterMs(
-      relay::RefusedRequest{.service = request_.service,
-                            .until_late_ms =
-                                request_.received_ms + request_.route->objective_ms - now_ms,
-                            .objective_ms = request_.route->objective_ms,
-                            .left_ms = request_.deadline_ms - now_ms,
-                            .draw = request_.standing.draw},
-      now_ms);
+  return state_.return_times.nextAfterMs(request_.service, request_.deadline_ms - now_ms, now_ms);
 }
 
 http::awaitable<void> RelayRun::finish() {
--- a/tests/unit/core/relay/waiting_line_test.cc
+++ b/tests/unit/core/relay/waiting_line_test.cc
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include "core/relay/return_times.h"
 #include "core/relay/waiting_line.h"
 
 namespace workshatch::test {
@@ -51,4 +52,29 @@
   CHECK(line.length("s") == 0);
 }
 
+TEST_CASE("Refused callers come back one after the other at the service's pace") {
+  relay::ReturnTimes times;
+  // 40 requests ended in the last two seconds: half of that pace is for those who come back.
+  for (int i = 0; i < 40; ++i) {
+    times.noteEnded("s", 8000 + i * 50);
+  }
+  const uint32_t first = times.nextAfterMs("s", 100'000, 10'000);
+  CHECK(first == 250);
+  CHECK(times.nextAfterMs("s", 100'000, 10'000) == first + 100);
+  CHECK(times.nextAfterMs("s", 100'000, 10'000) == first + 200);
+  CHECK(times.nextAfterMs("t", 100'000, 10'000) == 250);
+}
+
+TEST_CASE("Nobody is sent away for more than a third of the time left, nor delays others by it") {
+  relay::ReturnTimes times;
+  constexpr int64_t kNow = 50'000;
+  CHECK(times.nextAfterMs("s", 600, kNow) == 180);
+  CHECK(times.nextAfterMs("s", 0, kNow) == 1);
+  // Where nothing has ended lately, one comes back every two seconds.
+  CHECK(times.nextAfterMs("s", 100'000, kNow) == 250);
+  CHECK(times.nextAfterMs("s", 100'000, kNow) == 2250);
+  CHECK(times.nextAfterMs("s", 9000, kNow) == 2700);
+  CHECK(times.nextAfterMs("s", 100'000, kNow) == 4250);
+}
+
 } // namespace workshatch::test
