--- a/src/daemon/relay/relay_peers.h
+++ b/src/daemon/relay/relay_peers.h
@@ -30,7 +30,9 @@
   v1::Frame::BodyCase kind = v1::Frame::BODY_NOT_SET;
   uint64_t sequence = 0;
 
-  auto operator<=>(const AnswerKey&) const = default;
+  bool operator<(const AnswerKey& other) const {
+    return std::pair(kind, sequence) < std::pair(other.kind, other.sequence);
+  }
 };
 
 /// The relay's socket for datagrams, and the relays that own runners and parts of prompts. Lives on
--- a/tests/unit/core/relay/part_directory_test.cc
+++ b/tests/unit/core/relay/part_directory_test.cc
@@ -15,7 +15,6 @@
 
 using relay::PartDirectory;
 using relay::PartSource;
-using relay::PromptTarget;
 
 constexpr uint64_t kPart = 100;
 constexpr uint64_t kOtherPart = 101;
