--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -411,6 +411,10 @@
 
 /// Sends to the relays that lack something until the link has enough, and goes on a moment later.
 void RelayHub::pushSome() {
+  push_scheduled_ = false;
+  if (!replica_.leads()) {
+    return;
+  }
   bool left = false;
   for (auto& [name, relay] : relays_) {
     const auto link = relay.link.lock();
@@ -426,10 +430,10 @@
     addRunners(relay, *frame.mutable_lease());
     send(link, frame);
   }
-  push_scheduled_ = left && replica_.leads();
-  if (!push_scheduled_) {
+  if (!left) {
     return;
   }
+  push_scheduled_ = true;
   push_timer_.expires_after(kBetweenPushes);
   push_timer_.async_wait([this](boost::system::error_code failure) {
     if (!failure) {
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -176,8 +176,9 @@
   if (!told || !told->known) {
     co_return choice.part_source;
   }
-  const auto source = told->runner == 0 ? nullptr : state_.runners.find(told->runner);
-  co_return source&& state_.runners.isHome(homeRegions(), *source) ? source : nullptr;
+  const auto source = state_.runners.find(told->runner);
+  const bool allowed = source != nullptr && state_.runners.isHome(homeRegions(), *source);
+  co_return allowed ? source : nullptr;
 }
 
 http::awaitable<RelayRun::AttemptResult> RelayRun::callRunner(const relay::RunnerChoice& choice) {
@@ -190,15 +191,13 @@
                             .outcome = gone ? relay::AttemptOutcome::ProcessGone
                                             : relay::AttemptOutcome::Unreachable};
   }
+  source_ = co_await takeSource(std::move(question), choice);
+  part_source_ = source_ ? source_->entry.id() : "";
   if (runner.evacuated) {
-    // The order came after the place was taken: nothing more is sent there.
+    // The order came after the place was taken. Nothing is waited for between here and the send.
     last_error_ = "zone evacuated";
-    co_return AttemptResult{.end = AttemptEnd::Withdrawn,
-                            .outcome = relay::AttemptOutcome::Withdrawn};
   }
-  source_ = co_await takeSource(std::move(question), choice);
-  part_source_ = source_ ? source_->entry.id() : "";
-  if (ended()) {
+  if (runner.evacuated || ended()) {
     co_return AttemptResult{.end = AttemptEnd::Withdrawn,
                             .outcome = relay::AttemptOutcome::Withdrawn};
   }
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -66,7 +66,10 @@
     }
     return std::nullopt;
   }
-  std::vector<PromptPart> promptParts(std::string_view) const override { return {}; }
+  /// Any value names two parts.
+  std::vector<PromptPart> promptParts(std::string_view) const override {
+    return {PromptPart{.id = "shared", .tokens = 1}, PromptPart{.id = "own", .tokens = 1}};
+  }
   std::optional<RunnerLoad> runnerLoad(std::string_view) const override { return std::nullopt; }
   std::string addresses(const std::vector<std::string>&, uint32_t) const override { return ""; }
   std::string zoneParameter() const override { return "zone"; }
--- a/tests/unit/daemon/relay/relay_run_test.cc
+++ b/tests/unit/daemon/relay/relay_run_test.cc
@@ -345,6 +345,41 @@
   CHECK(runner.requests() == 1);
 }
 
+TEST_CASE(
+    "Nothing is sent to a runner whose zone is evacuated while a source of parts is asked for") {
+  ScriptedRunner runner([](auto& socket, const auto&) { say(socket, signedAnswer("q1", "done")); });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", runner.address());
+  v1::EvacuationList evacuations;
+  std::atomic<int> questions{0};
+  // The relay that counts parts: the order reaches the asking relay just before its answer.
+  const auto counting = std::make_shared<daemon::RelayPeers>(relay.context(), relay.state().clock);
+  REQUIRE_FALSE(isError(counting->open("127.0.0.1:18309")));
+  counting->onFrame(v1::Frame::kPartQuestion, [&](const v1::Frame& frame, const std::string& from) {
+    ++questions;
+    relay.state().runners.setEvacuations(evacuations, 1);
+    v1::Frame answer;
+    answer.mutable_part_answer()->set_sequence(frame.part_question().sequence());
+    answer.mutable_part_answer()->set_known(true);
+    counting->send(from, answer);
+  });
+  const auto peers = std::make_shared<daemon::RelayPeers>(relay.context(), relay.state().clock);
+  REQUIRE_FALSE(isError(peers->open("127.0.0.1:18310")));
+  relay.state().parts = std::make_shared<daemon::PartClient>(peers, relay.state().clock,
+                                                             [](uint64_t) { return true; });
+  peers->setRelays({"127.0.0.1:18309"});
+  relay.start();
+  CHECK(relay.ask("q1", "W-Parts: two\r\n").ends_with("done"));
+  CHECK(questions == 1);
+  evacuations.set_version(4);
+  evacuations.add_zones()->set_zone("z");
+  const std::string answer = relay.ask("q1", "W-Parts: two\r\n");
+  CHECK(questions == 2);
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(answer.find("not-run") != std::string::npos);
+  CHECK(runner.requests() == 1);
+}
+
 TEST_CASE("A caller that hangs up ends the run at its runner") {
   std::atomic<bool> runner_saw_end{false};
   std::atomic<bool> runner_has_request{false};
