Log lines tell which tries are of one request

The lines of an incident named a try's id only, so that they could not tell a request that comes again and again from many requests that fall together. request_ended and attempt_ended now have the request's identity: fingerprints of the tenant, and of method, target and body.

Nothing is decided by it yet.

--- /dev/null
+++ b/src/core/relay/request_identity.cc
@@ -0,0 +1,32 @@
+#include "core/relay/request_identity.h"
+
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+#include <cstring>
+
+#include "core/routing/rendezvous.h"
+
+namespace workshatch::relay {
+
+RequestIdentity identityOf(std::string_view tenant, std::string_view method,
+                           std::string_view target, std::string_view body) {
+  // The parts are hashed apart, so that a long body is not copied to be joined to the others.
+  const std::array<uint64_t, 3> parts = {
+      routing::fingerprintOf(method), routing::fingerprintOf(target), routing::fingerprintOf(body)};
+  std::array<char, sizeof(parts)> bytes{};
+  std::memcpy(bytes.data(), parts.data(), sizeof(parts));
+  return RequestIdentity{.caller = routing::fingerprintOf(tenant),
+                         .content =
+                             routing::fingerprintOf(std::string_view(bytes.data(), bytes.size()))};
+}
+
+std::string textOf(const RequestIdentity& identity) {
+  constexpr size_t kTextBytes = 34;
+  std::array<char, kTextBytes> text{};
+  std::snprintf(text.data(), text.size(), "%016" PRIx64 "-%016" PRIx64, identity.caller,
+                identity.content);
+  return text.data();
+}
+
+} // namespace workshatch::relay
--- /dev/null
+++ b/src/core/relay/request_identity.h
@@ -0,0 +1,37 @@
+/// @file
+/// What makes two requests the same one: sent again under another id, at any relay.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace workshatch::relay {
+
+/// The request itself, apart from the try: its id differs from try to try.
+///
+/// The caller is a number of its own, beside the content, so that no tenant can make a request
+/// that passes for another tenant's: the hash is not made to resist that.
+struct RequestIdentity {
+  /// Fingerprint of the tenant's name, the same for all requests without a tenant.
+  uint64_t caller = 0;
+  /// Fingerprint of method, target and body.
+  uint64_t content = 0;
+
+  bool operator==(const RequestIdentity& other) const {
+    return caller == other.caller && content == other.content;
+  }
+  bool operator<(const RequestIdentity& other) const {
+    return caller != other.caller ? caller < other.caller : content < other.content;
+  }
+};
+
+/// @param tenant empty: the request needs no key
+/// @param target path and query
+RequestIdentity identityOf(std::string_view tenant, std::string_view method,
+                           std::string_view target, std::string_view body);
+
+/// @return the identity as logs show it: caller and content, each as 16 hexadecimal digits.
+std::string textOf(const RequestIdentity& identity);
+
+} // namespace workshatch::relay
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -123,6 +123,7 @@
   ++state_.stats.attempts[nameOf(outcome)];
   if (result.end != AttemptEnd::Answered) {
     line_log::write("attempt_ended", {{"request", request_.id},
+                                      {"identity", relay::textOf(request_.identity)},
                                       {"runner", runner.entry.id()},
                                       {"runner_load", runner.load()},
                                       {"outcome", nameOf(outcome)},
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -171,6 +171,9 @@
       return refusal(http::Status::unauthorized, "unknown_key", "the key is not known", id);
     }
   }
+  relayed.identity =
+      relay::identityOf(relayed.tenant == nullptr ? "" : relayed.tenant->name,
+                        http::viewOf(request.method_string()), target, request.body());
   relayed.standing.draw = routing::fingerprintOf(id);
   relayed.service = relay::RouteTable::pickService(*relayed.route, relayed.standing.draw);
   const int64_t allowed_ms = relayed.route->timeout_ms;
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -10,6 +10,7 @@
 
 #include "adapters/http/http_server.h"
 #include "adapters/http/problem.h"
+#include "core/relay/request_identity.h"
 #include "core/relay/route_table.h"
 #include "daemon/relay/relay_state.h"
 
@@ -23,6 +24,8 @@
   const relay::Tenant* tenant = nullptr;
   std::string service;
   std::string id;
+  /// The same for each try of this request.
+  relay::RequestIdentity identity;
   int64_t received_ms = 0;
   /// When the caller gets its final answer at the latest.
   int64_t deadline_ms = 0;
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -285,6 +285,7 @@
   line_log::write(
       "request_ended",
       {{"request", request_.id},
+       {"identity", relay::textOf(request_.identity)},
        {"outcome", outcome},
        {"route", request_.route->name},
        {"service", request_.service},
