Failing test: a request that ends runners reaches more of them, try by try

Three relays, a group of one replica and twelve runners on loopback: after three ends and the bound of 3 s nine more tries end the nine other runners; at the end nobody serves anything. Listed in KNOWN-RED.txt; scripts/test.sh passes over unit tests that are listed there and prints them.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,7 +12,15 @@
 mkdir -p run
 : >"$report"
 
-build/workshatch-unit-tests | tee -a "$report"
+# Titles of the unit tests in KNOWN-RED.txt, joined by commas.
+known_red_units=""
+if [ -f KNOWN-RED.txt ]; then
+  known_red_units=$(sed -n 's/^unit test "\([^"]*\)":.*/\1/p' KNOWN-RED.txt | paste -sd ,)
+fi
+build/workshatch-unit-tests --test-case-exclude="$known_red_units" | tee -a "$report"
+if [ -n "$known_red_units" ]; then
+  grep '^unit test "' KNOWN-RED.txt | sed 's/^/known red: /'
+fi
 counts=$(grep -o 'test cases: *[0-9]* | *[0-9]* passed | *[0-9]* failed' "$report" | tail -n 1)
 passed=$(sed 's/.*| *\([0-9]*\) passed.*/\1/' <<<"$counts")
 failed=$(sed 's/.*| *\([0-9]*\) failed/\1/' <<<"$counts")
--- /dev/null
+++ b/tests/unit/daemon/fleet/test_fleet.h
@@ -0,0 +1,327 @@
+/// @file
+/// A whole system on loopback in one process: a group of one replica, relays, the platform's list
+/// of runners, and runners that end when they run a certain request.
+#pragma once
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <filesystem>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include "adapters/http/simple_get.h"
+#include "adapters/system_clock.h"
+#include "daemon/group/group_role.h"
+#include "daemon/relay/relay_role.h"
+#include "unit/daemon/relay/relay_fixture.h"
+
+namespace workshatch::test {
+
+/// @return whether the condition came true within the limit.
+template <typename Condition> bool within(std::chrono::milliseconds limit, Condition condition) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (!condition() && std::chrono::steady_clock::now() < end) {
+    std::this_thread::yield();
+  }
+  return condition();
+}
+
+inline constexpr std::chrono::milliseconds kPatience{10'000};
+
+/// A runner whose process ends, with all its connections and its listener, when it begins to run
+/// the request with a given body. Serves one connection at a time.
+class EndingRunner {
+public:
+  /// @param deadly_body two bytes
+  explicit EndingRunner(std::string deadly_body)
+      : acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        address_("127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())),
+        deadly_body_(std::move(deadly_body)), thread_([this] { serve(); }) {}
+  ~EndingRunner() {
+    stopping_ = true;
+    // Wakes the accept; refused when the runner has ended.
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket wake(context);
+    boost::system::error_code ignored;
+    wake.connect(*http::parseEndpoint(address_), ignored);
+    thread_.join();
+  }
+  EndingRunner(const EndingRunner&) = delete;
+  EndingRunner& operator=(const EndingRunner&) = delete;
+
+  const std::string& address() const { return address_; }
+  bool ended() const { return ended_; }
+
+private:
+  void serve() {
+    while (true) {
+      boost::asio::ip::tcp::socket socket(context_);
+      boost::system::error_code failure;
+      acceptor_.accept(socket, failure);
+      if (stopping_ || failure) {
+        return;
+      }
+      const std::string request = readRequest(socket);
+      if (request.empty()) {
+        continue;
+      }
+      if (request.ends_with(deadly_body_)) {
+        acceptor_.close(failure);
+        socket.close(failure);
+        ended_ = true;
+        return;
+      }
+      say(socket, signedAnswer(idOf(request), "whole"));
+    }
+  }
+
+  /// @return head and body; empty: none came whole.
+  static std::string readRequest(boost::asio::ip::tcp::socket& socket) {
+    constexpr size_t kBodyBytes = 2;
+    const std::string end_of_head = "\r\n\r\n";
+    std::string request;
+    boost::system::error_code failure;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), end_of_head, failure);
+    if (failure) {
+      return "";
+    }
+    const size_t whole = request.find(end_of_head) + end_of_head.size() + kBodyBytes;
+    if (request.size() < whole) {
+      boost::asio::read(socket, boost::asio::dynamic_buffer(request),
+                        boost::asio::transfer_exactly(whole - request.size()), failure);
+    }
+    return failure ? "" : request;
+  }
+
+  static std::string idOf(const std::string& request) {
+    const std::string name = "W-Request: ";
+    const size_t begin = request.find(name) + name.size();
+    return request.substr(begin, request.find("\r\n", begin) - begin);
+  }
+
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  const std::string address_;
+  const std::string deadly_body_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<bool> ended_{false};
+  std::thread thread_;
+};
+
+/// Any document is the configuration of one route of one service.
+class AnyDocumentCodec : public ConfigurationCodec {
+public:
+  Result<relay::Configuration> decode(std::string_view) const override {
+    relay::Configuration configuration;
+    configuration.version = 1;
+    configuration.services = {relay::Service{.name = "s"}};
+    configuration.tenants = {relay::Tenant{.name = "tenant-1", .keys = {"key-1"}},
+                             relay::Tenant{.name = "tenant-2", .keys = {"key-2"}}};
+    configuration.routes = {testRoute(relay::RouteKind::RunOnce, 1)};
+    return configuration;
+  }
+};
+
+/// Lists of runners as lines "id address".
+class LinesCodec : public RunnerListCodec {
+public:
+  std::string target(const std::string&) const override { return "/list"; }
+  Result<RunnerPage> decode(std::string_view body) const override {
+    RunnerPage page;
+    std::istringstream lines{std::string(body)};
+    std::string id;
+    std::string address;
+    while (lines >> id >> address) {
+      v1::RunnerEntry* entry = page.runners.add_runners();
+      entry->set_id(id);
+      entry->set_service("s");
+      entry->set_address(address);
+      entry->set_zone("north");
+    }
+    return page;
+  }
+};
+
+/// The processes of one system, each role on a worker of its own.
+class TestFleet {
+public:
+  /// @param first_port of some ports that no other test uses
+  TestFleet(size_t relays, size_t runners, uint16_t first_port)
+      : first_port_(first_port), folder_(std::filesystem::temp_directory_path() /
+                                         ("workshatch-fleet-test-" + std::to_string(first_port))),
+        list_([this](auto& socket, const auto&) { tellRunners(socket); }) {
+    std::filesystem::remove_all(folder_);
+    std::filesystem::create_directories(folder_);
+    for (size_t i = 0; i < runners; ++i) {
+      runners_.push_back(std::make_unique<EndingRunner>("ko"));
+    }
+    startGroup(true);
+    REQUIRE(within(kPatience, [&] { return configurationTaken(); }));
+    for (size_t i = 0; i < relays; ++i) {
+      relays_.push_back(startRelay(i));
+    }
+    for (size_t i = 0; i < relays; ++i) {
+      REQUIRE(within(kPatience, [&] { return ask(i, "hi").find("whole") != std::string::npos; }));
+    }
+  }
+  ~TestFleet() {
+    for (auto& relay : relays_) {
+      relay->workers.stop();
+    }
+    relays_.clear();
+    stopGroup();
+    std::filesystem::remove_all(folder_);
+  }
+  TestFleet(const TestFleet&) = delete;
+  TestFleet& operator=(const TestFleet&) = delete;
+
+  /// As if the group's process were killed and started again.
+  void restartGroup() {
+    stopGroup();
+    startGroup(false);
+  }
+  /// As if a relay's process were killed and started again.
+  void restartRelay(size_t relay) {
+    relays_[relay]->workers.stop();
+    relays_[relay].reset();
+    relays_[relay] = startRelay(relay);
+  }
+
+  /// Sends a request with a body of two bytes to a relay. @return the whole answer.
+  std::string ask(size_t relay, const std::string& body, const std::string& key = "key-1") {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    boost::system::error_code failure;
+    socket.connect(*http::parseEndpoint(callerAddress(relay)), failure);
+    // Each try has an id of its own.
+    const std::string id = "q" + std::to_string(++tries_);
+    const std::string request = "POST /work HTTP/1.1\r\nHost: h.example\r\nW-Request: " + id +
+                                "\r\nW-Key: " + key +
+                                "\r\nW-Deadline: 3000\r\nConnection: close\r\n"
+                                "Content-Length: 2\r\n\r\n" +
+                                body;
+    boost::asio::write(socket, boost::asio::buffer(request), failure);
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), failure);
+    return answer;
+  }
+
+  size_t endedRunners() const {
+    return static_cast<size_t>(std::count_if(runners_.begin(), runners_.end(),
+                                             [](const auto& runner) { return runner->ended(); }));
+  }
+  size_t relayCount() const { return relays_.size(); }
+  /// @return whether the metrics of a relay hold a line.
+  bool metricsHave(size_t relay, const std::string& line) const {
+    const auto text = http::simpleGet(metricsAddress(relay), "/metrics");
+    return !isError(text) && std::get<std::string>(text).find(line + "\n") != std::string::npos;
+  }
+
+private:
+  struct Relay {
+    WorkerPool workers{1};
+    std::unique_ptr<daemon::RelayRole> role;
+  };
+  struct Group {
+    WorkerPool workers{1};
+    std::unique_ptr<daemon::GroupRole> role;
+  };
+
+  /// Each process has an address of its own, as on machines of its own.
+  static std::string ipOf(size_t process) { return "127.0.0." + std::to_string(process + 1); }
+  std::string at(const std::string& ip, uint16_t port) const {
+    return ip + ":" + std::to_string(first_port_ + port);
+  }
+  std::string callerAddress(size_t relay) const { return at(ipOf(relay + 1), 2); }
+  std::string metricsAddress(size_t relay) const { return at(ipOf(relay + 1), 3); }
+
+  daemon::RelayAdapters adapters() const {
+    return daemon::RelayAdapters{
+        .dialect = dialect_, .configurations = configurations_, .runner_lists = lists_};
+  }
+
+  settings::RelaySettings commonSettings() const {
+    settings::RelaySettings settings;
+    settings.zone = "north";
+    settings.zones = relay::ZoneRegions({{"north", "here"}, {"south", "here"}});
+    settings.seeds = {at(ipOf(0), 0)};
+    settings.link_port = static_cast<uint16_t>(first_port_ + 1);
+    settings.runner_list_address = list_.address();
+    settings.runner_list_calls = 100;
+    return settings;
+  }
+
+  void startGroup(bool first_start) {
+    settings::RelaySettings settings = commonSettings();
+    settings.name = "replica-1";
+    settings.ip = ipOf(0);
+    settings.operator_address = at(ipOf(0), 0);
+    settings.first_start = first_start;
+    settings.data_folder = folder_.string();
+    group_ = std::make_unique<Group>();
+    group_->role =
+        std::make_unique<daemon::GroupRole>(settings, group_->workers, clock_, adapters());
+    REQUIRE_FALSE(isError(group_->role->start()));
+    group_->workers.start();
+  }
+
+  void stopGroup() {
+    group_->workers.stop();
+    group_.reset();
+  }
+
+  std::unique_ptr<Relay> startRelay(size_t number) const {
+    settings::RelaySettings settings = commonSettings();
+    settings.name = "relay-" + std::to_string(number);
+    settings.ip = ipOf(number + 1);
+    settings.caller_address = callerAddress(number);
+    settings.metrics_address = metricsAddress(number);
+    auto relay = std::make_unique<Relay>();
+    relay->role = std::make_unique<daemon::RelayRole>(settings, relay->workers, clock_, adapters());
+    REQUIRE_FALSE(isError(relay->role->start()));
+    relay->workers.start();
+    return relay;
+  }
+
+  bool configurationTaken() const {
+    const auto answer = http::simpleCall(at(ipOf(0), 0), http::Verb::post,
+                                         dialect_.paths().put_configuration, "any", {});
+    return !isError(answer) && std::get<http::Response>(answer).result() == http::Status::ok;
+  }
+
+  void tellRunners(ScriptedRunner::Socket& socket) const {
+    std::string lines;
+    for (size_t i = 0; i < runners_.size(); ++i) {
+      if (!runners_[i]->ended()) {
+        lines += "runner-" + std::to_string(i) + " " + runners_[i]->address() + "\n";
+      }
+    }
+    say(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
+                    std::to_string(lines.size()) + "\r\n\r\n" + lines);
+  }
+
+  const uint16_t first_port_;
+  const std::filesystem::path folder_;
+  const SystemClock clock_{};
+  const TestDialect dialect_{};
+  const AnyDocumentCodec configurations_{};
+  const LinesCodec lists_{};
+  std::vector<std::unique_ptr<EndingRunner>> runners_;
+  ScriptedRunner list_;
+  std::unique_ptr<Group> group_;
+  std::vector<std::unique_ptr<Relay>> relays_;
+  uint64_t tries_ = 0;
+};
+
+} // namespace workshatch::test
