A request under which three runners ended goes into quarantine

Cause: what is known of a request ended with the try. The caller sends the same request under a new id, at any relay; a relay excluded the runners of the present try and remembered failures for the runner only, so each try found a runner that worked, and ended it. Class: a fault of the request was booked on the runner, and each relay alone saw too little of either.

Ruled out: repeats within a try (125 cut tries, each cut once); overload or start-up of runners (loads of 1 to 9 of 64); cuts by the network (the addresses refused at once).

Change: a relay that sees a connection cut looks whether the runner's address refuses (its process is gone) and tells the leader which requests were in progress there. The leader counts ends by request and puts one into quarantine at the third, by an order of the replicated log that is pushed to all relays like an evacuation. Relays refuse it at once with 503 and the time that is left, before a place is taken and again before the send, and take back what waits at runners unanswered. Ends at which it was running count against no other request; where two were at all the same ends, the next tells them apart; a request that ran whole in the last minute is neither reported nor kept there.

--- a/src/core/relay/group_state.cc
+++ b/src/core/relay/group_state.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/relay/request_identity.h"
+
 namespace workshatch::relay {
 
 GroupState::Change GroupState::apply(const std::string& command, uint64_t index) {
@@ -15,6 +17,8 @@
     return store(*parsed.mutable_store());
   case v1::GroupCommand::kEvacuation:
     return order(parsed.evacuation(), index);
+  case v1::GroupCommand::kQuarantine:
+    return quarantine(*parsed.mutable_quarantine(), index);
   case v1::GroupCommand::COMMAND_NOT_SET:
     break;
   }
@@ -51,6 +55,29 @@
   return Change::Evacuations;
 }
 
+GroupState::Change GroupState::quarantine(v1::QuarantineOrder& order, uint64_t index) {
+  auto* requests = state_.mutable_quarantine()->mutable_requests();
+  const RequestIdentity request = identityOf(order.request().request());
+  const auto place =
+      std::find_if(requests->begin(), requests->end(), [&](const v1::QuarantinedRequest& held) {
+        return identityOf(held.request()) == request;
+      });
+  const bool held = place != requests->end();
+  if (held == order.begin()) {
+    return Change::None;
+  }
+  if (held) {
+    requests->erase(place);
+  } else {
+    if (static_cast<size_t>(requests->size()) >= kMostQuarantined) {
+      requests->erase(requests->begin());
+    }
+    *requests->Add() = std::move(*order.mutable_request());
+  }
+  state_.mutable_quarantine()->set_version(index);
+  return Change::Quarantine;
+}
+
 std::vector<std::string> zoneNames(const v1::EvacuationList& evacuations) {
   std::vector<std::string> names;
   for (const v1::EvacuatedZone& zone : evacuations.zones()) {
@@ -64,7 +91,9 @@
   if (!snapshot.ParseFromString(bytes)) {
     return false;
   }
-  if (!snapshot.has_configuration() && !snapshot.has_evacuations()) {
+  const bool empty =
+      !snapshot.has_configuration() && !snapshot.has_evacuations() && !snapshot.has_quarantine();
+  if (empty) {
     // A snapshot of an earlier program, or of an empty state: both are a StoredConfiguration.
     if (!snapshot.mutable_configuration()->ParseFromString(bytes)) {
       return false;
--- a/src/core/relay/group_state.h
+++ b/src/core/relay/group_state.h
@@ -1,6 +1,6 @@
 /// @file
-/// The replicated state machine of the group: the configuration with the highest version, and the
-/// zones that are evacuated.
+/// The replicated state machine of the group: the configuration with the highest version, the zones
+/// that are evacuated, and the requests in quarantine.
 #pragma once
 
 #include <cstdint>
@@ -14,15 +14,21 @@
 /// What the committed commands of the replicated log amount to.
 ///
 /// Guarantees: the configuration's version only grows, and the content under a version never
-/// changes; a zone is evacuated exactly when the last committed order about it began an evacuation.
+/// changes; a zone is evacuated exactly when the last committed order about it began an evacuation;
+/// a request is in quarantine exactly when the last committed order about it put it there, unless
+/// `kMostQuarantined` others came after it.
 /// Deterministic; not safe for concurrent use.
 class GroupState {
 public:
+  /// The oldest give way to new ones. Some 12 kB, which each relay gets with its first lease.
+  static constexpr size_t kMostQuarantined = 256;
+
   enum class Change {
     /// The state is as before; also for bytes that are no command.
     None,
     Configuration,
     Evacuations,
+    Quarantine,
   };
 
   /// @param index position of the command in the replicated log
@@ -32,6 +38,9 @@
   /// Its version grows with each change, under all leaders.
   const v1::EvacuationList& evacuations() const { return state_.evacuations(); }
 
+  /// As `evacuations`.
+  const v1::QuarantineList& quarantine() const { return state_.quarantine(); }
+
   std::string save() const { return state_.SerializeAsString(); }
   /// Takes a snapshot of this program, or of an earlier one that knew no evacuations.
   /// @return false when the bytes are no snapshot.
@@ -39,6 +48,7 @@
 
 private:
   Change store(v1::StoredConfiguration& configuration);
+  Change quarantine(v1::QuarantineOrder& order, uint64_t index);
   Change order(const v1::EvacuationOrder& order, uint64_t index);
 
   v1::GroupSnapshot state_;
--- a/src/core/relay/request_identity.cc
+++ b/src/core/relay/request_identity.cc
@@ -21,6 +21,17 @@
                              routing::fingerprintOf(std::string_view(bytes.data(), bytes.size()))};
 }
 
+v1::RequestIdentity messageOf(const RequestIdentity& identity) {
+  v1::RequestIdentity message;
+  message.set_caller(identity.caller);
+  message.set_content(identity.content);
+  return message;
+}
+
+RequestIdentity identityOf(const v1::RequestIdentity& message) {
+  return RequestIdentity{.caller = message.caller(), .content = message.content()};
+}
+
 std::string textOf(const RequestIdentity& identity) {
   constexpr size_t kTextBytes = 34;
   std::array<char, kTextBytes> text{};
--- a/src/core/relay/request_identity.h
+++ b/src/core/relay/request_identity.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "workshatch/v1/relay.pb.h"
+
 namespace workshatch::relay {
 
 /// The request itself, apart from the try: its id differs from try to try.
@@ -31,6 +33,9 @@
 RequestIdentity identityOf(std::string_view tenant, std::string_view method,
                            std::string_view target, std::string_view body);
 
+v1::RequestIdentity messageOf(const RequestIdentity& identity);
+RequestIdentity identityOf(const v1::RequestIdentity& message);
+
 /// @return the identity as logs show it: caller and content, each as 16 hexadecimal digits.
 std::string textOf(const RequestIdentity& identity);
 
--- /dev/null
+++ b/src/core/relay/whole_runs.cc
@@ -0,0 +1,38 @@
+#include "core/relay/whole_runs.h"
+
+#include <utility>
+
+namespace workshatch::relay {
+
+namespace {
+
+/// Several times the longest request, so that a request which is asked for again and again is
+/// always known.
+constexpr int64_t kPeriodMs = 30'000;
+/// A relay of 10 requests a second sees some 300 in a period; 4,096 take some 250 kB.
+constexpr size_t kMostInPeriod = 4096;
+
+} // namespace
+
+void WholeRuns::forgetOld(int64_t now_ms) {
+  if (now_ms - period_began_ms_ < kPeriodMs && newer_.size() < kMostInPeriod) {
+    return;
+  }
+  // After a long pause the newer ones are old as well.
+  const bool both_old = now_ms - period_began_ms_ >= 2 * kPeriodMs;
+  older_ = both_old ? std::set<RequestIdentity>() : std::exchange(newer_, {});
+  newer_.clear();
+  period_began_ms_ = now_ms;
+}
+
+void WholeRuns::note(const RequestIdentity& request, int64_t now_ms) {
+  forgetOld(now_ms);
+  newer_.insert(request);
+}
+
+bool WholeRuns::contains(const RequestIdentity& request, int64_t now_ms) {
+  forgetOld(now_ms);
+  return newer_.contains(request) || older_.contains(request);
+}
+
+} // namespace workshatch::relay
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -184,6 +184,12 @@
                     {{"version", state_.configuration().version()}, {"term", node_->term()}});
     return;
   }
+  if (change == relay::GroupState::Change::Quarantine) {
+    line_log::write("quarantine_committed", {{"version", state_.quarantine().version()},
+                                             {"requests", state_.quarantine().requests_size()},
+                                             {"term", node_->term()}});
+    return;
+  }
   line_log::write("evacuations_committed", {{"version", state_.evacuations().version()},
                                             {"zones", relay::zoneNames(state_.evacuations())},
                                             {"term", node_->term()}});
@@ -239,13 +245,11 @@
   scheduleProcess();
 }
 
-void GroupReplica::order(v1::EvacuationOrder order, StoreCallback done) {
+void GroupReplica::order(const v1::GroupCommand& command, StoreCallback done) {
   if (unwritten_ || !leads()) {
     done(StoreOutcome::NotLeader);
     return;
   }
-  v1::GroupCommand command;
-  *command.mutable_evacuation() = std::move(order);
   const std::optional<uint64_t> index = node_->propose(command.SerializeAsString());
   if (!index) {
     done(StoreOutcome::NotLeader);
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -1,6 +1,6 @@
 /// @file
-/// A replica of the group that holds the configuration and the evacuations: runs the replicated log
-/// on an event loop.
+/// A replica of the group that holds the configuration, the evacuations and the quarantine: runs
+/// the replicated log on an event loop.
 #pragma once
 
 #include <cstdint>
@@ -71,7 +71,7 @@
   /// Set before `start`.
   void onHelloWanted(HelloSender sender) { send_hello_ = std::move(sender); }
   void onJoinWanted(JoinSender sender) { send_join_ = std::move(sender); }
-  /// Runs after each change of the stored configuration or of the evacuations.
+  /// Runs after each change of the replicated state.
   void onChange(std::function<void()> handler) { on_change_ = std::move(handler); }
   /// Runs when this replica learns who leads, itself included once it can confirm reads.
   void onLeaderKnown(std::function<void()> handler) { on_leader_known_ = std::move(handler); }
@@ -87,9 +87,9 @@
 
   /// Proposes a configuration; decides when it is applied whether it is above the held one.
   void store(v1::StoredConfiguration configuration, StoreCallback done);
-  /// Proposes an order about a zone; also one that the state already obeys, since another order
-  /// about the zone may be on its way to a majority.
-  void order(v1::EvacuationOrder order, StoreCallback done);
+  /// Proposes an order about a zone or a request in quarantine; also one that the state already
+  /// obeys, since another order about the same thing may be on its way to a majority.
+  void order(const v1::GroupCommand& command, StoreCallback done);
   /// Reads the configuration after a majority has confirmed this leader.
   void read(ReadCallback done);
 
@@ -106,6 +106,7 @@
   std::vector<std::string> memberAddresses() const;
   const v1::StoredConfiguration& stored() const { return state_.configuration(); }
   const v1::EvacuationList& evacuations() const { return state_.evacuations(); }
+  const v1::QuarantineList& quarantine() const { return state_.quarantine(); }
   uint64_t id() const { return id_; }
   /// @return whether this replica counts for majorities, as far as it knows.
   bool votes() const { return raft::votesIn(node_->membership(), id_); }
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -195,6 +195,9 @@
   }
   metrics::exposeGauges(text, "group_evacuated_since_s",
                         "when the evacuation of a zone was ordered", "zone", evacuated);
+  metrics::exposeGauge(text, "group_quarantined_requests",
+                       "requests that reach no runner since they ended some",
+                       static_cast<int64_t>(replica_.quarantine().requests_size()));
   metrics::exposeGauge(text, "group_relays", "relays that renew with this replica",
                        static_cast<int64_t>(hub_.relayCount()));
   metrics::exposeGauge(text, "group_runners", "runners in the list that it tells",
--- a/src/daemon/group/operator_api.cc
+++ b/src/daemon/group/operator_api.cc
@@ -154,12 +154,13 @@
     co_await exchange.respond(std::move(redirect));
     co_return;
   }
-  v1::EvacuationOrder order;
+  v1::GroupCommand command;
+  v1::EvacuationOrder& order = *command.mutable_evacuation();
   order.set_zone(call.zone);
   order.set_begin(call.begin);
   order.set_ordered_ms(clock_.wallMs());
   const StoreOutcome outcome = co_await outcomeOf(
-      [&](GroupReplica::StoreCallback done) { replica_.order(std::move(order), std::move(done)); });
+      [&](GroupReplica::StoreCallback done) { replica_.order(command, std::move(done)); });
   line_log::write("evacuation_ordered", {{"zone", call.zone},
                                          {"begin", call.begin},
                                          {"stored", outcome == StoreOutcome::Stored},
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -11,6 +11,7 @@
 #include "core/compression/deflate.h"
 #include "core/relay/load_sums.h"
 #include "core/relay/renewal_period.h"
+#include "core/relay/request_identity.h"
 #include "core/relay/tenant_shares.h"
 
 namespace workshatch::daemon {
@@ -46,6 +47,7 @@
     return;
   }
   versions_.begin(replica_.term());
+  runner_ends_.setQuarantine(replica_.quarantine());
   relays_.clear();
   silent_relays_.clear();
   relay_list_.Clear();
@@ -71,6 +73,8 @@
 
 void RelayHub::renewed(const std::shared_ptr<link::FramedLink>& link,
                        const v1::LeaseRenewal& renewal) {
+  // Also without leading: a relay tells it once, and this replica may lead next.
+  runner_ends_.take(renewal, clock_.monotonicMs());
   if (!replica_.isLeader()) {
     nameLeader(link, renewal.sequence());
     if (!replica_.knowsLeader()) {
@@ -80,6 +84,7 @@
   }
   takeTerm();
   noteRenewal(link, renewal);
+  orderQuarantine();
   unconfirmed_.push_back(
       Unconfirmed{.link = link, .relay = renewal.name(), .sequence = renewal.sequence()});
   startRoundSoon();
@@ -122,9 +127,12 @@
     relay.sent = SentVersions{.configuration = renewal.configuration_version(),
                               .runner_list = renewal.runner_list_version(),
                               .relay_list = renewal.relay_list_version(),
-                              .evacuations = renewal.evacuation_version()};
+                              .evacuations = renewal.evacuation_version(),
+                              .quarantine = renewal.quarantine_version()};
   }
   relay.renewal = renewal;
+  // Counted already.
+  relay.renewal.clear_runner_ends();
   relay.renewed_at_ms = clock_.monotonicMs();
   silent_relays_.heard(renewal.name());
   if (joined) {
@@ -253,6 +261,30 @@
   relay.sent.evacuations = evacuations.version();
 }
 
+void RelayHub::addQuarantine(Relay& relay, v1::LeaseReply& reply) const {
+  const v1::QuarantineList& quarantine = replica_.quarantine();
+  if (quarantine.version() == relay.sent.quarantine) {
+    return;
+  }
+  *reply.mutable_quarantine() = quarantine;
+  relay.sent.quarantine = quarantine.version();
+}
+
+/// Gives the orders that are due by the ends of runners that relays have told.
+void RelayHub::orderQuarantine() {
+  for (v1::QuarantineOrder& order : runner_ends_.due(clock_.monotonicMs(), clock_.wallMs())) {
+    line_log::write("quarantine_ordered",
+                    {{"identity", relay::textOf(relay::identityOf(order.request().request()))},
+                     {"begin", order.begin()},
+                     {"runners_ended", order.request().runners_ended()},
+                     {"counted", runner_ends_.requestCount()}});
+    v1::GroupCommand command;
+    *command.mutable_quarantine() = std::move(order);
+    // One that is not stored is due again a moment later.
+    replica_.order(command, [](StoreOutcome) {});
+  }
+}
+
 void RelayHub::addMembers(Relay& relay, v1::LeaseReply& reply) const {
   std::vector<std::string> members = replica_.memberAddresses();
   if (members == relay.sent.members) {
@@ -298,6 +330,7 @@
   addMembers(relay, reply);
   addConfiguration(relay, reply);
   addEvacuations(relay, reply);
+  addQuarantine(relay, reply);
   addSums(relay, reply);
   if (!pacer_.ready(clock_.monotonicMs())) {
     return;
@@ -391,14 +424,17 @@
   pushLargeParts();
 }
 
-void RelayHub::pushEvacuations() {
+void RelayHub::pushOrders() {
   for (auto& [name, relay] : relays_) {
     const auto link = relay.link.lock();
-    if (!link || relay.sent.evacuations == replica_.evacuations().version()) {
+    const bool current = relay.sent.evacuations == replica_.evacuations().version() &&
+                         relay.sent.quarantine == replica_.quarantine().version();
+    if (!link || current) {
       continue;
     }
     v1::Frame frame;
     addEvacuations(relay, *frame.mutable_lease());
+    addQuarantine(relay, *frame.mutable_lease());
     send(link, frame);
   }
 }
@@ -445,10 +481,11 @@
 void RelayHub::stateChanged() {
   // A replica that does not lead remembers it too: it may have to tell the difference later.
   configurations_.add(replica_.stored());
+  runner_ends_.setQuarantine(replica_.quarantine());
   if (!replica_.leads()) {
     return;
   }
-  pushEvacuations();
+  pushOrders();
   pushLargeParts();
 }
 
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -15,6 +15,7 @@
 #include "adapters/link/framed_link.h"
 #include "core/relay/bulk_pacer.h"
 #include "core/relay/led_runner_list.h"
+#include "core/relay/runner_end_counts.h"
 #include "core/relay/runner_list_history.h"
 #include "core/relay/silent_relays.h"
 #include "daemon/configuration_transfer.h"
@@ -51,8 +52,7 @@
   size_t relayCount() const { return relays_.size(); }
   const v1::RunnerList& runners() const { return runners_.list(); }
 
-  /// Takes note of a new configuration or of other evacuations; the leader pushes them to all
-  /// relays.
+  /// Takes note of a change of the replicated state; the leader pushes it to all relays.
   void stateChanged();
 
 private:
@@ -62,6 +62,7 @@
     uint64_t runner_list = 0;
     uint64_t relay_list = 0;
     uint64_t evacuations = 0;
+    uint64_t quarantine = 0;
     std::vector<std::string> members;
     /// When sums of loads may be sent again.
     int64_t sums_due_ms = 0;
@@ -95,13 +96,15 @@
   void fillAnswer(Relay& relay, v1::LeaseReply& reply);
   void addConfiguration(Relay& relay, v1::LeaseReply& reply);
   void addEvacuations(Relay& relay, v1::LeaseReply& reply) const;
+  void addQuarantine(Relay& relay, v1::LeaseReply& reply) const;
+  void orderQuarantine();
   void addRunners(Relay& relay, v1::LeaseReply& reply);
   void addMembers(Relay& relay, v1::LeaseReply& reply) const;
   void addSums(Relay& relay, v1::LeaseReply& reply) const;
   bool lacksConfiguration(const Relay& relay) const;
   bool lacksLargePart(const Relay& relay) const;
-  /// Tells all relays which zones are evacuated, at once.
-  void pushEvacuations();
+  /// Tells all relays which zones are evacuated and which requests are in quarantine, at once.
+  void pushOrders();
   /// Tells all relays the configuration and the list of runners, as fast as the link bears.
   void pushLargeParts();
   void pushSome();
@@ -116,6 +119,8 @@
   relay::LedRunnerList runners_;
   relay::RunnerListHistory runner_history_;
   relay::SilentRelays silent_relays_;
+  /// Kept across leaderships: it is what relays saw, and each relay tells it once on a link.
+  relay::RunnerEndCounts runner_ends_;
   v1::RelayList relay_list_;
   /// `relay_list_` as it is sent.
   v1::Compressed packed_relay_list_;
--- a/src/daemon/relay/control_link.cc
+++ b/src/daemon/relay/control_link.cc
@@ -105,7 +105,7 @@
 
 void ControlLink::renew() {
   v1::Frame frame;
-  *frame.mutable_renewal() = make_renewal_();
+  *frame.mutable_renewal() = make_renewal_(std::exchange(first_on_link_, false));
   link_->send(frame);
 }
 
@@ -147,6 +147,7 @@
     heard_at_ms_ = clock_.monotonicMs();
     heard_bytes_ = 0;
     unconfirmed_ = 0;
+    first_on_link_ = true;
     link_->start([this](const v1::Frame& frame) { received(frame); }, [this] { drop("closed"); });
     renew();
   });
--- a/src/daemon/relay/control_link.h
+++ b/src/daemon/relay/control_link.h
@@ -21,8 +21,9 @@
 /// Lives on one event loop; not safe for concurrent use.
 class ControlLink {
 public:
-  /// Makes the next renewal, with its sequence number.
-  using RenewalSource = std::function<v1::LeaseRenewal()>;
+  /// Makes the next renewal, with its sequence number. @param first_on_link nothing was told on the
+  /// present link before, so that the replica there may know nothing of this relay.
+  using RenewalSource = std::function<v1::LeaseRenewal(bool first_on_link)>;
   using ReplyHandler = std::function<void(const v1::LeaseReply&)>;
 
   /// @param seeds addresses for frames of some replicas
@@ -79,6 +80,8 @@
   uint32_t unconfirmed_ = 0;
   /// Attempts that may still be made before the next step.
   uint32_t dials_left_ = 0;
+  /// Nothing was sent on the present link yet.
+  bool first_on_link_ = true;
   /// The present link leads to a leader.
   bool confirmed_ = false;
 };
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -95,6 +95,9 @@
   connection_ = std::make_shared<http::RunnerConnection>(context_);
   const auto error = co_await connection_->connect(*endpoint, kConnectLimit);
   if (!error) {
+    if (state_.runner_ends) {
+      state_.runner_ends->noteListening(runner);
+    }
     co_return ConnectOutcome::Connected;
   }
   last_error_ = error->message;
@@ -194,17 +197,20 @@
   }
   source_ = co_await takeSource(std::move(question), choice);
   part_source_ = source_ ? source_->entry.id() : "";
+  // These orders may have come after the place was taken. Nothing is waited for between here and
+  // the send.
   if (runner.evacuated) {
-    // The order came after the place was taken. Nothing is waited for between here and the send.
     last_error_ = "zone evacuated";
+  } else if (inQuarantine()) {
+    last_error_ = "request in quarantine";
   }
-  if (runner.evacuated || ended()) {
+  if (runner.evacuated || inQuarantine() || ended()) {
     co_return AttemptResult{.end = AttemptEnd::Withdrawn,
                             .outcome = relay::AttemptOutcome::Withdrawn};
   }
   const auto error = co_await send(choice);
   if (error) {
-    co_return broken(error->timed_out ? "silent" : error->message);
+    co_return brokenBy(*error);
   }
   noteSignOfLife(runner);
   noteCold(runner);
@@ -224,6 +230,7 @@
   if (!reached && request_.cache_key != 0 && state_.parts) {
     state_.parts->tellNotSent(promptTarget(runner));
   }
+  noteForQuarantine(runner, result);
   noteEnd(runner, result);
   co_return result.end;
 }
@@ -235,6 +242,28 @@
   return AttemptResult{.end = AttemptEnd::Broken, .outcome = relay::AttemptOutcome::Failed};
 }
 
+/// As `broken`, by what the connection tells.
+RelayRun::AttemptResult RelayRun::brokenBy(const http::CallError& error) {
+  const bool by_runner = !error.timed_out && !ended();
+  AttemptResult result = broken(error.timed_out ? "silent" : error.message);
+  result.cut = by_runner;
+  return result;
+}
+
+/// Takes what the attempt shows of a request that may have ended its runner.
+void RelayRun::noteForQuarantine(const relay::Runner& runner, const AttemptResult& result) {
+  if (!state_.runner_ends) {
+    return;
+  }
+  if (result.cut) {
+    state_.runner_ends->noteCut(runner, request_.identity);
+  } else if (result.outcome == relay::AttemptOutcome::ProcessGone) {
+    state_.runner_ends->noteRefused(runner);
+  } else if (result.outcome == relay::AttemptOutcome::Succeeded) {
+    state_.runner_ends->noteWhole(request_.identity);
+  }
+}
+
 /// The runner did not run the request. The rest of its answer is read only to keep the connection.
 http::awaitable<RelayRun::AttemptResult> RelayRun::takeRefusal(relay::AttemptOutcome outcome) {
   last_error_ = "declined with " + std::to_string(connection_->head().result_int());
@@ -303,7 +332,7 @@
   while (true) {
     auto part = co_await connection_->read(silenceLimit(false));
     if (const auto* error = std::get_if<http::CallError>(&part)) {
-      co_return broken(error->timed_out ? "silent" : error->message);
+      co_return brokenBy(*error);
     }
     const std::string& text = std::get<std::string>(part);
     if (text.empty()) {
@@ -356,7 +385,7 @@
   while (true) {
     auto part = co_await connection_->read(silenceLimit(true));
     if (const auto* error = std::get_if<http::CallError>(&part)) {
-      co_return broken(error->timed_out ? "silent" : error->message);
+      co_return brokenBy(*error);
     }
     const std::string& text = std::get<std::string>(part);
     if (text.empty()) {
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -73,6 +73,17 @@
   metrics::exposeGauge(out, "relay_places_held_back",
                        "claims refused since a runner was cold or its zone evacuated",
                        static_cast<int64_t>(places.held_back));
+  const RunnerEnds::Counts& ends = runner_ends_->counts();
+  metrics::exposeGauge(out, "relay_runner_looks",
+                       "connections made to see whether a runner that cut a request has ended",
+                       static_cast<int64_t>(ends.looks));
+  metrics::exposeGauge(out, "relay_runner_looks_refused", "of these: it had",
+                       static_cast<int64_t>(ends.refused));
+  metrics::exposeGauge(out, "relay_runner_end_reports", "reports of ended runners to the leader",
+                       static_cast<int64_t>(ends.reports));
+  metrics::exposeGauge(out, "relay_quarantined_requests",
+                       "requests that reach no runner since they ended some",
+                       static_cast<int64_t>(state_.quarantine.requests().size()));
   metrics::LabelledCounts evacuated;
   for (const v1::EvacuatedZone& zone : evacuations_.zones()) {
     evacuated[zone.zone()] = zone.since_ms() / kMsPerSecond;
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -48,7 +48,8 @@
       adapters_(adapters), random_(SeededRandom::fromEntropy()), incarnation_(random_.next()),
       state_(settings_, clock, adapters.dialect),
       control_(
-          context_, clock, settings_.seedLinks(), [this] { return makeRenewal(); },
+          context_, clock, settings_.seedLinks(),
+          [this](bool first_on_link) { return makeRenewal(first_on_link); },
           [this](const v1::LeaseReply& reply) { leaseReplied(reply); }),
       reader_(context_, settings_.runner_list_address, adapters.runner_lists),
       peers_(std::make_shared<RelayPeers>(context_, clock)),
@@ -62,6 +63,7 @@
                                             return state_.runners.isCopySource(
                                                 runner, clock_.monotonicMs());
                                           })),
+      runner_ends_(std::make_shared<RunnerEnds>(context_, clock, [this] { control_.renewNow(); })),
       caller_server_(
           workers, [this] { return callerLimits(); },
           [this](http::Exchange& exchange) { return handle(exchange); }, refuseBadRequest),
@@ -100,6 +102,7 @@
   }
   state_.places = places_;
   state_.parts = parts_;
+  state_.runner_ends = runner_ends_;
   group_heard_ms_ = clock_.monotonicMs();
   control_.start();
   log_flusher_.start();
@@ -194,7 +197,7 @@
   return relay::addressesLifetimeS(relays_, lifetimes);
 }
 
-v1::LeaseRenewal RelayRole::makeRenewal() {
+v1::LeaseRenewal RelayRole::makeRenewal(bool first_on_link) {
   v1::LeaseRenewal renewal;
   renewal.set_sequence(state_.lease.renewalSent(clock_.monotonicMs()));
   renewal.set_name(settings_.name);
@@ -207,6 +210,11 @@
   renewal.set_runner_list_fingerprint(state_.runners.listFingerprint());
   renewal.set_relay_list_version(relays_.version());
   renewal.set_evacuation_version(state_.runners.evacuationVersion());
+  renewal.set_quarantine_version(state_.quarantine.version());
+  runner_ends_->fill(renewal, first_on_link);
+  for (const relay::RequestIdentity& request : cleared_) {
+    *renewal.add_ran_whole() = relay::messageOf(request);
+  }
   reported_loads_ = state_.runners.ownLoads(clock_.monotonicMs());
   *renewal.mutable_loads() = reported_loads_;
   if (state_.routes) {
@@ -227,6 +235,9 @@
   if (reply.has_evacuations()) {
     takeEvacuations(reply.evacuations());
   }
+  if (reply.has_quarantine()) {
+    takeQuarantine(reply.quarantine());
+  }
   if (reply.has_runners() && !takeRunners(reply.runners())) {
     control_.reconnect();
     return;
@@ -272,6 +283,29 @@
   state_.line.callNextOfEach();
 }
 
+void RelayRole::takeQuarantine(const v1::QuarantineList& list) {
+  if (!state_.quarantine.setList(list)) {
+    return;
+  }
+  cleared_.clear();
+  nlohmann::json requests = nlohmann::json::array();
+  for (const auto& [request, since_ms] : state_.quarantine.requests()) {
+    requests.push_back({{"identity", relay::textOf(request)}, {"since_ms", since_ms}});
+    if (runner_ends_->ranWhole(request)) {
+      cleared_.push_back(request);
+    }
+  }
+  for (RelayRun* run : state_.runs) {
+    run->takeBackIfQuarantined();
+  }
+  line_log::write("quarantine_in_force", {{"version", list.version()},
+                                          {"requests", std::move(requests)},
+                                          {"ran_whole", cleared_.size()}});
+  if (!cleared_.empty()) {
+    control_.renewNow();
+  }
+}
+
 bool RelayRole::takeRunners(const v1::RunnerListUpdate& update) {
   auto list = relay::applyUpdate(state_.runners.list(), update);
   if (isError(list)) {
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -44,11 +44,12 @@
   http::awaitable<void> tellMetrics(http::Exchange& exchange);
   http::awaitable<void> readRunnersWithoutGroup();
   http::awaitable<void> drain(std::function<void()> stopped);
-  v1::LeaseRenewal makeRenewal();
+  v1::LeaseRenewal makeRenewal(bool first_on_link);
   void leaseReplied(const v1::LeaseReply& reply);
   /// @return false when the update does not fit what is held.
   bool takeRunners(const v1::RunnerListUpdate& update);
   void takeEvacuations(const v1::EvacuationList& evacuations);
+  void takeQuarantine(const v1::QuarantineList& list);
   bool takeConfiguration(const v1::ConfigurationUpdate& update);
   void housekeep();
   bool ready() const;
@@ -69,6 +70,9 @@
   /// Shared with the places that requests hold, which may outlive the role.
   const std::shared_ptr<PlaceClient> places_;
   const std::shared_ptr<PartClient> parts_;
+  const std::shared_ptr<RunnerEnds> runner_ends_;
+  /// Requests in quarantine that ran whole here lately; told with each renewal.
+  std::vector<relay::RequestIdentity> cleared_;
   ReceivedConfiguration received_;
   v1::RelayList relays_;
   v1::EvacuationList evacuations_;
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "adapters/logging/line_log.h"
+#include "core/relay/runner_end_times.h"
 
 namespace workshatch::daemon {
 
@@ -47,8 +48,16 @@
   });
 }
 
+void RelayRun::takeBackIfQuarantined() {
+  if (inQuarantine() && !stream_started_) {
+    taken_back_ = true;
+    end();
+  }
+}
+
 http::awaitable<void> RelayRun::run() {
   const auto self = shared_from_this();
+  state_.runs.insert(this);
   armDeadline();
   exchange_.onHangUp([weak = weak_from_this()] {
     if (const auto run = weak.lock()) {
@@ -57,7 +66,8 @@
     }
   });
   state_.budget.noteRequest(request_.service, request_.received_ms);
-  while (!ended()) {
+  // A request that ended its runners would end the next one too, with all that runs beside it.
+  while (!ended() && !inQuarantine()) {
     const auto chosen = co_await findPlace();
     if (ended()) {
       break;
@@ -80,6 +90,7 @@
       break;
     }
   }
+  state_.runs.erase(this);
   place_.giveBack();
   deadline_.cancel();
   exchange_.onHangUp(nullptr);
@@ -236,6 +247,9 @@
 }
 
 uint32_t RelayRun::retryAfterMs() const {
+  if (const uint64_t* since_ms = state_.quarantine.sinceMs(request_.identity)) {
+    return relay::quarantineLeftMs(*since_ms, state_.clock.wallMs());
+  }
   if ((!all_full_ && declines_ == 0) || !state_.policy.paced_returns) {
     return kRetryWithoutRunnerMs;
   }
@@ -263,6 +277,12 @@
     co_await exchange_.respond(std::move(*failure_));
     co_return;
   }
+  if (!may_have_run_ && inQuarantine()) {
+    logOutcome("quarantined");
+    co_await refuse(http::Status::service_unavailable, "quarantined",
+                    "the runners that ran this request ended");
+    co_return;
+  }
   if (!may_have_run_) {
     const bool full = all_full_ || declines_ > 0;
     logOutcome(timed_out_ ? "not_run_timed_out" : full ? "all_full" : "not_run");
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -34,6 +34,10 @@
   /// Returns once the caller has its final answer or is gone.
   http::awaitable<void> run();
 
+  /// Takes the request back from its runner if it has come into quarantine and nothing of an answer
+  /// has come: it may wait there, and would end the runner when it begins.
+  void takeBackIfQuarantined();
+
 private:
   /// How one attempt ended, as far as the next step depends on it.
   enum class AttemptEnd {
@@ -53,6 +57,8 @@
   struct AttemptResult {
     AttemptEnd end = AttemptEnd::Unreachable;
     relay::AttemptOutcome outcome = relay::AttemptOutcome::Unreachable;
+    /// The runner ended the connection while the request was in progress.
+    bool cut = false;
   };
 
   enum class ConnectOutcome {
@@ -78,6 +84,8 @@
   http::awaitable<AttemptResult> relayStream(relay::Runner& runner);
   http::awaitable<bool> relayEvent(const relay::WholeEvent& event);
   AttemptResult broken(std::string error);
+  AttemptResult brokenBy(const http::CallError& error);
+  void noteForQuarantine(const relay::Runner& runner, const AttemptResult& result);
   void noteEnd(relay::Runner& runner, const AttemptResult& result);
   void releaseConnection(const relay::Runner& runner);
   http::Response answerHead() const;
@@ -99,7 +107,8 @@
   http::awaitable<void> refuse(http::Status status, std::string code, std::string detail);
   uint32_t retryAfterMs() const;
 
-  bool ended() const { return left_ || timed_out_; }
+  bool ended() const { return left_ || timed_out_ || taken_back_; }
+  bool inQuarantine() const { return state_.quarantine.contains(request_.identity); }
   bool mayTryAgain(AttemptEnd last) const;
   void armDeadline();
   void end();
@@ -117,6 +126,8 @@
   /// The caller has closed its connection.
   bool left_ = false;
   bool timed_out_ = false;
+  /// It came into quarantine while a runner had it.
+  bool taken_back_ = false;
   /// A runner may have run the request.
   bool may_have_run_ = false;
   bool stream_started_ = false;
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -4,10 +4,12 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "adapters/http/runner_connection.h"
 #include "adapters/settings/relay_settings.h"
+#include "core/relay/quarantine.h"
 #include "core/relay/retry_budget.h"
 #include "core/relay/return_times.h"
 #include "core/relay/route_table.h"
@@ -18,6 +20,7 @@
 #include "daemon/relay/part_client.h"
 #include "daemon/relay/place_client.h"
 #include "daemon/relay/relay_stats.h"
+#include "daemon/relay/runner_ends.h"
 #include "ports/clock.h"
 #include "ports/relay_dialect.h"
 
@@ -31,6 +34,8 @@
 /// and ten relays, some ten places become free here in the time that a request waits.
 inline constexpr size_t kMostWaiting = 48;
 
+class RelayRun;
+
 /// Lives on the relay's event loop; not safe for concurrent use.
 struct RelayState {
   RelayState(const settings::RelaySettings& settings, const Clock& time, const RelayDialect& names)
@@ -61,6 +66,12 @@
   std::shared_ptr<PlaceClient> places;
   /// Null: nobody is asked for the sources of parts.
   std::shared_ptr<PartClient> parts;
+  /// Null: nobody is told of runners that ended.
+  std::shared_ptr<RunnerEnds> runner_ends;
+  /// Requests that reach no runner.
+  relay::Quarantine quarantine;
+  /// Requests in progress; each takes itself out when it ends.
+  std::set<RelayRun*> runs;
   relay::WaitingLine line{kMostWaiting};
   relay::ReturnTimes return_times;
   relay::TenantUse tenants;
--- a/tests/unit/core/relay/group_state_test.cc
+++ b/tests/unit/core/relay/group_state_test.cc
@@ -21,8 +21,42 @@
   return command.SerializeAsString();
 }
 
+std::string quarantineOrder(uint64_t content, bool begin) {
+  v1::GroupCommand command;
+  v1::QuarantineOrder& order = *command.mutable_quarantine();
+  order.mutable_request()->mutable_request()->set_caller(1);
+  order.mutable_request()->mutable_request()->set_content(content);
+  order.mutable_request()->set_since_ms(50);
+  order.set_begin(begin);
+  return command.SerializeAsString();
+}
+
 } // namespace
 
+TEST_CASE("A request is in quarantine from the order that puts it there to the one that ends it") {
+  relay::GroupState state;
+  CHECK(state.apply(quarantineOrder(7, true), 3) == Change::Quarantine);
+  CHECK(state.apply(quarantineOrder(7, true), 4) == Change::None);
+  CHECK(state.apply(quarantineOrder(8, true), 5) == Change::Quarantine);
+  CHECK(state.quarantine().version() == 5);
+  relay::GroupState restored;
+  CHECK(restored.restore(state.save()));
+  CHECK(restored.quarantine().requests_size() == 2);
+  CHECK(restored.apply(quarantineOrder(7, false), 6) == Change::Quarantine);
+  REQUIRE(restored.quarantine().requests_size() == 1);
+  CHECK(restored.quarantine().requests(0).request().content() == 8);
+}
+
+TEST_CASE("The oldest request leaves a full quarantine") {
+  relay::GroupState state;
+  const size_t most = relay::GroupState::kMostQuarantined;
+  for (uint64_t content = 0; content <= most; ++content) {
+    CHECK(state.apply(quarantineOrder(content, true), content + 1) == Change::Quarantine);
+  }
+  CHECK(static_cast<size_t>(state.quarantine().requests_size()) == most);
+  CHECK(state.quarantine().requests(0).request().content() == 1);
+}
+
 TEST_CASE("A zone is evacuated from the order that begins it to the one that ends it") {
   relay::GroupState state;
   CHECK(state.apply(orderFor("south", true), 3) == Change::Evacuations);
--- a/tests/unit/daemon/fleet/ending_request_test.cc
+++ b/tests/unit/daemon/fleet/ending_request_test.cc
@@ -63,4 +63,33 @@
   CHECK(fleet.endedRunners() == 4);
 }
 
+TEST_CASE("A request stays in quarantine when all processes end and start again") {
+  TestFleet fleet(2, 8, 18420);
+  endRunners(fleet, 3);
+  for (size_t relay = 0; relay < fleet.relayCount(); ++relay) {
+    REQUIRE(within(kBound, [&] { return refuses(fleet, relay); }));
+  }
+  fleet.restartGroup();
+  for (size_t relay = 0; relay < fleet.relayCount(); ++relay) {
+    fleet.restartRelay(relay);
+    // The first request that is served at all shows that the relay has its first lease.
+    REQUIRE(within(kPatience,
+                   [&] { return fleet.ask(relay, "hi").find("whole") != std::string::npos; }));
+    CHECK(fleet.ask(relay, kDeadly).starts_with("HTTP/1.1 503"));
+  }
+  CHECK(fleet.endedRunners() == 3);
+}
+
+TEST_CASE("Ends that were told to a leader which then ended are told to the next") {
+  TestFleet fleet(2, 8, 18440);
+  endRunners(fleet, 2);
+  fleet.restartGroup();
+  endRunners(fleet, 3);
+  for (size_t relay = 0; relay < fleet.relayCount(); ++relay) {
+    CHECK(within(kPatience, [&] { return refuses(fleet, relay); }));
+    CHECK(fleet.ask(relay, kDeadly).starts_with("HTTP/1.1 503"));
+  }
+  CHECK(fleet.endedRunners() == 3);
+}
+
 } // namespace workshatch::test
--- a/tests/unit/daemon/group/group_replica_test.cc
+++ b/tests/unit/daemon/group/group_replica_test.cc
@@ -158,10 +158,10 @@
       GroupReplica* leading = stored || asked ? nullptr : leader();
       if (leading != nullptr) {
         asked = true;
-        v1::EvacuationOrder order;
-        order.set_zone(zone);
-        order.set_begin(begin);
-        leading->order(order, [&](StoreOutcome outcome) {
+        v1::GroupCommand command;
+        command.mutable_evacuation()->set_zone(zone);
+        command.mutable_evacuation()->set_begin(begin);
+        leading->order(command, [&](StoreOutcome outcome) {
           stored = outcome == StoreOutcome::Stored;
           asked = false;
         });
@@ -403,9 +403,9 @@
     cut = group.at(address).leads() ? address : cut;
   }
   std::vector<StoreOutcome> outcomes;
-  v1::EvacuationOrder order;
-  order.set_zone("north");
-  order.set_begin(true);
+  v1::GroupCommand order;
+  order.mutable_evacuation()->set_zone("north");
+  order.mutable_evacuation()->set_begin(true);
   group.cutOff(cut, true);
   group.at(cut).order(order, [&](StoreOutcome outcome) { outcomes.push_back(outcome); });
   REQUIRE(group.runUntil([&] { return group.leader() != nullptr && !group.at(cut).leads(); }));
--- a/tests/unit/daemon/relay/control_link_test.cc
+++ b/tests/unit/daemon/relay/control_link_test.cc
@@ -37,7 +37,7 @@
   };
   REQUIRE_FALSE(isError(first.listen("127.0.0.1:18251", namesOther("127.0.0.1:18252"))));
   REQUIRE_FALSE(isError(second.listen("127.0.0.1:18252", namesOther("127.0.0.1:18251"))));
-  const auto renewal = [] {
+  const auto renewal = [](bool) {
     v1::LeaseRenewal made;
     made.set_sequence(1);
     return made;
@@ -75,7 +75,7 @@
         [] {});
   };
   REQUIRE_FALSE(isError(leader.listen("127.0.0.1:18253", confirm)));
-  const auto renewal = [] {
+  const auto renewal = [](bool) {
     v1::LeaseRenewal made;
     made.set_sequence(1);
     return made;
