--- /dev/null
+++ b/tests/unit/core/relay/runner_life_test.cc
@@ -0,0 +1,125 @@
+/// @file
+/// A runner that starts again under its id: nothing that was known of it before counts.
+///
+/// A runner's process ended and was back two seconds later under the same id. Its start, which the
+/// list told, was not read, so that the failures, the load and the parts of prompts of the process
+/// before were held for its own: it was avoided for seconds, and named as a source of prompts that
+/// it had lost.
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "core/relay/led_runner_list.h"
+#include "core/relay/place_owner.h"
+#include "core/relay/runner_entry.h"
+#include "core/relay/runner_list_history.h"
+#include "core/relay/runner_table.h"
+
+namespace workshatch::test {
+
+namespace {
+
+/// A list of one runner. @param born_ms zero: it told no start
+v1::RunnerList listOf(uint64_t version, uint64_t born_ms) {
+  v1::RunnerList list;
+  list.set_version(version);
+  v1::RunnerEntry* entry = list.add_runners();
+  entry->set_id("runner-1");
+  entry->set_service("s");
+  entry->set_address("127.0.0.1:1");
+  entry->set_zone("z");
+  entry->set_slots(4);
+  entry->set_born_ms(born_ms);
+  return list;
+}
+
+relay::RunnerTable tableOf(const v1::RunnerList& list) {
+  relay::RunnerTable table(relay::RunnerTableOptions{});
+  table.setServices(
+      {relay::Service{.name = "s", .model_engine = true, .cold_s = 5, .cold_requests_per_s = 10}});
+  table.setList(list, 1000);
+  return table;
+}
+
+/// @return whether the table takes the second list's runner for another process.
+bool isOtherLife(uint64_t born_ms, uint64_t born_later_ms) {
+  relay::RunnerTable table = tableOf(listOf(1, born_ms));
+  const auto former = table.runners()[0];
+  table.setList(listOf(2, born_later_ms), 2000);
+  return table.runners()[0] != former;
+}
+
+} // namespace
+
+TEST_CASE("Failures, load and warmth of a runner end with its process") {
+  relay::RunnerTable table = tableOf(listOf(1, 5000));
+  const auto former = table.runners()[0];
+  CHECK(table.coldMs(*former, 1000) == 0);
+  table.beginAttempt(*former, 1000);
+  table.beginAttempt(*former, 1000);
+  table.endAttempt(*former, relay::AttemptOutcome::Unreachable, 1500);
+  table.setList(listOf(2, 9000), 2000);
+  const auto present = table.runners()[0];
+  CHECK(present->failures_in_row == 0);
+  CHECK(present->avoid_until_ms == 0);
+  CHECK(present->load() == 0);
+  CHECK(table.coldMs(*present, 2000) > 0);
+  // What is still in progress at the former process ends there.
+  table.endAttempt(*former, relay::AttemptOutcome::Failed, 2100);
+  CHECK(present->failures_in_row == 0);
+  CHECK(table.ownLoads(2100).in_progress_size() == 0);
+}
+
+TEST_CASE("A runner that is back keeps no parts and no places of before") {
+  relay::RunnerTable table = tableOf(listOf(1, 5000));
+  const uint64_t former = table.runners()[0]->fingerprint;
+  CHECK(table.isCopySource(former, 1000));
+  table.setList(listOf(2, 9000), 2000);
+  const uint64_t present = table.runners()[0]->fingerprint;
+  CHECK_FALSE(table.isCopySource(former, 2000));
+  CHECK(table.isCopySource(present, 2000));
+  CHECK_FALSE(table.ownedRunner(former, 2000).listed);
+  // Its owner counts anew, also when a use of the former process is told late.
+  relay::PlaceOwner owner;
+  v1::PlaceUse use;
+  use.set_runner(former);
+  use.set_held(4);
+  use.set_incarnation(1);
+  use.set_sequence(1);
+  owner.noteUse("relay-1", use, 2100);
+  CHECK(owner.loadOf(present) == 0);
+}
+
+TEST_CASE("Any other start is another process, also an earlier one, or one where none was told") {
+  CHECK(isOtherLife(5000, 9000));
+  CHECK(isOtherLife(5000, 4000));
+  CHECK(isOtherLife(0, 9000));
+  CHECK(isOtherLife(9000, 0));
+  CHECK_FALSE(isOtherLife(5000, 5000));
+  CHECK_FALSE(isOtherLife(0, 0));
+}
+
+TEST_CASE("The leader tells relays of a runner that is back, and maps no load of before to it") {
+  CHECK_FALSE(relay::fingerprintOf(listOf(1, 5000)) == relay::fingerprintOf(listOf(1, 9000)));
+  relay::RunnerListHistory history;
+  history.add(listOf(1, 5000));
+  history.add(listOf(2, 9000));
+  const v1::RunnerListUpdate update = history.updateFrom(1);
+  REQUIRE(update.changed_size() == 1);
+  CHECK(update.changed(0).born_ms() == 9000);
+  const auto* positions = history.positionsFrom(1);
+  REQUIRE(positions != nullptr);
+  CHECK_FALSE((*positions)[0].has_value());
+  const auto taken = relay::applyUpdate(listOf(1, 5000), update);
+  REQUIRE_FALSE(isError(taken));
+  REQUIRE(std::get<v1::RunnerList>(taken).runners_size() == 1);
+  CHECK(std::get<v1::RunnerList>(taken).runners(0).born_ms() == 9000);
+  relay::LedRunnerList led;
+  relay::LeaderVersions versions;
+  versions.begin(1);
+  led.begin(versions, 0);
+  led.readWhileLeading(listOf(0, 5000), versions);
+  CHECK(led.readWhileLeading(listOf(0, 9000), versions) == relay::ListNews::Runners);
+}
+
+} // namespace workshatch::test
