What is known of a runner ends with its process

Cause: a runner was known by its id alone. One that ended and was back under its id kept the failures, the load, the places and the parts of prompts of the process before.

Change: RunnerLife (id, and the start where one is told) names the process; its fingerprint, under which all tables keep what they know, differs for each life. The list carries the start; a changed one is a change of the list, load sums of the former life are mapped to none, and the entry is a new one, cold as after any start. Of a runner that tells no start nothing changes.

--- a/src/core/relay/runner.h
+++ b/src/core/relay/runner.h
@@ -12,7 +12,7 @@
 /// One back end. Times are milliseconds of the steady clock.
 struct Runner {
   v1::RunnerEntry entry;
-  /// Hash of the id, for ranking.
+  /// Fingerprint of its life (runner_life.h), under which all else is kept of it.
   uint64_t fingerprint = 0;
   /// Attempts of this relay that are in progress.
   uint32_t in_progress = 0;
--- a/src/core/relay/runner_entry.cc
+++ b/src/core/relay/runner_entry.cc
@@ -17,6 +17,7 @@
       text.append(*field).push_back('\0');
     }
     text.append(std::to_string(entry.slots())).push_back(entry.leaving() ? '-' : '+');
+    text.append(std::to_string(entry.born_ms())).push_back('\0');
   }
   return routing::fingerprintOf(text);
 }
--- a/src/core/relay/runner_entry.h
+++ b/src/core/relay/runner_entry.h
@@ -17,7 +17,8 @@
 /// reading. Field by field: comparing by reflection takes a leader of thousands of runners too
 /// long.
 inline bool sameEntry(const v1::RunnerEntry& left, const v1::RunnerEntry& right) {
-  return left.id() == right.id() && left.leaving() == right.leaving() &&
+  return left.id() == right.id() && left.born_ms() == right.born_ms() &&
+         left.leaving() == right.leaving() &&
          left.slots() == right.slots() && left.address() == right.address() &&
          left.service() == right.service() && left.zone() == right.zone();
 }
--- /dev/null
+++ b/src/core/relay/runner_life.h
@@ -0,0 +1,34 @@
+/// @file
+/// Which process of a runner is meant.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "workshatch/v1/relay.pb.h"
+
+namespace workshatch::relay {
+
+/// One process of a runner, from its start to its end. A runner that starts again under its id holds
+/// nothing and knows nothing of before.
+///
+/// All that is kept of a runner is kept under its life's fingerprint, so that it ends with the life:
+/// entries of the table of runners, load sums, places and pace at owners, parts of prompts, ends of
+/// runners. A message about a former life names another fingerprint and changes nothing of the
+/// present one.
+struct RunnerLife {
+  std::string id;
+  /// When the process started, milliseconds since the epoch; zero: not told. Only compared for being
+  /// the same: wall clocks may step back between two starts.
+  uint64_t born_ms = 0;
+
+  bool operator==(const RunnerLife& other) const {
+    return id == other.id && born_ms == other.born_ms;
+  }
+  /// @return never zero; that of a life without a told start is the id's alone.
+  uint64_t fingerprint() const;
+};
+
+RunnerLife lifeOf(const v1::RunnerEntry& entry);
+
+} // namespace workshatch::relay
--- a/src/core/relay/runner_list_history.cc
+++ b/src/core/relay/runner_list_history.cc
@@ -7,6 +7,7 @@
 
 #include "core/compression/deflate.h"
 #include "core/relay/runner_entry.h"
+#include "core/relay/runner_life.h"
 
 namespace workshatch::relay {
 
@@ -127,8 +128,8 @@
     while (position < newest.runners_size() && comesBefore(newest.runners(position), entry)) {
       ++position;
     }
-    const bool same =
-        position < newest.runners_size() && newest.runners(position).id() == entry.id();
+    const bool same = position < newest.runners_size() &&
+                      lifeOf(newest.runners(position)) == lifeOf(entry);
     found->second.push_back(same ? std::optional(static_cast<uint32_t>(position)) : std::nullopt);
   }
   return &found->second;
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "core/relay/runner_entry.h"
+#include "core/relay/runner_life.h"
 #include "core/relay/runner_loads.h"
-#include "core/routing/rendezvous.h"
 
 namespace workshatch::relay {
 
@@ -49,9 +49,11 @@
   list_fingerprint_ = fingerprintOf(list);
   for (const v1::RunnerEntry& entry : list.runners()) {
     auto& runner = known[entry.id()];
-    if (!runner) {
+    const RunnerLife life = lifeOf(entry);
+    // A process that has started again has none of the failures, load or parts of the one before.
+    if (!runner || !(lifeOf(runner->entry) == life)) {
       runner = std::make_shared<Runner>();
-      runner->fingerprint = routing::fingerprintOf(entry.id());
+      runner->fingerprint = life.fingerprint();
       runner->listed_since_ms = first ? 0 : now_ms;
     }
     takeEntry(*runner, entry, now_ms);
