Each entry of the list of runners is checked; one that is no runner's is passed over

Cause: the decoder gave the page up at the first entry that was no object, and took whatever was there for a runner otherwise: no address, an unknown state (counted as leaving), any number of slots through an unchecked conversion. A page with bytes that can't be read was no page.

Two entries under one id: the later process counts. A log line when the rejected entries change, gauges by cause and of the list's age.

--- a/scripts/check_names.sh
+++ b/scripts/check_names.sh
@@ -22,5 +22,6 @@
 layer src/daemon 'cli|standin|scenario'
 layer platform/configuration_codec.cc 'adapters|daemon'
 layer platform/dialect.cc 'adapters|daemon'
+layer platform/runner_entry_codec.cc 'adapters|daemon'
 layer platform/runner_list_codec.cc 'adapters|daemon'
 echo "names and layers: clean"
--- a/src/core/relay/runner_entry.cc
+++ b/src/core/relay/runner_entry.cc
@@ -1,11 +1,31 @@
 #include "core/relay/runner_entry.h"
 
+#include <map>
 #include <string>
+#include <utility>
 
 #include "core/routing/rendezvous.h"
 
 namespace workshatch::relay {
 
+size_t dropDuplicates(v1::RunnerList& list) {
+  const int before = list.runners_size();
+  std::map<std::string, v1::RunnerEntry> kept;
+  for (v1::RunnerEntry& entry : *list.mutable_runners()) {
+    const auto found = kept.find(entry.id());
+    if (found == kept.end()) {
+      kept.emplace(entry.id(), std::move(entry));
+    } else if (entry.born_ms() > found->second.born_ms()) {
+      found->second = std::move(entry);
+    }
+  }
+  list.clear_runners();
+  for (auto& [id, entry] : kept) {
+    *list.add_runners() = std::move(entry);
+  }
+  return static_cast<size_t>(before - list.runners_size());
+}
+
 uint64_t fingerprintOf(const v1::RunnerList& list) {
   std::string text;
   constexpr size_t kBytesOfEntry = 64;
--- a/src/core/relay/runner_entry.h
+++ b/src/core/relay/runner_entry.h
@@ -2,6 +2,7 @@
 /// Order and equality of the entries of a list of runners.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
 #include "workshatch/v1/relay.pb.h"
@@ -18,9 +19,9 @@
 /// long.
 inline bool sameEntry(const v1::RunnerEntry& left, const v1::RunnerEntry& right) {
   return left.id() == right.id() && left.born_ms() == right.born_ms() &&
-         left.leaving() == right.leaving() &&
-         left.slots() == right.slots() && left.address() == right.address() &&
-         left.service() == right.service() && left.zone() == right.zone();
+         left.leaving() == right.leaving() && left.slots() == right.slots() &&
+         left.address() == right.address() && left.service() == right.service() &&
+         left.zone() == right.zone();
 }
 
 /// @return whether a runner has turned cold since the earlier reading: the time only falls
@@ -29,6 +30,10 @@
   return later.cold_ms() > earlier.cold_ms();
 }
 
+/// Keeps one entry for each id: of several, that of the process that started last, and of these the
+/// first. @return how many were dropped.
+size_t dropDuplicates(v1::RunnerList& list);
+
 /// @param list sorted by id
 /// @return a number that differs for lists that differ in more than how cold runners are.
 uint64_t fingerprintOf(const v1::RunnerList& list);
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -168,6 +168,7 @@
       if (isError(list)) {
         line_log::write("runner_list_unread", {{"error", errorOf(list).message}});
       } else {
+        list_read_at_ms_ = clock_.monotonicMs();
         hub_.runnersRead(std::move(std::get<v1::RunnerList>(list)));
       }
     }
@@ -195,6 +196,18 @@
   }
   metrics::exposeGauges(text, "group_evacuated_since_s",
                         "when the evacuation of a zone was ordered", "zone", evacuated);
+  const RejectedEntries& rejected = reader_.rejected();
+  const metrics::LabelledCounts rejected_by_cause = {{"unreadable", rejected.unreadable},
+                                                     {"other_type", rejected.other_type},
+                                                     {"field", rejected.field},
+                                                     {"state", rejected.state},
+                                                     {"duplicate", rejected.duplicate}};
+  metrics::exposeGauges(text, "group_rejected_entries",
+                        "entries of the last list that name no runner, by cause", "cause",
+                        rejected_by_cause);
+  metrics::exposeGauge(text, "group_runner_list_age_ms",
+                       "time since the list of runners was last read whole; -1: never here",
+                       list_read_at_ms_ < 0 ? -1 : clock_.monotonicMs() - list_read_at_ms_);
   metrics::exposeGauge(text, "group_quarantined_requests",
                        "requests that reach no runner since they ended some",
                        static_cast<int64_t>(replica_.quarantine().requests_size()));
--- a/src/daemon/group/group_role.h
+++ b/src/daemon/group/group_role.h
@@ -55,6 +55,8 @@
   RelayHub hub_;
   OperatorApi operator_api_;
   RunnerListReader reader_;
+  /// When a list was last read whole; negative: never.
+  int64_t list_read_at_ms_ = -1;
   link::LinkListener listener_;
   http::Server operator_server_;
   http::Server metrics_server_;
--- a/src/daemon/runner_list_reader.cc
+++ b/src/daemon/runner_list_reader.cc
@@ -5,6 +5,9 @@
 #include <utility>
 #include <variant>
 
+#include "adapters/logging/line_log.h"
+#include "core/relay/runner_entry.h"
+
 namespace workshatch::daemon {
 
 namespace {
@@ -34,8 +37,22 @@
   co_return codec_.decode(std::get<std::string>(body));
 }
 
+/// Writes a line when other entries are rejected than at the reading before.
+void RunnerListReader::noteRejected(const RejectedEntries& rejected) {
+  if (rejected == rejected_) {
+    return;
+  }
+  rejected_ = rejected;
+  line_log::write("runner_entries_rejected", {{"unreadable", rejected.unreadable},
+                                              {"other_type", rejected.other_type},
+                                              {"field", rejected.field},
+                                              {"state", rejected.state},
+                                              {"duplicate", rejected.duplicate}});
+}
+
 http::awaitable<Result<v1::RunnerList>> RunnerListReader::read() {
   v1::RunnerList list;
+  RejectedEntries rejected;
   std::string page;
   for (size_t pages = 1; pages <= kMostPages; ++pages) {
     Result<RunnerPage> read = co_await readPage(page);
@@ -44,9 +61,12 @@
     }
     RunnerPage& part = std::get<RunnerPage>(read);
     list.mutable_runners()->MergeFrom(part.runners.runners());
+    rejected += part.rejected;
     page = part.next_page;
     if (page.empty()) {
       pages_ = pages;
+      rejected.duplicate += relay::dropDuplicates(list);
+      noteRejected(rejected);
       co_return list;
     }
   }
--- a/src/daemon/runner_list_reader.h
+++ b/src/daemon/runner_list_reader.h
@@ -27,13 +27,18 @@
   /// Calls that the last whole reading took; one before the first.
   size_t pages() const { return pages_; }
 
+  /// Entries of the last whole reading that name no runner.
+  const RejectedEntries& rejected() const { return rejected_; }
+
 private:
   http::awaitable<Result<RunnerPage>> readPage(std::string page);
+  void noteRejected(const RejectedEntries& rejected);
 
   http::Client client_;
   const std::string address_;
   const RunnerListCodec& codec_;
   size_t pages_ = 1;
+  RejectedEntries rejected_;
 };
 
 } // namespace workshatch::daemon
--- a/tests/unit/core/relay/runner_life_test.cc
+++ b/tests/unit/core/relay/runner_life_test.cc
@@ -122,4 +122,20 @@
   CHECK(led.readWhileLeading(listOf(0, 9000), versions) == relay::ListNews::Runners);
 }
 
+TEST_CASE("Of two entries under one id that of the later process counts, else the first") {
+  v1::RunnerList list = listOf(1, 5000);
+  *list.add_runners() = listOf(1, 9000).runners(0);
+  *list.add_runners() = listOf(1, 7000).runners(0);
+  v1::RunnerEntry* other = list.add_runners();
+  *other = list.runners(0);
+  other->set_id("runner-2");
+  v1::RunnerEntry* again = list.add_runners();
+  *again = *other;
+  again->set_address("127.0.0.1:2");
+  CHECK(relay::dropDuplicates(list) == 3);
+  REQUIRE(list.runners_size() == 2);
+  CHECK(list.runners(0).born_ms() == 9000);
+  CHECK(list.runners(1).address() == "127.0.0.1:1");
+}
+
 } // namespace workshatch::test
