--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -79,6 +79,21 @@
   }
 };
 
+/// Time of the machine, which a test may let sleep: the process stands still and its timers with it,
+/// and time has passed when it goes on. Safe for concurrent use.
+class SleepingClock : public Clock {
+public:
+  void sleepFor(int64_t milliseconds) { slept_ms_ += milliseconds; }
+  int64_t monotonicMs() const override { return clock_.monotonicMs() + slept_ms_; }
+  uint64_t wallMs() const override {
+    return clock_.wallMs() + static_cast<uint64_t>(slept_ms_.load());
+  }
+
+private:
+  const SystemClock clock_{};
+  std::atomic<int64_t> slept_ms_{0};
+};
+
 /// A runner: takes connections one after another, reads a request on each and does as scripted.
 class ScriptedRunner {
 public:
@@ -202,6 +217,7 @@
   }
   void start() { workers_.start(); }
   daemon::RelayState& state() { return state_; }
+  SleepingClock& clock() { return clock_; }
   boost::asio::io_context& context() { return workers_.context(0); }
   const std::string& address() const { return address_; }
 
@@ -239,7 +255,7 @@
     co_await run->run();
   }
 
-  const SystemClock clock_{};
+  SleepingClock clock_;
   const TestDialect dialect_{};
   WorkerPool workers_{1};
   daemon::RelayState state_;
