Bounds count the time for which a machine sleeps; nothing is sent for callers that gave up meanwhile

Cause: all bounds were kept by the steady clock, and a request's end by a timer on it; both stand still while a machine is suspended. A lease, a place or a configuration was as old as the sleep was long, and looked fresh.

Change: the one clock behind the port is CLOCK_BOOTTIME. Timers of the event loop only say when to look at it. Before a send the request's deadline and, for a request with a key, the lease are looked at once more; a process that stood still for half a second ends what is over and asks the group at once.

Ruled out for the group: leads() makes up ticks by the clock before it answers, so that a leader that slept knows it (two tests, with a clock for each machine; both pass without a change of the replica).

Not run: a real suspension of this machine.

--- a/src/adapters/system_clock.h
+++ b/src/adapters/system_clock.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 #include "ports/clock.h"
 
@@ -10,10 +11,14 @@
 
 class SystemClock : public Clock {
 public:
+  /// Counts the time for which the machine is suspended, unlike the steady clock: after a sleep of
+  /// some seconds a lease would look as fresh as before it.
   int64_t monotonicMs() const override {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::steady_clock::now().time_since_epoch())
-        .count();
+    constexpr int64_t kMsPerSecond = 1000;
+    constexpr int64_t kNsPerMs = 1'000'000;
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return now.tv_sec * kMsPerSecond + now.tv_nsec / kNsPerMs;
   }
 
   uint64_t wallMs() const override {
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -185,6 +185,20 @@
   co_return allowed ? source : nullptr;
 }
 
+/// @return whether nothing has come, since the place was taken, that keeps the request from the
+/// runner: an order, the end of the caller's patience, or of the lease while the machine slept.
+bool RelayRun::mayBeSent(const relay::Runner& runner) {
+  noteTime();
+  if (runner.evacuated) {
+    last_error_ = "zone evacuated";
+  } else if (inQuarantine()) {
+    last_error_ = "request in quarantine";
+  } else if (lostLease()) {
+    last_error_ = "lease lost";
+  }
+  return !runner.evacuated && !barred() && !ended();
+}
+
 http::awaitable<RelayRun::AttemptResult> RelayRun::callRunner(const relay::RunnerChoice& choice) {
   relay::Runner& runner = *choice.runner;
   auto question = askForSource(runner);
@@ -197,14 +211,8 @@
   }
   source_ = co_await takeSource(std::move(question), choice);
   part_source_ = source_ ? source_->entry.id() : "";
-  // These orders may have come after the place was taken. Nothing is waited for between here and
-  // the send.
-  if (runner.evacuated) {
-    last_error_ = "zone evacuated";
-  } else if (inQuarantine()) {
-    last_error_ = "request in quarantine";
-  }
-  if (runner.evacuated || inQuarantine() || ended()) {
+  // Nothing is waited for between here and the send.
+  if (!mayBeSent(runner)) {
     co_return AttemptResult{.end = AttemptEnd::Withdrawn,
                             .outcome = relay::AttemptOutcome::Withdrawn};
   }
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -27,6 +27,9 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds kHousekeepingPeriod{50};
+/// A process that did no housekeeping for so long has stood still: ten periods, more than a busy
+/// processor delays it.
+constexpr int64_t kStoodStillMs = 500;
 /// The group counts as silent after this; the relay then reads the list of runners itself.
 constexpr int64_t kGroupSilentMs = 1500;
 constexpr int64_t kGroupSilentAtStartMs = 4000;
@@ -104,6 +107,7 @@
   state_.parts = parts_;
   state_.runner_ends = runner_ends_;
   group_heard_ms_ = clock_.monotonicMs();
+  housekept_ms_ = clock_.monotonicMs();
   control_.start();
   log_flusher_.start();
   housekeep();
@@ -377,7 +381,23 @@
   }
 }
 
+/// After a sleep or a freeze: what is over ends, and the group is asked before anything else, so
+/// that nothing is served on what was believed before.
+void RelayRole::noteAwake() {
+  const int64_t now_ms = clock_.monotonicMs();
+  const bool stood_still = now_ms - std::exchange(housekept_ms_, now_ms) >= kStoodStillMs;
+  if (!stood_still) {
+    return;
+  }
+  line_log::write("awake", {{"lease_age_ms", state_.lease.ageMs(now_ms)}});
+  for (RelayRun* run : state_.runs) {
+    run->noteTime();
+  }
+  control_.renewNow();
+}
+
 void RelayRole::housekeep() {
+  noteAwake();
   state_.connections.dropExpired();
   places_->tick();
   parts_->tick();
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -52,6 +52,7 @@
   void takeQuarantine(const v1::QuarantineList& list);
   bool takeConfiguration(const v1::ConfigurationUpdate& update);
   void housekeep();
+  void noteAwake();
   bool ready() const;
   void exposeGauges(std::string& out) const;
   http::ServerLimits callerLimits() const;
@@ -78,6 +79,7 @@
   v1::EvacuationList evacuations_;
   v1::RunnerLoads reported_loads_;
   int64_t group_heard_ms_ = 0;
+  int64_t housekept_ms_ = 0;
   /// When this relay last read the list of runners itself.
   int64_t own_list_read_ms_ = 0;
   http::Server caller_server_;
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -48,6 +48,13 @@
   });
 }
 
+void RelayRun::noteTime() {
+  if (!ended() && state_.clock.monotonicMs() >= request_.deadline_ms) {
+    timed_out_ = true;
+    end();
+  }
+}
+
 void RelayRun::takeBackIfQuarantined() {
   if (inQuarantine() && !stream_started_) {
     taken_back_ = true;
@@ -67,7 +74,7 @@
   });
   state_.budget.noteRequest(request_.service, request_.received_ms);
   // A request that ended its runners would end the next one too, with all that runs beside it.
-  while (!ended() && !inQuarantine()) {
+  while (!ended() && !barred()) {
     const auto chosen = co_await findPlace();
     if (ended()) {
       break;
@@ -283,6 +290,12 @@
                     "the runners that ran this request ended");
     co_return;
   }
+  if (!may_have_run_ && !timed_out_ && lostLease()) {
+    logOutcome("lease_lost");
+    co_await refuse(http::Status::service_unavailable, "no_lease",
+                    "this relay has lost touch with the group");
+    co_return;
+  }
   if (!may_have_run_) {
     const bool full = all_full_ || declines_ > 0;
     logOutcome(timed_out_ ? "not_run_timed_out" : full ? "all_full" : "not_run");
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -34,6 +34,10 @@
   /// Returns once the caller has its final answer or is gone.
   http::awaitable<void> run();
 
+  /// Ends the request if its time is over. Its timer does the same, but stands still while the
+  /// machine sleeps.
+  void noteTime();
+
   /// Takes the request back from its runner if it has come into quarantine and nothing of an answer
   /// has come: it may wait there, and would end the runner when it begins.
   void takeBackIfQuarantined();
@@ -109,6 +113,13 @@
 
   bool ended() const { return left_ || timed_out_ || taken_back_; }
   bool inQuarantine() const { return state_.quarantine.contains(request_.identity); }
+  /// The relay may not rely on its configuration any more: the key may have been revoked.
+  bool lostLease() const {
+    return request_.tenant != nullptr && !state_.lease.holds(state_.clock.monotonicMs());
+  }
+  /// No runner may get the request, now or later.
+  bool barred() const { return inQuarantine() || lostLease(); }
+  bool mayBeSent(const relay::Runner& runner);
   bool mayTryAgain(AttemptEnd last) const;
   void armDeadline();
   void end();
--- a/src/ports/clock.h
+++ b/src/ports/clock.h
@@ -11,7 +11,9 @@
 public:
   virtual ~Clock() = default;
 
-  /// Milliseconds of a clock that never goes back.
+  /// Milliseconds of a clock that never goes back and counts the time for which the machine sleeps.
+  /// All bounds that guard others are kept by it: leases, places, paces, budgets, silences. Timers
+  /// of the event loop stand still during a sleep; they only say when to look at this clock again.
   virtual int64_t monotonicMs() const = 0;
 
   /// Milliseconds since the epoch.
--- a/tests/unit/daemon/group/group_replica_test.cc
+++ b/tests/unit/daemon/group/group_replica_test.cc
@@ -18,6 +18,7 @@
 #include "daemon/group/group_replica.h"
 #include "daemon/group/relay_hub.h"
 #include "ports/seeded_random.h"
+#include "unit/daemon/relay/relay_fixture.h"
 
 namespace workshatch::test {
 
@@ -77,6 +78,8 @@
   explicit Group(size_t voters = 3) : voters_(voters) {}
 
   struct Machine {
+    /// Time of the machine, which may sleep.
+    SleepingClock clock;
     std::unique_ptr<MemoryStore> disk;
     std::unique_ptr<GroupReplica> replica;
   };
@@ -94,8 +97,8 @@
     options.tick_ms = 10;
     options.gone_ms = 200;
     options.snapshot_entries = 4;
-    machine.replica = std::make_unique<GroupReplica>(context_, options, *machine.disk, clock_,
-                                                     random_, transportOf(address));
+    machine.replica = std::make_unique<GroupReplica>(context_, options, *machine.disk,
+                                                     machine.clock, random_, transportOf(address));
     machine.replica->onHelloWanted([this](const std::string& to, const v1::ReplicaHello& hello) {
       deliver(to, [hello](GroupReplica& replica) { replica.helloReceived(hello); });
     });
@@ -104,6 +107,10 @@
     });
     REQUIRE_FALSE(isError(machine.replica->start()));
   }
+  /// The machine sleeps: its process and its timers stand still.
+  void sleep(const std::string& address, int64_t milliseconds) {
+    machines_.at(address).clock.sleepFor(milliseconds);
+  }
   /// Ends the process; its timers and messages end with it.
   void kill(const std::string& address) { machines_.at(address).replica.reset(); }
   /// Loses all messages to and from a machine.
@@ -541,4 +548,46 @@
   }
 }
 
+TEST_CASE(
+    "A leader that slept gives, confirms and acknowledges nothing before it was heard again") {
+  Group group;
+  startFirst(group);
+  std::string leading;
+  for (const char* address : {"a", "b", "c"}) {
+    leading = group.at(address).leads() ? address : leading;
+  }
+  // Longer than an election takes: the others may follow another leader by now.
+  group.cutOff(leading, true);
+  group.sleep(leading, 3000);
+  CHECK_FALSE(group.at(leading).leads());
+  std::vector<StoreOutcome> outcomes;
+  v1::GroupCommand order;
+  order.mutable_evacuation()->set_zone("north");
+  order.mutable_evacuation()->set_begin(true);
+  group.at(leading).order(order, [&](StoreOutcome outcome) { outcomes.push_back(outcome); });
+  CHECK(outcomes == std::vector<StoreOutcome>{StoreOutcome::NotLeader});
+  bool confirmed = false;
+  group.at(leading).read([&](const v1::StoredConfiguration* read) { confirmed = read != nullptr; });
+  REQUIRE(group.runUntil([&] {
+    GroupReplica* other = group.leader();
+    return other != nullptr && other != &group.at(leading);
+  }));
+  CHECK_FALSE(confirmed);
+  group.cutOff(leading, false);
+  REQUIRE(group.order("south", true));
+  REQUIRE(group.runUntil([&] { return group.at(leading).evacuations().zones_size() == 1; }));
+}
+
+TEST_CASE("A follower that slept catches up") {
+  Group group;
+  startFirst(group);
+  std::string asleep;
+  for (const char* address : {"a", "b", "c"}) {
+    asleep = group.at(address).leads() ? asleep : address;
+  }
+  group.sleep(asleep, 3000);
+  REQUIRE(group.order("south", true));
+  REQUIRE(group.runUntil([&] { return group.at(asleep).evacuations().zones_size() == 1; }));
+}
+
 } // namespace workshatch::test
