--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -162,6 +162,7 @@
     {"prompt_homes", &relay::Policy::prompt_homes},
     {"fetch_cached_parts", &relay::Policy::fetch_cached_parts},
     {"part_directory", &relay::Policy::part_directory},
+    {"quarantine", &relay::Policy::quarantine},
     {"shared_loads", &relay::Policy::shared_loads},
     {"shared_suspicions", &relay::Policy::shared_suspicions},
     {"hold_downs", &relay::Policy::hold_downs},
--- a/src/core/relay/policy.h
+++ b/src/core/relay/policy.h
@@ -32,6 +32,8 @@
   bool place_owners = true;
   /// Cold runners get no more requests than they bear.
   bool cold_pace = true;
+  /// Requests under which three runners ended reach no more of them.
+  bool quarantine = true;
   /// What relays take of a busy runner between two sums is shared out.
   bool shared_places = true;
   /// On a busy fleet prompts go to few of the runners that rank for them.
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -105,7 +105,9 @@
   }
   state_.places = places_;
   state_.parts = parts_;
-  state_.runner_ends = runner_ends_;
+  if (settings_.policy.quarantine) {
+    state_.runner_ends = runner_ends_;
+  }
   group_heard_ms_ = clock_.monotonicMs();
   housekept_ms_ = clock_.monotonicMs();
   control_.start();
@@ -239,7 +241,7 @@
   if (reply.has_evacuations()) {
     takeEvacuations(reply.evacuations());
   }
-  if (reply.has_quarantine()) {
+  if (reply.has_quarantine() && settings_.policy.quarantine) {
     takeQuarantine(reply.quarantine());
   }
   if (reply.has_runners() && !takeRunners(reply.runners())) {
--- a/tests/unit/daemon/fleet/ending_request_test.cc
+++ b/tests/unit/daemon/fleet/ending_request_test.cc
@@ -10,7 +10,13 @@
 ///
 /// 125 tries were cut like that at 28 runners, none of them twice. Where twelve runners serve at a
 /// time, sixteen ended in a row; nine of the sends came long after the third end.
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -43,7 +49,7 @@
 } // namespace
 
 TEST_CASE("A request under which three runners ended reaches none later") {
-  TestFleet fleet(3, 12, 18400);
+  TestFleet fleet(FleetOptions{.relays = 3, .runners = 12, .first_port = 18400});
   endRunners(fleet, 3);
   for (size_t relay = 0; relay < fleet.relayCount(); ++relay) {
     within(kBound, [&] { return refuses(fleet, relay); });
@@ -64,7 +70,7 @@
 }
 
 TEST_CASE("A request stays in quarantine when all processes end and start again") {
-  TestFleet fleet(2, 8, 18420);
+  TestFleet fleet(FleetOptions{.relays = 2, .runners = 8, .first_port = 18420});
   endRunners(fleet, 3);
   for (size_t relay = 0; relay < fleet.relayCount(); ++relay) {
     REQUIRE(within(kBound, [&] { return refuses(fleet, relay); }));
@@ -81,7 +87,7 @@
 }
 
 TEST_CASE("Ends that were told to a leader which then ended are told to the next") {
-  TestFleet fleet(2, 8, 18440);
+  TestFleet fleet(FleetOptions{.relays = 2, .runners = 8, .first_port = 18440});
   endRunners(fleet, 2);
   fleet.restartGroup();
   endRunners(fleet, 3);
@@ -92,4 +98,79 @@
   CHECK(fleet.endedRunners() == 3);
 }
 
+namespace {
+
+/// What a series of such requests did.
+struct Series {
+  size_t ends = 0;
+  size_t others_asked = 0;
+  size_t others_served = 0;
+};
+
+/// Calls something at equal distances on a thread of its own, until the end.
+class Client {
+public:
+  using Time = std::chrono::steady_clock::time_point;
+  Client(std::chrono::milliseconds period, Time end, std::function<void()> call)
+      : thread_([period, end, call = std::move(call)] {
+          for (Time next = std::chrono::steady_clock::now(); next < end; next += period) {
+            std::this_thread::sleep_until(next);
+            call();
+          }
+        }) {}
+  ~Client() { thread_.join(); }
+
+private:
+  std::thread thread_;
+};
+
+/// Nine relays, twelve runners that are back 2 s after their end, four clients that repeat the
+/// request every 0.3 s at any relay, and 150 other requests a second, for 20 s.
+Series playSeries(bool quarantine) {
+  constexpr std::chrono::seconds kSeries{20};
+  constexpr int kBadClients = 4;
+  constexpr int kOtherClients = 15;
+  TestFleet fleet(FleetOptions{.relays = 9,
+                               .runners = 12,
+                               .first_port = 18480,
+                               .runners_back_after = std::chrono::milliseconds(2000),
+                               .policy = relay::Policy{.quarantine = quarantine}});
+  std::atomic<size_t> asked{0};
+  std::atomic<size_t> served{0};
+  std::atomic<size_t> next_relay{0};
+  {
+    const auto end = std::chrono::steady_clock::now() + kSeries;
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int i = 0; i < kBadClients; ++i) {
+      clients.push_back(std::make_unique<Client>(std::chrono::milliseconds(300), end, [&] {
+        fleet.ask(next_relay++ % fleet.relayCount(), kDeadly);
+      }));
+    }
+    for (int i = 0; i < kOtherClients; ++i) {
+      clients.push_back(std::make_unique<Client>(std::chrono::milliseconds(100), end, [&] {
+        ++asked;
+        const std::string answer = fleet.ask(next_relay++ % fleet.relayCount(), "hi");
+        served += answer.find("whole") != std::string::npos ? 1 : 0;
+      }));
+    }
+  }
+  return Series{.ends = fleet.runnerEnds(), .others_asked = asked, .others_served = served};
+}
+
+} // namespace
+
+/// A measurement in real time, run by hand: --no-skip -tc="A series of such requests*"
+TEST_CASE("A series of such requests costs few runners, and few others their answers" *
+          doctest::skip()) {
+  for (const bool quarantine : {false, true}) {
+    const Series series = playSeries(quarantine);
+    MESSAGE("quarantine ", quarantine, ": runners ended ", series.ends, ", others served ",
+            series.others_served, " of ", series.others_asked);
+    if (quarantine) {
+      CHECK(series.ends <= 9);
+      CHECK(series.others_served * 100 >= series.others_asked * 98);
+    }
+  }
+}
+
 } // namespace workshatch::test
--- a/tests/unit/daemon/fleet/test_fleet.h
+++ b/tests/unit/daemon/fleet/test_fleet.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <filesystem>
 #include <memory>
 #include <mutex>
@@ -44,12 +45,19 @@
 class EndingRunner {
 public:
   /// @param deadly_body two bytes
-  explicit EndingRunner(std::string deadly_body)
+  /// @param back_after when it starts again, at its address; zero: never
+  explicit EndingRunner(std::string deadly_body, std::chrono::milliseconds back_after = {})
       : acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-        address_("127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())),
-        deadly_body_(std::move(deadly_body)), thread_([this] { serve(); }) {}
+        endpoint_(acceptor_.local_endpoint()),
+        address_("127.0.0.1:" + std::to_string(endpoint_.port())),
+        deadly_body_(std::move(deadly_body)), back_after_(back_after),
+        thread_([this] { serve(); }) {}
   ~EndingRunner() {
-    stopping_ = true;
+    {
+      const std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    stop_.notify_all();
     // Wakes the accept; refused when the runner has ended.
     boost::asio::io_context context;
     boost::asio::ip::tcp::socket wake(context);
@@ -61,7 +69,10 @@
   EndingRunner& operator=(const EndingRunner&) = delete;
 
   const std::string& address() const { return address_; }
+  /// @return whether its process is gone now.
   bool ended() const { return ended_; }
+  /// Times that its process ended.
+  size_t ends() const { return ends_; }
 
 private:
   void serve() {
@@ -80,12 +91,31 @@
         acceptor_.close(failure);
         socket.close(failure);
         ended_ = true;
-        return;
+        ++ends_;
+        if (!startAgain()) {
+          return;
+        }
+        continue;
       }
       say(socket, signedAnswer(idOf(request), "whole"));
     }
   }
 
+  /// @return false: it stays down.
+  bool startAgain() {
+    std::unique_lock lock(mutex_);
+    const bool stopped = stop_.wait_for(lock, back_after_, [this] { return stopping_.load(); });
+    if (stopped || back_after_.count() == 0) {
+      return false;
+    }
+    acceptor_.open(endpoint_.protocol());
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
+    acceptor_.bind(endpoint_);
+    acceptor_.listen();
+    ended_ = false;
+    return true;
+  }
+
   /// @return head and body; empty: none came whole.
   static std::string readRequest(boost::asio::ip::tcp::socket& socket) {
     constexpr size_t kBodyBytes = 2;
@@ -112,10 +142,15 @@
 
   boost::asio::io_context context_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  const boost::asio::ip::tcp::endpoint endpoint_;
   const std::string address_;
   const std::string deadly_body_;
+  const std::chrono::milliseconds back_after_;
+  std::mutex mutex_;
+  std::condition_variable stop_;
   std::atomic<bool> stopping_{false};
   std::atomic<bool> ended_{false};
+  std::atomic<size_t> ends_{0};
   std::thread thread_;
 };
 
@@ -153,25 +188,35 @@
   }
 };
 
+struct FleetOptions {
+  size_t relays = 3;
+  size_t runners = 12;
+  /// The first of some ports that no other test uses.
+  uint16_t first_port = 0;
+  /// When a runner that ended starts again; zero: never.
+  std::chrono::milliseconds runners_back_after{0};
+  relay::Policy policy;
+};
+
 /// The processes of one system, each role on a worker of its own.
 class TestFleet {
 public:
-  /// @param first_port of some ports that no other test uses
-  TestFleet(size_t relays, size_t runners, uint16_t first_port)
-      : first_port_(first_port), folder_(std::filesystem::temp_directory_path() /
-                                         ("workshatch-fleet-test-" + std::to_string(first_port))),
+  explicit TestFleet(const FleetOptions& options)
+      : policy_(options.policy), first_port_(options.first_port),
+        folder_(std::filesystem::temp_directory_path() /
+                ("workshatch-fleet-test-" + std::to_string(options.first_port))),
         list_([this](auto& socket, const auto&) { tellRunners(socket); }) {
     std::filesystem::remove_all(folder_);
     std::filesystem::create_directories(folder_);
-    for (size_t i = 0; i < runners; ++i) {
-      runners_.push_back(std::make_unique<EndingRunner>("ko"));
+    for (size_t i = 0; i < options.runners; ++i) {
+      runners_.push_back(std::make_unique<EndingRunner>("ko", options.runners_back_after));
     }
     startGroup(true);
     REQUIRE(within(kPatience, [&] { return configurationTaken(); }));
-    for (size_t i = 0; i < relays; ++i) {
+    for (size_t i = 0; i < options.relays; ++i) {
       relays_.push_back(startRelay(i));
     }
-    for (size_t i = 0; i < relays; ++i) {
+    for (size_t i = 0; i < options.relays; ++i) {
       REQUIRE(within(kPatience, [&] { return ask(i, "hi").find("whole") != std::string::npos; }));
     }
   }
@@ -221,6 +266,14 @@
     return static_cast<size_t>(std::count_if(runners_.begin(), runners_.end(),
                                              [](const auto& runner) { return runner->ended(); }));
   }
+  /// Times that processes of runners ended.
+  size_t runnerEnds() const {
+    size_t ends = 0;
+    for (const auto& runner : runners_) {
+      ends += runner->ends();
+    }
+    return ends;
+  }
   size_t relayCount() const { return relays_.size(); }
   /// @return whether the metrics of a relay hold a line.
   bool metricsHave(size_t relay, const std::string& line) const {
@@ -254,6 +307,7 @@
   settings::RelaySettings commonSettings() const {
     settings::RelaySettings settings;
     settings.zone = "north";
+    settings.policy = policy_;
     settings.zones = relay::ZoneRegions({{"north", "here"}, {"south", "here"}});
     settings.seeds = {at(ipOf(0), 0)};
     settings.link_port = static_cast<uint16_t>(first_port_ + 1);
@@ -311,6 +365,7 @@
                     std::to_string(lines.size()) + "\r\n\r\n" + lines);
   }
 
+  const relay::Policy policy_;
   const uint16_t first_port_;
   const std::filesystem::path folder_;
   const SystemClock clock_{};
@@ -321,7 +376,7 @@
   ScriptedRunner list_;
   std::unique_ptr<Group> group_;
   std::vector<std::unique_ptr<Relay>> relays_;
-  uint64_t tries_ = 0;
+  std::atomic<uint64_t> tries_{0};
 };
 
 } // namespace workshatch::test
