--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -153,7 +153,6 @@
   for (const v1::RaftEntry& entry : ready.committed) {
     applyEntry(entry);
   }
-  answerStores();
   for (const raft::ReadConfirmation& read : ready.reads) {
     const auto found = reads_.find(read.context);
     if (found != reads_.end()) {
@@ -175,7 +174,7 @@
       on_change_();
     }
   }
-  answerOrders(entry);
+  answerProposal(entry);
 }
 
 void GroupReplica::logChange(relay::GroupState::Change change) const {
@@ -195,33 +194,30 @@
                                             {"term", node_->term()}});
 }
 
-/// Answers the order that stood at the place of an applied entry.
-void GroupReplica::answerOrders(const v1::RaftEntry& applied) {
-  const auto found = std::find_if(orders_.begin(), orders_.end(), [&](const PendingOrder& pending) {
-    return pending.index == applied.index();
-  });
-  if (found == orders_.end()) {
+/// Answers the command that was proposed for the place of an applied entry. A configuration that
+/// was applied is in force, or a higher version is.
+void GroupReplica::answerProposal(const v1::RaftEntry& applied) {
+  const auto found =
+      std::find_if(proposals_.begin(), proposals_.end(),
+                   [&](const Proposal& proposal) { return proposal.index == applied.index(); });
+  if (found == proposals_.end()) {
     return;
   }
-  const PendingOrder pending = std::move(*found);
-  orders_.erase(found);
-  // An entry of another term is another leader's: this order is not in the log.
-  const bool own = pending.term == applied.term();
-  pending.done(own ? StoreOutcome::Stored : StoreOutcome::NotLeader);
+  const Proposal proposal = std::move(*found);
+  proposals_.erase(found);
+  // An entry of another term is another leader's: this command is not in the log.
+  const bool own = proposal.term == applied.term();
+  proposal.done(own ? StoreOutcome::Stored : StoreOutcome::NotLeader);
 }
 
-void GroupReplica::answerStores() {
-  std::vector<PendingStore> waiting;
-  for (PendingStore& pending : std::exchange(stores_, {})) {
-    if (state_.configuration().version() >= pending.version) {
-      pending.done(StoreOutcome::Stored);
-    } else {
-      waiting.push_back(std::move(pending));
-    }
-  }
-  for (PendingStore& pending : waiting) {
-    stores_.push_back(std::move(pending));
+void GroupReplica::propose(const v1::GroupCommand& command, StoreCallback done) {
+  const std::optional<uint64_t> index = node_->propose(command.SerializeAsString());
+  if (!index) {
+    done(StoreOutcome::NotLeader);
+    return;
   }
+  proposals_.push_back(Proposal{.index = *index, .term = node_->term(), .done = std::move(done)});
+  scheduleProcess();
 }
 
 void GroupReplica::store(v1::StoredConfiguration configuration, StoreCallback done) {
@@ -229,20 +225,13 @@
     done(StoreOutcome::NotLeader);
     return;
   }
-  const uint64_t version = configuration.version();
-  if (version <= state_.configuration().version()) {
+  if (configuration.version() <= state_.configuration().version()) {
     done(StoreOutcome::Stored);
     return;
   }
   v1::GroupCommand command;
   *command.mutable_store() = std::move(configuration);
-  if (!node_->propose(command.SerializeAsString())) {
-    done(StoreOutcome::NotLeader);
-    return;
-  }
-  stores_.push_back(
-      PendingStore{.version = version, .term = node_->term(), .done = std::move(done)});
-  scheduleProcess();
+  propose(command, std::move(done));
 }
 
 void GroupReplica::order(const v1::GroupCommand& command, StoreCallback done) {
@@ -250,13 +239,7 @@
     done(StoreOutcome::NotLeader);
     return;
   }
-  const std::optional<uint64_t> index = node_->propose(command.SerializeAsString());
-  if (!index) {
-    done(StoreOutcome::NotLeader);
-    return;
-  }
-  orders_.push_back(PendingOrder{.index = *index, .term = node_->term(), .done = std::move(done)});
-  scheduleProcess();
+  propose(command, std::move(done));
 }
 
 void GroupReplica::read(ReadCallback done) {
@@ -314,11 +297,8 @@
 }
 
 void GroupReplica::failPending() {
-  for (PendingStore& pending : std::exchange(stores_, {})) {
-    pending.done(StoreOutcome::NotLeader);
-  }
-  for (PendingOrder& pending : std::exchange(orders_, {})) {
-    pending.done(StoreOutcome::NotLeader);
+  for (const Proposal& proposal : std::exchange(proposals_, {})) {
+    proposal.done(StoreOutcome::NotLeader);
   }
   for (auto& [context, done] : std::exchange(reads_, {})) {
     done(nullptr);
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -118,13 +118,8 @@
   void setSeeds(std::vector<std::string> seeds) { options_.seeds = std::move(seeds); }
 
 private:
-  struct PendingStore {
-    uint64_t version = 0;
-    uint64_t term = 0;
-    StoreCallback done;
-  };
-  /// An order at its place in the log; another leader may put another entry there.
-  struct PendingOrder {
+  /// A command at its place in the log; another leader may put another entry there.
+  struct Proposal {
     uint64_t index = 0;
     uint64_t term = 0;
     StoreCallback done;
@@ -139,8 +134,8 @@
   void finishReady();
   void applyEntry(const v1::RaftEntry& entry);
   void logChange(relay::GroupState::Change change) const;
-  void answerStores();
-  void answerOrders(const v1::RaftEntry& applied);
+  void propose(const v1::GroupCommand& command, StoreCallback done);
+  void answerProposal(const v1::RaftEntry& applied);
   void failPending();
   void compactIfDue();
   void noteLeadership();
@@ -187,8 +182,7 @@
   int64_t seek_due_ms_ = 0;
   int64_t membership_due_ms_ = 0;
   uint64_t next_context_ = 1;
-  std::vector<PendingStore> stores_;
-  std::vector<PendingOrder> orders_;
+  std::vector<Proposal> proposals_;
   std::map<uint64_t, ReadCallback> reads_;
   /// Identities by address of founders that belong to no group.
   std::map<std::string, uint64_t> founders_;
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -5,10 +5,7 @@
 #include <iterator>
 #include <utility>
 
-#include <google/protobuf/util/message_differencer.h>
-
 #include "adapters/logging/line_log.h"
-#include "core/compression/deflate.h"
 #include "core/relay/load_sums.h"
 #include "core/relay/renewal_period.h"
 #include "core/relay/request_identity.h"
@@ -22,17 +19,12 @@
 constexpr double kSilentPeriods = 3.6;
 /// A link that loses packets may miss some periods of a small fleet.
 constexpr int64_t kLeastSilentMs = 500;
-/// A new leader tells no list of relays and no sums before all had time to renew.
-constexpr int64_t kSettleMs = 1000;
 /// Sums of loads and the list of relays are made anew at most this often, so that a renewal costs
 /// the leader the same however many relays there are.
 constexpr int64_t kRefreshMs = 30;
 /// Sums are made anew after one millisecond for so many relays: at 300 every 100 ms. They then lag
 /// behind by a renewal's way and half a period of renewals, in place of a period and a half.
 constexpr int64_t kSummedRelaysPerMs = 3;
-constexpr int64_t kSumsBytesPerSecond = 2048;
-constexpr int64_t kMostBetweenSumsMs = 1000;
-constexpr int64_t kMsPerSecond = 1000;
 /// Rounds of heartbeats for renewals begin so far apart: within a tick of the group, which has a
 /// round of its own, so that renewals at most double the heartbeats.
 constexpr int64_t kBetweenRoundsMs = 25;
@@ -41,25 +33,17 @@
 
 } // namespace
 
-/// Begins a new leadership: relays register again, and versions lie above all earlier ones.
+/// Begins a new leadership: relays register again.
 void RelayHub::takeTerm() {
-  if (versions_.term() == replica_.term()) {
+  if (news_.term() == replica_.term()) {
     return;
   }
-  versions_.begin(replica_.term());
+  news_.beginTerm();
   runner_ends_.setQuarantine(replica_.quarantine());
   relays_.clear();
   silent_relays_.clear();
-  relay_list_.Clear();
-  packed_relay_list_ = compression::packMessage(relay_list_);
-  sums_.Clear();
   refresh_due_ms_ = 0;
   sums_due_ms_ = 0;
-  runners_.begin(versions_, clock_.monotonicMs());
-  runner_history_.clear();
-  if (runners_.list().version() != 0) {
-    runner_history_.add(runners_.list());
-  }
 }
 
 void RelayHub::linkClosed(const std::string& relay, uint64_t incarnation) {
@@ -130,6 +114,7 @@
                               .evacuations = renewal.evacuation_version(),
                               .quarantine = renewal.quarantine_version()};
   }
+  relay.sent.runner_list_fingerprint = renewal.runner_list_fingerprint();
   relay.renewal = renewal;
   // Counted already.
   relay.renewal.clear_runner_ends();
@@ -143,12 +128,12 @@
     refresh_due_ms_ = now_ms + relay::periodForFleet(kRefreshMs, relays_.size());
     dropSilent();
     refreshRelayList();
-    over_share_ = sumTenants();
+    news_.setOverShare(sumTenants());
   }
   if (now_ms >= sums_due_ms_) {
     sums_due_ms_ =
         now_ms + std::max(kRefreshMs, static_cast<int64_t>(relays_.size()) / kSummedRelaysPerMs);
-    sums_ = sumLoads();
+    news_.setSums(sumLoads());
   }
 }
 
@@ -210,7 +195,7 @@
   if (!link || found == relays_.end() || found->second.link.lock() != link) {
     return;
   }
-  if (lacksConfiguration(found->second) && !pacer_.ready(clock_.monotonicMs())) {
+  if (news_.lacksConfiguration(found->second.sent) && !news_.linkReady()) {
     // A confirmation is worth nothing without the configuration: it waits for the link.
     unconfirmed_.push_back(renewal);
     return;
@@ -221,55 +206,16 @@
   reply.set_confirmed(true);
   reply.set_renew_period_ms(
       static_cast<uint32_t>(relay::periodForFleet(relay::kRenewalPeriodMs, relays_.size())));
-  fillAnswer(found->second, reply);
+  news_.addAll(found->second.sent, reply);
   send(link, frame);
 }
 
 /// Sends a frame, and counts what is large towards the link's pace.
 void RelayHub::send(const std::shared_ptr<link::FramedLink>& link, const v1::Frame& frame) {
-  const v1::LeaseReply& reply = frame.lease();
-  if (reply.has_configuration() || reply.has_runners() || reply.has_relays()) {
-    pacer_.spend(frame.ByteSizeLong());
-  }
+  news_.noteSent(frame);
   link->send(frame);
 }
 
-bool RelayHub::lacksConfiguration(const Relay& relay) const {
-  return replica_.stored().version() > relay.sent.configuration;
-}
-
-bool RelayHub::lacksLargePart(const Relay& relay) const {
-  const uint64_t list_version = runners_.list().version();
-  return lacksConfiguration(relay) || (list_version != 0 && list_version != relay.sent.runner_list);
-}
-
-void RelayHub::addConfiguration(Relay& relay, v1::LeaseReply& reply) {
-  if (!lacksConfiguration(relay)) {
-    return;
-  }
-  configurations_.add(replica_.stored());
-  *reply.mutable_configuration() = configurations_.updateFrom(relay.sent.configuration);
-  relay.sent.configuration = replica_.stored().version();
-}
-
-void RelayHub::addEvacuations(Relay& relay, v1::LeaseReply& reply) const {
-  const v1::EvacuationList& evacuations = replica_.evacuations();
-  if (evacuations.version() == relay.sent.evacuations) {
-    return;
-  }
-  *reply.mutable_evacuations() = evacuations;
-  relay.sent.evacuations = evacuations.version();
-}
-
-void RelayHub::addQuarantine(Relay& relay, v1::LeaseReply& reply) const {
-  const v1::QuarantineList& quarantine = replica_.quarantine();
-  if (quarantine.version() == relay.sent.quarantine) {
-    return;
-  }
-  *reply.mutable_quarantine() = quarantine;
-  relay.sent.quarantine = quarantine.version();
-}
-
 /// Gives the orders that are due by the ends of runners that relays have told.
 void RelayHub::orderQuarantine() {
   for (v1::QuarantineOrder& order : runner_ends_.due(clock_.monotonicMs(), clock_.wallMs())) {
@@ -285,64 +231,6 @@
   }
 }
 
-void RelayHub::addMembers(Relay& relay, v1::LeaseReply& reply) const {
-  std::vector<std::string> members = replica_.memberAddresses();
-  if (members == relay.sent.members) {
-    return;
-  }
-  reply.mutable_members()->Assign(members.begin(), members.end());
-  relay.sent.members = std::move(members);
-}
-
-/// Sums of a large fleet are long; they are told less often, so that a relay's share of its link
-/// stays the same.
-void RelayHub::addSums(Relay& relay, v1::LeaseReply& reply) const {
-  const int64_t now = clock_.monotonicMs();
-  // A new leader knows the loads of the relays that have renewed since; too low a mean would make
-  // limits that follow it refuse places that are free.
-  const bool settled = replica_.leadingForMs() >= kSettleMs;
-  const bool known =
-      settled && sums_.list_version() != 0 && sums_.list_version() == runners_.list().version();
-  if (!known || now < relay.sent.sums_due_ms) {
-    return;
-  }
-  *reply.mutable_loads() = sums_;
-  *reply.mutable_over_share() = over_share_;
-  const auto bytes = static_cast<int64_t>(sums_.ByteSizeLong());
-  relay.sent.sums_due_ms =
-      now + std::min(kMostBetweenSumsMs, bytes * kMsPerSecond / kSumsBytesPerSecond);
-}
-
-void RelayHub::addRunners(Relay& relay, v1::LeaseReply& reply) {
-  const v1::RunnerList& list = runners_.list();
-  if (list.version() == 0 || list.version() == relay.sent.runner_list) {
-    return;
-  }
-  *reply.mutable_runners() =
-      runner_history_.updateFrom(relay.sent.runner_list, relay.renewal.runner_list_fingerprint());
-  relay.sent.runner_list = list.version();
-}
-
-/// Adds what the relay lacks; lists that the link can't bear now come with a later answer or push.
-/// What is on its way on the relay's link is not sent again: a large configuration would fill the
-/// link of a slow relay with copies.
-void RelayHub::fillAnswer(Relay& relay, v1::LeaseReply& reply) {
-  addMembers(relay, reply);
-  addConfiguration(relay, reply);
-  addEvacuations(relay, reply);
-  addQuarantine(relay, reply);
-  addSums(relay, reply);
-  if (!pacer_.ready(clock_.monotonicMs())) {
-    return;
-  }
-  addRunners(relay, reply);
-  const bool settled = replica_.leadingForMs() >= kSettleMs;
-  if (settled && relay_list_.version() != relay.sent.relay_list) {
-    *reply.mutable_relays() = packed_relay_list_;
-    relay.sent.relay_list = relay_list_.version();
-  }
-}
-
 void RelayHub::dropSilent() {
   const auto period_ms =
       static_cast<double>(relay::periodForFleet(relay::kRenewalPeriodMs, relays_.size()));
@@ -369,24 +257,17 @@
       entry->set_zone(relay.renewal.zone());
     }
   }
-  list.set_version(relay_list_.version());
-  if (relay_list_.version() != 0 &&
-      google::protobuf::util::MessageDifferencer::Equals(list, relay_list_)) {
-    return;
-  }
-  list.set_version(versions_.next());
-  relay_list_ = std::move(list);
-  packed_relay_list_ = compression::packMessage(relay_list_);
+  news_.setRelays(std::move(list));
 }
 
 v1::RunnerLoads RelayHub::sumLoads() {
-  const uint64_t version = runners_.list().version();
-  relay::LoadSums sums(version, static_cast<size_t>(runners_.list().runners_size()));
+  const uint64_t version = news_.runners().version();
+  relay::LoadSums sums(version, static_cast<size_t>(news_.runners().runners_size()));
   for (const auto& [name, relay] : relays_) {
     const v1::RunnerLoads& loads = relay.renewal.loads();
     if (loads.list_version() == version) {
       sums.add(loads);
-    } else if (const auto* positions = runner_history_.positionsFrom(loads.list_version())) {
+    } else if (const auto* positions = news_.positionsFrom(loads.list_version())) {
       sums.addMoved(loads, *positions);
     }
   }
@@ -399,7 +280,7 @@
     sums.add(relay.renewal.tenants());
   }
   uint64_t places = 0;
-  for (const v1::RunnerEntry& runner : runners_.list().runners()) {
+  for (const v1::RunnerEntry& runner : news_.runners().runners()) {
     places += runner.slots();
   }
   return sums.overShare(places);
@@ -407,34 +288,26 @@
 
 void RelayHub::runnersRead(v1::RunnerList list) {
   if (!replica_.leads()) {
-    runners_.readWithoutLeader(std::move(list), clock_.monotonicMs());
+    news_.takeRunnersWithoutLeader(std::move(list));
     return;
   }
   takeTerm();
-  const relay::ListNews news_of_list = runners_.readWhileLeading(std::move(list), versions_);
-  if (news_of_list == relay::ListNews::ColdTimesFell) {
-    runner_history_.refreshNewest(runners_.list());
-  }
-  if (news_of_list != relay::ListNews::Runners) {
+  if (!news_.takeRunners(std::move(list))) {
     return;
   }
-  runner_history_.add(runners_.list());
-  line_log::write("runner_list", {{"version", runners_.list().version()},
-                                  {"runners", runners_.list().runners_size()}});
+  line_log::write("runner_list", {{"version", news_.runners().version()},
+                                  {"runners", news_.runners().runners_size()}});
   pushLargeParts();
 }
 
 void RelayHub::pushOrders() {
   for (auto& [name, relay] : relays_) {
     const auto link = relay.link.lock();
-    const bool current = relay.sent.evacuations == replica_.evacuations().version() &&
-                         relay.sent.quarantine == replica_.quarantine().version();
-    if (!link || current) {
+    if (!link || !news_.lacksOrders(relay.sent)) {
       continue;
     }
     v1::Frame frame;
-    addEvacuations(relay, *frame.mutable_lease());
-    addQuarantine(relay, *frame.mutable_lease());
+    news_.addOrders(relay.sent, *frame.mutable_lease());
     send(link, frame);
   }
 }
@@ -454,16 +327,16 @@
   bool left = false;
   for (auto& [name, relay] : relays_) {
     const auto link = relay.link.lock();
-    if (!link || !lacksLargePart(relay)) {
+    if (!link || !news_.lacksLargePart(relay.sent)) {
       continue;
     }
-    if (!pacer_.ready(clock_.monotonicMs())) {
+    if (!news_.linkReady()) {
       left = true;
       break;
     }
     v1::Frame frame;
-    addConfiguration(relay, *frame.mutable_lease());
-    addRunners(relay, *frame.mutable_lease());
+    news_.addConfiguration(relay.sent, *frame.mutable_lease());
+    news_.addRunners(relay.sent, *frame.mutable_lease());
     send(link, frame);
   }
   if (!left) {
@@ -480,7 +353,7 @@
 
 void RelayHub::stateChanged() {
   // A replica that does not lead remembers it too: it may have to tell the difference later.
-  configurations_.add(replica_.stored());
+  news_.rememberConfiguration();
   runner_ends_.setQuarantine(replica_.quarantine());
   if (!replica_.leads()) {
     return;
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -13,13 +13,10 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "adapters/link/framed_link.h"
-#include "core/relay/bulk_pacer.h"
-#include "core/relay/led_runner_list.h"
 #include "core/relay/runner_end_counts.h"
-#include "core/relay/runner_list_history.h"
 #include "core/relay/silent_relays.h"
-#include "daemon/configuration_transfer.h"
 #include "daemon/group/group_replica.h"
+#include "daemon/group/lease_news.h"
 #include "ports/clock.h"
 
 namespace workshatch::daemon {
@@ -34,7 +31,7 @@
   /// @param link_mbps bandwidth of the machine's link in Mbit/s
   RelayHub(boost::asio::io_context& context, GroupReplica& replica, const Clock& clock,
            double link_mbps)
-      : replica_(replica), clock_(clock), pacer_(link_mbps), round_timer_(context),
+      : replica_(replica), clock_(clock), news_(replica, clock, link_mbps), round_timer_(context),
         push_timer_(context) {}
 
   void renewed(const std::shared_ptr<link::FramedLink>& link, const v1::LeaseRenewal& renewal);
@@ -50,23 +47,12 @@
 
   /// Relays that renew with this replica.
   size_t relayCount() const { return relays_.size(); }
-  const v1::RunnerList& runners() const { return runners_.list(); }
+  const v1::RunnerList& runners() const { return news_.runners(); }
 
   /// Takes note of a change of the replicated state; the leader pushes it to all relays.
   void stateChanged();
 
 private:
-  /// Versions that a relay has once it has read all that was sent on its link.
-  struct SentVersions {
-    uint64_t configuration = 0;
-    uint64_t runner_list = 0;
-    uint64_t relay_list = 0;
-    uint64_t evacuations = 0;
-    uint64_t quarantine = 0;
-    std::vector<std::string> members;
-    /// When sums of loads may be sent again.
-    int64_t sums_due_ms = 0;
-  };
   struct Relay {
     std::weak_ptr<link::FramedLink> link;
     v1::LeaseRenewal renewal;
@@ -93,16 +79,7 @@
   void refreshRelayList();
   v1::RunnerLoads sumLoads();
   v1::TenantPositions sumTenants() const;
-  void fillAnswer(Relay& relay, v1::LeaseReply& reply);
-  void addConfiguration(Relay& relay, v1::LeaseReply& reply);
-  void addEvacuations(Relay& relay, v1::LeaseReply& reply) const;
-  void addQuarantine(Relay& relay, v1::LeaseReply& reply) const;
   void orderQuarantine();
-  void addRunners(Relay& relay, v1::LeaseReply& reply);
-  void addMembers(Relay& relay, v1::LeaseReply& reply) const;
-  void addSums(Relay& relay, v1::LeaseReply& reply) const;
-  bool lacksConfiguration(const Relay& relay) const;
-  bool lacksLargePart(const Relay& relay) const;
   /// Tells all relays which zones are evacuated and which requests are in quarantine, at once.
   void pushOrders();
   /// Tells all relays the configuration and the list of runners, as fast as the link bears.
@@ -113,20 +90,10 @@
   GroupReplica& replica_;
   const Clock& clock_;
   std::map<std::string, Relay> relays_;
-  relay::BulkPacer pacer_;
-  ConfigurationSender configurations_;
-  relay::LeaderVersions versions_;
-  relay::LedRunnerList runners_;
-  relay::RunnerListHistory runner_history_;
+  LeaseNews news_;
   relay::SilentRelays silent_relays_;
   /// Kept across leaderships: it is what relays saw, and each relay tells it once on a link.
   relay::RunnerEndCounts runner_ends_;
-  v1::RelayList relay_list_;
-  /// `relay_list_` as it is sent.
-  v1::Compressed packed_relay_list_;
-  /// Requests in progress by runner, over all relays.
-  v1::RunnerLoads sums_;
-  v1::TenantPositions over_share_;
   int64_t refresh_due_ms_ = 0;
   int64_t sums_due_ms_ = 0;
 
