--- /dev/null
+++ b/src/daemon/relay/relay_answer.cc
@@ -0,0 +1,181 @@
+/// @file
+/// The answer of a runner to one attempt, and its way to the caller.
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <boost/beast/core/string.hpp>
+
+#include "core/header_text.h"
+#include "daemon/relay/relay_run.h"
+
+namespace workshatch::daemon {
+
+namespace {
+
+/// The rest of an answer that declines is read for so long, to keep the connection.
+constexpr std::chrono::milliseconds kRefusalLimit{300};
+constexpr size_t kMostPlainBytes = size_t{16} * 1024 * 1024;
+constexpr unsigned kServerErrors = 500;
+
+bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
+
+/// Headers of a runner's answer that concern its connection only.
+bool isConnectionHeader(http::Field name) {
+  constexpr std::array<http::Field, 7> kNames = {
+      http::Field::connection,      http::Field::keep_alive,     http::Field::transfer_encoding,
+      http::Field::trailer,         http::Field::content_length, http::Field::upgrade,
+      http::Field::proxy_connection};
+  return std::find(kNames.begin(), kNames.end(), name) != kNames.end();
+}
+
+} // namespace
+
+/// The runner did not run the request. The rest of its answer is read only to keep the connection.
+http::awaitable<RelayRun::AttemptResult> RelayRun::takeRefusal(relay::AttemptOutcome outcome) {
+  last_error_ = "declined with " + std::to_string(connection_->head().result_int());
+  std::string rest = "-";
+  while (!rest.empty()) {
+    auto part = co_await connection_->read(kRefusalLimit);
+    if (std::holds_alternative<http::CallError>(part)) {
+      connection_->close();
+      break;
+    }
+    rest = std::get<std::string>(part);
+  }
+  co_return AttemptResult{.end = AttemptEnd::NotRun, .outcome = outcome};
+}
+
+http::awaitable<RelayRun::AttemptResult> RelayRun::takeAnswer(relay::Runner& runner) {
+  const HeaderNames& names = state_.dialect.headers();
+  const auto& head = connection_->head();
+  const unsigned status = head.result_int();
+  const auto id = http::fieldOf(head, names.request_id);
+  const bool not_run = http::fieldOf(head, names.not_run).has_value();
+  if (id && *id != request_.id) {
+    // A late second answer to an earlier request: nothing that follows can be trusted.
+    co_return broken("answer of another request");
+  }
+  if (head.result() == http::Status::misdirected_request) {
+    co_return co_await takeRefusal(relay::AttemptOutcome::Misdirected);
+  }
+  if (not_run && head.result() != http::Status::bad_request) {
+    co_return co_await takeRefusal(relay::AttemptOutcome::Refused);
+  }
+  const bool signed_answer = http::fieldOf(head, names.signature).has_value();
+  if (isSuccess(status) && (!signed_answer || !id)) {
+    co_return broken("success without signature");
+  }
+  const std::string_view type = http::viewOf(head[http::Field::content_type]);
+  const bool streaming = request_.route->kind == relay::RouteKind::Streaming && isSuccess(status) &&
+                         type.starts_with("text/event-stream");
+  if (streaming) {
+    co_return co_await relayStream(runner);
+  }
+  if (stream_started_) {
+    co_return broken("no stream to go on with: " + std::to_string(status));
+  }
+  co_return co_await takePlainAnswer();
+}
+
+http::Response RelayRun::answerHead() const {
+  const HeaderNames& names = state_.dialect.headers();
+  const auto& head = connection_->head();
+  http::Response response;
+  response.version(11);
+  response.result(head.result_int());
+  for (const auto& field : head) {
+    const bool load = boost::beast::iequals(field.name_string(), names.load);
+    if (!load && !isConnectionHeader(field.name()) && isHeaderValue(http::viewOf(field.value()))) {
+      response.insert(field.name(), field.name_string(), field.value());
+    }
+  }
+  return response;
+}
+
+http::awaitable<RelayRun::AttemptResult> RelayRun::takePlainAnswer() {
+  http::Response response = answerHead();
+  std::string body;
+  while (true) {
+    auto part = co_await connection_->read(silenceLimit(false));
+    if (const auto* error = std::get_if<http::CallError>(&part)) {
+      co_return brokenBy(*error);
+    }
+    const std::string& text = std::get<std::string>(part);
+    if (text.empty()) {
+      break;
+    }
+    body += text;
+    if (body.size() > kMostPlainBytes) {
+      co_return broken("the answer is too large");
+    }
+  }
+  response.body() = std::move(body);
+  response.prepare_payload();
+  const unsigned status = response.result_int();
+  if (status >= kServerErrors) {
+    // A whole answer: the connection stays in use.
+    last_error_ = "status " + std::to_string(status);
+    failure_ = std::move(response);
+    co_return AttemptResult{.end = AttemptEnd::Broken, .outcome = relay::AttemptOutcome::Failed};
+  }
+  state_.stats.answer.add(state_.clock.monotonicMs() - request_.received_ms);
+  co_await exchange_.respond(std::move(response));
+  co_return AttemptResult{.end = AttemptEnd::Answered, .outcome = relay::AttemptOutcome::Succeeded};
+}
+
+http::awaitable<bool> RelayRun::relayEvent(const relay::WholeEvent& event) {
+  const int64_t now = state_.clock.monotonicMs();
+  if (!stream_started_) {
+    stream_started_ = true;
+    first_event_ms_ = now;
+    state_.stats.first_event.add(now - request_.received_ms);
+    http::Response head = answerHead();
+    const bool started = co_await exchange_.startStream(std::move(head));
+    if (!started) {
+      co_return false;
+    }
+  } else {
+    state_.stats.event_gap.add(now - last_event_ms_);
+  }
+  last_event_ms_ = now;
+  ++events_;
+  ++state_.stats.events;
+  if (!event.id.empty()) {
+    last_event_id_ = event.id;
+  }
+  co_return co_await exchange_.write(event.bytes);
+}
+
+http::awaitable<RelayRun::AttemptResult> RelayRun::relayStream(relay::Runner& runner) {
+  relay::EventSplitter splitter;
+  while (true) {
+    auto part = co_await connection_->read(silenceLimit(true));
+    if (const auto* error = std::get_if<http::CallError>(&part)) {
+      co_return brokenBy(*error);
+    }
+    const std::string& text = std::get<std::string>(part);
+    if (text.empty()) {
+      break;
+    }
+    noteSignOfLife(runner);
+    splitter.feed(text);
+    while (const auto event = splitter.next()) {
+      if (ended()) {
+        co_return broken(last_error_);
+      }
+      const bool written = co_await relayEvent(*event);
+      if (!written) {
+        left_ = true;
+        co_return broken(last_error_);
+      }
+    }
+  }
+  if (splitter.hasPartialEvent() || !stream_started_) {
+    co_return broken("the stream ended within an event");
+  }
+  co_await exchange_.finish();
+  co_return AttemptResult{.end = AttemptEnd::Answered, .outcome = relay::AttemptOutcome::Succeeded};
+}
+
+} // namespace workshatch::daemon
--- /dev/null
+++ b/src/daemon/relay/relay_lease.cc
@@ -0,0 +1,165 @@
+/// @file
+/// What the relay role tells the leader with its renewals, and takes from the answers.
+#include <utility>
+
+#include "adapters/logging/line_log.h"
+#include "core/address_text.h"
+#include "core/compression/deflate.h"
+#include "core/relay/runner_list_history.h"
+#include "daemon/relay/relay_role.h"
+#include "daemon/relay/relay_run.h"
+
+namespace workshatch::daemon {
+
+v1::LeaseRenewal RelayRole::makeRenewal(bool first_on_link) {
+  v1::LeaseRenewal renewal;
+  renewal.set_sequence(state_.lease.renewalSent(clock_.monotonicMs()));
+  renewal.set_name(settings_.name);
+  renewal.set_incarnation(incarnation_);
+  renewal.set_address(settings_.caller_address);
+  renewal.set_zone(settings_.zone);
+  renewal.set_ready(!state_.stopping);
+  renewal.set_configuration_version(received_.version());
+  renewal.set_runner_list_version(state_.runners.listVersion());
+  renewal.set_runner_list_fingerprint(state_.runners.listFingerprint());
+  renewal.set_relay_list_version(relays_.version());
+  renewal.set_evacuation_version(state_.runners.evacuationVersion());
+  renewal.set_quarantine_version(state_.quarantine.version());
+  runner_ends_->fill(renewal, first_on_link);
+  for (const relay::RequestIdentity& request : cleared_) {
+    *renewal.add_ran_whole() = relay::messageOf(request);
+  }
+  reported_loads_ = state_.runners.ownLoads(clock_.monotonicMs());
+  *renewal.mutable_loads() = reported_loads_;
+  if (state_.routes) {
+    *renewal.mutable_tenants() = state_.tenants.report(state_.routes->configuration());
+  }
+  ++state_.stats.renewals;
+  return renewal;
+}
+
+void RelayRole::leaseReplied(const v1::LeaseReply& reply) {
+  group_heard_ms_ = clock_.monotonicMs();
+  if (reply.has_configuration() && !takeConfiguration(reply.configuration())) {
+    // Without it a confirmation would be worth nothing; the next link brings the whole document.
+    received_.forget();
+    control_.reconnect();
+    return;
+  }
+  if (reply.has_evacuations()) {
+    takeEvacuations(reply.evacuations());
+  }
+  if (reply.has_quarantine() && settings_.policy.quarantine) {
+    takeQuarantine(reply.quarantine());
+  }
+  if (reply.has_runners() && !takeRunners(reply.runners())) {
+    control_.reconnect();
+    return;
+  }
+  if (reply.has_relays() && compression::unpackMessage(reply.relays(), relays_)) {
+    const auto relays = static_cast<size_t>(relays_.relays_size());
+    state_.budget.setRelays(relays, clock_.monotonicMs());
+    state_.runners.setRelays(relays);
+    std::vector<std::string> owners;
+    for (const v1::RelayEntry& relay : relays_.relays()) {
+      owners.push_back(withPort(relay.address(), settings_.link_port));
+    }
+    peers_->setRelays(std::move(owners));
+  }
+  if (reply.has_loads()) {
+    state_.runners.setSums(reply.loads(), reported_loads_, clock_.monotonicMs());
+    if (state_.routes) {
+      state_.tenants.setOverShare(reply.over_share(), state_.routes->configuration());
+    }
+    state_.line.callNextOfEach();
+  }
+  if (reply.confirmed()) {
+    if (!state_.lease.everConfirmed()) {
+      line_log::write("lease_won", {{"sequence", reply.sequence()}});
+    }
+    state_.lease.confirmed(reply.sequence());
+    lease_wait_.wakeAll();
+  }
+}
+
+void RelayRole::takeEvacuations(const v1::EvacuationList& evacuations) {
+  if (evacuations.version() <= state_.runners.evacuationVersion()) {
+    return;
+  }
+  state_.runners.setEvacuations(evacuations, clock_.monotonicMs());
+  evacuations_ = evacuations;
+  nlohmann::json zones = nlohmann::json::array();
+  for (const v1::EvacuatedZone& zone : evacuations.zones()) {
+    zones.push_back({{"zone", zone.zone()}, {"since_ms", zone.since_ms()}});
+  }
+  line_log::write("evacuations_in_force",
+                  {{"version", evacuations.version()}, {"zones", std::move(zones)}});
+  state_.line.callNextOfEach();
+}
+
+void RelayRole::takeQuarantine(const v1::QuarantineList& list) {
+  if (!state_.quarantine.setList(list)) {
+    return;
+  }
+  cleared_.clear();
+  nlohmann::json requests = nlohmann::json::array();
+  for (const auto& [request, since_ms] : state_.quarantine.requests()) {
+    requests.push_back({{"identity", relay::textOf(request)}, {"since_ms", since_ms}});
+    if (runner_ends_->ranWhole(request)) {
+      cleared_.push_back(request);
+    }
+  }
+  for (RelayRun* run : state_.runs) {
+    run->takeBackIfQuarantined();
+  }
+  line_log::write("quarantine_in_force", {{"version", list.version()},
+                                          {"requests", std::move(requests)},
+                                          {"ran_whole", cleared_.size()}});
+  if (!cleared_.empty()) {
+    control_.renewNow();
+  }
+}
+
+bool RelayRole::takeRunners(const v1::RunnerListUpdate& update) {
+  auto list = relay::applyUpdate(state_.runners.list(), update);
+  if (isError(list)) {
+    line_log::write("runner_list_update_unfit", {{"version", update.version()},
+                                                 {"base", update.base_version()},
+                                                 {"held", state_.runners.listVersion()}});
+    return false;
+  }
+  state_.runners.setList(std::get<v1::RunnerList>(list), clock_.monotonicMs());
+  state_.line.callNextOfEach();
+  return true;
+}
+
+bool RelayRole::takeConfiguration(const v1::ConfigurationUpdate& update) {
+  const Result<bool> taken = received_.take(update);
+  if (isError(taken)) {
+    line_log::write("configuration_update_unfit", {{"version", update.version()},
+                                                   {"base", update.base_version()},
+                                                   {"held", received_.version()},
+                                                   {"error", errorOf(taken).message}});
+    return false;
+  }
+  const bool newer = !state_.routes || received_.version() > state_.routes->version();
+  if (!std::get<bool>(taken) || !newer) {
+    return true;
+  }
+  auto decoded = adapters_.configurations.decode(received_.document());
+  if (isError(decoded)) {
+    line_log::write("configuration_unreadable",
+                    {{"version", received_.version()}, {"error", errorOf(decoded).message}});
+    return true;
+  }
+  state_.routes =
+      std::make_shared<const relay::RouteTable>(std::move(std::get<relay::Configuration>(decoded)));
+  state_.runners.setServices(state_.routes->configuration().services);
+  line_log::write("configuration_in_force",
+                  {{"version", received_.version()},
+                   {"base", update.base_version()},
+                   {"routes", state_.routes->configuration().routes.size()}});
+  return true;
+}
+
+} // namespace workshatch::daemon
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -82,21 +82,23 @@
   http::awaitable<std::shared_ptr<relay::Runner>>
   takeSource(std::optional<PartClient::Question> question, const relay::RunnerChoice& choice);
   relay::PromptTarget promptTarget(const relay::Runner& runner) const;
-  http::awaitable<AttemptResult> takeAnswer(relay::Runner& runner);
-  http::awaitable<AttemptResult> takeRefusal(relay::AttemptOutcome outcome);
-  http::awaitable<AttemptResult> takePlainAnswer();
-  http::awaitable<AttemptResult> relayStream(relay::Runner& runner);
-  http::awaitable<bool> relayEvent(const relay::WholeEvent& event);
   AttemptResult broken(std::string error);
   AttemptResult brokenBy(const http::CallError& error);
   void noteForQuarantine(const relay::Runner& runner, const AttemptResult& result);
   void noteEnd(relay::Runner& runner, const AttemptResult& result);
   void releaseConnection(const relay::Runner& runner);
-  http::Response answerHead() const;
   std::chrono::milliseconds silenceLimit(bool streaming) const;
   void noteSignOfLife(relay::Runner& runner);
   void noteCold(relay::Runner& runner);
 
+  // The answer to an attempt (relay_answer.cc).
+  http::awaitable<AttemptResult> takeAnswer(relay::Runner& runner);
+  http::awaitable<AttemptResult> takeRefusal(relay::AttemptOutcome outcome);
+  http::awaitable<AttemptResult> takePlainAnswer();
+  http::awaitable<AttemptResult> relayStream(relay::Runner& runner);
+  http::awaitable<bool> relayEvent(const relay::WholeEvent& event);
+  http::Response answerHead() const;
+
   // The request as a whole (relay_run.cc).
   relay::HomeRegions homeRegions() const;
   relay::RunnerRequest runnerRequest() const;
