--- a/src/adapters/logging/log_report.cc
+++ b/src/adapters/logging/log_report.cc
@@ -27,6 +27,38 @@
   return text;
 }
 
+/// Members of a line that tells a whole list.
+struct ListEvent {
+  const char* event;
+  const char* items;
+  /// Member of an item.
+  const char* name;
+};
+
+std::vector<InForceReport> newestOf(const std::vector<LogLine>& lines, const ListEvent& of) {
+  std::map<std::string, InForceReport> newest;
+  for (const LogLine& line : lines) {
+    const auto items = line.fields.find(of.items);
+    const uint64_t version = line.fields.value("version", uint64_t{0});
+    const bool told = line.event == of.event && items != line.fields.end();
+    if (!told || version < newest[line.process].version) {
+      continue;
+    }
+    InForceReport report{.process = line.process, .version = version};
+    for (const json& item : *items) {
+      report.items.push_back(InForceReport::Item{.name = textOf(item, of.name),
+                                                 .since_ms = item.value("since_ms", uint64_t{0})});
+    }
+    newest[line.process] = std::move(report);
+  }
+  std::erase_if(newest, [](const auto& entry) { return entry.second.version == 0; });
+  std::vector<InForceReport> reports;
+  for (auto& [process, report] : newest) {
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
 } // namespace
 
 void readLogLines(std::istream& input, std::vector<LogLine>& lines) {
@@ -58,8 +90,9 @@
                                       const std::string& request) {
   std::vector<const LogLine*> found;
   for (const LogLine& line : lines) {
-    const bool about =
-        textOf(line.fields, "request") == request || textOf(line.fields, "request_id") == request;
+    const bool about = textOf(line.fields, "request") == request ||
+                       textOf(line.fields, "request_id") == request ||
+                       textOf(line.fields, "identity") == request;
     if (about) {
       found.push_back(&line);
     }
@@ -104,28 +137,14 @@
   return sorted;
 }
 
-std::vector<EvacuationReport> evacuationsOf(const std::vector<LogLine>& lines) {
-  std::map<std::string, EvacuationReport> newest;
-  for (const LogLine& line : lines) {
-    const auto zones = line.fields.find("zones");
-    const uint64_t version = line.fields.value("version", uint64_t{0});
-    const bool told = line.event == "evacuations_in_force" && zones != line.fields.end();
-    if (!told || version < newest[line.process].version) {
-      continue;
-    }
-    EvacuationReport report{.process = line.process, .version = version};
-    for (const json& zone : *zones) {
-      report.zones.push_back(EvacuationReport::Zone{
-          .name = textOf(zone, "zone"), .since_ms = zone.value("since_ms", uint64_t{0})});
-    }
-    newest[line.process] = std::move(report);
-  }
-  std::erase_if(newest, [](const auto& entry) { return entry.second.version == 0; });
-  std::vector<EvacuationReport> reports;
-  for (auto& [process, report] : newest) {
-    reports.push_back(std::move(report));
-  }
-  return reports;
+std::vector<InForceReport> evacuationsOf(const std::vector<LogLine>& lines) {
+  return newestOf(lines,
+                  ListEvent{.event = "evacuations_in_force", .items = "zones", .name = "zone"});
+}
+
+std::vector<InForceReport> quarantineOf(const std::vector<LogLine>& lines) {
+  return newestOf(
+      lines, ListEvent{.event = "quarantine_in_force", .items = "requests", .name = "identity"});
 }
 
 } // namespace workshatch::logging
--- a/src/adapters/logging/log_report.h
+++ b/src/adapters/logging/log_report.h
@@ -23,7 +23,8 @@
 /// Appends the lines of `input` that hold a JSON object with an event; others are left out.
 void readLogLines(std::istream& input, std::vector<LogLine>& lines);
 
-/// @return the lines about one request, oldest first, each as text.
+/// @param request id of one try, or the identity that all tries of a request share
+/// @return the lines about it, oldest first, each as text.
 std::vector<std::string> traceRequest(const std::vector<LogLine>& lines,
                                       const std::string& request);
 
@@ -40,19 +41,24 @@
 /// @return counts by event, outcome and error of the lines about requests, most frequent first.
 std::vector<OutcomeCount> countOutcomes(const std::vector<LogLine>& lines);
 
-/// The zones that a process held for evacuated when its log ended.
-struct EvacuationReport {
+/// What the operators' or the leader's orders keep from running, as a process held it when its log
+/// ended: evacuated zones, or requests in quarantine.
+struct InForceReport {
   std::string process;
   uint64_t version = 0;
-  struct Zone {
+  struct Item {
+    /// Name of a zone, or identity of a request.
     std::string name;
     /// Wall time of the order, milliseconds since the epoch.
     uint64_t since_ms = 0;
   };
-  std::vector<Zone> zones;
+  std::vector<Item> items;
 };
 
 /// @return the newest evacuations of each process that logged any, by its name.
-std::vector<EvacuationReport> evacuationsOf(const std::vector<LogLine>& lines);
+std::vector<InForceReport> evacuationsOf(const std::vector<LogLine>& lines);
+
+/// @return the newest quarantine of each process that logged any, by its name.
+std::vector<InForceReport> quarantineOf(const std::vector<LogLine>& lines);
 
 } // namespace workshatch::logging
--- a/src/cli/log_commands.cc
+++ b/src/cli/log_commands.cc
@@ -28,6 +28,22 @@
   return lines;
 }
 
+/// @param name heading of the items' names
+int printInForce(const char* name, const std::vector<logging::InForceReport>& reports) {
+  std::printf("%-28s %10s  %-34s %s\n", "process", "version", name, "since_ms");
+  for (const logging::InForceReport& report : reports) {
+    const auto version = static_cast<unsigned long long>(report.version);
+    if (report.items.empty()) {
+      std::printf("%-28s %10llu  %s\n", report.process.c_str(), version, "none");
+    }
+    for (const auto& item : report.items) {
+      std::printf("%-28s %10llu  %-34s %llu\n", report.process.c_str(), version, item.name.c_str(),
+                  static_cast<unsigned long long>(item.since_ms));
+    }
+  }
+  return kExitOk;
+}
+
 } // namespace
 
 int runTrace(const std::string& request, const std::vector<std::string>& files) {
@@ -62,21 +78,12 @@
 
 int runEvacuations(const std::vector<std::string>& files) {
   const auto lines = readAll(files);
-  if (!lines) {
-    return kExitUsage;
-  }
-  std::printf("%-28s %10s  %-20s %s\n", "process", "version", "zone", "since_ms");
-  for (const logging::EvacuationReport& report : logging::evacuationsOf(*lines)) {
-    const auto version = static_cast<unsigned long long>(report.version);
-    if (report.zones.empty()) {
-      std::printf("%-28s %10llu  %s\n", report.process.c_str(), version, "none");
-    }
-    for (const auto& zone : report.zones) {
-      std::printf("%-28s %10llu  %-20s %llu\n", report.process.c_str(), version, zone.name.c_str(),
-                  static_cast<unsigned long long>(zone.since_ms));
-    }
-  }
-  return kExitOk;
+  return lines ? printInForce("zone", logging::evacuationsOf(*lines)) : kExitUsage;
+}
+
+int runQuarantine(const std::vector<std::string>& files) {
+  const auto lines = readAll(files);
+  return lines ? printInForce("identity", logging::quarantineOf(*lines)) : kExitUsage;
 }
 
 } // namespace workshatch::cli
--- a/src/cli/log_commands.h
+++ b/src/cli/log_commands.h
@@ -1,5 +1,5 @@
 /// @file
-/// Commands that read log files: `trace`, `outcomes` and `evacuations`.
+/// Commands that read log files: `trace`, `outcomes`, `evacuations` and `quarantine`.
 #pragma once
 
 #include <string>
@@ -7,7 +7,7 @@
 
 namespace workshatch::cli {
 
-/// Prints one request's way through the logs of all processes.
+/// Prints the way of one try, or of all tries of a request, through the logs of all processes.
 /// @param files log files; none: standard input
 /// @return exit code; a failure when no line is about the request.
 int runTrace(const std::string& request, const std::vector<std::string>& files);
@@ -18,4 +18,7 @@
 /// Prints which zones each process held for evacuated when its log ended, and since when.
 int runEvacuations(const std::vector<std::string>& files);
 
+/// Prints which requests each process held to be in quarantine when its log ended, and since when.
+int runQuarantine(const std::vector<std::string>& files);
+
 } // namespace workshatch::cli
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -48,9 +48,11 @@
     "  resolve              ask a router which addresses a caller should use\n"
     "  drain RUNNER         give a runner no new work (--undo: take it back)\n"
     "  control-replace      replace a control replica; waits until the new one votes\n"
-    "  trace REQUEST [FILE...]  one request's way through the logs of all processes\n"
+    "  trace REQUEST [FILE...]  the way of one try, or by identity of all tries of a request,\n"
+    "                       through the logs of all processes\n"
     "  outcomes [FILE...]   how requests and attempts ended, by the logs\n"
-    "  evacuations [FILE...]  which zones are evacuated, since when, by the logs";
+    "  evacuations [FILE...]  which zones are evacuated, since when, by the logs\n"
+    "  quarantine [FILE...]  which requests are in quarantine, since when, by the logs";
 
 constexpr std::chrono::milliseconds kReplacePause{100};
 
@@ -330,6 +332,9 @@
   if (command == "evacuations") {
     return cli::runEvacuations({argv + 2, argv + argc});
   }
+  if (command == "quarantine") {
+    return cli::runQuarantine({argv + 2, argv + argc});
+  }
   const bool needs_argument =
       command == "check" || command == "apply" || command == "diff" || command == "drain";
   if (needs_argument && argument.empty()) {
--- a/tests/unit/adapters/log_report_test.cc
+++ b/tests/unit/adapters/log_report_test.cc
@@ -56,12 +56,29 @@
   logging::readLogLines(input, lines);
   const auto reports = logging::evacuationsOf(lines);
   REQUIRE(reports.size() == 2);
-  REQUIRE(reports[0].zones.size() == 1);
-  CHECK(reports[0].zones[0].name == "north");
-  CHECK(reports[0].zones[0].since_ms == 70);
+  REQUIRE(reports[0].items.size() == 1);
+  CHECK(reports[0].items[0].name == "north");
+  CHECK(reports[0].items[0].since_ms == 70);
   CHECK(reports[1].process == "b");
   CHECK(reports[1].version == 9);
-  CHECK(reports[1].zones.empty());
+  CHECK(reports[1].items.empty());
+}
+
+TEST_CASE("The newest quarantine of each process, and all tries of one of its requests") {
+  std::istringstream input(
+      R"({"event":"attempt_ended","process":"a","request":"q1","identity":"01-02","time_ms":1}
+{"event":"request_ended","process":"b","request":"q2","identity":"01-02","time_ms":2}
+{"event":"request_ended","process":"b","request":"q3","identity":"01-03","time_ms":3}
+{"event":"quarantine_in_force","process":"a","version":5,"requests":[{"identity":"01-02","since_ms":60}]}
+)");
+  std::vector<logging::LogLine> lines;
+  logging::readLogLines(input, lines);
+  const auto reports = logging::quarantineOf(lines);
+  REQUIRE(reports.size() == 1);
+  REQUIRE(reports[0].items.size() == 1);
+  CHECK(reports[0].items[0].name == "01-02");
+  CHECK(logging::traceRequest(lines, "01-02").size() == 2);
+  CHECK(logging::evacuationsOf(lines).empty());
 }
 
 } // namespace workshatch::test
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -79,8 +79,8 @@
   }
 };
 
-/// Time of the machine, which a test may let sleep: the process stands still and its timers with it,
-/// and time has passed when it goes on. Safe for concurrent use.
+/// Time of the machine, which a test may let sleep: the process stands still and its timers with
+/// it, and time has passed when it goes on. Safe for concurrent use.
 class SleepingClock : public Clock {
 public:
   void sleepFor(int64_t milliseconds) { slept_ms_ += milliseconds; }
