Failing test: reports that come all the time put a verdict off

A fleet that loses runners of several causes at once reports an end every few milliseconds; each report moved the moment at which the leader looks at the counts. Found by reading.

--- a/tests/unit/core/relay/runner_end_counts_test.cc
+++ b/tests/unit/core/relay/runner_end_counts_test.cc
@@ -176,6 +176,23 @@
   CHECK(leader.after(kBetweenEndsMs).empty());
 }
 
+TEST_CASE("Reports that come all the time, of other requests, do not put a verdict off") {
+  Leader leader;
+  leader.runnerEnded(11, {1});
+  leader.runnerEnded(12, {1});
+  leader.runnerEnded(13, {1});
+  Contents put;
+  int64_t waited_ms = 0;
+  constexpr int64_t kBetweenReportsMs = 20;
+  for (uint64_t runner = 100; put.empty() && waited_ms < 1000; ++runner) {
+    put = leader.after(kBetweenReportsMs);
+    waited_ms += kBetweenReportsMs;
+    leader.report(runner, 1000 + runner, 0);
+  }
+  CHECK(put == Contents{1});
+  CHECK(waited_ms <= 100);
+}
+
 TEST_CASE("A request that ran whole is cleared, also after it was put into quarantine") {
   Leader leader;
   leader.runnerEnded(11, {1});
