--- a/src/core/relay/runner_end_counts.cc
+++ b/src/core/relay/runner_end_counts.cc
@@ -58,7 +58,7 @@
   Counted& counted = requests_[request];
   if (counted.ends.insert(number).second) {
     counted.last_report_ms = now_ms;
-    look_at_ms_ = now_ms + kReportsCompleteMs;
+    news_due_ms_ = news_due_ms_.value_or(now_ms + kReportsCompleteMs);
   }
   if (inQuarantine(request)) {
     blame(request);
@@ -67,7 +67,7 @@
 
 void RunnerEndCounts::takeWhole(const RequestIdentity& request, int64_t now_ms) {
   whole_[request] = now_ms;
-  look_at_ms_ = now_ms;
+  news_due_ms_ = now_ms;
   requests_.erase(request);
   for (auto& [number, end] : ends_) {
     if (end.cause == request) {
@@ -154,16 +154,35 @@
   }
 }
 
+bool RunnerEndCounts::isDue(int64_t now_ms) const {
+  const bool nothing = requests_.empty() && quarantine_.requests().empty();
+  return !nothing && now_ms >= news_due_ms_.value_or(again_due_ms_);
+}
+
+bool RunnerEndCounts::mayBeBlamed(const RequestIdentity& request, const Counted& counted) const {
+  return counted.ends.size() >= kEndsForQuarantine && !inQuarantine(request);
+}
+
+/// @return whether a request that may be blamed was told of at its last end just now.
+bool RunnerEndCounts::waitsForReports(int64_t now_ms) const {
+  return std::any_of(requests_.begin(), requests_.end(), [&](const auto& entry) {
+    return now_ms - entry.second.last_report_ms < kReportsCompleteMs &&
+           mayBeBlamed(entry.first, entry.second);
+  });
+}
+
 /// @return the requests that are to be put into quarantine.
-std::vector<RunnerEndCounts::Culprit> RunnerEndCounts::findCulprits() const {
+std::vector<RunnerEndCounts::Culprit> RunnerEndCounts::findCulprits(int64_t now_ms) const {
   std::vector<Culprit> culprits;
   for (const auto& [request, counted] : requests_) {
-    if (counted.ends.size() < kEndsForQuarantine || inQuarantine(request)) {
+    if (!mayBeBlamed(request, counted)) {
       continue;
     }
     const Ends ends = endsHeldAgainst(request);
+    // Of the last end some relays may not have told yet.
+    const bool complete = now_ms - counted.last_report_ms >= kReportsCompleteMs;
     const bool enough = ends.size() >= kEndsWithoutDoubt ||
-                        (ends.size() >= kEndsForQuarantine && standsOut(request, ends));
+                        (ends.size() >= kEndsForQuarantine && complete && standsOut(request, ends));
     if (enough) {
       culprits.push_back(Culprit{.request = request, .ends = static_cast<uint32_t>(ends.size())});
     }
@@ -173,14 +192,17 @@
 
 std::vector<v1::QuarantineOrder> RunnerEndCounts::due(int64_t now_ms, uint64_t wall_ms) {
   std::vector<v1::QuarantineOrder> orders;
-  const bool nothing = requests_.empty() && quarantine_.requests().empty();
-  if (nothing || now_ms < look_at_ms_) {
+  if (!isDue(now_ms)) {
     return orders;
   }
-  look_at_ms_ = now_ms + kOrderAgainMs;
+  news_due_ms_.reset();
+  again_due_ms_ = now_ms + kOrderAgainMs;
   forgetOld(now_ms);
   addReleases(orders, now_ms, wall_ms);
-  const std::vector<Culprit> culprits = findCulprits();
+  const std::vector<Culprit> culprits = findCulprits(now_ms);
+  if (waitsForReports(now_ms)) {
+    news_due_ms_ = now_ms + kReportsCompleteMs;
+  }
   for (const Culprit& culprit : culprits) {
     blame(culprit.request);
     v1::QuarantineOrder order;
--- a/src/core/relay/runner_end_counts.h
+++ b/src/core/relay/runner_end_counts.h
@@ -77,7 +77,10 @@
   bool standsOut(const RequestIdentity& request, const Ends& ends) const;
   void makeRoom();
   bool inQuarantine(const RequestIdentity& request) const;
-  std::vector<Culprit> findCulprits() const;
+  bool isDue(int64_t now_ms) const;
+  bool mayBeBlamed(const RequestIdentity& request, const Counted& counted) const;
+  bool waitsForReports(int64_t now_ms) const;
+  std::vector<Culprit> findCulprits(int64_t now_ms) const;
   void blame(const RequestIdentity& request);
   void forgetOld(int64_t now_ms);
   void addReleases(std::vector<v1::QuarantineOrder>& orders, int64_t now_ms, uint64_t wall_ms);
@@ -91,8 +94,11 @@
   std::map<RequestIdentity, int64_t> whole_;
   /// When a release was last ordered.
   std::map<RequestIdentity, int64_t> released_ms_;
-  /// Nothing can be due before; zero: nothing new was told.
-  int64_t look_at_ms_ = 0;
+  /// When the counts are looked at for what was told since the last look; empty: nothing was. Later
+  /// reports do not move it, so that a steady flow of them puts nothing off.
+  std::optional<int64_t> news_due_ms_;
+  /// When they are looked at again without news.
+  int64_t again_due_ms_ = 0;
 };
 
 } // namespace workshatch::relay
--- a/tests/unit/daemon/fleet/test_fleet.h
+++ b/tests/unit/daemon/fleet/test_fleet.h
@@ -88,10 +88,11 @@
         continue;
       }
       if (request.ends_with(deadly_body_)) {
-        acceptor_.close(failure);
-        socket.close(failure);
+        // Before the caller can see it.
         ended_ = true;
         ++ends_;
+        acceptor_.close(failure);
+        socket.close(failure);
         if (!startAgain()) {
           return;
         }
