--- a/src/core/relay/bulk_pacer.h
+++ b/src/core/relay/bulk_pacer.h
@@ -15,7 +15,7 @@
 /// 0.25 s and sent the list again, and so on every 1.2 s. Paced, heartbeats wait for the burst at
 /// most.
 ///
-/// Times are milliseconds of the steady clock. Not safe for concurrent use.
+/// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class BulkPacer {
 public:
   /// @param link_mbps bandwidth of the machine's link in Mbit/s
--- a/src/core/relay/cold_runners.h
+++ b/src/core/relay/cold_runners.h
@@ -23,7 +23,7 @@
 /// thirds of the engines left, an engine takes more requests a second than a cold one may get, and
 /// must not lose its share for one late answer.
 ///
-/// Times are milliseconds of the steady clock. Not safe for concurrent use.
+/// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class ColdRunners {
 public:
   /// @param factor, slack what bounds the requests of a second (settings `cold_factor` and
--- a/src/core/relay/held_places.h
+++ b/src/core/relay/held_places.h
@@ -11,7 +11,7 @@
 namespace workshatch::relay {
 
 /// Counts the places that this relay holds and numbers what it tells of them.
-/// Times are milliseconds of the steady clock. Not safe for concurrent use.
+/// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class HeldPlaces {
 public:
   /// @param incarnation differs with each start of the process
--- a/src/core/relay/led_runner_list.h
+++ b/src/core/relay/led_runner_list.h
@@ -35,7 +35,7 @@
 };
 
 /// Keeps the newest list that was read from the platform, with a version while this replica leads.
-/// Times are milliseconds of the steady clock. Not safe for concurrent use.
+/// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class LedRunnerList {
 public:
   /// Begins a leadership. A list that was read just before counts; an older one is dropped, since
--- a/src/core/relay/part_directory.h
+++ b/src/core/relay/part_directory.h
@@ -40,7 +40,7 @@
 /// message was lost): the runner then reads what it lacks, as without a source.
 ///
 /// Guarantee: a runner that was noted as not having got a prompt is not named for it.
-/// Times are milliseconds of the steady clock. Not safe for concurrent use.
+/// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class PartDirectory {
 public:
   /// @return whether the runner with this fingerprint can be copied from.
--- a/src/core/relay/part_sources.h
+++ b/src/core/relay/part_sources.h
@@ -28,8 +28,8 @@
 };
 
 /// Knows where this relay sent parts of prompts lately; of parts that only other relays sent, the
-/// ranking of runners tells where they went. Times are milliseconds of the steady clock. Not safe
-/// for concurrent use.
+/// ranking of runners tells where they went. Times are milliseconds of the monotonic clock. Not
+/// safe for concurrent use.
 class PartSources {
 public:
   /// Notes that a prompt with these parts goes to the runner.
--- a/src/core/relay/place_owner.h
+++ b/src/core/relay/place_owner.h
@@ -49,7 +49,7 @@
 ///
 /// Guarantees: of the relays that tell it their use of a runner, no claim is granted over its
 /// limit; while a runner counts as cold, no second brings it more grants than its pace and burst.
-/// Times are milliseconds of the steady clock. Not safe for concurrent use.
+/// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class PlaceOwner {
 public:
   /// What the owner answers to a claim.
--- a/src/core/relay/place_owners.h
+++ b/src/core/relay/place_owners.h
@@ -11,7 +11,7 @@
 
 /// Ranks the relays for each runner (rendezvous hashing), so that all relays with the same list
 /// name the same owner, and a relay that comes or goes changes the owner of its own part only.
-/// Times are milliseconds of the steady clock. Not safe for concurrent use.
+/// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class PlaceOwners {
 public:
   /// @return whether another list of relays than this one is in use.
--- a/src/core/relay/place_pace.h
+++ b/src/core/relay/place_pace.h
@@ -24,7 +24,7 @@
 PaceLimit paceLimit(double per_s, double factor, double slack);
 
 /// A token bucket that starts empty: what an earlier owner gave in the last second is not known
-/// here. Times are milliseconds of the steady clock. Not safe for concurrent use.
+/// here. Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class PlacePace {
 public:
   /// @param now_ms when this owner was first asked for the runner
--- a/src/core/relay/retry_budget.h
+++ b/src/core/relay/retry_budget.h
@@ -26,7 +26,7 @@
 /// and the slack in every sliding window, also when processes restart and join: a bucket starts
 /// empty, so a process that takes over from another spends only what accrues in its own time.
 /// A relay that has not been told how many there are spends none of the slack.
-/// Times are milliseconds of the steady clock. Not safe for concurrent use.
+/// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class RetryBudget {
 public:
   explicit RetryBudget(RetryBudgetOptions options) : options_(options) {}
--- a/src/core/relay/return_times.h
+++ b/src/core/relay/return_times.h
@@ -11,7 +11,7 @@
 
 /// Gives refused callers times to come back at, one after the other at the pace at which the
 /// service's requests end, so that they do not all return at once into the same crowd.
-/// Times are milliseconds of the steady clock. Not safe for concurrent use.
+/// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class ReturnTimes {
 public:
   /// Notes that a request of the service ended, so that its place became free.
--- a/src/core/relay/runner.h
+++ b/src/core/relay/runner.h
@@ -9,7 +9,7 @@
 
 namespace workshatch::relay {
 
-/// One back end. Times are milliseconds of the steady clock.
+/// One back end. Times are milliseconds of the monotonic clock.
 struct Runner {
   v1::RunnerEntry entry;
   /// Fingerprint of its life (runner_life.h), under which all else is kept of it.
--- a/src/core/relay/runner_end_counts.h
+++ b/src/core/relay/runner_end_counts.h
@@ -29,7 +29,7 @@
 /// Guarantee: a request is put into quarantine only for ends of different runners, or of one at
 /// different times. What is counted here may be learned again from the relays; what is in
 /// quarantine is kept in the replicated log.
-/// Times are milliseconds of the steady clock. Not safe for concurrent use.
+/// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class RunnerEndCounts {
 public:
   static constexpr size_t kEndsForQuarantine = 3;
--- a/src/core/relay/runner_end_watch.h
+++ b/src/core/relay/runner_end_watch.h
@@ -22,7 +22,7 @@
 /// where both were seen close together: its connection was cut, and the address refused another.
 /// Requests that ran whole lately are never reported.
 ///
-/// Times are milliseconds of the steady clock. Not safe for concurrent use.
+/// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class RunnerEndWatch {
 public:
   /// A request in progress at a runner whose process ended.
--- a/src/core/relay/runner_life.h
+++ b/src/core/relay/runner_life.h
@@ -9,17 +9,17 @@
 
 namespace workshatch::relay {
 
-/// One process of a runner, from its start to its end. A runner that starts again under its id holds
-/// nothing and knows nothing of before.
+/// One process of a runner, from its start to its end. A runner that starts again under its id
+/// holds nothing and knows nothing of before.
 ///
-/// All that is kept of a runner is kept under its life's fingerprint, so that it ends with the life:
-/// entries of the table of runners, load sums, places and pace at owners, parts of prompts, ends of
-/// runners. A message about a former life names another fingerprint and changes nothing of the
-/// present one.
+/// All that is kept of a runner is kept under its life's fingerprint, so that it ends with the
+/// life: entries of the table of runners, load sums, places and pace at owners, parts of prompts,
+/// ends of runners. A message about a former life names another fingerprint and changes nothing of
+/// the present one.
 struct RunnerLife {
   std::string id;
-  /// When the process started, milliseconds since the epoch; zero: not told. Only compared for being
-  /// the same: wall clocks may step back between two starts.
+  /// When the process started, milliseconds since the epoch; zero: not told. Only compared for
+  /// being the same: wall clocks may step back between two starts.
   uint64_t born_ms = 0;
 
   bool operator==(const RunnerLife& other) const {
--- a/src/core/relay/serving_lease.h
+++ b/src/core/relay/serving_lease.h
@@ -11,7 +11,7 @@
 ///
 /// Guarantee: a lease that holds was confirmed by the leader in answer to a renewal that was sent
 /// less than the lease's length ago; so every change acknowledged before that sending is in force
-/// here. Times are milliseconds of the steady clock. Not safe for concurrent use.
+/// here. Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class ServingLease {
 public:
   /// @param length_ms how long a confirmed renewal counts, from its sending.
--- a/src/core/relay/silent_relays.h
+++ b/src/core/relay/silent_relays.h
@@ -10,7 +10,7 @@
 
 /// Remembers relays that stopped renewing while their link stayed open: machines without power or
 /// cut off. Callers that ask one of them where to go wait for their time limit. Times are
-/// milliseconds of the steady clock. Not safe for concurrent use.
+/// milliseconds of the monotonic clock. Not safe for concurrent use.
 class SilentRelays {
 public:
   void fellSilent(const std::string& relay, int64_t now_ms) { since_ms_[relay] = now_ms; }
--- a/src/core/relay/whole_runs.h
+++ b/src/core/relay/whole_runs.h
@@ -17,7 +17,7 @@
 ///
 /// Memory is bounded however many different requests come: many new ones push old ones out, which
 /// takes their protection away and nothing else.
-/// Times are milliseconds of the steady clock. Not safe for concurrent use.
+/// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class WholeRuns {
 public:
   void note(const RequestIdentity& request, int64_t now_ms);
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -16,7 +16,7 @@
 
 namespace workshatch::daemon {
 
-/// A request that may be sent to a runner. Times are milliseconds of the steady clock.
+/// A request that may be sent to a runner. Times are milliseconds of the monotonic clock.
 struct RelayRequest {
   std::shared_ptr<const relay::RouteTable> routes;
   const relay::Route* route = nullptr;
