--- a/src/core/relay/held_places.h
+++ b/src/core/relay/held_places.h
@@ -37,7 +37,7 @@
 
   const uint32_t incarnation_;
   uint64_t sequence_ = 0;
-  /// By fingerprint of the runner's id; none without places.
+  /// By fingerprint of the runner's life; none without places.
   std::unordered_map<uint64_t, Held> runners_;
 };
 
--- a/src/core/relay/place_owner.h
+++ b/src/core/relay/place_owner.h
@@ -108,7 +108,7 @@
   static void take(Places& places, const std::string& relay, const v1::PlaceUse& told,
                    int64_t now_ms);
 
-  /// By fingerprint of the runner's id.
+  /// By fingerprint of the runner's life.
   std::unordered_map<uint64_t, Places> runners_;
   /// Empty: never.
   std::optional<int64_t> owners_changed_ms_;
--- a/src/core/relay/runner_end_watch.h
+++ b/src/core/relay/runner_end_watch.h
@@ -28,7 +28,7 @@
   /// A request in progress at a runner whose process ended.
   struct Report {
     RequestIdentity request;
-    /// Fingerprint of the runner's id.
+    /// Fingerprint of the runner's life.
     uint64_t runner = 0;
     int64_t ended_ms = 0;
   };
@@ -79,7 +79,7 @@
   void forgetOld(int64_t now_ms);
 
   WholeRuns whole_;
-  /// By fingerprint of the runner's id.
+  /// By fingerprint of the runner's life.
   std::map<uint64_t, Suspect> suspects_;
   /// Oldest first.
   std::deque<Report> reports_;
--- a/src/core/relay/runner_entry.h
+++ b/src/core/relay/runner_entry.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "core/relay/runner_life.h"
 #include "workshatch/v1/relay.pb.h"
 
 namespace workshatch::relay {
@@ -18,10 +19,9 @@
 /// reading. Field by field: comparing by reflection takes a leader of thousands of runners too
 /// long.
 inline bool sameEntry(const v1::RunnerEntry& left, const v1::RunnerEntry& right) {
-  return left.id() == right.id() && left.born_ms() == right.born_ms() &&
-         left.leaving() == right.leaving() && left.slots() == right.slots() &&
-         left.address() == right.address() && left.service() == right.service() &&
-         left.zone() == right.zone();
+  return sameLife(left, right) && left.leaving() == right.leaving() &&
+         left.slots() == right.slots() && left.address() == right.address() &&
+         left.service() == right.service() && left.zone() == right.zone();
 }
 
 /// @return whether a runner has turned cold since the earlier reading: the time only falls
--- a/src/core/relay/runner_life.h
+++ b/src/core/relay/runner_life.h
@@ -22,13 +22,15 @@
   /// being the same: wall clocks may step back between two starts.
   uint64_t born_ms = 0;
 
-  bool operator==(const RunnerLife& other) const {
-    return id == other.id && born_ms == other.born_ms;
-  }
   /// @return never zero; that of a life without a told start is the id's alone.
   uint64_t fingerprint() const;
 };
 
 RunnerLife lifeOf(const v1::RunnerEntry& entry);
 
+/// @return whether two entries are of one process.
+inline bool sameLife(const v1::RunnerEntry& left, const v1::RunnerEntry& right) {
+  return left.id() == right.id() && left.born_ms() == right.born_ms();
+}
+
 } // namespace workshatch::relay
--- a/src/core/relay/runner_list_history.cc
+++ b/src/core/relay/runner_list_history.cc
@@ -128,8 +128,7 @@
     while (position < newest.runners_size() && comesBefore(newest.runners(position), entry)) {
       ++position;
     }
-    const bool same =
-        position < newest.runners_size() && lifeOf(newest.runners(position)) == lifeOf(entry);
+    const bool same = position < newest.runners_size() && sameLife(newest.runners(position), entry);
     found->second.push_back(same ? std::optional(static_cast<uint32_t>(position)) : std::nullopt);
   }
   return &found->second;
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -49,11 +49,10 @@
   list_fingerprint_ = fingerprintOf(list);
   for (const v1::RunnerEntry& entry : list.runners()) {
     auto& runner = known[entry.id()];
-    const RunnerLife life = lifeOf(entry);
     // A process that has started again has none of the failures, load or parts of the one before.
-    if (!runner || !(lifeOf(runner->entry) == life)) {
+    if (!runner || !sameLife(runner->entry, entry)) {
       runner = std::make_shared<Runner>();
-      runner->fingerprint = life.fingerprint();
+      runner->fingerprint = lifeOf(entry).fingerprint();
       runner->listed_since_ms = first ? 0 : now_ms;
     }
     takeEntry(*runner, entry, now_ms);
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -174,12 +174,17 @@
   noteTime();
   if (runner.evacuated) {
     last_error_ = "zone evacuated";
-  } else if (inQuarantine()) {
+    return false;
+  }
+  if (inQuarantine()) {
     last_error_ = "request in quarantine";
-  } else if (lostLease()) {
+    return false;
+  }
+  if (lostLease()) {
     last_error_ = "lease lost";
+    return false;
   }
-  return !runner.evacuated && !barred() && !ended();
+  return !ended();
 }
 
 http::awaitable<RelayRun::AttemptResult> RelayRun::callRunner(const relay::RunnerChoice& choice) {
--- a/tests/unit/daemon/fleet/test_fleet.h
+++ b/tests/unit/daemon/fleet/test_fleet.h
@@ -14,11 +14,8 @@
 #include <thread>
 #include <vector>
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 #include "adapters/http/simple_get.h"
@@ -29,17 +26,6 @@
 
 namespace workshatch::test {
 
-/// @return whether the condition came true within the limit.
-template <typename Condition> bool within(std::chrono::milliseconds limit, Condition condition) {
-  const auto end = std::chrono::steady_clock::now() + limit;
-  while (!condition() && std::chrono::steady_clock::now() < end) {
-    std::this_thread::yield();
-  }
-  return condition();
-}
-
-inline constexpr std::chrono::milliseconds kPatience{10'000};
-
 /// A runner whose process ends, with all its connections and its listener, when it begins to run
 /// the request with a given body. Serves one connection at a time.
 class EndingRunner {
@@ -155,20 +141,6 @@
   std::thread thread_;
 };
 
-/// Any document is the configuration of one route of one service.
-class AnyDocumentCodec : public ConfigurationCodec {
-public:
-  Result<relay::Configuration> decode(std::string_view) const override {
-    relay::Configuration configuration;
-    configuration.version = 1;
-    configuration.services = {relay::Service{.name = "s"}};
-    configuration.tenants = {relay::Tenant{.name = "tenant-1", .keys = {"key-1"}},
-                             relay::Tenant{.name = "tenant-2", .keys = {"key-2"}}};
-    configuration.routes = {testRoute(relay::RouteKind::RunOnce, 1)};
-    return configuration;
-  }
-};
-
 /// Lists of runners as lines "id address".
 class LinesCodec : public RunnerListCodec {
 public:
@@ -246,21 +218,10 @@
 
   /// Sends a request with a body of two bytes to a relay. @return the whole answer.
   std::string ask(size_t relay, const std::string& body, const std::string& key = "key-1") {
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::socket socket(context);
-    boost::system::error_code failure;
-    socket.connect(*http::parseEndpoint(callerAddress(relay)), failure);
     // Each try has an id of its own.
     const std::string id = "q" + std::to_string(++tries_);
-    const std::string request = "POST /work HTTP/1.1\r\nHost: h.example\r\nW-Request: " + id +
-                                "\r\nW-Key: " + key +
-                                "\r\nW-Deadline: 3000\r\nConnection: close\r\n"
-                                "Content-Length: 2\r\n\r\n" +
-                                body;
-    boost::asio::write(socket, boost::asio::buffer(request), failure);
-    std::string answer;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), failure);
-    return answer;
+    return answerTo(requestText(CallerRequest{.id = id, .key = key, .body = body}),
+                    callerAddress(relay));
   }
 
   size_t endedRunners() const {
@@ -371,7 +332,7 @@
   const std::filesystem::path folder_;
   const SystemClock clock_{};
   const TestDialect dialect_{};
-  const AnyDocumentCodec configurations_{};
+  const OneRouteCodec configurations_{};
   const LinesCodec lists_{};
   std::vector<std::unique_ptr<EndingRunner>> runners_;
   ScriptedRunner list_;
--- /dev/null
+++ b/tests/unit/daemon/group/group_fixture.h
@@ -0,0 +1,262 @@
+/// @file
+/// Replicas of a group on one event loop, with disks in memory and messages that a test may lose.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <doctest/doctest.h>
+
+#include "adapters/system_clock.h"
+#include "daemon/group/group_replica.h"
+#include "ports/seeded_random.h"
+#include "unit/daemon/relay/relay_fixture.h"
+
+namespace workshatch::test {
+
+using daemon::GroupOptions;
+using daemon::GroupReplica;
+using daemon::StoreOutcome;
+
+/// A disk in memory that outlives its replica.
+class MemoryStore : public LogStore {
+public:
+  explicit MemoryStore(uint64_t id) : id_(id) {}
+
+  Result<StoredReplica> load() override {
+    StoredReplica stored;
+    stored.id = id_;
+    stored.recovery.hard_state = hard_state_;
+    stored.recovery.log = log_;
+    return stored;
+  }
+  Result<std::monostate> write(const raft::RaftReady& ready) override {
+    if (full) {
+      return Error{"no space left"};
+    }
+    if (ready.snapshot) {
+      log_.restore(*ready.snapshot);
+    }
+    if (ready.truncate_from != 0) {
+      log_.truncateFrom(ready.truncate_from);
+    }
+    for (const v1::RaftEntry& entry : ready.entries) {
+      log_.append(entry);
+    }
+    if (ready.hard_state) {
+      hard_state_ = *ready.hard_state;
+    }
+    return std::monostate{};
+  }
+  Result<std::monostate> compact(const raft::RaftLog& log, const v1::RaftHardState&) override {
+    log_ = log;
+    return std::monostate{};
+  }
+
+  bool full = false;
+
+private:
+  uint64_t id_;
+  raft::RaftLog log_;
+  v1::RaftHardState hard_state_;
+};
+
+/// Replicas on one event loop; messages to machines that are down are lost.
+class Group {
+public:
+  /// @param voters as many as the group grows to
+  explicit Group(size_t voters = 3) : voters_(voters) {}
+
+  struct Machine {
+    /// Time of the machine, which may sleep.
+    SleepingClock clock;
+    std::unique_ptr<MemoryStore> disk;
+    std::unique_ptr<GroupReplica> replica;
+  };
+
+  void start(const std::string& address, uint64_t id, bool first_start) {
+    Machine& machine = machines_[address];
+    if (!machine.disk) {
+      machine.disk = std::make_unique<MemoryStore>(id);
+    }
+    GroupOptions options;
+    options.own_address = address;
+    options.seeds = {"a", "b", "c"};
+    options.first_start = first_start;
+    options.voters = voters_;
+    options.tick_ms = 10;
+    options.gone_ms = 200;
+    options.snapshot_entries = 4;
+    machine.replica = std::make_unique<GroupReplica>(context_, options, *machine.disk,
+                                                     machine.clock, random_, transportOf(address));
+    machine.replica->onHelloWanted([this](const std::string& to, const v1::ReplicaHello& hello) {
+      deliver(to, [hello](GroupReplica& replica) { replica.helloReceived(hello); });
+    });
+    machine.replica->onJoinWanted([this](const std::string& to, const v1::JoinRequest& join) {
+      deliver(to, [join](GroupReplica& replica) { replica.joinReceived(join); });
+    });
+    REQUIRE_FALSE(isError(machine.replica->start()));
+  }
+  /// The machine sleeps: its process and its timers stand still.
+  void sleep(const std::string& address, int64_t milliseconds) {
+    machines_.at(address).clock.sleepFor(milliseconds);
+  }
+  /// Ends the process; its timers and messages end with it.
+  void kill(const std::string& address) { machines_.at(address).replica.reset(); }
+  /// Loses all messages to and from a machine.
+  void cutOff(const std::string& address, bool cut) {
+    if (cut) {
+      cut_off_.insert(address);
+    } else {
+      cut_off_.erase(address);
+    }
+  }
+  void wipe(const std::string& address) { machines_.at(address).disk.reset(); }
+
+  bool runUntil(const std::function<bool()>& condition) {
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!condition() && std::chrono::steady_clock::now() < limit) {
+      context_.run_one_for(std::chrono::milliseconds(20));
+    }
+    return condition();
+  }
+  GroupReplica* leader() {
+    for (auto& [address, machine] : machines_) {
+      if (machine.replica && machine.replica->leads()) {
+        return machine.replica.get();
+      }
+    }
+    return nullptr;
+  }
+  /// Stores through whoever leads, again until it is acknowledged.
+  bool store(uint64_t version) {
+    bool stored = false;
+    bool asked = false;
+    return runUntil([&] {
+      GroupReplica* leading = stored || asked ? nullptr : leader();
+      if (leading != nullptr) {
+        asked = true;
+        v1::StoredConfiguration configuration;
+        configuration.set_version(version);
+        configuration.set_compressed_document("v" + std::to_string(version));
+        leading->store(configuration, [&](StoreOutcome outcome) {
+          stored = outcome == StoreOutcome::Stored;
+          asked = false;
+        });
+      }
+      return stored;
+    });
+  }
+  /// Orders through whoever leads, again until it is acknowledged.
+  bool order(const std::string& zone, bool begin) {
+    bool stored = false;
+    bool asked = false;
+    return runUntil([&] {
+      GroupReplica* leading = stored || asked ? nullptr : leader();
+      if (leading != nullptr) {
+        asked = true;
+        v1::GroupCommand command;
+        command.mutable_evacuation()->set_zone(zone);
+        command.mutable_evacuation()->set_begin(begin);
+        leading->order(command, [&](StoreOutcome outcome) {
+          stored = outcome == StoreOutcome::Stored;
+          asked = false;
+        });
+      }
+      return stored;
+    });
+  }
+  /// @return the zones that the leader holds for evacuated, confirmed by a majority.
+  std::vector<std::string> evacuated() {
+    REQUIRE(read().size() > 0);
+    GroupReplica* leading = leader();
+    REQUIRE(leading != nullptr);
+    return relay::zoneNames(leading->evacuations());
+  }
+  std::string read() {
+    std::string document;
+    bool asked = false;
+    runUntil([&] {
+      GroupReplica* leading = asked || !document.empty() ? nullptr : leader();
+      if (leading != nullptr) {
+        asked = true;
+        leading->read([&](const v1::StoredConfiguration* stored) {
+          document = stored == nullptr ? "" : stored->compressed_document();
+          asked = false;
+        });
+      }
+      return !document.empty();
+    });
+    return document;
+  }
+  GroupReplica& at(const std::string& address) { return *machines_.at(address).replica; }
+  boost::asio::io_context& context() { return context_; }
+  const Clock& clock() const { return clock_; }
+  MemoryStore& diskOf(const std::string& address) { return *machines_.at(address).disk; }
+  std::set<std::string> members() {
+    GroupReplica* leading = leader();
+    const auto addresses =
+        leading == nullptr ? std::vector<std::string>() : leading->memberAddresses();
+    return {addresses.begin(), addresses.end()};
+  }
+
+private:
+  class Transport : public ReplicaTransport {
+  public:
+    Transport(Group& group, std::string own) : group_(group), own_(std::move(own)) {}
+    void send(const std::string& address, v1::RaftMessage message) override {
+      if (group_.cut_off_.contains(own_) || group_.cut_off_.contains(address)) {
+        return;
+      }
+      v1::RaftBatch batch;
+      batch.set_sender_address(own_);
+      *batch.add_messages() = std::move(message);
+      group_.deliver(address, [batch](GroupReplica& replica) { replica.deliver(batch); });
+    }
+
+  private:
+    Group& group_;
+    const std::string own_;
+  };
+
+  Transport& transportOf(const std::string& address) {
+    auto& transport = transports_[address];
+    if (!transport) {
+      transport = std::make_unique<Transport>(*this, address);
+    }
+    return *transport;
+  }
+  void deliver(const std::string& to, std::function<void(GroupReplica&)> call) {
+    boost::asio::post(context_, [this, to, call = std::move(call)] {
+      const auto found = machines_.find(to);
+      if (found != machines_.end() && found->second.replica) {
+        call(*found->second.replica);
+      }
+    });
+  }
+
+  const size_t voters_;
+  boost::asio::io_context context_;
+  const SystemClock clock_{};
+  SeededRandom random_{7};
+  std::map<std::string, std::unique_ptr<Transport>> transports_;
+  std::map<std::string, Machine> machines_;
+  std::set<std::string> cut_off_;
+};
+
+inline void startFirst(Group& group) {
+  group.start("a", 11, true);
+  group.start("b", 12, true);
+  group.start("c", 13, true);
+  REQUIRE(group.store(1));
+}
+
+} // namespace workshatch::test
--- a/tests/unit/daemon/group/group_role_test.cc
+++ b/tests/unit/daemon/group/group_role_test.cc
@@ -6,9 +6,6 @@
 #include <string>
 #include <thread>
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 #include "adapters/http/http_types.h"
@@ -70,17 +67,10 @@
 
   /// @return the head of the answer.
   static std::string call(const std::string& method, const std::string& path) {
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::socket socket(context);
-    socket.connect(*http::parseEndpoint(kOperatorAddress));
-    const std::string request = method + " " + path +
-                                " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
-                                "Content-Length: 0\r\n\r\n";
-    boost::system::error_code failure;
-    boost::asio::write(socket, boost::asio::buffer(request), failure);
-    std::string answer;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), failure);
-    return answer;
+    return answerTo(method + " " + path +
+                        " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
+                        "Content-Length: 0\r\n\r\n",
+                    kOperatorAddress);
   }
 
   /// Repeats the call, as operators do, until the replica has become the leader.
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -23,10 +23,51 @@
 #include "adapters/system_clock.h"
 #include "adapters/worker_pool.h"
 #include "daemon/relay/relay_run.h"
+#include "ports/configuration_codec.h"
 #include "ports/relay_dialect.h"
 
 namespace workshatch::test {
 
+/// @return whether the condition came true within the limit.
+template <typename Condition> bool within(std::chrono::milliseconds limit, Condition condition) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (!condition() && std::chrono::steady_clock::now() < end) {
+    std::this_thread::yield();
+  }
+  return condition();
+}
+
+inline constexpr std::chrono::milliseconds kPatience{10'000};
+
+/// A caller's request for path `/work`.
+struct CallerRequest {
+  std::string id;
+  std::string key = "key-1";
+  int64_t patience_ms = 3000;
+  std::string more_headers;
+  std::string body = "hi";
+};
+
+inline std::string requestText(const CallerRequest& request) {
+  return "POST /work HTTP/1.1\r\nHost: h.example\r\nW-Request: " + request.id +
+         "\r\nW-Key: " + request.key + "\r\nW-Deadline: " + std::to_string(request.patience_ms) +
+         "\r\nConnection: close\r\n" + request.more_headers +
+         "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" + request.body;
+}
+
+/// Sends bytes on a connection of their own. @return everything that comes until it ends; empty:
+/// nobody listens.
+inline std::string answerTo(const std::string& bytes, const std::string& address) {
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket(context);
+  boost::system::error_code failure;
+  socket.connect(*http::parseEndpoint(address), failure);
+  boost::asio::write(socket, boost::asio::buffer(bytes), failure);
+  std::string answer;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), failure);
+  return answer;
+}
+
 /// Names of this project's own, unlike those of any platform.
 class TestDialect : public RelayDialect {
 public:
@@ -226,20 +267,9 @@
     return send(requestText(id, more_headers));
   }
   /// As `ask`, with the whole request given.
-  std::string send(const std::string& request) const {
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::socket socket(context);
-    socket.connect(*http::parseEndpoint(address_));
-    boost::system::error_code failure;
-    boost::asio::write(socket, boost::asio::buffer(request), failure);
-    std::string answer;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), failure);
-    return answer;
-  }
+  std::string send(const std::string& request) const { return answerTo(request, address_); }
   static std::string requestText(const std::string& id, const std::string& more_headers = "") {
-    return "POST /work HTTP/1.1\r\nHost: h.example\r\nW-Request: " + id +
-           "\r\nW-Key: key-1\r\nW-Deadline: 3000\r\nConnection: close\r\n" + more_headers +
-           "Content-Length: 2\r\n\r\nhi";
+    return test::requestText(CallerRequest{.id = id, .more_headers = more_headers});
   }
 
 private:
@@ -278,4 +308,18 @@
   return route;
 }
 
+/// Any document is the configuration of one route of one service.
+class OneRouteCodec : public ConfigurationCodec {
+public:
+  Result<relay::Configuration> decode(std::string_view) const override {
+    relay::Configuration configuration;
+    configuration.version = 1;
+    configuration.services = {relay::Service{.name = "s"}};
+    configuration.tenants = {relay::Tenant{.name = "tenant-1", .keys = {"key-1"}},
+                             relay::Tenant{.name = "tenant-2", .keys = {"key-2"}}};
+    configuration.routes = {testRoute(relay::RouteKind::RunOnce, 1)};
+    return configuration;
+  }
+};
+
 } // namespace workshatch::test
--- a/tests/unit/daemon/relay/relay_role_test.cc
+++ b/tests/unit/daemon/relay/relay_role_test.cc
@@ -17,19 +17,6 @@
 
 namespace {
 
-/// Any document is the configuration of the fixture's one route.
-class OneRouteCodec : public ConfigurationCodec {
-public:
-  Result<relay::Configuration> decode(std::string_view) const override {
-    relay::Configuration configuration;
-    configuration.version = 1;
-    configuration.services = {relay::Service{.name = "s"}};
-    configuration.tenants = {relay::Tenant{.name = "tenant-1", .keys = {"key-1"}}};
-    configuration.routes = {testRoute(relay::RouteKind::RunOnce, 1)};
-    return configuration;
-  }
-};
-
 class NoListCodec : public RunnerListCodec {
 public:
   std::string target(const std::string&) const override { return "/list"; }
@@ -86,14 +73,6 @@
   std::atomic<bool> relay_ready_{false};
 };
 
-template <typename Condition> bool soon(Condition condition) {
-  const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(10);
-  while (!condition() && std::chrono::steady_clock::now() < limit) {
-    std::this_thread::yield();
-  }
-  return condition();
-}
-
 } // namespace
 
 TEST_CASE("A planned stop finishes what is in progress, tells callers, and then ends") {
@@ -128,28 +107,22 @@
   REQUIRE_FALSE(isError(role.start()));
   workers.start();
   const auto ready = [&] { return !isError(http::simpleGet(settings.ready_address, "/ready")); };
-  REQUIRE(soon(ready));
+  REQUIRE(within(kPatience, ready));
 
   std::string answer;
-  std::thread caller([&] {
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::socket socket(context);
-    socket.connect(*http::parseEndpoint(settings.caller_address));
-    boost::system::error_code failure;
-    boost::asio::write(socket, boost::asio::buffer(TestRelay::requestText("q1")), failure);
-    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), failure);
-  });
-  REQUIRE(soon([&] { return runner_has_request.load(); }));
+  std::thread caller(
+      [&] { answer = answerTo(TestRelay::requestText("q1"), settings.caller_address); });
+  REQUIRE(within(kPatience, [&] { return runner_has_request.load(); }));
   std::atomic<bool> stopped{false};
   boost::asio::post(workers.context(0), [&] { role.stop([&] { stopped = true; }); });
-  CHECK(soon([&] { return !leader.relayIsReady(); }));
+  CHECK(within(kPatience, [&] { return !leader.relayIsReady(); }));
   CHECK_FALSE(ready());
   CHECK_FALSE(stopped);
   runner_may_answer = true;
   caller.join();
   CHECK(answer.starts_with("HTTP/1.1 200"));
   CHECK(answer.ends_with("done"));
-  CHECK(soon([&] { return stopped.load(); }));
+  CHECK(within(kPatience, [&] { return stopped.load(); }));
   workers.stop();
 }
 
--- a/tests/unit/daemon/relay/sleep_test.cc
+++ b/tests/unit/daemon/relay/sleep_test.cc
@@ -40,10 +40,7 @@
       });
   peers->setRelays({address});
   relay.start();
-  return relay.send("POST /work HTTP/1.1\r\nHost: h.example\r\nW-Request: q1\r\nW-Key: key-1\r\n"
-                    "W-Deadline: " +
-                    std::to_string(sleep.patience_ms) +
-                    "\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi");
+  return relay.send(requestText(CallerRequest{.id = "q1", .patience_ms = sleep.patience_ms}));
 }
 
 } // namespace
