--- /dev/null
+++ b/tests/unit/daemon/control/control_fixture.h
@@ -0,0 +1,122 @@
+/// @file
+/// A control replica behind its gRPC services on loopback, with a disk in memory.
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include <doctest/doctest.h>
+
+#include "adapters/rpc/channels.h"
+#include "adapters/system_clock.h"
+#include "daemon/control/control_replica.h"
+#include "daemon/control/control_services.h"
+#include "ports/seeded_random.h"
+#include "unit/daemon/memory_store.h"
+#include "workshatch/v1/control.grpc.pb.h"
+
+namespace workshatch::test {
+
+/// Below the range that the system gives to outgoing connections.
+constexpr const char* kControlAddress = "127.0.9.10:19170";
+constexpr const char* kControlKey = "control-key";
+constexpr const char* kOperatorToken = "operator-token";
+/// The replica under test hands over within its election timeout of 50 ms, then its services take
+/// 500 ms for calls that are under way. Whatever is not over after this long waits for something
+/// that does not come.
+constexpr std::chrono::seconds kStopLimit{5};
+
+/// Waits until `condition` holds. @return whether it does within `limit`.
+inline bool waitUntil(const std::function<bool()>& condition,
+                      std::chrono::milliseconds limit =
+                          std::chrono::duration_cast<std::chrono::milliseconds>(kStopLimit)) {
+  const auto until = std::chrono::steady_clock::now() + limit;
+  while (!condition() && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return condition();
+}
+
+/// Loses everything: for a group of one replica.
+class NoTransport : public ReplicaTransport {
+public:
+  void send(const std::string&, v1::RaftMessage) override {}
+};
+
+/// A control replica that forms a group of its own, and its services.
+class ControlMachine {
+public:
+  explicit ControlMachine(uint64_t seed = 1) : disk(seed), random_(seed) {
+    daemon::ReplicaOptions options;
+    options.initial_addresses = {kControlAddress};
+    options.own_address = kControlAddress;
+    options.heartbeat_ms = 10;
+    options.election_ticks = 5;
+    replica = std::make_unique<daemon::ControlReplica>(options, disk, clock_, random_, transport_);
+    services = std::make_unique<daemon::ControlServices>(
+        *replica,
+        daemon::ServiceKeys{.control_key = kControlKey, .operator_token = kOperatorToken});
+  }
+
+  void start() {
+    REQUIRE_FALSE(isError(replica->start()));
+    REQUIRE_FALSE(isError(services->listen(kControlAddress)));
+  }
+
+  /// Stops in the order of the daemon's control role.
+  void stop() {
+    replica->stop();
+    services.reset();
+  }
+
+  MemoryStore disk;
+  std::unique_ptr<daemon::ControlReplica> replica;
+  std::unique_ptr<daemon::ControlServices> services;
+
+private:
+  const SystemClock clock_{};
+  SeededRandom random_;
+  NoTransport transport_;
+};
+
+/// An operator with a connection of its own.
+class TestOperator {
+public:
+  TestOperator() : stub_(v1::Operator::NewStub(rpc::makeChannel(kControlAddress))) {}
+
+  /// @param limit after which the operator gives the call up
+  grpc::Status status(std::chrono::milliseconds limit, v1::StatusReply& reply) {
+    grpc::ClientContext context;
+    rpc::prepare(context, kOperatorToken, limit.count());
+    return stub_->Status(&context, v1::StatusRequest(), &reply);
+  }
+
+  /// @return whether the replica answers as the leader.
+  bool isServed() {
+    v1::StatusReply reply;
+    return status(kStopLimit, reply).ok() && !reply.not_leader();
+  }
+
+private:
+  std::unique_ptr<v1::Operator::Stub> stub_;
+};
+
+/// Runs `work` on a thread of its own, which keeps what it uses if it never ends.
+/// @return whether it ended within kStopLimit.
+inline bool endsInTime(std::function<void()> work) {
+  auto ended = std::make_shared<std::promise<void>>();
+  auto future = ended->get_future();
+  std::thread([work = std::move(work), ended] {
+    work();
+    ended->set_value();
+  }).detach();
+  return future.wait_for(kStopLimit) == std::future_status::ready;
+}
+
+} // namespace workshatch::test
--- /dev/null
+++ b/tests/unit/daemon/memory_store.h
@@ -0,0 +1,52 @@
+/// @file
+/// A replica's disk in memory, which a test may fill.
+#pragma once
+
+#include "ports/log_store.h"
+
+namespace workshatch::test {
+
+/// A disk in memory that outlives its replica.
+class MemoryStore : public LogStore {
+public:
+  explicit MemoryStore(uint64_t id) : id_(id) {}
+
+  Result<StoredReplica> load() override {
+    StoredReplica stored;
+    stored.id = id_;
+    stored.recovery.hard_state = hard_state_;
+    stored.recovery.log = log_;
+    return stored;
+  }
+  Result<std::monostate> write(const raft::RaftReady& ready) override {
+    if (full) {
+      return Error{"no space left"};
+    }
+    if (ready.snapshot) {
+      log_.restore(*ready.snapshot);
+    }
+    if (ready.truncate_from != 0) {
+      log_.truncateFrom(ready.truncate_from);
+    }
+    for (const v1::RaftEntry& entry : ready.entries) {
+      log_.append(entry);
+    }
+    if (ready.hard_state) {
+      hard_state_ = *ready.hard_state;
+    }
+    return std::monostate{};
+  }
+  Result<std::monostate> compact(const raft::RaftLog& log, const v1::RaftHardState&) override {
+    log_ = log;
+    return std::monostate{};
+  }
+
+  bool full = false;
+
+private:
+  uint64_t id_;
+  raft::RaftLog log_;
+  v1::RaftHardState hard_state_;
+};
+
+} // namespace workshatch::test
