Sight: what a control replica leaves in its inbox, and what its services wait for at a planned stop

The log of a process that hangs ends with leadership_lost; it can't tell a wait for the disk, for the hand-over, for calls that nobody answers, or for the workers. New lines: replica_ended with the calls left in the inbox, services_ending and services_ended with the calls that the replica was given and has not answered. No logic changes.

--- a/src/daemon/control/control_replica.cc
+++ b/src/daemon/control/control_replica.cc
@@ -74,6 +74,8 @@
   }
   wake_.notify_all();
   thread_.join();
+  const std::lock_guard lock(mutex_);
+  logging::write(logging::Severity::Info, "replica_ended", {{"calls_in_inbox", inbox_.size()}});
 }
 
 void ControlReplica::post(std::function<void()> work) {
--- a/src/daemon/control/control_services.cc
+++ b/src/daemon/control/control_services.cc
@@ -43,10 +43,18 @@
   std::atomic<uint64_t>& refused_;
 };
 
+/// Calls that were given to the replica and are not answered yet. Safe for concurrent use.
+std::atomic<int64_t>& openCalls() {
+  static std::atomic<int64_t> calls{0};
+  return calls;
+}
+
 /// A callback that stores the reply and ends the call.
 template <typename Reply> ReplyCallback<Reply> finishWith(Reactor* reactor, Reply* target) {
+  ++openCalls();
   return [reactor, target](Reply reply) {
     *target = std::move(reply);
+    --openCalls();
     reactor->Finish(grpc::Status::OK);
   };
 }
@@ -102,7 +110,9 @@
       return refused;
     }
     Reactor* reactor = context->DefaultReactor();
+    ++openCalls();
     replica_.propose(std::move(command), [reactor, reply](const ProposalOutcome& outcome) {
+      --openCalls();
       if (const auto* other = std::get_if<NotLeader>(&outcome)) {
         reply->set_not_leader(true);
         reply->set_leader_address(other->leader_address);
@@ -227,8 +237,11 @@
 
 ControlServices::~ControlServices() {
   if (impl_->server) {
+    logging::write(logging::Severity::Info, "services_ending",
+                   {{"open_calls", openCalls().load()}});
     impl_->server->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(500));
     impl_->server->Wait();
+    logging::write(logging::Severity::Info, "services_ended", {{"open_calls", openCalls().load()}});
   }
 }
 
