Failing tests: a control replica whose disk refuses writes, or hangs, does not end when it is told to

The users' issue about planned stops measured it on the real programs: none of four stops ended whose data folder refused writes shortly before; the log ends with drain_finished, disk_failed before it.

--- a/tests/unit/daemon/control/control_fixture.h
+++ b/tests/unit/daemon/control/control_fixture.h
@@ -97,6 +97,17 @@
     return stub_->Status(&context, v1::StatusRequest(), &reply);
   }
 
+  /// Asks for a change of the configuration, which the replica has to write.
+  /// @param limit after which the operator gives the call up
+  grpc::Status apply(std::chrono::milliseconds limit) {
+    grpc::ClientContext context;
+    rpc::prepare(context, kOperatorToken, limit.count());
+    v1::ApplyRequest request;
+    request.set_request_id("change");
+    v1::ApplyReply reply;
+    return stub_->Apply(&context, request, &reply);
+  }
+
   /// @return whether the replica answers as the leader.
   bool isServed() {
     v1::StatusReply reply;
--- a/tests/unit/daemon/control/control_stop_test.cc
+++ b/tests/unit/daemon/control/control_stop_test.cc
@@ -1,6 +1,8 @@
 /// @file
 /// Planned stops of a control replica and its services.
 #include <cstdlib>
+#include <future>
+#include <thread>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -108,4 +110,37 @@
   CHECK(late == 0);
 }
 
+// A daemon whose disk was full, or did not answer, did not end when it was told to: "disk_failed"
+// and "drain_finished" stood in its log, "stopped" never came (none of four stops on the real
+// programs with a data folder that refused writes).
+TEST_CASE("A control replica ends while its disk refuses writes") {
+  const auto machine = std::make_shared<ControlMachine>();
+  machine->start();
+  TestOperator first;
+  REQUIRE(waitUntil([&] { return first.isServed(); }));
+  const uint64_t taken_before = machine->replica->callCounts().taken;
+  machine->disk.full = true;
+  auto change = std::async(std::launch::async, [] { return TestOperator().apply(2 * kStopLimit); });
+  REQUIRE(waitUntil([&] { return machine->replica->callCounts().taken > taken_before; }));
+
+  REQUIRE(endsInTime([machine] { machine->stop(); }));
+  // The change is neither stored nor lost: the operator sends it again to another replica.
+  CHECK(change.get().error_code() == grpc::StatusCode::UNAVAILABLE);
+}
+
+TEST_CASE("A control replica whose disk hangs is given up") {
+  const auto machine = std::make_shared<ControlMachine>();
+  machine->start();
+  TestOperator first;
+  REQUIRE(waitUntil([&] { return first.isServed(); }));
+  const uint64_t taken_before = machine->replica->callCounts().taken;
+  machine->disk.hanging = true;
+  auto change = std::async(std::launch::async, [] { return TestOperator().apply(2 * kStopLimit); });
+  REQUIRE(waitUntil([&] { return machine->replica->callCounts().taken > taken_before; }));
+
+  CHECK(endsInTime([machine] { machine->stop(); }));
+  CHECK(change.get().error_code() == grpc::StatusCode::UNAVAILABLE);
+  machine->disk.goOn();
+}
+
 } // namespace workshatch::test
--- a/tests/unit/daemon/memory_store.h
+++ b/tests/unit/daemon/memory_store.h
@@ -1,7 +1,9 @@
 /// @file
-/// A replica's disk in memory, which a test may fill.
+/// A replica's disk in memory, which a test may fill or hang.
 #pragma once
 
+#include <atomic>
+
 #include "ports/log_store.h"
 
 namespace workshatch::test {
@@ -19,6 +21,7 @@
     return stored;
   }
   Result<std::monostate> write(const raft::RaftReady& ready) override {
+    hanging.wait(true);
     if (full) {
       return Error{"no space left"};
     }
@@ -41,7 +44,16 @@
     return std::monostate{};
   }
 
-  bool full = false;
+  /// Ends a hang.
+  void goOn() {
+    hanging = false;
+    hanging.notify_all();
+  }
+
+  /// Writes are refused.
+  std::atomic<bool> full{false};
+  /// Writes do not return.
+  std::atomic<bool> hanging{false};
 
 private:
   uint64_t id_;
