A planned stop ends: it waits neither for a disk that refuses nor for one that hangs

Cause, by reading and by the two tests: the stop posted a question to the replica's loop (is leadership handed over?) and waited for its answer without a limit; the loop waited for the disk until a flag that the stop sets only later (a disk that refuses), or in a system call (one that hangs).

Change: who leads is a flag that the loop writes and the stop reads, for an election timeout at most; the loop gets 2 s to end what it does, then the stop gives it up, says so (replica_given_up, waiting_for disk), and the process ends without destroying what the loop still uses. Nothing that hangs was acknowledged. The loop's one round stands apart from its waiting (runOnce).

--- a/src/daemon/control/control_replica.cc
+++ b/src/daemon/control/control_replica.cc
@@ -19,6 +19,11 @@
 /// Index and term of the snapshot that every replica of a new group starts from.
 constexpr uint64_t kFirstIndex = 1;
 constexpr uint64_t kFirstTerm = 1;
+/// How often a stop looks whether leadership is handed over.
+constexpr std::chrono::milliseconds kHandOverPoll{10};
+/// Time for the loop to end what it does. A write with its sync takes some milliseconds, a snapshot
+/// of 16 MB at 10 MB/s 1.6 s; what takes longer hangs.
+constexpr std::chrono::milliseconds kLoopEndLimit{2000};
 
 } // namespace
 
@@ -27,7 +32,9 @@
     : options_(std::move(options)), store_(store), clock_(clock), random_(random),
       transport_(transport) {}
 
-ControlReplica::~ControlReplica() { stop(); }
+ControlReplica::~ControlReplica() {
+  WORKSHATCH_CHECK(stop() == StopOutcome::Ended, "a replica is destroyed while its disk hangs");
+}
 
 Result<std::monostate> ControlReplica::start() {
   auto stored = store_.load();
@@ -51,9 +58,9 @@
   return std::monostate{};
 }
 
-void ControlReplica::stop() {
+StopOutcome ControlReplica::stop() {
   if (!thread_.joinable()) {
-    return;
+    return StopOutcome::Ended;
   }
   handOver();
   // A call that the ended loop leaves unanswered would keep the server from ending.
@@ -63,29 +70,39 @@
     stopping_ = true;
   }
   wake_.notify_all();
+  // Without a limit, a disk that hangs would keep the process for good.
+  if (!loopEndsWithin(kLoopEndLimit)) {
+    logging::write(logging::Severity::Error, "replica_given_up",
+                   {{"waiting_for", "disk"}, {"waited_ms", kLoopEndLimit.count()}});
+    return StopOutcome::DiskHangs;
+  }
   thread_.join();
   const CallCounts counts = calls_.counts();
   logging::write(
       logging::Severity::Info, "replica_ended",
       {{"taken", counts.taken}, {"answered", counts.answered}, {"refused", counts.refused}});
+  return StopOutcome::Ended;
 }
 
+/// Waits until another replica may lead, at most an election timeout. Asks nothing of the loop,
+/// which may wait for the disk.
 void ControlReplica::handOver() {
   post([this] {
     node_->transferLeadership();
     processReady();
   });
-  const auto handed_over = [this] { return !node_->isLeader(); };
-  for (int64_t waited = 0; waited < options_.heartbeat_ms * options_.election_ticks; waited += 10) {
-    std::promise<bool> over;
-    post([&] { over.set_value(handed_over()); });
-    if (over.get_future().get()) {
-      break;
-    }
-    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  const std::chrono::milliseconds limit(options_.heartbeat_ms * options_.election_ticks);
+  const auto until = std::chrono::steady_clock::now() + limit;
+  while (leads_ && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(kHandOverPoll);
   }
 }
 
+bool ControlReplica::loopEndsWithin(std::chrono::milliseconds limit) {
+  std::unique_lock lock(mutex_);
+  return loop_ended_changed_.wait_for(lock, limit, [this] { return loop_ended_; });
+}
+
 void ControlReplica::post(std::function<void()> work) {
   {
     const std::lock_guard lock(mutex_);
@@ -98,27 +115,32 @@
 }
 
 void ControlReplica::run() {
-  while (true) {
-    std::deque<std::function<void()>> work;
-    {
-      std::unique_lock lock(mutex_);
-      const int64_t wait_ms = std::max<int64_t>(next_tick_ms_ - clock_.monotonicMs(), 0);
-      wake_.wait_for(lock, std::chrono::milliseconds(wait_ms),
-                     [this] { return stopping_ || !inbox_.empty(); });
-      if (stopping_) {
-        break;
-      }
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    const int64_t wait_ms = std::max<int64_t>(next_tick_ms_ - clock_.monotonicMs(), 0);
+    wake_.wait_for(lock, std::chrono::milliseconds(wait_ms),
+                   [this] { return stopping_ || !inbox_.empty(); });
+    if (!stopping_) {
+      std::deque<std::function<void()>> work;
       work.swap(inbox_);
+      lock.unlock();
+      runOnce(std::move(work));
+      lock.lock();
     }
-    // Time first: after a freeze, an old leader must not answer before it knows how late it is.
-    runTicks();
-    for (const auto& item : work) {
-      item();
-    }
-    processReady();
-    leaderDuties();
-    processReady();
   }
+  loop_ended_ = true;
+  loop_ended_changed_.notify_all();
+}
+
+void ControlReplica::runOnce(std::deque<std::function<void()>> work) {
+  // Time first: after a freeze, an old leader must not answer before it knows how late it is.
+  runTicks();
+  for (const auto& item : work) {
+    item();
+  }
+  processReady();
+  leaderDuties();
+  processReady();
 }
 
 void ControlReplica::runTicks() {
@@ -230,6 +252,7 @@
 }
 
 void ControlReplica::noteLeadership() {
+  leads_ = node_->isLeader();
   if (!node_->isLeader()) {
     if (duties_) {
       duties_.reset();
--- a/src/daemon/control/control_replica.h
+++ b/src/daemon/control/control_replica.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <deque>
 #include <functional>
@@ -42,6 +43,14 @@
   std::string leader_address;
 };
 
+/// How the stop of a replica ended.
+enum class StopOutcome {
+  Ended,
+  /// The disk has not returned from a write or sync. The replica's thread still runs; the process
+  /// ends without destroying the replica. What hangs was acknowledged to nobody.
+  DiskHangs,
+};
+
 using ProposalOutcome = std::variant<control::CommandResult, NotLeader>;
 using ProposalCallback = ReplyCallback<ProposalOutcome>;
 
@@ -58,8 +67,9 @@
 
   /// Reads what is stored and starts the loop.
   Result<std::monostate> start();
-  /// Hands leadership over if this replica leads, refuses all calls and stops the loop.
-  void stop();
+  /// Hands leadership over if this replica leads, refuses all calls and stops the loop. Takes at
+  /// most an election timeout and kLoopEndLimit of control_replica.cc.
+  StopOutcome stop();
 
   void deliver(v1::RaftBatch batch);
   void hello(const v1::HelloRequest& request, CallCallback<v1::HelloReply> done);
@@ -93,7 +103,10 @@
   void propose(v1::Command command, ProposalCallback done);
   void change(v1::Command command, ReplyCallback<v1::ApplyReply> reply);
   void handOver();
+  /// @return whether the loop has ended within `limit`.
+  bool loopEndsWithin(std::chrono::milliseconds limit);
   void run();
+  void runOnce(std::deque<std::function<void()>> work);
   void runTicks();
   void processReady();
   bool writeReady(const raft::RaftReady& ready);
@@ -128,6 +141,9 @@
   std::deque<std::function<void()>> inbox_;
   /// Guarded by mutex_.
   bool stopping_ = false;
+  std::condition_variable loop_ended_changed_;
+  /// Guarded by mutex_.
+  bool loop_ended_ = false;
   std::thread thread_;
 
   // All below belongs to the loop, except where said.
@@ -147,6 +163,8 @@
   std::map<std::string, uint64_t> hello_ids_;
   /// Written by the loop, read by others.
   std::atomic<bool> ungrouped_{true};
+  /// Written by the loop, read by `stop`.
+  std::atomic<bool> leads_{false};
   /// Where messages of replicas came from that are not members here (yet).
   std::map<uint64_t, std::string> sender_addresses_;
   bool disk_failing_ = false;
--- a/src/daemon/control/control_role.cc
+++ b/src/daemon/control/control_role.cc
@@ -55,9 +55,10 @@
   return std::monostate{};
 }
 
-void ControlRole::stop() {
-  replica_.stop();
+StopOutcome ControlRole::stop() {
+  const StopOutcome outcome = replica_.stop();
   services_.reset();
+  return outcome;
 }
 
 asio::awaitable<void> ControlRole::helloLoop() {
--- a/src/daemon/control/control_role.h
+++ b/src/daemon/control/control_role.h
@@ -21,8 +21,8 @@
   ControlRole(const v1::Settings& settings, WorkerPool& workers, const Clock& clock);
 
   Result<std::monostate> start();
-  /// Hands leadership over and stops.
-  void stop();
+  /// Hands leadership over and stops. After DiskHangs the role must not be destroyed.
+  StopOutcome stop();
 
 private:
   /// Asks the other replicas who they are, until this one belongs to a group.
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,6 +1,7 @@
 /// @file
 /// workshatchd: the daemon. Its settings turn the router role, the control role, or both on.
 #include <cstdio>
+#include <cstdlib>
 #include <optional>
 
 #include <gflags/gflags.h>
@@ -67,11 +68,13 @@
   if (router) {
     router->drain();
   }
-  if (control) {
-    control->stop();
-  }
+  const daemon::StopOutcome control_stop = control ? control->stop() : daemon::StopOutcome::Ended;
   workers.stop();
   logging::write(logging::Severity::Info, "stopped", nlohmann::json::object());
+  if (control_stop == daemon::StopOutcome::DiskHangs) {
+    // A thread that waits for the disk still uses the role, so nothing is destroyed.
+    std::_Exit(kExitOk);
+  }
   return kExitOk;
 }
 
--- a/tests/unit/daemon/control/control_fixture.h
+++ b/tests/unit/daemon/control/control_fixture.h
@@ -70,9 +70,10 @@
   }
 
   /// Stops in the order of the daemon's control role.
-  void stop() {
-    replica->stop();
+  daemon::StopOutcome stop() {
+    const daemon::StopOutcome outcome = replica->stop();
     services.reset();
+    return outcome;
   }
 
   MemoryStore disk;
--- a/tests/unit/daemon/control/control_stop_test.cc
+++ b/tests/unit/daemon/control/control_stop_test.cc
@@ -112,7 +112,9 @@
 
 // A daemon whose disk was full, or did not answer, did not end when it was told to: "disk_failed"
 // and "drain_finished" stood in its log, "stopped" never came (none of four stops on the real
-// programs with a data folder that refused writes).
+// programs with a data folder that refused writes). The stop asked the replica's loop whether
+// leadership was handed over and waited for the answer without a limit; the loop waited for the
+// disk and would only have left that wait for a flag that the stop sets later.
 TEST_CASE("A control replica ends while its disk refuses writes") {
   const auto machine = std::make_shared<ControlMachine>();
   machine->start();
@@ -138,7 +140,10 @@
   auto change = std::async(std::launch::async, [] { return TestOperator().apply(2 * kStopLimit); });
   REQUIRE(waitUntil([&] { return machine->replica->callCounts().taken > taken_before; }));
 
-  CHECK(endsInTime([machine] { machine->stop(); }));
+  std::atomic<bool> given_up{false};
+  CHECK(endsInTime(
+      [machine, &given_up] { given_up = machine->stop() == daemon::StopOutcome::DiskHangs; }));
+  CHECK(given_up);
   CHECK(change.get().error_code() == grpc::StatusCode::UNAVAILABLE);
   machine->disk.goOn();
 }
