--- a/src/scenario/callers.cc
+++ b/src/scenario/callers.cc
@@ -92,10 +92,16 @@
 
 void CallerLoad::record(Answer answer) {
   answer.tenant = plan_.tenant;
+  answer.ended_at_ms = SystemClock().wallMs();
   const std::lock_guard lock(mutex_);
   answers_.push_back(std::move(answer));
 }
 
+std::string CallerLoad::describe(const http::CallError& error) {
+  const std::string phase = error.phase == http::CallPhase::NotSent ? "not sent" : "sent";
+  return phase + (error.timed_out ? ", timed out: " : ": ") + error.message;
+}
+
 std::string CallerLoad::newId() { return plan_.name + "-" + std::to_string(next_id_++); }
 
 asio::awaitable<void> CallerLoad::pauseFor(int64_t milliseconds) {
@@ -180,6 +186,7 @@
   Answer answer;
   answer.id = std::move(id);
   answer.key = std::move(key);
+  answer.address = address;
   request.set("X-Request-Id", answer.id);
   request.set("X-Tenant", plan_.tenant);
   const int64_t started = nowMs();
@@ -190,7 +197,11 @@
     if (auto* text = std::get_if<std::string>(&body)) {
       answer.body = std::move(*text);
       classify(answer, **response);
+    } else {
+      answer.loss = describe(std::get<http::CallError>(body));
     }
+  } else {
+    answer.loss = describe(std::get<http::CallError>(result));
   }
   answer.took_ms = nowMs() - started;
   record(answer);
@@ -277,6 +288,7 @@
   Answer answer;
   answer.id = std::move(id);
   http::Request request(http::Verb::post, "/v1/chat/completions", 11);
+  answer.address = address;
   request.set("X-Request-Id", answer.id);
   request.set("X-Tenant", plan_.tenant);
   request.set("X-Session-Id", session);
@@ -289,6 +301,8 @@
   http::CallResult result = co_await client_.call(address, std::move(request), options);
   auto* response = std::get_if<std::unique_ptr<http::ClientAnswer>>(&result);
   if (response == nullptr) {
+    answer.loss = describe(std::get<http::CallError>(result));
+    answer.took_ms = nowMs() - started;
     record(answer);
     co_return answer;
   }
@@ -307,6 +321,8 @@
     auto part = co_await (*response)->read();
     const auto* bytes = std::get_if<std::string>(&part);
     if (bytes == nullptr || bytes->empty()) {
+      answer.loss = bytes == nullptr ? describe(std::get<http::CallError>(part))
+                                     : "the stream ended after event " + last_event;
       break;
     }
     parser.feed(*bytes);
--- a/src/scenario/callers.h
+++ b/src/scenario/callers.h
@@ -37,6 +37,12 @@
   int64_t took_ms = 0;
   int64_t first_event_ms = 0;
   std::string tenant;
+  /// The router that was asked.
+  std::string address;
+  /// When the answer came or was lost, milliseconds since the epoch.
+  uint64_t ended_at_ms = 0;
+  /// How a lost answer was lost.
+  std::string loss;
 };
 
 /// A chat that was asked for, whatever tries it took.
@@ -104,6 +110,7 @@
   awaitable<void> pauseAfter(const Answer& answer);
   std::string newId();
   void record(Answer answer);
+  static std::string describe(const http::CallError& error);
   void classify(Answer& answer, http::ClientAnswer& response);
 
   const LoadPlan plan_;
--- a/src/scenario/scenario_expect.cc
+++ b/src/scenario/scenario_expect.cc
@@ -22,6 +22,21 @@
   return kDone;
 }
 
+/// The first lost answers of a load, a line each.
+std::string ScenarioRun::describeLosses(const CallerLoad& load) {
+  constexpr size_t kMostLines = 40;
+  std::string text;
+  size_t lines = 0;
+  for (const Answer& answer : load.answers()) {
+    if (answer.kind == AnswerKind::Lost && lines++ < kMostLines) {
+      text += "\n    lost " + answer.id + " at " + answer.address + ", ended " +
+              std::to_string(answer.ended_at_ms) + " ms, after " + std::to_string(answer.took_ms) +
+              " ms: " + answer.loss;
+    }
+  }
+  return text;
+}
+
 ScenarioRun::Outcome ScenarioRun::runWatchCap(const Command& command) {
   std::vector<std::string> runners;
   for (const std::string& name : fleet_->modelNames()) {
@@ -156,8 +171,14 @@
                  "log-size NAME"};
   }
   CallerLoad* load = findLoad(command.arguments[1]);
-  return load == nullptr ? Outcome(Error{"no such load"})
-                         : expectCount(command, load->countOf(kind->second));
+  if (load == nullptr) {
+    return Error{"no such load"};
+  }
+  Outcome outcome = expectCount(command, load->countOf(kind->second));
+  if (isError(outcome) && kind->second == AnswerKind::Lost) {
+    return Error{errorOf(outcome).message + describeLosses(*load)};
+  }
+  return outcome;
 }
 
 } // namespace workshatch::scenario
--- a/src/scenario/scenario_run.h
+++ b/src/scenario/scenario_run.h
@@ -87,6 +87,7 @@
   Outcome expectSlower(const Command& command);
   Outcome expectNoNewRuns(const Command& command);
   Outcome expectCount(const Command& command, uint64_t counted);
+  static std::string describeLosses(const CallerLoad& load);
 
   const Script& script_;
   const RunOptions options_;
