Calls between replicas end before what their callbacks use: a hello's answer, a call to the control leader

What was seen: a process that ends while a call of its own is under way can abort or use what is gone. A daemon told to stop in the first second of its life, or while control is silent, would have ended with that code in place of 0.

Change: rpc/CallsInFlight keeps the calls of a client. Its end cancels them and waits until their callbacks have run; calls and channels are destroyed by the thread that ends. The replicas' transport and the routers' client to control both use it (the same fault stood in both); the control role ends it before its replica goes.

Why it holds: a callback's last act is to report itself; nothing it uses goes before that, and cancelling takes no answer of a peer. Waiting in tests stands once (tests/unit/wait_until.h).

--- a/src/adapters/rpc/control_client.cc
+++ b/src/adapters/rpc/control_client.cc
@@ -72,18 +72,19 @@
 template <typename Request, typename Reply, typename Method>
 asio::awaitable<Result<Reply>> ControlClient::once(Request request, int64_t timeout_ms,
                                                    Method method) {
-  struct Call {
-    grpc::ClientContext context;
-    Request request;
-    Reply reply;
-  };
-  auto call = std::make_shared<Call>();
+  auto call = std::make_shared<UnaryCall<Request, Reply>>();
   call->request = std::move(request);
   prepare(call->context, key_, timeout_ms);
   const Target chosen = target();
-  const auto start = [call, chosen, method](auto done) {
-    (chosen.stub->async()->*method)(&call->context, &call->request, &call->reply,
-                                    [call, done](grpc::Status result) { done(std::move(result)); });
+  if (!calls_.begin(call)) {
+    co_return Error{"this process ends"};
+  }
+  const auto start = [this, &call = *call, chosen, method](auto done) {
+    (chosen.stub->async()->*method)(&call.context, &call.request, &call.reply,
+                                    [this, &call, done](grpc::Status result) {
+                                      done(std::move(result));
+                                      calls_.finished(call);
+                                    });
   };
   const grpc::Status status = co_await awaitCall(start);
   if (!status.ok()) {
--- a/src/adapters/rpc/control_client.h
+++ b/src/adapters/rpc/control_client.h
@@ -10,13 +10,15 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "adapters/address_book.h"
+#include "adapters/rpc/calls_in_flight.h"
 #include "core/result.h"
 #include "workshatch/v1/control.grpc.pb.h"
 
 namespace workshatch::rpc {
 
 /// Finds the leader among the control replicas and follows its changes. Calls may be made from any
-/// worker; each goes on where it was made. Safe for concurrent use.
+/// worker; each goes on where it was made. Safe for concurrent use. Destroyed before the workers'
+/// event loops, to which the answers of calls are posted.
 class ControlClient {
 public:
   ControlClient(std::vector<std::string> addresses, std::string key, AddressBook book);
@@ -55,6 +57,8 @@
   std::mutex mutex_;
   /// Index of the replica to ask. Guarded by mutex_.
   size_t current_ = 0;
+  /// Ends first: callbacks use the stubs' channels.
+  CallsInFlight calls_;
 };
 
 } // namespace workshatch::rpc
--- a/src/adapters/rpc/replica_transport.h
+++ b/src/adapters/rpc/replica_transport.h
@@ -10,13 +10,14 @@
 #include <string>
 
 #include "adapters/address_book.h"
+#include "adapters/rpc/calls_in_flight.h"
 #include "ports/replica_transport.h"
 #include "workshatch/v1/control.grpc.pb.h"
 
 namespace workshatch::rpc {
 
 /// Safe for concurrent use. Messages to a replica that does not answer are dropped: Raft sends
-/// again what matters.
+/// again what matters. No callback runs after `end`, nor after the transport is destroyed.
 class GrpcReplicaTransport : public ReplicaTransport {
 public:
   GrpcReplicaTransport(std::string own_address, std::string key, AddressBook addresses);
@@ -27,20 +28,26 @@
   void hello(const std::string& address, uint64_t own_id,
              std::function<void(const v1::HelloReply&)> done);
 
+  /// Cancels all calls and makes no more.
+  void end() { calls_.end(); }
+
 private:
   struct Peer {
     std::unique_ptr<v1::ControlPeer::Stub> stub;
     std::atomic<int> outstanding{0};
   };
 
-  std::shared_ptr<Peer> peer(const std::string& address);
+  /// Lives as long as the transport.
+  Peer& peer(const std::string& address);
 
   const std::string own_address_;
   const std::string key_;
   const AddressBook addresses_;
   std::mutex mutex_;
   /// Guarded by mutex_.
-  std::map<std::string, std::shared_ptr<Peer>> peers_;
+  std::map<std::string, std::unique_ptr<Peer>> peers_;
+  /// Ends first: callbacks use the peers.
+  CallsInFlight calls_;
 };
 
 } // namespace workshatch::rpc
--- a/src/daemon/control/control_role.cc
+++ b/src/daemon/control/control_role.cc
@@ -40,6 +40,9 @@
       transport_(settings.control().rpc_address(), settings.control_key(), AddressBook(settings)),
       replica_(optionsOf(settings), store_, clock, random_, transport_) {}
 
+// Answers to hellos are given to the replica, which is destroyed before the transport.
+ControlRole::~ControlRole() { transport_.end(); }
+
 Result<std::monostate> ControlRole::start() {
   if (const auto started = replica_.start(); isError(started)) {
     return started;
@@ -57,6 +60,7 @@
 
 StopOutcome ControlRole::stop() {
   const StopOutcome outcome = replica_.stop();
+  transport_.end();
   services_.reset();
   return outcome;
 }
--- a/src/daemon/control/control_role.h
+++ b/src/daemon/control/control_role.h
@@ -19,6 +19,9 @@
 class ControlRole {
 public:
   ControlRole(const v1::Settings& settings, WorkerPool& workers, const Clock& clock);
+  ~ControlRole();
+  ControlRole(const ControlRole&) = delete;
+  ControlRole& operator=(const ControlRole&) = delete;
 
   Result<std::monostate> start();
   /// Hands leadership over and stops. After DiskHangs the role must not be destroyed.
--- /dev/null
+++ b/tests/unit/adapters/replica_transport_test.cc
@@ -0,0 +1,67 @@
+/// @file
+/// Lifetime of the calls between control replicas.
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include <doctest/doctest.h>
+#include <grpcpp/server.h>
+#include <grpcpp/server_builder.h>
+
+#include "adapters/rpc/replica_transport.h"
+#include "unit/wait_until.h"
+
+namespace workshatch::test {
+
+namespace {
+
+constexpr std::chrono::milliseconds kAnswerDelay{200};
+
+/// A replica that answers a hello late.
+class SlowPeer : public v1::ControlPeer::Service {
+public:
+  SlowPeer() {
+    grpc::ServerBuilder builder;
+    int port = 0;
+    builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+    builder.RegisterService(this);
+    server_ = builder.BuildAndStart();
+    address_ = "127.0.0.1:" + std::to_string(port);
+  }
+
+  const std::string& address() const { return address_; }
+  bool asked() const { return asked_; }
+
+  grpc::Status Hello(grpc::ServerContext*, const v1::HelloRequest*, v1::HelloReply*) override {
+    asked_ = true;
+    std::this_thread::sleep_for(kAnswerDelay);
+    return grpc::Status::OK;
+  }
+
+private:
+  std::string address_;
+  std::atomic<bool> asked_{false};
+  std::unique_ptr<grpc::Server> server_;
+};
+
+} // namespace
+
+// A replica that ends while another one's answer to its hello is under way got that answer after
+// its role was gone: the callback of the call used what had been destroyed.
+TEST_CASE("No answer to a hello comes after the transport has ended") {
+  SlowPeer peer;
+  auto transport = std::make_unique<rpc::GrpcReplicaTransport>("127.0.0.1:1", "key", AddressBook());
+  const auto answers = std::make_shared<std::atomic<int>>(0);
+  transport->hello(peer.address(), 1, [answers](const v1::HelloReply&) { ++*answers; });
+  REQUIRE(waitUntil([&] { return peer.asked(); }));
+
+  transport.reset();
+  const int answers_at_the_end = *answers;
+  // The call keeps its callback until it is over.
+  REQUIRE(waitUntil([&] { return answers.use_count() == 1; }));
+  CHECK(*answers == answers_at_the_end);
+}
+
+} // namespace workshatch::test
--- a/tests/unit/daemon/control/control_fixture.h
+++ b/tests/unit/daemon/control/control_fixture.h
@@ -19,6 +19,7 @@
 #include "daemon/control/control_services.h"
 #include "ports/seeded_random.h"
 #include "unit/daemon/memory_store.h"
+#include "unit/wait_until.h"
 #include "workshatch/v1/control.grpc.pb.h"
 
 namespace workshatch::test {
@@ -32,17 +33,6 @@
 /// that does not come.
 constexpr std::chrono::seconds kStopLimit{5};
 
-/// Waits until `condition` holds. @return whether it does within `limit`.
-inline bool waitUntil(const std::function<bool()>& condition,
-                      std::chrono::milliseconds limit =
-                          std::chrono::duration_cast<std::chrono::milliseconds>(kStopLimit)) {
-  const auto until = std::chrono::steady_clock::now() + limit;
-  while (!condition() && std::chrono::steady_clock::now() < until) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(1));
-  }
-  return condition();
-}
-
 /// Loses everything: for a group of one replica.
 class NoTransport : public ReplicaTransport {
 public:
