Replicas of the group take calls in as control replicas do: answered, or refused when the replica ends

By reading, what waits at a replica of the group (changes, orders, reads) ends with its leadership, within an election timeout of 300 ms, and the process goes 600 ms after it handed over; only a call that comes in its last moment, or waits at a leader that nobody can replace, was cut off with the connection and not told.

Change: GroupReplica takes its calls through daemon/open_calls, the one type of both kinds of replica; the role refuses what waits 600 ms after the hand-over (503 replica_ends, Retry-After) and gives the answers under way 200 ms at most; with none under way the process ends when it did before. A configuration that could not be unpacked for an operator was answered 503 without a line; it is logged now.

Test: a leader that is cut off ends; an order and a read that wait are refused, and so are later ones; calls taken are calls answered and refused.

--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -156,7 +156,7 @@
   for (const raft::ReadConfirmation& read : ready.reads) {
     const auto found = reads_.find(read.context);
     if (found != reads_.end()) {
-      const ReadCallback done = std::move(found->second);
+      const auto done = std::move(found->second);
       reads_.erase(found);
       done(read.confirmed ? &state_.configuration() : nullptr);
     }
@@ -210,7 +210,7 @@
   proposal.done(own ? StoreOutcome::Stored : StoreOutcome::NotLeader);
 }
 
-void GroupReplica::propose(const v1::GroupCommand& command, StoreCallback done) {
+void GroupReplica::propose(const v1::GroupCommand& command, ReplyCallback<StoreOutcome> done) {
   const std::optional<uint64_t> index = node_->propose(command.SerializeAsString());
   if (!index) {
     done(StoreOutcome::NotLeader);
@@ -221,34 +221,37 @@
 }
 
 void GroupReplica::store(v1::StoredConfiguration configuration, StoreCallback done) {
+  ReplyCallback<StoreOutcome> reply = calls_.take(std::move(done));
   if (unwritten_ || !leads()) {
-    done(StoreOutcome::NotLeader);
+    reply(StoreOutcome::NotLeader);
     return;
   }
   if (configuration.version() <= state_.configuration().version()) {
-    done(StoreOutcome::Stored);
+    reply(StoreOutcome::Stored);
     return;
   }
   v1::GroupCommand command;
   *command.mutable_store() = std::move(configuration);
-  propose(command, std::move(done));
+  propose(command, std::move(reply));
 }
 
 void GroupReplica::order(const v1::GroupCommand& command, StoreCallback done) {
+  ReplyCallback<StoreOutcome> reply = calls_.take(std::move(done));
   if (unwritten_ || !leads()) {
-    done(StoreOutcome::NotLeader);
+    reply(StoreOutcome::NotLeader);
     return;
   }
-  propose(command, std::move(done));
+  propose(command, std::move(reply));
 }
 
 void GroupReplica::read(ReadCallback done) {
+  ReplyCallback<const v1::StoredConfiguration*> reply = calls_.take(std::move(done));
   if (!isLeader()) {
-    done(nullptr);
+    reply(nullptr);
     return;
   }
   const uint64_t context = next_context_++;
-  reads_[context] = std::move(done);
+  reads_[context] = std::move(reply);
   node_->requestRead(context);
   scheduleProcess();
 }
@@ -324,6 +327,14 @@
   process();
 }
 
+void GroupReplica::end() {
+  calls_.end();
+  const CallCounts counts = calls_.counts();
+  line_log::write(
+      "calls_ended",
+      {{"taken", counts.taken}, {"answered", counts.answered}, {"refused", counts.refused}});
+}
+
 void GroupReplica::deliver(const v1::RaftBatch& batch) {
   if (unwritten_) {
     return;
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -17,6 +17,7 @@
 #include "core/raft/raft_node.h"
 #include "core/relay/group_state.h"
 #include "daemon/group/group_stats.h"
+#include "daemon/open_calls.h"
 #include "ports/clock.h"
 #include "ports/log_store.h"
 #include "ports/random.h"
@@ -54,12 +55,13 @@
 };
 
 /// One replica. Lives on its event loop; not safe for concurrent use. While the disk refuses
-/// writes, the replica takes no part in anything.
+/// writes, the replica takes no part in anything. Each call gets one outcome, ProcessEnds from
+/// `end` on.
 class GroupReplica {
 public:
-  using StoreCallback = std::function<void(StoreOutcome)>;
+  using StoreCallback = CallCallback<StoreOutcome>;
   /// Null: this replica can't confirm that it knows the newest.
-  using ReadCallback = std::function<void(const v1::StoredConfiguration*)>;
+  using ReadCallback = CallCallback<const v1::StoredConfiguration*>;
   using HelloSender = std::function<void(const std::string& address, v1::ReplicaHello hello)>;
   using JoinSender = std::function<void(const std::string& address, v1::JoinRequest request)>;
 
@@ -80,6 +82,8 @@
   Result<std::monostate> start();
   /// Hands leadership over if this replica leads.
   void handOver();
+  /// Refuses the calls that wait and all that come from now on.
+  void end();
 
   void deliver(const v1::RaftBatch& batch);
   void helloReceived(const v1::ReplicaHello& hello);
@@ -113,6 +117,7 @@
   uint64_t term() const { return node_->term(); }
   size_t voterCount() const;
   const GroupStats& stats() const { return stats_; }
+  CallCounts callCounts() const { return calls_.counts(); }
   /// Steady time since this replica won its present leadership.
   int64_t leadingForMs() const;
   void setSeeds(std::vector<std::string> seeds) { options_.seeds = std::move(seeds); }
@@ -122,7 +127,7 @@
   struct Proposal {
     uint64_t index = 0;
     uint64_t term = 0;
-    StoreCallback done;
+    ReplyCallback<StoreOutcome> done;
   };
 
   void scheduleTick();
@@ -134,7 +139,7 @@
   void finishReady();
   void applyEntry(const v1::RaftEntry& entry);
   void logChange(relay::GroupState::Change change) const;
-  void propose(const v1::GroupCommand& command, StoreCallback done);
+  void propose(const v1::GroupCommand& command, ReplyCallback<StoreOutcome> done);
   void answerProposal(const v1::RaftEntry& applied);
   void failPending();
   void compactIfDue();
@@ -183,7 +188,8 @@
   int64_t membership_due_ms_ = 0;
   uint64_t next_context_ = 1;
   std::vector<Proposal> proposals_;
-  std::map<uint64_t, ReadCallback> reads_;
+  std::map<uint64_t, ReplyCallback<const v1::StoredConfiguration*>> reads_;
+  OpenCalls calls_;
   /// Identities by address of founders that belong to no group.
   std::map<std::string, uint64_t> founders_;
   bool group_exists_ = false;
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -26,6 +26,10 @@
 constexpr std::chrono::milliseconds kListStep{80};
 /// Time for the last messages of a replica that hands over.
 constexpr std::chrono::milliseconds kHandOverTime{600};
+/// Time for the answers to operators that are under way when the replica ends; an answer without a
+/// body takes a round trip, a whole configuration of 1 MB some 100 ms at 100 Mbit/s.
+constexpr std::chrono::milliseconds kAnswerTime{200};
+constexpr std::chrono::milliseconds kAnswerPoll{5};
 constexpr uint64_t kMsPerSecond = 1000;
 
 GroupOptions groupOptions(const settings::RelaySettings& settings, const std::string& own) {
@@ -227,8 +231,20 @@
 void GroupRole::stop(std::function<void()> stopped) {
   operator_server_.stopAccepting();
   replica_.handOver();
+  asio::co_spawn(context_, finish(std::move(stopped)), asio::detached);
+}
+
+http::awaitable<void> GroupRole::finish(std::function<void()> stopped) {
   stop_timer_.expires_after(kHandOverTime);
-  stop_timer_.async_wait([stopped = std::move(stopped)](boost::system::error_code) { stopped(); });
+  co_await stop_timer_.async_wait(kAwait);
+  // An operator whose call is refused turns to another replica at once.
+  replica_.end();
+  const int64_t until_ms = clock_.monotonicMs() + kAnswerTime.count();
+  while (operator_server_.requestsInProgress() > 0 && clock_.monotonicMs() < until_ms) {
+    stop_timer_.expires_after(kAnswerPoll);
+    co_await stop_timer_.async_wait(kAwait);
+  }
+  stopped();
 }
 
 } // namespace workshatch::daemon
--- a/src/daemon/group/group_role.h
+++ b/src/daemon/group/group_role.h
@@ -32,7 +32,7 @@
             RelayAdapters adapters);
 
   Result<std::monostate> start() override;
-  /// Hands leadership over, then calls `stopped`.
+  /// Hands leadership over, refuses the calls that still wait, then calls `stopped`.
   void stop(std::function<void()> stopped) override;
   void reload(const settings::RelaySettings& settings) override;
 
@@ -40,6 +40,7 @@
   void accept(const std::shared_ptr<link::FramedLink>& link);
   void frameReceived(const std::shared_ptr<link::FramedLink>& link, const v1::Frame& frame);
   bool zoneExists(const std::string& zone) const;
+  http::awaitable<void> finish(std::function<void()> stopped);
   http::awaitable<void> readRunnerLists();
   http::awaitable<void> tellMetrics(http::Exchange& exchange);
 
--- a/src/daemon/group/operator_api.cc
+++ b/src/daemon/group/operator_api.cc
@@ -58,11 +58,42 @@
                                          .retry_after_ms = again ? kRetryAfterMs : 0});
 }
 
-http::Response answerTo(StoreOutcome outcome) {
-  if (outcome == StoreOutcome::Stored) {
+bool isStored(const CallOutcome<StoreOutcome>& outcome) {
+  const auto* store = std::get_if<StoreOutcome>(&outcome);
+  return store != nullptr && *store == StoreOutcome::Stored;
+}
+
+http::Response notConfirmed() {
+  return problem(http::Status::service_unavailable, "not_confirmed", "no majority confirmed it");
+}
+
+http::Response replicaEnds() {
+  return problem(http::Status::service_unavailable, "replica_ends", "this replica ends");
+}
+
+http::Response answerTo(const CallOutcome<StoreOutcome>& outcome) {
+  if (isStored(outcome)) {
     return http::makeResponse(http::Status::ok, "application/json", "{}");
   }
-  return problem(http::Status::service_unavailable, "not_confirmed", "no majority confirmed it");
+  return std::holds_alternative<ProcessEnds>(outcome) ? replicaEnds() : notConfirmed();
+}
+
+/// Made while the configuration that was read is held.
+http::Response answerToRead(const CallOutcome<const v1::StoredConfiguration*>& read) {
+  if (std::holds_alternative<ProcessEnds>(read)) {
+    return replicaEnds();
+  }
+  const v1::StoredConfiguration* stored = std::get<const v1::StoredConfiguration*>(read);
+  if (stored == nullptr || stored->version() == 0) {
+    return notConfirmed();
+  }
+  auto document = documentOf(*stored);
+  if (isError(document)) {
+    line_log::write("configuration_unreadable", {{"error", errorOf(document).message}});
+    return notConfirmed();
+  }
+  return http::makeResponse(http::Status::ok, "application/json",
+                            std::move(std::get<std::string>(document)));
 }
 
 } // namespace
@@ -102,11 +133,12 @@
   return response;
 }
 
-http::awaitable<StoreOutcome>
+http::awaitable<CallOutcome<StoreOutcome>>
 OperatorApi::outcomeOf(std::function<void(GroupReplica::StoreCallback)> propose) {
-  const auto waiter = std::make_shared<Waiter<StoreOutcome>>(context_);
-  propose([waiter](StoreOutcome outcome) { waiter->set(outcome); });
-  const std::optional<StoreOutcome> outcome = co_await waiter->wait(kStoreLimit);
+  using Outcome = CallOutcome<StoreOutcome>;
+  const auto waiter = std::make_shared<Waiter<Outcome>>(context_);
+  propose([waiter](const Outcome& outcome) { waiter->set(outcome); });
+  const std::optional<Outcome> outcome = co_await waiter->wait(kStoreLimit);
   co_return outcome.value_or(StoreOutcome::NotLeader);
 }
 
@@ -131,12 +163,13 @@
     co_return;
   }
   const uint64_t version = std::get<relay::Configuration>(decoded).version;
-  const StoreOutcome outcome = co_await outcomeOf([&](GroupReplica::StoreCallback done) {
-    replica_.store(packConfiguration(version, document), std::move(done));
-  });
-  line_log::write("configuration_put", {{"version", version},
-                                        {"stored", outcome == StoreOutcome::Stored},
-                                        {"held", replica_.stored().version()}});
+  const CallOutcome<StoreOutcome> outcome =
+      co_await outcomeOf([&](GroupReplica::StoreCallback done) {
+        replica_.store(packConfiguration(version, document), std::move(done));
+      });
+  line_log::write(
+      "configuration_put",
+      {{"version", version}, {"stored", isStored(outcome)}, {"held", replica_.stored().version()}});
   http::Response response = answerTo(outcome);
   co_await exchange.respond(std::move(response));
 }
@@ -159,11 +192,11 @@
   order.set_zone(call.zone);
   order.set_begin(call.begin);
   order.set_ordered_ms(clock_.wallMs());
-  const StoreOutcome outcome = co_await outcomeOf(
+  const CallOutcome<StoreOutcome> outcome = co_await outcomeOf(
       [&](GroupReplica::StoreCallback done) { replica_.order(command, std::move(done)); });
   line_log::write("evacuation_ordered", {{"zone", call.zone},
                                          {"begin", call.begin},
-                                         {"stored", outcome == StoreOutcome::Stored},
+                                         {"stored", isStored(outcome)},
                                          {"version", replica_.evacuations().version()}});
   http::Response response = answerTo(outcome);
   co_await exchange.respond(std::move(response));
@@ -175,17 +208,11 @@
     co_await exchange.respond(std::move(redirect));
     co_return;
   }
-  const auto waiter = std::make_shared<Waiter<Result<std::string>>>(context_);
-  replica_.read([waiter](const v1::StoredConfiguration* stored) {
-    const bool known = stored != nullptr && stored->version() != 0;
-    waiter->set(known ? documentOf(*stored) : Error{"nothing is confirmed"});
-  });
-  auto read = co_await waiter->wait(kReadLimit);
-  const bool known = read.has_value() && !isError(*read);
-  http::Response response = known ? http::makeResponse(http::Status::ok, "application/json",
-                                                       std::move(std::get<std::string>(*read)))
-                                  : problem(http::Status::service_unavailable, "not_confirmed",
-                                            "no majority confirmed it");
+  using Read = CallOutcome<const v1::StoredConfiguration*>;
+  const auto waiter = std::make_shared<Waiter<http::Response>>(context_);
+  replica_.read([waiter](const Read& read) { waiter->set(answerToRead(read)); });
+  std::optional<http::Response> answer = co_await waiter->wait(kReadLimit);
+  http::Response response = answer ? std::move(*answer) : notConfirmed();
   co_await exchange.respond(std::move(response));
 }
 
--- a/src/daemon/group/operator_api.h
+++ b/src/daemon/group/operator_api.h
@@ -35,7 +35,8 @@
   http::awaitable<void> get(http::Exchange& exchange);
   http::awaitable<void> evacuate(http::Exchange& exchange, EvacuationCall call);
   /// Waits for what `propose` asks of the replica.
-  http::awaitable<StoreOutcome> outcomeOf(std::function<void(GroupReplica::StoreCallback)> propose);
+  http::awaitable<CallOutcome<StoreOutcome>>
+  outcomeOf(std::function<void(GroupReplica::StoreCallback)> propose);
   /// 307 to the leader, or 503 when none is known.
   http::Response elsewhere(const http::Exchange& exchange) const;
 
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -159,10 +159,14 @@
 void RelayHub::startRound() {
   round_in_progress_ = true;
   round_started_ms_ = clock_.monotonicMs();
+  using Read = CallOutcome<const v1::StoredConfiguration*>;
   replica_.read([this, alive = std::weak_ptr<char>(alive_),
-                 renewals = std::exchange(unconfirmed_, {})](const v1::StoredConfiguration* read) {
-    if (!alive.expired()) {
-      roundEnded(renewals, read != nullptr);
+                 renewals = std::exchange(unconfirmed_, {})](const Read& read) {
+    const auto* stored = std::get_if<const v1::StoredConfiguration*>(&read);
+    // Relays whose renewal the end of this process cuts off turn to another replica with their
+    // link.
+    if (!alive.expired() && stored != nullptr) {
+      roundEnded(renewals, *stored != nullptr);
     }
   });
 }
@@ -227,7 +231,7 @@
     v1::GroupCommand command;
     *command.mutable_quarantine() = std::move(order);
     // One that is not stored is due again a moment later.
-    replica_.order(command, [](StoreOutcome) {});
+    replica_.order(command, [](const CallOutcome<StoreOutcome>&) {});
   }
 }
 
--- a/src/daemon/open_calls.h
+++ b/src/daemon/open_calls.h
@@ -14,7 +14,9 @@
 namespace workshatch::daemon {
 
 /// In place of a reply: the process ends before it has one. The caller asks another replica.
-struct ProcessEnds {};
+struct ProcessEnds {
+  bool operator==(const ProcessEnds&) const = default;
+};
 
 template <typename Reply> using CallOutcome = std::variant<Reply, ProcessEnds>;
 template <typename Reply> using CallCallback = std::function<void(CallOutcome<Reply>)>;
--- a/tests/unit/daemon/group/group_fixture.h
+++ b/tests/unit/daemon/group/group_fixture.h
@@ -23,6 +23,7 @@
 
 namespace workshatch::test {
 
+using daemon::CallOutcome;
 using daemon::GroupOptions;
 using daemon::GroupReplica;
 using daemon::StoreOutcome;
@@ -105,8 +106,8 @@
         v1::StoredConfiguration configuration;
         configuration.set_version(version);
         configuration.set_compressed_document("v" + std::to_string(version));
-        leading->store(configuration, [&](StoreOutcome outcome) {
-          stored = outcome == StoreOutcome::Stored;
+        leading->store(configuration, [&](const CallOutcome<StoreOutcome>& outcome) {
+          stored = outcome == CallOutcome<StoreOutcome>(StoreOutcome::Stored);
           asked = false;
         });
       }
@@ -124,8 +125,8 @@
         v1::GroupCommand command;
         command.mutable_evacuation()->set_zone(zone);
         command.mutable_evacuation()->set_begin(begin);
-        leading->order(command, [&](StoreOutcome outcome) {
-          stored = outcome == StoreOutcome::Stored;
+        leading->order(command, [&](const CallOutcome<StoreOutcome>& outcome) {
+          stored = outcome == CallOutcome<StoreOutcome>(StoreOutcome::Stored);
           asked = false;
         });
       }
@@ -146,8 +147,11 @@
       GroupReplica* leading = asked || !document.empty() ? nullptr : leader();
       if (leading != nullptr) {
         asked = true;
-        leading->read([&](const v1::StoredConfiguration* stored) {
-          document = stored == nullptr ? "" : stored->compressed_document();
+        using Read = CallOutcome<const v1::StoredConfiguration*>;
+        leading->read([&](const Read& read) {
+          const auto* stored = std::get_if<const v1::StoredConfiguration*>(&read);
+          const bool known = stored != nullptr && *stored != nullptr;
+          document = known ? (*stored)->compressed_document() : "";
           asked = false;
         });
       }
--- a/tests/unit/daemon/group/group_replica_test.cc
+++ b/tests/unit/daemon/group/group_replica_test.cc
@@ -10,6 +10,15 @@
 
 namespace workshatch::test {
 
+namespace {
+
+const CallOutcome<StoreOutcome> kStored = StoreOutcome::Stored;
+const CallOutcome<StoreOutcome> kNotLeader = StoreOutcome::NotLeader;
+const CallOutcome<const v1::StoredConfiguration*> kNothingRead =
+    static_cast<const v1::StoredConfiguration*>(nullptr);
+
+} // namespace
+
 TEST_CASE("Three first replicas form a group that stores, reads and keeps the highest version") {
   Group group;
   startFirst(group);
@@ -156,20 +165,20 @@
   for (const char* address : {"a", "b", "c"}) {
     cut = group.at(address).leads() ? address : cut;
   }
-  std::vector<StoreOutcome> outcomes;
+  std::vector<CallOutcome<StoreOutcome>> outcomes;
   v1::GroupCommand order;
   order.mutable_evacuation()->set_zone("north");
   order.mutable_evacuation()->set_begin(true);
   group.cutOff(cut, true);
-  group.at(cut).order(order, [&](StoreOutcome outcome) { outcomes.push_back(outcome); });
+  group.at(cut).order(order, [&](const auto& outcome) { outcomes.push_back(outcome); });
   REQUIRE(group.runUntil([&] { return group.leader() != nullptr && !group.at(cut).leads(); }));
   REQUIRE(group.order("south", true));
-  CHECK(std::count(outcomes.begin(), outcomes.end(), StoreOutcome::Stored) == 0);
+  CHECK(std::count(outcomes.begin(), outcomes.end(), kStored) == 0);
   group.cutOff(cut, false);
   REQUIRE(group.runUntil([&] { return group.at(cut).evacuations().zones_size() == 1; }));
   CHECK(relay::zoneNames(group.at(cut).evacuations()) == std::vector<std::string>{"south"});
   REQUIRE(outcomes.size() == 1);
-  CHECK(outcomes.front() == StoreOutcome::NotLeader);
+  CHECK(outcomes.front() == kNotLeader);
 }
 
 TEST_CASE(
@@ -184,14 +193,15 @@
   group.cutOff(leading, true);
   group.sleep(leading, 3000);
   CHECK_FALSE(group.at(leading).leads());
-  std::vector<StoreOutcome> outcomes;
+  std::vector<CallOutcome<StoreOutcome>> outcomes;
   v1::GroupCommand order;
   order.mutable_evacuation()->set_zone("north");
   order.mutable_evacuation()->set_begin(true);
-  group.at(leading).order(order, [&](StoreOutcome outcome) { outcomes.push_back(outcome); });
-  CHECK(outcomes == std::vector<StoreOutcome>{StoreOutcome::NotLeader});
+  group.at(leading).order(order, [&](const auto& outcome) { outcomes.push_back(outcome); });
+  CHECK(outcomes == std::vector<CallOutcome<StoreOutcome>>{kNotLeader});
   bool confirmed = false;
-  group.at(leading).read([&](const v1::StoredConfiguration* read) { confirmed = read != nullptr; });
+  using Read = CallOutcome<const v1::StoredConfiguration*>;
+  group.at(leading).read([&](const Read& read) { confirmed = read != kNothingRead; });
   REQUIRE(group.runUntil([&] {
     GroupReplica* other = group.leader();
     return other != nullptr && other != &group.at(leading);
@@ -214,4 +224,39 @@
   REQUIRE(group.runUntil([&] { return group.at(asleep).evacuations().zones_size() == 1; }));
 }
 
+TEST_CASE("What waits at a replica that ends is refused, and so is what comes later") {
+  Group group;
+  startFirst(group);
+  std::string leading;
+  for (const char* address : {"a", "b", "c"}) {
+    leading = group.at(address).leads() ? address : leading;
+  }
+  // Without the others nothing is decided.
+  group.cutOff(leading, true);
+  GroupReplica& replica = group.at(leading);
+  const CallOutcome<StoreOutcome> ends = daemon::ProcessEnds{};
+  std::vector<CallOutcome<StoreOutcome>> outcomes;
+  v1::GroupCommand order;
+  order.mutable_evacuation()->set_zone("north");
+  order.mutable_evacuation()->set_begin(true);
+  replica.order(order, [&](const auto& outcome) { outcomes.push_back(outcome); });
+  int reads_refused = 0;
+  const auto count_refusal = [&](const CallOutcome<const v1::StoredConfiguration*>& read) {
+    reads_refused += std::holds_alternative<daemon::ProcessEnds>(read) ? 1 : 0;
+  };
+  replica.read(count_refusal);
+  REQUIRE(outcomes.empty());
+  REQUIRE(reads_refused == 0);
+
+  replica.end();
+  CHECK(outcomes == std::vector<CallOutcome<StoreOutcome>>{ends});
+  CHECK(reads_refused == 1);
+  replica.order(order, [&](const auto& outcome) { outcomes.push_back(outcome); });
+  replica.read(count_refusal);
+  CHECK(outcomes == std::vector<CallOutcome<StoreOutcome>>{ends, ends});
+  CHECK(reads_refused == 2);
+  const daemon::CallCounts counts = replica.callCounts();
+  CHECK(counts.taken == counts.answered + counts.refused);
+}
+
 } // namespace workshatch::test
