Sight: a control replica tells of writes that take as long as an election

All three replicas' folders are on this machine's one disk. So this way is the disk's: with every replica's disk silent for longer than a lease, refusing is what the design promises. The check stays as it is.

--- a/src/daemon/control/control_replica.cc
+++ b/src/daemon/control/control_replica.cc
@@ -192,7 +192,9 @@
 bool ControlReplica::writeReady(const raft::RaftReady& ready) {
   // Nothing may be sent or applied before it is durable, so the loop waits for the disk.
   while (true) {
+    const int64_t begin_ms = clock_.monotonicMs();
     const auto written = store_.write(ready);
+    noteWriteTime(clock_.monotonicMs() - begin_ms);
     if (!isError(written)) {
       if (std::exchange(disk_failing_, false)) {
         logging::write(logging::Severity::Warning, "disk_recovered", nlohmann::json::object());
@@ -213,6 +215,14 @@
   }
 }
 
+/// Tells of a write that took so long that other replicas may have stood for election meanwhile.
+void ControlReplica::noteWriteTime(int64_t took_ms) const {
+  if (took_ms >= options_.heartbeat_ms * options_.election_ticks) {
+    logging::write(logging::Severity::Warning, "disk_slow",
+                   {{"took_ms", took_ms}, {"leads", leads_.load()}});
+  }
+}
+
 void ControlReplica::applyEntry(const v1::RaftEntry& entry) {
   applied_ = entry.index();
   if (entry.command().empty()) {
--- a/src/daemon/control/control_replica.h
+++ b/src/daemon/control/control_replica.h
@@ -110,6 +110,7 @@
   void runTicks();
   void processReady();
   bool writeReady(const raft::RaftReady& ready);
+  void noteWriteTime(int64_t took_ms) const;
   void applyEntry(const v1::RaftEntry& entry);
   void sendMessages(std::vector<v1::RaftMessage> messages);
   void compactIfDue();
