A daemon that ends unwinds nothing, and a stop that comes while it starts is a planned one

Change: it ends as workshatch-platform does, without unwinding (which serves the hung disk too, in place of a case of its own), and blocks the signals first.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -38,8 +38,8 @@
   return kExitFailure;
 }
 
+/// Ends the process when a stop was asked for.
 int runDaemon(const v1::Settings& settings) {
-  blockStopSignals();
   logging::initialize("workshatchd", settings.name());
   const SystemClock clock;
   const uint64_t incarnation = SeededRandom::fromEntropy().next();
@@ -68,19 +68,21 @@
   if (router) {
     router->drain();
   }
-  const daemon::StopOutcome control_stop = control ? control->stop() : daemon::StopOutcome::Ended;
+  if (control) {
+    control->stop();
+  }
   workers.stop();
   logging::write(logging::Severity::Info, "stopped", nlohmann::json::object());
-  if (control_stop == daemon::StopOutcome::DiskHangs) {
-    // A thread that waits for the disk still uses the role, so nothing is destroyed.
-    std::_Exit(kExitOk);
-  }
-  return kExitOk;
+  // Nothing is unwound: what was cut off midway, and a thread that waits for a disk that hangs,
+  // still use the roles.
+  std::_Exit(kExitOk);
 }
 
 } // namespace
 
 int main(int argc, char** argv) {
+  // From the first moment, so that a stop that comes while the daemon starts is a planned one.
+  blockStopSignals();
   parseProgramFlags(&argc, &argv, kUsage, "daemon/main.cc");
   const std::string path = FLAGS_check_config.empty() ? FLAGS_config : FLAGS_check_config;
   if (path.empty() || argc != 1) {
