A log line never waits for its reader: JSON lines of threads go through a bounded buffer

What callers and operators saw: nothing yet; by the test, a daemon whose log is read by nobody stands still at its next line, with all that waits for that thread, and a planned stop does not end.

Cause: glog writes in the caller's way, and a full pipe keeps its writer. Change: lines of workshatchd, the stand-ins and scenarios wait in 64 KB at most and are written as the reader takes them, as relays and replicas of the group did already; what does not fit is dropped and counted in dropped_lines. The two logs share logging/BoundedOutput.

--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(
   g++ cmake ninja-build ccache pkg-config
-  libboost1.81-dev libgrpc++-dev libprotobuf-dev libgflags-dev libgoogle-glog-dev
+  libboost1.81-dev libgrpc++-dev libprotobuf-dev libgflags-dev
   nlohmann-json3-dev libvalijson-dev libxxhash-dev zlib1g-dev libssl-dev tao-pegtl-dev doctest-dev
   clang-format clang-tidy curl
 )
--- a/src/adapters/logging/json_log.cc
+++ b/src/adapters/logging/json_log.cc
@@ -2,18 +2,35 @@
 
 #include <chrono>
 #include <ctime>
+#include <mutex>
 #include <string>
+#include <thread>
+#include <unistd.h>
 
-#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
+#include "adapters/logging/bounded_output.h"
+
 namespace workshatch::logging {
 
 namespace {
 
-std::string& processName() {
-  static std::string name;
-  return name;
+/// How long the end of a process waits for the reader of its last lines.
+constexpr std::chrono::milliseconds kFinishLimit{500};
+constexpr std::chrono::milliseconds kFinishPoll{5};
+
+struct Log {
+  /// Set before any thread starts.
+  std::string process;
+  std::mutex mutex;
+  /// Guarded by mutex.
+  BoundedOutput output{STDERR_FILENO};
+};
+
+/// The process has one standard error, so one log. Never destroyed: threads may log until the end.
+Log& theLog() {
+  static Log* const log = new Log;
+  return *log;
 }
 
 std::string timestamp() {
@@ -44,30 +61,37 @@
 
 } // namespace
 
-void initialize(std::string_view program, std::string_view process) {
-  static const std::string program_name(program);
-  processName() = process;
-  FLAGS_logtostderr = true;
-  FLAGS_log_prefix = false;
-  google::InitGoogleLogging(program_name.c_str());
-}
+void initialize(std::string_view process) { theLog().process = process; }
 
 void write(Severity severity, std::string_view event, const nlohmann::json& fields) {
+  Log& log = theLog();
   nlohmann::json line = fields;
   line["time"] = timestamp();
   line["severity"] = nameOf(severity);
-  line["process"] = processName();
+  line["process"] = log.process;
   line["event"] = event;
-  const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  switch (severity) {
-  case Severity::Warning:
-    LOG(WARNING) << text;
-    break;
-  case Severity::Error:
-    LOG(ERROR) << text;
-    break;
-  default:
-    LOG(INFO) << text;
+  const std::lock_guard lock(log.mutex);
+  if (log.output.takesLine()) {
+    if (const uint64_t dropped = log.output.takeNewlyDropped(); dropped != 0) {
+      line["dropped_lines"] = dropped;
+    }
+    log.output.add(line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + '\n');
+  }
+  log.output.flush();
+}
+
+void finish() {
+  Log& log = theLog();
+  const auto until = std::chrono::steady_clock::now() + kFinishLimit;
+  while (std::chrono::steady_clock::now() < until) {
+    {
+      const std::lock_guard lock(log.mutex);
+      log.output.flush();
+      if (log.output.empty()) {
+        return;
+      }
+    }
+    std::this_thread::sleep_for(kFinishPoll);
   }
 }
 
--- a/src/adapters/logging/line_log.cc
+++ b/src/adapters/logging/line_log.cc
@@ -1,23 +1,19 @@
 #include "adapters/logging/line_log.h"
 
 #include <chrono>
-#include <climits>
-#include <poll.h>
 #include <unistd.h>
 #include <utility>
 
+#include "adapters/logging/bounded_output.h"
+
 namespace workshatch::line_log {
 
 namespace {
 
-constexpr size_t kMostBufferedBytes = size_t{64} * 1024;
-
 struct Log {
   std::string process;
   std::string role;
-  std::string buffer;
-  uint64_t dropped = 0;
-  uint64_t dropped_reported = 0;
+  logging::BoundedOutput output{STDOUT_FILENO};
 };
 
 /// The process has one standard output, so one log.
@@ -31,11 +27,6 @@
   return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
-bool readerTakesMore() {
-  pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
-  return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
-}
-
 } // namespace
 
 void initialize(std::string process, std::string role) {
@@ -45,8 +36,7 @@
 
 void write(std::string_view event, const nlohmann::json& fields) {
   Log& log = theLog();
-  if (log.buffer.size() >= kMostBufferedBytes) {
-    ++log.dropped;
+  if (!log.output.takesLine()) {
     return;
   }
   nlohmann::json line = fields.is_object() ? fields : nlohmann::json::object();
@@ -54,29 +44,14 @@
   line["process"] = log.process;
   line["role"] = log.role;
   line["event"] = event;
-  if (log.dropped != log.dropped_reported) {
-    line["dropped_lines"] = log.dropped;
-    log.dropped_reported = log.dropped;
+  if (const uint64_t dropped = log.output.takeNewlyDropped(); dropped != 0) {
+    line["dropped_lines"] = dropped;
   }
-  log.buffer += line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  log.buffer += '\n';
+  log.output.add(line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + '\n');
 }
 
-void flush() {
-  Log& log = theLog();
-  size_t written = 0;
-  while (written < log.buffer.size() && readerTakesMore()) {
-    // A pipe that polls writable takes PIPE_BUF bytes without blocking.
-    const size_t part = std::min<size_t>(log.buffer.size() - written, PIPE_BUF);
-    const ssize_t count = ::write(STDOUT_FILENO, log.buffer.data() + written, part);
-    if (count <= 0) {
-      break;
-    }
-    written += static_cast<size_t>(count);
-  }
-  log.buffer.erase(0, written);
-}
+void flush() { theLog().output.flush(); }
 
-uint64_t droppedLines() { return theLog().dropped; }
+uint64_t droppedLines() { return theLog().output.droppedLines(); }
 
 } // namespace workshatch::line_log
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -40,7 +40,7 @@
 
 /// Ends the process when a stop was asked for.
 int runDaemon(const v1::Settings& settings) {
-  logging::initialize("workshatchd", settings.name());
+  logging::initialize(settings.name());
   const SystemClock clock;
   const uint64_t incarnation = SeededRandom::fromEntropy().next();
   WorkerPool workers(settings.has_router() ? settings.router().workers() : 1);
@@ -75,6 +75,7 @@
   logging::write(logging::Severity::Info, "stopped", nlohmann::json::object());
   // Nothing is unwound: what was cut off midway, and a thread that waits for a disk that hangs,
   // still use the roles.
+  logging::finish();
   std::_Exit(kExitOk);
 }
 
--- a/src/scenario/main.cc
+++ b/src/scenario/main.cc
@@ -64,7 +64,7 @@
     std::fprintf(stderr, "%s\n", kUsage);
     return kExitUsage;
   }
-  logging::initialize("workshatch-scenario", "driver");
+  logging::initialize("driver");
   std::vector<scenario::Script> scripts;
   for (int i = 2; i < argc; ++i) {
     auto script = readScript(argv[i]);
--- a/src/standin/main.cc
+++ b/src/standin/main.cc
@@ -87,7 +87,7 @@
     return kExitUsage;
   }
   blockStopSignals();
-  logging::initialize("workshatch-standin", FLAGS_name);
+  logging::initialize(FLAGS_name);
   WorkerPool workers(1);
   http::ServerLimits limits;
   limits.connections = 100'000;
--- a/tests/unit/adapters/json_log_test.cc
+++ b/tests/unit/adapters/json_log_test.cc
@@ -46,7 +46,8 @@
 
 } // namespace
 
-// A daemon whose log was read by nobody stood still at its next line, and with it its planned stop.
+// A daemon whose log was read by nobody stood still at its next line, and with it its planned stop:
+// the line was written in the caller's way, and a full pipe keeps its writer until somebody reads.
 TEST_CASE("A log line does not wait for the reader of the log") {
   const FullPipe full;
   CHECK(endsInTime(
