Failing tests: callers of a control replica whose disk is full are left to their own deadline

planned-stop-pressed is new: operators call all control replicas all the time, 24 of them, while daemons are told to stop, two of them with a full disk (a limit on the size of their files; logs go through a pipe so that the limit does not meet them).

OpenCalls can refuse for a while for this, and its outcome in place of a reply is called Unavailable, since a replica that ends is not the only one that can't answer.

--- a/src/daemon/control/control_replica.h
+++ b/src/daemon/control/control_replica.h
@@ -55,7 +55,7 @@
 using ProposalCallback = ReplyCallback<ProposalOutcome>;
 
 /// One replica. All state belongs to one thread, the loop; public methods post work to it and are
-/// safe for concurrent use. Each call gets one outcome, ProcessEnds from `stop` on. Callbacks run
+/// safe for concurrent use. Each call gets one outcome, Unavailable from `stop` on. Callbacks run
 /// on the loop, or on the thread that stops or calls, and don't block.
 class ControlReplica {
 public:
--- a/src/daemon/control/control_services.cc
+++ b/src/daemon/control/control_services.cc
@@ -43,9 +43,9 @@
   std::atomic<uint64_t>& refused_;
 };
 
-/// What callers of a replica that ends are told; they turn to another one.
-grpc::Status endingStatus() {
-  return {grpc::StatusCode::UNAVAILABLE, "this replica ends; ask another one"};
+/// What callers of a replica that can't answer are told; they turn to another one.
+grpc::Status unavailableStatus() {
+  return {grpc::StatusCode::UNAVAILABLE, "this replica ends or cannot write; ask another one"};
 }
 
 /// A callback that stores the reply and ends the call.
@@ -55,7 +55,7 @@
       *target = std::move(*reply);
       reactor->Finish(grpc::Status::OK);
     } else {
-      reactor->Finish(endingStatus());
+      reactor->Finish(unavailableStatus());
     }
   };
 }
@@ -128,7 +128,7 @@
                             if (const auto* answered = std::get_if<ProposalOutcome>(&outcome)) {
                               finish(ledgerReply(*answered));
                             } else {
-                              finish(ProcessEnds{});
+                              finish(Unavailable{});
                             }
                           });
     return reactor;
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -55,7 +55,7 @@
 };
 
 /// One replica. Lives on its event loop; not safe for concurrent use. While the disk refuses
-/// writes, the replica takes no part in anything. Each call gets one outcome, ProcessEnds from
+/// writes, the replica takes no part in anything. Each call gets one outcome, Unavailable from
 /// `end` on.
 class GroupReplica {
 public:
--- a/src/daemon/group/operator_api.cc
+++ b/src/daemon/group/operator_api.cc
@@ -75,12 +75,12 @@
   if (isStored(outcome)) {
     return http::makeResponse(http::Status::ok, "application/json", "{}");
   }
-  return std::holds_alternative<ProcessEnds>(outcome) ? replicaEnds() : notConfirmed();
+  return std::holds_alternative<Unavailable>(outcome) ? replicaEnds() : notConfirmed();
 }
 
 /// Made while the configuration that was read is held.
 http::Response answerToRead(const CallOutcome<const v1::StoredConfiguration*>& read) {
-  if (std::holds_alternative<ProcessEnds>(read)) {
+  if (std::holds_alternative<Unavailable>(read)) {
     return replicaEnds();
   }
   const v1::StoredConfiguration* stored = std::get<const v1::StoredConfiguration*>(read);
--- a/src/daemon/open_calls.cc
+++ b/src/daemon/open_calls.cc
@@ -5,7 +5,7 @@
 std::optional<uint64_t> OpenCalls::State::open(Refusal refusal) {
   const std::lock_guard lock(mutex_);
   ++counts_.taken;
-  if (ended_) {
+  if (phase_ != Phase::Taking) {
     ++counts_.refused;
     return std::nullopt;
   }
@@ -28,11 +28,11 @@
   return true;
 }
 
-void OpenCalls::State::end() {
+void OpenCalls::State::refuseAll(Phase phase) {
   std::unordered_map<uint64_t, Refusal> refused;
   {
     const std::lock_guard lock(mutex_);
-    ended_ = true;
+    phase_ = phase_ == Phase::Ended ? Phase::Ended : phase;
     refused.swap(open_);
     counts_.refused += refused.size();
   }
@@ -41,6 +41,11 @@
   }
 }
 
+void OpenCalls::State::takeAgain() {
+  const std::lock_guard lock(mutex_);
+  phase_ = phase_ == Phase::Ended ? Phase::Ended : Phase::Taking;
+}
+
 CallCounts OpenCalls::State::counts() const {
   const std::lock_guard lock(mutex_);
   return counts_;
--- a/src/daemon/open_calls.h
+++ b/src/daemon/open_calls.h
@@ -1,5 +1,5 @@
 /// @file
-/// Calls that a process has taken in: each is answered or, when the process ends, refused.
+/// Calls that a replica has taken in: each is answered, or refused when the replica can't.
 #pragma once
 
 #include <cstdint>
@@ -13,12 +13,12 @@
 
 namespace workshatch::daemon {
 
-/// In place of a reply: the process ends before it has one. The caller asks another replica.
-struct ProcessEnds {
-  bool operator==(const ProcessEnds&) const = default;
+/// In place of a reply: the replica ends, or its disk refuses writes. The caller asks another one.
+struct Unavailable {
+  bool operator==(const Unavailable&) const = default;
 };
 
-template <typename Reply> using CallOutcome = std::variant<Reply, ProcessEnds>;
+template <typename Reply> using CallOutcome = std::variant<Reply, Unavailable>;
 template <typename Reply> using CallCallback = std::function<void(CallOutcome<Reply>)>;
 template <typename Reply> using ReplyCallback = std::function<void(Reply)>;
 
@@ -26,7 +26,7 @@
 struct CallCounts {
   uint64_t taken = 0;
   uint64_t answered = 0;
-  /// Taken in and ended with ProcessEnds.
+  /// Taken in and ended with Unavailable.
   uint64_t refused = 0;
 };
 
@@ -34,17 +34,17 @@
 /// write to the disk, or at other replicas. A call that nobody answered would keep its caller until
 /// the caller's own deadline, and a server that waits for its calls from ending.
 ///
-/// Safe for concurrent use. Callbacks run without a lock, on the thread that answers or ends.
+/// Safe for concurrent use. Callbacks run without a lock, on the thread that answers or refuses.
 class OpenCalls {
 public:
-  /// Takes a call in; after `end`, refuses it at once on the calling thread.
+  /// Takes a call in; after `refuseAll` or `end`, refuses it at once on the calling thread.
   /// @return the way to answer. The first answer counts; one after the refusal does nothing. May
   /// outlive this object.
   template <typename Reply> ReplyCallback<Reply> take(CallCallback<Reply> done) {
     const auto shared = std::make_shared<CallCallback<Reply>>(std::move(done));
-    const std::optional<uint64_t> id = state_->open([shared] { (*shared)(ProcessEnds{}); });
+    const std::optional<uint64_t> id = state_->open([shared] { (*shared)(Unavailable{}); });
     if (!id) {
-      (*shared)(ProcessEnds{});
+      (*shared)(Unavailable{});
       return [](const Reply&) {};
     }
     return [state = state_, id = *id, shared](Reply reply) {
@@ -54,28 +54,34 @@
     };
   }
 
-  /// Refuses all calls that are open and all that come from now on.
-  void end() { state_->end(); }
+  /// Refuses all calls that are open and all that come, until `takeAgain`.
+  void refuseAll() { state_->refuseAll(Phase::Refusing); }
+  /// Does nothing after `end`.
+  void takeAgain() { state_->takeAgain(); }
+  /// Refuses all calls that are open and all that come, for good.
+  void end() { state_->refuseAll(Phase::Ended); }
 
   CallCounts counts() const { return state_->counts(); }
 
 private:
   using Refusal = std::function<void()>;
+  enum class Phase { Taking, Refusing, Ended };
 
   /// Shared with the ways to answer.
   class State {
   public:
-    /// @return the call's number; nothing after `end`.
+    /// @return the call's number; nothing while calls are refused.
     std::optional<uint64_t> open(Refusal refusal);
     /// @return whether the call was open until now.
     bool answer(uint64_t id);
-    void end();
+    void refuseAll(Phase phase);
+    void takeAgain();
     CallCounts counts() const;
 
   private:
     mutable std::mutex mutex_;
     // All below is guarded by mutex_.
-    bool ended_ = false;
+    Phase phase_ = Phase::Taking;
     uint64_t next_id_ = 1;
     std::unordered_map<uint64_t, Refusal> open_;
     CallCounts counts_;
--- a/src/scenario/process.cc
+++ b/src/scenario/process.cc
@@ -1,11 +1,13 @@
 #include "scenario/process.h"
 
+#include <array>
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -14,7 +16,6 @@
 
 namespace {
 
-constexpr int kLogMode = 0600;
 constexpr int kExecFailed = 127;
 /// Exit code of a process that a signal ended, as shells count it.
 constexpr int kSignalBase = 128;
@@ -25,6 +26,8 @@
   sigset_t none;
   sigemptyset(&none);
   ::sigprocmask(SIG_SETMASK, &none, nullptr);
+  // A write beyond the limit fails then, as on a full disk, and does not end the process.
+  ::signal(SIGXFSZ, SIG_IGN);
   ::dup2(log, STDERR_FILENO);
   ::dup2(log, STDOUT_FILENO);
   ::execv(arguments.front(), arguments.data());
@@ -47,15 +50,16 @@
     arguments.push_back(const_cast<char*>(word.c_str()));
   }
   arguments.push_back(nullptr);
-  const int log = ::open(log_path_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kLogMode);
-  if (log < 0) {
-    return Error{log_path_ + ": " + std::strerror(errno)};
+  std::array<int, 2> ends{-1, -1};
+  if (::pipe2(ends.data(), O_CLOEXEC) != 0) {
+    return Error{std::string("cannot make a pipe: ") + std::strerror(errno)};
   }
   pid_ = ::fork();
   if (pid_ == 0) {
-    runChild(arguments, log);
+    runChild(arguments, ends[1]);
   }
-  ::close(log);
+  ::close(ends[1]);
+  log_ = std::make_unique<LogCopier>(ends[0], log_path_);
   if (pid_ < 0) {
     pid_ = 0;
     return Error{std::string("cannot start a process: ") + std::strerror(errno)};
@@ -70,6 +74,8 @@
   }
   exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : kSignalBase + WTERMSIG(status);
   pid_ = 0;
+  // The log is whole from here on.
+  log_.reset();
 }
 
 bool Process::running() {
@@ -98,6 +104,16 @@
   }
 }
 
+Result<std::monostate> Process::limitFileSize(uint64_t bytes) {
+  const rlimit limit{.rlim_cur = bytes, .rlim_max = RLIM_INFINITY};
+  if (!running() || ::prlimit(pid_, RLIMIT_FSIZE, &limit, nullptr) != 0) {
+    return Error{std::string("cannot limit its files: ") + std::strerror(errno)};
+  }
+  return std::monostate{};
+}
+
+Result<std::monostate> Process::unlimitFileSize() { return limitFileSize(RLIM_INFINITY); }
+
 void Process::askToStop() {
   if (running()) {
     ::kill(pid_, SIGTERM);
--- a/src/scenario/process.h
+++ b/src/scenario/process.h
@@ -2,18 +2,21 @@
 /// Processes that a scenario starts, kills, freezes and stops.
 #pragma once
 
+#include <cstdint>
+#include <memory>
 #include <string>
 #include <sys/types.h>
 #include <vector>
 
 #include "core/result.h"
+#include "scenario/log_copier.h"
 
 namespace workshatch::scenario {
 
 /// One process at a time under a name; it ends with the driver.
 class Process {
 public:
-  /// @param log_path standard error is appended there.
+  /// @param log_path standard output and error are appended there.
   Process(std::vector<std::string> command, std::string log_path);
   ~Process();
   Process(const Process&) = delete;
@@ -25,6 +28,9 @@
   void kill();
   void freeze();
   void thaw();
+  /// Lets no file of the process grow beyond `bytes`, like a disk that is full.
+  Result<std::monostate> limitFileSize(uint64_t bytes);
+  Result<std::monostate> unlimitFileSize();
   /// Asks for a planned stop; `waitStopped` sees its end.
   void askToStop();
   /// @return whether the process has ended; its exit code is then known.
@@ -38,6 +44,8 @@
   const std::string log_path_;
   pid_t pid_ = 0;
   int exit_code_ = 0;
+  /// Ends after the process.
+  std::unique_ptr<LogCopier> log_;
 };
 
 } // namespace workshatch::scenario
--- a/src/scenario/scenario_expect.cc
+++ b/src/scenario/scenario_expect.cc
@@ -144,6 +144,9 @@
   if (what == "wrong-token") {
     return expectWrongToken();
   }
+  if (what == "all-told") {
+    return expectAllTold();
+  }
   if (what == "cap") {
     return expectCap(command);
   }
@@ -165,10 +168,11 @@
                                                           {"lost", AnswerKind::Lost}};
   const auto kind = kinds.find(what);
   if (kind == kinds.end() || command.arguments.size() != 2) {
-    return Error{"expected: wrong-token, no-new-runs RUNNER, completed, not-run, unknown or lost "
-                 "and a load; "
-                 "log NAME TEXT; or "
-                 "log-size NAME"};
+    return Error{
+        "expected: wrong-token, all-told, no-new-runs RUNNER, completed, not-run, unknown or lost "
+        "and a load; "
+        "log NAME TEXT; or "
+        "log-size NAME"};
   }
   CallerLoad* load = findLoad(command.arguments[1]);
   if (load == nullptr) {
--- a/src/scenario/scenario_operators.cc
+++ b/src/scenario/scenario_operators.cc
@@ -52,6 +52,29 @@
   return kDone;
 }
 
+/// Operators call all control replicas all the time until the scenario ends.
+ScenarioRun::Outcome ScenarioRun::runPress(const Command& command) {
+  press_ = std::make_unique<OperatorPress>(fleet_->controlAddresses(), Fleet::kOperatorToken,
+                                           numberOption(command, "operators", 24));
+  return kDone;
+}
+
+/// Wants every call of the pressing operators answered or turned away, none left to its deadline.
+ScenarioRun::Outcome ScenarioRun::expectAllTold() {
+  if (!press_) {
+    return Error{"expected press before"};
+  }
+  const PressCounts counts = press_->counts();
+  notes_ += ", operators: " + std::to_string(counts.answered) + " answered, " +
+            std::to_string(counts.turned_away) + " turned away, longest pause " +
+            std::to_string(counts.longest_pause_ms) + " ms";
+  if (counts.left_waiting > 0 || counts.answered == 0) {
+    return Error{std::to_string(counts.left_waiting) + " calls of operators were left waiting, " +
+                 std::to_string(counts.answered) + " answered"};
+  }
+  return kDone;
+}
+
 /// Operators apply different changes with equal expected revisions at once, each sends its change
 /// again after the first answer, and again after the leader was killed with `kill=leader`.
 ScenarioRun::Outcome ScenarioRun::runRace(const Command& command) {
--- a/src/scenario/scenario_processes.cc
+++ b/src/scenario/scenario_processes.cc
@@ -70,6 +70,26 @@
   });
 }
 
+/// The disk of a running daemon takes no more than it has, or all again.
+ScenarioRun::Outcome ScenarioRun::runDisk(const Command& command) {
+  const std::string state = textOption(command, "state", "");
+  if (state != "full" && state != "works") {
+    return Error{"state: expected full or works"};
+  }
+  return forTargets(command, [this, &state](const std::string& name) -> Outcome {
+    Process* process = fleet_->find(name);
+    if (state == "works") {
+      return process->unlimitFileSize();
+    }
+    std::error_code failure;
+    const auto size = std::filesystem::file_size(fleet_->dataFolder(name) + "/raft.log", failure);
+    if (failure) {
+      return Error{"it has no log: " + failure.message()};
+    }
+    return process->limitFileSize(size);
+  });
+}
+
 /// Flips a byte in the middle of a stopped replica's log.
 ScenarioRun::Outcome ScenarioRun::runDamage(const Command& command) {
   return forTargets(command, [this](const std::string& name) -> Outcome {
--- a/src/scenario/scenario_run.cc
+++ b/src/scenario/scenario_run.cc
@@ -85,6 +85,7 @@
       {"replace", &ScenarioRun::runReplace},   {"load", &ScenarioRun::runLoad},
       {"wait", &ScenarioRun::runWait},         {"expect", &ScenarioRun::runExpect},
       {"damage-log", &ScenarioRun::runDamage}, {"watch-cap", &ScenarioRun::runWatchCap},
+      {"disk", &ScenarioRun::runDisk},         {"press", &ScenarioRun::runPress},
   };
   const auto found = handlers.find(command.name);
   if (found == handlers.end()) {
--- a/src/scenario/scenario_run.h
+++ b/src/scenario/scenario_run.h
@@ -16,6 +16,7 @@
 #include "scenario/fleet.h"
 #include "scenario/invariants.h"
 #include "scenario/load_sampler.h"
+#include "scenario/operator_press.h"
 #include "scenario/script.h"
 
 namespace workshatch::scenario {
@@ -54,6 +55,8 @@
   Outcome runThaw(const Command& command);
   Outcome runStop(const Command& command);
   Outcome runWipe(const Command& command);
+  Outcome runDisk(const Command& command);
+  Outcome runPress(const Command& command);
   Outcome runCut(const Command& command);
   Outcome runHeal(const Command& command);
   Outcome runFault(const Command& command);
@@ -87,6 +90,7 @@
   Outcome expectSlower(const Command& command);
   Outcome expectNoNewRuns(const Command& command);
   Outcome expectCount(const Command& command, uint64_t counted);
+  Outcome expectAllTold();
   static std::string describeLosses(const CallerLoad& load);
 
   const Script& script_;
@@ -95,6 +99,7 @@
   std::unique_ptr<Fleet> fleet_;
   std::vector<std::unique_ptr<CallerLoad>> loads_;
   std::unique_ptr<LoadSampler> sampler_;
+  std::unique_ptr<OperatorPress> press_;
   std::vector<AcceptedChange> accepted_;
   /// Daemons that were killed, frozen, stopped or never started.
   std::set<std::string> absent_;
--- a/tests/unit/daemon/control/control_stop_test.cc
+++ b/tests/unit/daemon/control/control_stop_test.cc
@@ -130,6 +130,23 @@
   CHECK(change.get().error_code() == grpc::StatusCode::UNAVAILABLE);
 }
 
+// Operators that pressed a leader whose disk was full waited until their own deadline, 144 calls of
+// 3 s each in one run of planned-stop-pressed: the loop waits for the disk and answers nobody.
+TEST_CASE("A control replica whose disk refuses writes turns callers away until it works again") {
+  const auto machine = std::make_shared<ControlMachine>();
+  machine->start();
+  TestOperator caller;
+  REQUIRE(waitUntil([&] { return caller.isServed(); }));
+  machine->disk.full = true;
+  CHECK(TestOperator().apply(kStopLimit).error_code() == grpc::StatusCode::UNAVAILABLE);
+  v1::StatusReply reply;
+  CHECK(caller.status(kStopLimit, reply).error_code() == grpc::StatusCode::UNAVAILABLE);
+
+  machine->disk.full = false;
+  CHECK(waitUntil([&] { return caller.isServed(); }));
+  machine->stop();
+}
+
 TEST_CASE("A control replica whose disk hangs is given up") {
   const auto machine = std::make_shared<ControlMachine>();
   machine->start();
--- a/tests/unit/daemon/group/group_replica_test.cc
+++ b/tests/unit/daemon/group/group_replica_test.cc
@@ -234,7 +234,7 @@
   // Without the others nothing is decided.
   group.cutOff(leading, true);
   GroupReplica& replica = group.at(leading);
-  const CallOutcome<StoreOutcome> ends = daemon::ProcessEnds{};
+  const CallOutcome<StoreOutcome> ends = daemon::Unavailable{};
   std::vector<CallOutcome<StoreOutcome>> outcomes;
   v1::GroupCommand order;
   order.mutable_evacuation()->set_zone("north");
@@ -242,7 +242,7 @@
   replica.order(order, [&](const auto& outcome) { outcomes.push_back(outcome); });
   int reads_refused = 0;
   const auto count_refusal = [&](const CallOutcome<const v1::StoredConfiguration*>& read) {
-    reads_refused += std::holds_alternative<daemon::ProcessEnds>(read) ? 1 : 0;
+    reads_refused += std::holds_alternative<daemon::Unavailable>(read) ? 1 : 0;
   };
   replica.read(count_refusal);
   REQUIRE(outcomes.empty());
--- a/tests/unit/daemon/open_calls_test.cc
+++ b/tests/unit/daemon/open_calls_test.cc
@@ -17,7 +17,7 @@
 using daemon::CallCounts;
 using daemon::CallOutcome;
 using daemon::OpenCalls;
-using daemon::ProcessEnds;
+using daemon::Unavailable;
 using daemon::ReplyCallback;
 
 /// Keeps the outcomes of one call.
