A control replica whose disk refuses writes turns callers away at once, and takes them again when it works

Cause, by reading and by the unit test: the replica's loop waits for the disk, with calls in its inbox and in its tables. Change: at the first refused write all calls are refused as unavailable, and those that come, until a write succeeds; what else comes meanwhile is dropped each heartbeat (messages may be lost), so that the inbox does not grow with a disk that stays full.

--- a/src/daemon/control/control_replica.cc
+++ b/src/daemon/control/control_replica.cc
@@ -196,25 +196,44 @@
     const auto written = store_.write(ready);
     noteWriteTime(clock_.monotonicMs() - begin_ms);
     if (!isError(written)) {
-      if (std::exchange(disk_failing_, false)) {
-        logging::write(logging::Severity::Warning, "disk_recovered", nlohmann::json::object());
-      }
+      noteDiskWorks();
       return true;
     }
-    if (!std::exchange(disk_failing_, true)) {
-      logging::write(logging::Severity::Error, "disk_failed",
-                     {{"error", errorOf(written).message},
-                      {"consequence", "this replica takes no part until the disk can be written"}});
-    }
-    std::unique_lock lock(mutex_);
-    wake_.wait_for(lock, std::chrono::milliseconds(options_.heartbeat_ms),
-                   [this] { return stopping_; });
-    if (stopping_) {
+    noteDiskRefuses(errorOf(written));
+    if (!waitForDisk()) {
       return false;
     }
   }
 }
 
+void ControlReplica::noteDiskWorks() {
+  if (std::exchange(disk_failing_, false)) {
+    calls_.takeAgain();
+    logging::write(logging::Severity::Warning, "disk_recovered", nlohmann::json::object());
+  }
+}
+
+void ControlReplica::noteDiskRefuses(const Error& error) {
+  if (!std::exchange(disk_failing_, true)) {
+    // Callers turn to another replica; this one would leave them to their own deadlines.
+    calls_.refuseAll();
+    logging::write(logging::Severity::Error, "disk_failed",
+                   {{"error", error.message},
+                    {"consequence", "this replica takes no part until the disk can be written"}});
+  }
+}
+
+/// Waits a heartbeat and drops what comes meanwhile: its calls are refused, messages may be lost.
+/// @return false when the replica is to stop.
+bool ControlReplica::waitForDisk() {
+  std::deque<std::function<void()>> dropped;
+  std::unique_lock lock(mutex_);
+  wake_.wait_for(lock, std::chrono::milliseconds(options_.heartbeat_ms),
+                 [this] { return stopping_; });
+  dropped.swap(inbox_);
+  return !stopping_;
+}
+
 /// Tells of a write that took so long that other replicas may have stood for election meanwhile.
 void ControlReplica::noteWriteTime(int64_t took_ms) const {
   if (took_ms >= options_.heartbeat_ms * options_.election_ticks) {
--- a/src/daemon/control/control_replica.h
+++ b/src/daemon/control/control_replica.h
@@ -55,8 +55,9 @@
 using ProposalCallback = ReplyCallback<ProposalOutcome>;
 
 /// One replica. All state belongs to one thread, the loop; public methods post work to it and are
-/// safe for concurrent use. Each call gets one outcome, Unavailable from `stop` on. Callbacks run
-/// on the loop, or on the thread that stops or calls, and don't block.
+/// safe for concurrent use. Each call gets one outcome, Unavailable while the disk refuses writes
+/// and from `stop` on. Callbacks run on the loop, or on the thread that stops or calls, and don't
+/// block.
 class ControlReplica {
 public:
   ControlReplica(ReplicaOptions options, LogStore& store, const Clock& clock, Random& random,
@@ -111,6 +112,9 @@
   void processReady();
   bool writeReady(const raft::RaftReady& ready);
   void noteWriteTime(int64_t took_ms) const;
+  void noteDiskWorks();
+  void noteDiskRefuses(const Error& error);
+  bool waitForDisk();
   void applyEntry(const v1::RaftEntry& entry);
   void sendMessages(std::vector<v1::RaftMessage> messages);
   void compactIfDue();
--- a/tests/unit/daemon/open_calls_test.cc
+++ b/tests/unit/daemon/open_calls_test.cc
@@ -17,8 +17,8 @@
 using daemon::CallCounts;
 using daemon::CallOutcome;
 using daemon::OpenCalls;
-using daemon::Unavailable;
 using daemon::ReplyCallback;
+using daemon::Unavailable;
 
 /// Keeps the outcomes of one call.
 struct Caller {
@@ -71,6 +71,25 @@
   CHECK(caller.replies.empty());
 }
 
+TEST_CASE("Calls are refused for a while, and taken again, but not after the end") {
+  OpenCalls calls;
+  Caller caller;
+  const ReplyCallback<std::string> open = calls.take<std::string>(caller.callback());
+  calls.refuseAll();
+  CHECK(caller.refusals == 1);
+  calls.take<std::string>(caller.callback());
+  CHECK(caller.refusals == 2);
+  calls.takeAgain();
+  calls.take<std::string>(caller.callback())("reply");
+  open("late");
+  CHECK(caller.replies == std::vector<std::string>{"reply"});
+  calls.end();
+  calls.refuseAll();
+  calls.takeAgain();
+  calls.take<std::string>(caller.callback());
+  CHECK(caller.refusals == 3);
+}
+
 TEST_CASE("A way to answer may outlive the calls that it belongs to") {
   Caller caller;
   ReplyCallback<std::string> answer;
