--- a/tests/unit/daemon/open_calls_test.cc
+++ b/tests/unit/daemon/open_calls_test.cc
@@ -18,7 +18,6 @@
 using daemon::CallOutcome;
 using daemon::OpenCalls;
 using daemon::ReplyCallback;
-using daemon::Unavailable;
 
 /// Keeps the outcomes of one call.
 struct Caller {
