--- a/tests/unit/daemon/group/group_fixture.h
+++ b/tests/unit/daemon/group/group_fixture.h
@@ -28,6 +28,13 @@
 using daemon::GroupReplica;
 using daemon::StoreOutcome;
 
+inline v1::GroupCommand evacuationOrder(const std::string& zone, bool begin) {
+  v1::GroupCommand command;
+  command.mutable_evacuation()->set_zone(zone);
+  command.mutable_evacuation()->set_begin(begin);
+  return command;
+}
+
 /// Replicas on one event loop; messages to machines that are down are lost.
 class Group {
 public:
@@ -88,12 +95,17 @@
     return condition();
   }
   GroupReplica* leader() {
+    const std::string address = leaderAddress();
+    return address.empty() ? nullptr : machines_.at(address).replica.get();
+  }
+  /// @return the address of the replica that leads; empty: none does.
+  std::string leaderAddress() {
     for (auto& [address, machine] : machines_) {
       if (machine.replica && machine.replica->leads()) {
-        return machine.replica.get();
+        return address;
       }
     }
-    return nullptr;
+    return "";
   }
   /// Stores through whoever leads, again until it is acknowledged.
   bool store(uint64_t version) {
@@ -122,10 +134,7 @@
       GroupReplica* leading = stored || asked ? nullptr : leader();
       if (leading != nullptr) {
         asked = true;
-        v1::GroupCommand command;
-        command.mutable_evacuation()->set_zone(zone);
-        command.mutable_evacuation()->set_begin(begin);
-        leading->order(command, [&](const CallOutcome<StoreOutcome>& outcome) {
+        leading->order(evacuationOrder(zone, begin), [&](const CallOutcome<StoreOutcome>& outcome) {
           stored = outcome == CallOutcome<StoreOutcome>(StoreOutcome::Stored);
           asked = false;
         });
--- a/tests/unit/daemon/group/group_replica_test.cc
+++ b/tests/unit/daemon/group/group_replica_test.cc
@@ -114,12 +114,7 @@
 TEST_CASE("A leader whose disk is full gives its place to another, and comes back") {
   Group group;
   startFirst(group);
-  std::string full;
-  for (const char* address : {"a", "b", "c"}) {
-    if (group.at(address).leads()) {
-      full = address;
-    }
-  }
+  const std::string full = group.leaderAddress();
   REQUIRE_FALSE(full.empty());
   group.diskOf(full).full = true;
   REQUIRE(group.store(2));
@@ -161,14 +156,9 @@
     "An order of a leader without a majority is not acknowledged, and gives way to the others'") {
   Group group;
   startFirst(group);
-  std::string cut;
-  for (const char* address : {"a", "b", "c"}) {
-    cut = group.at(address).leads() ? address : cut;
-  }
+  const std::string cut = group.leaderAddress();
   std::vector<CallOutcome<StoreOutcome>> outcomes;
-  v1::GroupCommand order;
-  order.mutable_evacuation()->set_zone("north");
-  order.mutable_evacuation()->set_begin(true);
+  const v1::GroupCommand order = evacuationOrder("north", true);
   group.cutOff(cut, true);
   group.at(cut).order(order, [&](const auto& outcome) { outcomes.push_back(outcome); });
   REQUIRE(group.runUntil([&] { return group.leader() != nullptr && !group.at(cut).leads(); }));
@@ -185,18 +175,13 @@
     "A leader that slept gives, confirms and acknowledges nothing before it was heard again") {
   Group group;
   startFirst(group);
-  std::string leading;
-  for (const char* address : {"a", "b", "c"}) {
-    leading = group.at(address).leads() ? address : leading;
-  }
+  const std::string leading = group.leaderAddress();
   // Longer than an election takes: the others may follow another leader by now.
   group.cutOff(leading, true);
   group.sleep(leading, 3000);
   CHECK_FALSE(group.at(leading).leads());
   std::vector<CallOutcome<StoreOutcome>> outcomes;
-  v1::GroupCommand order;
-  order.mutable_evacuation()->set_zone("north");
-  order.mutable_evacuation()->set_begin(true);
+  const v1::GroupCommand order = evacuationOrder("north", true);
   group.at(leading).order(order, [&](const auto& outcome) { outcomes.push_back(outcome); });
   CHECK(outcomes == std::vector<CallOutcome<StoreOutcome>>{kNotLeader});
   bool confirmed = false;
@@ -227,18 +212,13 @@
 TEST_CASE("What waits at a replica that ends is refused, and so is what comes later") {
   Group group;
   startFirst(group);
-  std::string leading;
-  for (const char* address : {"a", "b", "c"}) {
-    leading = group.at(address).leads() ? address : leading;
-  }
+  const std::string leading = group.leaderAddress();
   // Without the others nothing is decided.
   group.cutOff(leading, true);
   GroupReplica& replica = group.at(leading);
   const CallOutcome<StoreOutcome> ends = daemon::Unavailable{};
   std::vector<CallOutcome<StoreOutcome>> outcomes;
-  v1::GroupCommand order;
-  order.mutable_evacuation()->set_zone("north");
-  order.mutable_evacuation()->set_begin(true);
+  const v1::GroupCommand order = evacuationOrder("north", true);
   replica.order(order, [&](const auto& outcome) { outcomes.push_back(outcome); });
   int reads_refused = 0;
   const auto count_refusal = [&](const CallOutcome<const v1::StoredConfiguration*>& read) {
