--- a/tests/unit/daemon/control/control_fixture.h
+++ b/tests/unit/daemon/control/control_fixture.h
@@ -44,6 +44,8 @@
     options.own_address = kControlAddress;
     options.heartbeat_ms = 10;
     options.election_ticks = 5;
+    // Some stops come while a snapshot is written.
+    options.snapshot_entries = 8;
     replica = std::make_unique<daemon::ControlReplica>(options, disk, clock_, random_, transport_);
     services = std::make_unique<daemon::ControlServices>(
         *replica,
@@ -95,6 +97,20 @@
     return stub_->Apply(&context, request, &reply);
   }
 
+  /// Asks for a replica that is not there in the place of `old_id`: a change of the membership that
+  /// stays under way.
+  /// @param limit after which the operator gives the call up
+  grpc::Status replaceReplica(std::chrono::milliseconds limit, uint64_t old_id) {
+    grpc::ClientContext context;
+    rpc::prepare(context, kOperatorToken, limit.count());
+    v1::ReplaceReplicaRequest request;
+    request.set_old_id(old_id);
+    request.set_new_id(old_id + 1);
+    request.set_new_address("127.0.9.11:19171");
+    v1::ReplaceReplicaReply reply;
+    return stub_->ReplaceReplica(&context, request, &reply);
+  }
+
   /// @return whether the replica answers as the leader.
   bool isServed() {
     v1::StatusReply reply;
--- a/tests/unit/daemon/control/control_stop_test.cc
+++ b/tests/unit/daemon/control/control_stop_test.cc
@@ -13,10 +13,11 @@
 
 namespace {
 
-/// Operators that call again and again, on connections of their own, until they are told to stop.
+/// Operators that call again and again, on connections of their own, until they are told to stop:
+/// for the status, for a change, for another member.
 class PressingOperators {
 public:
-  PressingOperators() = default;
+  explicit PressingOperators(uint64_t replica_id) : replica_id_(replica_id) {}
   ~PressingOperators() { stop(); }
   PressingOperators(const PressingOperators&) = delete;
   PressingOperators& operator=(const PressingOperators&) = delete;
@@ -40,15 +41,27 @@
 private:
   void press() {
     TestOperator caller;
-    while (!stopped_) {
-      v1::StatusReply reply;
-      const grpc::Status status = caller.status(kStopLimit, reply);
-      if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
+    for (int call = 0; !stopped_; ++call) {
+      if (callOnce(caller, call).error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
         ++ended_by_deadline_;
       }
     }
   }
+  grpc::Status callOnce(TestOperator& caller, int call) const {
+    constexpr int kKinds = 3;
+    switch (call % kKinds) {
+    case 0:
+      return caller.apply(kStopLimit);
+    case 1:
+      return caller.replaceReplica(kStopLimit, replica_id_);
+    default: {
+      v1::StatusReply reply;
+      return caller.status(kStopLimit, reply);
+    }
+    }
+  }
 
+  const uint64_t replica_id_;
   std::vector<std::thread> threads_;
   std::atomic<bool> stopped_{false};
   std::atomic<int> ended_by_deadline_{0};
@@ -87,9 +100,10 @@
     const auto machine = std::make_shared<ControlMachine>(seed);
     machine->start();
     SeededRandom random(seed);
-    PressingOperators operators;
+    PressingOperators operators(seed);
     operators.start();
-    // Some stops come in the first election, some while the replica leads.
+    // Some stops come in the first election, some while the replica leads, and then changes, a
+    // change of the membership or a snapshot are under way.
     constexpr uint64_t kLongestLifeMs = 120;
     std::this_thread::sleep_for(std::chrono::milliseconds(random.below(kLongestLifeMs)));
 
