Log lines of threads are made before the lock that they share

Found by reading the whole change once more: since the bounded log, a line was turned into text under the lock that all workers of workshatchd share, which glog did not do. Now only a line that tells of dropped ones is made again there.

--- a/src/adapters/logging/json_log.cc
+++ b/src/adapters/logging/json_log.cc
@@ -59,6 +59,10 @@
   }
 }
 
+std::string textOf(const nlohmann::json& line) {
+  return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + '\n';
+}
+
 } // namespace
 
 void initialize(std::string_view process) { theLog().process = process; }
@@ -70,12 +74,15 @@
   line["severity"] = nameOf(severity);
   line["process"] = log.process;
   line["event"] = event;
+  // Before the lock, which all workers share.
+  std::string text = textOf(line);
   const std::lock_guard lock(log.mutex);
   if (log.output.takesLine()) {
     if (const uint64_t dropped = log.output.takeNewlyDropped(); dropped != 0) {
       line["dropped_lines"] = dropped;
+      text = textOf(line);
     }
-    log.output.add(line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + '\n');
+    log.output.add(text);
   }
   log.output.flush();
 }
