--- a/src/adapters/logging/line_log.cc
+++ b/src/adapters/logging/line_log.cc
@@ -1,6 +1,7 @@
 #include "adapters/logging/line_log.h"
 
 #include <chrono>
+#include <mutex>
 #include <unistd.h>
 #include <utility>
 
@@ -11,6 +12,8 @@
 namespace {
 
 struct Log {
+  /// Guards the rest: several event loops of one process may write.
+  std::mutex mutex;
   std::string process;
   std::string role;
   logging::BoundedOutput output{STDOUT_FILENO};
@@ -30,12 +33,15 @@
 } // namespace
 
 void initialize(std::string process, std::string role) {
-  theLog().process = std::move(process);
-  theLog().role = std::move(role);
+  Log& log = theLog();
+  const std::lock_guard lock(log.mutex);
+  log.process = std::move(process);
+  log.role = std::move(role);
 }
 
 void write(std::string_view event, const nlohmann::json& fields) {
   Log& log = theLog();
+  const std::lock_guard lock(log.mutex);
   if (!log.output.takesLine()) {
     return;
   }
@@ -50,8 +56,16 @@
   log.output.add(line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + '\n');
 }
 
-void flush() { theLog().output.flush(); }
+void flush() {
+  Log& log = theLog();
+  const std::lock_guard lock(log.mutex);
+  log.output.flush();
+}
 
-uint64_t droppedLines() { return theLog().output.droppedLines(); }
+uint64_t droppedLines() {
+  Log& log = theLog();
+  const std::lock_guard lock(log.mutex);
+  return log.output.droppedLines();
+}
 
 } // namespace workshatch::line_log
--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -149,6 +149,7 @@
   reader.number("load_cap_factor", bounds.load_cap_factor, 1, 1000);
   reader.number("cold_factor", bounds.cold_factor, 1, 1000);
   reader.number("cold_slack", bounds.cold_slack, 0, std::numeric_limits<uint32_t>::max());
+  reader.number("trial_share", bounds.trial_share, 0, 1);
   reader.number("endpoints_ttl_s", bounds.endpoints_ttl_s, 1, 3600);
   reader.number("degraded_endpoints_ttl_s", bounds.degraded_endpoints_ttl_s, 1, 3600);
 }
--- a/src/adapters/settings/relay_settings.h
+++ b/src/adapters/settings/relay_settings.h
@@ -25,6 +25,8 @@
   /// says that it bears, plus the slack.
   double cold_factor = 1.5;
   double cold_slack = 5;
+  /// Part of a service's requests that a version may get before it is judged.
+  double trial_share = 0.1;
   uint32_t endpoints_ttl_s = 2;
   /// The same while some relays are silent.
   uint32_t degraded_endpoints_ttl_s = 5;
--- a/src/core/relay/group_state.cc
+++ b/src/core/relay/group_state.cc
@@ -19,6 +19,10 @@
     return order(parsed.evacuation(), index);
   case v1::GroupCommand::kQuarantine:
     return quarantine(*parsed.mutable_quarantine(), index);
+  case v1::GroupCommand::kRollout:
+    return beginRollout(*parsed.mutable_rollout(), index);
+  case v1::GroupCommand::kRolloutVerdict:
+    return judgeRollout(parsed.rollout_verdict(), index);
   case v1::GroupCommand::COMMAND_NOT_SET:
     break;
   }
@@ -78,6 +82,74 @@
   return Change::Quarantine;
 }
 
+const char* nameOf(v1::RolloutPhase phase) {
+  switch (phase) {
+  case v1::ROLLOUT_CANARY:
+    return "canary";
+  case v1::ROLLOUT_PROMOTING:
+    return "promoting";
+  case v1::ROLLOUT_SUCCEEDED:
+    return "succeeded";
+  case v1::ROLLOUT_ROLLED_BACK:
+    return "rolled_back";
+  default:
+    return "unknown";
+  }
+}
+
+bool isUnderWay(const v1::Rollout& rollout) {
+  return rollout.phase() == v1::ROLLOUT_CANARY || rollout.phase() == v1::ROLLOUT_PROMOTING;
+}
+
+const v1::Rollout* GroupState::rolloutOf(const std::string& service) const {
+  const auto& rollouts = state_.rollouts().rollouts();
+  const auto found =
+      std::find_if(rollouts.begin(), rollouts.end(),
+                   [&](const v1::Rollout& rollout) { return rollout.service() == service; });
+  return found == rollouts.end() ? nullptr : &*found;
+}
+
+/// While one of the service is under way, another changes nothing: two orders may be on their way
+/// to a majority at the same time.
+GroupState::Change GroupState::beginRollout(v1::Rollout& rollout, uint64_t index) {
+  auto* rollouts = state_.mutable_rollouts()->mutable_rollouts();
+  auto place = std::lower_bound(
+      rollouts->begin(), rollouts->end(), rollout.service(),
+      [](const v1::Rollout& held, const std::string& service) { return held.service() < service; });
+  const bool held = place != rollouts->end() && place->service() == rollout.service();
+  if (held && isUnderWay(*place)) {
+    return Change::None;
+  }
+  rollout.set_phase(v1::ROLLOUT_CANARY);
+  rollout.set_id(index);
+  if (held) {
+    *place = std::move(rollout);
+  } else {
+    const auto position = place - rollouts->begin();
+    *rollouts->Add() = std::move(rollout);
+    std::rotate(rollouts->begin() + position, rollouts->end() - 1, rollouts->end());
+  }
+  state_.mutable_rollouts()->set_version(index);
+  return Change::Rollouts;
+}
+
+GroupState::Change GroupState::judgeRollout(const v1::RolloutVerdict& verdict, uint64_t index) {
+  for (v1::Rollout& rollout : *state_.mutable_rollouts()->mutable_rollouts()) {
+    const bool meant = rollout.service() == verdict.service() && rollout.id() == verdict.id();
+    const bool promotes =
+        rollout.phase() == v1::ROLLOUT_CANARY && verdict.phase() == v1::ROLLOUT_PROMOTING;
+    const bool succeeds =
+        rollout.phase() == v1::ROLLOUT_PROMOTING && verdict.phase() == v1::ROLLOUT_SUCCEEDED;
+    const bool rolls_back = isUnderWay(rollout) && verdict.phase() == v1::ROLLOUT_ROLLED_BACK;
+    if (meant && (promotes || succeeds || rolls_back)) {
+      rollout.set_phase(verdict.phase());
+      state_.mutable_rollouts()->set_version(index);
+      return Change::Rollouts;
+    }
+  }
+  return Change::None;
+}
+
 std::vector<std::string> zoneNames(const v1::EvacuationList& evacuations) {
   std::vector<std::string> names;
   for (const v1::EvacuatedZone& zone : evacuations.zones()) {
@@ -91,8 +163,8 @@
   if (!snapshot.ParseFromString(bytes)) {
     return false;
   }
-  const bool empty =
-      !snapshot.has_configuration() && !snapshot.has_evacuations() && !snapshot.has_quarantine();
+  const bool empty = !snapshot.has_configuration() && !snapshot.has_evacuations() &&
+                     !snapshot.has_quarantine() && !snapshot.has_rollouts();
   if (empty) {
     // A snapshot of an earlier program, or of an empty state: both are a StoredConfiguration.
     if (!snapshot.mutable_configuration()->ParseFromString(bytes)) {
--- a/src/core/relay/group_state.h
+++ b/src/core/relay/group_state.h
@@ -1,6 +1,6 @@
 /// @file
 /// The replicated state machine of the group: the configuration with the highest version, the zones
-/// that are evacuated, and the requests in quarantine.
+/// that are evacuated, the requests in quarantine, and the rollouts.
 #pragma once
 
 #include <cstdint>
@@ -16,7 +16,8 @@
 /// Guarantees: the configuration's version only grows, and the content under a version never
 /// changes; a zone is evacuated exactly when the last committed order about it began an evacuation;
 /// a request is in quarantine exactly when the last committed order about it put it there, unless
-/// `kMostQuarantined` others came after it.
+/// `kMostQuarantined` others came after it; a service has one rollout at most that is not over, and
+/// a rollout's phases follow one another as `RolloutPhase` tells.
 /// Deterministic; not safe for concurrent use.
 class GroupState {
 public:
@@ -29,6 +30,7 @@
     Configuration,
     Evacuations,
     Quarantine,
+    Rollouts,
   };
 
   /// @param index position of the command in the replicated log
@@ -41,6 +43,11 @@
   /// As `evacuations`.
   const v1::QuarantineList& quarantine() const { return state_.quarantine(); }
 
+  /// As `evacuations`.
+  const v1::RolloutList& rollouts() const { return state_.rollouts(); }
+  /// @return the last rollout of the service; null: it never had one.
+  const v1::Rollout* rolloutOf(const std::string& service) const;
+
   std::string save() const { return state_.SerializeAsString(); }
   /// Takes a snapshot of this program, or of an earlier one that knew no evacuations.
   /// @return false when the bytes are no snapshot.
@@ -50,10 +57,18 @@
   Change store(v1::StoredConfiguration& configuration);
   Change quarantine(v1::QuarantineOrder& order, uint64_t index);
   Change order(const v1::EvacuationOrder& order, uint64_t index);
+  Change beginRollout(v1::Rollout& rollout, uint64_t index);
+  Change judgeRollout(const v1::RolloutVerdict& verdict, uint64_t index);
 
   v1::GroupSnapshot state_;
 };
 
+/// @return the phase as logs and operators' calls name it.
+const char* nameOf(v1::RolloutPhase phase);
+
+/// @return whether the rollout's phase may still change.
+bool isUnderWay(const v1::Rollout& rollout);
+
 /// @return the names of the evacuated zones.
 std::vector<std::string> zoneNames(const v1::EvacuationList& evacuations);
 
--- /dev/null
+++ b/src/core/relay/rollout_gate.cc
@@ -0,0 +1,89 @@
+#include "core/relay/rollout_gate.h"
+
+#include <algorithm>
+
+namespace workshatch::relay {
+
+namespace {
+
+bool isFormer(const v1::Rollout& rollout, const std::string& version) {
+  const auto& former = rollout.former_versions();
+  return std::find(former.begin(), former.end(), version) != former.end();
+}
+
+/// @return a number from 0 to below 1.
+double partOf(uint64_t draw) {
+  constexpr uint64_t kParts = uint64_t{1} << 20U;
+  return static_cast<double>(draw % kParts) / static_cast<double>(kParts);
+}
+
+} // namespace
+
+bool isOpen(const v1::Rollout& rollout, const std::string& version, bool trial) {
+  const bool target = version == rollout.target_version();
+  switch (rollout.phase()) {
+  case v1::ROLLOUT_CANARY:
+    // Without runners of a former version nothing is there to move away from.
+    return rollout.former_versions().empty() || target == trial;
+  case v1::ROLLOUT_PROMOTING:
+  case v1::ROLLOUT_SUCCEEDED:
+    // A version that came later is no concern of this rollout.
+    return target || !isFormer(rollout, version);
+  case v1::ROLLOUT_ROLLED_BACK:
+    return !target;
+  default:
+    return true;
+  }
+}
+
+void RolloutGate::setRollouts(const v1::RolloutList& rollouts, uint64_t draw) {
+  rollouts_ = rollouts;
+  std::map<std::string, Earned> earned;
+  for (const v1::Rollout& rollout : rollouts_.rollouts()) {
+    if (rollout.phase() != v1::ROLLOUT_CANARY) {
+      continue;
+    }
+    const auto held = earned_.find(rollout.service());
+    const bool same = held != earned_.end() && held->second.rollout == rollout.id();
+    earned[rollout.service()] =
+        same ? held->second : Earned{.rollout = rollout.id(), .trials = partOf(draw)};
+  }
+  earned_ = std::move(earned);
+}
+
+const v1::Rollout* RolloutGate::rolloutOf(const std::string& service) const {
+  for (const v1::Rollout& rollout : rollouts_.rollouts()) {
+    if (rollout.service() == service) {
+      return &rollout;
+    }
+  }
+  return nullptr;
+}
+
+RolloutGate::Earned* RolloutGate::earnedFor(const std::string& service) {
+  const auto found = earned_.find(service);
+  return found == earned_.end() ? nullptr : &found->second;
+}
+
+bool RolloutGate::takeTrial(const std::string& service) {
+  Earned* earned = earnedFor(service);
+  if (earned == nullptr || earned->trials < 1) {
+    return false;
+  }
+  earned->trials -= 1;
+  return true;
+}
+
+void RolloutGate::returnTrial(const std::string& service) {
+  if (Earned* earned = earnedFor(service)) {
+    earned->trials += 1;
+  }
+}
+
+void RolloutGate::noteSent(const std::string& service) {
+  if (Earned* earned = earnedFor(service)) {
+    earned->trials += share_;
+  }
+}
+
+} // namespace workshatch::relay
--- /dev/null
+++ b/src/core/relay/rollout_outcomes.cc
@@ -0,0 +1,63 @@
+#include "core/relay/rollout_outcomes.h"
+
+#include "core/relay/group_state.h"
+#include "core/routing/rendezvous.h"
+
+namespace workshatch::relay {
+
+namespace {
+
+template <typename Told>
+void tellTimes(const std::array<uint64_t, kTimeBuckets>& times, Told& told) {
+  size_t used = times.size();
+  while (used > 0 && times[used - 1] == 0) {
+    --used;
+  }
+  for (size_t i = 0; i < used; ++i) {
+    told.Add(static_cast<uint32_t>(times[i]));
+  }
+}
+
+} // namespace
+
+void RolloutOutcomes::note(uint64_t rollout, const VersionOutcome& outcome) {
+  OutcomeCounts& counts =
+      counts_[rollout][RouteVersion(routing::fingerprintOf(outcome.route), outcome.target)];
+  ++counts.ended;
+  counts.failed += outcome.failed ? 1 : 0;
+  if (outcome.first_ms) {
+    ++counts.first_times[timeBucketOf(*outcome.first_ms)];
+  }
+  if (outcome.step_ms) {
+    ++counts.step_times[timeBucketOf(*outcome.step_ms)];
+  }
+}
+
+void RolloutOutcomes::fill(v1::RolloutReport& report) const {
+  const auto found = counts_.find(report.rollout());
+  if (found == counts_.end()) {
+    return;
+  }
+  for (const auto& [route_version, counts] : found->second) {
+    v1::VersionOutcomes& told = *report.add_outcomes();
+    told.set_route(route_version.first);
+    told.set_target(route_version.second);
+    told.set_ended(static_cast<uint32_t>(counts.ended));
+    told.set_failed(static_cast<uint32_t>(counts.failed));
+    tellTimes(counts.first_times, *told.mutable_first_times());
+    tellTimes(counts.step_times, *told.mutable_step_times());
+  }
+}
+
+void RolloutOutcomes::keepOnly(const v1::RolloutList& rollouts) {
+  std::map<uint64_t, std::map<RouteVersion, OutcomeCounts>> kept;
+  for (const v1::Rollout& rollout : rollouts.rollouts()) {
+    const auto found = counts_.find(rollout.id());
+    if (isUnderWay(rollout) && found != counts_.end()) {
+      kept.insert(std::move(*found));
+    }
+  }
+  counts_ = std::move(kept);
+}
+
+} // namespace workshatch::relay
--- a/src/core/relay/runner.h
+++ b/src/core/relay/runner.h
@@ -37,6 +37,9 @@
   std::string region;
   /// Its zone is evacuated: it gets no requests.
   bool evacuated = false;
+  /// Its version was read from the platform while the group was silent, so that it is not known
+  /// whether a rollout holds requests back from it.
+  bool version_untold = false;
   /// It counts as cold until then.
   int64_t cold_until_ms = 0;
   /// When it came into the list; zero: it was in the first one.
--- a/src/core/relay/runner_choice.cc
+++ b/src/core/relay/runner_choice.cc
@@ -1,6 +1,7 @@
 /// @file
 /// The choice of a runner: by what owners are asked for, or by sums of loads.
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -29,20 +30,44 @@
   if (service == services_.end()) {
     return usable;
   }
+  const v1::Rollout* rollout = rollouts_.rolloutOf(request.service);
   for (const auto& runner : service->second.runners) {
-    const bool open = !runner->entry.leaving() && !runner->evacuated;
+    const bool open =
+        !runner->entry.leaving() && !runner->evacuated &&
+        (rollout == nullptr || isOpen(*rollout, runner->entry.version(), request.trial));
     if (!open || !isHome(request.home_regions, *runner) || isExcluded(request, *runner)) {
       continue;
     }
     // Only an owner keeps the pace of a cold runner.
     const bool unpaced =
         (request.past_limits || !request.asks_owners) && coldMs(*runner, request.now_ms) != 0;
-    (unpaced || isAvoided(*runner, request.now_ms) ? avoided : usable).push_back(runner);
+    const bool last = unpaced || runner->version_untold || isAvoided(*runner, request.now_ms);
+    (last ? avoided : usable).push_back(runner);
+  }
+  if (request.trial) {
+    keepTrialRunners(request, usable);
+    return usable;
   }
   *last_resort = usable.empty() && !avoided.empty();
   return *last_resort ? avoided : usable;
 }
 
+/// A version on trial gets its share on as few of its runners as bear it, so that these are as
+/// loaded as those of the former version: some faults show under load only.
+void RunnerTable::keepTrialRunners(const RunnerRequest& request, Candidates& candidates) const {
+  const Candidates& all = services_.at(request.service).runners;
+  const v1::Rollout& rollout = *rollouts_.rolloutOf(request.service);
+  const auto former = std::count_if(all.begin(), all.end(), [&](const auto& runner) {
+    return runner->entry.version() != rollout.target_version();
+  });
+  const auto wanted =
+      static_cast<size_t>(std::ceil(options_.trial_share * static_cast<double>(former)));
+  std::sort(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
+    return left->fingerprint < right->fingerprint;
+  });
+  candidates.resize(std::min(candidates.size(), std::max<size_t>(wanted, 1)));
+}
+
 double RunnerTable::meanLoad(const Candidates& candidates) {
   uint64_t total = 0;
   for (const auto& runner : candidates) {
@@ -51,15 +76,16 @@
   return static_cast<double>(total) / static_cast<double>(candidates.size());
 }
 
-/// The mean that the load cap follows: of the candidates and of the service's evacuated runners,
-/// which are emptying. Without the latter, runners of the other zones were filled to twice a mean
-/// that was half as high again as the service's: 84 of 1,918 requests of 5 s went over the
-/// operators' bound.
-double RunnerTable::meanForCap(const std::string& service, const Candidates& candidates) const {
+/// The mean that the load cap follows: of the candidates and of the service's runners that are held
+/// back by an evacuation or a rollout, which count in the operators' bound as well.
+double RunnerTable::meanForCap(const RunnerRequest& request, const Candidates& candidates) const {
   Candidates counted = candidates;
-  const Candidates& all = services_.at(service).runners;
-  std::copy_if(all.begin(), all.end(), std::back_inserter(counted),
-               [](const auto& runner) { return runner->evacuated; });
+  const v1::Rollout* rollout = rollouts_.rolloutOf(request.service);
+  const Candidates& all = services_.at(request.service).runners;
+  std::copy_if(all.begin(), all.end(), std::back_inserter(counted), [&](const auto& runner) {
+    return runner->evacuated ||
+           (rollout != nullptr && !isOpen(*rollout, runner->entry.version(), request.trial));
+  });
   return meanLoad(counted);
 }
 
@@ -160,12 +186,12 @@
 }
 
 /// Without sums the mean is not known: there is no cap then.
-std::optional<uint32_t> RunnerTable::ownersCap(const std::string& service,
+std::optional<uint32_t> RunnerTable::ownersCap(const RunnerRequest& request,
                                                const Candidates& candidates) const {
   if (sums_at_ms_ == 0) {
     return std::nullopt;
   }
-  return static_cast<uint32_t>(options_.cap_factor * meanForCap(service, candidates) +
+  return static_cast<uint32_t>(options_.cap_factor * meanForCap(request, candidates) +
                                options_.owners_cap_slack);
 }
 
@@ -176,14 +202,14 @@
   Candidates open;
   std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(open),
                [&](const auto& runner) { return runner->full_until_ms <= request.now_ms; });
-  const auto offer = nextOffer(
-      options_.placement, PlacementQuestion{.candidates = open,
-                                            .refused = request.refused_places,
-                                            .by_prompt = by_prompt,
-                                            .engine = request.engine,
-                                            .busy = busy,
-                                            .standing = request.standing,
-                                            .cap_load = ownersCap(request.service, candidates)});
+  const auto offer =
+      nextOffer(options_.placement, PlacementQuestion{.candidates = open,
+                                                      .refused = request.refused_places,
+                                                      .by_prompt = by_prompt,
+                                                      .engine = request.engine,
+                                                      .busy = busy,
+                                                      .standing = request.standing,
+                                                      .cap_load = ownersCap(request, candidates)});
   if (!offer) {
     return std::nullopt;
   }
@@ -208,7 +234,7 @@
 RunnerChoice RunnerTable::chooseByCache(const RunnerRequest& request,
                                         const Candidates& ranked) const {
   const double mean = meanLoad(ranked);
-  const double cap = options_.cap_factor * meanForCap(request.service, ranked) + options_.cap_slack;
+  const double cap = options_.cap_factor * meanForCap(request, ranked) + options_.cap_slack;
   const double leave = std::min(options_.leave_factor * mean + options_.leave_slack, cap);
   RunnerChoice choice;
   // The further a runner ranks, the less likely it has the part: the first with room, not the least
--- a/src/core/relay/runner_entry.cc
+++ b/src/core/relay/runner_entry.cc
@@ -33,7 +33,7 @@
   for (const v1::RunnerEntry& entry : list.runners()) {
     // A byte that no field holds ends each of them.
     for (const std::string* field :
-         {&entry.id(), &entry.service(), &entry.address(), &entry.zone()}) {
+         {&entry.id(), &entry.service(), &entry.address(), &entry.zone(), &entry.version()}) {
       text.append(*field).push_back('\0');
     }
     text.append(std::to_string(entry.slots())).push_back(entry.leaving() ? '-' : '+');
--- a/src/core/relay/runner_entry.h
+++ b/src/core/relay/runner_entry.h
@@ -21,7 +21,8 @@
 inline bool sameEntry(const v1::RunnerEntry& left, const v1::RunnerEntry& right) {
   return sameLife(left, right) && left.leaving() == right.leaving() &&
          left.slots() == right.slots() && left.address() == right.address() &&
-         left.service() == right.service() && left.zone() == right.zone();
+         left.service() == right.service() && left.zone() == right.zone() &&
+         left.version() == right.version();
 }
 
 /// @return whether a runner has turned cold since the earlier reading: the time only falls
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -64,6 +64,10 @@
 
 void RunnerTable::takeEntry(Runner& runner, const v1::RunnerEntry& entry, int64_t now_ms) const {
   const bool came = runner.entry.id().empty() && runner.listed_since_ms != 0;
+  const bool read_here = list_version_ == 0;
+  const bool known = read_here && !runner.entry.id().empty() && !runner.version_untold &&
+                     runner.entry.version() == entry.version();
+  runner.version_untold = read_here && !known;
   runner.entry = entry;
   // It held when the list was read: the next update must not count it again.
   runner.entry.clear_cold_ms();
@@ -90,6 +94,23 @@
   }
 }
 
+bool RunnerTable::isOpenTo(const Runner& runner, bool trial) const {
+  const v1::Rollout* rollout = rollouts_.rolloutOf(runner.entry.service());
+  return rollout == nullptr || isOpen(*rollout, runner.entry.version(), trial);
+}
+
+uint32_t RunnerTable::inProgressAtFormer(const v1::Rollout& rollout) const {
+  const auto service = services_.find(rollout.service());
+  if (service == services_.end()) {
+    return 0;
+  }
+  uint32_t in_progress = 0;
+  for (const auto& runner : service->second.runners) {
+    in_progress += runner->entry.version() == rollout.target_version() ? 0 : runner->in_progress;
+  }
+  return in_progress;
+}
+
 v1::RunnerList RunnerTable::list() const {
   v1::RunnerList list;
   list.set_version(list_version_);
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -21,6 +21,7 @@
 #include "core/relay/place_owner.h"
 #include "core/relay/placement.h"
 #include "core/relay/policy.h"
+#include "core/relay/rollout_gate.h"
 #include "core/relay/runner.h"
 #include "workshatch/v1/relay.pb.h"
 
@@ -70,6 +71,8 @@
   bool asks_owners = false;
   /// Owners that gave no place so far.
   size_t refused_places = 0;
+  /// It is one of those that a version on trial gets.
+  bool trial = false;
 };
 
 struct RunnerChoice {
@@ -124,6 +127,8 @@
   /// A service counts as busy over this part of its places. With what is kept for the more urgent,
   /// few of the rest are free then.
   double busy_part = 0.85;
+  /// Part of a service's requests that a version on trial gets.
+  double trial_share = 0;
   /// Runners that a part of a prompt may be on while the service is busy.
   size_t busy_homes = 3;
 };
@@ -132,7 +137,8 @@
 class RunnerTable {
 public:
   explicit RunnerTable(RunnerTableOptions options)
-      : options_(std::move(options)), cold_runners_(options_.cold_factor, options_.cold_slack) {}
+      : options_(std::move(options)), cold_runners_(options_.cold_factor, options_.cold_slack),
+        rollouts_(options_.trial_share) {}
 
   /// Takes what the configuration says of cold runners.
   void setServices(const std::vector<Service>& services) {
@@ -143,6 +149,14 @@
   void setEvacuations(const v1::EvacuationList& evacuations, int64_t now_ms);
   uint64_t evacuationVersion() const { return evacuation_version_; }
 
+  /// The rollouts, and the trials that this relay has earned for them.
+  RolloutGate& rollouts() { return rollouts_; }
+  const RolloutGate& rollouts() const { return rollouts_; }
+  /// @return whether rollouts let a request go to the runner; `trial` as in `RunnerRequest`.
+  bool isOpenTo(const Runner& runner, bool trial) const;
+  /// @return requests of this relay in progress at runners that the rollout moves away from.
+  uint32_t inProgressAtFormer(const v1::Rollout& rollout) const;
+
   /// Replaces the list; what is known of runners that stay is kept.
   void setList(const v1::RunnerList& list, int64_t now_ms);
   uint64_t listVersion() const { return list_version_; }
@@ -209,6 +223,7 @@
 
   void takeEntry(Runner& runner, const v1::RunnerEntry& entry, int64_t now_ms) const;
   Candidates candidatesFor(const RunnerRequest& request, bool* last_resort) const;
+  void keepTrialRunners(const RunnerRequest& request, Candidates& candidates) const;
   uint32_t limitOf(const RunnerRequest& request, const Runner& runner, bool busy) const;
   bool hasPlace(const RunnerRequest& request, const Runner& runner, bool busy) const;
   bool takesShare(const RunnerRequest& request, const Runner& runner, uint32_t limit) const;
@@ -219,12 +234,13 @@
                                           bool busy) const;
   std::optional<RunnerChoice> chooseBySums(const RunnerRequest& request, Candidates candidates,
                                            bool by_prompt, bool busy) const;
-  std::optional<uint32_t> ownersCap(const std::string& service, const Candidates& candidates) const;
+  std::optional<uint32_t> ownersCap(const RunnerRequest& request,
+                                    const Candidates& candidates) const;
   RunnerChoice chooseByCache(const RunnerRequest& request, const Candidates& ranked) const;
   RunnerChoice chooseByLoad(const RunnerRequest& request, const Candidates& candidates) const;
   std::shared_ptr<Runner> sourceOfParts(const RunnerRequest& request, const Runner& chosen) const;
   static double meanLoad(const Candidates& candidates);
-  double meanForCap(const std::string& service, const Candidates& candidates) const;
+  double meanForCap(const RunnerRequest& request, const Candidates& candidates) const;
   bool isSilent(const Runner& runner, int64_t now_ms) const;
   bool isAvoided(const Runner& runner, int64_t now_ms) const;
   void forgetStaleSums(int64_t now_ms);
@@ -233,6 +249,7 @@
   ColdRunners cold_runners_;
   uint64_t evacuation_version_ = 0;
   std::set<std::string> evacuated_zones_;
+  RolloutGate rollouts_;
   uint64_t list_version_ = 0;
   uint64_t list_fingerprint_ = 0;
   /// In the order of the list.
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -189,6 +189,16 @@
                                              {"term", node_->term()}});
     return;
   }
+  if (change == relay::GroupState::Change::Rollouts) {
+    for (const v1::Rollout& rollout : state_.rollouts().rollouts()) {
+      line_log::write("rollout_committed", {{"version", state_.rollouts().version()},
+                                            {"service", rollout.service()},
+                                            {"target_version", rollout.target_version()},
+                                            {"phase", relay::nameOf(rollout.phase())},
+                                            {"term", node_->term()}});
+    }
+    return;
+  }
   line_log::write("evacuations_committed", {{"version", state_.evacuations().version()},
                                             {"zones", relay::zoneNames(state_.evacuations())},
                                             {"term", node_->term()}});
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -111,6 +111,11 @@
   const v1::StoredConfiguration& stored() const { return state_.configuration(); }
   const v1::EvacuationList& evacuations() const { return state_.evacuations(); }
   const v1::QuarantineList& quarantine() const { return state_.quarantine(); }
+  const v1::RolloutList& rollouts() const { return state_.rollouts(); }
+  /// @return the last rollout of the service; null: it never had one.
+  const v1::Rollout* rolloutOf(const std::string& service) const {
+    return state_.rolloutOf(service);
+  }
   uint64_t id() const { return id_; }
   /// @return whether this replica counts for majorities, as far as it knows.
   bool votes() const { return raft::votesIn(node_->membership(), id_); }
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -12,6 +12,7 @@
 #include "adapters/http/problem.h"
 #include "adapters/logging/line_log.h"
 #include "adapters/metrics/text_format.h"
+#include "core/relay/group_state.h"
 #include "core/relay/list_period.h"
 #include "daemon/server_limits.h"
 
@@ -51,9 +52,11 @@
       links_(context_, clock, link_address_),
       replica_(context_, groupOptions(settings_, link_address_), store_, clock, random_, links_),
       hub_(context_, replica_, clock, settings_.link_mbps),
-      operator_api_(context_, replica_, clock, adapters.configurations, adapters.dialect,
-                    settings_.operator_address.substr(settings_.operator_address.rfind(':') + 1),
-                    [this](const std::string& zone) { return zoneExists(zone); }),
+      operator_api_(
+          context_, replica_, clock, adapters.configurations, adapters.dialect,
+          settings_.operator_address.substr(settings_.operator_address.rfind(':') + 1),
+          [this](const std::string& zone) { return zoneExists(zone); },
+          [this]() -> const v1::RunnerList& { return hub_.runners(); }),
       reader_(context_, settings_.runner_list_address, adapters.runner_lists), listener_(context_),
       operator_server_(
           workers, operatorLimits(),
@@ -215,6 +218,12 @@
   metrics::exposeGauge(text, "group_quarantined_requests",
                        "requests that reach no runner since they ended some",
                        static_cast<int64_t>(replica_.quarantine().requests_size()));
+  metrics::LabelledCounts rollouts;
+  for (const v1::Rollout& rollout : replica_.rollouts().rollouts()) {
+    ++rollouts[relay::nameOf(rollout.phase())];
+  }
+  metrics::exposeGauges(text, "group_rollouts", "the last rollouts of services, by phase", "phase",
+                        rollouts);
   metrics::exposeGauge(text, "group_relays", "relays that renew with this replica",
                        static_cast<int64_t>(hub_.relayCount()));
   metrics::exposeGauge(text, "group_runners", "runners in the list that it tells",
--- a/src/daemon/group/lease_news.cc
+++ b/src/daemon/group/lease_news.cc
@@ -78,7 +78,8 @@
 
 bool LeaseNews::lacksOrders(const SentVersions& sent) const {
   return sent.evacuations != replica_.evacuations().version() ||
-         sent.quarantine != replica_.quarantine().version();
+         sent.quarantine != replica_.quarantine().version() ||
+         sent.rollouts != replica_.rollouts().version();
 }
 
 void LeaseNews::addOrders(SentVersions& sent, v1::LeaseReply& reply) const {
@@ -92,6 +93,11 @@
     *reply.mutable_quarantine() = quarantine;
     sent.quarantine = quarantine.version();
   }
+  const v1::RolloutList& rollouts = replica_.rollouts();
+  if (rollouts.version() != sent.rollouts) {
+    *reply.mutable_rollouts() = rollouts;
+    sent.rollouts = rollouts.version();
+  }
 }
 
 void LeaseNews::addMembers(SentVersions& sent, v1::LeaseReply& reply) const {
--- a/src/daemon/group/lease_news.h
+++ b/src/daemon/group/lease_news.h
@@ -25,6 +25,7 @@
   uint64_t relay_list = 0;
   uint64_t evacuations = 0;
   uint64_t quarantine = 0;
+  uint64_t rollouts = 0;
   std::vector<std::string> members;
   /// When sums of loads may be sent again.
   int64_t sums_due_ms = 0;
@@ -65,7 +66,7 @@
   bool lacksConfiguration(const SentVersions& sent) const;
   /// @return whether the relay lacks the configuration or the list of runners.
   bool lacksLargePart(const SentVersions& sent) const;
-  /// @return whether the relay lacks evacuations or the quarantine.
+  /// @return whether the relay lacks evacuations, the quarantine or rollouts.
   bool lacksOrders(const SentVersions& sent) const;
 
   /// Add what the relay lacks, and note it as sent.
--- a/src/daemon/group/operator_api.h
+++ b/src/daemon/group/operator_api.h
@@ -1,5 +1,6 @@
 /// @file
-/// The operator's calls, over HTTP: put and get of the whole configuration, evacuations of zones.
+/// The operator's calls, over HTTP: put and get of the whole configuration, evacuations of zones,
+/// rollouts.
 #pragma once
 
 #include <functional>
@@ -9,6 +10,8 @@
 
 #include "adapters/http/http_server.h"
 #include "daemon/group/group_replica.h"
+#include "daemon/group/leader_calls.h"
+#include "daemon/group/rollout_api.h"
 #include "ports/configuration_codec.h"
 #include "ports/relay_dialect.h"
 
@@ -24,9 +27,11 @@
   /// @param port the operator port, alike on all machines
   OperatorApi(boost::asio::io_context& context, GroupReplica& replica, const Clock& clock,
               const ConfigurationCodec& codec, const RelayDialect& dialect, std::string port,
-              ZoneCheck zone_exists)
-      : context_(context), replica_(replica), clock_(clock), codec_(codec), dialect_(dialect),
-        port_(std::move(port)), zone_exists_(std::move(zone_exists)) {}
+              ZoneCheck zone_exists, RolloutApi::RunnerSource runners)
+      : replica_(replica), clock_(clock), codec_(codec), dialect_(dialect),
+        calls_(context, replica, std::move(port)),
+        rollouts_(replica, clock, dialect, calls_, std::move(runners)),
+        zone_exists_(std::move(zone_exists)) {}
 
   http::awaitable<void> handle(http::Exchange& exchange);
 
@@ -34,18 +39,13 @@
   http::awaitable<void> put(http::Exchange& exchange);
   http::awaitable<void> get(http::Exchange& exchange);
   http::awaitable<void> evacuate(http::Exchange& exchange, EvacuationCall call);
-  /// Waits for what `propose` asks of the replica.
-  http::awaitable<CallOutcome<StoreOutcome>>
-  outcomeOf(std::function<void(GroupReplica::StoreCallback)> propose);
-  /// 307 to the leader, or 503 when none is known.
-  http::Response elsewhere(const http::Exchange& exchange) const;
 
-  boost::asio::io_context& context_;
   GroupReplica& replica_;
   const Clock& clock_;
   const ConfigurationCodec& codec_;
   const RelayDialect& dialect_;
-  const std::string port_;
+  LeaderCalls calls_;
+  RolloutApi rollouts_;
   const ZoneCheck zone_exists_;
 };
 
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -42,6 +42,7 @@
   runner_ends_.setQuarantine(replica_.quarantine());
   relays_.clear();
   silent_relays_.clear();
+  rollout_judge_.beginTerm();
   refresh_due_ms_ = 0;
   sums_due_ms_ = 0;
 }
@@ -112,9 +113,11 @@
                               .runner_list = renewal.runner_list_version(),
                               .relay_list = renewal.relay_list_version(),
                               .evacuations = renewal.evacuation_version(),
-                              .quarantine = renewal.quarantine_version()};
+                              .quarantine = renewal.quarantine_version(),
+                              .rollouts = renewal.rollout_version()};
   }
   relay.sent.runner_list_fingerprint = renewal.runner_list_fingerprint();
+  rollout_judge_.take(renewal);
   relay.renewal = renewal;
   // Counted already.
   relay.renewal.clear_runner_ends();
@@ -129,6 +132,7 @@
     dropSilent();
     refreshRelayList();
     news_.setOverShare(sumTenants());
+    judgeRollouts();
   }
   if (now_ms >= sums_due_ms_) {
     sums_due_ms_ =
@@ -235,6 +239,21 @@
   }
 }
 
+void RelayHub::judgeRollouts() {
+  const uint64_t version = replica_.rollouts().version();
+  RelaysOfRollouts relays{.renewal_period_ms =
+                              relay::periodForFleet(relay::kRenewalPeriodMs, relays_.size()),
+                          .silent = silent_relays_.count(clock_.monotonicMs())};
+  for (const auto& [name, relay] : relays_) {
+    const bool knows = relay.renewal.rollout_version() >= version;
+    relays.all_know = relays.all_know && knows;
+    for (const v1::RolloutReport& report : relay.renewal.rollouts()) {
+      relays.former_in_progress[report.rollout()] += report.former_in_progress();
+    }
+  }
+  rollout_judge_.step(relays, news_.runners());
+}
+
 void RelayHub::dropSilent() {
   const auto period_ms =
       static_cast<double>(relay::periodForFleet(relay::kRenewalPeriodMs, relays_.size()));
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -17,6 +17,7 @@
 #include "core/relay/silent_relays.h"
 #include "daemon/group/group_replica.h"
 #include "daemon/group/lease_news.h"
+#include "daemon/group/rollout_judge.h"
 #include "ports/clock.h"
 
 namespace workshatch::daemon {
@@ -31,8 +32,8 @@
   /// @param link_mbps bandwidth of the machine's link in Mbit/s
   RelayHub(boost::asio::io_context& context, GroupReplica& replica, const Clock& clock,
            double link_mbps)
-      : replica_(replica), clock_(clock), news_(replica, clock, link_mbps), round_timer_(context),
-        push_timer_(context) {}
+      : replica_(replica), clock_(clock), news_(replica, clock, link_mbps),
+        rollout_judge_(replica, clock), round_timer_(context), push_timer_(context) {}
 
   void renewed(const std::shared_ptr<link::FramedLink>& link, const v1::LeaseRenewal& renewal);
 
@@ -80,6 +81,7 @@
   v1::RunnerLoads sumLoads();
   v1::TenantPositions sumTenants() const;
   void orderQuarantine();
+  void judgeRollouts();
   /// Tells all relays which zones are evacuated and which requests are in quarantine, at once.
   void pushOrders();
   /// Tells all relays the configuration and the list of runners, as fast as the link bears.
@@ -91,6 +93,7 @@
   const Clock& clock_;
   std::map<std::string, Relay> relays_;
   LeaseNews news_;
+  RolloutJudge rollout_judge_;
   relay::SilentRelays silent_relays_;
   /// Kept across leaderships: it is what relays saw, and each relay tells it once on a link.
   relay::RunnerEndCounts runner_ends_;
--- /dev/null
+++ b/src/daemon/group/rollout_judge.cc
@@ -0,0 +1,117 @@
+#include "daemon/group/rollout_judge.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "adapters/logging/line_log.h"
+#include "core/relay/group_state.h"
+
+namespace workshatch::daemon {
+
+namespace {
+
+/// Each relay has renewed with a new leader after so many periods.
+constexpr int64_t kSettlePeriods = 3;
+/// A proposal that was not committed is made again.
+constexpr int64_t kBetweenProposalsMs = 500;
+/// A relay that fell silent serves requests for the rest of its lease; those that it sent by then
+/// have ended, or are cut with the relay.
+constexpr int64_t kSilentRelayMs = 5000;
+
+} // namespace
+
+RolloutJudge::Judged& RolloutJudge::judgedOf(const v1::Rollout& rollout) {
+  const int64_t now_ms = clock_.monotonicMs();
+  const auto found = analyses_.find(rollout.id());
+  if (found != analyses_.end()) {
+    return found->second;
+  }
+  const auto since_order = static_cast<int64_t>(clock_.wallMs() - rollout.ordered_ms());
+  // Wall clocks of two leaders may differ.
+  const int64_t elapsed_ms = std::clamp<int64_t>(since_order, 0, rollout.duration_ms());
+  return analyses_
+      .emplace(rollout.id(), Judged(relay::RolloutAnalysis(rollout, elapsed_ms, now_ms)))
+      .first->second;
+}
+
+void RolloutJudge::take(const v1::LeaseRenewal& renewal) {
+  for (const v1::RolloutReport& report : renewal.rollouts()) {
+    const auto& held = replica_.rollouts().rollouts();
+    const auto rollout = std::find_if(held.begin(), held.end(), [&](const v1::Rollout& candidate) {
+      return candidate.id() == report.rollout();
+    });
+    if (rollout != held.end() && relay::isUnderWay(*rollout)) {
+      judgedOf(*rollout).analysis.take(renewal.name(), renewal.incarnation(), report,
+                                       clock_.monotonicMs());
+    }
+  }
+}
+
+relay::RolloutSituation RolloutJudge::situationOf(const v1::Rollout& rollout, const Judged& judged,
+                                                  const RelaysOfRollouts& relays,
+                                                  const v1::RunnerList& runners) const {
+  const int64_t now_ms = clock_.monotonicMs();
+  relay::RolloutSituation situation{.now_ms = now_ms,
+                                    .all_heard = replica_.leadingForMs() >=
+                                                 kSettlePeriods * relays.renewal_period_ms};
+  for (const v1::RunnerEntry& runner : runners.runners()) {
+    if (runner.service() != rollout.service() || runner.leaving()) {
+      continue;
+    }
+    const bool target = runner.version() == rollout.target_version();
+    (target ? situation.target_places : situation.former_places) += runner.slots();
+  }
+  const auto left = relays.former_in_progress.find(rollout.id());
+  const bool none_left = left == relays.former_in_progress.end() || left->second == 0;
+  const bool silent_ended = relays.silent == 0 || now_ms - judged.phase_since_ms >= kSilentRelayMs;
+  situation.former_idle = relays.all_know && none_left && silent_ended;
+  return situation;
+}
+
+void RolloutJudge::step(const RelaysOfRollouts& relays, const v1::RunnerList& runners) {
+  const int64_t now_ms = clock_.monotonicMs();
+  for (const v1::Rollout& rollout : replica_.rollouts().rollouts()) {
+    if (!relay::isUnderWay(rollout)) {
+      analyses_.erase(rollout.id());
+      continue;
+    }
+    Judged& judged = judgedOf(rollout);
+    if (std::exchange(judged.phase, rollout.phase()) != rollout.phase()) {
+      judged.phase_since_ms = now_ms;
+      judged.proposed_ms = 0;
+    }
+    const bool proposed =
+        judged.proposed_ms != 0 && now_ms - judged.proposed_ms < kBetweenProposalsMs;
+    const auto next =
+        judged.analysis.decide(rollout.phase(), situationOf(rollout, judged, relays, runners));
+    if (next && !proposed) {
+      propose(rollout, *next, judged);
+    }
+  }
+}
+
+void RolloutJudge::propose(const v1::Rollout& rollout, v1::RolloutPhase phase, Judged& judged) {
+  judged.proposed_ms = clock_.monotonicMs();
+  const relay::OutcomeCounts target = judged.analysis.outcomes().totalOf(true);
+  const relay::OutcomeCounts former = judged.analysis.outcomes().totalOf(false);
+  line_log::write("rollout_judged", {{"service", rollout.service()},
+                                     {"target_version", rollout.target_version()},
+                                     {"phase", relay::nameOf(rollout.phase())},
+                                     {"next_phase", relay::nameOf(phase)},
+                                     {"elapsed_ms", judged.analysis.elapsedMs(judged.proposed_ms)},
+                                     {"evidence", judged.analysis.evidence().strength},
+                                     {"excess_bad_answers", judged.analysis.evidence().excess},
+                                     {"target_answers", target.ended},
+                                     {"target_failures", target.failed},
+                                     {"former_answers", former.ended},
+                                     {"former_failures", former.failed}});
+  v1::GroupCommand command;
+  v1::RolloutVerdict& verdict = *command.mutable_rollout_verdict();
+  verdict.set_service(rollout.service());
+  verdict.set_id(rollout.id());
+  verdict.set_phase(phase);
+  // One that is not stored is due again a moment later.
+  replica_.order(command, [](const CallOutcome<StoreOutcome>&) {});
+}
+
+} // namespace workshatch::daemon
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -129,7 +129,12 @@
 }
 
 http::awaitable<std::optional<http::CallError>> RelayRun::send(const relay::RunnerChoice& choice) {
-  ++arrivals_;
+  if (arrivals_++ == 0) {
+    state_.runners.rollouts().noteSent(request_.service);
+  }
+  // Sent: it counts for the version on trial, however it ends.
+  trial_ = false;
+  sent_ms_ = state_.clock.monotonicMs();
   const int64_t remaining_ms = request_.deadline_ms - state_.clock.monotonicMs();
   std::string bytes =
       formatForRunner(exchange_.request(), request_, state_,
@@ -176,6 +181,10 @@
     last_error_ = "zone evacuated";
     return false;
   }
+  if (!state_.runners.isOpenTo(runner, trial_)) {
+    last_error_ = "version held back by a rollout";
+    return false;
+  }
   if (inQuarantine()) {
     last_error_ = "request in quarantine";
     return false;
@@ -215,6 +224,7 @@
 
 http::awaitable<RelayRun::AttemptEnd> RelayRun::attempt(const relay::RunnerChoice& choice) {
   relay::Runner& runner = *choice.runner;
+  sent_ms_ = 0;
   state_.runners.beginAttempt(runner, state_.clock.monotonicMs());
   if (request_.tenant != nullptr) {
     state_.tenants.begin(request_.tenant->name);
@@ -227,6 +237,7 @@
     state_.parts->tellNotSent(promptTarget(runner));
   }
   noteForQuarantine(runner, result);
+  noteForRollout(runner, result);
   noteEnd(runner, result);
   co_return result.end;
 }
--- a/src/daemon/relay/relay_lease.cc
+++ b/src/daemon/relay/relay_lease.cc
@@ -5,6 +5,7 @@
 #include "adapters/logging/line_log.h"
 #include "core/address_text.h"
 #include "core/compression/deflate.h"
+#include "core/relay/group_state.h"
 #include "core/relay/runner_list_history.h"
 #include "daemon/relay/relay_role.h"
 #include "daemon/relay/relay_run.h"
@@ -25,6 +26,7 @@
   renewal.set_relay_list_version(relays_.version());
   renewal.set_evacuation_version(state_.runners.evacuationVersion());
   renewal.set_quarantine_version(state_.quarantine.version());
+  addRollouts(renewal);
   runner_ends_->fill(renewal, first_on_link);
   for (const relay::RequestIdentity& request : cleared_) {
     *renewal.add_ran_whole() = relay::messageOf(request);
@@ -52,6 +54,10 @@
   if (reply.has_quarantine() && settings_.policy.quarantine) {
     takeQuarantine(reply.quarantine());
   }
+  // Before the list of runners, which may bring those of the version on trial.
+  if (reply.has_rollouts()) {
+    takeRollouts(reply.rollouts());
+  }
   if (reply.has_runners() && !takeRunners(reply.runners())) {
     control_.reconnect();
     return;
@@ -97,6 +103,39 @@
   state_.line.callNextOfEach();
 }
 
+void RelayRole::addRollouts(v1::LeaseRenewal& renewal) const {
+  const v1::RolloutList& held = state_.runners.rollouts().rollouts();
+  renewal.set_rollout_version(held.version());
+  for (const v1::Rollout& rollout : held.rollouts()) {
+    if (!relay::isUnderWay(rollout)) {
+      continue;
+    }
+    v1::RolloutReport& report = *renewal.add_rollouts();
+    report.set_rollout(rollout.id());
+    report.set_former_in_progress(state_.runners.inProgressAtFormer(rollout));
+    state_.rollout_outcomes.fill(report);
+  }
+}
+
+void RelayRole::takeRollouts(const v1::RolloutList& list) {
+  relay::RolloutGate& gate = state_.runners.rollouts();
+  if (list.version() <= gate.rollouts().version()) {
+    return;
+  }
+  gate.setRollouts(list, random_.next());
+  state_.rollout_outcomes.keepOnly(list);
+  nlohmann::json rollouts = nlohmann::json::array();
+  for (const v1::Rollout& rollout : list.rollouts()) {
+    rollouts.push_back({{"service", rollout.service()},
+                        {"target_version", rollout.target_version()},
+                        {"phase", relay::nameOf(rollout.phase())},
+                        {"since_ms", rollout.ordered_ms()}});
+  }
+  line_log::write("rollouts_in_force",
+                  {{"version", list.version()}, {"rollouts", std::move(rollouts)}});
+  state_.line.callNextOfEach();
+}
+
 void RelayRole::takeQuarantine(const v1::QuarantineList& list) {
   if (!state_.quarantine.setList(list)) {
     return;
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -1,6 +1,7 @@
 /// @file
 /// The metrics of the relay role: its counters and the gauges of its parts.
 #include "adapters/metrics/text_format.h"
+#include "core/relay/group_state.h"
 #include "daemon/relay/relay_role.h"
 
 namespace workshatch::daemon {
@@ -81,6 +82,12 @@
                        static_cast<int64_t>(ends.refused));
   metrics::exposeGauge(out, "relay_runner_end_reports", "reports of ended runners to the leader",
                        static_cast<int64_t>(ends.reports));
+  metrics::LabelledCounts rollouts;
+  for (const v1::Rollout& rollout : state_.runners.rollouts().rollouts().rollouts()) {
+    ++rollouts[relay::nameOf(rollout.phase())];
+  }
+  metrics::exposeGauges(out, "relay_rollouts", "the last rollouts of services, by phase", "phase",
+                        rollouts);
   metrics::exposeGauge(out, "relay_quarantined_requests",
                        "requests that reach no runner since they ended some",
                        static_cast<int64_t>(state_.quarantine.requests().size()));
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -50,6 +50,8 @@
   bool takeRunners(const v1::RunnerListUpdate& update);
   void takeEvacuations(const v1::EvacuationList& evacuations);
   void takeQuarantine(const v1::QuarantineList& list);
+  void takeRollouts(const v1::RolloutList& list);
+  void addRollouts(v1::LeaseRenewal& renewal) const;
   bool takeConfiguration(const v1::ConfigurationUpdate& update);
   void housekeep();
   void noteAwake();
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -99,6 +99,7 @@
   }
   state_.runs.erase(this);
   place_.giveBack();
+  endTrial();
   deadline_.cancel();
   exchange_.onHangUp(nullptr);
   co_await finish();
@@ -123,7 +124,8 @@
                               .asks_again = line_place_.number != 0 || offers_refused_ != 0,
                               .past_limits = stream_started_,
                               .asks_owners = asksOwners(),
-                              .refused_places = offers_refused_};
+                              .refused_places = offers_refused_,
+                              .trial = trial_};
 }
 
 bool RelayRun::asksOwners() const { return state_.places && state_.policy.place_owners; }
@@ -131,14 +133,21 @@
 /// Chooses runners until one has a place, by its owner where owners are asked.
 http::awaitable<std::variant<relay::RunnerChoice, relay::NoRunner>> RelayRun::findPlace() {
   offers_refused_ = 0;
+  takeTrial();
   auto chosen = chooseRunner();
   while (!ended()) {
     const auto* choice = std::get_if<relay::RunnerChoice>(&chosen);
-    if (choice == nullptr || !asksOwners() || co_await takePlace(*choice)) {
+    const bool placed = choice != nullptr && (!asksOwners() || co_await takePlace(*choice));
+    if (placed || (choice == nullptr && !trial_)) {
       break;
     }
-    ++offers_refused_;
-    ++places_refused_;
+    places_refused_ += choice == nullptr ? 0 : 1;
+    if (trial_) {
+      // A version on trial that has no room must not cost the request its place at the others.
+      endTrial();
+    } else {
+      ++offers_refused_;
+    }
     chosen = chooseRunner();
   }
   co_return chosen;
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -99,6 +99,11 @@
   http::awaitable<bool> relayEvent(const relay::WholeEvent& event);
   http::Response answerHead() const;
 
+  // The request's part in a rollout (relay_trial.cc).
+  void takeTrial();
+  void endTrial();
+  void noteForRollout(const relay::Runner& runner, const AttemptResult& result);
+
   // The request as a whole (relay_run.cc).
   relay::HomeRegions homeRegions() const;
   relay::RunnerRequest runnerRequest() const;
@@ -155,6 +160,8 @@
   /// When the last wait for a place ended.
   int64_t waited_until_ms_ = 0;
   std::vector<std::string> tried_;
+  /// The request is one of those that a version on trial gets; it has not been sent yet.
+  bool trial_ = false;
   /// Owners that gave no place, in the present search for one and in all.
   uint32_t offers_refused_ = 0;
   uint32_t places_refused_ = 0;
@@ -172,6 +179,8 @@
   /// From which runner the present attempt's runner takes parts; null: from none.
   std::shared_ptr<relay::Runner> source_;
   std::string last_event_id_;
+  /// When the present attempt was sent; zero: it was not.
+  int64_t sent_ms_ = 0;
   int64_t first_event_ms_ = 0;
   int64_t last_event_ms_ = 0;
   uint32_t events_ = 0;
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -12,6 +12,7 @@
 #include "core/relay/quarantine.h"
 #include "core/relay/retry_budget.h"
 #include "core/relay/return_times.h"
+#include "core/relay/rollout_outcomes.h"
 #include "core/relay/route_table.h"
 #include "core/relay/runner_table.h"
 #include "core/relay/serving_lease.h"
@@ -34,6 +35,10 @@
 /// and ten relays, some ten places become free here in the time that a request waits.
 inline constexpr size_t kMostWaiting = 48;
 
+/// Part of what a version on trial may get that relays send there: callers come back, so that there
+/// are fewer requests than sends.
+inline constexpr double kTrialPart = 0.8;
+
 class RelayRun;
 
 /// Lives on the relay's event loop; not safe for concurrent use.
@@ -47,7 +52,8 @@
                                           .cold_factor = settings.bounds.cold_factor,
                                           .cold_slack = settings.bounds.cold_slack,
                                           .zones = settings.zones,
-                                          .policy = settings.policy}),
+                                          .policy = settings.policy,
+                                          .trial_share = kTrialPart * settings.bounds.trial_share}),
         budget(relay::RetryBudgetOptions{.ratio = settings.bounds.repeat_ratio,
                                          .window_ms = settings.bounds.repeat_window_ms,
                                          .slack = settings.bounds.repeat_slack}),
@@ -70,6 +76,8 @@
   std::shared_ptr<RunnerEnds> runner_ends;
   /// Requests that reach no runner.
   relay::Quarantine quarantine;
+  /// How requests went at both versions of rollouts that are under way.
+  relay::RolloutOutcomes rollout_outcomes;
   /// Requests in progress; each takes itself out when it ends.
   std::set<RelayRun*> runs;
   relay::WaitingLine line{kMostWaiting};
--- a/src/ports/relay_dialect.h
+++ b/src/ports/relay_dialect.h
@@ -60,16 +60,41 @@
   bool begin = false;
 };
 
+/// An operator's call that begins a rollout, or asks how far one is.
+struct RolloutCall {
+  /// False: it asks.
+  bool begin = false;
+  /// Of the rollout that is asked for; empty when one begins.
+  std::string service;
+};
+
+/// What the operator wants of a rollout that begins.
+struct RolloutWish {
+  std::string service;
+  std::string target_version;
+  /// Until its deadline, milliseconds; not zero.
+  uint32_t duration_ms = 0;
+};
+
+/// How far a rollout is, as operators see it.
+enum class RolloutState { Running, Succeeded, RolledBack };
+
 /// A part of a prompt, in order; the last belongs to the request or its session.
 struct PromptPart {
   std::string id;
   uint64_t tokens = 0;
 };
 
+/// What a runner tells of itself with an answer.
 struct RunnerLoad {
   uint32_t running = 0;
   uint32_t waiting = 0;
   uint32_t slots = 0;
+  /// How long its work takes at this moment, as a multiple of the usual time: it shares its machine
+  /// with others. Nothing: not told, or not to be believed.
+  std::optional<double> work_time_factor;
+  /// A figure was told that no runner can have.
+  bool work_time_rejected = false;
 };
 
 /// Names and formats of one outside interface. Stateless; safe for concurrent use.
@@ -81,6 +106,12 @@
   virtual const CallPaths& paths() const = 0;
   /// @return the call that a path stands for; nothing: the path is of another call.
   virtual std::optional<EvacuationCall> evacuationCall(std::string_view path) const = 0;
+  virtual std::optional<RolloutCall> rolloutCall(std::string_view path) const = 0;
+  /// @return what the body of a call that begins a rollout says, or what is wrong with it.
+  virtual Result<RolloutWish> rolloutWish(std::string_view body) const = 0;
+  /// @return the body of the answer to how far a rollout is.
+  virtual std::string rolloutAnswer(RolloutState state,
+                                    const std::string& target_version) const = 0;
   /// @return the parts, or nothing when the value can't be read.
   virtual std::vector<PromptPart> promptParts(std::string_view value) const = 0;
   virtual std::optional<RunnerLoad> runnerLoad(std::string_view value) const = 0;
--- a/tests/unit/core/relay/group_state_test.cc
+++ b/tests/unit/core/relay/group_state_test.cc
@@ -31,8 +31,48 @@
   return command.SerializeAsString();
 }
 
+std::string rolloutOrder(const std::string& service, const std::string& version) {
+  v1::GroupCommand command;
+  command.mutable_rollout()->set_service(service);
+  command.mutable_rollout()->set_target_version(version);
+  command.mutable_rollout()->set_duration_ms(1000);
+  return command.SerializeAsString();
+}
+
+std::string verdict(const std::string& service, uint64_t id, v1::RolloutPhase phase) {
+  v1::GroupCommand command;
+  command.mutable_rollout_verdict()->set_service(service);
+  command.mutable_rollout_verdict()->set_id(id);
+  command.mutable_rollout_verdict()->set_phase(phase);
+  return command.SerializeAsString();
+}
+
 } // namespace
 
+TEST_CASE("A service has one rollout at a time, whose phases follow one another") {
+  relay::GroupState state;
+  CHECK(state.apply(rolloutOrder("s", "v2"), 3) == Change::Rollouts);
+  CHECK(state.apply(rolloutOrder("s", "v3"), 4) == Change::None);
+  CHECK(state.apply(rolloutOrder("a", "v9"), 5) == Change::Rollouts);
+  REQUIRE(state.rollouts().rollouts_size() == 2);
+  CHECK(state.rollouts().rollouts(0).service() == "a");
+  CHECK(state.rolloutOf("s")->target_version() == "v2");
+  CHECK(state.rolloutOf("s")->phase() == v1::ROLLOUT_CANARY);
+  CHECK(state.rolloutOf("nowhere") == nullptr);
+  // Nothing succeeds that was not promoted; a verdict about another rollout changes nothing.
+  CHECK(state.apply(verdict("s", 3, v1::ROLLOUT_SUCCEEDED), 6) == Change::None);
+  CHECK(state.apply(verdict("s", 2, v1::ROLLOUT_PROMOTING), 7) == Change::None);
+  CHECK(state.apply(verdict("s", 3, v1::ROLLOUT_PROMOTING), 8) == Change::Rollouts);
+  CHECK(state.apply(verdict("s", 3, v1::ROLLOUT_SUCCEEDED), 9) == Change::Rollouts);
+  CHECK(state.apply(verdict("s", 3, v1::ROLLOUT_ROLLED_BACK), 10) == Change::None);
+  CHECK(state.rollouts().version() == 9);
+  relay::GroupState restored;
+  CHECK(restored.restore(state.save()));
+  CHECK(restored.rolloutOf("s")->phase() == v1::ROLLOUT_SUCCEEDED);
+  CHECK(restored.apply(rolloutOrder("s", "v3"), 11) == Change::Rollouts);
+  CHECK(restored.rolloutOf("s")->id() == 11);
+}
+
 TEST_CASE("A request is in quarantine from the order that puts it there to the one that ends it") {
   relay::GroupState state;
   CHECK(state.apply(quarantineOrder(7, true), 3) == Change::Quarantine);
--- /dev/null
+++ b/tests/unit/core/relay/rollout_analysis_test.cc
@@ -0,0 +1,222 @@
+/// @file
+/// Judgement of rollouts, replayed: answers of a former and of a target version whose faults come
+/// at once, later, on one route, or as slowness, with answers that fail anyway.
+#include <cmath>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "core/relay/rollout_analysis.h"
+#include "core/relay/rollout_outcomes.h"
+
+namespace workshatch::test {
+
+namespace {
+
+constexpr int64_t kDurationMs = 12'000;
+constexpr int64_t kStepMs = 100;
+constexpr size_t kRoutes = 4;
+/// Part of the answers that fails at runners of any version.
+constexpr double kUsualFailures = 0.14;
+
+/// A version on trial, and how it is worse than the former one.
+struct Version {
+  /// Part of its answers that fails, of which routes, and from when on.
+  double failures = kUsualFailures;
+  std::optional<size_t> only_route;
+  int64_t from_ms = 0;
+  /// Part of its answers that take so many times as long.
+  double slow_part = 0;
+  double slow_times = 4;
+  /// Requests of both versions in a step, on all routes.
+  int requests_in_step = 250;
+  /// Runners hold no prompts yet, so that first parts take longer, as they do at any new runner.
+  double first_times_longer = 1;
+};
+
+struct Judged {
+  v1::RolloutPhase phase = v1::ROLLOUT_CANARY;
+  int64_t at_ms = 0;
+  uint64_t bad_answers = 0;
+};
+
+/// Plays one rollout up to its first verdict.
+class RolloutPlay {
+public:
+  RolloutPlay(const Version& version, uint64_t seed) : version_(version), random_(seed) {
+    rollout_.set_service("s");
+    rollout_.set_duration_ms(kDurationMs);
+    rollout_.set_id(7);
+  }
+
+  Judged play() {
+    relay::RolloutAnalysis analysis(rollout_, 0, 0);
+    for (int64_t now_ms = kStepMs; now_ms <= kDurationMs; now_ms += kStepMs) {
+      answerRequests(now_ms);
+      v1::RolloutReport report;
+      report.set_rollout(rollout_.id());
+      outcomes_.fill(report);
+      analysis.take("relay", 1, report, now_ms);
+      const auto phase = analysis.decide(
+          v1::ROLLOUT_CANARY,
+          relay::RolloutSituation{
+              .now_ms = now_ms, .target_places = 8, .former_places = 8, .all_heard = true});
+      if (phase) {
+        return Judged{.phase = *phase, .at_ms = now_ms, .bad_answers = bad_answers_};
+      }
+    }
+    return Judged{.at_ms = kDurationMs};
+  }
+
+private:
+  void answerRequests(int64_t now_ms) {
+    for (int i = 0; i < version_.requests_in_step; ++i) {
+      const bool target = std::bernoulli_distribution(0.08)(random_);
+      const size_t route = std::uniform_int_distribution<size_t>(0, kRoutes - 1)(random_);
+      const bool worse =
+          target && now_ms >= version_.from_ms && version_.only_route.value_or(route) == route;
+      const bool failed =
+          std::bernoulli_distribution(worse ? version_.failures : kUsualFailures)(random_);
+      relay::VersionOutcome outcome{
+          .route = "route-" + std::to_string(route), .target = target, .failed = failed};
+      if (!failed) {
+        const bool slow = worse && std::bernoulli_distribution(version_.slow_part)(random_);
+        const double times = slow ? version_.slow_times : 1;
+        std::lognormal_distribution<double> spread(0, 0.4);
+        outcome.step_ms = 20 * times * spread(random_);
+        outcome.first_ms =
+            80 * times * spread(random_) * (target ? version_.first_times_longer : 1);
+      }
+      bad_answers_ += worse && failed ? 1 : 0;
+      outcomes_.note(rollout_.id(), outcome);
+    }
+  }
+
+  const Version version_;
+  std::mt19937_64 random_;
+  v1::Rollout rollout_;
+  relay::RolloutOutcomes outcomes_;
+  uint64_t bad_answers_ = 0;
+};
+
+struct Tally {
+  size_t rolled_back = 0;
+  size_t promoted = 0;
+};
+
+Tally tallyOf(const Version& version, uint64_t seeds) {
+  Tally tally;
+  for (uint64_t seed = 0; seed < seeds; ++seed) {
+    const Judged judged = RolloutPlay(version, seed).play();
+    tally.rolled_back += judged.phase == v1::ROLLOUT_ROLLED_BACK ? 1 : 0;
+    tally.promoted += judged.phase == v1::ROLLOUT_PROMOTING ? 1 : 0;
+  }
+  return tally;
+}
+
+} // namespace
+
+TEST_CASE("A good version whose answers fail as often as the former one's is promoted") {
+  CHECK(tallyOf(Version{.requests_in_step = 60}, 1000).promoted == 1000);
+}
+
+TEST_CASE("A good version with few requests, or with prompts to read anew, is promoted") {
+  CHECK(tallyOf(Version{.requests_in_step = 10}, 300).promoted == 300);
+  CHECK(tallyOf(Version{.first_times_longer = 2}, 100).promoted == 100);
+}
+
+TEST_CASE("A version that fails somewhat more often is rolled back where enough requests show it") {
+  CHECK(tallyOf(Version{.failures = 0.2, .requests_in_step = 500}, 100).rolled_back >= 99);
+}
+
+TEST_CASE("A version whose own faults are added to the usual ones is rolled back") {
+  const double failures = 1 - (1 - kUsualFailures) * (1 - 0.2);
+  CHECK(tallyOf(Version{.failures = failures}, 200).rolled_back >= 198);
+}
+
+TEST_CASE("A version that fails later, or on one route only, is rolled back") {
+  CHECK(tallyOf(Version{.failures = 0.5, .from_ms = 5000}, 100).rolled_back >= 99);
+  CHECK(tallyOf(Version{.failures = 0.5, .only_route = 2}, 100).rolled_back >= 99);
+}
+
+TEST_CASE("A version that is slow, always or for some answers only, is rolled back") {
+  CHECK(tallyOf(Version{.slow_part = 1}, 50).rolled_back == 50);
+  CHECK(tallyOf(Version{.slow_part = 0.2}, 100).rolled_back >= 99);
+}
+
+TEST_CASE("Fifty bad answers are enough to roll a version back that fails half of its requests") {
+  for (uint64_t seed = 0; seed < 100; ++seed) {
+    const Judged judged = RolloutPlay(Version{.failures = 0.5}, seed).play();
+    CHECK(judged.phase == v1::ROLLOUT_ROLLED_BACK);
+    CHECK(judged.bad_answers <= 50);
+  }
+}
+
+TEST_CASE("A version that can't be judged in time is rolled back, and never without all relays") {
+  const auto last_phase = [](const relay::RolloutSituation& rest) {
+    v1::Rollout rollout;
+    rollout.set_duration_ms(kDurationMs);
+    relay::RolloutAnalysis analysis(rollout, 0, 0);
+    std::optional<v1::RolloutPhase> phase;
+    for (int64_t now_ms = 0; now_ms <= kDurationMs && !phase; now_ms += kStepMs) {
+      relay::RolloutSituation situation = rest;
+      situation.now_ms = now_ms;
+      phase = analysis.decide(v1::ROLLOUT_CANARY, situation);
+    }
+    return phase;
+  };
+  CHECK(last_phase({.all_heard = true}) == v1::ROLLOUT_ROLLED_BACK);
+  CHECK(last_phase({.all_heard = false}) == std::nullopt);
+}
+
+TEST_CASE(
+    "A version succeeds once nothing is left at the former one, and can still be rolled back") {
+  v1::Rollout rollout;
+  rollout.set_duration_ms(kDurationMs);
+  relay::RolloutAnalysis analysis(rollout, 0, 0);
+  CHECK(analysis.decide(v1::ROLLOUT_PROMOTING, {.now_ms = 9000, .all_heard = true}) ==
+        std::nullopt);
+  CHECK(analysis.decide(v1::ROLLOUT_PROMOTING,
+                        {.now_ms = 9000, .all_heard = true, .former_idle = true}) ==
+        v1::ROLLOUT_SUCCEEDED);
+  relay::RolloutOutcomes outcomes;
+  for (int i = 0; i < 200; ++i) {
+    outcomes.note(7, {.route = "r", .target = i % 2 == 0, .failed = i % 4 == 0});
+  }
+  v1::RolloutReport report;
+  report.set_rollout(7);
+  outcomes.fill(report);
+  analysis.take("relay", 1, report, 9000);
+  CHECK(analysis.decide(v1::ROLLOUT_PROMOTING,
+                        {.now_ms = 9100, .all_heard = true, .former_idle = true}) ==
+        v1::ROLLOUT_ROLLED_BACK);
+}
+
+TEST_CASE("A relay's report is counted once, and what its earlier process told stays counted") {
+  v1::Rollout rollout;
+  rollout.set_duration_ms(kDurationMs);
+  relay::RolloutAnalysis analysis(rollout, 0, 0);
+  const auto reportOf = [](int answers) {
+    relay::RolloutOutcomes outcomes;
+    for (int i = 0; i < answers; ++i) {
+      outcomes.note(7, {.route = "r", .target = true});
+    }
+    v1::RolloutReport report;
+    report.set_rollout(7);
+    outcomes.fill(report);
+    return report;
+  };
+  analysis.take("a", 1, reportOf(5), 10);
+  analysis.take("a", 1, reportOf(5), 20);
+  analysis.take("a", 1, reportOf(8), 30);
+  analysis.take("b", 1, reportOf(1), 30);
+  CHECK(analysis.outcomes().totalOf(true).ended == 9);
+  analysis.take("a", 2, reportOf(2), 40);
+  CHECK(analysis.outcomes().totalOf(true).ended == 11);
+}
+
+} // namespace workshatch::test
--- a/tests/unit/daemon/fleet/test_fleet.h
+++ b/tests/unit/daemon/fleet/test_fleet.h
@@ -1,6 +1,6 @@
 /// @file
 /// A whole system on loopback in one process: a group of one replica, relays, the platform's list
-/// of runners, and runners that end when they run a certain request.
+/// of runners, and runners that end when they run a certain request, or fail part of them.
 #pragma once
 
 #include <algorithm>
@@ -55,6 +55,10 @@
   EndingRunner& operator=(const EndingRunner&) = delete;
 
   const std::string& address() const { return address_; }
+  /// From now on one of so many requests fails; zero: none.
+  void failOneOf(size_t requests) { fails_one_of_ = requests; }
+  /// Requests that it has run.
+  size_t requests() const { return requests_; }
   /// @return whether its process is gone now.
   bool ended() const { return ended_; }
   /// Times that its process ended.
@@ -84,7 +88,13 @@
         }
         continue;
       }
-      say(socket, signedAnswer(idOf(request), "whole"));
+      const size_t number = ++requests_;
+      const size_t fails_one_of = fails_one_of_;
+      const bool fails = fails_one_of != 0 && number % fails_one_of == 0;
+      const std::string status = fails ? "500 Internal Server Error" : "200 OK";
+      // Each connection serves one request.
+      say(socket, signedAnswer(idOf(request), fails ? "failed" : "whole",
+                               status + "\r\nConnection: close"));
     }
   }
 
@@ -138,10 +148,12 @@
   std::atomic<bool> stopping_{false};
   std::atomic<bool> ended_{false};
   std::atomic<size_t> ends_{0};
+  std::atomic<size_t> fails_one_of_{0};
+  std::atomic<size_t> requests_{0};
   std::thread thread_;
 };
 
-/// Lists of runners as lines "id address".
+/// Lists of runners as lines "id address version".
 class LinesCodec : public RunnerListCodec {
 public:
   std::string target(const std::string&) const override { return "/list"; }
@@ -150,12 +162,14 @@
     std::istringstream lines{std::string(body)};
     std::string id;
     std::string address;
-    while (lines >> id >> address) {
+    std::string version;
+    while (lines >> id >> address >> version) {
       v1::RunnerEntry* entry = page.runners.add_runners();
       entry->set_id(id);
       entry->set_service("s");
       entry->set_address(address);
       entry->set_zone("north");
+      entry->set_version(version);
     }
     return page;
   }
@@ -164,6 +178,8 @@
 struct FleetOptions {
   size_t relays = 3;
   size_t runners = 12;
+  /// Runners of version "v2", which the platform lists once they are started.
+  size_t new_runners = 0;
   /// The first of some ports that no other test uses.
   uint16_t first_port = 0;
   /// When a runner that ended starts again; zero: never.
@@ -184,6 +200,9 @@
     for (size_t i = 0; i < options.runners; ++i) {
       runners_.push_back(std::make_unique<EndingRunner>("ko", options.runners_back_after));
     }
+    for (size_t i = 0; i < options.new_runners; ++i) {
+      new_runners_.push_back(std::make_unique<EndingRunner>("ko"));
+    }
     startGroup(true);
     REQUIRE(within(kPatience, [&] { return configurationTaken(); }));
     for (size_t i = 0; i < options.relays; ++i) {
@@ -224,6 +243,21 @@
                     callerAddress(relay));
   }
 
+  /// From now on the platform lists the runners of version "v2".
+  void startNewRunners() { new_runners_started_ = true; }
+  EndingRunner& newRunner(size_t number) { return *new_runners_[number]; }
+  EndingRunner& runner(size_t number) { return *runners_[number]; }
+  size_t requestsAtNewRunners() const { return requestsAt(new_runners_); }
+  size_t requestsAtRunners() const { return requestsAt(runners_); }
+  /// An operator's call. @return the answer; an empty body and status 0 without one.
+  http::Response operate(http::Verb method, const std::string& target,
+                         const std::string& body = "") const {
+    auto answer = http::simpleCall(at(ipOf(0), 0), method, target, body, {});
+    http::Response none;
+    none.result(0);
+    return isError(answer) ? none : std::get<http::Response>(std::move(answer));
+  }
+
   size_t endedRunners() const {
     return static_cast<size_t>(std::count_if(runners_.begin(), runners_.end(),
                                              [](const auto& runner) { return runner->ended(); }));
@@ -253,6 +287,14 @@
     std::unique_ptr<daemon::GroupRole> role;
   };
 
+  static size_t requestsAt(const std::vector<std::unique_ptr<EndingRunner>>& runners) {
+    size_t requests = 0;
+    for (const auto& runner : runners) {
+      requests += runner->requests();
+    }
+    return requests;
+  }
+
   /// Each process has an address of its own, as on machines of its own.
   static std::string ipOf(size_t process) { return "127.0.0." + std::to_string(process + 1); }
   std::string at(const std::string& ip, uint16_t port) const {
@@ -320,9 +362,12 @@
     std::string lines;
     for (size_t i = 0; i < runners_.size(); ++i) {
       if (!runners_[i]->ended()) {
-        lines += "runner-" + std::to_string(i) + " " + runners_[i]->address() + "\n";
+        lines += "runner-" + std::to_string(i) + " " + runners_[i]->address() + " v1\n";
       }
     }
+    for (size_t i = 0; new_runners_started_ && i < new_runners_.size(); ++i) {
+      lines += "new-" + std::to_string(i) + " " + new_runners_[i]->address() + " v2\n";
+    }
     say(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
                     std::to_string(lines.size()) + "\r\n\r\n" + lines);
   }
@@ -335,6 +380,8 @@
   const OneRouteCodec configurations_{};
   const LinesCodec lists_{};
   std::vector<std::unique_ptr<EndingRunner>> runners_;
+  std::vector<std::unique_ptr<EndingRunner>> new_runners_;
+  std::atomic<bool> new_runners_started_{false};
   ScriptedRunner list_;
   std::unique_ptr<Group> group_;
   std::vector<std::unique_ptr<Relay>> relays_;
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -107,6 +107,25 @@
     }
     return std::nullopt;
   }
+  std::optional<RolloutCall> rolloutCall(std::string_view path) const override {
+    constexpr std::string_view kAsk = "/rollout/";
+    if (path == "/roll-out") {
+      return RolloutCall{.begin = true};
+    }
+    return path.starts_with(kAsk)
+               ? std::optional(RolloutCall{.service = std::string(path.substr(kAsk.size()))})
+               : std::nullopt;
+  }
+  /// The body is "SERVICE VERSION MILLISECONDS".
+  Result<RolloutWish> rolloutWish(std::string_view body) const override {
+    std::istringstream words{std::string(body)};
+    RolloutWish wish;
+    words >> wish.service >> wish.target_version >> wish.duration_ms;
+    return words && wish.duration_ms > 0 ? Result<RolloutWish>(wish) : Error{"no wish"};
+  }
+  std::string rolloutAnswer(RolloutState state, const std::string& target_version) const override {
+    return std::to_string(static_cast<int>(state)) + " " + target_version;
+  }
   /// Any value names two parts.
   std::vector<PromptPart> promptParts(std::string_view) const override {
     return {PromptPart{.id = "shared", .tokens = 1}, PromptPart{.id = "own", .tokens = 1}};
