Failing test: a change of twenty among ten thousand runners makes a relay read all of them

Why: each update makes a relay build its whole list three times over, N entries for a handful that changed. Evidence: the test counts 19,997 entries read where 10,020 do. RunnerTable::applyUpdate does what the relay role did so far, so that the test can count.

--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -6,6 +6,7 @@
 
 #include "core/relay/runner_entry.h"
 #include "core/relay/runner_life.h"
+#include "core/relay/runner_list_history.h"
 #include "core/relay/runner_loads.h"
 
 namespace workshatch::relay {
@@ -62,12 +63,23 @@
   }
 }
 
-void RunnerTable::takeEntry(Runner& runner, const v1::RunnerEntry& entry, int64_t now_ms) const {
+Result<std::monostate> RunnerTable::applyUpdate(const v1::RunnerListUpdate& update,
+                                                int64_t now_ms) {
+  auto applied = relay::applyUpdate(list(), update);
+  if (isError(applied)) {
+    return errorOf(applied);
+  }
+  setList(std::get<v1::RunnerList>(applied), now_ms);
+  return std::monostate{};
+}
+
+void RunnerTable::takeEntry(Runner& runner, const v1::RunnerEntry& entry, int64_t now_ms) {
   const bool came = runner.entry.id().empty() && runner.listed_since_ms != 0;
   const bool read_here = list_version_ == 0;
   const bool known = read_here && !runner.entry.id().empty() && !runner.version_untold &&
                      runner.entry.version() == entry.version();
   runner.version_untold = read_here && !known;
+  ++entries_taken_;
   runner.entry = entry;
   // It held when the list was read: the next update must not count it again.
   runner.entry.clear_cold_ms();
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -23,6 +23,7 @@
 #include "core/relay/policy.h"
 #include "core/relay/rollout_gate.h"
 #include "core/relay/runner.h"
+#include "core/result.h"
 #include "workshatch/v1/relay.pb.h"
 
 namespace workshatch::relay {
@@ -159,6 +160,11 @@
 
   /// Replaces the list; what is known of runners that stay is kept.
   void setList(const v1::RunnerList& list, int64_t now_ms);
+  /// Takes what differs from the list in use. @return an error when the update is damaged or for
+  /// another list.
+  Result<std::monostate> applyUpdate(const v1::RunnerListUpdate& update, int64_t now_ms);
+  /// Entries read from lists and updates since the start.
+  uint64_t entriesTaken() const { return entries_taken_; }
   uint64_t listVersion() const { return list_version_; }
   uint64_t listFingerprint() const { return list_fingerprint_; }
   /// The list in use.
@@ -221,7 +227,7 @@
 private:
   using Candidates = std::vector<std::shared_ptr<Runner>>;
 
-  void takeEntry(Runner& runner, const v1::RunnerEntry& entry, int64_t now_ms) const;
+  void takeEntry(Runner& runner, const v1::RunnerEntry& entry, int64_t now_ms);
   Candidates candidatesFor(const RunnerRequest& request, bool* last_resort) const;
   void keepTrialRunners(const RunnerRequest& request, Candidates& candidates) const;
   uint32_t limitOf(const RunnerRequest& request, const Runner& runner, bool busy) const;
@@ -252,6 +258,7 @@
   RolloutGate rollouts_;
   uint64_t list_version_ = 0;
   uint64_t list_fingerprint_ = 0;
+  uint64_t entries_taken_ = 0;
   /// In the order of the list.
   std::vector<std::shared_ptr<Runner>> runners_;
   std::unordered_map<uint64_t, std::shared_ptr<Runner>> by_fingerprint_;
