Failing test: thousands of engines queue for one part at the first that has it

Why: in its first second the directory of parts names one holder to all, and an engine makes one copy after the other: 80 prompts a second x 18 ms are more than a second of its link in each second. The load grows with the requests, the sources do not.

--- a/src/core/relay/part_directory.h
+++ b/src/core/relay/part_directory.h
@@ -16,6 +16,10 @@
   /// Shared part before it; zero: none.
   uint64_t parent = 0;
   uint64_t runner = 0;
+  /// How long an engine takes to copy all parts up to the last shared one to another, and all up to
+  /// the one before it, microseconds; zero: not known.
+  uint32_t part_copy_us = 0;
+  uint32_t parent_copy_us = 0;
 
   /// What names the relay that counts: prompts that share a part ask the same one.
   uint64_t group() const { return parent == 0 ? part : parent; }
