A relay takes what differs from its list of runners, and nothing else

Cause: as the test says; the list was copied into a message, changed, sorted, read back into the table and hashed whole, N entries four times for each change. Now runners that went, came or changed are looked up in the sorted table, and the list's fingerprint is the sum of its entries', known from what changed. Ruled out: fewer updates (leaving runners are known later); lists of a part of the runners for each relay (prompts go to homes among all).

--- a/src/core/relay/runner.h
+++ b/src/core/relay/runner.h
@@ -14,6 +14,8 @@
   v1::RunnerEntry entry;
   /// Fingerprint of its life (runner_life.h), under which all else is kept of it.
   uint64_t fingerprint = 0;
+  /// Fingerprint of `entry`, a part of the list's.
+  uint64_t entry_fingerprint = 0;
   /// Attempts of this relay that are in progress.
   uint32_t in_progress = 0;
   /// Attempts of the other relays, as of the last sums.
--- a/src/core/relay/runner_entry.cc
+++ b/src/core/relay/runner_entry.cc
@@ -26,20 +26,24 @@
   return static_cast<size_t>(before - list.runners_size());
 }
 
-uint64_t fingerprintOf(const v1::RunnerList& list) {
+uint64_t fingerprintOf(const v1::RunnerEntry& entry) {
   std::string text;
-  constexpr size_t kBytesOfEntry = 64;
-  text.reserve(kBytesOfEntry * static_cast<size_t>(list.runners_size()));
-  for (const v1::RunnerEntry& entry : list.runners()) {
-    // A byte that no field holds ends each of them.
-    for (const std::string* field :
-         {&entry.id(), &entry.service(), &entry.address(), &entry.zone(), &entry.version()}) {
-      text.append(*field).push_back('\0');
-    }
-    text.append(std::to_string(entry.slots())).push_back(entry.leaving() ? '-' : '+');
-    text.append(std::to_string(entry.born_ms())).push_back('\0');
+  // A byte that no field holds ends each of them.
+  for (const std::string* field :
+       {&entry.id(), &entry.service(), &entry.address(), &entry.zone(), &entry.version()}) {
+    text.append(*field).push_back('\0');
   }
+  text.append(std::to_string(entry.slots())).push_back(entry.leaving() ? '-' : '+');
+  text.append(std::to_string(entry.born_ms()));
   return routing::fingerprintOf(text);
 }
 
+uint64_t fingerprintOf(const v1::RunnerList& list) {
+  uint64_t sum = 0;
+  for (const v1::RunnerEntry& entry : list.runners()) {
+    sum += fingerprintOf(entry);
+  }
+  return sum;
+}
+
 } // namespace workshatch::relay
--- a/src/core/relay/runner_entry.h
+++ b/src/core/relay/runner_entry.h
@@ -35,8 +35,10 @@
 /// first. @return how many were dropped.
 size_t dropDuplicates(v1::RunnerList& list);
 
-/// @param list sorted by id
-/// @return a number that differs for lists that differ in more than how cold runners are.
+/// @return a number that differs for entries that differ in more than how cold the runner is.
+uint64_t fingerprintOf(const v1::RunnerEntry& entry);
+
+/// @return the sum of the entries' fingerprints, so that a list's is known from what changed.
 uint64_t fingerprintOf(const v1::RunnerList& list);
 
 } // namespace workshatch::relay
--- a/src/core/relay/runner_list_history.cc
+++ b/src/core/relay/runner_list_history.cc
@@ -134,17 +134,26 @@
   return &found->second;
 }
 
+Result<v1::RunnerList> changedEntries(const v1::RunnerListUpdate& update) {
+  v1::RunnerList changed;
+  if (update.has_more_changed() && !compression::unpackMessage(update.more_changed(), changed)) {
+    return Error{"the update is damaged"};
+  }
+  changed.mutable_runners()->MergeFrom(update.changed());
+  return changed;
+}
+
 Result<v1::RunnerList> applyUpdate(v1::RunnerList base, const v1::RunnerListUpdate& update) {
   if (update.base_version() == 0) {
     base.clear_runners();
   } else if (base.version() != update.base_version()) {
     return Error{"the update is for another list"};
   }
-  v1::RunnerList changed;
-  if (update.has_more_changed() && !compression::unpackMessage(update.more_changed(), changed)) {
-    return Error{"the update is damaged"};
+  const Result<v1::RunnerList> read = changedEntries(update);
+  if (isError(read)) {
+    return errorOf(read);
   }
-  changed.mutable_runners()->MergeFrom(update.changed());
+  const auto& changed = std::get<v1::RunnerList>(read);
   std::set<std::string> dropped(update.removed().begin(), update.removed().end());
   for (const v1::RunnerEntry& entry : changed.runners()) {
     dropped.insert(entry.id());
--- a/src/core/relay/runner_list_history.h
+++ b/src/core/relay/runner_list_history.h
@@ -56,6 +56,10 @@
   std::map<uint64_t, std::vector<std::optional<uint32_t>>> positions_;
 };
 
+/// @return the entries that came or changed, those that travelled compressed included; an error
+/// when these can't be read.
+Result<v1::RunnerList> changedEntries(const v1::RunnerListUpdate& update);
+
 /// @param base the list that the receiver holds, sorted by id
 /// @return the list after the update, or an error when the update is for another base.
 Result<v1::RunnerList> applyUpdate(v1::RunnerList base, const v1::RunnerListUpdate& update);
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -34,8 +34,21 @@
 
 } // namespace
 
+std::shared_ptr<Runner> RunnerTable::runnerFor(std::shared_ptr<Runner> known,
+                                               const v1::RunnerEntry& entry,
+                                               int64_t listed_since_ms) const {
+  // A process that has started again has none of the failures, load or parts of the one before.
+  if (known && sameLife(known->entry, entry)) {
+    return known;
+  }
+  auto runner = std::make_shared<Runner>();
+  runner->fingerprint = lifeOf(entry).fingerprint();
+  runner->listed_since_ms = listed_since_ms;
+  return runner;
+}
+
 void RunnerTable::setList(const v1::RunnerList& list, int64_t now_ms) {
-  const bool first = runners_.empty();
+  const int64_t listed_since_ms = runners_.empty() ? 0 : now_ms;
   std::unordered_map<std::string, std::shared_ptr<Runner>> known;
   for (auto& runner : runners_) {
     runner->gone = true;
@@ -47,32 +60,114 @@
     state.runners.clear();
   }
   list_version_ = list.version();
-  list_fingerprint_ = fingerprintOf(list);
+  list_fingerprint_ = 0;
   for (const v1::RunnerEntry& entry : list.runners()) {
-    auto& runner = known[entry.id()];
-    // A process that has started again has none of the failures, load or parts of the one before.
-    if (!runner || !sameLife(runner->entry, entry)) {
-      runner = std::make_shared<Runner>();
-      runner->fingerprint = lifeOf(entry).fingerprint();
-      runner->listed_since_ms = first ? 0 : now_ms;
-    }
+    auto runner = runnerFor(known[entry.id()], entry, listed_since_ms);
     takeEntry(*runner, entry, now_ms);
+    list_fingerprint_ += runner->entry_fingerprint;
     runners_.push_back(runner);
     by_fingerprint_[runner->fingerprint] = runner;
-    services_[entry.service()].runners.push_back(runner);
+    services_[entry.service()].runners.push_back(std::move(runner));
   }
 }
 
+namespace {
+
+bool comesBeforeRunner(const std::shared_ptr<Runner>& left, const std::shared_ptr<Runner>& right) {
+  return left->entry.id() < right->entry.id();
+}
+
+/// @return the runner with this id in a list in the order of ids; null: none.
+std::shared_ptr<Runner> findById(const std::vector<std::shared_ptr<Runner>>& runners,
+                                 const std::string& id) {
+  const auto place =
+      std::lower_bound(runners.begin(), runners.end(), id,
+                       [](const std::shared_ptr<Runner>& runner, const std::string& wanted) {
+                         return runner->entry.id() < wanted;
+                       });
+  return place != runners.end() && (*place)->entry.id() == id ? *place : nullptr;
+}
+
+} // namespace
+
+void RunnerTable::forget(Runner& runner) {
+  runner.gone = true;
+  list_fingerprint_ -= runner.entry_fingerprint;
+  by_fingerprint_.erase(runner.fingerprint);
+}
+
+void RunnerTable::removeGone(Candidates& runners) {
+  std::erase_if(runners, [](const auto& runner) { return runner->gone; });
+}
+
+void RunnerTable::insertSorted(Candidates& runners, Candidates added) {
+  std::sort(added.begin(), added.end(), comesBeforeRunner);
+  const auto middle = static_cast<ptrdiff_t>(runners.size());
+  runners.insert(runners.end(), std::make_move_iterator(added.begin()),
+                 std::make_move_iterator(added.end()));
+  std::inplace_merge(runners.begin(), runners.begin() + middle, runners.end(), comesBeforeRunner);
+}
+
 Result<std::monostate> RunnerTable::applyUpdate(const v1::RunnerListUpdate& update,
                                                 int64_t now_ms) {
-  auto applied = relay::applyUpdate(list(), update);
-  if (isError(applied)) {
-    return errorOf(applied);
+  if (update.base_version() == 0) {
+    auto list = relay::applyUpdate(v1::RunnerList(), update);
+    if (isError(list)) {
+      return errorOf(list);
+    }
+    setList(std::get<v1::RunnerList>(list), now_ms);
+    return std::monostate{};
+  }
+  if (update.base_version() != list_version_) {
+    return Error{"the update is for another list"};
   }
-  setList(std::get<v1::RunnerList>(applied), now_ms);
+  const auto changed = changedEntries(update);
+  if (isError(changed)) {
+    return errorOf(changed);
+  }
+  const int64_t listed_since_ms = runners_.empty() ? 0 : now_ms;
+  list_version_ = update.version();
+  for (const std::string& id : update.removed()) {
+    if (const auto runner = findById(runners_, id)) {
+      forget(*runner);
+    }
+  }
+  Candidates added;
+  for (const v1::RunnerEntry& entry : std::get<v1::RunnerList>(changed).runners()) {
+    const auto known = findById(runners_, entry.id());
+    const bool moved = known && known->entry.service() != entry.service();
+    auto runner = runnerFor(moved ? nullptr : known, entry, listed_since_ms);
+    if (known) {
+      forget(*known);
+    }
+    const bool stays = runner == known;
+    takeEntry(*runner, entry, now_ms);
+    list_fingerprint_ += runner->entry_fingerprint;
+    by_fingerprint_[runner->fingerprint] = runner;
+    if (!stays) {
+      added.push_back(std::move(runner));
+    }
+  }
+  putInPlace(std::move(added));
   return std::monostate{};
 }
 
+/// Takes the runners that are gone out of all lists, and others in.
+void RunnerTable::putInPlace(Candidates added) {
+  removeGone(runners_);
+  for (auto& [service, state] : services_) {
+    removeGone(state.runners);
+  }
+  std::map<std::string, Candidates> by_service;
+  for (const auto& runner : added) {
+    by_service[runner->entry.service()].push_back(runner);
+  }
+  for (auto& [service, runners] : by_service) {
+    insertSorted(services_[service].runners, std::move(runners));
+  }
+  insertSorted(runners_, std::move(added));
+}
+
 void RunnerTable::takeEntry(Runner& runner, const v1::RunnerEntry& entry, int64_t now_ms) {
   const bool came = runner.entry.id().empty() && runner.listed_since_ms != 0;
   const bool read_here = list_version_ == 0;
@@ -81,6 +176,7 @@
   runner.version_untold = read_here && !known;
   ++entries_taken_;
   runner.entry = entry;
+  runner.entry_fingerprint = fingerprintOf(entry);
   // It held when the list was read: the next update must not count it again.
   runner.entry.clear_cold_ms();
   runner.gone = false;
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -160,8 +160,8 @@
 
   /// Replaces the list; what is known of runners that stay is kept.
   void setList(const v1::RunnerList& list, int64_t now_ms);
-  /// Takes what differs from the list in use. @return an error when the update is damaged or for
-  /// another list.
+  /// Takes what differs from the list in use: a change of a few runners costs little in a fleet of
+  /// thousands. @return an error when the update is damaged or for another list.
   Result<std::monostate> applyUpdate(const v1::RunnerListUpdate& update, int64_t now_ms);
   /// Entries read from lists and updates since the start.
   uint64_t entriesTaken() const { return entries_taken_; }
@@ -228,6 +228,12 @@
   using Candidates = std::vector<std::shared_ptr<Runner>>;
 
   void takeEntry(Runner& runner, const v1::RunnerEntry& entry, int64_t now_ms);
+  std::shared_ptr<Runner> runnerFor(std::shared_ptr<Runner> known, const v1::RunnerEntry& entry,
+                                    int64_t listed_since_ms) const;
+  void forget(Runner& runner);
+  void putInPlace(Candidates added);
+  static void removeGone(Candidates& runners);
+  static void insertSorted(Candidates& runners, Candidates added);
   Candidates candidatesFor(const RunnerRequest& request, bool* last_resort) const;
   void keepTrialRunners(const RunnerRequest& request, Candidates& candidates) const;
   uint32_t limitOf(const RunnerRequest& request, const Runner& runner, bool busy) const;
@@ -259,7 +265,7 @@
   uint64_t list_version_ = 0;
   uint64_t list_fingerprint_ = 0;
   uint64_t entries_taken_ = 0;
-  /// In the order of the list.
+  /// In the order of the list, which is that of the ids.
   std::vector<std::shared_ptr<Runner>> runners_;
   std::unordered_map<uint64_t, std::shared_ptr<Runner>> by_fingerprint_;
   struct ServiceRunners {
--- a/src/daemon/relay/relay_lease.cc
+++ b/src/daemon/relay/relay_lease.cc
@@ -6,7 +6,6 @@
 #include "core/address_text.h"
 #include "core/compression/deflate.h"
 #include "core/relay/group_state.h"
-#include "core/relay/runner_list_history.h"
 #include "daemon/relay/relay_role.h"
 #include "daemon/relay/relay_run.h"
 
@@ -160,14 +159,14 @@
 }
 
 bool RelayRole::takeRunners(const v1::RunnerListUpdate& update) {
-  auto list = relay::applyUpdate(state_.runners.list(), update);
-  if (isError(list)) {
+  const auto taken = state_.runners.applyUpdate(update, clock_.monotonicMs());
+  if (isError(taken)) {
     line_log::write("runner_list_update_unfit", {{"version", update.version()},
                                                  {"base", update.base_version()},
-                                                 {"held", state_.runners.listVersion()}});
+                                                 {"held", state_.runners.listVersion()},
+                                                 {"error", errorOf(taken).message}});
     return false;
   }
-  state_.runners.setList(std::get<v1::RunnerList>(list), clock_.monotonicMs());
   state_.line.callNextOfEach();
   return true;
 }
