Copies of a part: a holder is named for one more than it makes, then engines read it

The directory counts the copies that each holder was named for, with the time that each takes by the prompt's tokens and the service's memory and link, and names none that is occupied; the runner reads the part then and is a holder itself. Holders that had no time to read are named only while no other is there. Ruled out: a bound on the number of copies (a part of 340 tokens takes 2.4 ms, one of 18,000 takes 127); fewer homes for the prompts of one kind (needs the demand of each kind at all relays, and puts it on few engines).

--- a/src/core/relay/configuration.h
+++ b/src/core/relay/configuration.h
@@ -58,6 +58,10 @@
   bool model_engine = false;
   /// Tokens that one engine keeps; zero: not told.
   uint64_t engine_tokens = 0;
+  /// Bytes that a token takes in an engine's memory, and bandwidth between engines in Mbit/s; zero:
+  /// not told.
+  double token_bytes = 0;
+  double engine_link_mbps = 0;
   /// Seconds for which a runner is cold after its start.
   double cold_s = 0;
   /// Requests a second that a cold runner bears; zero: no fewer than a warm one.
--- a/src/core/relay/part_directory.cc
+++ b/src/core/relay/part_directory.cc
@@ -1,5 +1,6 @@
 #include "core/relay/part_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace workshatch::relay {
@@ -15,6 +16,7 @@
 /// After so long every part in use has been told of: prompts of one part that come less often than
 /// this gain little by a source.
 constexpr int64_t kCountedMs = 10'000;
+constexpr int64_t kUsPerMs = 1000;
 
 } // namespace
 
@@ -24,31 +26,38 @@
 }
 
 /// @return the holder that has had time to read the part and was named longest ago, so that copies
-/// spread over the links of all holders; if none had time, the one that got it first; zero: none.
-uint64_t PartDirectory::chooseSource(Holders& holders, const PromptTarget& prompt,
+/// spread over the links of all holders; if none had time, the one that got it first; zero: none,
+/// or all have more copies to make than are worth waiting for.
+uint64_t PartDirectory::chooseSource(Holders& holders, const PromptTarget& prompt, uint32_t copy_us,
                                      const Usable& usable, int64_t now_ms) {
-  auto best = holders.end();
+  const int64_t now_us = now_ms * kUsPerMs;
+  const auto isReady = [&](const Holding& holding) { return now_ms - holding.since_ms >= kReadMs; };
   const auto betterThan = [&](const Holding& left, const Holding& right) {
-    const bool left_ready = now_ms - left.since_ms >= kReadMs;
-    const bool right_ready = now_ms - right.since_ms >= kReadMs;
-    if (left_ready != right_ready) {
-      return left_ready;
-    }
-    return left_ready ? left.named_ms < right.named_ms : left.since_ms < right.since_ms;
+    return isReady(left) ? left.named_ms < right.named_ms : left.since_ms < right.since_ms;
   };
+  auto best = holders.end();
+  bool any_ready = false;
   for (auto holder = holders.begin(); holder != holders.end(); ++holder) {
-    const bool kept = now_ms - holder->second.used_ms < kKeptMs;
-    if (holder->first == prompt.runner || !kept || !usable(holder->first)) {
+    const Holding& holding = holder->second;
+    const bool kept = now_ms - holding.used_ms < kKeptMs;
+    const bool ready = isReady(holding);
+    if (holder->first == prompt.runner || !kept || ready < any_ready || !usable(holder->first)) {
       continue;
     }
-    if (best == holders.end() || betterThan(holder->second, best->second)) {
+    if (ready && !std::exchange(any_ready, true)) {
+      best = holders.end();
+    }
+    const bool occupied = holding.copying_until_us - now_us > copy_us;
+    if (!occupied && (best == holders.end() || betterThan(holding, best->second))) {
       best = holder;
     }
   }
   if (best == holders.end()) {
     return 0;
   }
-  best->second.named_ms = now_ms;
+  Holding& source = best->second;
+  source.named_ms = now_ms;
+  source.copying_until_us = std::max(source.copying_until_us, now_us) + copy_us;
   return best->first;
 }
 
@@ -67,7 +76,7 @@
   PartSource source;
   source.known = counting_since_ms_ && now_ms - *counting_since_ms_ >= kCountedMs;
   if (!holds(of_part, prompt.runner, now_ms)) {
-    source.runner = chooseSource(of_part, prompt, usable, now_ms);
+    source.runner = chooseSource(of_part, prompt, prompt.part_copy_us, usable, now_ms);
   }
   noteUse(of_part, prompt.runner, now_ms);
   if (prompt.parent != 0) {
@@ -75,7 +84,7 @@
     // A holder of the part holds its parent too.
     const bool lacks_parent = source.runner == 0 && !holds(of_parent, prompt.runner, now_ms);
     if (lacks_parent) {
-      source.runner = chooseSource(of_parent, prompt, usable, now_ms);
+      source.runner = chooseSource(of_parent, prompt, prompt.parent_copy_us, usable, now_ms);
     }
     noteUse(of_parent, prompt.runner, now_ms);
   }
--- a/src/core/relay/part_directory.h
+++ b/src/core/relay/part_directory.h
@@ -39,6 +39,11 @@
 /// that lacked the part for most of the first seconds of a day, and every runner read the long
 /// parts anew. Here one relay is told of all prompts that begin with a part.
 ///
+/// An engine copies for one other at a time. In a fleet of thousands a part that many prompts begin
+/// with is wanted faster than its first holder can copy it, and what waits there waits longer than
+/// reading the part takes. So the directory counts the copies that each holder was named for, and
+/// names none that has more than one to make; the runner then reads the part, and is a holder too.
+///
 /// It is told before the prompt is sent. A runner that has not had time to read the part is named
 /// only when no other is there. What the directory says may be wrong (a runner gave the part up, a
 /// message was lost): the runner then reads what it lacks, as without a source.
@@ -72,13 +77,15 @@
     int64_t used_ms = 0;
     /// When it was last named as a source.
     int64_t named_ms = 0;
+    /// Until when it makes the copies that it was named for, microseconds.
+    int64_t copying_until_us = 0;
   };
   /// By fingerprint of the runner.
   using Holders = std::unordered_map<uint64_t, Holding>;
 
   static bool holds(const Holders& holders, uint64_t runner, int64_t now_ms);
-  static uint64_t chooseSource(Holders& holders, const PromptTarget& prompt, const Usable& usable,
-                               int64_t now_ms);
+  static uint64_t chooseSource(Holders& holders, const PromptTarget& prompt, uint32_t copy_us,
+                               const Usable& usable, int64_t now_ms);
   static void noteUse(Holders& holders, uint64_t runner, int64_t now_ms);
   void dropHolding(uint64_t part, uint64_t runner);
 
--- a/src/daemon/relay/part_client.cc
+++ b/src/daemon/relay/part_client.cc
@@ -52,6 +52,8 @@
   question.set_part(prompt.part);
   question.set_parent(prompt.parent);
   question.set_runner(prompt.runner);
+  question.set_part_copy_us(prompt.part_copy_us);
+  question.set_parent_copy_us(prompt.parent_copy_us);
   asked.call_ = std::make_unique<PeerCall>(
       peers_, *counting, AnswerKey{.kind = v1::Frame::kPartAnswer, .sequence = sequence_}, frame);
   return asked;
@@ -100,10 +102,13 @@
 }
 
 void PartClient::answerQuestion(const v1::PartQuestion& question, const std::string& from) {
-  const relay::PartSource source = directory_.sourceFor(
-      relay::PromptTarget{
-          .part = question.part(), .parent = question.parent(), .runner = question.runner()},
-      usable_, clock_.monotonicMs());
+  const relay::PartSource source =
+      directory_.sourceFor(relay::PromptTarget{.part = question.part(),
+                                               .parent = question.parent(),
+                                               .runner = question.runner(),
+                                               .part_copy_us = question.part_copy_us(),
+                                               .parent_copy_us = question.parent_copy_us()},
+                           usable_, clock_.monotonicMs());
   v1::Frame frame;
   v1::PartAnswer& answer = *frame.mutable_part_answer();
   answer.set_sequence(question.sequence());
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -146,8 +146,14 @@
 }
 
 relay::PromptTarget RelayRun::promptTarget(const relay::Runner& runner) const {
-  return relay::PromptTarget{
-      .part = request_.cache_key, .parent = request_.parent_key, .runner = runner.fingerprint};
+  const auto copyUs = [&](uint64_t tokens) {
+    return static_cast<uint32_t>(request_.token_copy_us * static_cast<double>(tokens));
+  };
+  return relay::PromptTarget{.part = request_.cache_key,
+                             .parent = request_.parent_key,
+                             .runner = runner.fingerprint,
+                             .part_copy_us = copyUs(request_.cached_tokens),
+                             .parent_copy_us = copyUs(request_.parent_tokens)};
 }
 
 /// Asks who keeps parts of the prompt; the answer comes while a connection is made.
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -91,6 +91,12 @@
   }
   const std::vector<PromptPart> parts = dialect.promptParts(*value);
   constexpr size_t kSharedFromEnd = 2;
+  uint64_t tokens = 0;
+  for (size_t i = 0; i + 1 < parts.size(); ++i) {
+    relayed.parent_tokens = tokens;
+    tokens += parts[i].tokens;
+    relayed.cached_tokens = tokens;
+  }
   if (parts.size() >= kSharedFromEnd) {
     relayed.cache_key = routing::fingerprintOf(parts[parts.size() - kSharedFromEnd].id);
   }
@@ -99,6 +105,15 @@
   }
 }
 
+/// @return microseconds in which an engine copies a token to another; zero: not known.
+double tokenCopyUs(const relay::Service& service) {
+  constexpr double kBitsPerByte = 8;
+  // A Mbit/s is a bit in a microsecond.
+  return service.engine_link_mbps > 0
+             ? service.token_bytes * kBitsPerByte / service.engine_link_mbps
+             : 0;
+}
+
 uint32_t priorityOf(const RelayRequest& relayed) {
   const uint32_t of_tenant = relayed.tenant == nullptr ? 0 : relayed.tenant->priority;
   return std::min(of_tenant * kTenantStep + std::min(relayed.route->priority, kTenantStep - 1),
@@ -182,6 +197,7 @@
   readPrompt(request, state.dialect, relayed);
   const relay::Service* service = state.routes->findService(relayed.service);
   relayed.engine = service != nullptr && service->model_engine;
+  relayed.token_copy_us = service == nullptr ? 0 : tokenCopyUs(*service);
   relayed.standing.priority = priorityOf(relayed);
   relayed.standing.over_share = state.policy.tenant_shares && relayed.tenant != nullptr &&
                                 state.tenants.overShare(relayed.tenant->name);
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -33,6 +33,11 @@
   uint64_t cache_key = 0;
   /// Fingerprint of the shared part before that one; zero: none.
   uint64_t parent_key = 0;
+  /// Tokens of the prompt up to the end of either part.
+  uint64_t cached_tokens = 0;
+  uint64_t parent_tokens = 0;
+  /// Microseconds in which an engine copies a token to another; zero: not known.
+  double token_copy_us = 0;
   /// The service's runners are model engines.
   bool engine = false;
   /// Claim on a busy runner; its priority is also told to the runner.
