Silent relays: those that did not answer another are asked to renew; lists of relays travel as differences

Cause: a relay counts as silent after 3.6 periods of renewals, and periods were taken as 3 ms a relay without the bound of 1.2 s that relays keep: 10.7 s at 995 relays, in which callers are sent to machines without power and others ask them for places. The list was made anew every 3 s and sent whole, relays x relays bytes for each change. Now the period has one bound for both sides; a relay that gets no answer from another within 30 ms tells the leader at once, which asks the silent one to renew and takes it out of the list 600 ms later; the list is made anew every 0.3 s at most, and travels as what went and came (core/relay/relay_watch, relay_list_history). Ruled out: shorter periods (833 renewals a second are 7% of the leader's core); taking two relays' word without asking (a relay stands still for 200 ms now and then, and all its askers see it).

--- /dev/null
+++ b/src/core/relay/relay_list_history.cc
@@ -0,0 +1,135 @@
+#include "core/relay/relay_list_history.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/compression/deflate.h"
+
+namespace workshatch::relay {
+
+namespace {
+
+/// Relays that miss more changes than these get the whole list.
+constexpr size_t kMostLists = 16;
+/// Entries from which an update is compressed.
+constexpr int kLongUpdate = 8;
+
+bool comesBefore(const v1::RelayEntry& left, const v1::RelayEntry& right) {
+  return left.address() < right.address();
+}
+
+bool sameEntry(const v1::RelayEntry& left, const v1::RelayEntry& right) {
+  return left.address() == right.address() && left.zone() == right.zone();
+}
+
+bool sameList(const v1::RelayList& left, const v1::RelayList& right) {
+  return left.silent() == right.silent() &&
+         std::equal(left.relays().begin(), left.relays().end(), right.relays().begin(),
+                    right.relays().end(), sameEntry);
+}
+
+/// Both lists are sorted by address.
+v1::RelayListUpdate differenceOf(const v1::RelayList& base, const v1::RelayList& target) {
+  v1::RelayListUpdate update;
+  int next_position = 0;
+  int old = 0;
+  int now = 0;
+  while (old < base.relays_size() || now < target.relays_size()) {
+    const bool both = old < base.relays_size() && now < target.relays_size();
+    if (both && sameEntry(base.relays(old), target.relays(now))) {
+      ++old;
+      ++now;
+      continue;
+    }
+    const bool goes =
+        now == target.relays_size() || (both && !comesBefore(target.relays(now), base.relays(old)));
+    if (goes) {
+      update.add_removed(static_cast<uint32_t>(old - next_position));
+      next_position = ++old;
+    } else {
+      *update.add_added() = target.relays(now++);
+    }
+  }
+  return update;
+}
+
+void compressLong(v1::RelayListUpdate& update) {
+  if (update.added_size() < kLongUpdate) {
+    return;
+  }
+  v1::RelayList added;
+  added.mutable_relays()->Swap(update.mutable_added());
+  *update.mutable_more_added() = compression::packMessage(added);
+}
+
+} // namespace
+
+bool RelayListHistory::set(v1::RelayList list, uint64_t version) {
+  std::sort(list.mutable_relays()->begin(), list.mutable_relays()->end(), comesBefore);
+  if (!lists_.empty() && sameList(list, lists_.back())) {
+    return false;
+  }
+  list.set_version(version);
+  lists_.push_back(std::move(list));
+  updates_.clear();
+  if (lists_.size() > kMostLists) {
+    lists_.pop_front();
+  }
+  return true;
+}
+
+void RelayListHistory::clear() {
+  lists_.clear();
+  updates_.clear();
+}
+
+const v1::RelayListUpdate& RelayListHistory::updateFrom(uint64_t base_version) {
+  const auto base = std::find_if(lists_.begin(), lists_.end(), [&](const v1::RelayList& list) {
+    return list.version() == base_version;
+  });
+  const uint64_t known_base = base == lists_.end() ? 0 : base_version;
+  v1::RelayListUpdate& update = updates_[known_base];
+  if (update.version() == 0 && !lists_.empty()) {
+    update = differenceOf(base == lists_.end() ? v1::RelayList() : *base, lists_.back());
+    update.set_version(lists_.back().version());
+    update.set_base_version(known_base);
+    update.set_silent(lists_.back().silent());
+    compressLong(update);
+  }
+  return update;
+}
+
+Result<v1::RelayList> applyUpdate(v1::RelayList base, const v1::RelayListUpdate& update) {
+  if (update.base_version() == 0) {
+    base.Clear();
+  } else if (base.version() != update.base_version()) {
+    return Error{"the update is for another list of relays"};
+  }
+  v1::RelayList added;
+  if (update.has_more_added() && !compression::unpackMessage(update.more_added(), added)) {
+    return Error{"the update of the list of relays is damaged"};
+  }
+  added.mutable_relays()->MergeFrom(update.added());
+  v1::RelayList list;
+  int position = 0;
+  for (const uint32_t distance : update.removed()) {
+    const int64_t removed = int64_t{position} + distance;
+    if (removed >= base.relays_size()) {
+      return Error{"the update takes out what is not in the list of relays"};
+    }
+    while (position < removed) {
+      *list.add_relays() = std::move(*base.mutable_relays(position++));
+    }
+    ++position;
+  }
+  while (position < base.relays_size()) {
+    *list.add_relays() = std::move(*base.mutable_relays(position++));
+  }
+  list.mutable_relays()->MergeFrom(added.relays());
+  std::sort(list.mutable_relays()->begin(), list.mutable_relays()->end(), comesBefore);
+  list.set_version(update.version());
+  list.set_silent(update.silent());
+  return list;
+}
+
+} // namespace workshatch::relay
--- a/src/core/relay/renewal_period.h
+++ b/src/core/relay/renewal_period.h
@@ -17,9 +17,13 @@
 /// leader the same however many there are: 333 renewals a second.
 inline constexpr int64_t kPeriodMsForRelay = 3;
 
-/// @return `least_ms`, or more in a large fleet.
+/// The longest period, so that a lease of some seconds outlives two of them.
+inline constexpr int64_t kMostRenewalPeriodMs = 1200;
+
+/// @return `least_ms`, or more in a large fleet, up to `kMostRenewalPeriodMs`.
 inline int64_t periodForFleet(int64_t least_ms, size_t relays) {
-  return std::max(least_ms, static_cast<int64_t>(relays) * kPeriodMsForRelay);
+  return std::clamp(static_cast<int64_t>(relays) * kPeriodMsForRelay, least_ms,
+                    kMostRenewalPeriodMs);
 }
 
 } // namespace workshatch::relay
--- a/src/daemon/group/lease_news.cc
+++ b/src/daemon/group/lease_news.cc
@@ -3,10 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <google/protobuf/util/message_differencer.h>
-
-#include "core/compression/deflate.h"
-
 namespace workshatch::daemon {
 
 namespace {
@@ -21,8 +17,7 @@
 
 void LeaseNews::beginTerm() {
   versions_.begin(replica_.term());
-  relay_list_.Clear();
-  packed_relay_list_ = compression::packMessage(relay_list_);
+  relay_lists_.clear();
   sums_.Clear();
   runners_.begin(versions_, clock_.monotonicMs());
   runner_history_.clear();
@@ -48,14 +43,7 @@
 }
 
 void LeaseNews::setRelays(v1::RelayList list) {
-  list.set_version(relay_list_.version());
-  if (relay_list_.version() != 0 &&
-      google::protobuf::util::MessageDifferencer::Equals(list, relay_list_)) {
-    return;
-  }
-  list.set_version(versions_.next());
-  relay_list_ = std::move(list);
-  packed_relay_list_ = compression::packMessage(relay_list_);
+  relay_lists_.set(std::move(list), versions_.next());
 }
 
 bool LeaseNews::lacksConfiguration(const SentVersions& sent) const {
@@ -147,9 +135,9 @@
   }
   addRunners(sent, reply);
   const bool settled = replica_.leadingForMs() >= kSettleMs;
-  if (settled && relay_list_.version() != sent.relay_list) {
-    *reply.mutable_relays() = packed_relay_list_;
-    sent.relay_list = relay_list_.version();
+  if (settled && relay_lists_.version() != sent.relay_list) {
+    *reply.mutable_relays() = relay_lists_.updateFrom(sent.relay_list);
+    sent.relay_list = relay_lists_.version();
   }
 }
 
--- a/src/daemon/group/lease_news.h
+++ b/src/daemon/group/lease_news.h
@@ -9,6 +9,7 @@
 
 #include "core/relay/bulk_pacer.h"
 #include "core/relay/led_runner_list.h"
+#include "core/relay/relay_list_history.h"
 #include "core/relay/runner_list_history.h"
 #include "daemon/configuration_transfer.h"
 #include "daemon/group/group_replica.h"
@@ -55,7 +56,7 @@
     return runner_history_.positionsFrom(list_version);
   }
 
-  /// Takes the relays that callers are told; gives the list a version when it differs.
+  /// Takes the relays that callers are told.
   void setRelays(v1::RelayList list);
   /// Takes the sums over all relays.
   void setSums(v1::RunnerLoads sums) { sums_ = std::move(sums); }
@@ -92,9 +93,7 @@
   relay::LeaderVersions versions_;
   relay::LedRunnerList runners_;
   relay::RunnerListHistory runner_history_;
-  v1::RelayList relay_list_;
-  /// `relay_list_` as it is sent.
-  v1::Compressed packed_relay_list_;
+  relay::RelayListHistory relay_lists_;
   /// Requests in progress by runner, over all relays.
   v1::RunnerLoads sums_;
   v1::TenantPositions over_share_;
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -15,13 +15,12 @@
 
 namespace {
 
-/// A relay that renews nothing for so many periods leaves the list.
-constexpr double kSilentPeriods = 3.6;
-/// A link that loses packets may miss some periods of a small fleet.
-constexpr int64_t kLeastSilentMs = 500;
 /// Sums of loads and the list of relays are made anew at most this often, so that a renewal costs
 /// the leader the same however many relays there are.
 constexpr int64_t kRefreshMs = 30;
+/// But the list of relays at least this often: callers are told to go to a relay that is gone until
+/// then.
+constexpr int64_t kMostRefreshMs = 300;
 /// Sums are made anew after one millisecond for so many relays: at 300 every 100 ms. They then lag
 /// behind by a renewal's way and half a period of renewals, in place of a period and a half.
 constexpr int64_t kSummedRelaysPerMs = 3;
@@ -41,6 +40,7 @@
   news_.beginTerm();
   runner_ends_.setQuarantine(replica_.quarantine());
   relays_.clear();
+  watch_.clear();
   silent_relays_.clear();
   rollout_judge_.beginTerm();
   refresh_due_ms_ = 0;
@@ -52,6 +52,7 @@
   const bool same = found != relays_.end() && found->second.renewal.incarnation() == incarnation;
   if (same) {
     // A process that died is missed at once; one that only lost its link renews on another.
+    watch_.forget(relay);
     relays_.erase(found);
   }
 }
@@ -121,14 +122,16 @@
   relay.renewal = renewal;
   // Counted already.
   relay.renewal.clear_runner_ends();
-  relay.renewed_at_ms = clock_.monotonicMs();
+  watch_.heard(renewal.name(), clock_.monotonicMs());
+  askSilent(renewal);
   silent_relays_.heard(renewal.name());
   if (joined) {
     line_log::write("relay_joined", {{"relay", renewal.name()}, {"address", renewal.address()}});
   }
   const int64_t now_ms = clock_.monotonicMs();
   if (now_ms >= refresh_due_ms_) {
-    refresh_due_ms_ = now_ms + relay::periodForFleet(kRefreshMs, relays_.size());
+    refresh_due_ms_ =
+        now_ms + std::min(kMostRefreshMs, relay::periodForFleet(kRefreshMs, relays_.size()));
     dropSilent();
     refreshRelayList();
     news_.setOverShare(sumTenants());
@@ -254,20 +257,32 @@
   rollout_judge_.step(relays, news_.runners());
 }
 
-void RelayHub::dropSilent() {
-  const auto period_ms =
-      static_cast<double>(relay::periodForFleet(relay::kRenewalPeriodMs, relays_.size()));
-  const int64_t silent_ms =
-      std::max(kLeastSilentMs, static_cast<int64_t>(kSilentPeriods * period_ms));
-  const int64_t oldest = clock_.monotonicMs() - silent_ms;
-  std::erase_if(relays_, [&](const auto& entry) {
-    const bool silent = entry.second.renewed_at_ms < oldest;
-    if (silent) {
-      line_log::write("relay_silent", {{"relay", entry.first}});
-      silent_relays_.fellSilent(entry.first, clock_.monotonicMs());
+/// Asks relays that did not answer another one to renew at once.
+void RelayHub::askSilent(const v1::LeaseRenewal& renewal) {
+  for (const std::string& address : renewal.silent_relays()) {
+    const auto found = std::find_if(relays_.begin(), relays_.end(), [&](const auto& entry) {
+      return entry.second.renewal.address() == address;
+    });
+    if (found == relays_.end() || !watch_.reportedSilent(found->first, clock_.monotonicMs())) {
+      continue;
     }
-    return silent;
-  });
+    line_log::write("relay_asked", {{"relay", found->first}, {"reported_by", renewal.name()}});
+    if (const auto link = found->second.link.lock()) {
+      v1::Frame frame;
+      frame.mutable_lease()->set_renew_now(true);
+      link->send(frame);
+    }
+  }
+}
+
+void RelayHub::dropSilent() {
+  const int64_t now_ms = clock_.monotonicMs();
+  const int64_t period_ms = relay::periodForFleet(relay::kRenewalPeriodMs, relays_.size());
+  for (const std::string& relay : watch_.takeSilent(period_ms, now_ms)) {
+    line_log::write("relay_silent", {{"relay", relay}});
+    silent_relays_.fellSilent(relay, now_ms);
+    relays_.erase(relay);
+  }
 }
 
 void RelayHub::refreshRelayList() {
--- a/src/daemon/group/relay_hub.h
+++ b/src/daemon/group/relay_hub.h
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "adapters/link/framed_link.h"
+#include "core/relay/relay_watch.h"
 #include "core/relay/runner_end_counts.h"
 #include "core/relay/silent_relays.h"
 #include "daemon/group/group_replica.h"
@@ -57,7 +58,6 @@
   struct Relay {
     std::weak_ptr<link::FramedLink> link;
     v1::LeaseRenewal renewal;
-    int64_t renewed_at_ms = 0;
     SentVersions sent;
   };
 
@@ -76,6 +76,7 @@
   void startRound();
   void roundEnded(std::vector<Unconfirmed> renewals, bool confirmed);
   void confirm(const Unconfirmed& renewal);
+  void askSilent(const v1::LeaseRenewal& renewal);
   void dropSilent();
   void refreshRelayList();
   v1::RunnerLoads sumLoads();
@@ -94,6 +95,7 @@
   std::map<std::string, Relay> relays_;
   LeaseNews news_;
   RolloutJudge rollout_judge_;
+  relay::RelayWatch watch_;
   relay::SilentRelays silent_relays_;
   /// Kept across leaderships: it is what relays saw, and each relay tells it once on a link.
   relay::RunnerEndCounts runner_ends_;
--- a/src/daemon/relay/control_link.cc
+++ b/src/daemon/relay/control_link.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "adapters/logging/line_log.h"
+#include "core/relay/renewal_period.h"
 
 namespace workshatch::daemon {
 
@@ -15,8 +16,6 @@
 /// A link on which nothing comes for so long, or for so many periods, is given up.
 constexpr int64_t kSilentMs = 800;
 constexpr int64_t kSilentPeriods = 3;
-/// The longest period that a leader may ask for, so that a lease outlives two of them.
-constexpr std::chrono::milliseconds kMostPeriod{1200};
 /// Attempts to reach a replica between two steps.
 constexpr uint32_t kDialsPerStep = 3;
 /// A replica that knows no leader is left after so many answers.
@@ -186,11 +185,16 @@
     leaderNamed(reply.leader_address());
     return;
   }
+  if (reply.renew_now()) {
+    renew();
+    return;
+  }
   if (reply.sequence() == 0 || reply.confirmed()) {
     unconfirmed_ = 0;
     confirmed_ = true;
     if (reply.renew_period_ms() != 0) {
-      renew_period_ = std::min(std::chrono::milliseconds(reply.renew_period_ms()), kMostPeriod);
+      const int64_t told_ms = reply.renew_period_ms();
+      renew_period_ = std::chrono::milliseconds(std::min(told_ms, relay::kMostRenewalPeriodMs));
     }
     on_reply_(reply);
     return;
--- a/src/daemon/relay/relay_lease.cc
+++ b/src/daemon/relay/relay_lease.cc
@@ -4,8 +4,8 @@
 
 #include "adapters/logging/line_log.h"
 #include "core/address_text.h"
-#include "core/compression/deflate.h"
 #include "core/relay/group_state.h"
+#include "core/relay/relay_list_history.h"
 #include "daemon/relay/relay_role.h"
 #include "daemon/relay/relay_run.h"
 
@@ -26,6 +26,7 @@
   renewal.set_evacuation_version(state_.runners.evacuationVersion());
   renewal.set_quarantine_version(state_.quarantine.version());
   addRollouts(renewal);
+  addSilentRelays(renewal);
   runner_ends_->fill(renewal, first_on_link);
   for (const relay::RequestIdentity& request : cleared_) {
     *renewal.add_ran_whole() = relay::messageOf(request);
@@ -61,15 +62,9 @@
     control_.reconnect();
     return;
   }
-  if (reply.has_relays() && compression::unpackMessage(reply.relays(), relays_)) {
-    const auto relays = static_cast<size_t>(relays_.relays_size());
-    state_.budget.setRelays(relays, clock_.monotonicMs());
-    state_.runners.setRelays(relays);
-    std::vector<std::string> owners;
-    for (const v1::RelayEntry& relay : relays_.relays()) {
-      owners.push_back(withPort(relay.address(), settings_.link_port));
-    }
-    peers_->setRelays(std::move(owners));
+  if (reply.has_relays() && !takeRelays(reply.relays())) {
+    control_.reconnect();
+    return;
   }
   if (reply.has_loads()) {
     state_.runners.setSums(reply.loads(), reported_loads_, clock_.monotonicMs());
@@ -171,6 +166,41 @@
   return true;
 }
 
+/// @return false when the update does not fit what is held.
+bool RelayRole::takeRelays(const v1::RelayListUpdate& update) {
+  auto list = relay::applyUpdate(relays_, update);
+  if (isError(list)) {
+    line_log::write("relay_list_update_unfit", {{"version", update.version()},
+                                                {"base", update.base_version()},
+                                                {"held", relays_.version()},
+                                                {"error", errorOf(list).message}});
+    relays_.set_version(0);
+    return false;
+  }
+  relays_ = std::move(std::get<v1::RelayList>(list));
+  const auto relays = static_cast<size_t>(relays_.relays_size());
+  state_.budget.setRelays(relays, clock_.monotonicMs());
+  state_.runners.setRelays(relays);
+  std::vector<std::string> owners;
+  for (const v1::RelayEntry& relay : relays_.relays()) {
+    owners.push_back(withPort(relay.address(), settings_.link_port));
+  }
+  peers_->setRelays(std::move(owners));
+  return true;
+}
+
+void RelayRole::addSilentRelays(v1::LeaseRenewal& renewal) {
+  if (silent_peers_.empty()) {
+    return;
+  }
+  for (const v1::RelayEntry& relay : relays_.relays()) {
+    if (silent_peers_.contains(withPort(relay.address(), settings_.link_port))) {
+      renewal.add_silent_relays(relay.address());
+    }
+  }
+  silent_peers_.clear();
+}
+
 bool RelayRole::takeConfiguration(const v1::ConfigurationUpdate& update) {
   const Result<bool> taken = received_.take(update);
   if (isError(taken)) {
--- a/src/daemon/relay/relay_peers.cc
+++ b/src/daemon/relay/relay_peers.cc
@@ -90,6 +90,9 @@
   }
   if (!answered_) {
     peers_->owners_.noteSilent(relay_, peers_->clock_.monotonicMs());
+    if (peers_->on_silent_) {
+      peers_->on_silent_(relay_);
+    }
     co_return nullptr;
   }
   peers_->owners_.noteAnswer(relay_);
--- a/src/daemon/relay/relay_peers.h
+++ b/src/daemon/relay/relay_peers.h
@@ -74,6 +74,10 @@
   void onAnswer(v1::Frame::BodyCase kind, std::function<uint64_t(const v1::Frame&)> sequence) {
     answer_sequences_[kind] = std::move(sequence);
   }
+  /// Sets what learns of relays that did not answer in time.
+  void onSilent(std::function<void(const std::string& relay)> handler) {
+    on_silent_ = std::move(handler);
+  }
   void observeRelayList(RelayListObserver observer) { observers_.push_back(std::move(observer)); }
 
   /// Replaces the relays that own something, by their addresses for datagrams.
@@ -100,6 +104,7 @@
   std::string own_address_;
   relay::PlaceOwners owners_;
   std::vector<RelayListObserver> observers_;
+  std::function<void(const std::string&)> on_silent_;
   std::map<v1::Frame::BodyCase, Handler> handlers_;
   std::map<v1::Frame::BodyCase, std::function<uint64_t(const v1::Frame&)>> answer_sequences_;
   /// Questions that wait for their answers.
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -107,6 +107,12 @@
   if (isError(peers_open)) {
     return errorOf(peers_open);
   }
+  peers_->onSilent([this](const std::string& relay) {
+    // The leader finds out whether it is gone; told with the first of several.
+    if (silent_peers_.insert(relay).second && silent_peers_.size() == 1) {
+      control_.renewNow();
+    }
+  });
   state_.places = places_;
   state_.parts = parts_;
   if (settings_.policy.quarantine) {
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -53,6 +54,8 @@
   void takeRollouts(const v1::RolloutList& list);
   void addRollouts(v1::LeaseRenewal& renewal) const;
   bool takeConfiguration(const v1::ConfigurationUpdate& update);
+  bool takeRelays(const v1::RelayListUpdate& update);
+  void addSilentRelays(v1::LeaseRenewal& renewal);
   void housekeep();
   void noteAwake();
   bool ready() const;
@@ -78,6 +81,8 @@
   std::vector<relay::RequestIdentity> cleared_;
   ReceivedConfiguration received_;
   v1::RelayList relays_;
+  /// Links of the relays that did not answer since the last renewal.
+  std::set<std::string> silent_peers_;
   v1::EvacuationList evacuations_;
   v1::RunnerLoads reported_loads_;
   int64_t group_heard_ms_ = 0;
