List of runners: replicas without a leader read it only when no election may take so long

Now they read after a second without a leader, and only the leader repeats a failed reading soon. The new leader reads first thing, as before. Ruled out: no reading without a leader at all (a group that finds no leader for long leaves the next one with an old list).

--- a/src/core/relay/list_period.h
+++ b/src/core/relay/list_period.h
@@ -29,6 +29,15 @@
   return leaving_runner_ms / kReadingsInBound;
 }
 
+/// @return whether a replica of the group reads the list. The leader does. Without one all replicas
+/// do, so that the next leader has a list, but not before an election may take: ten replicas that
+/// each read thousands of runners at once are refused for the platform's rate, and the new leader
+/// reads first thing anyway.
+inline bool readsList(bool leads, int64_t leaderless_ms) {
+  constexpr int64_t kElectionMs = 1000;
+  return leads || leaderless_ms >= kElectionMs;
+}
+
 /// @return milliseconds from a reading that failed to the next: what was missed is made up for well
 /// before the one after it would be due.
 inline int64_t periodAfterFailureMs(int64_t period_ms) {
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -279,6 +279,10 @@
   return was_leader_ ? clock_.monotonicMs() - leading_since_ms_ : 0;
 }
 
+int64_t GroupReplica::leaderlessForMs() const {
+  return knowsLeader() ? 0 : clock_.monotonicMs() - leader_heard_ms_;
+}
+
 void GroupReplica::noteLeadership() {
   if (node_->leader() != 0) {
     leader_heard_ms_ = clock_.monotonicMs();
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -125,6 +125,8 @@
   CallCounts callCounts() const { return calls_.counts(); }
   /// Steady time since this replica won its present leadership.
   int64_t leadingForMs() const;
+  /// Steady time since this replica last knew a leader; zero: it does.
+  int64_t leaderlessForMs() const;
   void setSeeds(std::vector<std::string> seeds) { options_.seeds = std::move(seeds); }
 
 private:
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -156,9 +156,8 @@
   int64_t read_at_ms = 0;
   bool failed = false;
   while (true) {
-    // Without a leader all replicas read, so that the next leader has a list from the start.
     const bool leads = replica_.leads();
-    const bool wanted = leads || !replica_.knowsLeader();
+    const bool wanted = relay::readsList(leads, replica_.leaderlessForMs());
     const int64_t now = clock_.monotonicMs();
     const auto readers =
         leads ? 1 : std::max<int64_t>(1, static_cast<int64_t>(replica_.voterCount()));
@@ -168,7 +167,8 @@
         relay::listPeriodMs(relay::ListReading{.pages = reader_.pages(),
                                                .calls_per_s = settings_.runner_list_calls,
                                                .wanted_ms = wanted_ms * readers});
-    const int64_t wait_ms = failed ? relay::periodAfterFailureMs(period_ms) : period_ms;
+    const bool soon = failed && leads;
+    const int64_t wait_ms = soon ? relay::periodAfterFailureMs(period_ms) : period_ms;
     const bool due = now - read_at_ms >= wait_ms || (leads && read_in_term != replica_.term());
     if (wanted && due) {
       read_at_ms = now;
--- a/tests/unit/core/relay/list_period_test.cc
+++ b/tests/unit/core/relay/list_period_test.cc
@@ -33,6 +33,13 @@
   CHECK(relay::wantedListPeriodMs(3000) == 1000);
 }
 
+TEST_CASE("Replicas read the list when they lead, or when no leader came of an election") {
+  CHECK(relay::readsList(true, 0));
+  CHECK_FALSE(relay::readsList(false, 0));
+  CHECK_FALSE(relay::readsList(false, 800));
+  CHECK(relay::readsList(false, 1000));
+}
+
 TEST_CASE("A list of ten thousand runners takes no more calls than half of the rate allows") {
   const relay::ListReading reading{
       .pages = 50, .calls_per_s = 320, .wanted_ms = relay::wantedListPeriodMs(5000)};
--- /dev/null
+++ b/tests/unit/daemon/relay/slow_reader_test.cc
@@ -0,0 +1,185 @@
+/// @file
+/// Callers that read slowly, or not at all, beside ordinary ones: what is held for them, and that
+/// their runners are read meanwhile.
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "unit/daemon/relay/relay_fixture.h"
+
+namespace workshatch::test {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+/// A runner that serves each connection on a thread of its own: a stream of so many bytes.
+class StreamingRunner {
+public:
+  StreamingRunner(size_t stream_bytes, size_t event_bytes)
+      : stream_bytes_(stream_bytes), event_bytes_(event_bytes),
+        acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        thread_([this] { serve(); }) {}
+  ~StreamingRunner() {
+    stopping_ = true;
+    boost::asio::io_context context;
+    tcp::socket wake(context);
+    boost::system::error_code ignored;
+    wake.connect(acceptor_.local_endpoint(), ignored);
+    thread_.join();
+    for (std::thread& connection : connections_) {
+      connection.join();
+    }
+  }
+  StreamingRunner(const StreamingRunner&) = delete;
+  StreamingRunner& operator=(const StreamingRunner&) = delete;
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  /// Streams that the relay has taken whole.
+  size_t taken() const { return taken_; }
+
+private:
+  void serve() {
+    while (true) {
+      auto socket = std::make_shared<tcp::socket>(context_);
+      acceptor_.accept(*socket);
+      if (stopping_) {
+        return;
+      }
+      connections_.emplace_back([this, socket] { stream(*socket); });
+    }
+  }
+
+  void stream(tcp::socket& socket) {
+    std::string request;
+    boost::system::error_code failure;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", failure);
+    const std::string name = "W-Request: ";
+    const size_t begin = request.find(name) + name.size();
+    const std::string id = request.substr(begin, request.find("\r\n", begin) - begin);
+    boost::asio::write(socket, boost::asio::buffer(streamHead(id)), failure);
+    const std::string event = chunk("data: " + std::string(event_bytes_, 'x') + "\n\n");
+    for (size_t sent = 0; sent < stream_bytes_ && !failure; sent += event_bytes_) {
+      boost::asio::write(socket, boost::asio::buffer(event), failure);
+    }
+    boost::asio::write(socket, boost::asio::buffer(std::string(kLastChunk)), failure);
+    taken_ += failure ? 0 : 1;
+  }
+
+  const size_t stream_bytes_;
+  const size_t event_bytes_;
+  boost::asio::io_context context_;
+  tcp::acceptor acceptor_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<size_t> taken_{0};
+  std::vector<std::thread> connections_;
+  std::thread thread_;
+};
+
+/// A caller that sends a request and reads nothing until it is told to.
+class PausingCaller {
+public:
+  PausingCaller(const std::string& id, const std::string& address) : socket_(context_) {
+    socket_.open(tcp::v4());
+    // So that little is held by the system.
+    socket_.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    socket_.connect(*http::parseEndpoint(address));
+    const std::string request = requestText(CallerRequest{.id = id, .patience_ms = 20'000});
+    boost::asio::write(socket_, boost::asio::buffer(request));
+  }
+  /// @return everything that comes until the connection ends.
+  std::string readAll() {
+    std::string answer;
+    boost::system::error_code failure;
+    boost::asio::read(socket_, boost::asio::dynamic_buffer(answer), failure);
+    return answer;
+  }
+
+private:
+  boost::asio::io_context context_;
+  tcp::socket socket_;
+};
+
+relay::Route streamingRoute() {
+  relay::Route route = testRoute(relay::RouteKind::Streaming, 1);
+  route.timeout_ms = 20'000;
+  return route;
+}
+
+} // namespace
+
+TEST_CASE("A runner is read to its end while its caller pauses, and the caller misses nothing") {
+  constexpr size_t kStreamBytes = 150'000;
+  StreamingRunner runner(kStreamBytes, 1000);
+  TestRelay relay(streamingRoute());
+  relay.addRunner("r1", runner.address());
+  relay.start();
+  PausingCaller caller("slow-1", relay.address());
+  REQUIRE(within(kPatience, [&] { return runner.taken() == 1; }));
+  const std::string answer = caller.readAll();
+  CHECK(answer.size() > kStreamBytes);
+  CHECK(answer.ends_with(kLastChunk));
+}
+
+TEST_CASE("Two hundred callers that read nothing leave the others served, within a bound") {
+  constexpr size_t kSlow = 200;
+  constexpr size_t kBound = size_t{4} * 1024 * 1024;
+  // More than the system holds for a caller that reads nothing.
+  StreamingRunner runner(size_t{8} * 1024 * 1024, 16'000);
+  ScriptedRunner plain([](auto& socket, const std::string& request) {
+    const std::string name = "W-Request: ";
+    const size_t begin = request.find(name) + name.size();
+    say(socket, streamHead(request.substr(begin, request.find("\r\n", begin) - begin)) +
+                    chunk("data: one\n\n") + kLastChunk);
+  });
+  TestRelay relay(streamingRoute(), {}, kBound);
+  relay.addRunner("r1", runner.address());
+  relay.start();
+  std::vector<std::unique_ptr<PausingCaller>> slow;
+  for (size_t i = 0; i < kSlow; ++i) {
+    slow.push_back(std::make_unique<PausingCaller>("slow-" + std::to_string(i), relay.address()));
+  }
+  std::atomic<size_t> most_held{0};
+  std::atomic<uint64_t> cuts{0};
+  const auto look = [&] {
+    std::atomic<bool> looked{false};
+    boost::asio::post(relay.context(), [&] {
+      most_held = std::max(most_held.load(), relay.state().read_ahead.heldBytes());
+      cuts = relay.state().read_ahead.cuts();
+      looked = true;
+    });
+    within(kPatience, [&] { return looked.load(); });
+  };
+  REQUIRE(within(kPatience, [&] {
+    look();
+    return cuts > 0;
+  }));
+  CHECK(most_held <= kBound);
+  // A runner of its own for the ordinary callers, since the other is kept busy.
+  std::atomic<bool> added{false};
+  boost::asio::post(relay.context(), [&] {
+    relay.replaceRunner("r1", "r2", plain.address());
+    // The lease of the beginning may be over.
+    auto& lease = relay.state().lease;
+    lease.confirmed(lease.renewalSent(relay.clock().monotonicMs()));
+    added = true;
+  });
+  REQUIRE(within(kPatience, [&] { return added.load(); }));
+  for (int i = 0; i < 20; ++i) {
+    const auto asked = std::chrono::steady_clock::now();
+    const std::string answer = relay.ask("quick-" + std::to_string(i));
+    CHECK(answer.find("data: one") != std::string::npos);
+    CHECK(std::chrono::steady_clock::now() - asked < std::chrono::seconds(1));
+    look();
+  }
+  CHECK(most_held <= kBound);
+}
+
+} // namespace workshatch::test
