Slow readers: runners are read ahead of callers that pause, within a bound for each and for the process

Cause: an event was written before the next was read, so that a caller that pauses stopped its runner, which cuts an answer that stays unread for some seconds and holds it in its own memory until then; nothing bounded or measured it. Now 256 KB are held for a caller, and read_ahead_mb (16) for the process; at it the caller that holds most is cut, of equals the one that has read least, with a log line; its runner's request ends and is not sent again. What came whole of a stream that breaks is delivered first. Ruled out: a file for what is held (relays have no disk); cutting at a caller's own mark (its runner waits there, as it did before). Request bodies are still held twice while a runner reads them slowly.

--- a/src/adapters/http/http_server.cc
+++ b/src/adapters/http/http_server.cc
@@ -1,5 +1,7 @@
 #include "adapters/http/http_server.h"
 
+#include <charconv>
+#include <iterator>
 #include <sys/socket.h>
 #include <utility>
 
@@ -110,7 +112,8 @@
 
 Exchange::Exchange(beast::tcp_stream& stream, Request request, std::chrono::milliseconds timeout,
                    bool keep_alive)
-    : stream_(stream), request_(std::move(request)), timeout_(timeout), keep_alive_(keep_alive) {}
+    : stream_(stream), request_(std::move(request)), timeout_(timeout), keep_alive_(keep_alive),
+      held_timer_(stream.get_executor(), asio::steady_timer::time_point::max()) {}
 
 std::string Exchange::peer() const {
   beast::error_code failure;
@@ -158,8 +161,64 @@
   co_return !broken_;
 }
 
+void Exchange::send(std::string_view data) {
+  if (broken_ || data.empty()) {
+    return;
+  }
+  char size[20];
+  const auto end = std::to_chars(std::begin(size), std::end(size), data.size(), 16).ptr;
+  backlog_.append(std::begin(size), end).append("\r\n").append(data).append("\r\n");
+  heldChanged();
+  if (!std::exchange(writing_, true)) {
+    asio::co_spawn(stream_.get_executor(), writeBacklog(), asio::detached);
+  }
+}
+
+awaitable<void> Exchange::writeBacklog() {
+  while (!backlog_.empty() && !broken_) {
+    // A caller may take as long for each part as for a small answer.
+    constexpr size_t kMostAtOnce = size_t{16} * 1024;
+    const std::string part = backlog_.substr(0, kMostAtOnce);
+    backlog_.erase(0, part.size());
+    writing_bytes_ = part.size();
+    stream_.expires_after(timeout_);
+    const auto [failure, bytes] = co_await asio::async_write(stream_, asio::buffer(part), kAwait);
+    stream_.expires_never();
+    broken_ = broken_ || failure;
+    taken_bytes_ += bytes;
+    writing_bytes_ = 0;
+    heldChanged();
+  }
+  writing_ = false;
+  heldChanged();
+}
+
+void Exchange::heldChanged() {
+  if (held_hook_) {
+    held_hook_();
+  }
+  held_timer_.cancel();
+}
+
+awaitable<bool> Exchange::drained(size_t most_bytes) {
+  while (!broken_ && heldBytes() > most_bytes) {
+    co_await held_timer_.async_wait(kAwait);
+  }
+  co_return !broken_;
+}
+
+awaitable<void> Exchange::settle() {
+  if (writing_ && broken_) {
+    stream_.cancel();
+  }
+  while (writing_) {
+    co_await held_timer_.async_wait(kAwait);
+  }
+}
+
 awaitable<bool> Exchange::finish() {
-  if (broken_) {
+  const bool taken = co_await drained(0);
+  if (!taken) {
     co_return false;
   }
   stream_.expires_after(timeout_);
@@ -173,6 +232,7 @@
 void Exchange::abort() {
   broken_ = true;
   answered_ = true;
+  held_timer_.cancel();
   beast::error_code ignored;
   stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
   stream_.close();
@@ -181,6 +241,7 @@
 void Exchange::breakOff() {
   broken_ = true;
   answered_ = true;
+  held_timer_.cancel();
 }
 
 void Exchange::onHangUp(std::function<void()> hook) {
@@ -193,6 +254,7 @@
 void Exchange::noteHangUp() {
   hung_up_ = true;
   broken_ = true;
+  held_timer_.cancel();
   if (hang_up_hook_) {
     std::exchange(hang_up_hook_, nullptr)();
   }
@@ -370,6 +432,7 @@
     watch->start(stream.socket());
     ++in_progress_;
     co_await handler_(exchange);
+    co_await exchange.settle();
     --in_progress_;
     watch->detach();
     if (!exchange.keepAlive() || !exchange.answered()) {
--- a/src/adapters/http/http_server.h
+++ b/src/adapters/http/http_server.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
@@ -48,8 +49,24 @@
   /// Starts an answer whose length is not known yet; its body follows by `write` and `finish`.
   awaitable<bool> startStream(Response head);
   awaitable<bool> write(std::string_view data);
+  /// As `write`, without waiting: what the caller does not take at once is held here and written as
+  /// the caller reads.
+  void send(std::string_view data);
+  /// Waits until at most so many bytes are held. @return false when the caller is gone.
+  awaitable<bool> drained(size_t most_bytes);
+  /// Waits for what is held, then ends the answer.
   awaitable<bool> finish();
 
+  /// Bytes of the answer that the caller has not taken, and that it has.
+  size_t heldBytes() const { return backlog_.size() + writing_bytes_; }
+  uint64_t takenBytes() const { return taken_bytes_; }
+  /// `hook` runs on this worker each time `heldBytes` changes.
+  void onHeldChange(std::function<void()> hook) { held_hook_ = std::move(hook); }
+  /// Waits until nothing is being written any more; the exchange must not end before.
+  awaitable<void> settle();
+
+  /// Whether the caller still takes the answer.
+  bool keepsUp() const { return !broken_; }
   bool answered() const { return answered_; }
   bool keepAlive() const { return keep_alive_ && !broken_; }
   /// Closes the connection after this answer.
@@ -74,6 +91,19 @@
   bool broken_ = false;
   bool hung_up_ = false;
   std::function<void()> hang_up_hook_;
+
+  awaitable<void> writeBacklog();
+  void heldChanged();
+
+  /// Not written yet, framed as chunks.
+  std::string backlog_;
+  /// The writer runs, and has so many bytes under way.
+  bool writing_ = false;
+  size_t writing_bytes_ = 0;
+  uint64_t taken_bytes_ = 0;
+  std::function<void()> held_hook_;
+  /// Cancelled each time `heldBytes` changes.
+  boost::asio::steady_timer held_timer_;
 };
 
 /// Counters of one server. Safe for concurrent use.
--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -232,6 +232,10 @@
   reader.address("runner_list_address", settings.runner_list_address, true);
   reader.number("runner_list_calls", settings.runner_list_calls, 0.1, 1e6);
   reader.number("link_mbps", settings.link_mbps, 0.1, 1e6);
+  constexpr double kBytesPerMegabyte = 1024 * 1024;
+  double read_ahead_mb = static_cast<double>(settings.read_ahead_bytes) / kBytesPerMegabyte;
+  reader.number("read_ahead_mb", read_ahead_mb, 0.1, 1e6);
+  settings.read_ahead_bytes = static_cast<size_t>(read_ahead_mb * kBytesPerMegabyte);
   reader.number("replica_losses", settings.replica_losses, 0, 100);
   const json* bounds = reader.find("bounds", false);
   if (bounds != nullptr && bounds->is_object()) {
--- a/src/adapters/settings/relay_settings.h
+++ b/src/adapters/settings/relay_settings.h
@@ -57,6 +57,8 @@
   double link_mbps = 100;
   /// Losses of replicas that the group bears at once.
   uint32_t replica_losses = 1;
+  /// Bytes of answers held for callers that read slowly.
+  size_t read_ahead_bytes = size_t{16} * 1024 * 1024;
   RelayBounds bounds;
   relay::Policy policy;
 
--- a/src/daemon/relay/relay_answer.cc
+++ b/src/daemon/relay/relay_answer.cc
@@ -6,6 +6,7 @@
 
 #include <boost/beast/core/string.hpp>
 
+#include "adapters/logging/line_log.h"
 #include "core/header_text.h"
 #include "daemon/relay/relay_run.h"
 
@@ -135,6 +136,7 @@
     if (!started) {
       co_return false;
     }
+    watchReader();
   } else {
     state_.stats.event_gap.add(now - last_event_ms_);
   }
@@ -144,7 +146,38 @@
   if (!event.id.empty()) {
     last_event_id_ = event.id;
   }
-  co_return co_await exchange_.write(event.bytes);
+  exchange_.send(event.bytes);
+  if (state_.read_ahead.isFull(exchange_.heldBytes())) {
+    co_return co_await exchange_.drained(state_.read_ahead.lowBytes());
+  }
+  co_return exchange_.keepsUp();
+}
+
+/// Counts what is held for the caller from now on.
+void RelayRun::watchReader() {
+  reader_ = state_.read_ahead.open([weak = weak_from_this()] {
+    if (const auto run = weak.lock()) {
+      run->cutReader();
+    }
+  });
+  exchange_.onHeldChange([weak = weak_from_this()] {
+    if (const auto run = weak.lock()) {
+      run->state_.read_ahead.note(run->reader_, run->exchange_.heldBytes(),
+                                  run->exchange_.takenBytes());
+    }
+  });
+}
+
+/// Ends the request: the memory that its caller's unread answer takes is needed for others.
+void RelayRun::cutReader() {
+  line_log::write("reader_cut", {{"request", request_.id},
+                                 {"held_bytes", exchange_.heldBytes()},
+                                 {"read_bytes", exchange_.takenBytes()},
+                                 {"all_held_bytes", state_.read_ahead.heldBytes()},
+                                 {"readers", state_.read_ahead.readers()}});
+  reader_cut_ = true;
+  exchange_.abort();
+  end();
 }
 
 http::awaitable<RelayRun::AttemptResult> RelayRun::relayStream(relay::Runner& runner) {
@@ -166,7 +199,7 @@
       }
       const bool written = co_await relayEvent(*event);
       if (!written) {
-        left_ = true;
+        left_ = !reader_cut_;
         co_return broken(last_error_);
       }
     }
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -82,6 +82,18 @@
                        static_cast<int64_t>(ends.refused));
   metrics::exposeGauge(out, "relay_runner_end_reports", "reports of ended runners to the leader",
                        static_cast<int64_t>(ends.reports));
+  metrics::exposeGauge(out, "relay_read_ahead_bytes", "held for callers that read slowly",
+                       static_cast<int64_t>(state_.read_ahead.heldBytes()));
+  metrics::exposeGauge(out, "relay_readers_cut", "callers cut since others needed the memory",
+                       static_cast<int64_t>(state_.read_ahead.cuts()));
+  metrics::exposeGauge(out, "relay_work_times_told",
+                       "answers with a figure of how long work takes at the runner",
+                       static_cast<int64_t>(state_.stats.work_times_told));
+  metrics::exposeGauge(out, "relay_work_times_rejected", "such figures that no runner can have",
+                       static_cast<int64_t>(state_.stats.work_times_rejected));
+  metrics::exposeGauge(out, "relay_runner_entries_taken",
+                       "entries read from lists of runners and their updates",
+                       static_cast<int64_t>(state_.runners.entriesTaken()));
   metrics::LabelledCounts rollouts;
   for (const v1::Rollout& rollout : state_.runners.rollouts().rollouts().rollouts()) {
     ++rollouts[relay::nameOf(rollout.phase())];
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -103,6 +103,8 @@
   deadline_.cancel();
   exchange_.onHangUp(nullptr);
   co_await finish();
+  exchange_.onHeldChange(nullptr);
+  state_.read_ahead.close(reader_);
 }
 
 relay::HomeRegions RelayRun::homeRegions() const {
@@ -231,7 +233,6 @@
 }
 
 void RelayRun::noteChoice(const relay::RunnerChoice& choice) {
-  state_.runners.noteSent(runnerRequest(), choice);
   tried_.push_back(choice.runner->entry.id());
   load_at_choice_ = choice.runner->load();
   passed_over_ = choice.passed_over;
@@ -283,7 +284,13 @@
     exchange_.breakOff();
     co_return;
   }
+  if (reader_cut_) {
+    logOutcome("reader_cut");
+    co_return;
+  }
   if (stream_started_) {
+    // What came whole is the caller's, also when nothing follows.
+    co_await exchange_.drained(0);
     logOutcome(timed_out_ ? "stream_timed_out" : "stream_broken");
     exchange_.breakOff();
     co_return;
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -90,6 +90,7 @@
   std::chrono::milliseconds silenceLimit(bool streaming) const;
   void noteSignOfLife(relay::Runner& runner);
   void noteCold(relay::Runner& runner);
+  void noteWorkTime(relay::Runner& runner);
 
   // The answer to an attempt (relay_answer.cc).
   http::awaitable<AttemptResult> takeAnswer(relay::Runner& runner);
@@ -97,6 +98,8 @@
   http::awaitable<AttemptResult> takePlainAnswer();
   http::awaitable<AttemptResult> relayStream(relay::Runner& runner);
   http::awaitable<bool> relayEvent(const relay::WholeEvent& event);
+  void watchReader();
+  void cutReader();
   http::Response answerHead() const;
 
   // The request's part in a rollout (relay_trial.cc).
@@ -118,7 +121,7 @@
   http::awaitable<void> refuse(http::Status status, std::string code, std::string detail);
   uint32_t retryAfterMs() const;
 
-  bool ended() const { return left_ || timed_out_ || taken_back_; }
+  bool ended() const { return left_ || timed_out_ || taken_back_ || reader_cut_; }
   bool inQuarantine() const { return state_.quarantine.contains(request_.identity); }
   /// The relay may not rely on its configuration any more: the key may have been revoked.
   bool lostLease() const {
@@ -144,6 +147,10 @@
   /// The caller has closed its connection.
   bool left_ = false;
   bool timed_out_ = false;
+  /// The caller read too slowly, and others needed the memory.
+  bool reader_cut_ = false;
+  /// Counts what is held for the caller; zero: nothing was yet.
+  relay::ReadAhead::Reader reader_ = 0;
   /// It came into quarantine while a runner had it.
   bool taken_back_ = false;
   /// A runner may have run the request.
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -10,6 +10,7 @@
 #include "adapters/http/runner_connection.h"
 #include "adapters/settings/relay_settings.h"
 #include "core/relay/quarantine.h"
+#include "core/relay/read_ahead.h"
 #include "core/relay/retry_budget.h"
 #include "core/relay/return_times.h"
 #include "core/relay/rollout_outcomes.h"
@@ -60,6 +61,7 @@
                                          .window_ms = settings.bounds.repeat_window_ms,
                                          .slack = settings.bounds.repeat_slack,
                                          .lot = lot}),
+        read_ahead(relay::ReadAheadLimits{.process_bytes = settings.read_ahead_bytes}),
         connections(time), started_ms(time.monotonicMs()) {}
 
   const Clock& clock;
@@ -84,6 +86,7 @@
   /// Requests in progress; each takes itself out when it ends.
   std::set<RelayRun*> runs;
   relay::WaitingLine line{kMostWaiting};
+  relay::ReadAhead read_ahead;
   relay::ReturnTimes return_times;
   relay::TenantUse tenants;
   http::RunnerConnectionPool connections;
--- a/src/daemon/relay/relay_stats.h
+++ b/src/daemon/relay/relay_stats.h
@@ -20,6 +20,9 @@
   uint64_t resumed_streams = 0;
   uint64_t events = 0;
   uint64_t renewals = 0;
+  /// Figures of runners on how long their work takes: taken, and not to be believed.
+  uint64_t work_times_told = 0;
+  uint64_t work_times_rejected = 0;
   metrics::DurationHistogram first_event;
   metrics::DurationHistogram event_gap;
   metrics::DurationHistogram answer;
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -2,6 +2,7 @@
 /// One relay's request handling on loopback, with runners whose answers a test scripts.
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <functional>
@@ -240,8 +241,12 @@
 /// A relay's request handling over a server on loopback.
 class TestRelay {
 public:
-  explicit TestRelay(const relay::Route& route, const relay::Policy& policy = {})
-      : state_(settings::RelaySettings{.zone = "z", .policy = policy}, clock_, dialect_),
+  explicit TestRelay(const relay::Route& route, const relay::Policy& policy = {},
+                     size_t read_ahead_bytes = size_t{16} * 1024 * 1024)
+      : state_(settings::RelaySettings{.zone = "z",
+                                       .read_ahead_bytes = read_ahead_bytes,
+                                       .policy = policy},
+               clock_, dialect_),
         server_(
             workers_, http::ServerLimits{},
             [this](http::Exchange& exchange) { return handle(exchange); },
@@ -275,6 +280,14 @@
     list_.set_version(list_.version() + 1);
     state_.runners.setList(list_, 0);
   }
+  /// On the relay's event loop, once it runs.
+  void replaceRunner(const std::string& former, const std::string& id, const std::string& address) {
+    auto* runners = list_.mutable_runners();
+    runners->erase(std::remove_if(runners->begin(), runners->end(),
+                                  [&](const auto& entry) { return entry.id() == former; }),
+                   runners->end());
+    addRunner(id, address);
+  }
   void start() { workers_.start(); }
   daemon::RelayState& state() { return state_; }
   SleepingClock& clock() { return clock_; }
