Choice of a runner: only the homes are ranked, the source is guessed only without the directory's answer

Cause: each choice copied the service's runners three times, sorted all of them and ranked them twice more to guess a source of parts that the directory names anyway.

--- a/bench/main.cc
+++ b/bench/main.cc
@@ -21,6 +21,7 @@
 #include "core/routing/engine_owner.h"
 #include "core/routing/ownership_memo.h"
 #include "core/routing/rendezvous.h"
+#include "slopes.h"
 
 DEFINE_string(direct, "", "latency: address of the back end");
 DEFINE_string(router, "", "latency: address of the router");
@@ -33,14 +34,11 @@
 namespace {
 
 using namespace workshatch;
-using Clock = std::chrono::steady_clock;
+using namespace workshatch::bench;
+using SteadyClock = std::chrono::steady_clock;
 
 constexpr const char* kUsage = "workshatch-bench latency|slopes [flags]";
 
-double microsSince(Clock::time_point start) {
-  return std::chrono::duration<double, std::micro>(Clock::now() - start).count();
-}
-
 // ---- latency ------------------------------------------------------------------------------
 
 struct Side {
@@ -61,7 +59,7 @@
     http::Request request(http::Verb::get, side.target, 11);
     request.set("X-Tenant", FLAGS_tenant);
     const http::CallOptions options;
-    const auto started = Clock::now();
+    const auto started = SteadyClock::now();
     http::CallResult result = co_await client.call(side.address, std::move(request), options);
     auto* answer = std::get_if<std::unique_ptr<http::ClientAnswer>>(&result);
     if (answer == nullptr || (*answer)->status() != http::Status::ok) {
@@ -81,7 +79,7 @@
     boost::asio::co_spawn(context, sendRequests(client, side, requests / connections, measured),
                           boost::asio::detached);
   }
-  const auto started = Clock::now();
+  const auto started = SteadyClock::now();
   context.run();
   measured.seconds = microsSince(started) / 1e6;
   std::sort(measured.micros.begin(), measured.micros.end());
@@ -154,55 +152,6 @@
 
 // ---- slopes -------------------------------------------------------------------------------
 
-/// Least-squares line through measured points.
-struct Fit {
-  double offset = 0;
-  double slope = 0;
-  /// Share of the variance that the line explains.
-  double r2 = 0;
-};
-
-struct Point {
-  double size = 0;
-  double value = 0;
-};
-
-Fit fitLine(const std::vector<Point>& points) {
-  const auto count = static_cast<double>(points.size());
-  double sum_x = 0;
-  double sum_y = 0;
-  for (const Point& point : points) {
-    sum_x += point.size;
-    sum_y += point.value;
-  }
-  double covariance = 0;
-  double variance_x = 0;
-  double variance_y = 0;
-  for (const Point& point : points) {
-    const double x = point.size - sum_x / count;
-    const double y = point.value - sum_y / count;
-    covariance += x * y;
-    variance_x += x * x;
-    variance_y += y * y;
-  }
-  Fit fit;
-  fit.slope = covariance / variance_x;
-  fit.offset = (sum_y - fit.slope * sum_x) / count;
-  fit.r2 = variance_y == 0 ? 1 : covariance * covariance / (variance_x * variance_y);
-  return fit;
-}
-
-void printSlope(const std::string& name, const std::string& unit, const std::vector<Point>& points,
-                double target) {
-  const Fit fit = fitLine(points);
-  std::printf("| %s |", name.c_str());
-  for (const Point& point : points) {
-    std::printf(" %.0f: %.2f", point.size, point.value);
-  }
-  std::printf(" | %.4g %s each | %.3f | %.0f: %.4g %s |\n", fit.slope, unit.c_str(), fit.r2, target,
-              fit.offset + fit.slope * target, unit.c_str());
-}
-
 uint64_t residentBytes() {
   std::ifstream in("/proc/self/statm");
   uint64_t total = 0;
@@ -231,20 +180,6 @@
   return view;
 }
 
-/// Median time of `work` in microseconds, over repeated batches.
-double medianMicros(uint32_t batch, const std::function<void()>& work) {
-  std::vector<double> times;
-  for (int i = 0; i < 9; ++i) {
-    const auto started = Clock::now();
-    for (uint32_t j = 0; j < batch; ++j) {
-      work();
-    }
-    times.push_back(microsSince(started) / batch);
-  }
-  std::sort(times.begin(), times.end());
-  return times[times.size() / 2];
-}
-
 v1::Configuration configurationOf(uint32_t tenants) {
   v1::Configuration configuration;
   for (uint32_t i = 0; i < tenants; ++i) {
@@ -369,7 +304,7 @@
       table.finish(finish);
     }
     ledger.push_back({double(count), double(residentBytes() - before)});
-    const auto started = Clock::now();
+    const auto started = SteadyClock::now();
     table.save(saved);
     snapshot.push_back({double(count), microsSince(started) / 1000});
   }
@@ -431,6 +366,7 @@
   engineSlopes();
   stateSlopes();
   requestSlopes();
+  relaySlopes();
   return kExitOk;
 }
 
--- a/src/core/relay/runner_choice.cc
+++ b/src/core/relay/runner_choice.cc
@@ -12,6 +12,8 @@
 
 namespace {
 
+/// Runners that are ranked for a prompt where owners are asked: more than are ever asked for one.
+constexpr size_t kRankedForOwners = 16;
 /// Fineness of the lots by which relays share a place.
 constexpr uint64_t kLots = 1024;
 
@@ -31,6 +33,7 @@
     return usable;
   }
   const v1::Rollout* rollout = rollouts_.rolloutOf(request.service);
+  usable.reserve(service->second.runners.size());
   for (const auto& runner : service->second.runners) {
     const bool open =
         !runner->entry.leaving() && !runner->evacuated &&
@@ -79,14 +82,20 @@
 /// The mean that the load cap follows: of the candidates and of the service's runners that are held
 /// back by an evacuation or a rollout, which count in the operators' bound as well.
 double RunnerTable::meanForCap(const RunnerRequest& request, const Candidates& candidates) const {
-  Candidates counted = candidates;
+  uint64_t load = 0;
+  size_t counted = candidates.size();
+  for (const auto& runner : candidates) {
+    load += runner->load();
+  }
   const v1::Rollout* rollout = rollouts_.rolloutOf(request.service);
-  const Candidates& all = services_.at(request.service).runners;
-  std::copy_if(all.begin(), all.end(), std::back_inserter(counted), [&](const auto& runner) {
-    return runner->evacuated ||
-           (rollout != nullptr && !isOpen(*rollout, runner->entry.version(), request.trial));
-  });
-  return meanLoad(counted);
+  for (const auto& runner : services_.at(request.service).runners) {
+    const bool held_back =
+        runner->evacuated ||
+        (rollout != nullptr && !isOpen(*rollout, runner->entry.version(), request.trial));
+    load += held_back ? runner->load() : 0;
+    counted += held_back ? 1 : 0;
+  }
+  return static_cast<double>(load) / static_cast<double>(counted);
 }
 
 /// All relays see the same sums: if each took all that was free, a runner would get it once from
@@ -165,23 +174,22 @@
   services_[request.service].asked_since_sums += request.asks_again ? 0 : 1;
   const bool by_prompt = request.cache_key != 0 && options_.policy.prompt_homes;
   const bool busy = isBusy(candidates);
+  const bool by_owners = request.asks_owners && !request.past_limits;
   if (by_prompt) {
-    candidates = routing::rank(request.cache_key, std::move(candidates),
-                               [](const std::shared_ptr<Runner>& runner) -> const std::string& {
-                                 return runner->entry.id();
-                               });
+    const size_t ranked = by_owners ? kRankedForOwners : candidates.size();
+    candidates =
+        routing::rankFirst(request.cache_key, std::move(candidates), ranked,
+                           [](const std::shared_ptr<Runner>& runner) -> const std::string& {
+                             return runner->entry.id();
+                           });
   }
   std::optional<RunnerChoice> choice =
-      request.asks_owners && !request.past_limits
-          ? chooseOffer(request, candidates, by_prompt, busy)
-          : chooseBySums(request, std::move(candidates), by_prompt, busy);
+      by_owners ? chooseOffer(request, candidates, by_prompt, busy)
+                : chooseBySums(request, std::move(candidates), by_prompt, busy);
   if (!choice) {
     return NoRunner::AllFull;
   }
   choice->last_resort = last_resort;
-  if (request.cache_key != 0 && options_.policy.fetch_cached_parts) {
-    choice->part_source = sourceOfParts(request, *choice->runner);
-  }
   return *std::move(choice);
 }
 
@@ -199,16 +207,20 @@
 std::optional<RunnerChoice> RunnerTable::chooseOffer(const RunnerRequest& request,
                                                      const Candidates& candidates, bool by_prompt,
                                                      bool busy) const {
+  const auto isFull = [&](const auto& runner) { return runner->full_until_ms > request.now_ms; };
   Candidates open;
-  std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(open),
-               [&](const auto& runner) { return runner->full_until_ms <= request.now_ms; });
+  const bool some_full = std::any_of(candidates.begin(), candidates.end(), isFull);
+  if (some_full) {
+    std::remove_copy_if(candidates.begin(), candidates.end(), std::back_inserter(open), isFull);
+  }
   const auto offer =
-      nextOffer(options_.placement, PlacementQuestion{.candidates = open,
+      nextOffer(options_.placement, PlacementQuestion{.candidates = some_full ? open : candidates,
                                                       .refused = request.refused_places,
                                                       .by_prompt = by_prompt,
                                                       .engine = request.engine,
                                                       .busy = busy,
                                                       .standing = request.standing,
+                                                      .now_ms = request.now_ms,
                                                       .cap_load = ownersCap(request, candidates)});
   if (!offer) {
     return std::nullopt;
@@ -251,8 +263,11 @@
   return spread;
 }
 
-std::shared_ptr<Runner> RunnerTable::sourceOfParts(const RunnerRequest& request,
-                                                   const Runner& chosen) const {
+std::shared_ptr<Runner> RunnerTable::guessSource(const RunnerRequest& request,
+                                                 const Runner& chosen) const {
+  if (request.cache_key == 0 || !options_.policy.fetch_cached_parts) {
+    return nullptr;
+  }
   return part_sources_.sourceFor(SourceQuestion{.part = request.cache_key,
                                                 .parent = request.parent_key,
                                                 .chosen = &chosen,
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -85,8 +85,6 @@
   /// Where owners are asked: requests in progress there, this one included, up to which a place is
   /// taken.
   uint32_t limit = 0;
-  /// Another runner that likely keeps parts of the prompt which the chosen one lacks; null: none.
-  std::shared_ptr<Runner> part_source;
 };
 
 /// Why there is no choice.
@@ -185,6 +183,10 @@
   /// @return milliseconds since the sums of loads came; -1: none count.
   int64_t sumsAgeMs(int64_t now_ms) const { return sums_at_ms_ == 0 ? -1 : now_ms - sums_at_ms_; }
 
+  /// @return another runner that likely keeps parts of the prompt which the chosen one lacks, by
+  /// what this relay sent and by the ranking; null: none. Before `noteSent`.
+  std::shared_ptr<Runner> guessSource(const RunnerRequest& request, const Runner& chosen) const;
+
   /// Notes that the request goes to the runner chosen, which then has its shared parts.
   void noteSent(const RunnerRequest& request, const RunnerChoice& choice);
 
@@ -250,7 +252,6 @@
                                     const Candidates& candidates) const;
   RunnerChoice chooseByCache(const RunnerRequest& request, const Candidates& ranked) const;
   RunnerChoice chooseByLoad(const RunnerRequest& request, const Candidates& candidates) const;
-  std::shared_ptr<Runner> sourceOfParts(const RunnerRequest& request, const Runner& chosen) const;
   static double meanLoad(const Candidates& candidates);
   double meanForCap(const RunnerRequest& request, const Candidates& candidates) const;
   bool isSilent(const Runner& runner, int64_t now_ms) const;
--- a/src/core/routing/rendezvous.h
+++ b/src/core/routing/rendezvous.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -19,11 +20,13 @@
 /// @return the weight of `node` for `key`; the highest weight ranks first.
 uint64_t rendezvousWeight(uint64_t key, std::string_view node);
 
-/// Orders `nodes` by the weight of their names for `key`, highest first; each weight is computed
-/// once.
+/// Moves the nodes with the highest weights of their names for `key` to the front, highest first;
+/// each weight is computed once. The others follow in any order: to sort thousands of which a few
+/// are looked at costs several times what finding these does.
+/// @param first how many are ordered
 /// @param name_of gives a node's name
 template <typename Node, typename NameOf>
-std::vector<Node> rank(uint64_t key, std::vector<Node> nodes, NameOf name_of) {
+std::vector<Node> rankFirst(uint64_t key, std::vector<Node> nodes, size_t first, NameOf name_of) {
   struct Weighted {
     uint64_t weight = 0;
     size_t index = 0;
@@ -33,8 +36,14 @@
   for (size_t i = 0; i < nodes.size(); ++i) {
     order.push_back(Weighted{.weight = rendezvousWeight(key, name_of(nodes[i])), .index = i});
   }
-  std::sort(order.begin(), order.end(),
-            [](const Weighted& left, const Weighted& right) { return left.weight > right.weight; });
+  const auto heavier = [](const Weighted& left, const Weighted& right) {
+    return left.weight > right.weight;
+  };
+  const auto last = order.begin() + static_cast<ptrdiff_t>(std::min(first, order.size()));
+  if (last != order.end()) {
+    std::nth_element(order.begin(), last, order.end(), heavier);
+  }
+  std::sort(order.begin(), last, heavier);
   std::vector<Node> ranked;
   ranked.reserve(nodes.size());
   for (const Weighted& entry : order) {
@@ -43,4 +52,12 @@
   return ranked;
 }
 
+/// Orders all `nodes` by the weight of their names for `key`, highest first.
+/// @param name_of gives a node's name
+template <typename Node, typename NameOf>
+std::vector<Node> rank(uint64_t key, std::vector<Node> nodes, NameOf name_of) {
+  const size_t all = nodes.size();
+  return rankFirst(key, std::move(nodes), all, name_of);
+}
+
 } // namespace workshatch::routing
