Work time told by runners that share their machines: decoded, smoothed, used in the choice

Cause: the fourth figure of the load header made the whole header unreadable, and it was dropped. Now it is decoded at the boundary; one that no runner can have is ignored and counted. It counts for a second: of two runners drawn by lot the one with the shorter expected time is asked, and a slowed home is filled less. A runner that says that it is quicker than usual is taken as usual, so that an untrue figure gains nothing. Two ways: by cost, as kept; by the owner's own limit: not built.

--- a/src/core/relay/placement.cc
+++ b/src/core/relay/placement.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/relay/work_time.h"
+
 namespace workshatch::relay {
 
 namespace {
@@ -28,20 +30,28 @@
 uint32_t homeLimit(const PlacementOptions& options, const PlacementQuestion& question,
                    const Runner& runner) {
   const uint32_t places = runner.entry.slots();
-  const uint32_t limit =
-      places == 0 ? fullLimit(options, question, runner) : places + options.home_slack;
-  return capped(question, limit);
+  if (places == 0) {
+    return capped(question, fullLimit(options, question, runner));
+  }
+  const double served = places / workTimeFactor(runner, question.now_ms);
+  return capped(question, static_cast<uint32_t>(served) + options.home_slack);
+}
+
+/// Time that a request is expected to take, in times of an idle runner's work.
+double expectedTime(const PlacementQuestion& question, const Runner& runner) {
+  return (runner.load() + 1) * workTimeFactor(runner, question.now_ms);
 }
 
 /// @param lot differs from draw to draw of one request
-/// @return the less used of two runners drawn by lot from those after the first `homes`.
+/// @return of two runners drawn by lot from those after the first `homes`, the one where a request
+/// is expected to take less time.
 std::shared_ptr<Runner> drawRunner(const PlacementQuestion& question, size_t homes, uint64_t lot) {
   const size_t count = question.candidates.size() - homes;
   constexpr uint64_t kDrawsOfALot = 2;
   const uint64_t first_draw = question.standing.draw + kDrawsOfALot * lot;
   const auto& first = question.candidates[homes + mixed(first_draw) % count];
   const auto& second = question.candidates[homes + mixed(first_draw + 1) % count];
-  return second->load() < first->load() ? second : first;
+  return expectedTime(question, *second) < expectedTime(question, *first) ? second : first;
 }
 
 /// On a busy service: few homes, each up to its places.
--- a/src/core/relay/placement.h
+++ b/src/core/relay/placement.h
@@ -18,8 +18,10 @@
 ///
 /// Prompts ask their homes in the order of the ranking, so that a shared part comes to as few
 /// runners as it needs: to read a long part on yet another runner, or to copy it there, costs more
-/// than the request itself. Requests without a shared part ask the less used of two drawn by lot:
-/// relays that all chose the least used by the same old sums would meet at one runner.
+/// than the request itself. Requests without a shared part ask one of two drawn by lot, that where
+/// their work is expected to take less time: relays that all chose the least used by the same old
+/// sums would meet at one runner. A home whose work takes longer at this moment, since its machine
+/// is shared, is filled less.
 struct PlacementOptions {
   /// Homes that a prompt asks while the service is not busy, and while it is.
   size_t homes = 4;
@@ -50,6 +52,7 @@
   /// Most places of the service are taken.
   bool busy = false;
   Standing standing;
+  int64_t now_ms = 0;
   /// Load over which no runner is filled while others are below; none while the mean is not known.
   std::optional<uint32_t> cap_load;
 };
--- a/src/core/relay/runner.h
+++ b/src/core/relay/runner.h
@@ -42,6 +42,10 @@
   /// Its version was read from the platform while the group was silent, so that it is not known
   /// whether a rollout holds requests back from it.
   bool version_untold = false;
+  /// How long work takes there as a multiple of the usual time, smoothed, and when it was told
+  /// last.
+  double work_time_factor = 1;
+  int64_t work_time_told_ms = 0;
   /// It counts as cold until then.
   int64_t cold_until_ms = 0;
   /// When it came into the list; zero: it was in the first one.
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "adapters/logging/line_log.h"
+#include "core/relay/work_time.h"
 #include "daemon/relay/relay_run.h"
 
 namespace workshatch::daemon {
@@ -53,6 +54,20 @@
   }
 }
 
+/// Takes what an answer tells of how long work takes at a runner that shares its machine.
+void RelayRun::noteWorkTime(relay::Runner& runner) {
+  const auto told = http::fieldOf(connection_->head(), state_.dialect.headers().load);
+  const auto load = told ? state_.dialect.runnerLoad(*told) : std::nullopt;
+  if (!load) {
+    return;
+  }
+  state_.stats.work_times_rejected += load->work_time_rejected ? 1 : 0;
+  if (load->work_time_factor) {
+    ++state_.stats.work_times_told;
+    relay::noteWorkTime(runner, *load->work_time_factor, state_.clock.monotonicMs());
+  }
+}
+
 std::chrono::milliseconds RelayRun::silenceLimit(bool streaming) const {
   const bool another = state_.policy.silence_limits && request_.repeatable() &&
                        ran_attempts_ + 1 < request_.route->max_attempts;
@@ -172,7 +187,7 @@
     told = co_await question->answer();
   }
   if (!told || !told->known) {
-    co_return choice.part_source;
+    co_return state_.runners.guessSource(runnerRequest(), *choice.runner);
   }
   const auto source = state_.runners.find(told->runner);
   const bool allowed = source != nullptr && state_.runners.isHome(homeRegions(), *source);
@@ -219,12 +234,14 @@
     co_return AttemptResult{.end = AttemptEnd::Withdrawn,
                             .outcome = relay::AttemptOutcome::Withdrawn};
   }
+  state_.runners.noteSent(runnerRequest(), choice);
   const auto error = co_await send(choice);
   if (error) {
     co_return brokenBy(*error);
   }
   noteSignOfLife(runner);
   noteCold(runner);
+  noteWorkTime(runner);
   co_return co_await takeAnswer(runner);
 }
 
