--- a/src/core/relay/list_period.h
+++ b/src/core/relay/list_period.h
@@ -21,11 +21,10 @@
 };
 
 /// How often the leader wants the list: a runner that is leaving has to be known everywhere within
-/// `leaving_runner_ms`. A third of it leaves room for a reading that fails and for the way to the
-/// relays; no other bound needs the list sooner, and in a fleet of thousands a reading takes many
-/// calls.
+/// `leaving_runner_ms`. A quarter of it leaves room for a reading that fails and for the way to the
+/// relays; no other bound needs the list sooner.
 inline int64_t wantedListPeriodMs(int64_t leaving_runner_ms) {
-  constexpr int64_t kReadingsInBound = 3;
+  constexpr int64_t kReadingsInBound = 4;
   return leaving_runner_ms / kReadingsInBound;
 }
 
@@ -38,13 +37,6 @@
   return leads || leaderless_ms >= kElectionMs;
 }
 
-/// @return milliseconds from a reading that failed to the next: what was missed is made up for well
-/// before the one after it would be due.
-inline int64_t periodAfterFailureMs(int64_t period_ms) {
-  constexpr int64_t kPartOfPeriod = 4;
-  return period_ms / kPartOfPeriod;
-}
-
 /// @return milliseconds from one reading to the next, so that all readers together use at most half
 /// of the rate; the rest is for restarts and changes of the leader.
 inline int64_t listPeriodMs(const ListReading& reading) {
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -154,7 +154,6 @@
   asio::steady_timer timer(context_);
   uint64_t read_in_term = 0;
   int64_t read_at_ms = 0;
-  bool failed = false;
   while (true) {
     const bool leads = replica_.leads();
     const bool wanted = relay::readsList(leads, replica_.leaderlessForMs());
@@ -167,15 +166,12 @@
         relay::listPeriodMs(relay::ListReading{.pages = reader_.pages(),
                                                .calls_per_s = settings_.runner_list_calls,
                                                .wanted_ms = wanted_ms * readers});
-    const bool soon = failed && leads;
-    const int64_t wait_ms = soon ? relay::periodAfterFailureMs(period_ms) : period_ms;
-    const bool due = now - read_at_ms >= wait_ms || (leads && read_in_term != replica_.term());
+    const bool due = now - read_at_ms >= period_ms || (leads && read_in_term != replica_.term());
     if (wanted && due) {
       read_at_ms = now;
       read_in_term = replica_.term();
       Result<v1::RunnerList> list = co_await reader_.read();
-      failed = isError(list);
-      if (failed) {
+      if (isError(list)) {
         line_log::write("runner_list_unread", {{"error", errorOf(list).message}});
       } else {
         list_read_at_ms_ = clock_.monotonicMs();
