--- a/tests/unit/core/relay/retry_budget_test.cc
+++ b/tests/unit/core/relay/retry_budget_test.cc
@@ -129,8 +129,8 @@
 
 TEST_CASE(
     "A thousand relays repeat what fails now and then, though each one's share is below one") {
-  // Load pattern: a service with few requests at each relay. 0.25 requests a second and relay, three
-  // in ten may be repeated, and one in seven fails; the budget is far from spent.
+  // Load pattern: a service with few requests at each relay. 0.25 requests a second and relay,
+  // three in ten may be repeated, and one in seven fails; the budget is far from spent.
   constexpr size_t kRelays = 1000;
   constexpr int64_t kLongWindowMs = 10'000;
   constexpr int64_t kStepMs = 50;
