--- a/src/core/relay/group_state.cc
+++ b/src/core/relay/group_state.cc
@@ -101,12 +101,12 @@
   return rollout.phase() == v1::ROLLOUT_CANARY || rollout.phase() == v1::ROLLOUT_PROMOTING;
 }
 
-const v1::Rollout* GroupState::rolloutOf(const std::string& service) const {
-  const auto& rollouts = state_.rollouts().rollouts();
-  const auto found =
-      std::find_if(rollouts.begin(), rollouts.end(),
-                   [&](const v1::Rollout& rollout) { return rollout.service() == service; });
-  return found == rollouts.end() ? nullptr : &*found;
+const v1::Rollout* rolloutOf(const v1::RolloutList& rollouts, const std::string& service) {
+  const auto& held = rollouts.rollouts();
+  const auto found = std::find_if(held.begin(), held.end(), [&](const v1::Rollout& rollout) {
+    return rollout.service() == service;
+  });
+  return found == held.end() ? nullptr : &*found;
 }
 
 /// While one of the service is under way, another changes nothing: two orders may be on their way
--- a/src/core/relay/group_state.h
+++ b/src/core/relay/group_state.h
@@ -45,8 +45,6 @@
 
   /// As `evacuations`.
   const v1::RolloutList& rollouts() const { return state_.rollouts(); }
-  /// @return the last rollout of the service; null: it never had one.
-  const v1::Rollout* rolloutOf(const std::string& service) const;
 
   std::string save() const { return state_.SerializeAsString(); }
   /// Takes a snapshot of this program, or of an earlier one that knew no evacuations.
@@ -66,6 +64,9 @@
 /// @return the phase as logs and operators' calls name it.
 const char* nameOf(v1::RolloutPhase phase);
 
+/// @return the last rollout of the service; null: it never had one.
+const v1::Rollout* rolloutOf(const v1::RolloutList& rollouts, const std::string& service);
+
 /// @return whether the rollout's phase may still change.
 bool isUnderWay(const v1::Rollout& rollout);
 
--- a/src/core/relay/rollout_gate.cc
+++ b/src/core/relay/rollout_gate.cc
@@ -51,15 +51,6 @@
   earned_ = std::move(earned);
 }
 
-const v1::Rollout* RolloutGate::rolloutOf(const std::string& service) const {
-  for (const v1::Rollout& rollout : rollouts_.rollouts()) {
-    if (rollout.service() == service) {
-      return &rollout;
-    }
-  }
-  return nullptr;
-}
-
 RolloutGate::Earned* RolloutGate::earnedFor(const std::string& service) {
   const auto found = earned_.find(service);
   return found == earned_.end() ? nullptr : &found->second;
--- a/src/core/relay/rollout_gate.h
+++ b/src/core/relay/rollout_gate.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 
+#include "core/relay/group_state.h"
 #include "workshatch/v1/relay.pb.h"
 
 namespace workshatch::relay {
@@ -31,7 +32,9 @@
   const v1::RolloutList& rollouts() const { return rollouts_; }
 
   /// @return the last rollout of the service; null: it had none.
-  const v1::Rollout* rolloutOf(const std::string& service) const;
+  const v1::Rollout* rolloutOf(const std::string& service) const {
+    return relay::rolloutOf(rollouts_, service);
+  }
 
   /// Takes a trial for a request of the service. @return false when none is earned.
   bool takeTrial(const std::string& service);
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -32,6 +32,21 @@
   return std::min(first_ms << doublings, kMostAvoidMs);
 }
 
+bool comesBeforeRunner(const std::shared_ptr<Runner>& left, const std::shared_ptr<Runner>& right) {
+  return left->entry.id() < right->entry.id();
+}
+
+/// @return the runner with this id in a list in the order of ids; null: none.
+std::shared_ptr<Runner> findById(const std::vector<std::shared_ptr<Runner>>& runners,
+                                 const std::string& id) {
+  const auto place =
+      std::lower_bound(runners.begin(), runners.end(), id,
+                       [](const std::shared_ptr<Runner>& runner, const std::string& wanted) {
+                         return runner->entry.id() < wanted;
+                       });
+  return place != runners.end() && (*place)->entry.id() == id ? *place : nullptr;
+}
+
 } // namespace
 
 std::shared_ptr<Runner> RunnerTable::runnerFor(std::shared_ptr<Runner> known,
@@ -71,25 +86,6 @@
   }
 }
 
-namespace {
-
-bool comesBeforeRunner(const std::shared_ptr<Runner>& left, const std::shared_ptr<Runner>& right) {
-  return left->entry.id() < right->entry.id();
-}
-
-/// @return the runner with this id in a list in the order of ids; null: none.
-std::shared_ptr<Runner> findById(const std::vector<std::shared_ptr<Runner>>& runners,
-                                 const std::string& id) {
-  const auto place =
-      std::lower_bound(runners.begin(), runners.end(), id,
-                       [](const std::shared_ptr<Runner>& runner, const std::string& wanted) {
-                         return runner->entry.id() < wanted;
-                       });
-  return place != runners.end() && (*place)->entry.id() == id ? *place : nullptr;
-}
-
-} // namespace
-
 void RunnerTable::forget(Runner& runner) {
   runner.gone = true;
   list_fingerprint_ -= runner.entry_fingerprint;
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -114,7 +114,7 @@
   const v1::RolloutList& rollouts() const { return state_.rollouts(); }
   /// @return the last rollout of the service; null: it never had one.
   const v1::Rollout* rolloutOf(const std::string& service) const {
-    return state_.rolloutOf(service);
+    return relay::rolloutOf(state_.rollouts(), service);
   }
   uint64_t id() const { return id_; }
   /// @return whether this replica counts for majorities, as far as it knows.
--- a/src/daemon/group/relay_hub.cc
+++ b/src/daemon/group/relay_hub.cc
@@ -243,6 +243,9 @@
 }
 
 void RelayHub::judgeRollouts() {
+  if (replica_.rollouts().rollouts().empty()) {
+    return;
+  }
   const uint64_t version = replica_.rollouts().version();
   RelaysOfRollouts relays{.renewal_period_ms =
                               relay::periodForFleet(relay::kRenewalPeriodMs, relays_.size()),
--- a/tests/unit/core/relay/group_state_test.cc
+++ b/tests/unit/core/relay/group_state_test.cc
@@ -56,9 +56,9 @@
   CHECK(state.apply(rolloutOrder("a", "v9"), 5) == Change::Rollouts);
   REQUIRE(state.rollouts().rollouts_size() == 2);
   CHECK(state.rollouts().rollouts(0).service() == "a");
-  CHECK(state.rolloutOf("s")->target_version() == "v2");
-  CHECK(state.rolloutOf("s")->phase() == v1::ROLLOUT_CANARY);
-  CHECK(state.rolloutOf("nowhere") == nullptr);
+  CHECK(relay::rolloutOf(state.rollouts(), "s")->target_version() == "v2");
+  CHECK(relay::rolloutOf(state.rollouts(), "s")->phase() == v1::ROLLOUT_CANARY);
+  CHECK(relay::rolloutOf(state.rollouts(), "nowhere") == nullptr);
   // Nothing succeeds that was not promoted; a verdict about another rollout changes nothing.
   CHECK(state.apply(verdict("s", 3, v1::ROLLOUT_SUCCEEDED), 6) == Change::None);
   CHECK(state.apply(verdict("s", 2, v1::ROLLOUT_PROMOTING), 7) == Change::None);
@@ -68,9 +68,9 @@
   CHECK(state.rollouts().version() == 9);
   relay::GroupState restored;
   CHECK(restored.restore(state.save()));
-  CHECK(restored.rolloutOf("s")->phase() == v1::ROLLOUT_SUCCEEDED);
+  CHECK(relay::rolloutOf(restored.rollouts(), "s")->phase() == v1::ROLLOUT_SUCCEEDED);
   CHECK(restored.apply(rolloutOrder("s", "v3"), 11) == Change::Rollouts);
-  CHECK(restored.rolloutOf("s")->id() == 11);
+  CHECK(relay::rolloutOf(restored.rollouts(), "s")->id() == 11);
 }
 
 TEST_CASE("A request is in quarantine from the order that puts it there to the one that ends it") {
