--- a/src/core/relay/runner.h
+++ b/src/core/relay/runner.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "core/relay/runner_backoffs.h"
 #include "workshatch/v1/relay.pb.h"
 
 namespace workshatch::relay {
@@ -35,6 +36,8 @@
   int64_t avoid_until_ms = 0;
   /// It declined a request, being full; taken to be so until then.
   int64_t full_until_ms = 0;
+  /// Until when it wants no requests from this relay.
+  RunnerBackoff backoff;
   /// Region of its zone; empty: not known.
   std::string region;
   /// Its zone is evacuated: it gets no requests.
--- /dev/null
+++ b/src/core/relay/runner_backoffs.cc
@@ -0,0 +1,44 @@
+#include "core/relay/runner_backoffs.h"
+
+namespace workshatch::relay {
+
+namespace {
+
+/// Backoffs kept at most; a relay that meets more runners than this drops those that are over.
+constexpr size_t kMostKept = 4096;
+/// A process that leaves has ended long before this.
+constexpr int64_t kLeavingKeptMs = 600'000;
+
+} // namespace
+
+RunnerBackoff RunnerBackoffs::note(uint64_t life, const RunnerNotice& notice, int64_t now_ms) {
+  RunnerBackoff backoff = find(life);
+  if (!notice.leaving && !notice.backoff_ms) {
+    return backoff;
+  }
+  backoff.leaving = backoff.leaving || notice.leaving;
+  backoff.until_ms = std::max(backoff.until_ms, now_ms + notice.backoff_ms.value_or(0));
+  if (!backoffs_.contains(life)) {
+    makeRoom(now_ms);
+  }
+  backoffs_[life] = Kept{.backoff = backoff, .noted_ms = now_ms};
+  return backoff;
+}
+
+RunnerBackoff RunnerBackoffs::find(uint64_t life) const {
+  const auto found = backoffs_.find(life);
+  return found == backoffs_.end() ? RunnerBackoff{} : found->second.backoff;
+}
+
+void RunnerBackoffs::makeRoom(int64_t now_ms) {
+  if (backoffs_.size() < kMostKept) {
+    return;
+  }
+  std::erase_if(backoffs_, [now_ms](const auto& entry) {
+    const Kept& kept = entry.second;
+    return kept.backoff.leaving ? now_ms - kept.noted_ms > kLeavingKeptMs
+                                : !kept.backoff.holds(now_ms);
+  });
+}
+
+} // namespace workshatch::relay
--- /dev/null
+++ b/src/core/relay/runner_backoffs.h
@@ -0,0 +1,54 @@
+/// @file
+/// Until when runners want no requests from this relay, as they said themselves.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+
+#include "core/relay/runner_notice.h"
+
+namespace workshatch::relay {
+
+/// Until when one runner wants no requests from this relay.
+struct RunnerBackoff {
+  /// Milliseconds of the monotonic clock; zero: it never asked for a backoff.
+  int64_t until_ms = 0;
+  /// It is leaving: it wants none until its process ends.
+  bool leaving = false;
+
+  bool holds(int64_t now_ms) const { return leaving || until_ms > now_ms; }
+  /// @return milliseconds left of the time that it asked for; zero: it did not, or that is over.
+  int64_t leftMs(int64_t now_ms) const { return std::max<int64_t>(until_ms - now_ms, 0); }
+};
+
+/// The backoffs of all runners, by the fingerprint of a runner's life.
+///
+/// Guarantee: a backoff holds until it is over, also when the runner is missing from a list of
+/// runners in between, and ends with the runner's life, whose successor has another fingerprint.
+///
+/// Times are milliseconds of the monotonic clock, which counts the machine's sleep. Not safe for
+/// concurrent use.
+class RunnerBackoffs {
+public:
+  /// Takes what an answer says. @return what holds from here on.
+  RunnerBackoff note(uint64_t life, const RunnerNotice& notice, int64_t now_ms);
+
+  /// @return what the runner asked for; nothing of it holds when it did not ask.
+  RunnerBackoff find(uint64_t life) const;
+
+  size_t size() const { return backoffs_.size(); }
+
+private:
+  struct Kept {
+    RunnerBackoff backoff;
+    int64_t noted_ms = 0;
+  };
+
+  void makeRoom(int64_t now_ms);
+
+  std::unordered_map<uint64_t, Kept> backoffs_;
+};
+
+} // namespace workshatch::relay
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -8,6 +8,7 @@
 #include "core/relay/runner_life.h"
 #include "core/relay/runner_list_history.h"
 #include "core/relay/runner_loads.h"
+#include "core/relay/work_time.h"
 
 namespace workshatch::relay {
 
@@ -59,6 +60,7 @@
   auto runner = std::make_shared<Runner>();
   runner->fingerprint = lifeOf(entry).fingerprint();
   runner->listed_since_ms = listed_since_ms;
+  runner->backoff = backoffs_.find(runner->fingerprint);
   return runner;
 }
 
@@ -295,6 +297,18 @@
   }
 }
 
+void RunnerTable::noteNotice(Runner& runner, const RunnerNotice& notice, int64_t now_ms) {
+  cold_runners_.noteTold(runner, notice.cold_ms.value_or(0), now_ms);
+  if (notice.load && notice.load->work_time_factor) {
+    noteWorkTime(runner, *notice.load->work_time_factor, now_ms);
+  }
+  runner.backoff = backoffs_.note(runner.fingerprint, notice, now_ms);
+  // The list may have lost the runner and have it again since the attempt began.
+  if (const auto listed = find(runner.fingerprint)) {
+    listed->backoff = runner.backoff;
+  }
+}
+
 void RunnerTable::beginAttempt(Runner& runner, int64_t now_ms) const {
   if (runner.in_progress++ == 0) {
     runner.sign_of_life_ms = now_ms;
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -23,6 +23,8 @@
 #include "core/relay/policy.h"
 #include "core/relay/rollout_gate.h"
 #include "core/relay/runner.h"
+#include "core/relay/runner_backoffs.h"
+#include "core/relay/runner_notice.h"
 #include "core/result.h"
 #include "workshatch/v1/relay.pb.h"
 
@@ -207,10 +209,8 @@
   uint32_t coldMs(const Runner& runner, int64_t now_ms) const {
     return cold_runners_.coldMs(runner, now_ms);
   }
-  /// Notes that a runner itself told that it is cold.
-  void noteCold(Runner& runner, uint32_t cold_ms, int64_t now_ms) const {
-    cold_runners_.noteTold(runner, cold_ms, now_ms);
-  }
+  /// Takes what an answer of the runner says of it and of further requests to it.
+  void noteNotice(Runner& runner, const RunnerNotice& notice, int64_t now_ms);
   /// Notes that the runner's owner gives no places there for a while.
   void noteHeldBack(Runner& runner, uint32_t wait_ms, int64_t now_ms) const {
     runner.full_until_ms = std::max(runner.full_until_ms, now_ms + wait_ms);
@@ -277,6 +277,7 @@
   };
   std::map<std::string, ServiceRunners> services_;
   PartSources part_sources_;
+  RunnerBackoffs backoffs_;
   int64_t sums_at_ms_ = 0;
   size_t relays_ = 1;
 };
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "adapters/logging/line_log.h"
-#include "core/relay/work_time.h"
 #include "daemon/relay/relay_run.h"
 
 namespace workshatch::daemon {
@@ -45,27 +44,20 @@
   state_.runners.noteSignOfLife(runner, state_.clock.monotonicMs());
 }
 
-/// Takes what an answer tells of a cold runner.
-void RelayRun::noteCold(relay::Runner& runner) {
-  const auto cold_ms =
-      millisecondsOf(http::fieldOf(connection_->head(), state_.dialect.headers().cold));
-  if (cold_ms) {
-    state_.runners.noteCold(runner, static_cast<uint32_t>(*cold_ms), state_.clock.monotonicMs());
-  }
+/// Takes what the head of an answer says of the runner and of further requests to it.
+void RelayRun::noteNotice(relay::Runner& runner) {
+  const auto& head = connection_->head();
+  notice_ = state_.dialect.runnerNotice(
+      AnswerHead{.status = head.result_int(),
+                 .field = [&head](std::string_view name) { return http::fieldOf(head, name); }});
+  state_.stats.note(notice_);
+  state_.runners.noteNotice(runner, notice_, state_.clock.monotonicMs());
 }
 
-/// Takes what an answer tells of how long work takes at a runner that shares its machine.
-void RelayRun::noteWorkTime(relay::Runner& runner) {
-  const auto told = http::fieldOf(connection_->head(), state_.dialect.headers().load);
-  const auto load = told ? state_.dialect.runnerLoad(*told) : std::nullopt;
-  if (!load) {
-    return;
-  }
-  state_.stats.work_times_rejected += load->work_time_rejected ? 1 : 0;
-  if (load->work_time_factor) {
-    ++state_.stats.work_times_told;
-    relay::noteWorkTime(runner, *load->work_time_factor, state_.clock.monotonicMs());
-  }
+void RelayRun::noteBackoffAtSend(const relay::Runner& runner) {
+  const int64_t now_ms = state_.clock.monotonicMs();
+  backoff_at_send_ms_ = runner.backoff.leftMs(now_ms);
+  state_.stats.sent_in_backoff += runner.backoff.holds(now_ms) ? 1 : 0;
 }
 
 std::chrono::milliseconds RelayRun::silenceLimit(bool streaming) const {
@@ -123,13 +115,21 @@
   state_.line.callNext(request_.service);
   ++state_.stats.attempts[nameOf(outcome)];
   if (result.end != AttemptEnd::Answered) {
+    const int64_t backoff_asked_ms =
+        notice_.backoff_ms ? static_cast<int64_t>(*notice_.backoff_ms) : -1;
     line_log::write("attempt_ended", {{"request", request_.id},
                                       {"identity", relay::textOf(request_.identity)},
                                       {"runner", runner.entry.id()},
                                       {"runner_load", runner.load()},
                                       {"outcome", nameOf(outcome)},
                                       {"error", last_error_},
-                                      {"runner_failures", runner.failures_in_row}});
+                                      {"runner_failures", runner.failures_in_row},
+                                      {"last_resort", last_resort_},
+                                      {"backoff_at_choice_ms", backoff_at_choice_ms_},
+                                      {"backoff_at_send_ms", backoff_at_send_ms_},
+                                      {"backoff_asked_ms", backoff_asked_ms},
+                                      {"backoff_unreadable", notice_.backoff_rejected},
+                                      {"leaving", notice_.leaving}});
   }
 }
 
@@ -235,19 +235,21 @@
                             .outcome = relay::AttemptOutcome::Withdrawn};
   }
   state_.runners.noteSent(runnerRequest(), choice);
+  noteBackoffAtSend(runner);
   const auto error = co_await send(choice);
   if (error) {
     co_return brokenBy(*error);
   }
   noteSignOfLife(runner);
-  noteCold(runner);
-  noteWorkTime(runner);
+  noteNotice(runner);
   co_return co_await takeAnswer(runner);
 }
 
 http::awaitable<RelayRun::AttemptEnd> RelayRun::attempt(const relay::RunnerChoice& choice) {
   relay::Runner& runner = *choice.runner;
   sent_ms_ = 0;
+  backoff_at_send_ms_ = 0;
+  notice_ = {};
   state_.runners.beginAttempt(runner, state_.clock.monotonicMs());
   if (request_.tenant != nullptr) {
     state_.tenants.begin(request_.tenant->name);
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -237,6 +237,8 @@
   load_at_choice_ = choice.runner->load();
   passed_over_ = choice.passed_over;
   place_limit_ = choice.limit;
+  last_resort_ = choice.last_resort;
+  backoff_at_choice_ms_ = choice.runner->backoff.leftMs(state_.clock.monotonicMs());
 }
 
 bool RelayRun::mayTryAgain(AttemptEnd last) const {
@@ -344,6 +346,9 @@
        {"priority", request_.standing.priority},
        {"over_share", request_.standing.over_share},
        {"declines", declines_},
+       {"last_resort", last_resort_},
+       {"backoff_at_choice_ms", backoff_at_choice_ms_},
+       {"backoff_at_send_ms", backoff_at_send_ms_},
        {"part_source", part_source_},
        {"place_limit", place_limit_},
        {"places_refused", places_refused_},
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -89,8 +89,8 @@
   void releaseConnection(const relay::Runner& runner);
   std::chrono::milliseconds silenceLimit(bool streaming) const;
   void noteSignOfLife(relay::Runner& runner);
-  void noteCold(relay::Runner& runner);
-  void noteWorkTime(relay::Runner& runner);
+  void noteNotice(relay::Runner& runner);
+  void noteBackoffAtSend(const relay::Runner& runner);
 
   // The answer to an attempt (relay_answer.cc).
   http::awaitable<AttemptResult> takeAnswer(relay::Runner& runner);
@@ -182,6 +182,13 @@
   uint32_t load_at_choice_ = 0;
   uint32_t passed_over_ = 0;
   uint32_t place_limit_ = 0;
+  bool last_resort_ = false;
+  /// Milliseconds for which the runner wanted no requests when it was chosen, and when the request
+  /// was sent.
+  int64_t backoff_at_choice_ms_ = 0;
+  int64_t backoff_at_send_ms_ = 0;
+  /// What the answer of the present attempt says of its runner.
+  relay::RunnerNotice notice_;
   std::string part_source_;
   /// From which runner the present attempt's runner takes parts; null: from none.
   std::shared_ptr<relay::Runner> source_;
--- a/src/daemon/relay/relay_stats.cc
+++ b/src/daemon/relay/relay_stats.cc
@@ -7,6 +7,16 @@
 using metrics::exposeCounter;
 using metrics::exposeCounters;
 
+void RelayStats::note(const relay::RunnerNotice& notice) {
+  backoffs_told += notice.backoff_ms ? 1 : 0;
+  backoffs_rejected += notice.backoff_rejected ? 1 : 0;
+  leaving_told += notice.leaving ? 1 : 0;
+  if (notice.load) {
+    work_times_told += notice.load->work_time_factor ? 1 : 0;
+    work_times_rejected += notice.load->work_time_rejected ? 1 : 0;
+  }
+}
+
 void RelayStats::expose(std::string& out) const {
   exposeCounters(out, "relay_requests_total", "requests by outcome", "outcome", outcomes);
   exposeCounters(out, "relay_attempts_total", "attempts at runners by outcome", "outcome",
@@ -16,6 +26,14 @@
                 repeats_refused);
   exposeCounter(out, "relay_resumed_streams_total", "streams that went on at another runner",
                 resumed_streams);
+  exposeCounter(out, "relay_backoffs_told_total",
+                "answers by which a runner asked for no requests for a time", backoffs_told);
+  exposeCounter(out, "relay_backoffs_rejected_total", "such answers whose time can't be read",
+                backoffs_rejected);
+  exposeCounter(out, "relay_leaving_told_total", "answers of runners that said they are leaving",
+                leaving_told);
+  exposeCounter(out, "relay_sent_in_backoff_total",
+                "requests sent to runners that had asked for none", sent_in_backoff);
   exposeCounter(out, "relay_events_total", "events relayed", events);
   exposeCounter(out, "relay_renewals_total", "lease renewals sent", renewals);
   exposeCounter(out, "relay_dropped_log_lines_total", "log lines dropped",
--- a/src/daemon/relay/relay_stats.h
+++ b/src/daemon/relay/relay_stats.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "adapters/metrics/text_format.h"
+#include "core/relay/runner_notice.h"
 
 namespace workshatch::daemon {
 
@@ -23,10 +24,20 @@
   /// Figures of runners on how long their work takes: taken, and not to be believed.
   uint64_t work_times_told = 0;
   uint64_t work_times_rejected = 0;
+  /// Answers by which a runner asked for no requests for a time, or said that it is leaving, and
+  /// those whose time can't be read.
+  uint64_t backoffs_told = 0;
+  uint64_t backoffs_rejected = 0;
+  uint64_t leaving_told = 0;
+  /// Requests that were sent to a runner which had asked for none.
+  uint64_t sent_in_backoff = 0;
   metrics::DurationHistogram first_event;
   metrics::DurationHistogram event_gap;
   metrics::DurationHistogram answer;
 
+  /// Counts what an answer says of its runner.
+  void note(const relay::RunnerNotice& notice);
+
   /// Appends everything in the Prometheus text format.
   void expose(std::string& out) const;
 };
--- a/src/ports/relay_dialect.h
+++ b/src/ports/relay_dialect.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "core/relay/runner_notice.h"
 #include "core/result.h"
 
 namespace workshatch {
@@ -34,8 +36,6 @@
   std::string signature;
   /// Requests running, waiting, and slots of the answering runner.
   std::string load;
-  /// Milliseconds for which the answering runner stays cold.
-  std::string cold;
   /// Id of the last event that the caller has.
   std::string last_event;
   /// Address of a runner from which the engine takes cached parts that it lacks itself.
@@ -85,16 +85,11 @@
   uint64_t tokens = 0;
 };
 
-/// What a runner tells of itself with an answer.
-struct RunnerLoad {
-  uint32_t running = 0;
-  uint32_t waiting = 0;
-  uint32_t slots = 0;
-  /// How long its work takes at this moment, as a multiple of the usual time: it shares its machine
-  /// with others. Nothing: not told, or not to be believed.
-  std::optional<double> work_time_factor;
-  /// A figure was told that no runner can have.
-  bool work_time_rejected = false;
+/// The head of a runner's answer.
+struct AnswerHead {
+  unsigned status = 0;
+  /// @return the value of the header with this name; nothing: it has none.
+  std::function<std::optional<std::string>(std::string_view name)> field;
 };
 
 /// Names and formats of one outside interface. Stateless; safe for concurrent use.
@@ -114,7 +109,9 @@
                                     const std::string& target_version) const = 0;
   /// @return the parts, or nothing when the value can't be read.
   virtual std::vector<PromptPart> promptParts(std::string_view value) const = 0;
-  virtual std::optional<RunnerLoad> runnerLoad(std::string_view value) const = 0;
+  /// @return what an answer says of its runner; of an answer of another runner than the one that
+  /// was meant, nothing.
+  virtual relay::RunnerNotice runnerNotice(const AnswerHead& head) const = 0;
   /// Body of the answer that tells a caller where to go.
   virtual std::string addresses(const std::vector<std::string>& addresses,
                                 uint32_t ttl_s) const = 0;
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -84,7 +84,6 @@
         .not_run = "W-Not-Run",
         .signature = "W-Signature",
         .load = "W-Load",
-        .cold = "W-Cold",
         .last_event = "Last-Event-Id",
         .fetch_from = "W-Fetch",
         .system_only = {"W-Tenant", "W-Runner", "W-Priority", "W-Fetch", "W-Reserved"}};
@@ -131,7 +130,16 @@
   std::vector<PromptPart> promptParts(std::string_view) const override {
     return {PromptPart{.id = "shared", .tokens = 1}, PromptPart{.id = "own", .tokens = 1}};
   }
-  std::optional<RunnerLoad> runnerLoad(std::string_view) const override { return std::nullopt; }
+  /// Times are whole milliseconds.
+  relay::RunnerNotice runnerNotice(const AnswerHead& head) const override {
+    const auto timeOf = [&head](std::string_view name) {
+      const auto value = head.field(name);
+      return value ? std::optional<uint32_t>(std::stoul(*value)) : std::nullopt;
+    };
+    return relay::RunnerNotice{.leaving = head.field("W-Leaving").has_value(),
+                               .backoff_ms = timeOf("W-Backoff"),
+                               .cold_ms = timeOf("W-Cold")};
+  }
   std::string addresses(const std::vector<std::string>&, uint32_t) const override { return ""; }
   std::string zoneParameter() const override { return "zone"; }
   std::string regionParameter() const override { return "region"; }
