--- a/tests/unit/daemon/fleet/test_fleet.h
+++ b/tests/unit/daemon/fleet/test_fleet.h
@@ -93,7 +93,7 @@
       const bool fails = fails_one_of != 0 && number % fails_one_of == 0;
       const std::string status = fails ? "500 Internal Server Error" : "200 OK";
       // Each connection serves one request.
-      say(socket, signedAnswer(idOf(request), fails ? "failed" : "whole",
+      say(socket, signedAnswer(requestIdOf(request), fails ? "failed" : "whole",
                                status + "\r\nConnection: close"));
     }
   }
@@ -131,12 +131,6 @@
     return failure ? "" : request;
   }
 
-  static std::string idOf(const std::string& request) {
-    const std::string name = "W-Request: ";
-    const size_t begin = request.find(name) + name.size();
-    return request.substr(begin, request.find("\r\n", begin) - begin);
-  }
-
   boost::asio::io_context context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   const boost::asio::ip::tcp::endpoint endpoint_;
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -225,6 +225,13 @@
   boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
 }
 
+/// @return the id of a request as a runner gets it.
+inline std::string requestIdOf(const std::string& request) {
+  const std::string name = "W-Request: ";
+  const size_t begin = request.find(name) + name.size();
+  return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
 /// A signed answer with a body, to the request with this id.
 inline std::string signedAnswer(const std::string& id, const std::string& body,
                                 const std::string& status = "200 OK") {
