Backoffs that runners ask for are kept: no request goes there, from this relay, until they end

Cause: the answer that declines was read for its status only; the runner was left alone for 20 or 100 ms, whatever it asked for. Ruled out: places given before the answer (4 of 167 sends), last resorts (none), one request sent twice (none). Change: a runner's backoff keeps it out of the choice, also as a last resort and for the rest of a stream, and is looked at once more before the first byte. It is kept by the life of the runner's process: over lists that miss it, the relay's own readings, sleep; it ends with the process. If all that are left back off, the caller is refused at once and told the end of the first backoff, or its paced return if that is sooner, since another relay may have been told nothing. Runners that back off count in the mean that the load cap follows.

On loopback 2 requests in place of 1 before, 1 now.

--- a/src/core/relay/runner_choice.cc
+++ b/src/core/relay/runner_choice.cc
@@ -24,13 +24,13 @@
 
 } // namespace
 
-RunnerTable::Candidates RunnerTable::candidatesFor(const RunnerRequest& request,
-                                                   bool* last_resort) const {
-  Candidates usable;
+RunnerTable::Candidacy RunnerTable::candidatesFor(const RunnerRequest& request) const {
+  Candidacy candidacy;
+  Candidates& usable = candidacy.runners;
   Candidates avoided;
   const auto service = services_.find(request.service);
   if (service == services_.end()) {
-    return usable;
+    return candidacy;
   }
   const v1::Rollout* rollout = rollouts_.rolloutOf(request.service);
   usable.reserve(service->second.runners.size());
@@ -41,6 +41,11 @@
     if (!open || !isHome(request.home_regions, *runner) || isExcluded(request, *runner)) {
       continue;
     }
+    // Not even as the last resort: what a runner asks for is no guess of this relay.
+    if (isBackingOff(*runner, request.now_ms)) {
+      ++candidacy.backing_off;
+      continue;
+    }
     // Only an owner keeps the pace of a cold runner.
     const bool unpaced =
         (request.past_limits || !request.asks_owners) && coldMs(*runner, request.now_ms) != 0;
@@ -49,10 +54,13 @@
   }
   if (request.trial) {
     keepTrialRunners(request, usable);
-    return usable;
+    return candidacy;
+  }
+  candidacy.last_resort = usable.empty() && !avoided.empty();
+  if (candidacy.last_resort) {
+    usable = std::move(avoided);
   }
-  *last_resort = usable.empty() && !avoided.empty();
-  return *last_resort ? avoided : usable;
+  return candidacy;
 }
 
 /// A version on trial gets its share on as few of its runners as bear it, so that these are as
@@ -80,7 +88,7 @@
 }
 
 /// The mean that the load cap follows: of the candidates and of the service's runners that are held
-/// back by an evacuation or a rollout, which count in the operators' bound as well.
+/// back by an evacuation, a rollout or themselves, which count in the operators' bound as well.
 double RunnerTable::meanForCap(const RunnerRequest& request, const Candidates& candidates) const {
   uint64_t load = 0;
   size_t counted = candidates.size();
@@ -90,7 +98,7 @@
   const v1::Rollout* rollout = rollouts_.rolloutOf(request.service);
   for (const auto& runner : services_.at(request.service).runners) {
     const bool held_back =
-        runner->evacuated ||
+        runner->evacuated || isBackingOff(*runner, request.now_ms) ||
         (rollout != nullptr && !isOpen(*rollout, runner->entry.version(), request.trial));
     load += held_back ? runner->load() : 0;
     counted += held_back ? 1 : 0;
@@ -166,10 +174,10 @@
 
 std::variant<RunnerChoice, NoRunner> RunnerTable::choose(const RunnerRequest& request) {
   forgetStaleSums(request.now_ms);
-  bool last_resort = false;
-  Candidates candidates = candidatesFor(request, &last_resort);
+  Candidacy candidacy = candidatesFor(request);
+  Candidates& candidates = candidacy.runners;
   if (candidates.empty()) {
-    return NoRunner::NoneLeft;
+    return candidacy.backing_off > 0 ? NoRunner::AllBackingOff : NoRunner::NoneLeft;
   }
   services_[request.service].asked_since_sums += request.asks_again ? 0 : 1;
   const bool by_prompt = request.cache_key != 0 && options_.policy.prompt_homes;
@@ -189,10 +197,24 @@
   if (!choice) {
     return NoRunner::AllFull;
   }
-  choice->last_resort = last_resort;
+  choice->last_resort = candidacy.last_resort;
   return *std::move(choice);
 }
 
+int64_t RunnerTable::backoffLeftMs(const std::string& service, int64_t now_ms) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return 0;
+  }
+  int64_t least_ms = 0;
+  for (const auto& runner : found->second.runners) {
+    const int64_t left_ms = runner->backoff.leftMs(now_ms);
+    const bool sooner = left_ms > 0 && (least_ms == 0 || left_ms < least_ms);
+    least_ms = sooner ? left_ms : least_ms;
+  }
+  return least_ms;
+}
+
 /// Without sums the mean is not known: there is no cap then.
 std::optional<uint32_t> RunnerTable::ownersCap(const RunnerRequest& request,
                                                const Candidates& candidates) const {
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -95,6 +95,8 @@
   NoneLeft,
   /// All runners are as full as they may be for this request.
   AllFull,
+  /// None is left that does not want this relay's requests to pause.
+  AllBackingOff,
 };
 
 /// Rules of the choice.
@@ -181,6 +183,14 @@
   /// Notes how many relays send requests to these runners.
   void setRelays(size_t relays) { relays_ = relays == 0 ? 1 : relays; }
 
+  /// @return whether the runner itself wants no requests from this relay.
+  static bool isBackingOff(const Runner& runner, int64_t now_ms) {
+    return runner.backoff.leftMs(now_ms) > 0;
+  }
+  /// @return milliseconds until the first of the service's runners that asked for a backoff wants
+  /// requests again; zero: none asked for one.
+  int64_t backoffLeftMs(const std::string& service, int64_t now_ms) const;
+
   std::variant<RunnerChoice, NoRunner> choose(const RunnerRequest& request);
   /// @return milliseconds since the sums of loads came; -1: none count.
   int64_t sumsAgeMs(int64_t now_ms) const { return sums_at_ms_ == 0 ? -1 : now_ms - sums_at_ms_; }
@@ -236,7 +246,15 @@
   void putInPlace(Candidates added);
   static void removeGone(Candidates& runners);
   static void insertSorted(Candidates& runners, Candidates added);
-  Candidates candidatesFor(const RunnerRequest& request, bool* last_resort) const;
+  /// Runners that a request may go to.
+  struct Candidacy {
+    Candidates runners;
+    /// All of them are being avoided.
+    bool last_resort = false;
+    /// Runners that the request may go to but for their backoff.
+    size_t backing_off = 0;
+  };
+  Candidacy candidatesFor(const RunnerRequest& request) const;
   void keepTrialRunners(const RunnerRequest& request, Candidates& candidates) const;
   uint32_t limitOf(const RunnerRequest& request, const Runner& runner, bool busy) const;
   bool hasPlace(const RunnerRequest& request, const Runner& runner, bool busy) const;
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -195,13 +195,18 @@
 }
 
 /// @return whether nothing has come, since the place was taken, that keeps the request from the
-/// runner: an order, the end of the caller's patience, or of the lease while the machine slept.
+/// runner: an order, the runner's own word, the end of the caller's patience, or of the lease while
+/// the machine slept.
 bool RelayRun::mayBeSent(const relay::Runner& runner) {
   noteTime();
   if (runner.evacuated) {
     last_error_ = "zone evacuated";
     return false;
   }
+  if (relay::RunnerTable::isBackingOff(runner, state_.clock.monotonicMs())) {
+    last_error_ = "runner asked for a backoff";
+    return false;
+  }
   if (!state_.runners.isOpenTo(runner, trial_)) {
     last_error_ = "version held back by a rollout";
     return false;
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -80,8 +80,9 @@
       break;
     }
     const auto* choice = std::get_if<relay::RunnerChoice>(&chosen);
-    all_full_ = choice == nullptr && std::get<relay::NoRunner>(chosen) == relay::NoRunner::AllFull;
-    if (all_full_ && co_await awaitPlace()) {
+    no_runner_ =
+        choice == nullptr ? std::optional(std::get<relay::NoRunner>(chosen)) : std::nullopt;
+    if (no_runner_ == relay::NoRunner::AllFull && co_await awaitPlace()) {
       continue;
     }
     if (choice == nullptr || !mayRepeat()) {
@@ -269,11 +270,19 @@
   if (const uint64_t* since_ms = state_.quarantine.sinceMs(request_.identity)) {
     return relay::quarantineLeftMs(*since_ms, state_.clock.wallMs());
   }
-  if ((!all_full_ && declines_ == 0) || !state_.policy.paced_returns) {
+  const bool returns_later = wasFull() || wereBackingOff();
+  if (!returns_later || !state_.policy.paced_returns) {
     return kRetryWithoutRunnerMs;
   }
   const int64_t now_ms = state_.clock.monotonicMs();
-  return state_.return_times.nextAfterMs(request_.service, request_.deadline_ms - now_ms, now_ms);
+  const uint32_t paced_ms =
+      state_.return_times.nextAfterMs(request_.service, request_.deadline_ms - now_ms, now_ms);
+  if (!wereBackingOff()) {
+    return paced_ms;
+  }
+  // Runners back off from one relay at a time: the caller may be served by another before.
+  const int64_t backoff_ms = state_.runners.backoffLeftMs(request_.service, now_ms);
+  return static_cast<uint32_t>(std::clamp<int64_t>(backoff_ms, 1, paced_ms));
 }
 
 http::awaitable<void> RelayRun::finish() {
@@ -315,10 +324,7 @@
     co_return;
   }
   if (!may_have_run_) {
-    const bool full = all_full_ || declines_ > 0;
-    logOutcome(timed_out_ ? "not_run_timed_out" : full ? "all_full" : "not_run");
-    co_await refuse(http::Status::service_unavailable, full ? "all_full" : "no_runner",
-                    full ? "all runners are full" : "no runner could take the request");
+    co_await refuseNotRun();
     co_return;
   }
   if (timed_out_) {
@@ -330,6 +336,22 @@
   co_await refuse(http::Status::bad_gateway, "broken", "the runner gave no whole answer");
 }
 
+/// No runner has run the request, and none can now.
+http::awaitable<void> RelayRun::refuseNotRun() {
+  std::string code = "no_runner";
+  std::string detail = "no runner could take the request";
+  if (wereBackingOff()) {
+    code = "all_backing_off";
+    detail = "all runners asked this relay to pause";
+  } else if (wasFull()) {
+    code = "all_full";
+    detail = "all runners are full";
+  }
+  const std::string outcome = code == "no_runner" ? "not_run" : code;
+  logOutcome(timed_out_ ? "not_run_timed_out" : outcome);
+  co_await refuse(http::Status::service_unavailable, std::move(code), std::move(detail));
+}
+
 void RelayRun::logOutcome(const std::string& outcome) {
   ++state_.stats.outcomes[outcome];
   const int64_t now = state_.clock.monotonicMs();
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -119,6 +119,7 @@
   void noteChoice(const relay::RunnerChoice& choice);
   http::awaitable<void> finish();
   http::awaitable<void> refuse(http::Status status, std::string code, std::string detail);
+  http::awaitable<void> refuseNotRun();
   uint32_t retryAfterMs() const;
 
   bool ended() const { return left_ || timed_out_ || taken_back_ || reader_cut_; }
@@ -131,6 +132,9 @@
   bool barred() const { return inQuarantine() || lostLease(); }
   bool mayBeSent(const relay::Runner& runner);
   bool mayTryAgain(AttemptEnd last) const;
+  /// Runners have no room for the request now, and may have later.
+  bool wasFull() const { return no_runner_ == relay::NoRunner::AllFull || declines_ > 0; }
+  bool wereBackingOff() const { return no_runner_ == relay::NoRunner::AllBackingOff; }
   void armDeadline();
   void end();
   void logOutcome(const std::string& outcome);
@@ -160,8 +164,8 @@
   /// Attempts that reached a runner, and those of them that the runner declined.
   uint32_t arrivals_ = 0;
   uint32_t declines_ = 0;
-  /// All runners were as full as they may be for this request.
-  bool all_full_ = false;
+  /// Why the last search for a runner found none; nothing: it found one.
+  std::optional<relay::NoRunner> no_runner_;
   /// Place in the line; its number is zero before the request first waited.
   relay::LinePlace line_place_;
   /// When the last wait for a place ended.
--- a/tests/unit/core/relay/runner_backoffs_test.cc
+++ b/tests/unit/core/relay/runner_backoffs_test.cc
@@ -160,4 +160,90 @@
   }
 }
 
+namespace {
+
+v1::RunnerList oneRunner(uint64_t version, uint64_t born_ms) {
+  v1::RunnerList list = engines();
+  list.set_version(version);
+  list.mutable_runners()->DeleteSubrange(1, list.runners_size() - 1);
+  list.mutable_runners(0)->set_born_ms(born_ms);
+  return list;
+}
+
+v1::RunnerList nobody(uint64_t version) {
+  v1::RunnerList list;
+  list.set_version(version);
+  return list;
+}
+
+bool getsRequests(relay::RunnerTable& table, int64_t now_ms) {
+  const relay::RunnerRequest request{.service = "s", .zone = "z", .now_ms = now_ms};
+  return std::holds_alternative<relay::RunnerChoice>(table.choose(request));
+}
+
+/// A table of one runner, born at 5, that asked at 1000 for what the notice says.
+relay::RunnerTable tableAfter(const relay::RunnerNotice& notice) {
+  relay::RunnerTable table{relay::RunnerTableOptions{}};
+  table.setList(oneRunner(1, 5), 0);
+  table.noteNotice(*table.runners()[0], notice, 1000);
+  return table;
+}
+
+const relay::RunnerNotice kAsksForThreeSeconds{.backoff_ms = kBackoffMs};
+
+} // namespace
+
+TEST_CASE("A runner that is missing from a list for a moment is sent requests in its backoff") {
+  relay::RunnerTable table = tableAfter(kAsksForThreeSeconds);
+  const auto before = table.runners()[0];
+  table.setList(nobody(2), 1500);
+  table.setList(oneRunner(3, 5), 2000);
+  CHECK_FALSE(getsRequests(table, 2000));
+  // An answer to an attempt that began before counts for the runner that is listed now.
+  table.noteNotice(*before, kAsksForThreeSeconds, 3000);
+  CHECK_FALSE(getsRequests(table, 5999));
+  CHECK(getsRequests(table, 6000));
+}
+
+TEST_CASE("A relay that reads the list by itself forgets what runners asked for") {
+  relay::RunnerTable table = tableAfter(kAsksForThreeSeconds);
+  // Cut off from the group: the list comes from the platform, without a version.
+  table.setList(oneRunner(0, 5), 2000);
+  CHECK_FALSE(getsRequests(table, 2000));
+  CHECK(getsRequests(table, 4000));
+}
+
+TEST_CASE("A runner that has started again waits for the end of its former process's backoff") {
+  relay::RunnerTable table = tableAfter(kAsksForThreeSeconds);
+  const auto former = table.runners()[0];
+  table.setList(oneRunner(2, 9), 1500);
+  CHECK(getsRequests(table, 1500));
+  // A late answer of the former process says nothing of the present one.
+  table.noteNotice(*former, kAsksForThreeSeconds, 1600);
+  CHECK(getsRequests(table, 1600));
+}
+
+TEST_CASE("A shorter backoff ends a longer one that a runner asked for before") {
+  relay::RunnerTable table = tableAfter(kAsksForThreeSeconds);
+  table.noteNotice(*table.runners()[0], relay::RunnerNotice{.backoff_ms = 100}, 1500);
+  CHECK_FALSE(getsRequests(table, 3999));
+  CHECK(getsRequests(table, 4000));
+}
+
+TEST_CASE("The rest of a stream that broke goes to a runner that wants no requests") {
+  relay::RunnerTable table = tableAfter(kAsksForThreeSeconds);
+  const relay::RunnerRequest rest{.service = "s", .zone = "z", .now_ms = 2000, .past_limits = true};
+  CHECK(std::get<relay::NoRunner>(table.choose(rest)) == relay::NoRunner::AllBackingOff);
+}
+
+TEST_CASE("Backoffs of runners that are over take memory for good") {
+  relay::RunnerBackoffs backoffs;
+  constexpr uint64_t kLives = 100'000;
+  for (uint64_t life = 1; life <= kLives; ++life) {
+    backoffs.note(life, relay::RunnerNotice{.backoff_ms = 10}, static_cast<int64_t>(life));
+  }
+  CHECK(backoffs.size() <= 4096);
+  CHECK(backoffs.find(kLives).holds(kLives + 9));
+}
+
 } // namespace workshatch::test
--- a/tests/unit/daemon/relay/runner_notice_test.cc
+++ b/tests/unit/daemon/relay/runner_notice_test.cc
@@ -15,8 +15,8 @@
 /// A runner that declines whatever comes. @param more_headers of its answers
 ScriptedRunner::Script declining(std::string more_headers) {
   return [more_headers = std::move(more_headers)](auto& socket, const std::string& request) {
-    say(socket, "HTTP/1.1 503 Full\r\nW-Request: " + requestIdOf(request) +
-                    "\r\nW-Not-Run: 1\r\n" + more_headers + "Content-Length: 0\r\n\r\n");
+    say(socket, "HTTP/1.1 503 Full\r\nW-Request: " + requestIdOf(request) + "\r\nW-Not-Run: 1\r\n" +
+                    more_headers + "Content-Length: 0\r\n\r\n");
   };
 }
 
@@ -66,6 +66,48 @@
   CHECK(tired.requests() == 2);
 }
 
+TEST_CASE("A request that finds all runners backing off is refused at once, unheard") {
+  ScriptedRunner tired(declining("W-Backoff: 700\r\n"));
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", tired.address());
+  relay.start();
+  Caller caller(relay);
+  CHECK(caller.answered(1) == 0);
+  relay.clock().sleepFor(600);
+  const std::string refused = relay.ask("q9");
+  CHECK(refused.starts_with("HTTP/1.1 503"));
+  CHECK(refused.find("all_backing_off") != std::string::npos);
+  // Comes back when the runner wants requests again.
+  const size_t retry_after = refused.find("Retry-After: ");
+  REQUIRE(retry_after != std::string::npos);
+  CHECK(std::stoi(refused.substr(retry_after + 13)) <= 100);
+  CHECK(tired.requests() == 1);
+  CHECK(relay.state().stats.outcomes["all_backing_off"] == 1);
+}
+
+TEST_CASE("A backoff that comes while a connection is made keeps the request from the runner") {
+  ScriptedRunner free(running());
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", free.address());
+  const auto runner = relay.state().runners.runners()[0];
+  // The owner of places is asked first; while it is, another request's answer comes.
+  const auto peers = std::make_shared<daemon::RelayPeers>(relay.context(), relay.state().clock);
+  REQUIRE_FALSE(isError(peers->open("127.0.0.1:18305")));
+  relay.state().places =
+      std::make_shared<daemon::PlaceClient>(peers, relay.state().clock, 1, [&](uint64_t) {
+        relay.state().runners.noteNotice(*runner, relay::RunnerNotice{.backoff_ms = 3000},
+                                         relay.state().clock.monotonicMs());
+        return relay::OwnedRunner{.listed = true};
+      });
+  peers->setRelays({"127.0.0.1:18305"});
+  relay.start();
+  const std::string refused = relay.ask("q1");
+  CHECK(refused.starts_with("HTTP/1.1 503"));
+  CHECK(free.requests() == 0);
+  CHECK(relay.state().stats.attempts["withdrawn"] == 1);
+  CHECK(relay.state().stats.sent_in_backoff == 0);
+}
+
 TEST_CASE("A runner that said it is leaving gets requests all the same") {
   ScriptedRunner leaving(running("\r\nW-Leaving: 1"));
   ScriptedRunner staying(running());
