Runners that say in an answer that they are leaving get no further requests

Callers' requests went to runners that had said with each answer that they are about to end, until the platform's list told so too; while the list can't be read that is never. Cause: only the list was looked at. Both are looked at once more before the first byte. What runs there ends there.

--- a/src/core/relay/runner.h
+++ b/src/core/relay/runner.h
@@ -56,6 +56,8 @@
   /// Gone from the list; kept only while attempts are in progress.
   bool gone = false;
 
+  /// @return whether its process is about to end, by the list or by its own word.
+  bool isLeaving() const { return entry.leaving() || backoff.leaving; }
   uint32_t load() const { return in_progress + others_in_progress; }
 };
 
--- a/src/core/relay/runner_choice.cc
+++ b/src/core/relay/runner_choice.cc
@@ -36,7 +36,7 @@
   usable.reserve(service->second.runners.size());
   for (const auto& runner : service->second.runners) {
     const bool open =
-        !runner->entry.leaving() && !runner->evacuated &&
+        !runner->isLeaving() && !runner->evacuated &&
         (rollout == nullptr || isOpen(*rollout, runner->entry.version(), request.trial));
     if (!open || !isHome(request.home_regions, *runner) || isExcluded(request, *runner)) {
       continue;
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -203,6 +203,10 @@
     last_error_ = "zone evacuated";
     return false;
   }
+  if (runner.isLeaving()) {
+    last_error_ = "runner is leaving";
+    return false;
+  }
   if (relay::RunnerTable::isBackingOff(runner, state_.clock.monotonicMs())) {
     last_error_ = "runner asked for a backoff";
     return false;
--- a/tests/unit/core/relay/runner_backoffs_test.cc
+++ b/tests/unit/core/relay/runner_backoffs_test.cc
@@ -236,6 +236,22 @@
   CHECK(std::get<relay::NoRunner>(table.choose(rest)) == relay::NoRunner::AllBackingOff);
 }
 
+TEST_CASE("A runner that said it is leaving gets requests again from a list that calls it ready") {
+  relay::RunnerTable table = tableAfter(relay::RunnerNotice{.leaving = true});
+  constexpr int64_t kLaterMs = 60'000;
+  CHECK_FALSE(getsRequests(table, 1000));
+  table.setList(oneRunner(2, 5), 2000);
+  CHECK_FALSE(getsRequests(table, kLaterMs));
+  table.setList(nobody(3), kLaterMs);
+  table.setList(oneRunner(0, 5), kLaterMs + 1000);
+  CHECK_FALSE(getsRequests(table, kLaterMs + 1000));
+  // Nobody knows when another runner comes: no time is told.
+  CHECK(table.backoffLeftMs("s", kLaterMs + 1000) == 0);
+  // Its successor under its id has not said so.
+  table.setList(oneRunner(4, 9), kLaterMs + 2000);
+  CHECK(getsRequests(table, kLaterMs + 2000));
+}
+
 TEST_CASE("Backoffs of runners that are over take memory for good") {
   relay::RunnerBackoffs backoffs;
   constexpr uint64_t kLives = 100'000;
--- a/tests/unit/daemon/relay/runner_notice_test.cc
+++ b/tests/unit/daemon/relay/runner_notice_test.cc
@@ -127,4 +127,37 @@
   CHECK(leaving.requests() == 1);
 }
 
+TEST_CASE("A runner that says with a failure or a decline that it is leaving gets requests on") {
+  for (const bool declines : {true, false}) {
+    CAPTURE(declines);
+    ScriptedRunner leaving(
+        declines ? declining("W-Leaving: 1\r\n") : [](auto& socket, const std::string& request) {
+          say(socket, signedAnswer(requestIdOf(request), "bad", "500 Bad\r\nW-Leaving: 1"));
+        });
+    TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+    relay.addRunner("runner-1", leaving.address());
+    relay.start();
+    Caller caller(relay);
+    CHECK(caller.answered(5) == 0);
+    CHECK(leaving.requests() == 1);
+  }
+}
+
+TEST_CASE("A runner that says at the head of a stream that it is leaving loses that stream") {
+  ScriptedRunner leaving([](auto& socket, const std::string& request) {
+    std::string head = streamHead(requestIdOf(request));
+    head.insert(head.size() - 2, "W-Leaving: 1\r\n");
+    say(socket, head + chunk("id: 1\ndata: a\n\n"));
+    say(socket, chunk("id: 2\ndata: b\n\n") + kLastChunk);
+  });
+  TestRelay relay(testRoute(RouteKind::Streaming, 1));
+  relay.addRunner("runner-1", leaving.address());
+  relay.start();
+  const std::string answer = relay.ask("q1");
+  CHECK(answer.find("data: a") != std::string::npos);
+  CHECK(answer.find("data: b") != std::string::npos);
+  CHECK(relay.ask("q2").starts_with("HTTP/1.1 503"));
+  CHECK(leaving.requests() == 1);
+}
+
 } // namespace workshatch::test
