The platform's Retry-After is kept: its list is not asked for before that time is over

Change: the reader of the list asks for nothing until the time is over, 30 s at most, since a mistyped time must not leave the fleet without a list; a line runner_list_backoff tells it. Backoff and the reading of Retry-After stand once, in core/backoff.

--- a/src/core/relay/runner_backoffs.cc
+++ b/src/core/relay/runner_backoffs.cc
@@ -17,7 +17,7 @@
     return backoff;
   }
   backoff.leaving = backoff.leaving || notice.leaving;
-  backoff.until_ms = std::max(backoff.until_ms, now_ms + notice.backoff_ms.value_or(0));
+  backoff.time.note(notice.backoff_ms.value_or(0), now_ms);
   if (!backoffs_.contains(life)) {
     makeRoom(now_ms);
   }
--- a/src/core/relay/runner_backoffs.h
+++ b/src/core/relay/runner_backoffs.h
@@ -2,25 +2,22 @@
 /// Until when runners want no requests from this relay, as they said themselves.
 #pragma once
 
-#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <unordered_map>
 
+#include "core/backoff.h"
 #include "core/relay/runner_notice.h"
 
 namespace workshatch::relay {
 
 /// Until when one runner wants no requests from this relay.
 struct RunnerBackoff {
-  /// Milliseconds of the monotonic clock; zero: it never asked for a backoff.
-  int64_t until_ms = 0;
+  Backoff time;
   /// It is leaving: it wants none until its process ends.
   bool leaving = false;
 
-  bool holds(int64_t now_ms) const { return leaving || until_ms > now_ms; }
-  /// @return milliseconds left of the time that it asked for; zero: it did not, or that is over.
-  int64_t leftMs(int64_t now_ms) const { return std::max<int64_t>(until_ms - now_ms, 0); }
+  bool holds(int64_t now_ms) const { return leaving || time.holds(now_ms); }
 };
 
 /// The backoffs of all runners, by the fingerprint of a runner's life.
--- a/src/core/relay/runner_choice.cc
+++ b/src/core/relay/runner_choice.cc
@@ -208,7 +208,7 @@
   }
   int64_t least_ms = 0;
   for (const auto& runner : found->second.runners) {
-    const int64_t left_ms = runner->backoff.leftMs(now_ms);
+    const int64_t left_ms = runner->backoff.time.leftMs(now_ms);
     const bool sooner = left_ms > 0 && (least_ms == 0 || left_ms < least_ms);
     least_ms = sooner ? left_ms : least_ms;
   }
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -185,7 +185,7 @@
 
   /// @return whether the runner itself wants no requests from this relay.
   static bool isBackingOff(const Runner& runner, int64_t now_ms) {
-    return runner.backoff.leftMs(now_ms) > 0;
+    return runner.backoff.time.holds(now_ms);
   }
   /// @return milliseconds until the first of the service's runners that asked for a backoff wants
   /// requests again; zero: none asked for one.
--- a/src/daemon/relay/relay_attempt.cc
+++ b/src/daemon/relay/relay_attempt.cc
@@ -56,7 +56,7 @@
 
 void RelayRun::noteBackoffAtSend(const relay::Runner& runner) {
   const int64_t now_ms = state_.clock.monotonicMs();
-  backoff_at_send_ms_ = runner.backoff.leftMs(now_ms);
+  backoff_at_send_ms_ = runner.backoff.time.leftMs(now_ms);
   state_.stats.sent_in_backoff += runner.backoff.holds(now_ms) ? 1 : 0;
 }
 
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -58,7 +58,7 @@
           context_, clock, settings_.seedLinks(),
           [this](bool first_on_link) { return makeRenewal(first_on_link); },
           [this](const v1::LeaseReply& reply) { leaseReplied(reply); }),
-      reader_(context_, settings_.runner_list_address, adapters.runner_lists),
+      reader_(context_, clock_, settings_.runner_list_address, adapters.runner_lists),
       peers_(std::make_shared<RelayPeers>(context_, clock)),
       places_(std::make_shared<PlaceClient>(peers_, clock, static_cast<uint32_t>(incarnation_),
                                             [this](uint64_t runner) {
--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -239,7 +239,7 @@
   passed_over_ = choice.passed_over;
   place_limit_ = choice.limit;
   last_resort_ = choice.last_resort;
-  backoff_at_choice_ms_ = choice.runner->backoff.leftMs(state_.clock.monotonicMs());
+  backoff_at_choice_ms_ = choice.runner->backoff.time.leftMs(state_.clock.monotonicMs());
 }
 
 bool RelayRun::mayTryAgain(AttemptEnd last) const {
--- a/src/daemon/runner_list_reader.cc
+++ b/src/daemon/runner_list_reader.cc
@@ -1,5 +1,6 @@
 #include "daemon/runner_list_reader.h"
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <utility>
@@ -16,6 +17,8 @@
 constexpr std::chrono::milliseconds kReadLimit{700};
 constexpr size_t kMostPageBytes = size_t{4} * 1024 * 1024;
 constexpr size_t kMostPages = 1000;
+/// A time that was mistyped or garbled must not leave the fleet without a list for long.
+constexpr uint32_t kMostBackoffMs = 30'000;
 
 } // namespace
 
@@ -31,12 +34,30 @@
   if (const auto* error = std::get_if<http::CallError>(&body)) {
     co_return Error{error->message};
   }
+  noteBackoff(*answer);
   if (answer->status() != http::Status::ok) {
     co_return Error{"status " + std::to_string(static_cast<unsigned>(answer->status()))};
   }
   co_return codec_.decode(std::get<std::string>(body));
 }
 
+/// Takes the time for which the platform wants no calls from this process.
+void RunnerListReader::noteBackoff(const http::ClientAnswer& answer) {
+  const bool turned_away = answer.status() == http::Status::too_many_requests ||
+                           answer.status() == http::Status::service_unavailable;
+  const auto told = turned_away ? answer.header("Retry-After") : std::nullopt;
+  if (!told) {
+    return;
+  }
+  const auto asked_ms = retryAfterMs(*told);
+  line_log::write("runner_list_backoff",
+                  {{"status", static_cast<unsigned>(answer.status())},
+                   {"asked_ms", asked_ms ? static_cast<int64_t>(*asked_ms) : -1}});
+  if (asked_ms) {
+    backoff_.note(std::min(*asked_ms, kMostBackoffMs), clock_.monotonicMs());
+  }
+}
+
 /// Writes a line when other entries are rejected than at the reading before.
 void RunnerListReader::noteRejected(const RejectedEntries& rejected) {
   if (rejected == rejected_) {
@@ -54,6 +75,9 @@
   v1::RunnerList list;
   RejectedEntries rejected;
   std::string page;
+  if (backoff_.holds(clock_.monotonicMs())) {
+    co_return Error{"the platform asked for no calls"};
+  }
   for (size_t pages = 1; pages <= kMostPages; ++pages) {
     Result<RunnerPage> read = co_await readPage(page);
     if (isError(read)) {
--- a/src/daemon/runner_list_reader.h
+++ b/src/daemon/runner_list_reader.h
@@ -9,7 +9,9 @@
 #include <boost/asio/io_context.hpp>
 
 #include "adapters/http/http_client.h"
+#include "core/backoff.h"
 #include "core/result.h"
+#include "ports/clock.h"
 #include "ports/runner_list_codec.h"
 
 namespace workshatch::daemon {
@@ -17,10 +19,11 @@
 /// Reads all pages of the list. Lives on one event loop.
 class RunnerListReader {
 public:
-  RunnerListReader(boost::asio::io_context& context, std::string address,
+  RunnerListReader(boost::asio::io_context& context, const Clock& clock, std::string address,
                    const RunnerListCodec& codec)
-      : client_(context), address_(std::move(address)), codec_(codec) {}
+      : client_(context), clock_(clock), address_(std::move(address)), codec_(codec) {}
 
+  /// Asks for nothing while the platform has told when to come back.
   /// @return the whole list without a version, or an error: no answer, too many calls, not a list.
   http::awaitable<Result<v1::RunnerList>> read();
 
@@ -32,9 +35,13 @@
 
 private:
   http::awaitable<Result<RunnerPage>> readPage(std::string page);
+  void noteBackoff(const http::ClientAnswer& answer);
   void noteRejected(const RejectedEntries& rejected);
 
   http::Client client_;
+  const Clock& clock_;
+  /// The platform asked for no calls.
+  Backoff backoff_;
   const std::string address_;
   const RunnerListCodec& codec_;
   size_t pages_ = 1;
--- /dev/null
+++ b/tests/unit/daemon/runner_list_reader_test.cc
@@ -0,0 +1,85 @@
+/// @file
+/// How often the platform is asked for its list when it refuses.
+#include <string>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <doctest/doctest.h>
+
+#include "daemon/runner_list_reader.h"
+#include "unit/daemon/relay/relay_fixture.h"
+
+namespace workshatch::test {
+
+namespace {
+
+/// Any body is a list of no runners.
+class EmptyListCodec : public RunnerListCodec {
+public:
+  std::string target(const std::string&) const override { return "/list"; }
+  Result<RunnerPage> decode(std::string_view) const override { return RunnerPage{}; }
+};
+
+/// A platform that answers all calls alike, and a reader of its list.
+class RefusingPlatform {
+public:
+  explicit RefusingPlatform(const std::string& head)
+      : platform_([head](auto& socket, const auto&) {
+          say(socket, "HTTP/1.1 " + head + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        }),
+        reader_(context_, clock_, platform_.address(), codec_) {}
+
+  /// @return whether a list was read.
+  bool read() {
+    bool done = false;
+    boost::asio::co_spawn(
+        context_,
+        [&]() -> http::awaitable<void> {
+          const Result<v1::RunnerList> list = co_await reader_.read();
+          done = !isError(list);
+        },
+        boost::asio::detached);
+    context_.restart();
+    context_.run();
+    return done;
+  }
+  int calls() const { return platform_.requests(); }
+  SleepingClock& clock() { return clock_; }
+
+private:
+  ScriptedRunner platform_;
+  boost::asio::io_context context_;
+  SleepingClock clock_;
+  const EmptyListCodec codec_{};
+  daemon::RunnerListReader reader_;
+};
+
+} // namespace
+
+TEST_CASE("A platform that told when to come back is asked for its list before") {
+  for (const char* status : {"429 Too Many", "503 Unavailable"}) {
+    CAPTURE(status);
+    RefusingPlatform platform(std::string(status) + "\r\nRetry-After: 2.5");
+    for (int i = 0; i < 5; ++i) {
+      CHECK_FALSE(platform.read());
+    }
+    CHECK(platform.calls() == 1);
+    platform.clock().sleepFor(2500);
+    CHECK_FALSE(platform.read());
+    CHECK(platform.calls() == 2);
+  }
+}
+
+TEST_CASE("A platform that refuses without a time, or for too long, is never asked again") {
+  RefusingPlatform timeless("429 Too Many");
+  CHECK_FALSE(timeless.read());
+  CHECK_FALSE(timeless.read());
+  CHECK(timeless.calls() == 2);
+  RefusingPlatform garbled("429 Too Many\r\nRetry-After: 999999999");
+  CHECK_FALSE(garbled.read());
+  garbled.clock().sleepFor(31'000);
+  CHECK_FALSE(garbled.read());
+  CHECK(garbled.calls() == 2);
+}
+
+} // namespace workshatch::test
