A caller's patience that is no time is left out instead of ending its request

Callers who sent "inf", "nan" or 1e300 as the time that they will wait got 503 at once: the text was read as a floating-point number and cast to an integer that can't hold it. Found while looking for all places where a stated time is read.

--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <utility>
 
 #include <boost/beast/core/string.hpp>
 
+#include "core/backoff.h"
 #include "core/header_text.h"
 #include "core/relay/first_lease.h"
 #include "core/routing/rendezvous.h"
@@ -84,6 +84,14 @@
                  retryWithoutLeaseMs(state, relayed.received_ms));
 }
 
+/// @return the milliseconds that the caller will wait; nothing: it did not say, or it can't be
+/// read.
+std::optional<int64_t> patienceMsOf(const http::Request& request, const HeaderNames& names) {
+  const auto told = http::fieldOf(request, names.deadline);
+  const auto told_ms = told ? millisecondsOf(*told, 1) : std::nullopt;
+  return told_ms ? std::optional<int64_t>(*told_ms) : std::nullopt;
+}
+
 void readPrompt(const http::Request& request, const RelayDialect& dialect, RelayRequest& relayed) {
   const auto value = http::fieldOf(request, dialect.headers().prompt_parts);
   if (!value) {
@@ -130,18 +138,6 @@
 
 } // namespace
 
-std::optional<int64_t> millisecondsOf(const std::optional<std::string>& text) {
-  if (!text) {
-    return std::nullopt;
-  }
-  double value = 0;
-  const auto [end, failure] = std::from_chars(text->data(), text->data() + text->size(), value);
-  if (failure != std::errc() || value < 0) {
-    return std::nullopt;
-  }
-  return static_cast<int64_t>(value);
-}
-
 std::variant<RelayRequest, http::Problem> admit(const http::Request& request,
                                                 const RelayState& state, int64_t received_ms) {
   const HeaderNames& names = state.dialect.headers();
@@ -192,8 +188,8 @@
   relayed.standing.draw = routing::fingerprintOf(id);
   relayed.service = relay::RouteTable::pickService(*relayed.route, relayed.standing.draw);
   const int64_t allowed_ms = relayed.route->timeout_ms;
-  const auto told_ms = millisecondsOf(http::fieldOf(request, names.deadline));
-  relayed.deadline_ms = relayed.received_ms + std::min(told_ms.value_or(allowed_ms), allowed_ms);
+  const int64_t told_ms = patienceMsOf(request, names).value_or(allowed_ms);
+  relayed.deadline_ms = relayed.received_ms + std::min(told_ms, allowed_ms);
   readPrompt(request, state.dialect, relayed);
   const relay::Service* service = state.routes->findService(relayed.service);
   relayed.engine = service != nullptr && service->model_engine;
@@ -208,7 +204,7 @@
   if (state.lease.everConfirmed() || !state.policy.first_lease_wait) {
     return 0;
   }
-  const auto patience_ms = millisecondsOf(http::fieldOf(request, state.dialect.headers().deadline));
+  const auto patience_ms = patienceMsOf(request, state.dialect.headers());
   return relay::firstLeaseWaitMs(received_ms - state.started_ms, patience_ms.value_or(0));
 }
 
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -50,9 +50,6 @@
   }
 };
 
-/// @return the whole milliseconds that a header's value tells; nothing: it tells none.
-std::optional<int64_t> millisecondsOf(const std::optional<std::string>& text);
-
 /// Checks and routes a request.
 /// @param received_ms when the request had come
 /// @return the request, or the refusal that the caller gets.
--- a/tests/unit/daemon/relay/relay_run_test.cc
+++ b/tests/unit/daemon/relay/relay_run_test.cc
@@ -97,6 +97,20 @@
   CHECK(runner.requests() == 0);
 }
 
+TEST_CASE("A caller's patience that is no time leaves its request without an answer") {
+  ScriptedRunner runner([](auto& socket, const auto&) { say(socket, signedAnswer("q1", "done")); });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", runner.address());
+  relay.start();
+  for (const char* patience : {"inf", "nan", "1e300", "-5", "soon"}) {
+    CAPTURE(patience);
+    const std::string answer = relay.send(
+        "POST /work HTTP/1.1\r\nHost: h.example\r\nW-Request: q1\r\nW-Key: key-1\r\nW-Deadline: " +
+        std::string(patience) + "\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi");
+    CHECK(answer.ends_with("done"));
+  }
+}
+
 TEST_CASE("A request that may run once is not sent again after it may have run") {
   ScriptedRunner breaking([](auto& socket, const auto&) { socket.close(); });
   TestRelay relay(testRoute(RouteKind::RunOnce, 3));
