The product's router keeps its runners' Retry-After too

Change: FleetTable keeps the time that a runner asked for; no engine of it gets new requests before it is over, nor the rest of a stream. EngineInfo::isUsable stands for the three reasons once.

--- a/src/adapters/http/http_client.cc
+++ b/src/adapters/http/http_client.cc
@@ -8,6 +8,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "core/backoff.h"
+
 namespace workshatch::http {
 
 namespace asio = boost::asio;
@@ -182,6 +184,13 @@
   co_return std::move(answer);
 }
 
+std::optional<uint32_t> backoffAskedMs(const ClientAnswer& answer) {
+  const bool turned_away = answer.status() == Status::too_many_requests ||
+                           answer.status() == Status::service_unavailable;
+  const auto told = turned_away ? answer.header("Retry-After") : std::nullopt;
+  return told ? retryAfterMs(*told) : std::nullopt;
+}
+
 awaitable<CallResult> Client::call(const std::string& address, Request request, CallOptions options,
                                    CallCancel* cancel) {
   request.set(Field::host, address);
--- a/src/adapters/http/http_client.h
+++ b/src/adapters/http/http_client.h
@@ -75,6 +75,10 @@
   bool cancelled_ = false;
 };
 
+/// @return for how many milliseconds the server wants no further calls: it turned this one away
+/// (429, 503) and told a time. Nothing: it did not, or its time can't be read.
+std::optional<uint32_t> backoffAskedMs(const ClientAnswer& answer);
+
 using CallResult = std::variant<std::unique_ptr<ClientAnswer>, CallError>;
 
 /// Stops a call from outside. Lives on the worker that makes the call.
--- a/src/core/routing/fleet_table.cc
+++ b/src/core/routing/fleet_table.cc
@@ -30,6 +30,10 @@
   }
 }
 
+void FleetTable::askedForBackoff(const std::string& runner, uint32_t asked_ms, int64_t now_ms) {
+  health_[runner].backoff.note(asked_ms, now_ms);
+}
+
 void FleetTable::saidLeaving(const std::string& runner, bool leaving) {
   const auto found = health_.find(runner);
   if (leaving || found != health_.end()) {
@@ -43,6 +47,11 @@
          now_ms - found->second.failed_ms < found->second.hold_down_ms;
 }
 
+bool FleetTable::backingOff(const std::string& runner, int64_t now_ms) const {
+  const auto found = health_.find(runner);
+  return found != health_.end() && found->second.backoff.holds(now_ms);
+}
+
 bool FleetTable::leaving(const ListedRunner& listed) const {
   const auto drained = draining_.find(listed.runner);
   const auto health = health_.find(listed.runner);
@@ -62,6 +71,7 @@
     info.number = number;
     info.leaving = leaving(listed);
     info.held_down = heldDown(listed.runner, now_ms);
+    info.backing_off = backingOff(listed.runner, now_ms);
     result.push_back(std::move(info));
   }
 }
--- a/src/core/routing/fleet_table.h
+++ b/src/core/routing/fleet_table.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/backoff.h"
 #include "workshatch/v1/configuration.pb.h"
 
 namespace workshatch::routing {
@@ -34,6 +35,11 @@
   bool leaving = false;
   /// Kept out of use after failures, for a time that doubles.
   bool held_down = false;
+  /// Its runner asked for no requests for a time.
+  bool backing_off = false;
+
+  /// @return whether it may get new requests.
+  bool isUsable() const { return !leaving && !held_down && !backing_off; }
 };
 
 struct HoldDownOptions {
@@ -54,6 +60,8 @@
   /// A runner could not be reached or broke off.
   void failed(const std::string& runner, int64_t now_ms);
   void succeeded(const std::string& runner, int64_t now_ms);
+  /// A runner asked for no requests for a time.
+  void askedForBackoff(const std::string& runner, uint32_t asked_ms, int64_t now_ms);
   /// A runner's own word that it is leaving, or is not any more.
   void saidLeaving(const std::string& runner, bool leaving);
 
@@ -68,11 +76,13 @@
     int64_t hold_down_ms = 0;
     bool held = false;
     bool said_leaving = false;
+    Backoff backoff;
   };
 
   void appendEngines(const ListedRunner& listed, int64_t now_ms,
                      std::vector<EngineInfo>& result) const;
   bool heldDown(const std::string& runner, int64_t now_ms) const;
+  bool backingOff(const std::string& runner, int64_t now_ms) const;
   bool leaving(const ListedRunner& listed) const;
 
   const HoldDownOptions options_;
--- a/src/daemon/router/chat_run.cc
+++ b/src/daemon/router/chat_run.cc
@@ -141,6 +141,7 @@
     co_return error->phase == http::CallPhase::Sent ? Attempt::Resume : Attempt::TryAnother;
   }
   http::ClientAnswer& answer = *std::get<std::unique_ptr<http::ClientAnswer>>(result);
+  tables_.noteBackoff(placement.engine.runner, answer);
   if (answer.status() == http::Status::ok) {
     context_.sent = true;
     co_return co_await relay(answer, placement);
--- a/src/daemon/router/engine_selector.cc
+++ b/src/daemon/router/engine_selector.cc
@@ -43,6 +43,16 @@
   }
 }
 
+const char* whyUnusable(const routing::EngineInfo& engine) {
+  if (engine.leaving) {
+    return "leaving";
+  }
+  if (engine.backing_off) {
+    return "asked for a backoff";
+  }
+  return engine.held_down ? "held down" : "failed";
+}
+
 PermitWish wishFor(const RequestContext& context, const routing::EngineInfo& engine) {
   PermitWish wish;
   wish.request_id = context.id;
@@ -64,9 +74,9 @@
 EngineSelector::candidates(RequestContext& context, const std::set<std::string>& excluded) const {
   std::vector<routing::EngineInfo> usable;
   for (routing::EngineInfo& engine : tables_.engines(context.service)) {
-    if (engine.leaving || engine.held_down || excluded.contains(engine.engine)) {
-      const char* reason = engine.leaving ? "leaving" : engine.held_down ? "held down" : "failed";
-      context.passed_over.push_back(PassedOver{.engine = engine.engine, .reason = reason});
+    if (!engine.isUsable() || excluded.contains(engine.engine)) {
+      context.passed_over.push_back(
+          PassedOver{.engine = engine.engine, .reason = whyUnusable(engine)});
       continue;
     }
     usable.push_back(std::move(engine));
@@ -195,6 +205,9 @@
   if (!info || info->service != context.service) {
     co_return SelectionRefused{.code = "no-engine", .detail = "the engine is gone"};
   }
+  if (info->backing_off) {
+    co_return SelectionRefused{.code = "overloaded", .detail = whyUnusable(*info)};
+  }
   PermitWish wish = wishFor(context, *info);
   wish.no_redirect = true;
   const PermitAnswer answer = co_await permits_.acquire(wish);
--- a/src/daemon/router/request_handler.cc
+++ b/src/daemon/router/request_handler.cc
@@ -317,7 +317,7 @@
   uint64_t best_weight = 0;
   for (const routing::EngineInfo& engine : parts_.tables.engines(service)) {
     const uint64_t weight = routing::rendezvousWeight(key, engine.engine);
-    if (engine.leaving || engine.held_down || weight < best_weight) {
+    if (!engine.isUsable() || weight < best_weight) {
       continue;
     }
     const v1::RouterEntry* owner = routing::ownerOf(*in_force.view, engine.engine, engine.zone);
--- a/src/daemon/router/router_tables.cc
+++ b/src/daemon/router/router_tables.cc
@@ -81,6 +81,14 @@
   fleet_.succeeded(runner, clock_.monotonicMs());
 }
 
+void RouterTables::noteBackoff(const std::string& runner, const http::ClientAnswer& answer) {
+  const auto asked_ms = http::backoffAskedMs(answer);
+  if (asked_ms) {
+    const std::lock_guard lock(fleet_mutex_);
+    fleet_.askedForBackoff(runner, *asked_ms, clock_.monotonicMs());
+  }
+}
+
 void RouterTables::runnerLeaving(const std::string& runner, bool leaving) {
   {
     const std::lock_guard lock(fleet_mutex_);
--- a/src/daemon/router/router_tables.h
+++ b/src/daemon/router/router_tables.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "adapters/http/http_client.h"
 #include "core/admission/owner_table.h"
 #include "core/routing/fleet_table.h"
 #include "core/routing/ownership_memo.h"
@@ -44,6 +45,8 @@
   void setListed(std::vector<routing::ListedRunner> listed);
   void runnerFailed(const std::string& runner);
   void runnerSucceeded(const std::string& runner);
+  /// Takes what an answer of the runner asks for: no requests for a time.
+  void noteBackoff(const std::string& runner, const http::ClientAnswer& answer);
   void runnerLeaving(const std::string& runner, bool leaving);
   std::vector<routing::EngineInfo> engines(const std::string& service) const;
   std::optional<routing::EngineInfo> findEngine(const std::string& engine) const;
--- a/src/daemon/router/service_run.cc
+++ b/src/daemon/router/service_run.cc
@@ -175,6 +175,7 @@
   std::variant<std::string, http::CallError> body = std::string();
   if (error == nullptr) {
     http::ClientAnswer& answer = *std::get<std::unique_ptr<http::ClientAnswer>>(result);
+    tables_.noteBackoff(placement.engine.runner, answer);
     body = co_await answer.readAll(kMostAnswerBytes);
     if (std::holds_alternative<std::string>(body)) {
       const auto status = static_cast<unsigned>(answer.status());
--- a/src/daemon/runner_list_reader.cc
+++ b/src/daemon/runner_list_reader.cc
@@ -43,19 +43,13 @@
 
 /// Takes the time for which the platform wants no calls from this process.
 void RunnerListReader::noteBackoff(const http::ClientAnswer& answer) {
-  const bool turned_away = answer.status() == http::Status::too_many_requests ||
-                           answer.status() == http::Status::service_unavailable;
-  const auto told = turned_away ? answer.header("Retry-After") : std::nullopt;
-  if (!told) {
+  const auto asked_ms = http::backoffAskedMs(answer);
+  if (!asked_ms) {
     return;
   }
-  const auto asked_ms = retryAfterMs(*told);
   line_log::write("runner_list_backoff",
-                  {{"status", static_cast<unsigned>(answer.status())},
-                   {"asked_ms", asked_ms ? static_cast<int64_t>(*asked_ms) : -1}});
-  if (asked_ms) {
-    backoff_.note(std::min(*asked_ms, kMostBackoffMs), clock_.monotonicMs());
-  }
+                  {{"status", static_cast<unsigned>(answer.status())}, {"asked_ms", *asked_ms}});
+  backoff_.note(std::min(*asked_ms, kMostBackoffMs), clock_.monotonicMs());
 }
 
 /// Writes a line when other entries are rejected than at the reading before.
