--- a/src/daemon/relay/relay_run.cc
+++ b/src/daemon/relay/relay_run.cc
@@ -6,16 +6,11 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "adapters/logging/line_log.h"
-#include "core/relay/runner_end_times.h"
-
 namespace workshatch::daemon {
 
 namespace {
 
 constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
-/// When no runner answers: about as long as another takes to be found or started again.
-constexpr uint32_t kRetryWithoutRunnerMs = 150;
 /// Part of the objective for which a request waits for a place. A caller that is refused by then
 /// can still be served in time elsewhere or later.
 constexpr double kWaitPart = 0.2;
@@ -252,140 +247,4 @@
   return request_.repeatable() && ran_attempts_ < request_.route->max_attempts;
 }
 
-http::awaitable<void> RelayRun::refuse(http::Status status, std::string code, std::string detail) {
-  http::Problem problem{.status = status,
-                        .code = std::move(code),
-                        .detail = std::move(detail),
-                        .execution =
-                            may_have_run_ ? http::Execution::Unknown : http::Execution::NotRun,
-                        .request_id = request_.id};
-  http::Response response = http::makeProblem(problem);
-  if (status == http::Status::service_unavailable) {
-    response.set(http::Field::retry_after, state_.dialect.retryAfter(retryAfterMs()));
-  }
-  co_await exchange_.respond(std::move(response));
-}
-
-uint32_t RelayRun::retryAfterMs() const {
-  if (const uint64_t* since_ms = state_.quarantine.sinceMs(request_.identity)) {
-    return relay::quarantineLeftMs(*since_ms, state_.clock.wallMs());
-  }
-  const bool returns_later = wasFull() || wereBackingOff();
-  if (!returns_later || !state_.policy.paced_returns) {
-    return kRetryWithoutRunnerMs;
-  }
-  const int64_t now_ms = state_.clock.monotonicMs();
-  const uint32_t paced_ms =
-      state_.return_times.nextAfterMs(request_.service, request_.deadline_ms - now_ms, now_ms);
-  if (!wereBackingOff()) {
-    return paced_ms;
-  }
-  // Runners back off from one relay at a time: the caller may be served by another before.
-  const int64_t backoff_ms = state_.runners.backoffLeftMs(request_.service, now_ms);
-  return static_cast<uint32_t>(std::clamp<int64_t>(backoff_ms, 1, paced_ms));
-}
-
-http::awaitable<void> RelayRun::finish() {
-  if (last_end_ == AttemptEnd::Answered) {
-    logOutcome("answered");
-    co_return;
-  }
-  if (left_) {
-    logOutcome("caller_left");
-    exchange_.breakOff();
-    co_return;
-  }
-  if (reader_cut_) {
-    logOutcome("reader_cut");
-    co_return;
-  }
-  if (stream_started_) {
-    // What came whole is the caller's, also when nothing follows.
-    co_await exchange_.drained(0);
-    logOutcome(timed_out_ ? "stream_timed_out" : "stream_broken");
-    exchange_.breakOff();
-    co_return;
-  }
-  if (failure_ && !timed_out_) {
-    logOutcome("runner_failure");
-    co_await exchange_.respond(std::move(*failure_));
-    co_return;
-  }
-  if (!may_have_run_ && inQuarantine()) {
-    logOutcome("quarantined");
-    co_await refuse(http::Status::service_unavailable, "quarantined",
-                    "the runners that ran this request ended");
-    co_return;
-  }
-  if (!may_have_run_ && !timed_out_ && lostLease()) {
-    logOutcome("lease_lost");
-    co_await refuse(http::Status::service_unavailable, "no_lease",
-                    "this relay has lost touch with the group");
-    co_return;
-  }
-  if (!may_have_run_) {
-    co_await refuseNotRun();
-    co_return;
-  }
-  if (timed_out_) {
-    logOutcome("timed_out");
-    co_await refuse(http::Status::gateway_timeout, "timeout", "the time limit was reached");
-    co_return;
-  }
-  logOutcome("runner_broke_off");
-  co_await refuse(http::Status::bad_gateway, "broken", "the runner gave no whole answer");
-}
-
-/// No runner has run the request, and none can now.
-http::awaitable<void> RelayRun::refuseNotRun() {
-  std::string code = "no_runner";
-  std::string detail = "no runner could take the request";
-  if (wereBackingOff()) {
-    code = "all_backing_off";
-    detail = "all runners asked this relay to pause";
-  } else if (wasFull()) {
-    code = "all_full";
-    detail = "all runners are full";
-  }
-  const std::string outcome = code == "no_runner" ? "not_run" : code;
-  logOutcome(timed_out_ ? "not_run_timed_out" : outcome);
-  co_await refuse(http::Status::service_unavailable, std::move(code), std::move(detail));
-}
-
-void RelayRun::logOutcome(const std::string& outcome) {
-  ++state_.stats.outcomes[outcome];
-  const int64_t now = state_.clock.monotonicMs();
-  line_log::write(
-      "request_ended",
-      {{"request", request_.id},
-       {"identity", relay::textOf(request_.identity)},
-       {"outcome", outcome},
-       {"route", request_.route->name},
-       {"service", request_.service},
-       {"tried", tried_},
-       {"runner_load", load_at_choice_},
-       {"passed_over", passed_over_},
-       {"priority", request_.standing.priority},
-       {"over_share", request_.standing.over_share},
-       {"declines", declines_},
-       {"last_resort", last_resort_},
-       {"backoff_at_choice_ms", backoff_at_choice_ms_},
-       {"backoff_at_send_ms", backoff_at_send_ms_},
-       {"part_source", part_source_},
-       {"place_limit", place_limit_},
-       {"places_refused", places_refused_},
-       {"places_held_back", places_held_back_},
-       {"evacuations", state_.runners.evacuationVersion()},
-       {"owners_silent", unanswered_claims_},
-       {"sums_age_ms", state_.runners.sumsAgeMs(now)},
-       {"waited_ms", waited_until_ms_ == 0 ? 0 : waited_until_ms_ - request_.received_ms},
-       {"ms", now - request_.received_ms},
-       {"first_ms", stream_started_ ? first_event_ms_ - request_.received_ms : -1},
-       {"events", events_},
-       {"configuration", request_.routes->version()},
-       {"runner_list", state_.runners.listVersion()},
-       {"lease_age_ms", state_.lease.ageMs(now)},
-       {"error", last_error_}});
-}
-
 } // namespace workshatch::daemon
--- a/src/daemon/relay/relay_run.h
+++ b/src/daemon/relay/relay_run.h
@@ -107,6 +107,13 @@
   void endTrial();
   void noteForRollout(const relay::Runner& runner, const AttemptResult& result);
 
+  // Its end (relay_outcome.cc).
+  http::awaitable<void> finish();
+  http::awaitable<void> refuse(http::Status status, std::string code, std::string detail);
+  http::awaitable<void> refuseNotRun();
+  uint32_t retryAfterMs() const;
+  void logOutcome(const std::string& outcome);
+
   // The request as a whole (relay_run.cc).
   relay::HomeRegions homeRegions() const;
   relay::RunnerRequest runnerRequest() const;
@@ -117,10 +124,6 @@
   http::awaitable<bool> awaitPlace();
   bool mayRepeat();
   void noteChoice(const relay::RunnerChoice& choice);
-  http::awaitable<void> finish();
-  http::awaitable<void> refuse(http::Status status, std::string code, std::string detail);
-  http::awaitable<void> refuseNotRun();
-  uint32_t retryAfterMs() const;
 
   bool ended() const { return left_ || timed_out_ || taken_back_ || reader_cut_; }
   bool inQuarantine() const { return state_.quarantine.contains(request_.identity); }
@@ -137,7 +140,6 @@
   bool wereBackingOff() const { return no_runner_ == relay::NoRunner::AllBackingOff; }
   void armDeadline();
   void end();
-  void logOutcome(const std::string& outcome);
 
   boost::asio::io_context& context_;
   RelayState& state_;
