--- a/tests/unit/core/relay/rollout_analysis_test.cc
+++ b/tests/unit/core/relay/rollout_analysis_test.cc
@@ -20,6 +20,8 @@
 constexpr int64_t kDurationMs = 12'000;
 constexpr int64_t kStepMs = 100;
 constexpr size_t kRoutes = 4;
+/// A new leader has heard all relays after so long.
+constexpr int64_t kRelaysHeardMs = 1000;
 /// Part of the answers that fails at runners of any version.
 constexpr double kUsualFailures = 0.14;
 
@@ -34,6 +36,8 @@
   double slow_times = 4;
   /// Requests of both versions in a step, on all routes.
   int requests_in_step = 250;
+  /// The leader is lost then, and another one judges; zero: never.
+  int64_t leader_lost_ms = 0;
   /// Runners hold no prompts yet, so that first parts take longer, as they do at any new runner.
   double first_times_longer = 1;
 };
@@ -54,17 +58,24 @@
   }
 
   Judged play() {
-    relay::RolloutAnalysis analysis(rollout_, 0, 0);
+    std::optional<relay::RolloutAnalysis> analysis;
+    analysis.emplace(rollout_, 0, 0);
+    int64_t leads_since_ms = 0;
     for (int64_t now_ms = kStepMs; now_ms <= kDurationMs; now_ms += kStepMs) {
       answerRequests(now_ms);
+      if (now_ms == version_.leader_lost_ms) {
+        analysis.emplace(rollout_, now_ms, now_ms);
+        leads_since_ms = now_ms;
+      }
+      const bool all_heard = leads_since_ms == 0 || now_ms - leads_since_ms >= kRelaysHeardMs;
       v1::RolloutReport report;
       report.set_rollout(rollout_.id());
       outcomes_.fill(report);
-      analysis.take("relay", 1, report, now_ms);
-      const auto phase = analysis.decide(
+      analysis->take("relay", 1, report, now_ms);
+      const auto phase = analysis->decide(
           v1::ROLLOUT_CANARY,
           relay::RolloutSituation{
-              .now_ms = now_ms, .target_places = 8, .former_places = 8, .all_heard = true});
+              .now_ms = now_ms, .target_places = 8, .former_places = 8, .all_heard = all_heard});
       if (phase) {
         return Judged{.phase = *phase, .at_ms = now_ms, .bad_answers = bad_answers_};
       }
@@ -148,6 +159,16 @@
   CHECK(tallyOf(Version{.slow_part = 0.2}, 100).rolled_back >= 99);
 }
 
+TEST_CASE("A leader that is lost in the middle of a rollout takes the evidence with it") {
+  for (const int64_t lost_ms : {500, 3000, 6000}) {
+    CAPTURE(lost_ms);
+    const Version good{.requests_in_step = 60, .leader_lost_ms = lost_ms};
+    CHECK(tallyOf(good, 200).promoted == 200);
+    const Version bad{.failures = 0.5, .from_ms = 2000, .leader_lost_ms = lost_ms};
+    CHECK(tallyOf(bad, 100).rolled_back >= 99);
+  }
+}
+
 TEST_CASE("Fifty bad answers are enough to roll a version back that fails half of its requests") {
   for (uint64_t seed = 0; seed < 100; ++seed) {
     const Judged judged = RolloutPlay(Version{.failures = 0.5}, seed).play();
--- a/tests/unit/daemon/fleet/rollout_test.cc
+++ b/tests/unit/daemon/fleet/rollout_test.cc
@@ -133,6 +133,27 @@
   CHECK(stateOf(fleet) == answerOf(RolloutState::RolledBack));
 }
 
+TEST_CASE("A leader that is lost in the middle of a rollout loses it, or its share") {
+  for (const bool good : {true, false}) {
+    CAPTURE(good);
+    TestFleet fleet(fleetWithNewRunners(good ? 18560 : 18580));
+    for (size_t i = 0; i < 6; ++i) {
+      fleet.newRunner(i).failOneOf(good ? 0 : 3);
+    }
+    SteadyCallers callers(fleet);
+    REQUIRE(begin(fleet, "s v2 6000") == http::Status::ok);
+    fleet.startNewRunners();
+    REQUIRE(within(kPatience, [&] { return fleet.requestsAtNewRunners() > 0; }));
+    fleet.restartGroup();
+    const auto at_new = static_cast<double>(fleet.requestsAtNewRunners());
+    const auto at_all = at_new + static_cast<double>(fleet.requestsAtRunners());
+    CHECK(at_new <= kTrialShare * at_all + kTrialSlack);
+    const RolloutState end = good ? RolloutState::Succeeded : RolloutState::RolledBack;
+    CHECK(within(kPatience, [&] { return stateOf(fleet) == answerOf(end); }));
+    callers.stop();
+  }
+}
+
 TEST_CASE("Orders that make no sense are refused, and a service without a rollout is told so") {
   TestFleet fleet(fleetWithNewRunners(18540));
   CHECK(begin(fleet, "nowhere v2 4000") == http::Status::bad_request);
