--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -57,7 +57,8 @@
           settings_.operator_address.substr(settings_.operator_address.rfind(':') + 1),
           [this](const std::string& zone) { return zoneExists(zone); },
           [this]() -> const v1::RunnerList& { return hub_.runners(); }),
-      reader_(context_, clock_, settings_.runner_list_address, adapters.runner_lists), listener_(context_),
+      reader_(context_, clock_, settings_.runner_list_address, adapters.runner_lists),
+      listener_(context_),
       operator_server_(
           workers, operatorLimits(),
           [this](http::Exchange& exchange) { return operator_api_.handle(exchange); },
--- a/src/scenario/callers.cc
+++ b/src/scenario/callers.cc
@@ -33,11 +33,11 @@
 
 int64_t nowMs() { return SystemClock().monotonicMs(); }
 
-http::CallOptions callOptions() {
+http::CallOptions callOptions(const LoadPlan& plan) {
   http::CallOptions options;
   options.connect_timeout = kConnectTimeout;
   options.read_timeout = kAnswerTimeout;
-  options.fresh_connection = true;
+  options.fresh_connection = !plan.keep_connections;
   return options;
 }
 
@@ -155,7 +155,7 @@
     http::Request request(
         http::Verb::get,
         "/v1/endpoints?service=" + service + "&session=" + session + "&tenant=" + plan_.tenant, 11);
-    const http::CallOptions options = callOptions();
+    const http::CallOptions options = callOptions(plan_);
     http::CallResult result = co_await client_.call(asked, std::move(request), options);
     auto* answer = std::get_if<std::unique_ptr<http::ClientAnswer>>(&result);
     if (answer == nullptr) {
@@ -190,7 +190,7 @@
   request.set("X-Request-Id", answer.id);
   request.set("X-Tenant", plan_.tenant);
   const int64_t started = nowMs();
-  const http::CallOptions options = callOptions();
+  const http::CallOptions options = callOptions(plan_);
   http::CallResult result = co_await client_.call(address, std::move(request), options);
   if (auto* response = std::get_if<std::unique_ptr<http::ClientAnswer>>(&result)) {
     auto body = co_await (*response)->readAll(kMostBodyBytes);
@@ -297,7 +297,7 @@
   }
   request.body() = body;
   const int64_t started = nowMs();
-  const http::CallOptions options = callOptions();
+  const http::CallOptions options = callOptions(plan_);
   http::CallResult result = co_await client_.call(address, std::move(request), options);
   auto* response = std::get_if<std::unique_ptr<http::ClientAnswer>>(&result);
   if (response == nullptr) {
--- a/src/scenario/callers.h
+++ b/src/scenario/callers.h
@@ -74,6 +74,8 @@
   bool resolve = false;
   /// Pause of each caller between requests, milliseconds.
   uint32_t pause_ms = 0;
+  /// Requests go over connections that are open already, until these end.
+  bool keep_connections = false;
 };
 
 /// Runs one load on a worker of its own loop. Results may be read while it runs.
--- a/src/scenario/main.cc
+++ b/src/scenario/main.cc
@@ -11,19 +11,25 @@
 #include "adapters/logging/json_log.h"
 #include "adapters/program.h"
 #include "scenario/scenario_run.h"
+#include "scenario/soak_script.h"
 
 DEFINE_uint64(seed, 1, "seed of the choices that a scenario leaves open");
 DEFINE_string(programs, "build", "folder of the programs");
 DEFINE_string(folder, "run/scenario", "folder for settings, logs and data");
 DEFINE_string(without, "", "\"ledger\": declare all routes repeatable, to see that run-once fails");
+DEFINE_uint32(steps, 40, "soak: faults and changes before everything is mended");
+DEFINE_string(network, "127.0.60", "soak: first three numbers of all addresses");
 DEFINE_uint32(times, 1, "how often to run each file");
 
 namespace {
 
 using namespace workshatch;
 
-constexpr const char* kUsage = "workshatch-scenario run FILE... [flags]\n"
-                               "Runs scenario files; the language is described in docs/TESTING.md.";
+constexpr const char* kUsage =
+    "workshatch-scenario run FILE... [flags]\n"
+    "Runs scenario files; the language is described in docs/TESTING.md.\n"
+    "workshatch-scenario soak [flags]\n"
+    "Draws a scenario of overlapping faults with the seed, writes it to a file, and runs it.";
 
 struct Totals {
   int passed = 0;
@@ -40,6 +46,16 @@
   return scenario::parseScript(path, content.str());
 }
 
+/// Writes the scenario of a seed to a file that replays it.
+Result<scenario::Script> drawScript(uint64_t seed) {
+  const std::string text = scenario::soakScript(
+      scenario::SoakPlan{.seed = seed, .steps = FLAGS_steps, .network = FLAGS_network});
+  std::filesystem::create_directories(FLAGS_folder);
+  const std::string path = FLAGS_folder + "/soak-" + std::to_string(seed) + ".scn";
+  std::ofstream(path) << text;
+  return scenario::parseScript(path, text);
+}
+
 void runScript(const scenario::Script& script, uint64_t seed, Totals& totals) {
   const scenario::RunOptions options{.programs = FLAGS_programs,
                                      .folder = FLAGS_folder,
@@ -60,7 +76,8 @@
 
 int main(int argc, char** argv) {
   parseProgramFlags(&argc, &argv, kUsage, "scenario/main.cc");
-  if (argc < 3 || std::string(argv[1]) != "run") {
+  const bool soak = argc == 2 && std::string(argv[1]) == "soak";
+  if (!soak && (argc < 3 || std::string(argv[1]) != "run")) {
     std::fprintf(stderr, "%s\n", kUsage);
     return kExitUsage;
   }
@@ -76,6 +93,14 @@
   }
   Totals totals;
   for (uint32_t time = 0; time < FLAGS_times; ++time) {
+    if (soak) {
+      const auto drawn = drawScript(FLAGS_seed + time);
+      if (isError(drawn)) {
+        std::fprintf(stderr, "%s\n", errorOf(drawn).message.c_str());
+        return kExitFailure;
+      }
+      runScript(std::get<scenario::Script>(drawn), FLAGS_seed + time, totals);
+    }
     for (const scenario::Script& script : scripts) {
       runScript(script, FLAGS_seed + time, totals);
     }
--- a/src/scenario/process.cc
+++ b/src/scenario/process.cc
@@ -6,6 +6,9 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
@@ -114,6 +117,26 @@
 
 Result<std::monostate> Process::unlimitFileSize() { return limitFileSize(RLIM_INFINITY); }
 
+std::optional<Footprint> Process::footprint() {
+  if (!running()) {
+    return std::nullopt;
+  }
+  const std::string folder = "/proc/" + std::to_string(pid_);
+  Footprint footprint;
+  std::ifstream status(folder + "/status");
+  const std::string name = "VmRSS:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(name)) {
+      footprint.memory_kb = std::stoull(line.substr(name.size()));
+    }
+  }
+  std::error_code failure;
+  const std::filesystem::directory_iterator descriptors(folder + "/fd", failure);
+  footprint.descriptors =
+      static_cast<uint64_t>(std::distance(begin(descriptors), end(descriptors)));
+  return footprint;
+}
+
 void Process::askToStop() {
   if (running()) {
     ::kill(pid_, SIGTERM);
--- a/src/scenario/process.h
+++ b/src/scenario/process.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -13,6 +14,12 @@
 
 namespace workshatch::scenario {
 
+/// What a process takes of the machine.
+struct Footprint {
+  uint64_t memory_kb = 0;
+  uint64_t descriptors = 0;
+};
+
 /// One process at a time under a name; it ends with the driver.
 class Process {
 public:
@@ -33,6 +40,8 @@
   Result<std::monostate> unlimitFileSize();
   /// Asks for a planned stop; `waitStopped` sees its end.
   void askToStop();
+  /// @return nothing when it does not run.
+  std::optional<Footprint> footprint();
   /// @return whether the process has ended; its exit code is then known.
   bool ended();
   int exitCode() const { return exit_code_; }
--- a/src/scenario/scenario_expect.cc
+++ b/src/scenario/scenario_expect.cc
@@ -47,6 +47,44 @@
   return kDone;
 }
 
+ScenarioRun::Outcome ScenarioRun::runWatchFootprint(const Command& /*command*/) {
+  for (const std::string& name : fleet_->names()) {
+    const auto footprint =
+        name.starts_with("entry-") ? fleet_->find(name)->footprint() : std::nullopt;
+    if (footprint) {
+      footprints_[name] = *footprint;
+    }
+  }
+  return kDone;
+}
+
+/// Wants no daemon to have grown much since `watch-footprint`.
+ScenarioRun::Outcome ScenarioRun::expectFootprint() {
+  constexpr uint64_t kMostTimes = 2;
+  constexpr uint64_t kMemorySlackKb = uint64_t{32} * 1024;
+  constexpr uint64_t kDescriptorSlack = 64;
+  Footprint most;
+  for (const auto& [name, before] : footprints_) {
+    const auto now = fleet_->find(name)->footprint();
+    if (!now) {
+      return Error{name + " does not run"};
+    }
+    if (now->memory_kb > kMostTimes * before.memory_kb + kMemorySlackKb) {
+      return Error{name + " grew from " + std::to_string(before.memory_kb) + " to " +
+                   std::to_string(now->memory_kb) + " kB"};
+    }
+    if (now->descriptors > kMostTimes * before.descriptors + kDescriptorSlack) {
+      return Error{name + " grew from " + std::to_string(before.descriptors) + " to " +
+                   std::to_string(now->descriptors) + " descriptors"};
+    }
+    most.memory_kb = std::max(most.memory_kb, now->memory_kb);
+    most.descriptors = std::max(most.descriptors, now->descriptors);
+  }
+  notes_ += "; most memory " + std::to_string(most.memory_kb) + " kB, most descriptors " +
+            std::to_string(most.descriptors);
+  return kDone;
+}
+
 ScenarioRun::Outcome ScenarioRun::expectCap(const Command& command) {
   if (!sampler_) {
     return Error{"expected watch-cap before"};
@@ -147,6 +185,9 @@
   if (what == "all-told") {
     return expectAllTold();
   }
+  if (what == "footprint") {
+    return expectFootprint();
+  }
   if (what == "cap") {
     return expectCap(command);
   }
@@ -168,11 +209,11 @@
                                                           {"lost", AnswerKind::Lost}};
   const auto kind = kinds.find(what);
   if (kind == kinds.end() || command.arguments.size() != 2) {
-    return Error{
-        "expected: wrong-token, all-told, no-new-runs RUNNER, completed, not-run, unknown or lost "
-        "and a load; "
-        "log NAME TEXT; or "
-        "log-size NAME"};
+    return Error{"expected: wrong-token, all-told, footprint, no-new-runs RUNNER, completed, "
+                 "not-run, unknown or lost "
+                 "and a load; "
+                 "log NAME TEXT; or "
+                 "log-size NAME"};
   }
   CallerLoad* load = findLoad(command.arguments[1]);
   if (load == nullptr) {
--- a/src/scenario/scenario_run.cc
+++ b/src/scenario/scenario_run.cc
@@ -75,17 +75,29 @@
 
 ScenarioRun::Outcome ScenarioRun::execute(const Command& command) {
   static const std::map<std::string, Handler> handlers = {
-      {"fleet", &ScenarioRun::runFleet},       {"start", &ScenarioRun::runStart},
-      {"kill", &ScenarioRun::runKill},         {"freeze", &ScenarioRun::runFreeze},
-      {"thaw", &ScenarioRun::runThaw},         {"stop", &ScenarioRun::runStop},
-      {"wipe-disk", &ScenarioRun::runWipe},    {"cut", &ScenarioRun::runCut},
-      {"heal", &ScenarioRun::runHeal},         {"fault", &ScenarioRun::runFault},
-      {"platform", &ScenarioRun::runPlatform}, {"apply", &ScenarioRun::runApply},
-      {"race", &ScenarioRun::runRace},         {"drain", &ScenarioRun::runDrain},
-      {"replace", &ScenarioRun::runReplace},   {"load", &ScenarioRun::runLoad},
-      {"wait", &ScenarioRun::runWait},         {"expect", &ScenarioRun::runExpect},
-      {"damage-log", &ScenarioRun::runDamage}, {"watch-cap", &ScenarioRun::runWatchCap},
-      {"disk", &ScenarioRun::runDisk},         {"press", &ScenarioRun::runPress},
+      {"fleet", &ScenarioRun::runFleet},
+      {"start", &ScenarioRun::runStart},
+      {"kill", &ScenarioRun::runKill},
+      {"freeze", &ScenarioRun::runFreeze},
+      {"thaw", &ScenarioRun::runThaw},
+      {"stop", &ScenarioRun::runStop},
+      {"wipe-disk", &ScenarioRun::runWipe},
+      {"cut", &ScenarioRun::runCut},
+      {"heal", &ScenarioRun::runHeal},
+      {"fault", &ScenarioRun::runFault},
+      {"platform", &ScenarioRun::runPlatform},
+      {"apply", &ScenarioRun::runApply},
+      {"race", &ScenarioRun::runRace},
+      {"drain", &ScenarioRun::runDrain},
+      {"replace", &ScenarioRun::runReplace},
+      {"load", &ScenarioRun::runLoad},
+      {"wait", &ScenarioRun::runWait},
+      {"expect", &ScenarioRun::runExpect},
+      {"damage-log", &ScenarioRun::runDamage},
+      {"watch-cap", &ScenarioRun::runWatchCap},
+      {"disk", &ScenarioRun::runDisk},
+      {"press", &ScenarioRun::runPress},
+      {"watch-footprint", &ScenarioRun::runWatchFootprint},
   };
   const auto found = handlers.find(command.name);
   if (found == handlers.end()) {
@@ -254,6 +266,7 @@
   plan.tries = numberOption(command, "tries", plan.tries);
   plan.resolve = textOption(command, "resolve", "no") == "yes";
   plan.pause_ms = numberOption(command, "pause_ms", plan.pause_ms);
+  plan.keep_connections = textOption(command, "keep", "no") == "yes";
   loads_.push_back(std::make_unique<CallerLoad>(plan, fleet_->routerAddresses(), random_.next()));
   loads_.back()->start();
   return kDone;
--- a/src/scenario/scenario_run.h
+++ b/src/scenario/scenario_run.h
@@ -70,6 +70,7 @@
   Outcome runExpect(const Command& command);
   Outcome runDamage(const Command& command);
   Outcome runWatchCap(const Command& command);
+  Outcome runWatchFootprint(const Command& command);
 
   Outcome execute(const Command& command);
   Outcome waitFor(const std::string& what, const std::function<bool()>& condition);
@@ -91,6 +92,7 @@
   Outcome expectNoNewRuns(const Command& command);
   Outcome expectCount(const Command& command, uint64_t counted);
   Outcome expectAllTold();
+  Outcome expectFootprint();
   static std::string describeLosses(const CallerLoad& load);
 
   const Script& script_;
@@ -100,6 +102,8 @@
   std::vector<std::unique_ptr<CallerLoad>> loads_;
   std::unique_ptr<LoadSampler> sampler_;
   std::unique_ptr<OperatorPress> press_;
+  /// By daemon, when they were noted.
+  std::map<std::string, Footprint> footprints_;
   std::vector<AcceptedChange> accepted_;
   /// Daemons that were killed, frozen, stopped or never started.
   std::set<std::string> absent_;
--- /dev/null
+++ b/src/scenario/soak_script.cc
@@ -0,0 +1,216 @@
+#include "scenario/soak_script.h"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <sstream>
+#include <vector>
+
+#include "ports/seeded_random.h"
+
+namespace workshatch::scenario {
+
+namespace {
+
+constexpr uint32_t kControls = 3;
+constexpr uint32_t kDaemons = 5;
+constexpr uint32_t kModels = 4;
+/// A fault lasts for one to this many steps.
+constexpr uint64_t kMostStepsOfAFault = 4;
+/// Answers of the look-ups between two steps: they pace the scenario, whatever the machine's speed.
+constexpr uint32_t kAnswersInAStep = 250;
+/// The same while a daemon stands still, which holds each caller that asks it for six seconds.
+constexpr uint32_t kAnswersWhileFrozen = 30;
+constexpr uint32_t kSessionsInAStep = 4;
+constexpr uint32_t kKeysInAStep = 20;
+
+/// What may be disturbed by one fault at a time.
+enum class Slot { Control, Router, FirstModel, SecondModel };
+constexpr std::array<Slot, 4> kSlots = {Slot::Control, Slot::Router, Slot::FirstModel,
+                                        Slot::SecondModel};
+
+/// A fault that lasts, and the commands that end it.
+struct Fault {
+  Slot slot = Slot::Control;
+  std::string target;
+  uint32_t ends_at_step = 0;
+  std::string end;
+};
+
+/// Commands that begin and end one kind of fault of a process; NAME stands for it.
+struct FaultKind {
+  const char* begin;
+  const char* end;
+};
+
+constexpr std::array<FaultKind, 6> kDaemonFaults = {{
+    {"kill NAME", "start NAME"},
+    {"stop NAME", "start NAME"},
+    {"freeze NAME", "thaw NAME"},
+    {"cut NAME others", "heal"},
+    {"cut NAME others way=out", "heal"},
+    {"cut NAME others way=in", "heal"},
+}};
+constexpr FaultKind kFullDisk = {"disk NAME state=full", "disk NAME state=works"};
+constexpr std::array<FaultKind, 6> kModelFaults = {{
+    {"kill NAME", "start NAME"},
+    {"freeze NAME", "thaw NAME"},
+    {"fault NAME out_of_order=true foreign_events=true",
+     "fault NAME out_of_order=false foreign_events=false"},
+    {"fault NAME cut_after=5 cut_times=6", "fault NAME cut_times=0"},
+    {"fault NAME delay_ms=40", "fault NAME delay_ms=0"},
+    {"platform NAME state=leaving", "platform NAME state=live"},
+}};
+
+std::string withName(const std::string& text, const std::string& name) {
+  const std::string placeholder = "NAME";
+  std::string result = text;
+  const size_t at = result.find(placeholder);
+  return at == std::string::npos ? result : result.replace(at, placeholder.size(), name);
+}
+
+/// Draws one scenario.
+class SoakWriter {
+public:
+  explicit SoakWriter(const SoakPlan& plan) : plan_(plan), random_(plan.seed) {}
+
+  std::string write() {
+    writeBegin();
+    for (step_ = 1; step_ <= plan_.steps; ++step_) {
+      endFaultsThatAreOver();
+      if (random_.below(kChangesOneOf) == 0) {
+        writeChange();
+      } else {
+        beginFault();
+      }
+      writePace();
+    }
+    writeEnd();
+    return out_.str();
+  }
+
+private:
+  /// One of so many steps is an operator's change.
+  static constexpr uint64_t kChangesOneOf = 4;
+
+  void writeBegin() {
+    out_ << "# Drawn with seed " << plan_.seed << ", " << plan_.steps << " steps.\n"
+         << "fleet network=" << plan_.network << " step_ms=8 relays=yes\n"
+         << "start all\nwait ready " << kDaemons << "\napply\n"
+         << "load lookup boards count=" << (plan_.steps + 1) * kAnswersInAStep
+         << " concurrency=6 pause_ms=10 keep=yes\n"
+         << "load chat trails count=" << (plan_.steps + 1) * kSessionsInAStep
+         << " repeat=2 concurrency=12 tokens=20 keep=yes\n"
+         << "load confirm bookings count=" << (plan_.steps + 1) * kKeysInAStep
+         << " repeat=2 concurrency=6 pause_ms=40 keep=yes\n";
+    // With the callers' connections, so that only what faults leave behind counts as growth.
+    out_ << "wait load boards answers=" << kAnswersInAStep / 2 << "\nwatch-footprint\n";
+  }
+
+  void writePace() {
+    const bool frozen = std::any_of(faults_.begin(), faults_.end(), [](const Fault& fault) {
+      return fault.end.starts_with("thaw entry-");
+    });
+    answers_ += frozen ? kAnswersWhileFrozen : kAnswersInAStep;
+    out_ << "wait load boards answers=" << answers_ << "\n";
+  }
+
+  void writeEnd() {
+    for (const Fault& fault : faults_) {
+      out_ << fault.end << "\n";
+    }
+    out_ << "wait ready " << kDaemons << "\napply count=2\n"
+         << "wait load boards\nwait load trails\nwait load bookings\n"
+         << "expect footprint\n";
+  }
+
+  bool isTaken(Slot slot) const {
+    return std::any_of(faults_.begin(), faults_.end(),
+                       [slot](const Fault& fault) { return fault.slot == slot; });
+  }
+
+  /// A process that was just started may not listen yet.
+  bool isDisturbed(const std::string& name) const {
+    return std::any_of(faults_.begin(), faults_.end(),
+                       [&](const Fault& fault) { return fault.target == name; }) ||
+           std::find(just_mended_.begin(), just_mended_.end(), name) != just_mended_.end();
+  }
+
+  void endFaultsThatAreOver() {
+    just_mended_.clear();
+    for (auto fault = faults_.begin(); fault != faults_.end();) {
+      if (fault->ends_at_step > step_) {
+        ++fault;
+        continue;
+      }
+      out_ << fault->end << "\n";
+      just_mended_.push_back(fault->target);
+      fault = faults_.erase(fault);
+    }
+  }
+
+  /// Of the control replicas, or of the daemons without control.
+  std::string drawDaemon(Slot slot) {
+    const bool control = slot == Slot::Control;
+    const uint64_t number = control ? 1 + random_.below(kControls)
+                                    : 1 + kControls + random_.below(kDaemons - kControls);
+    return "entry-" + std::to_string(number);
+  }
+
+  std::string drawModel() { return "assistant-" + std::to_string(1 + random_.below(kModels)); }
+
+  FaultKind drawKind(Slot slot) {
+    if (slot == Slot::FirstModel || slot == Slot::SecondModel) {
+      return kModelFaults[random_.below(kModelFaults.size())];
+    }
+    const uint64_t kinds = kDaemonFaults.size() + (slot == Slot::Control ? 1 : 0);
+    const uint64_t drawn = random_.below(kinds);
+    return drawn == kDaemonFaults.size() ? kFullDisk : kDaemonFaults[drawn];
+  }
+
+  /// A heal mends all cuts, so that one daemon is cut off at a time.
+  bool hasCut() const {
+    return std::any_of(faults_.begin(), faults_.end(),
+                       [](const Fault& fault) { return fault.end == "heal"; });
+  }
+
+  void beginFault() {
+    const Slot slot = kSlots[random_.below(kSlots.size())];
+    const bool daemon = slot == Slot::Control || slot == Slot::Router;
+    const std::string name = daemon ? drawDaemon(slot) : drawModel();
+    const FaultKind kind = drawKind(slot);
+    const uint32_t steps = 1 + static_cast<uint32_t>(random_.below(kMostStepsOfAFault));
+    const std::string end = withName(kind.end, name);
+    if (isTaken(slot) || isDisturbed(name) || (end == "heal" && hasCut())) {
+      return;
+    }
+    out_ << withName(kind.begin, name) << "\n";
+    faults_.push_back(
+        Fault{.slot = slot, .target = name, .ends_at_step = step_ + steps, .end = end});
+  }
+
+  /// Operators' changes, which are to be accepted also while one control replica is disturbed.
+  void writeChange() {
+    if (random_.below(2) == 0 && !isTaken(Slot::Control)) {
+      out_ << "race operators=3\n";
+    } else {
+      out_ << "apply count=2\n";
+    }
+  }
+
+  const SoakPlan plan_;
+  SeededRandom random_;
+  uint32_t step_ = 0;
+  /// Answers that the last step waits for.
+  uint32_t answers_ = 0;
+  std::vector<Fault> faults_;
+  /// Processes whose fault ended in this step.
+  std::vector<std::string> just_mended_;
+  std::ostringstream out_;
+};
+
+} // namespace
+
+std::string soakScript(const SoakPlan& plan) { return SoakWriter(plan).write(); }
+
+} // namespace workshatch::scenario
