--- a/src/scenario/process.cc
+++ b/src/scenario/process.cc
@@ -33,6 +33,9 @@
   ::signal(SIGXFSZ, SIG_IGN);
   ::dup2(log, STDERR_FILENO);
   ::dup2(log, STDOUT_FILENO);
+  // The driver's own connections, which its callers made without close-on-exec: held here too, they
+  // would stay open after the driver has closed them.
+  ::close_range(STDERR_FILENO + 1, ~0U, 0);
   ::execv(arguments.front(), arguments.data());
   ::_exit(kExecFailed);
 }
