--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -95,7 +95,7 @@
   NoneLeft,
   /// All runners are as full as they may be for this request.
   AllFull,
-  /// None is left that does not want this relay's requests to pause.
+  /// All that are left asked this relay for a backoff.
   AllBackingOff,
 };
 
