Soak: a footprint that was never noted, or can't be read, is an error and no pass

Seen at the last reading: expect footprint without watch-footprint passed over nothing, a folder of descriptors that can't be read counted as zero of them, and a scenario file that could not be written was not told.

--- a/src/scenario/main.cc
+++ b/src/scenario/main.cc
@@ -52,7 +52,11 @@
       scenario::SoakPlan{.seed = seed, .steps = FLAGS_steps, .network = FLAGS_network});
   std::filesystem::create_directories(FLAGS_folder);
   const std::string path = FLAGS_folder + "/soak-" + std::to_string(seed) + ".scn";
-  std::ofstream(path) << text;
+  std::ofstream out(path);
+  out << text;
+  if (!out.flush()) {
+    return Error{path + ": cannot be written"};
+  }
   return scenario::parseScript(path, text);
 }
 
--- a/src/scenario/process.cc
+++ b/src/scenario/process.cc
@@ -137,7 +137,8 @@
   const std::filesystem::directory_iterator descriptors(folder + "/fd", failure);
   footprint.descriptors =
       static_cast<uint64_t>(std::distance(begin(descriptors), end(descriptors)));
-  return footprint;
+  const bool whole = !failure && footprint.memory_kb != 0;
+  return whole ? std::optional(footprint) : std::nullopt;
 }
 
 void Process::askToStop() {
--- a/src/scenario/process.h
+++ b/src/scenario/process.h
@@ -40,7 +40,7 @@
   Result<std::monostate> unlimitFileSize();
   /// Asks for a planned stop; `waitStopped` sees its end.
   void askToStop();
-  /// @return nothing when it does not run.
+  /// @return nothing when it does not run, or its figures can't be read.
   std::optional<Footprint> footprint();
   /// @return whether the process has ended; its exit code is then known.
   bool ended();
--- a/src/scenario/scenario_expect.cc
+++ b/src/scenario/scenario_expect.cc
@@ -63,11 +63,14 @@
   constexpr uint64_t kMostTimes = 2;
   constexpr uint64_t kMemorySlackKb = uint64_t{32} * 1024;
   constexpr uint64_t kDescriptorSlack = 64;
+  if (footprints_.empty()) {
+    return Error{"expected watch-footprint before"};
+  }
   Footprint most;
   for (const auto& [name, before] : footprints_) {
     const auto now = fleet_->find(name)->footprint();
     if (!now) {
-      return Error{name + " does not run"};
+      return Error{name + " does not run, or its figures can't be read"};
     }
     if (now->memory_kb > kMostTimes * before.memory_kb + kMemorySlackKb) {
       return Error{name + " grew from " + std::to_string(before.memory_kb) + " to " +
