Scheduling decisions get a folder of their own: src/core/scheduling

Moves slot owners, slot limits, placement, shares of tenants and retry times, with their tests, out of src/core/relay, which has some 60 headers. Only files move and includes follow; names, namespace and behaviour are unchanged.

--- a/src/core/relay/cold_runners.h
+++ b/src/core/relay/cold_runners.h
@@ -9,7 +9,7 @@
 
 #include "core/relay/configuration.h"
 #include "core/relay/runner.h"
-#include "core/relay/slot_rate_limiter.h"
+#include "core/scheduling/slot_rate_limiter.h"
 
 namespace workshatch::relay {
 
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -8,7 +8,7 @@
 #include "core/relay/runner_incarnation.h"
 #include "core/relay/runner_list_history.h"
 #include "core/relay/runner_loads.h"
-#include "core/relay/work_time.h"
+#include "core/scheduling/work_time.h"
 
 namespace workshatch::relay {
 
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -16,15 +16,15 @@
 
 #include "core/relay/cold_runners.h"
 #include "core/relay/home_regions.h"
-#include "core/relay/placement.h"
+#include "core/scheduling/placement.h"
 #include "core/relay/policy.h"
 #include "core/relay/prefix_sources.h"
 #include "core/relay/rollout_gate.h"
 #include "core/relay/runner.h"
 #include "core/relay/runner_backoffs.h"
 #include "core/relay/runner_notice.h"
-#include "core/relay/slot_limits.h"
-#include "core/relay/slot_owner.h"
+#include "core/scheduling/slot_limits.h"
+#include "core/scheduling/slot_owner.h"
 #include "core/result.h"
 #include "workshatch/v1/relay.pb.h"
 
--- a/src/core/relay/placement.cc
+++ b/src/core/scheduling/placement.cc
@@ -1,8 +1,8 @@
-#include "core/relay/placement.h"
+#include "core/scheduling/placement.h"
 
 #include <algorithm>
 
-#include "core/relay/work_time.h"
+#include "core/scheduling/work_time.h"
 
 namespace workshatch::relay {
 
--- a/src/core/relay/placement.h
+++ b/src/core/scheduling/placement.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "core/relay/runner.h"
-#include "core/relay/slot_limits.h"
+#include "core/scheduling/slot_limits.h"
 
 namespace workshatch::relay {
 
--- a/src/core/relay/request_queues.cc
+++ b/src/core/scheduling/request_queues.cc
@@ -1,4 +1,4 @@
-#include "core/relay/request_queues.h"
+#include "core/scheduling/request_queues.h"
 
 #include <iterator>
 #include <utility>
--- a/src/core/relay/retry_after_scheduler.cc
+++ b/src/core/scheduling/retry_after_scheduler.cc
@@ -1,4 +1,4 @@
-#include "core/relay/retry_after_scheduler.h"
+#include "core/scheduling/retry_after_scheduler.h"
 
 #include <algorithm>
 
--- a/src/core/relay/slot_limits.cc
+++ b/src/core/scheduling/slot_limits.cc
@@ -1,4 +1,4 @@
-#include "core/relay/slot_limits.h"
+#include "core/scheduling/slot_limits.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/core/relay/slot_owner.cc
+++ b/src/core/scheduling/slot_owner.cc
@@ -1,4 +1,4 @@
-#include "core/relay/slot_owner.h"
+#include "core/scheduling/slot_owner.h"
 
 #include <algorithm>
 
--- a/src/core/relay/slot_owner.h
+++ b/src/core/scheduling/slot_owner.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <unordered_map>
 
-#include "core/relay/slot_rate_limiter.h"
+#include "core/scheduling/slot_rate_limiter.h"
 #include "workshatch/v1/relay.pb.h"
 
 namespace workshatch::relay {
--- a/src/core/relay/slot_owner_map.cc
+++ b/src/core/scheduling/slot_owner_map.cc
@@ -1,4 +1,4 @@
-#include "core/relay/slot_owner_map.h"
+#include "core/scheduling/slot_owner_map.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/core/relay/slot_rate_limiter.cc
+++ b/src/core/scheduling/slot_rate_limiter.cc
@@ -1,4 +1,4 @@
-#include "core/relay/slot_rate_limiter.h"
+#include "core/scheduling/slot_rate_limiter.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/relay/slot_usage.cc
+++ b/src/core/scheduling/slot_usage.cc
@@ -1,6 +1,6 @@
-#include "core/relay/slot_usage.h"
+#include "core/scheduling/slot_usage.h"
 
-#include "core/relay/slot_owner.h"
+#include "core/scheduling/slot_owner.h"
 
 namespace workshatch::relay {
 
--- a/src/core/relay/tenant_shares.cc
+++ b/src/core/scheduling/tenant_shares.cc
@@ -1,4 +1,4 @@
-#include "core/relay/tenant_shares.h"
+#include "core/scheduling/tenant_shares.h"
 
 #include <algorithm>
 #include <numeric>
--- a/src/daemon/group/lease_service.cc
+++ b/src/daemon/group/lease_service.cc
@@ -9,7 +9,7 @@
 #include "core/relay/load_totals.h"
 #include "core/relay/renewal_period.h"
 #include "core/relay/request_identity.h"
-#include "core/relay/tenant_shares.h"
+#include "core/scheduling/tenant_shares.h"
 
 namespace workshatch::daemon {
 
--- a/src/daemon/relay/relay_peers.h
+++ b/src/daemon/relay/relay_peers.h
@@ -18,7 +18,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "adapters/datagram/udp_socket.h"
-#include "core/relay/slot_owner_map.h"
+#include "core/scheduling/slot_owner_map.h"
 #include "ports/clock.h"
 #include "workshatch/v1/relay.pb.h"
 
--- a/src/daemon/relay/slot_client.h
+++ b/src/daemon/relay/slot_client.h
@@ -13,8 +13,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include "core/relay/slot_owner.h"
-#include "core/relay/slot_usage.h"
+#include "core/scheduling/slot_owner.h"
+#include "core/scheduling/slot_usage.h"
 #include "daemon/relay/relay_peers.h"
 #include "ports/clock.h"
 
--- a/tests/unit/core/relay/cold_runners_test.cc
+++ b/tests/unit/core/relay/cold_runners_test.cc
@@ -10,7 +10,7 @@
 
 #include "core/relay/cold_runners.h"
 #include "core/relay/runner_table.h"
-#include "core/relay/slot_owner.h"
+#include "core/scheduling/slot_owner.h"
 
 namespace workshatch::test {
 
--- a/tests/unit/core/relay/runner_incarnation_test.cc
+++ b/tests/unit/core/relay/runner_incarnation_test.cc
@@ -13,7 +13,7 @@
 #include "core/relay/runner_entry.h"
 #include "core/relay/runner_list_history.h"
 #include "core/relay/runner_table.h"
-#include "core/relay/slot_owner.h"
+#include "core/scheduling/slot_owner.h"
 
 namespace workshatch::test {
 
--- a/tests/unit/core/relay/placement_test.cc
+++ b/tests/unit/core/scheduling/placement_test.cc
@@ -14,10 +14,10 @@
 #include <doctest/doctest.h>
 
 #include "core/relay/load_totals.h"
-#include "core/relay/placement.h"
+#include "core/scheduling/placement.h"
 #include "core/relay/runner_table.h"
-#include "core/relay/slot_owner.h"
-#include "core/relay/slot_usage.h"
+#include "core/scheduling/slot_owner.h"
+#include "core/scheduling/slot_usage.h"
 
 namespace workshatch::test {
 
--- a/tests/unit/core/relay/request_queues_test.cc
+++ b/tests/unit/core/scheduling/request_queues_test.cc
@@ -4,8 +4,8 @@
 
 #include <doctest/doctest.h>
 
-#include "core/relay/request_queues.h"
-#include "core/relay/retry_after_scheduler.h"
+#include "core/scheduling/request_queues.h"
+#include "core/scheduling/retry_after_scheduler.h"
 
 namespace workshatch::test {
 
--- a/tests/unit/core/relay/slot_limits_test.cc
+++ b/tests/unit/core/scheduling/slot_limits_test.cc
@@ -5,7 +5,7 @@
 
 #include <doctest/doctest.h>
 
-#include "core/relay/slot_limits.h"
+#include "core/scheduling/slot_limits.h"
 
 namespace workshatch::test {
 
--- a/tests/unit/core/relay/slot_owner_test.cc
+++ b/tests/unit/core/scheduling/slot_owner_test.cc
@@ -2,9 +2,9 @@
 /// Slots counted by their owners: claims, lost and late reports, and relays that leave.
 #include <doctest/doctest.h>
 
-#include "core/relay/slot_owner.h"
-#include "core/relay/slot_owner_map.h"
-#include "core/relay/slot_usage.h"
+#include "core/scheduling/slot_owner.h"
+#include "core/scheduling/slot_owner_map.h"
+#include "core/scheduling/slot_usage.h"
 
 namespace workshatch::test {
 
--- a/tests/unit/core/relay/tenant_shares_test.cc
+++ b/tests/unit/core/scheduling/tenant_shares_test.cc
@@ -2,7 +2,7 @@
 /// Tenants that use more of a busy fleet than their share.
 #include <doctest/doctest.h>
 
-#include "core/relay/tenant_shares.h"
+#include "core/scheduling/tenant_shares.h"
 
 namespace workshatch::test {
 
--- a/tests/unit/core/relay/work_time_test.cc
+++ b/tests/unit/core/scheduling/work_time_test.cc
@@ -10,8 +10,8 @@
 
 #include <doctest/doctest.h>
 
-#include "core/relay/placement.h"
-#include "core/relay/work_time.h"
+#include "core/scheduling/placement.h"
+#include "core/scheduling/work_time.h"
 
 namespace workshatch::test {
 
