--- a/src/core/relay/configuration.h
+++ b/src/core/relay/configuration.h
@@ -39,6 +39,8 @@
   uint32_t timeout_ms = 0;
   /// Target latency: an answer within this time gets its full credit.
   uint32_t objective_ms = 0;
+  /// Longest pause between two events of a stream that is still in time; 0: not stated.
+  uint32_t pause_objective_ms = 0;
   /// Priority; 0 is the most urgent.
   uint32_t priority = 0;
   /// Maximum number of runners that one attempt of a caller may be sent to.
@@ -58,6 +60,8 @@
   bool model_engine = false;
   /// Capacity of one engine's KV cache in tokens; 0 if not configured.
   uint64_t kv_capacity_tokens = 0;
+  /// Output tokens per event of a stream; 0 if not configured.
+  uint32_t tokens_per_event = 0;
   /// Size of a token in the KV cache in bytes, and bandwidth between engines in Mbit/s; 0 if not
   /// configured.
   double kv_token_bytes = 0;
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -12,6 +12,7 @@
 #include "adapters/http/problem.h"
 #include "core/relay/request_identity.h"
 #include "core/relay/route_table.h"
+#include "core/scheduling/request_demand.h"
 #include "daemon/relay/relay_state.h"
 
 namespace workshatch::daemon {
@@ -44,6 +45,8 @@
   bool engine = false;
   /// Rank among competing requests for a busy runner. Its priority is also sent to the runner.
   relay::RequestRank rank;
+  /// What the request needs at a runner, and when its response is due.
+  relay::RequestDemand demand;
 
   /// @return whether another attempt is permitted after one that may have run the request.
   bool repeatable() const {
