A request's demand: stated sizes, and averages of its route where none are stated

Callers see no change: the headers with which they state the size of a request are still forwarded unchanged, and a malformed one never fails a request.

Cause: relays knew only the number of requests at a runner, not how large a request is.

Change: the platform's dialect parses both headers, each figure for itself. Figures without meaning (malformed, a prompt of zero tokens, more than 10 million tokens) are ignored and counted. DemandEstimates keeps moving averages of about 20 requests for each route and service: prompts from stated figures, outputs from the events of completed streams. A hint is capped at the stated maximum, which also caps an average, and stands in while there is no average. An estimated prompt is never shorter than the prefix blocks that the request lists, because a slot owner subtracts those of a shared prefix. Averages of routes that left the configuration are dropped. The log line request_ended has demand, prompt_tokens and output_tokens; relay_demands_told, relay_demands_estimated and relay_demands_rejected count. policy.request_demand turns it off.

Measured: nothing depends on the demand yet, so no load figures.

--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -175,6 +175,7 @@
     {"cold_pace", &relay::Policy::cold_pace},
     {"waiting_line", &relay::Policy::waiting_line},
     {"paced_returns", &relay::Policy::paced_returns},
+    {"request_demand", &relay::Policy::request_demand},
     {"tenant_shares", &relay::Policy::tenant_shares},
     {"address_lifetimes", &relay::Policy::address_lifetimes},
     {"first_lease_wait", &relay::Policy::first_lease_wait},
--- a/src/core/relay/policy.h
+++ b/src/core/relay/policy.h
@@ -45,6 +45,9 @@
   /// Rejected callers are asked to retry at the rate at which the service can serve them; off:
   /// after a fixed time.
   bool paced_returns = true;
+  /// The size of a request is taken from the figures of its caller and from recent requests; off:
+  /// it is unknown.
+  bool request_demand = true;
   /// On a busy fleet, tenants over their share leave slots to others.
   bool tenant_shares = true;
   /// At a relay that has just started, requests wait for a short time for its first lease.
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -117,6 +117,7 @@
   http::awaitable<void> refuse(http::Status status, std::string code, std::string detail);
   http::awaitable<void> refuseNotRun();
   uint32_t retryAfterMs() const;
+  void learnOutput();
   void logOutcome(const std::string& outcome);
 
   // Main loop, choice of runners and waiting for slots (active_request.cc).
--- a/src/daemon/relay/active_request_outcome.cc
+++ b/src/daemon/relay/active_request_outcome.cc
@@ -53,6 +53,7 @@
 
 http::awaitable<void> ActiveRequest::finish() {
   if (last_end_ == AttemptEnd::Answered) {
+    learnOutput();
     logOutcome("answered");
     co_return;
   }
@@ -118,6 +119,17 @@
   co_await refuse(http::Status::service_unavailable, std::move(code), std::move(detail));
 }
 
+/// Records the output of a completed stream for the estimates of later requests. The stream of a
+/// caller that resumes an earlier one has only the rest of the output.
+void ActiveRequest::learnOutput() {
+  const std::string& last_event = state_.dialect.headers().last_event;
+  const bool resumed_by_caller = http::fieldOf(exchange_.request(), last_event).has_value();
+  const relay::Service* service = request_.routes->findService(request_.service);
+  if (stream_started_ && !resumed_by_caller && service != nullptr) {
+    state_.demand_estimates.recordOutput(*request_.route, *service, events_);
+  }
+}
+
 void ActiveRequest::logOutcome(const std::string& outcome) {
   ++state_.stats.outcomes[outcome];
   const int64_t now = state_.clock.monotonicMs();
@@ -133,6 +145,9 @@
        {"passed_over", passed_over_},
        {"priority", request_.rank.priority},
        {"over_share", request_.rank.over_share},
+       {"demand", relay::nameOf(request_.demand.source)},
+       {"prompt_tokens", request_.demand.prompt_tokens},
+       {"output_tokens", request_.demand.output_tokens},
        {"declines", declines_},
        {"last_resort", last_resort_},
        {"backoff_at_choice_ms", backoff_at_choice_ms_},
--- a/src/daemon/relay/relay_lease.cc
+++ b/src/daemon/relay/relay_lease.cc
@@ -225,6 +225,7 @@
   state_.routes =
       std::make_shared<const relay::RouteTable>(std::move(std::get<relay::Configuration>(decoded)));
   state_.runners.setServices(state_.routes->configuration().services);
+  state_.demand_estimates.retain(state_.routes->configuration());
   line_log::write("configuration_in_force",
                   {{"version", received_.version()},
                    {"base", update.base_version()},
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -95,10 +95,13 @@
   return caller_timeout_ms ? std::optional<int64_t>(*caller_timeout_ms) : std::nullopt;
 }
 
-void readPrompt(const http::Request& request, const RelayDialect& dialect, RelayRequest& relayed) {
+/// Sets the shared prefix of the prompt.
+/// @return the tokens in all blocks that the caller lists; 0 if it lists none.
+uint64_t readPrompt(const http::Request& request, const RelayDialect& dialect,
+                    RelayRequest& relayed) {
   const auto value = http::fieldOf(request, dialect.headers().prefix_blocks);
   if (!value) {
-    return;
+    return 0;
   }
   const std::vector<PrefixBlock> blocks = dialect.parsePrefixBlocks(*value);
   constexpr size_t kSharedFromEnd = 2;
@@ -114,6 +117,24 @@
   if (blocks.size() > kSharedFromEnd) {
     relayed.parent_key = routing::fingerprintOf(blocks[blocks.size() - kSharedFromEnd - 1].id);
   }
+  return blocks.empty() ? 0 : tokens + blocks.back().tokens;
+}
+
+/// Determines what the request needs at a runner, and counts where the figures come from.
+/// @param service null if the configuration does not have it
+relay::RequestDemand demandOf(const http::Request& request, const RelayRequest& relayed,
+                              const relay::Service* service, uint64_t listed_prompt_tokens,
+                              RelayState& state) {
+  if (!relayed.engine || !state.policy.request_demand) {
+    return relay::objectivesOf(*relayed.route);
+  }
+  const auto field = [&request](std::string_view name) { return http::fieldOf(request, name); };
+  relay::StatedDemand stated = relay::withoutImplausible(state.dialect.parseStatedDemand(field));
+  stated.listed_prompt_tokens = listed_prompt_tokens;
+  const relay::RequestDemand demand =
+      state.demand_estimates.admit(*relayed.route, *service, stated);
+  state.stats.recordDemand(demand, stated);
+  return demand;
 }
 
 /// @return microseconds that an engine needs to copy one token's cache to another; zero if unknown.
@@ -142,8 +163,8 @@
 
 } // namespace
 
-std::variant<RelayRequest, http::Problem> admit(const http::Request& request,
-                                                const RelayState& state, int64_t received_ms) {
+std::variant<RelayRequest, http::Problem> admit(const http::Request& request, RelayState& state,
+                                                int64_t received_ms) {
   const HeaderNames& names = state.dialect.headers();
   const int64_t now_ms = state.clock.monotonicMs();
   RelayRequest relayed;
@@ -194,9 +215,10 @@
   const int64_t allowed_ms = relayed.route->timeout_ms;
   const int64_t caller_timeout_ms = callerTimeoutMs(request, names).value_or(allowed_ms);
   relayed.deadline_ms = relayed.received_ms + std::min(caller_timeout_ms, allowed_ms);
-  readPrompt(request, state.dialect, relayed);
+  const uint64_t listed_prompt_tokens = readPrompt(request, state.dialect, relayed);
   const relay::Service* service = state.routes->findService(relayed.service);
   relayed.engine = service != nullptr && service->model_engine;
+  relayed.demand = demandOf(request, relayed, service, listed_prompt_tokens, state);
   relayed.token_copy_us = service == nullptr ? 0 : tokenCopyUs(*service);
   relayed.rank.priority = priorityOf(relayed);
   relayed.rank.over_share = state.policy.tenant_shares && relayed.tenant != nullptr &&
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -55,11 +55,12 @@
   }
 };
 
-/// Validates and routes a request.
+/// Validates and routes a request. Counts and learns the figures that its caller states about its
+/// size.
 /// @param received_ms when the request was received
 /// @return the admitted request, or the problem to send to the caller.
-std::variant<RelayRequest, http::Problem> admit(const http::Request& request,
-                                                const RelayState& state, int64_t received_ms);
+std::variant<RelayRequest, http::Problem> admit(const http::Request& request, RelayState& state,
+                                                int64_t received_ms);
 
 /// @return milliseconds for which this request may wait for the relay's first lease; zero if the
 /// relay has had a lease or none is expected soon enough.
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -11,13 +11,14 @@
 #include "adapters/settings/relay_settings.h"
 #include "core/relay/quarantine.h"
 #include "core/relay/read_ahead_budget.h"
-#include "core/scheduling/request_queues.h"
-#include "core/scheduling/retry_after_scheduler.h"
 #include "core/relay/retry_budget.h"
 #include "core/relay/rollout_outcomes.h"
 #include "core/relay/route_table.h"
 #include "core/relay/runner_table.h"
 #include "core/relay/serving_lease.h"
+#include "core/scheduling/demand_estimates.h"
+#include "core/scheduling/request_queues.h"
+#include "core/scheduling/retry_after_scheduler.h"
 #include "core/scheduling/tenant_shares.h"
 #include "daemon/relay/prefix_client.h"
 #include "daemon/relay/relay_stats.h"
@@ -90,6 +91,7 @@
   relay::ReadAheadBudget read_ahead;
   relay::RetryAfterScheduler retry_after_scheduler;
   relay::TenantUsage tenants;
+  relay::DemandEstimates demand_estimates;
   http::RunnerConnectionPool connections;
   RelayStats stats;
   const int64_t started_ms;
--- a/src/daemon/relay/relay_stats.cc
+++ b/src/daemon/relay/relay_stats.cc
@@ -17,6 +17,13 @@
   }
 }
 
+void RelayStats::recordDemand(const relay::RequestDemand& demand,
+                              const relay::StatedDemand& stated) {
+  demands_told += demand.source == relay::DemandSource::Told ? 1 : 0;
+  demands_estimated += demand.source == relay::DemandSource::Estimated ? 1 : 0;
+  demands_rejected += stated.rejected;
+}
+
 void RelayStats::expose(std::string& out) const {
   exposeCounters(out, "relay_requests_total", "requests by outcome", "outcome", outcomes);
   exposeCounters(out, "relay_attempts_total", "attempts at runners by outcome", "outcome",
@@ -34,6 +41,11 @@
                 leaving_announced);
   exposeCounter(out, "relay_sent_in_backoff_total",
                 "requests sent to runners that had asked for none", sent_in_backoff);
+  exposeCounter(out, "relay_demands_told", "requests whose size the caller stated", demands_told);
+  exposeCounter(out, "relay_demands_estimated",
+                "requests for whose size recent requests of the route stand in", demands_estimated);
+  exposeCounter(out, "relay_demands_rejected",
+                "figures about the size of a request that were ignored", demands_rejected);
   exposeCounter(out, "relay_events_total", "events relayed", events);
   exposeCounter(out, "relay_renewals_total", "lease renewals sent", renewals);
   exposeCounter(out, "relay_dropped_log_lines_total", "log lines dropped",
--- a/src/daemon/relay/relay_stats.h
+++ b/src/daemon/relay/relay_stats.h
@@ -7,6 +7,7 @@
 
 #include "adapters/metrics/text_format.h"
 #include "core/relay/runner_notice.h"
+#include "core/scheduling/request_demand.h"
 
 namespace workshatch::daemon {
 
@@ -31,6 +32,12 @@
   uint64_t leaving_announced = 0;
   /// Requests that were sent to a runner during its backoff.
   uint64_t sent_in_backoff = 0;
+  /// Requests to model engines whose size their callers stated, and those for which the averages of
+  /// their routes stand in.
+  uint64_t demands_told = 0;
+  uint64_t demands_estimated = 0;
+  /// Figures of callers about the size of a request that were ignored.
+  uint64_t demands_rejected = 0;
   metrics::DurationHistogram first_event;
   metrics::DurationHistogram event_gap;
   metrics::DurationHistogram answer;
@@ -38,6 +45,9 @@
   /// Counts the notices in the headers of a runner's response.
   void recordNotice(const relay::RunnerNotice& notice);
 
+  /// Counts where the size of a request is known from.
+  void recordDemand(const relay::RequestDemand& demand, const relay::StatedDemand& stated);
+
   /// Appends all metrics in the Prometheus text format.
   void expose(std::string& out) const;
 };
--- a/src/ports/relay_dialect.h
+++ b/src/ports/relay_dialect.h
@@ -12,6 +12,7 @@
 
 #include "core/relay/runner_notice.h"
 #include "core/result.h"
+#include "core/scheduling/request_demand.h"
 
 namespace workshatch {
 
@@ -87,11 +88,13 @@
   uint64_t tokens = 0;
 };
 
+/// @return the value of the header with this name, or nothing when it is absent.
+using HeaderLookup = std::function<std::optional<std::string>(std::string_view name)>;
+
 /// Status and headers of a runner's response.
 struct ResponseHead {
   unsigned status = 0;
-  /// @return the value of the header with this name, or nothing when it is absent.
-  std::function<std::optional<std::string>(std::string_view name)> field;
+  HeaderLookup field;
 };
 
 /// Names and formats of one external interface. Stateless; safe for concurrent use.
@@ -116,6 +119,10 @@
   /// Parses the header with the prefix blocks of a prompt.
   /// @return the blocks; none when the value is malformed.
   virtual std::vector<PrefixBlock> parsePrefixBlocks(std::string_view value) const = 0;
+  /// Parses the headers of a caller's request that state its size.
+  /// @return the figures; those that are malformed are empty and counted as rejected. Whether a
+  /// figure is plausible is not checked.
+  virtual relay::StatedDemand parseStatedDemand(const HeaderLookup& field) const = 0;
   /// Parses the headers of a response that describe the runner.
   /// @return an empty notice if the response comes from a runner other than the addressed one.
   virtual relay::RunnerNotice parseRunnerNotice(const ResponseHead& head) const = 0;
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -133,6 +133,24 @@
   std::vector<PrefixBlock> parsePrefixBlocks(std::string_view) const override {
     return {PrefixBlock{.id = "shared", .tokens = 1}, PrefixBlock{.id = "own", .tokens = 1}};
   }
+  /// `W-Size` has the prompt tokens and the maximum output tokens as two words, `W-Hint` the
+  /// expected output tokens.
+  relay::StatedDemand parseStatedDemand(const HeaderLookup& field) const override {
+    relay::StatedDemand demand;
+    uint64_t prompt = 0;
+    uint64_t output = 0;
+    const std::string size = field("W-Size").value_or("");
+    if (std::istringstream(size) >> prompt >> output) {
+      demand.prompt_tokens = prompt;
+      demand.max_output_tokens = output;
+    } else {
+      demand.rejected += size.empty() ? 0 : 1;
+    }
+    if (const auto hint = field("W-Hint")) {
+      demand.expected_output_tokens = std::stoul(*hint);
+    }
+    return demand;
+  }
   /// Times are integers in milliseconds.
   relay::RunnerNotice parseRunnerNotice(const ResponseHead& head) const override {
     const auto timeOf = [&head](std::string_view name) {
