The log line of a request tells a late first event from a pause in the middle of its stream

Callers see no change. Operators: request_ended has objective_ms, pause_objective_ms, longest_pause_ms and longest_pause_event (the number of the event after the pause); relay_late_first_events and relay_long_pauses count events after the objective and pauses above the pause objective.

Cause: a stream can be late because of its first event or because of a pause between two events, and only the first was in the log.

Change: EventPauses measures the pauses by the times at which the relay receives the bytes of the events. The time for which the relay does not read, because its caller reads slowly, is not counted as a pause of the runner.

Tests use a clock that jumps ahead by 7 s before the first or the third event.

--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -17,6 +17,7 @@
 #include "adapters/http/http_server.h"
 #include "adapters/http/runner_connection.h"
 #include "core/relay/event_splitter.h"
+#include "core/scheduling/event_pauses.h"
 #include "daemon/relay/relay_request.h"
 #include "daemon/relay/relay_state.h"
 
@@ -102,7 +103,7 @@
   http::awaitable<AttemptResult> handleRefusal(relay::AttemptOutcome outcome);
   http::awaitable<AttemptResult> relayPlainAnswer();
   http::awaitable<AttemptResult> relayStream(relay::Runner& runner);
-  http::awaitable<bool> relayEvent(const relay::CompleteEvent& event);
+  http::awaitable<bool> relayEvent(const relay::CompleteEvent& event, int64_t received_ms);
   void trackReader();
   void abortSlowReader();
   http::Response responseHead() const;
@@ -215,6 +216,7 @@
   int64_t first_event_ms_ = 0;
   int64_t last_event_ms_ = 0;
   uint32_t events_ = 0;
+  relay::EventPauses pauses_;
   /// The last error response of a runner, relayed to the caller if no other attempt succeeds.
   std::optional<http::Response> failure_;
   std::string last_error_;
--- a/src/daemon/relay/active_request_answer.cc
+++ b/src/daemon/relay/active_request_answer.cc
@@ -128,12 +128,18 @@
   co_return AttemptResult{.end = AttemptEnd::Answered, .outcome = relay::AttemptOutcome::Succeeded};
 }
 
-http::awaitable<bool> ActiveRequest::relayEvent(const relay::CompleteEvent& event) {
+/// Relays an event to the caller.
+/// @param received_ms when the event was received
+/// @return whether the caller can be written to.
+http::awaitable<bool> ActiveRequest::relayEvent(const relay::CompleteEvent& event,
+                                                int64_t received_ms) {
   const int64_t now = state_.clock.monotonicMs();
+  const int64_t pause_ms = pauses_.recordEvent(received_ms);
+  state_.stats.recordPause(request_.demand, pause_ms);
   if (!stream_started_) {
     stream_started_ = true;
     first_event_ms_ = now;
-    state_.stats.first_event.add(now - request_.received_ms);
+    state_.stats.recordFirstEvent(request_.demand, now - request_.received_ms);
     http::Response head = responseHead();
     const bool started = co_await exchange_.startStream(std::move(head));
     if (!started) {
@@ -151,7 +157,9 @@
   }
   exchange_.send(event.bytes);
   if (state_.read_ahead.isFull(exchange_.bufferedBytes())) {
-    co_return co_await exchange_.drainTo(state_.read_ahead.lowBytes());
+    const bool drained = co_await exchange_.drainTo(state_.read_ahead.lowBytes());
+    pauses_.recordReadingResumed(state_.clock.monotonicMs());
+    co_return drained;
   }
   co_return exchange_.isWritable();
 }
@@ -194,13 +202,14 @@
     if (text.empty()) {
       break;
     }
+    const int64_t received_ms = state_.clock.monotonicMs();
     recordActivity(runner);
     splitter.feed(text);
     while (const auto event = splitter.next()) {
       if (interrupted()) {
         co_return broken(last_error_);
       }
-      const bool written = co_await relayEvent(*event);
+      const bool written = co_await relayEvent(*event, received_ms);
       if (!written) {
         caller_left_ = !reader_cut_;
         co_return broken(last_error_);
--- a/src/daemon/relay/relay_stats.cc
+++ b/src/daemon/relay/relay_stats.cc
@@ -24,6 +24,17 @@
   demands_rejected += stated.rejected;
 }
 
+void RelayStats::recordFirstEvent(const relay::RequestDemand& demand, int64_t waited_ms) {
+  const bool late = demand.objective_ms != 0 && waited_ms > demand.objective_ms;
+  late_first_events += late ? 1 : 0;
+  first_event.add(waited_ms);
+}
+
+void RelayStats::recordPause(const relay::RequestDemand& demand, int64_t pause_ms) {
+  const bool too_long = demand.pause_objective_ms != 0 && pause_ms > demand.pause_objective_ms;
+  long_pauses += too_long ? 1 : 0;
+}
+
 void RelayStats::expose(std::string& out) const {
   exposeCounters(out, "relay_requests_total", "requests by outcome", "outcome", outcomes);
   exposeCounters(out, "relay_attempts_total", "attempts at runners by outcome", "outcome",
@@ -46,6 +57,10 @@
                 "requests for whose size recent requests of the route stand in", demands_estimated);
   exposeCounter(out, "relay_demands_rejected",
                 "figures about the size of a request that were ignored", demands_rejected);
+  exposeCounter(out, "relay_late_first_events",
+                "streams whose first event came after the objective", late_first_events);
+  exposeCounter(out, "relay_long_pauses",
+                "pauses between two events that exceeded the pause objective", long_pauses);
   exposeCounter(out, "relay_events_total", "events relayed", events);
   exposeCounter(out, "relay_renewals_total", "lease renewals sent", renewals);
   exposeCounter(out, "relay_dropped_log_lines_total", "log lines dropped",
--- a/src/daemon/relay/relay_stats.h
+++ b/src/daemon/relay/relay_stats.h
@@ -38,6 +38,10 @@
   uint64_t demands_estimated = 0;
   /// Figures of callers about the size of a request that were ignored.
   uint64_t demands_rejected = 0;
+  /// Streams whose first event came after the route's objective, and pauses between two events that
+  /// exceeded the route's pause objective.
+  uint64_t late_first_events = 0;
+  uint64_t long_pauses = 0;
   metrics::DurationHistogram first_event;
   metrics::DurationHistogram event_gap;
   metrics::DurationHistogram answer;
@@ -47,6 +51,11 @@
 
   /// Counts where the size of a request is known from.
   void recordDemand(const relay::RequestDemand& demand, const relay::StatedDemand& stated);
+  /// Counts the first event of a stream if it is late.
+  /// @param waited_ms time since the request was received
+  void recordFirstEvent(const relay::RequestDemand& demand, int64_t waited_ms);
+  /// Counts a pause between two events of a stream if it is too long.
+  void recordPause(const relay::RequestDemand& demand, int64_t pause_ms);
 
   /// Appends all metrics in the Prometheus text format.
   void expose(std::string& out) const;
--- a/tests/unit/daemon/relay/request_demand_test.cc
+++ b/tests/unit/daemon/relay/request_demand_test.cc
@@ -1,5 +1,6 @@
 /// @file
-/// Tests of the demand of requests at a relay. Titles name the failures that they guard against.
+/// Tests of the demand of requests at a relay and of the log members that tell a late first event
+/// from a pause in the middle of a stream. Titles name the failures that they guard against.
 #include <atomic>
 #include <cstdio>
 #include <future>
@@ -87,13 +88,76 @@
 
 relay::Route streamRoute() {
   relay::Route route = testRoute(RouteKind::Streaming, 1);
+  // The clock of the tests jumps ahead by less than the time limit.
+  route.timeout_ms = 60'000;
   route.objective_ms = 5000;
   route.pause_objective_ms = 5000;
   return route;
 }
 
+constexpr int64_t kJumpMs = 7000;
+
+/// Sends a request to a runner that answers with three events, and lets the clock jump ahead before
+/// one of them. @return the log line of the request.
+nlohmann::json logOfStreamWithJump(TestRelay& relay, int event_after_jump) {
+  std::atomic<int> sendable{0};
+  ScriptedRunner runner([&](auto& socket, const std::string& request) {
+    writeTo(socket, streamHead(requestIdOf(request)));
+    for (int event = 1; event <= 3; ++event) {
+      while (sendable < event) {
+        std::this_thread::yield();
+      }
+      writeTo(socket, chunk("data: " + std::to_string(event) + "\n\n"));
+    }
+    writeTo(socket, kLastChunk);
+  });
+  relay.addRunner("runner-1", runner.address());
+  relay.start();
+  LogCapture log;
+  auto answer = std::async(std::launch::async, [&] { return relay.sendRequest("q1"); });
+  for (int event = 1; event <= 3; ++event) {
+    const auto events = static_cast<uint64_t>(event);
+    const bool sent =
+        within(kTestTimeout, [&] { return runner.requests() == 1; }) && within(kTestTimeout, [&] {
+          return onRelay(relay, [&] { return relay.state().stats.events; }) == events - 1;
+        });
+    if (event == event_after_jump && sent) {
+      relay.clock().sleepFor(kJumpMs);
+    }
+    sendable = event;
+  }
+  answer.wait();
+  within(kTestTimeout, [&] { return !log.requestsEnded().empty(); });
+  const auto ended = log.requestsEnded();
+  return ended.size() == 1 ? ended[0] : nlohmann::json::object();
+}
+
 } // namespace
 
+TEST_CASE("The log line of a late stream does not tell a pause from a late first event") {
+  SUBCASE("a pause before the third event") {
+    TestRelay relay(streamRoute());
+    const auto line = logOfStreamWithJump(relay, 3);
+    CHECK(line.value("outcome", "") == "answered");
+    CHECK(line.value("longest_pause_ms", int64_t{-1}) >= kJumpMs);
+    CHECK(line.value("longest_pause_event", 0) == 3);
+    CHECK(line.value("pause_objective_ms", 0) == 5000);
+    CHECK(line.value("objective_ms", 0) == 5000);
+    CHECK(line.value("first_ms", int64_t{-1}) < kJumpMs);
+    CHECK(relay.state().stats.long_pauses == 1);
+    CHECK(relay.state().stats.late_first_events == 0);
+  }
+  SUBCASE("a late first event") {
+    TestRelay relay(streamRoute());
+    const auto line = logOfStreamWithJump(relay, 1);
+    CHECK(line.value("outcome", "") == "answered");
+    CHECK(line.value("first_ms", int64_t{-1}) >= kJumpMs);
+    CHECK(line.value("longest_pause_ms", int64_t{-1}) < kJumpMs);
+    CHECK(relay.state().stats.long_pauses == 0);
+    CHECK(relay.state().stats.late_first_events == 1);
+  }
+}
+
 TEST_CASE("A stated size does not reach the runner, or a malformed one fails the request") {
   ScriptedRunner runner([](auto& socket, const std::string& request) {
     writeTo(socket, streamHead(requestIdOf(request)) + chunk("data: a\n\n") + kLastChunk);
@@ -153,6 +217,7 @@
   const auto without = linesOf(relay::Policy{.request_demand = false});
   REQUIRE(without.size() == 4);
   CHECK(without[1]["demand"] == "unknown");
+  CHECK(without[1]["objective_ms"] == 5000);
   CHECK(without[3]["prompt_tokens"] == 0);
 }
 
