Slot owners refuse prompts that do not fit into the KV cache or start late

Callers see no change yet: relays do not state demands and limits.

A claim may state the demand of its prompt, the tokens that the KV cache may hold with it, and the latest expected start. The owner keeps granted prompts until a report of their relay no longer lists their claims, and learns the times of reading from reports of first events. SlotUsage lists a claim from the moment when it is sent: a report between a claim and its answer would end the prompt at the owner otherwise. Answers carry the reason of a refusal and the expected start.

--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -344,7 +344,9 @@
                      .listed = true,
                      .evacuated = runner->evacuated,
                      .cold_ms = coldMs(*runner, now_ms),
-                     .cold_pace = cold_runners_.paceLimitFor(runner->entry.service())};
+                     .cold_pace = cold_runners_.paceLimitFor(runner->entry.service()),
+                     .service = runner->entry.service(),
+                     .work_time_factor = workTimeFactor(*runner, now_ms)};
 }
 
 void RunnerTable::endAttempt(Runner& runner, AttemptOutcome outcome, int64_t now_ms) const {
--- a/src/core/scheduling/slot_owner.cc
+++ b/src/core/scheduling/slot_owner.cc
@@ -1,6 +1,7 @@
 #include "core/scheduling/slot_owner.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace workshatch::relay {
 
@@ -46,6 +47,80 @@
   usage.sequence = report.sequence();
   usage.reported_ms = now_ms;
   setSlotsInUse(slots, usage, report.held());
+  recordPromptReads(slots, slots.engine.applyReport(relay, report, now_ms), now_ms);
+}
+
+void SlotOwner::dropUsage(SlotState& slots, const std::string& relay, Usage& usage) {
+  setSlotsInUse(slots, usage, 0);
+  slots.engine.dropRelay(relay);
+}
+
+/// Learns from prompts whose first event was reported: first how the engine differs from its
+/// service, then the times of the service.
+void SlotOwner::recordPromptReads(SlotState& slots, const std::vector<PromptRead>& reads,
+                                  int64_t now_ms) {
+  for (const PromptRead& read : reads) {
+    PromptReadTimes& times = prompts_by_service_[slots.service].read_times;
+    if (const auto expected_ms = times.expectedMs(read.tokens)) {
+      slots.read_factor.add(*expected_ms, static_cast<double>(read.duration_ms), now_ms);
+    }
+    times.add(read, now_ms);
+  }
+}
+
+/// @param unread prompt tokens to read at the engine, those of the new prompt included
+/// @return the expected time until the first event of the new prompt; 0: not known.
+uint32_t SlotOwner::expectedStartMs(const SlotState& slots, uint64_t unread,
+                                    const OwnedRunner& runner, int64_t now_ms) const {
+  const auto prompts = prompts_by_service_.find(slots.service);
+  if (prompts == prompts_by_service_.end()) {
+    return 0;
+  }
+  const auto usual_ms = prompts->second.read_times.expectedMs(unread);
+  if (!usual_ms) {
+    return 0;
+  }
+  const double factor =
+      std::max(slots.read_factor.factor(now_ms), std::min(runner.work_time_factor, kMaxReadFactor));
+  constexpr double kMaxStartMs = 3'600'000;
+  return static_cast<uint32_t>(std::clamp(std::ceil(*usual_ms * factor), 1.0, kMaxStartMs));
+}
+
+/// Checks the limits of a prompt. A claim without a demand counts with the mean of the service, and
+/// no start is expected for it, because the claim may be for a plain runner.
+SlotOwner::PromptCheck SlotOwner::checkPrompt(const SlotState& slots, const v1::PlaceClaim& claim,
+                                              const OwnedRunner& runner, uint32_t load,
+                                              int64_t now_ms) const {
+  if (!claim.has_demand() && claim.kv_limit() == 0) {
+    return PromptCheck{};
+  }
+  const EngineTokens stated = slots.engine.tokensFor(claim.demand(), now_ms);
+  const auto prompts = prompts_by_service_.find(slots.service);
+  // A new owner that knows no prompt takes the first one for a usual one.
+  const EngineTokens mean =
+      prompts == prompts_by_service_.end() ? stated : prompts->second.mean_tokens.mean(stated);
+  const EngineTokens added = claim.has_demand() ? stated : mean;
+  const EngineTokens total = slots.engine.total(load, mean);
+  PromptCheck check;
+  if (claim.has_demand()) {
+    check.expected_start_ms = expectedStartMs(slots, total.unread + added.unread, runner, now_ms);
+  }
+  if (claim.kv_limit() != 0 && load != 0 && total.kv + added.kv > claim.kv_limit()) {
+    check.refusal = v1::PLACE_REFUSAL_KV_CACHE;
+  } else if (claim.start_within_ms() != 0 && check.expected_start_ms > claim.start_within_ms()) {
+    check.refusal = v1::PLACE_REFUSAL_LATE;
+  }
+  return check;
+}
+
+void SlotOwner::grantPrompt(SlotState& slots, const std::string& relay, const v1::PlaceClaim& claim,
+                            int64_t now_ms) {
+  if (!claim.has_demand()) {
+    return;
+  }
+  prompts_by_service_[slots.service].mean_tokens.add(
+      slots.engine.tokensFor(claim.demand(), now_ms));
+  slots.engine.add(relay, claim.use(), claim.demand(), now_ms);
 }
 
 /// @return 0 if the rate limit of a cold runner allows another request, else the delay in
@@ -75,21 +150,31 @@
 SlotOwner::Decision SlotOwner::claim(const std::string& relay, const v1::PlaceClaim& claim,
                                      const OwnedRunner& runner, int64_t now_ms) {
   SlotState& slots = slotStateOf(claim.use().runner(), now_ms);
+  if (runner.listed) {
+    slots.service = runner.service;
+  }
   applyReport(slots, relay, claim.use(), now_ms);
   const bool learning = now_ms - slots.known_since_ms < kLearningPeriodMs;
   const uint32_t load = learning ? std::max(slots.load, runner.reported_load) : slots.load;
   if (runner.evacuated) {
-    return Decision{.granted = false, .load = load, .wait_ms = kNoSlotsRetryMs};
+    return Decision{
+        .load = load, .wait_ms = kNoSlotsRetryMs, .refusal = v1::PLACE_REFUSAL_HELD_BACK};
   }
   if (load >= claim.limit()) {
-    return Decision{.granted = false, .load = load};
+    return Decision{.load = load, .refusal = v1::PLACE_REFUSAL_LOAD};
+  }
+  const PromptCheck prompt = checkPrompt(slots, claim, runner, load, now_ms);
+  if (prompt.refusal != v1::PLACE_REFUSAL_UNKNOWN) {
+    return Decision{
+        .load = load, .refusal = prompt.refusal, .expected_start_ms = prompt.expected_start_ms};
   }
   if (const uint32_t wait_ms = rateLimitDelayMs(slots, claim, runner, now_ms); wait_ms != 0) {
-    return Decision{.granted = false, .load = load, .wait_ms = wait_ms};
+    return Decision{.load = load, .wait_ms = wait_ms, .refusal = v1::PLACE_REFUSAL_HELD_BACK};
   }
   Usage& usage = slots.usage_by_relay[relay];
   setSlotsInUse(slots, usage, usage.slots_in_use + 1);
-  return Decision{.granted = true, .load = load + 1};
+  grantPrompt(slots, relay, claim, now_ms);
+  return Decision{.granted = true, .load = load + 1, .expected_start_ms = prompt.expected_start_ms};
 }
 
 void SlotOwner::recordUsage(const std::string& relay, const v1::PlaceUse& use, int64_t now_ms) {
@@ -100,7 +185,7 @@
   for (auto& [runner, slots] : runners_) {
     const auto found = slots.usage_by_relay.find(relay);
     if (found != slots.usage_by_relay.end()) {
-      setSlotsInUse(slots, found->second, 0);
+      dropUsage(slots, relay, found->second);
       slots.usage_by_relay.erase(found);
     }
   }
@@ -108,12 +193,13 @@
 
 void SlotOwner::dropStale(int64_t now_ms) {
   for (auto& [runner, slots] : runners_) {
+    slots.engine.dropStalePrefixes(now_ms);
     for (auto entry = slots.usage_by_relay.begin(); entry != slots.usage_by_relay.end();) {
       if (now_ms - entry->second.reported_ms < kUsageValidMs) {
         ++entry;
         continue;
       }
-      setSlotsInUse(slots, entry->second, 0);
+      dropUsage(slots, entry->first, entry->second);
       entry = slots.usage_by_relay.erase(entry);
     }
   }
@@ -125,4 +211,19 @@
   return found == runners_.end() ? 0 : found->second.load;
 }
 
+std::vector<SlotOwner::OwnedEngine> SlotOwner::engines() const {
+  std::vector<OwnedEngine> engines;
+  for (const auto& [runner, slots] : runners_) {
+    const auto prompts = prompts_by_service_.find(slots.service);
+    const EngineTokens mean = prompts == prompts_by_service_.end()
+                                  ? EngineTokens{}
+                                  : prompts->second.mean_tokens.mean(EngineTokens{});
+    const EngineTokens tokens = slots.engine.total(slots.load, mean);
+    if (tokens.kv != 0 || tokens.unread != 0) {
+      engines.push_back(OwnedEngine{.runner = runner, .tokens = tokens});
+    }
+  }
+  return engines;
+}
+
 } // namespace workshatch::relay
--- a/src/core/scheduling/slot_owner.h
+++ b/src/core/scheduling/slot_owner.h
@@ -8,7 +8,10 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
+#include "core/scheduling/engine_load.h"
+#include "core/scheduling/prompt_read_times.h"
 #include "core/scheduling/slot_rate_limiter.h"
 #include "workshatch/v1/relay.pb.h"
 
@@ -30,6 +33,10 @@
   uint32_t cold_ms = 0;
   /// Rate limit of requests to the runner while it is cold.
   RateLimit cold_pace;
+  /// Service of the runner; empty if it is not listed.
+  std::string service;
+  /// Factor by which requests take longer than usual at the runner, as it reports itself.
+  double work_time_factor = 1;
 };
 
 /// Grants the slots of the runners that one relay owns.
@@ -44,13 +51,20 @@
 /// sends a claim to the wrong owner, while lists of relays differ, is answered all the same; two
 /// owners may then grant some slots twice.
 ///
+/// At a model engine a free slot is not enough: a claim that states the demand of its prompt also
+/// states how many tokens the KV cache may hold with it, and how late it may start. The owner
+/// counts the tokens of the prompts in progress (`EngineLoad`) and learns from their first events
+/// how long reading takes (`PromptReadTimes`). Requests whose demand is not known count with the
+/// mean of the service's recent prompts.
+///
 /// The slots of a cold runner are granted at its rate limit, whichever relay reports that it is
 /// cold. No slots are granted at a runner in an evacuated zone.
 ///
-/// Guarantees: no claim is granted over its limit, as far as relays report their usage of the
-/// runner to this owner; while a runner counts as cold, no second brings it more grants than its
-/// rate limit and burst allow.
-/// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
+/// Guarantees: no claim is granted over its limits of slots and tokens, as far as relays report
+/// their usage of the runner to this owner, except that an engine without requests in progress
+/// accepts a prompt of any size; while a runner counts as cold, no second brings it more grants
+/// than its rate limit and burst allow. Times are milliseconds of the monotonic clock. Not safe for
+/// concurrent use.
 class SlotOwner {
 public:
   /// The answer to a claim.
@@ -61,6 +75,17 @@
     /// Set if the claim was refused for another reason than its limit: the time for which no slot
     /// will be granted.
     uint32_t wait_ms = 0;
+    /// Why the claim was refused.
+    v1::PlaceRefusal refusal = v1::PLACE_REFUSAL_UNKNOWN;
+    /// Expected time from the grant to the first event of a prompt; 0: not known.
+    uint32_t expected_start_ms = 0;
+  };
+
+  /// Tokens in progress at an engine.
+  struct OwnedEngine {
+    /// Fingerprint of the engine's incarnation.
+    uint64_t runner = 0;
+    EngineTokens tokens;
   };
 
   /// Records that the relays that own runners have changed: for a short time another relay may
@@ -83,6 +108,8 @@
   /// @return the requests in progress at the runner, by the relays' reports.
   uint32_t loadOf(uint64_t runner) const;
   size_t runnerCount() const { return runners_.size(); }
+  /// @return the engines with tokens in progress.
+  std::vector<OwnedEngine> engines() const;
 
 private:
   struct Usage {
@@ -101,17 +128,43 @@
     int64_t cold_until_ms = 0;
     /// Limits the grants while the runner is cold; empty while it is warm.
     std::optional<SlotRateLimiter> rate_limiter;
+    /// Prompts in progress, and the speed of the engine. Unused for plain runners.
+    EngineLoad engine;
+    EngineReadFactor read_factor;
+    /// As of the last claim; empty before it, or if the runner was never in the owner's list.
+    std::string service;
+  };
+  /// What was learned from the prompts of a service at all of its engines.
+  struct ServicePrompts {
+    PromptReadTimes read_times;
+    MeanPromptTokens mean_tokens;
+  };
+  /// What the limits of a prompt say about its claim.
+  struct PromptCheck {
+    /// `PLACE_REFUSAL_UNKNOWN`: the claim is within the limits.
+    v1::PlaceRefusal refusal = v1::PLACE_REFUSAL_UNKNOWN;
+    uint32_t expected_start_ms = 0;
   };
 
   SlotState& slotStateOf(uint64_t runner, int64_t now_ms);
   uint32_t rateLimitDelayMs(SlotState& slots, const v1::PlaceClaim& claim,
                             const OwnedRunner& runner, int64_t now_ms) const;
   static void setSlotsInUse(SlotState& slots, Usage& usage, uint32_t slots_in_use);
-  static void applyReport(SlotState& slots, const std::string& relay, const v1::PlaceUse& report,
-                          int64_t now_ms);
+  void applyReport(SlotState& slots, const std::string& relay, const v1::PlaceUse& report,
+                   int64_t now_ms);
+  static void dropUsage(SlotState& slots, const std::string& relay, Usage& usage);
+  void recordPromptReads(SlotState& slots, const std::vector<PromptRead>& reads, int64_t now_ms);
+  PromptCheck checkPrompt(const SlotState& slots, const v1::PlaceClaim& claim,
+                          const OwnedRunner& runner, uint32_t load, int64_t now_ms) const;
+  uint32_t expectedStartMs(const SlotState& slots, uint64_t unread, const OwnedRunner& runner,
+                           int64_t now_ms) const;
+  void grantPrompt(SlotState& slots, const std::string& relay, const v1::PlaceClaim& claim,
+                   int64_t now_ms);
 
   /// By fingerprint of the runner's incarnation.
   std::unordered_map<uint64_t, SlotState> runners_;
+  /// By name; only services of which a prompt was granted here.
+  std::map<std::string, ServicePrompts> prompts_by_service_;
   /// Empty if the owners never changed.
   std::optional<int64_t> owners_changed_ms_;
 };
--- a/src/core/scheduling/slot_usage.cc
+++ b/src/core/scheduling/slot_usage.cc
@@ -1,19 +1,54 @@
 #include "core/scheduling/slot_usage.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "core/scheduling/slot_owner.h"
 
 namespace workshatch::relay {
 
 void SlotUsage::remove(uint64_t runner) {
   const auto found = runners_.find(runner);
-  if (found == runners_.end()) {
+  if (found == runners_.end() || found->second.in_use == 0) {
     return;
   }
-  if (--found->second.in_use == 0) {
+  --found->second.in_use;
+  eraseIfUnused(runner);
+}
+
+void SlotUsage::eraseIfUnused(uint64_t runner) {
+  const auto found = runners_.find(runner);
+  if (found != runners_.end() && found->second.in_use == 0 && found->second.claims.empty()) {
     runners_.erase(found);
   }
 }
 
+void SlotUsage::addClaim(uint64_t runner, uint64_t sequence) {
+  runners_[runner].claims.push_back(Claim{.sequence = sequence});
+}
+
+bool SlotUsage::recordFirstEvent(uint64_t runner, uint64_t sequence) {
+  const auto found = runners_.find(runner);
+  if (found == runners_.end()) {
+    return false;
+  }
+  auto& claims = found->second.claims;
+  const auto claim = std::find_if(claims.begin(), claims.end(), [sequence](const Claim& listed) {
+    return listed.sequence == sequence;
+  });
+  return claim != claims.end() && std::exchange(claim->reading, false);
+}
+
+void SlotUsage::removeClaim(uint64_t runner, uint64_t sequence) {
+  const auto found = runners_.find(runner);
+  if (found == runners_.end()) {
+    return;
+  }
+  std::erase_if(found->second.claims,
+                [sequence](const Claim& listed) { return listed.sequence == sequence; });
+  eraseIfUnused(runner);
+}
+
 v1::PlaceUse SlotUsage::makeReport(uint64_t runner, int64_t now_ms) {
   v1::PlaceUse report;
   report.set_runner(runner);
@@ -23,6 +58,12 @@
   if (found != runners_.end()) {
     report.set_held(found->second.in_use);
     found->second.reported_ms = now_ms;
+    for (const Claim& claim : found->second.claims) {
+      report.add_claims(claim.sequence);
+      if (claim.reading) {
+        report.add_reading(claim.sequence);
+      }
+    }
   }
   return report;
 }
@@ -30,7 +71,7 @@
 std::vector<uint64_t> SlotUsage::dueRunners(int64_t now_ms) const {
   std::vector<uint64_t> due;
   for (const auto& [runner, usage] : runners_) {
-    if (now_ms - usage.reported_ms >= kSlotUsageReportPeriodMs) {
+    if (usage.in_use != 0 && now_ms - usage.reported_ms >= kSlotUsageReportPeriodMs) {
       due.push_back(runner);
     }
   }
@@ -40,7 +81,9 @@
 std::vector<uint64_t> SlotUsage::runners() const {
   std::vector<uint64_t> runners;
   for (const auto& [runner, usage] : runners_) {
-    runners.push_back(runner);
+    if (usage.in_use != 0) {
+      runners.push_back(runner);
+    }
   }
   return runners;
 }
--- a/src/core/scheduling/slot_usage.h
+++ b/src/core/scheduling/slot_usage.h
@@ -10,8 +10,13 @@
 
 namespace workshatch::relay {
 
-/// Counts the slots at runners that this relay uses, and numbers its reports about them. Times are
-/// milliseconds of the monotonic clock. Not safe for concurrent use.
+/// Counts the slots at runners that this relay uses, and numbers its reports about them.
+///
+/// Reports also list the claims of prompts whose demand was stated, so that the owner knows which
+/// of them are still in progress. A claim is listed from the moment when it is sent: otherwise a
+/// report that is sent before the answer arrives would tell the owner that the prompt has ended.
+///
+/// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class SlotUsage {
 public:
   /// @param incarnation number that differs with each start of the process
@@ -20,6 +25,14 @@
   void add(uint64_t runner) { ++runners_[runner].in_use; }
   void remove(uint64_t runner);
 
+  /// Lists the claim of a prompt in the reports about the runner, as one without a first event.
+  void addClaim(uint64_t runner, uint64_t sequence);
+  /// Records that the first event of the prompt with this claim has arrived.
+  /// @return whether the claim is listed and this was not recorded before.
+  bool recordFirstEvent(uint64_t runner, uint64_t sequence);
+  /// Lists the claim no longer: it was not granted, or its request has ended.
+  void removeClaim(uint64_t runner, uint64_t sequence);
+
   /// @return a report of the slots in use at the runner now.
   v1::PlaceUse makeReport(uint64_t runner, int64_t now_ms);
 
@@ -30,14 +43,23 @@
   uint32_t slotsInUse(uint64_t runner) const;
 
 private:
+  struct Claim {
+    uint64_t sequence = 0;
+    /// No event has arrived.
+    bool reading = true;
+  };
   struct Usage {
     uint32_t in_use = 0;
     int64_t reported_ms = 0;
+    std::vector<Claim> claims;
   };
 
+  void eraseIfUnused(uint64_t runner);
+
   const uint32_t incarnation_;
   uint64_t sequence_ = 0;
-  /// By fingerprint of the runner's incarnation; contains only runners with slots in use.
+  /// By fingerprint of the runner's incarnation; contains only runners with slots in use or
+  /// with claims.
   std::unordered_map<uint64_t, Usage> runners_;
 };
 
