Relays state the demand and the limits of a prompt when they claim a slot

Callers of model engines with a configured KV cache capacity, or whose requests have a known demand, are refused at once where the engine could only serve them by preempting others, and go to another home where they would start late. Others are served as before.

A claim has the prompt's demand, a limit of KV cache tokens (capacity less a tenth and less what is reserved for more urgent requests) and a limit of the expected start (half of the smaller objective; none for the last claims while the service is not busy). At the first event one more report is sent. The policy switch engine_load turns all of it off. RelayRequest::demand is not set by the admission yet, so only requests of tests state a demand.

Log members places_refused_by and expected_start_ms, metrics relay_owned_kv_tokens and relay_owned_unread_tokens.

--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -172,6 +172,7 @@
     {"shared_places", &relay::Policy::shared_places},
     {"few_homes", &relay::Policy::few_homes},
     {"place_owners", &relay::Policy::place_owners},
+    {"engine_load", &relay::Policy::engine_load},
     {"cold_pace", &relay::Policy::cold_pace},
     {"waiting_line", &relay::Policy::waiting_line},
     {"paced_returns", &relay::Policy::paced_returns},
--- a/src/core/relay/policy.h
+++ b/src/core/relay/policy.h
@@ -31,6 +31,9 @@
   /// One relay, the slot owner of a runner, counts the requests of all relays there and grants
   /// slots; off: each relay relies on load totals.
   bool place_owners = true;
+  /// Slot owners also count the KV cache tokens and the unread prompt tokens of model engines, and
+  /// refuse prompts that do not fit or would start late; off: requests only.
+  bool engine_load = true;
   /// Cold runners get no more requests than their sustainable rate allows.
   bool cold_pace = true;
   /// Requests during which three runners crashed are not sent to any further runner.
--- a/src/core/relay/runner_choice.cc
+++ b/src/core/relay/runner_choice.cc
@@ -235,6 +235,14 @@
                                options_.owner_cap_slack);
 }
 
+PromptLimits RunnerTable::promptLimitsOf(const RunnerRequest& request) const {
+  if (!request.engine || !options_.policy.engine_load) {
+    return PromptLimits{};
+  }
+  return promptLimits(options_.slot_limits, request.rank, request.kv_capacity_tokens,
+                      request.demand);
+}
+
 /// Chooses the next runner whose slot owner is to be asked for a slot.
 std::optional<RunnerChoice> RunnerTable::chooseOffer(const RunnerRequest& request,
                                                      const Candidates& candidates, bool by_prompt,
@@ -253,12 +261,15 @@
                                                    .busy = busy,
                                                    .rank = request.rank,
                                                    .now_ms = request.now_ms,
-                                                   .cap_load = ownerLoadCap(request, candidates)});
+                                                   .cap_load = ownerLoadCap(request, candidates),
+                                                   .prompt_limits = promptLimitsOf(request)});
   if (!offer) {
     return std::nullopt;
   }
-  return RunnerChoice{
-      .runner = offer->runner, .passed_over = offer->passed_over, .limit = offer->limit};
+  return RunnerChoice{.runner = offer->runner,
+                      .passed_over = offer->passed_over,
+                      .limit = offer->limit,
+                      .prompt_limits = offer->prompt_limits};
 }
 
 std::optional<RunnerChoice> RunnerTable::chooseByLoadTotals(const RunnerRequest& request,
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -16,16 +16,16 @@
 
 #include "core/relay/cold_runners.h"
 #include "core/relay/home_regions.h"
-#include "core/scheduling/placement.h"
 #include "core/relay/policy.h"
 #include "core/relay/prefix_sources.h"
 #include "core/relay/rollout_gate.h"
 #include "core/relay/runner.h"
 #include "core/relay/runner_backoffs.h"
 #include "core/relay/runner_notice.h"
+#include "core/result.h"
+#include "core/scheduling/placement.h"
 #include "core/scheduling/slot_limits.h"
 #include "core/scheduling/slot_owner.h"
-#include "core/result.h"
 #include "workshatch/v1/relay.pb.h"
 
 namespace workshatch::relay {
@@ -77,6 +77,10 @@
   bool uses_slot_owners = false;
   /// Number of slot owners that have refused the request so far.
   size_t refused_slots = 0;
+  /// What the request needs at a model engine, and when it is due.
+  RequestDemand demand;
+  /// Capacity of the KV cache of the service's engines in tokens; zero: not configured.
+  uint64_t kv_capacity_tokens = 0;
   /// The request is one of those that go to a version on trial.
   bool trial = false;
 };
@@ -91,6 +95,8 @@
   /// Where slot owners are used: highest number of requests in progress there, this one included,
   /// with which a slot may be granted.
   uint32_t limit = 0;
+  /// Further limits with which the slot may be granted to a prompt.
+  PromptLimits prompt_limits;
 };
 
 /// Why no runner was chosen.
@@ -292,6 +298,7 @@
   std::optional<RunnerChoice> chooseByLoadTotals(const RunnerRequest& request,
                                                  Candidates candidates, bool by_prompt,
                                                  bool busy) const;
+  PromptLimits promptLimitsOf(const RunnerRequest& request) const;
   std::optional<uint32_t> ownerLoadCap(const RunnerRequest& request,
                                        const Candidates& candidates) const;
   RunnerChoice chooseByCache(const RunnerRequest& request, const Candidates& ranked) const;
--- a/src/core/scheduling/placement.cc
+++ b/src/core/scheduling/placement.cc
@@ -8,6 +8,14 @@
 
 namespace {
 
+/// Fraction of the KV cache that is left free: outputs are longer than expected in half of the
+/// cases.
+constexpr double kKvReserve = 0.1;
+/// Fraction of an objective within which a prompt has to start. Reading prompts delays the first
+/// event of the request and the events of the other requests at the engine; the rest of the
+/// objective covers what is granted later and the spread of the times.
+constexpr double kStartFraction = 0.5;
+
 using Candidates = std::vector<std::shared_ptr<Runner>>;
 
 /// Finalizer of MurmurHash3: maps nearby numbers to unrelated ones.
@@ -38,6 +46,13 @@
   return capped(query, static_cast<uint32_t>(served) + options.home_slack);
 }
 
+/// Limits of the last offers of a prompt.
+PromptLimits lastLimits(const PlacementQuery& query) {
+  PromptLimits limits = query.prompt_limits;
+  limits.start_within_ms = query.busy ? limits.start_within_ms : 0;
+  return limits;
+}
+
 /// Expected duration of a request, as a multiple of its duration on an idle runner.
 double expectedTime(const PlacementQuery& query, const Runner& runner) {
   return (runner.load() + 1) * workTimeFactor(runner, query.now_ms);
@@ -66,6 +81,7 @@
   const auto& home = query.candidates[query.refused];
   return SlotOffer{.runner = home,
                    .limit = fullLimit(options, query, *home),
+                   .prompt_limits = query.prompt_limits,
                    .passed_over = static_cast<uint32_t>(query.refused)};
 }
 
@@ -77,6 +93,7 @@
     const auto& home = query.candidates[query.refused];
     return SlotOffer{.runner = home,
                      .limit = homeLimit(options, query, *home),
+                     .prompt_limits = query.prompt_limits,
                      .passed_over = static_cast<uint32_t>(query.refused)};
   }
   const size_t drawn = query.candidates.size() > homes ? 1 : 0;
@@ -84,6 +101,7 @@
     const auto runner = chooseOfTwoRandom(query, homes, 0);
     return SlotOffer{.runner = runner,
                      .limit = capped(query, fullLimit(options, query, *runner)),
+                     .prompt_limits = query.prompt_limits,
                      .passed_over = static_cast<uint32_t>(homes)};
   }
   const size_t retry = query.refused - homes - drawn;
@@ -93,6 +111,7 @@
   const auto& home = query.candidates[retry];
   return SlotOffer{.runner = home,
                    .limit = fullLimit(options, query, *home),
+                   .prompt_limits = lastLimits(query),
                    .passed_over = static_cast<uint32_t>(retry)};
 }
 
@@ -108,11 +127,30 @@
   const uint32_t limit = fullLimit(options, query, *runner);
   const bool last = query.refused + 1 == random_candidates;
   const bool may_wait = last || query.busy || slots == 0;
-  return SlotOffer{.runner = runner, .limit = may_wait ? limit : std::min(limit, slots)};
+  return SlotOffer{.runner = runner,
+                   .limit = may_wait ? limit : std::min(limit, slots),
+                   .prompt_limits = last ? lastLimits(query) : query.prompt_limits};
 }
 
 } // namespace
 
+PromptLimits promptLimits(const SlotLimitOptions& options, const RequestRank& rank,
+                          uint64_t kv_capacity_tokens, const RequestDemand& demand) {
+  PromptLimits limits;
+  const double kv_fraction = (1 - kKvReserve) * usableFraction(options, rank);
+  limits.kv_limit = static_cast<uint64_t>(kv_fraction * static_cast<double>(kv_capacity_tokens));
+  if (demand.source == DemandSource::Unknown) {
+    return limits;
+  }
+  uint32_t objective_ms = 0;
+  for (const uint32_t stated_ms : {demand.objective_ms, demand.pause_objective_ms}) {
+    const bool shorter = objective_ms == 0 || stated_ms < objective_ms;
+    objective_ms = stated_ms != 0 && shorter ? stated_ms : objective_ms;
+  }
+  limits.start_within_ms = static_cast<uint32_t>(kStartFraction * objective_ms);
+  return limits;
+}
+
 std::optional<SlotOffer> nextOffer(const PlacementOptions& options, const PlacementQuery& query) {
   if (query.candidates.empty()) {
     return std::nullopt;
--- a/src/core/scheduling/placement.h
+++ b/src/core/scheduling/placement.h
@@ -9,10 +9,26 @@
 #include <vector>
 
 #include "core/relay/runner.h"
+#include "core/scheduling/request_demand.h"
 #include "core/scheduling/slot_limits.h"
 
 namespace workshatch::relay {
 
+/// Limits of a prompt at a model engine, besides that of its slots. Zero: no limit.
+struct PromptLimits {
+  /// Tokens in the engine's KV cache, those of the prompt included.
+  uint64_t kv_limit = 0;
+  /// Longest expected time until the first event, in milliseconds.
+  uint32_t start_within_ms = 0;
+};
+
+/// @param kv_capacity_tokens capacity of an engine's KV cache; 0 if not configured
+/// @return the limits of a prompt of this rank and demand. Prompts of a lower priority leave the
+/// same fraction of the KV cache to more urgent ones as of the slots. The start is limited only if
+/// the demand is known.
+PromptLimits promptLimits(const SlotLimitOptions& options, const RequestRank& rank,
+                          uint64_t kv_capacity_tokens, const RequestDemand& demand);
+
 /// Options for the choice of runners when slot owners count the slots.
 ///
 /// Load pattern: there are so many relays that the load totals are older than a request lasts. They
@@ -62,6 +78,7 @@
   /// Load up to which a runner is filled while others have less; empty if the mean load is not
   /// known.
   std::optional<uint32_t> cap_load;
+  PromptLimits prompt_limits;
 };
 
 /// A runner at which a slot may be requested.
@@ -70,6 +87,9 @@
   /// Highest number of requests in progress there, this one included, with which the slot may be
   /// used.
   uint32_t limit = 0;
+  /// The last offers of a prompt have no limit of the start unless the service is busy, so that a
+  /// prompt is refused because of a late start only when most slots are in use.
+  PromptLimits prompt_limits;
   /// Number of candidates ranked before it.
   uint32_t passed_over = 0;
 };
--- a/src/core/scheduling/slot_limits.h
+++ b/src/core/scheduling/slot_limits.h
@@ -39,6 +39,9 @@
   double service_queue_factor = 3;
 };
 
+/// @return the fraction of a runner's capacity that requests of this rank may use.
+double usableFraction(const SlotLimitOptions& options, const RequestRank& rank);
+
 /// @param slots number of requests that the runner processes at the same time; 0 if unknown
 /// @param engine whether the runner is a model engine, where a request that waits for a slot delays
 /// its first event
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -17,6 +17,22 @@
 /// Number of declined attempts after which the whole service is considered full.
 constexpr uint32_t kMaxDeclines = 3;
 
+/// @return the name of a reason in the log.
+const char* nameOf(v1::PlaceRefusal refusal) {
+  switch (refusal) {
+  case v1::PLACE_REFUSAL_LOAD:
+    return "load";
+  case v1::PLACE_REFUSAL_KV_CACHE:
+    return "kv_cache";
+  case v1::PLACE_REFUSAL_LATE:
+    return "late";
+  case v1::PLACE_REFUSAL_HELD_BACK:
+    return "held_back";
+  default:
+    return "unknown";
+  }
+}
+
 } // namespace
 
 ActiveRequest::ActiveRequest(boost::asio::io_context& context, RelayState& state,
@@ -124,6 +140,8 @@
                               .ignores_limits = stream_started_,
                               .uses_slot_owners = usesSlotOwners(),
                               .refused_slots = refused_in_search_,
+                              .demand = request_.demand,
+                              .kv_capacity_tokens = request_.kv_capacity_tokens,
                               .trial = trial_};
 }
 
@@ -154,6 +172,35 @@
   co_return chosen;
 }
 
+/// @return the demand that claims state; nullopt if it is not known or does not count.
+std::optional<v1::PromptDemand> ActiveRequest::promptDemand() const {
+  const bool known = request_.demand.source != relay::DemandSource::Unknown;
+  if (!request_.engine || !known || !state_.policy.engine_load) {
+    return std::nullopt;
+  }
+  v1::PromptDemand demand;
+  demand.set_prompt_tokens(request_.demand.prompt_tokens);
+  demand.set_output_tokens(request_.demand.output_tokens);
+  demand.set_prefix(request_.cache_key);
+  demand.set_parent(request_.parent_key);
+  demand.set_prefix_tokens(static_cast<uint32_t>(request_.cached_tokens));
+  demand.set_parent_tokens(static_cast<uint32_t>(request_.parent_tokens));
+  return demand;
+}
+
+SlotClaim ActiveRequest::slotClaim(const relay::RunnerChoice& choice, uint32_t cold_ms) const {
+  return SlotClaim{.runner = choice.runner->fingerprint,
+                   .limit = choice.limit,
+                   .cold_ms = cold_ms,
+                   .demand = promptDemand(),
+                   .prompt_limits = choice.prompt_limits};
+}
+
+void ActiveRequest::recordRefusal(const SlotClaimResult& reply) {
+  ++slots_refused_by_[nameOf(reply.refusal)];
+  slots_held_back_ += reply.wait_ms != 0 ? 1 : 0;
+}
+
 /// Claims a slot at the runner. @return whether the request may be sent there.
 http::awaitable<bool> ActiveRequest::claimSlot(const relay::RunnerChoice& choice) {
   const uint64_t runner = choice.runner->fingerprint;
@@ -163,7 +210,8 @@
   }
   const int64_t now_ms = state_.clock.monotonicMs();
   const uint32_t cold_ms = state_.runners.coldMs(*choice.runner, now_ms);
-  SlotClaimResult reply = co_await state_.slot_client->claim(runner, choice.limit, cold_ms);
+  const SlotClaim request = slotClaim(choice, cold_ms);
+  SlotClaimResult reply = co_await state_.slot_client->claim(request);
   if (reply.verdict == SlotVerdict::Unanswered) {
     // Falls back to the load totals. They contain nothing about the pace of a cold runner, so a
     // cold runner is not used.
@@ -174,8 +222,11 @@
   }
   slot_ = std::move(reply.slot);
   state_.runners.recordLoad(*choice.runner, reply.load);
+  expected_start_ms_ = reply.expected_start_ms;
+  if (reply.verdict == SlotVerdict::Refused) {
+    recordRefusal(reply);
+  }
   if (reply.wait_ms != 0) {
-    ++slots_held_back_;
     state_.runners.recordHoldBack(*choice.runner, reply.wait_ms, state_.clock.monotonicMs());
   }
   co_return reply.verdict == SlotVerdict::Granted;
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -125,6 +126,9 @@
   std::variant<relay::RunnerChoice, relay::NoRunner> chooseRunner();
   http::awaitable<std::variant<relay::RunnerChoice, relay::NoRunner>> findSlot();
   http::awaitable<bool> claimSlot(const relay::RunnerChoice& choice);
+  SlotClaim slotClaim(const relay::RunnerChoice& choice, uint32_t cold_ms) const;
+  std::optional<v1::PromptDemand> promptDemand() const;
+  void recordRefusal(const SlotClaimResult& reply);
   bool usesSlotOwners() const;
   http::awaitable<bool> waitForSlot();
   bool takeRetryFromBudget();
@@ -190,6 +194,10 @@
   uint32_t slots_refused_ = 0;
   /// Claims that were refused because the runner was cold or its zone evacuated.
   uint32_t slots_held_back_ = 0;
+  /// Refused claims by reason, under the names of the log.
+  std::map<std::string, uint32_t> slots_refused_by_;
+  /// What the owner of the last claimed slot expected; zero: not known.
+  uint32_t expected_start_ms_ = 0;
   /// Claims that the owner did not answer in time.
   uint32_t unanswered_claims_ = 0;
   /// The slot at the runner of the current attempt.
--- a/src/daemon/relay/active_request_answer.cc
+++ b/src/daemon/relay/active_request_answer.cc
@@ -133,6 +133,7 @@
   if (!stream_started_) {
     stream_started_ = true;
     first_event_ms_ = now;
+    slot_.recordFirstEvent();
     state_.stats.first_event.add(now - request_.received_ms);
     http::Response head = responseHead();
     const bool started = co_await exchange_.startStream(std::move(head));
--- a/src/daemon/relay/active_request_outcome.cc
+++ b/src/daemon/relay/active_request_outcome.cc
@@ -141,6 +141,8 @@
        {"place_limit", slot_limit_},
        {"places_refused", slots_refused_},
        {"places_held_back", slots_held_back_},
+       {"places_refused_by", slots_refused_by_},
+       {"expected_start_ms", expected_start_ms_},
        {"evacuations", state_.runners.evacuationVersion()},
        {"owners_silent", unanswered_claims_},
        {"sums_age_ms", state_.runners.loadTotalsAgeMs(now)},
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -21,6 +21,27 @@
   co_await exchange.respond(std::move(response));
 }
 
+/// Exposes the tokens in progress at the engines whose slots are counted here.
+void RelayRole::exposeOwnedEngines(std::string& out) const {
+  metrics::LabelledCounts kv_tokens;
+  metrics::LabelledCounts unread_tokens;
+  for (const relay::SlotOwner::OwnedEngine& engine : slot_client_->ownedEngines()) {
+    const auto runner = state_.runners.find(engine.runner);
+    if (runner && engine.tokens.kv != 0) {
+      kv_tokens[runner->entry.id()] = engine.tokens.kv;
+    }
+    if (runner && engine.tokens.unread != 0) {
+      unread_tokens[runner->entry.id()] = engine.tokens.unread;
+    }
+  }
+  metrics::exposeGauges(out, "relay_owned_kv_tokens",
+                        "tokens in the KV cache of an engine whose places are counted here",
+                        "runner", kv_tokens);
+  metrics::exposeGauges(out, "relay_owned_unread_tokens",
+                        "prompt tokens that such an engine has not read yet", "runner",
+                        unread_tokens);
+}
+
 void RelayRole::exposeGauges(std::string& out) const {
   const int64_t now = clock_.monotonicMs();
   metrics::exposeGauge(out, "relay_requests_in_progress", "requests that are being served",
@@ -74,6 +95,7 @@
   metrics::exposeGauge(out, "relay_places_held_back",
                        "claims refused since a runner was cold or its zone evacuated",
                        static_cast<int64_t>(slots.held_back));
+  exposeOwnedEngines(out);
   const RunnerCrashReporter::Counts& crashes = crash_reporter_->counts();
   metrics::exposeGauge(out, "relay_runner_looks",
                        "connections made to see whether a runner that cut a request has ended",
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -197,6 +197,7 @@
   readPrompt(request, state.dialect, relayed);
   const relay::Service* service = state.routes->findService(relayed.service);
   relayed.engine = service != nullptr && service->model_engine;
+  relayed.kv_capacity_tokens = service == nullptr ? 0 : service->kv_capacity_tokens;
   relayed.token_copy_us = service == nullptr ? 0 : tokenCopyUs(*service);
   relayed.rank.priority = priorityOf(relayed);
   relayed.rank.over_share = state.policy.tenant_shares && relayed.tenant != nullptr &&
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -41,6 +41,8 @@
   /// Microseconds that an engine needs to copy one token's cache to another engine; zero if
   /// unknown.
   double token_copy_us = 0;
+  /// Capacity of the KV cache of the service's engines in tokens; zero if not configured.
+  uint64_t kv_capacity_tokens = 0;
   /// Whether the service's runners are model engines.
   bool engine = false;
   /// Rank among competing requests for a busy runner. Its priority is also sent to the runner.
--- a/src/daemon/relay/slot_client.cc
+++ b/src/daemon/relay/slot_client.cc
@@ -17,13 +17,21 @@
     client_ = std::move(other.client_);
     other.client_.reset();
     runner_ = other.runner_;
+    claim_ = other.claim_;
   }
   return *this;
 }
 
 void SlotGuard::release() {
   if (const auto client = std::exchange(client_, {}).lock()) {
-    client->release(runner_);
+    client->release(runner_, claim_);
+  }
+}
+
+void SlotGuard::recordFirstEvent() {
+  const auto client = claim_ == 0 ? nullptr : client_.lock();
+  if (client) {
+    client->recordFirstEvent(runner_, claim_);
   }
 }
 
@@ -66,23 +74,52 @@
   }
 }
 
-SlotClaimResult SlotClient::resultOf(uint64_t runner, const relay::SlotOwner::Decision& decision) {
+/// Makes a claim. If it states a demand, reports list it from now on.
+v1::PlaceClaim SlotClient::makeClaim(const SlotClaim& request, int64_t now_ms) {
+  v1::PlaceClaim claim;
+  *claim.mutable_use() = used_slots_.makeReport(request.runner, now_ms);
+  claim.set_limit(request.limit);
+  claim.set_cold_ms(request.cold_ms);
+  claim.set_kv_limit(request.prompt_limits.kv_limit);
+  claim.set_start_within_ms(request.prompt_limits.start_within_ms);
+  if (request.demand) {
+    *claim.mutable_demand() = *request.demand;
+    used_slots_.addClaim(request.runner, claim.use().sequence());
+  }
+  return claim;
+}
+
+SlotClaimResult SlotClient::resultOf(const v1::PlaceClaim& claim,
+                                     const relay::SlotOwner::Decision& decision) {
+  const uint64_t runner = claim.use().runner();
   ++(decision.granted ? counts_.granted : counts_.refused);
   counts_.held_back += decision.wait_ms != 0 ? 1 : 0;
-  if (decision.granted) {
-    used_slots_.add(runner);
-  }
-  return SlotClaimResult{.verdict = decision.granted ? SlotVerdict::Granted : SlotVerdict::Refused,
+  SlotClaimResult result{.verdict = SlotVerdict::Refused,
                          .load = decision.load,
                          .wait_ms = decision.wait_ms,
-                         .slot =
-                             decision.granted ? SlotGuard(weak_from_this(), runner) : SlotGuard()};
+                         .refusal = decision.refusal,
+                         .expected_start_ms = decision.expected_start_ms};
+  if (!decision.granted) {
+    used_slots_.removeClaim(runner, claim.use().sequence());
+    return result;
+  }
+  used_slots_.add(runner);
+  const uint64_t listed_claim = claim.has_demand() ? claim.use().sequence() : 0;
+  result.verdict = SlotVerdict::Granted;
+  result.slot = SlotGuard(weak_from_this(), runner, listed_claim);
+  return result;
 }
 
-asio::awaitable<SlotClaimResult> SlotClient::claim(uint64_t runner, uint32_t limit,
-                                                   uint32_t cold_ms) {
+/// Gives up a claim. If the owner granted it all the same, the next report corrects its count.
+SlotClaimResult SlotClient::unanswered(const v1::PlaceClaim& claim) {
+  ++counts_.unanswered;
+  used_slots_.removeClaim(claim.use().runner(), claim.use().sequence());
+  return {};
+}
+
+asio::awaitable<SlotClaimResult> SlotClient::claim(SlotClaim request) {
   const int64_t now_ms = clock_.monotonicMs();
-  const std::string* owner_address = peers_->ownerOf(runner);
+  const std::string* owner_address = peers_->ownerOf(request.runner);
   if (owner_address == nullptr || peers_->isSilent(*owner_address)) {
     ++counts_.unanswered;
     co_return SlotClaimResult{};
@@ -90,24 +127,24 @@
   const std::string owner = *owner_address;
   v1::Frame frame;
   v1::PlaceClaim& claim = *frame.mutable_place_claim();
-  *claim.mutable_use() = used_slots_.makeReport(runner, now_ms);
-  claim.set_limit(limit);
-  claim.set_cold_ms(cold_ms);
+  claim = makeClaim(request, now_ms);
   if (owner == peers_->ownAddress()) {
-    co_return resultOf(runner, owner_.claim(owner, claim, runner_source_(runner), now_ms));
+    co_return resultOf(claim, owner_.claim(owner, claim, runner_source_(request.runner), now_ms));
   }
   PeerCall call(peers_, owner,
                 AnswerKey{.kind = v1::Frame::kPlaceAnswer, .sequence = claim.use().sequence()},
                 frame);
-  const v1::Frame* answer = co_await call.answer();
-  if (answer == nullptr) {
-    ++counts_.unanswered;
-    co_return SlotClaimResult{};
+  const v1::Frame* reply = co_await call.answer();
+  if (reply == nullptr) {
+    co_return unanswered(claim);
   }
-  co_return resultOf(runner,
-                     relay::SlotOwner::Decision{.granted = answer->place_answer().granted(),
-                                                .load = answer->place_answer().load(),
-                                                .wait_ms = answer->place_answer().wait_ms()});
+  const v1::PlaceAnswer& answer = reply->place_answer();
+  co_return resultOf(claim,
+                     relay::SlotOwner::Decision{.granted = answer.granted(),
+                                                .load = answer.load(),
+                                                .wait_ms = answer.wait_ms(),
+                                                .refusal = answer.refusal(),
+                                                .expected_start_ms = answer.expected_start_ms()});
 }
 
 SlotGuard SlotClient::takeWithoutClaim(uint64_t runner) {
@@ -116,11 +153,18 @@
   return {weak_from_this(), runner};
 }
 
-void SlotClient::release(uint64_t runner) {
+void SlotClient::release(uint64_t runner, uint64_t claim) {
   used_slots_.remove(runner);
+  used_slots_.removeClaim(runner, claim);
   reportToOwner(runner);
 }
 
+void SlotClient::recordFirstEvent(uint64_t runner, uint64_t claim) {
+  if (used_slots_.recordFirstEvent(runner, claim)) {
+    reportToOwner(runner);
+  }
+}
+
 void SlotClient::reportToOwner(uint64_t runner) {
   const std::string* owner = peers_->ownerOf(runner);
   if (owner == nullptr) {
@@ -157,6 +201,8 @@
   answer.set_granted(decision.granted);
   answer.set_load(decision.load);
   answer.set_wait_ms(decision.wait_ms);
+  answer.set_refusal(decision.refusal);
+  answer.set_expected_start_ms(decision.expected_start_ms);
   peers_->send(from, frame);
 }
 
--- a/src/daemon/relay/slot_client.h
+++ b/src/daemon/relay/slot_client.h
@@ -7,12 +7,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
 
+#include "core/scheduling/placement.h"
 #include "core/scheduling/slot_owner.h"
 #include "core/scheduling/slot_usage.h"
 #include "daemon/relay/relay_peers.h"
@@ -28,11 +30,12 @@
 public:
   /// Creates a guard without a slot.
   SlotGuard() = default;
-  SlotGuard(std::weak_ptr<SlotClient> client, uint64_t runner)
-      : client_(std::move(client)), runner_(runner) {}
+  /// @param claim sequence number of the listed claim by which the slot was granted; 0: none
+  SlotGuard(std::weak_ptr<SlotClient> client, uint64_t runner, uint64_t claim = 0)
+      : client_(std::move(client)), runner_(runner), claim_(claim) {}
   ~SlotGuard() { release(); }
   SlotGuard(SlotGuard&& other) noexcept
-      : client_(std::move(other.client_)), runner_(other.runner_) {
+      : client_(std::move(other.client_)), runner_(other.runner_), claim_(other.claim_) {
     other.client_.reset();
   }
   SlotGuard& operator=(SlotGuard&& other) noexcept;
@@ -40,10 +43,26 @@
   SlotGuard& operator=(const SlotGuard&) = delete;
 
   void release();
+  /// Reports to the owner that the first event of the prompt has arrived. Does nothing when called
+  /// again, or for a request without a stated demand.
+  void recordFirstEvent();
 
 private:
   std::weak_ptr<SlotClient> client_;
   uint64_t runner_ = 0;
+  uint64_t claim_ = 0;
+};
+
+/// What a request asks of the owner of a runner.
+struct SlotClaim {
+  uint64_t runner = 0;
+  /// Maximum number of requests in progress at the runner, including this one.
+  uint32_t limit = 0;
+  /// Milliseconds for which the runner stays cold according to this relay.
+  uint32_t cold_ms = 0;
+  /// Demand of a prompt; empty: not known, or the runner is no model engine.
+  std::optional<v1::PromptDemand> demand;
+  relay::PromptLimits prompt_limits;
 };
 
 enum class SlotVerdict {
@@ -61,6 +80,10 @@
   /// Nonzero if the claim was refused for another reason than its limit: milliseconds for which the
   /// runner gives out no slots.
   uint32_t wait_ms = 0;
+  /// Why the claim was refused.
+  v1::PlaceRefusal refusal = v1::PLACE_REFUSAL_UNKNOWN;
+  /// Expected time until the first event of a prompt; 0: not known.
+  uint32_t expected_start_ms = 0;
   /// Guards a slot only if the claim was granted.
   SlotGuard slot;
 };
@@ -90,10 +113,7 @@
              RunnerSource runner_source);
 
   /// Claims a slot from the runner's owner.
-  /// @param limit maximum number of requests in progress at the runner, including this one
-  /// @param cold_ms milliseconds for which the runner stays cold according to this relay
-  boost::asio::awaitable<SlotClaimResult> claim(uint64_t runner, uint32_t limit,
-                                                uint32_t cold_ms = 0);
+  boost::asio::awaitable<SlotClaimResult> claim(SlotClaim request);
   /// Takes a slot regardless of the runner's limit, and reports it to the owner.
   SlotGuard takeWithoutClaim(uint64_t runner);
 
@@ -104,16 +124,21 @@
   const Counts& counts() const { return counts_; }
   /// Number of runners for which this relay, as their owner, counts slots.
   size_t ownedRunners() const { return owner_.runnerCount(); }
+  /// @return the engines with tokens in progress for which this relay, as their owner, counts them.
+  std::vector<relay::SlotOwner::OwnedEngine> ownedEngines() const { return owner_.engines(); }
 
 private:
   friend class SlotGuard;
 
   void recordOwners();
   void reportToNewOwners(const std::vector<std::string>& removed);
-  void release(uint64_t runner);
+  void release(uint64_t runner, uint64_t claim);
+  void recordFirstEvent(uint64_t runner, uint64_t claim);
   void reportToOwner(uint64_t runner);
   void answerClaim(const v1::PlaceClaim& claim, const std::string& from);
-  SlotClaimResult resultOf(uint64_t runner, const relay::SlotOwner::Decision& decision);
+  v1::PlaceClaim makeClaim(const SlotClaim& request, int64_t now_ms);
+  SlotClaimResult resultOf(const v1::PlaceClaim& claim, const relay::SlotOwner::Decision& decision);
+  SlotClaimResult unanswered(const v1::PlaceClaim& claim);
 
   const std::shared_ptr<RelayPeers> peers_;
   const Clock& clock_;
--- a/tests/unit/core/scheduling/placement_test.cc
+++ b/tests/unit/core/scheduling/placement_test.cc
@@ -14,8 +14,8 @@
 #include <doctest/doctest.h>
 
 #include "core/relay/load_totals.h"
-#include "core/scheduling/placement.h"
 #include "core/relay/runner_table.h"
+#include "core/scheduling/placement.h"
 #include "core/scheduling/slot_owner.h"
 #include "core/scheduling/slot_usage.h"
 
@@ -253,6 +253,50 @@
   CHECK(tried.ids == std::vector<std::string>{"r0", "r1", "r2"});
 }
 
+TEST_CASE(
+    "The start of a prompt is limited at all of its offers but the last while slots are free") {
+  const auto candidates = runners(20, 32);
+  relay::PlacementQuery query{.candidates = candidates,
+                              .by_prompt = true,
+                              .engine = true,
+                              .prompt_limits = {.kv_limit = 1000, .start_within_ms = 200}};
+  const auto limitsOf = [&query] {
+    std::vector<uint32_t> starts;
+    for (query.refused = 0; const auto offer = relay::nextOffer({}, query); ++query.refused) {
+      CHECK(offer->prompt_limits.kv_limit == 1000);
+      starts.push_back(offer->prompt_limits.start_within_ms);
+    }
+    return starts;
+  };
+  CHECK(limitsOf() == std::vector<uint32_t>{200, 200, 200, 200, 200, 0, 0});
+  query.by_prompt = false;
+  CHECK(limitsOf() == std::vector<uint32_t>{200, 200, 0});
+  query.busy = true;
+  CHECK(limitsOf() == std::vector<uint32_t>{200, 200, 200});
+  query.by_prompt = true;
+  CHECK(limitsOf() == std::vector<uint32_t>{200, 200, 200});
+}
+
+TEST_CASE("Limits of a prompt follow from capacity, priority and the smaller objective") {
+  const auto limits = [](uint32_t priority, uint64_t capacity, uint32_t objective_ms,
+                         uint32_t pause_ms) {
+    return relay::promptLimits({}, {.priority = priority, .draw = 5}, capacity,
+                               {.source = relay::DemandSource::Told,
+                                .objective_ms = objective_ms,
+                                .pause_objective_ms = pause_ms});
+  };
+  CHECK(limits(0, 400'000, 1500, 500).kv_limit == 360'000);
+  CHECK(limits(2, 400'000, 1500, 500).kv_limit == 324'000);
+  CHECK(limits(0, 0, 1500, 500).kv_limit == 0);
+  CHECK(limits(0, 0, 1500, 500).start_within_ms == 250);
+  CHECK(limits(0, 0, 400, 500).start_within_ms == 200);
+  CHECK(limits(0, 0, 400, 0).start_within_ms == 200);
+  CHECK(limits(0, 0, 0, 300).start_within_ms == 150);
+  CHECK(limits(0, 0, 0, 0).start_within_ms == 0);
+  CHECK(relay::promptLimits({}, {}, 1000, {.objective_ms = 400}).start_within_ms == 0);
+  CHECK(relay::promptLimits({}, {}, 1000, {.objective_ms = 400}).kv_limit == 900);
+}
+
 TEST_CASE("A plain request first tries to get a slot without queueing") {
   const TriedRunners tried = tryAll(runners(10, 6), false, false);
   CHECK(tried.limits == std::vector<uint32_t>{6, 6, 17});
--- a/tests/unit/daemon/relay/active_request_test.cc
+++ b/tests/unit/daemon/relay/active_request_test.cc
@@ -4,6 +4,7 @@
 /// after the failure that it guards against.
 #include <future>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include <boost/asio/post.hpp>
@@ -189,6 +190,62 @@
   CHECK(slots.client->counts().refused == 1);
 }
 
+TEST_CASE("A prompt that does not fit into the engine's KV cache is refused and not sent") {
+  for (const bool limited : {true, false}) {
+    CAPTURE(limited);
+    ScriptedRunner engine([](auto& socket, const auto& request) {
+      writeTo(socket, streamHead(requestIdOf(request)) + chunk("data: 1\n\n") + kLastChunk);
+    });
+    TestRelay relay(testRoute(RouteKind::Streaming, 1), relay::Policy{.engine_load = limited});
+    relay.addRunner("runner-1", engine.address(), 64);
+    const auto slots = ownAllSlots(relay, "127.0.0.1:18305");
+    // A request of unknown demand is in progress, because an idle engine accepts any prompt.
+    const uint64_t fingerprint = relay.state().runners.runners()[0]->fingerprint;
+    std::optional<daemon::SlotGuard> taken = slots.client->takeWithoutClaim(fingerprint);
+    relay.onAdmitted([](daemon::RelayRequest& request) {
+      request.engine = true;
+      request.kv_capacity_tokens = 100'000;
+      request.demand = {
+          .prompt_tokens = 90'000, .output_tokens = 300, .source = relay::DemandSource::Told};
+    });
+    relay.start();
+    const std::string answer = relay.sendRequest("q1");
+    CHECK(answer.starts_with(limited ? "HTTP/1.1 503" : "HTTP/1.1 200"));
+    CHECK(engine.requests() == (limited ? 0 : 1));
+    std::promise<void> released;
+    boost::asio::post(relay.context(), [&] {
+      taken.reset();
+      released.set_value();
+    });
+    released.get_future().wait();
+    CHECK(relay.sendRequest("q2").starts_with("HTTP/1.1 200"));
+    // Nothing is left of a prompt that has ended.
+    std::promise<size_t> engines;
+    boost::asio::post(relay.context(),
+                      [&] { engines.set_value(slots.client->ownedEngines().size()); });
+    CHECK(engines.get_future().get() == 0);
+  }
+}
+
+TEST_CASE("Load totals decide about a prompt whose owner does not answer") {
+  ScriptedRunner engine([](auto& socket, const auto& request) {
+    writeTo(socket, streamHead(requestIdOf(request)) + chunk("data: 1\n\n") + kLastChunk);
+  });
+  TestRelay relay(testRoute(RouteKind::Streaming, 1));
+  relay.addRunner("runner-1", engine.address(), 64);
+  const auto slots = ownAllSlots(relay, "127.0.0.1:18306");
+  // Nothing listens at the owner's address.
+  slots.peers->setRelays({"127.0.0.1:18307"});
+  relay.onAdmitted([](daemon::RelayRequest& request) {
+    request.engine = true;
+    request.kv_capacity_tokens = 100;
+    request.demand = {.prompt_tokens = 90'000, .source = relay::DemandSource::Told};
+  });
+  relay.start();
+  CHECK(relay.sendRequest("q1").starts_with("HTTP/1.1 200"));
+  CHECK(slots.client->counts().unanswered == 1);
+}
+
 TEST_CASE("With queueing enabled a request waits briefly for a slot, and is then refused") {
   ScriptedRunner runner(
       [](auto& socket, const auto&) { writeTo(socket, signedAnswer("q1", "done")); });
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -307,6 +307,11 @@
                    runners->end());
     addRunner(id, address);
   }
+  /// Sets a function that may change admitted requests before they are served. To be called before
+  /// `start`.
+  void onAdmitted(std::function<void(daemon::RelayRequest&)> change) {
+    on_admitted_ = std::move(change);
+  }
   void start() { workers_.start(); }
   daemon::RelayState& state() { return state_; }
   SuspendableClock& clock() { return clock_; }
@@ -332,8 +337,12 @@
       co_await exchange.respond(std::move(response));
       co_return;
     }
+    auto& request = std::get<daemon::RelayRequest>(admitted);
+    if (on_admitted_) {
+      on_admitted_(request);
+    }
     const auto active_request = std::make_shared<daemon::ActiveRequest>(
-        workers_.context(0), state_, exchange, std::move(std::get<daemon::RelayRequest>(admitted)));
+        workers_.context(0), state_, exchange, std::move(request));
     co_await active_request->run();
   }
 
@@ -342,6 +351,7 @@
   WorkerPool workers_{1};
   daemon::RelayState state_;
   v1::RunnerList list_;
+  std::function<void(daemon::RelayRequest&)> on_admitted_;
   http::Server server_;
   std::string address_;
 };
--- a/tests/unit/daemon/relay/slot_client_test.cc
+++ b/tests/unit/daemon/relay/slot_client_test.cc
@@ -49,10 +49,24 @@
   }
 
   SlotClaimResult claim(SlotClient& client, uint64_t runner, uint32_t limit) {
-    std::optional<SlotClaimResult> reply;
+    return claim(client, daemon::SlotClaim{.runner = runner, .limit = limit});
+  }
+
+  /// Sends a claim and returns without its result. @param reply set when the result is there
+  void startClaim(SlotClient& client, const daemon::SlotClaim& request,
+                  std::optional<SlotClaimResult>& reply) {
     boost::asio::co_spawn(
         context,
-        [&]() -> boost::asio::awaitable<void> { reply = co_await client.claim(runner, limit); },
+        [&, request]() -> boost::asio::awaitable<void> { reply = co_await client.claim(request); },
+        boost::asio::detached);
+    context.restart();
+    context.poll();
+  }
+
+  SlotClaimResult claim(SlotClient& client, const daemon::SlotClaim& request) {
+    std::optional<SlotClaimResult> reply;
+    boost::asio::co_spawn(
+        context, [&]() -> boost::asio::awaitable<void> { reply = co_await client.claim(request); },
         boost::asio::detached);
     run([&] { return reply.has_value(); });
     REQUIRE(reply.has_value());
@@ -79,6 +93,13 @@
       second_peers, clock, 2, [this](uint64_t) { return owned_runner; });
 };
 
+/// A claim of a prompt at an engine whose KV cache may hold 400,000 tokens.
+daemon::SlotClaim promptClaim(uint64_t engine, uint32_t prompt_tokens) {
+  daemon::SlotClaim claim{.runner = engine, .limit = 64, .prompt_limits = {.kv_limit = 400'000}};
+  claim.demand.emplace().set_prompt_tokens(prompt_tokens);
+  return claim;
+}
+
 } // namespace
 
 TEST_CASE("Relays share the slots of a runner, whichever relay owns it") {
@@ -122,6 +143,81 @@
   CHECK(silent.available() == one_datagram);
 }
 
+TEST_CASE("The limits of a prompt reach its owner, and the reason of a refusal the relay") {
+  TwoRelays relays;
+  relays.owned_runner.service = "s";
+  for (const std::string& owner : {kFirst, kSecond}) {
+    const uint64_t engine = TwoRelays::ownedBy(owner);
+    SlotClaimResult first = relays.claim(*relays.first, promptClaim(engine, 300'000));
+    CHECK(first.verdict == SlotVerdict::Granted);
+    const SlotClaimResult second = relays.claim(*relays.first, promptClaim(engine, 200'000));
+    CHECK(second.verdict == SlotVerdict::Refused);
+    CHECK(second.refusal == v1::PLACE_REFUSAL_KV_CACHE);
+    // The tokens are free again when the request ends.
+    first.slot.release();
+    SlotClaimResult next;
+    relays.run([&] {
+      next = relays.claim(*relays.second, promptClaim(engine, 200'000));
+      return next.verdict == SlotVerdict::Granted;
+    });
+  }
+}
+
+TEST_CASE("One report is sent at the first event of a prompt, and none without a stated demand") {
+  TwoRelays relays;
+  const uint64_t engine = TwoRelays::ownedBy(kSecond);
+  const daemon::SlotClient& owner = *relays.second;
+  SlotClaimResult prompt = relays.claim(*relays.first, promptClaim(engine, 3000));
+  SlotClaimResult other = relays.claim(*relays.first, engine, 5);
+  REQUIRE(owner.ownedEngines().size() == 1);
+  CHECK(owner.ownedEngines()[0].tokens.unread == 3000);
+  const uint64_t before = relays.first_peers->counts().sent_bytes;
+  other.slot.recordFirstEvent();
+  CHECK(relays.first_peers->counts().sent_bytes == before);
+  prompt.slot.recordFirstEvent();
+  const uint64_t after = relays.first_peers->counts().sent_bytes;
+  CHECK(after > before);
+  prompt.slot.recordFirstEvent();
+  CHECK(relays.first_peers->counts().sent_bytes == after);
+  relays.run([&] { return owner.ownedEngines()[0].tokens.unread == 0; });
+  CHECK(owner.ownedEngines()[0].tokens.unread == 0);
+  MESSAGE("bytes of the report of a first event: " << after - before);
+}
+
+TEST_CASE("Reports list the claim of a prompt until it is known that no answer arrives") {
+  TwoRelays relays;
+  const uint64_t engine = TwoRelays::ownedBy(kSecond);
+  relays.second_peers->close();
+  boost::asio::ip::udp::socket silent(relays.context,
+                                      {boost::asio::ip::make_address("127.0.0.1"), 18302});
+  const auto receive = [&silent] {
+    std::string bytes(2000, 0);
+    bytes.resize(silent.receive(boost::asio::buffer(bytes)));
+    v1::Frame frame;
+    REQUIRE(frame.ParseFromString(bytes));
+    return frame;
+  };
+  std::optional<SlotClaimResult> reply;
+  relays.startClaim(*relays.first, promptClaim(engine, 3000), reply);
+  CHECK_FALSE(reply.has_value());
+  const v1::PlaceClaim claim = receive().place_claim();
+  CHECK(claim.demand().prompt_tokens() == 3000);
+  // The owner may have granted the claim. A report that lacks it would end the prompt there.
+  const daemon::SlotGuard first = relays.first->takeWithoutClaim(engine);
+  const v1::PlaceUse pending = receive().place_use();
+  CHECK(pending.held() == 1);
+  REQUIRE(pending.claims_size() == 1);
+  CHECK(pending.claims(0) == claim.use().sequence());
+  CHECK(pending.reading_size() == 1);
+  relays.run([&] { return reply.has_value(); });
+  REQUIRE(reply.has_value());
+  CHECK(reply->verdict == SlotVerdict::Unanswered);
+  const daemon::SlotGuard second = relays.first->takeWithoutClaim(engine);
+  const v1::PlaceUse after = receive().place_use();
+  CHECK(after.held() == 2);
+  CHECK(after.claims().empty());
+}
+
 TEST_CASE("Without a list of relays no owner is known") {
   TwoRelays relays;
   relays.first_peers->setRelays({});
