--- a/tests/unit/core/scheduling/prompt_read_times_test.cc
+++ b/tests/unit/core/scheduling/prompt_read_times_test.cc
@@ -26,10 +26,10 @@
 }
 
 /// Adds `count` prompts of mixed sizes, one every 10 ms from `begin_ms`.
-void addMixedPrompts(PromptReadTimes& times, int count, int64_t begin_ms, double factor = 1) {
+void addMixedPrompts(PromptReadTimes& times, int64_t count, int64_t begin_ms, double factor = 1) {
   std::mt19937 random(5);
   std::uniform_int_distribution<uint64_t> tokens(100, 20'000);
-  for (int i = 0; i < count; ++i) {
+  for (int64_t i = 0; i < count; ++i) {
     times.add(sampleOf(tokens(random), factor), begin_ms + 10 * i);
   }
 }
@@ -38,7 +38,7 @@
 
 TEST_CASE("Read times follow the line of the samples, and are not known with few of them") {
   PromptReadTimes times;
-  addMixedPrompts(times, static_cast<int>(relay::kMinReadSamples) - 1, 0);
+  addMixedPrompts(times, static_cast<int64_t>(relay::kMinReadSamples) - 1, 0);
   CHECK_FALSE(times.expectedMs(1000));
   addMixedPrompts(times, 1, 500);
   REQUIRE(times.expectedMs(1000));
