--- a/src/daemon/relay/active_request_answer.cc
+++ b/src/daemon/relay/active_request_answer.cc
@@ -139,6 +139,7 @@
   if (!stream_started_) {
     stream_started_ = true;
     first_event_ms_ = now;
+    slot_.recordFirstEvent();
     state_.stats.recordFirstEvent(request_.demand, now - request_.received_ms);
     http::Response head = responseHead();
     const bool started = co_await exchange_.startStream(std::move(head));
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -219,6 +219,7 @@
   const relay::Service* service = state.routes->findService(relayed.service);
   relayed.engine = service != nullptr && service->model_engine;
   relayed.demand = demandOf(request, relayed, service, listed_prompt_tokens, state);
+  relayed.kv_capacity_tokens = service == nullptr ? 0 : service->kv_capacity_tokens;
   relayed.token_copy_us = service == nullptr ? 0 : tokenCopyUs(*service);
   relayed.rank.priority = priorityOf(relayed);
   relayed.rank.over_share = state.policy.tenant_shares && relayed.tenant != nullptr &&
