A long request keeps no former configuration in memory

Cause: a request held the whole table of routes that it was admitted under. Streams last for seconds, so that every configuration of a series stayed in memory, 230 KB each with 960 routes, beside its successors.

Change: a request holds copies of its route and its tenant, and the version's number for its log line.

Evidence: the new test failed before ("released" false) and passes now.

--- a/src/daemon/relay/active_request_outcome.cc
+++ b/src/daemon/relay/active_request_outcome.cc
@@ -124,7 +124,7 @@
 void ActiveRequest::learnOutput() {
   const std::string& last_event = state_.dialect.headers().last_event;
   const bool resumed_by_caller = http::fieldOf(exchange_.request(), last_event).has_value();
-  const relay::Service* service = request_.routes->findService(request_.service);
+  const relay::Service* service = state_.routes->findService(request_.service);
   if (stream_started_ && !resumed_by_caller && service != nullptr) {
     state_.demand_estimates.recordOutput(*request_.route, *service, events_);
   }
@@ -167,7 +167,7 @@
        {"events", events_},
        {"longest_pause_ms", pauses_.longestMs()},
        {"longest_pause_event", pauses_.eventAfterLongest()},
-       {"configuration", request_.routes->version()},
+       {"configuration", request_.configuration_version},
        {"runner_list", state_.runners.listVersion()},
        {"lease_age_ms", state_.lease.ageMs(now)},
        {"error", last_error_}});
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -146,6 +146,11 @@
              : 0;
 }
 
+/// @return a copy of the entry; null if there is none.
+template <typename Entry> std::shared_ptr<const Entry> copyOf(const Entry* entry) {
+  return entry == nullptr ? nullptr : std::make_shared<const Entry>(*entry);
+}
+
 uint32_t priorityOf(const RelayRequest& relayed) {
   const uint32_t of_tenant = relayed.tenant == nullptr ? 0 : relayed.tenant->priority;
   return std::min(of_tenant * kTenantPriorityStep +
@@ -184,9 +189,9 @@
                    id);
   }
   const std::string target(http::viewOf(request.target()));
-  relayed.routes = state.routes;
-  relayed.route =
-      state.routes->findRoute(http::viewOf(request[http::Field::host]), http::pathOf(target));
+  relayed.configuration_version = state.routes->version();
+  relayed.route = copyOf(
+      state.routes->findRoute(http::viewOf(request[http::Field::host]), http::pathOf(target)));
   const bool lease_holds = state.lease.holds(now_ms);
   const bool lease_is_fresh = state.lease.isFresh(now_ms);
   // If the lease is not fresh, a route that is missing here may have been added in the meantime.
@@ -199,7 +204,8 @@
     return noLeaseRefusal(state, relayed);
   }
   if (needs_key) {
-    relayed.tenant = state.routes->findTenant(http::fieldOf(request, names.key).value_or(""));
+    relayed.tenant =
+        copyOf(state.routes->findTenant(http::fieldOf(request, names.key).value_or("")));
     if (relayed.tenant == nullptr && !lease_is_fresh) {
       return noLeaseRefusal(state, relayed);
     }
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -20,10 +20,12 @@
 /// An admitted request, which may be sent to a runner. Times are milliseconds of the monotonic
 /// clock.
 struct RelayRequest {
-  std::shared_ptr<const relay::RouteTable> routes;
-  const relay::Route* route = nullptr;
+  /// Version of the configuration that the request was admitted under.
+  uint64_t configuration_version = 0;
+  /// Copies, so that a long request keeps no former configuration in memory.
+  std::shared_ptr<const relay::Route> route;
   /// Null if the request needs no key.
-  const relay::Tenant* tenant = nullptr;
+  std::shared_ptr<const relay::Tenant> tenant;
   std::string service;
   std::string id;
   /// Equal for all requests with the same tenant, method, target and body.
--- a/tests/unit/daemon/relay/active_request_test.cc
+++ b/tests/unit/daemon/relay/active_request_test.cc
@@ -78,6 +78,29 @@
   CHECK(std::stoi(request.substr(deadline + 12)) <= 2000);
 }
 
+TEST_CASE("A request in progress keeps the former configuration in memory") {
+  TestRelay* tested = nullptr;
+  std::weak_ptr<const relay::RouteTable> former;
+  bool released = false;
+  ScriptedRunner runner([&](auto& socket, const auto&) {
+    std::promise<bool> replaced;
+    boost::asio::post(tested->context(), [&] {
+      former = tested->state().routes;
+      tested->state().routes =
+          std::make_shared<const relay::RouteTable>(tested->state().routes->configuration());
+      replaced.set_value(former.expired());
+    });
+    released = replaced.get_future().get();
+    writeTo(socket, signedAnswer("q1", "done"));
+  });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  tested = &relay;
+  relay.addRunner("runner-1", runner.address());
+  relay.start();
+  CHECK(relay.sendRequest("q1").ends_with("done"));
+  CHECK(released);
+}
+
 TEST_CASE("Headers that only the system may set are removed from callers' requests") {
   ScriptedRunner runner(
       [](auto& socket, const auto&) { writeTo(socket, signedAnswer("q1", "done")); });
