Slots are reserved for more urgent requests only as far as there are any

Cause: a request leaves 5 in 100 slots free for each more urgent priority. Tenants have a priority too, so that the priorities of nearly all requests begin at 3; the slots reserved for 0 to 2 served 2 in 100 requests.

--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -177,6 +177,7 @@
     {"waiting_line", &relay::Policy::waiting_line},
     {"paced_returns", &relay::Policy::paced_returns},
     {"request_demand", &relay::Policy::request_demand},
+    {"priority_shares", &relay::Policy::priority_shares},
     {"tenant_shares", &relay::Policy::tenant_shares},
     {"address_lifetimes", &relay::Policy::address_lifetimes},
     {"first_lease_wait", &relay::Policy::first_lease_wait},
--- a/src/core/relay/policy.h
+++ b/src/core/relay/policy.h
@@ -51,6 +51,9 @@
   /// The size of a request is taken from the figures of its caller and from recent requests; off:
   /// it is unknown.
   bool request_demand = true;
+  /// Slots are reserved for more urgent priorities by how common these are; off: the same number of
+  /// slots for each of them.
+  bool priority_shares = true;
   /// On a busy fleet, tenants over their share leave slots to others.
   bool tenant_shares = true;
   /// At a relay that has just started, requests wait for a short time for its first lease.
--- a/src/core/scheduling/slot_limits.cc
+++ b/src/core/scheduling/slot_limits.cc
@@ -7,8 +7,8 @@
 
 double usableFraction(const SlotLimitOptions& options, const RequestRank& rank) {
   const bool promoted = rank.draw % options.urgent_one_in == 0;
-  const uint32_t priority = promoted ? 0 : rank.priority;
-  const double reserved_fraction = options.reserved_fraction_per_priority * priority +
+  const double steps = promoted ? 0 : rank.reserved_steps.value_or(rank.priority);
+  const double reserved_fraction = options.reserved_fraction_per_priority * steps +
                                    (rank.over_share ? options.reserved_fraction_over_share : 0);
   return std::max(1 - reserved_fraction, options.min_usable_fraction);
 }
--- a/src/core/scheduling/slot_limits.h
+++ b/src/core/scheduling/slot_limits.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 namespace workshatch::relay {
 
@@ -11,6 +12,9 @@
 struct RequestRank {
   /// 0 is the most urgent, 9 the least urgent.
   uint32_t priority = 0;
+  /// Number of more urgent priorities that slots are reserved for, each counted by how common its
+  /// requests are (`PriorityShares`). Empty: not known, all of them are reserved for.
+  std::optional<double> reserved_steps;
   /// Whether the request's tenant uses more than its share of the fleet.
   bool over_share = false;
   /// Random number that selects the few requests of each priority that count as the most urgent.
@@ -20,9 +24,8 @@
 /// Trunk reservation: the last slots of a runner are reserved for more urgent requests, so that
 /// these find a free slot without waiting and without preempting running requests.
 struct SlotLimitOptions {
-  /// Fraction of a runner's slots that requests leave free for each step by which their priority is
-  /// below the most urgent. With 48 slots it is two slots per step; fewer would be lost in the lag
-  /// of the load totals.
+  /// Fraction of a runner's slots that requests leave free for each more urgent priority. With 48
+  /// slots it is two slots per step; fewer would be lost in the lag of the load totals.
   double reserved_fraction_per_priority = 0.05;
   /// One request in this many counts as the most urgent, whatever its priority, so that no kind of
   /// request starves while more urgent requests alone fill the fleet.
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -228,6 +228,11 @@
   relayed.kv_capacity_tokens = service == nullptr ? 0 : service->kv_capacity_tokens;
   relayed.token_copy_us = service == nullptr ? 0 : tokenCopyUs(*service);
   relayed.rank.priority = priorityOf(relayed);
+  if (state.policy.priority_shares) {
+    state.priority_shares.record(relayed.service, relayed.rank.priority, now_ms);
+    relayed.rank.reserved_steps =
+        state.priority_shares.reservedSteps(relayed.service, relayed.rank.priority, now_ms);
+  }
   relayed.rank.over_share = state.policy.tenant_shares && relayed.tenant != nullptr &&
                             state.tenants.overShare(relayed.tenant->name);
   return relayed;
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -17,6 +17,7 @@
 #include "core/relay/runner_table.h"
 #include "core/relay/serving_lease.h"
 #include "core/scheduling/demand_estimates.h"
+#include "core/scheduling/priority_shares.h"
 #include "core/scheduling/request_queues.h"
 #include "core/scheduling/retry_after_scheduler.h"
 #include "core/scheduling/tenant_shares.h"
@@ -92,6 +93,7 @@
   relay::RetryAfterScheduler retry_after_scheduler;
   relay::TenantUsage tenants;
   relay::DemandEstimates demand_estimates;
+  relay::PriorityShares priority_shares;
   http::RunnerConnectionPool connections;
   RelayStats stats;
   const int64_t started_ms;
