Slot owners measure plain runners by the ended requests in usage reports

Callers see no change until a runner list marks runners as plain. Reports carry the requests that ended since the last report; the owner measures the runner, answers claims with its service time, failure rate and the expected time, and refuses claims that would be late.

A claim whose limit exceeds the runner's slots may wait in its queue; it is limited by the expected time once that is known, and by the number of requests until then. Owners and relays of earlier versions ignore the new fields and keep to the number.

--- a/src/core/scheduling/slot_owner.cc
+++ b/src/core/scheduling/slot_owner.cc
@@ -1,6 +1,7 @@
 #include "core/scheduling/slot_owner.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace workshatch::relay {
 
@@ -46,6 +47,8 @@
   usage.sequence = report.sequence();
   usage.reported_ms = now_ms;
   setSlotsInUse(slots, usage, report.held());
+  service_times_.recordLoad(report.runner(), slots.load, now_ms);
+  service_times_.recordEnded(report.runner(), report.outcomes(), now_ms);
 }
 
 /// @return 0 if the rate limit of a cold runner allows another request, else the delay in
@@ -72,36 +75,58 @@
   return slots.rate_limiter->take(runner.cold_pace, owner_overlap, now_ms);
 }
 
+/// Measures a plain runner. @return what is known about it before the claim is granted.
+PlainRunnerReport SlotOwner::reportPlain(const SlotState& slots, const v1::PlaceClaim& claim,
+                                         const OwnedRunner& runner, uint32_t load, int64_t now_ms) {
+  if (!runner.plain) {
+    return {};
+  }
+  service_times_.measure(claim.use().runner(), *runner.plain, slots.load, now_ms);
+  return service_times_.report(claim.use().runner(), load, claim.start_within_ms(), now_ms);
+}
+
+/// @return the number of requests in progress below which the claim is granted. For a claim that
+/// may wait in the queue of a plain runner, the expected time replaces it once that is known.
+uint32_t SlotOwner::countLimit(const v1::PlaceClaim& claim, const OwnedRunner& runner,
+                               const PlainRunnerReport& plain) {
+  const bool may_wait = runner.plain && claim.limit() > runner.plain->slots;
+  const bool by_time = may_wait && claim.start_within_ms() != 0 && plain.expected_ms != 0;
+  return by_time ? std::numeric_limits<uint32_t>::max() : claim.limit();
+}
+
 SlotOwner::Decision SlotOwner::claim(const std::string& relay, const v1::PlaceClaim& claim,
                                      const OwnedRunner& runner, int64_t now_ms) {
   SlotState& slots = slotStateOf(claim.use().runner(), now_ms);
   applyReport(slots, relay, claim.use(), now_ms);
   const bool learning = now_ms - slots.known_since_ms < kLearningPeriodMs;
   const uint32_t load = learning ? std::max(slots.load, runner.reported_load) : slots.load;
+  const PlainRunnerReport plain = reportPlain(slots, claim, runner, load, now_ms);
   if (runner.evacuated) {
-    return Decision{.granted = false, .load = load, .wait_ms = kNoSlotsRetryMs};
+    return Decision{.granted = false, .load = load, .wait_ms = kNoSlotsRetryMs, .plain = plain};
   }
-  if (load >= claim.limit()) {
-    return Decision{.granted = false, .load = load};
+  if (load >= countLimit(claim, runner, plain) || plain.late) {
+    return Decision{.granted = false, .load = load, .plain = plain};
   }
   if (const uint32_t wait_ms = rateLimitDelayMs(slots, claim, runner, now_ms); wait_ms != 0) {
-    return Decision{.granted = false, .load = load, .wait_ms = wait_ms};
+    return Decision{.granted = false, .load = load, .wait_ms = wait_ms, .plain = plain};
   }
   Usage& usage = slots.usage_by_relay[relay];
   setSlotsInUse(slots, usage, usage.slots_in_use + 1);
-  return Decision{.granted = true, .load = load + 1};
+  service_times_.recordLoad(claim.use().runner(), slots.load, now_ms);
+  return Decision{.granted = true, .load = load + 1, .plain = plain};
 }
 
 void SlotOwner::recordUsage(const std::string& relay, const v1::PlaceUse& use, int64_t now_ms) {
   applyReport(slotStateOf(use.runner(), now_ms), relay, use, now_ms);
 }
 
-void SlotOwner::dropRelay(const std::string& relay) {
+void SlotOwner::dropRelay(const std::string& relay, int64_t now_ms) {
   for (auto& [runner, slots] : runners_) {
     const auto found = slots.usage_by_relay.find(relay);
     if (found != slots.usage_by_relay.end()) {
       setSlotsInUse(slots, found->second, 0);
       slots.usage_by_relay.erase(found);
+      service_times_.recordLoad(runner, slots.load, now_ms);
     }
   }
 }
@@ -115,6 +140,10 @@
       }
       setSlotsInUse(slots, entry->second, 0);
       entry = slots.usage_by_relay.erase(entry);
+      service_times_.recordLoad(runner, slots.load, now_ms);
+    }
+    if (slots.usage_by_relay.empty()) {
+      service_times_.drop(runner);
     }
   }
   std::erase_if(runners_, [](const auto& entry) { return entry.second.usage_by_relay.empty(); });
--- a/src/core/scheduling/slot_owner.h
+++ b/src/core/scheduling/slot_owner.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "core/scheduling/service_times.h"
 #include "core/scheduling/slot_rate_limiter.h"
 #include "workshatch/v1/relay.pb.h"
 
@@ -30,6 +31,8 @@
   uint32_t cold_ms = 0;
   /// Rate limit of requests to the runner while it is cold.
   RateLimit cold_pace;
+  /// Set if the service time of the runner is to be measured.
+  std::optional<PlainRunner> plain;
 };
 
 /// Grants the slots of the runners that one relay owns.
@@ -47,6 +50,9 @@
 /// The slots of a cold runner are granted at its rate limit, whichever relay reports that it is
 /// cold. No slots are granted at a runner in an evacuated zone.
 ///
+/// Plain runners are limited by the expected time of a request where it is known
+/// (service_times.h).
+///
 /// Guarantees: no claim is granted over its limit, as far as relays report their usage of the
 /// runner to this owner; while a runner counts as cold, no second brings it more grants than its
 /// rate limit and burst allow.
@@ -61,6 +67,8 @@
     /// Set if the claim was refused for another reason than its limit: the time for which no slot
     /// will be granted.
     uint32_t wait_ms = 0;
+    /// Set for a plain runner.
+    PlainRunnerReport plain;
   };
 
   /// Records that the relays that own runners have changed: for a short time another relay may
@@ -75,7 +83,7 @@
   void recordUsage(const std::string& relay, const v1::PlaceUse& use, int64_t now_ms);
 
   /// Drops the usage of a relay that is gone.
-  void dropRelay(const std::string& relay);
+  void dropRelay(const std::string& relay, int64_t now_ms);
 
   /// Drops usage whose report was not repeated in time.
   void dropStale(int64_t now_ms);
@@ -84,6 +92,13 @@
   uint32_t loadOf(uint64_t runner) const;
   size_t runnerCount() const { return runners_.size(); }
 
+  const ServiceTimes& serviceTimes() const { return service_times_; }
+  /// Records the service time that the owner of another runner of the service reported.
+  void recordReceivedServiceTime(const std::string& service, uint32_t service_time_ms,
+                                 int64_t now_ms) {
+    service_times_.recordReceived(service, service_time_ms, now_ms);
+  }
+
 private:
   struct Usage {
     uint32_t slots_in_use = 0;
@@ -107,13 +122,18 @@
   uint32_t rateLimitDelayMs(SlotState& slots, const v1::PlaceClaim& claim,
                             const OwnedRunner& runner, int64_t now_ms) const;
   static void setSlotsInUse(SlotState& slots, Usage& usage, uint32_t slots_in_use);
-  static void applyReport(SlotState& slots, const std::string& relay, const v1::PlaceUse& report,
-                          int64_t now_ms);
+  void applyReport(SlotState& slots, const std::string& relay, const v1::PlaceUse& report,
+                   int64_t now_ms);
+  PlainRunnerReport reportPlain(const SlotState& slots, const v1::PlaceClaim& claim,
+                                const OwnedRunner& runner, uint32_t load, int64_t now_ms);
+  static uint32_t countLimit(const v1::PlaceClaim& claim, const OwnedRunner& runner,
+                             const PlainRunnerReport& plain);
 
   /// By fingerprint of the runner's incarnation.
   std::unordered_map<uint64_t, SlotState> runners_;
   /// Empty if the owners never changed.
   std::optional<int64_t> owners_changed_ms_;
+  ServiceTimes service_times_;
 };
 
 } // namespace workshatch::relay
--- a/src/core/scheduling/slot_usage.cc
+++ b/src/core/scheduling/slot_usage.cc
@@ -14,6 +14,18 @@
   }
 }
 
+void SlotUsage::recordEnd(uint64_t runner, RequestEnd end) {
+  if (end == RequestEnd::NoEvidence) {
+    return;
+  }
+  v1::RunnerOutcomes& ended = ended_[runner];
+  if (end == RequestEnd::Completed) {
+    ended.set_completed(ended.completed() + 1);
+  } else {
+    ended.set_failed(ended.failed() + 1);
+  }
+}
+
 v1::PlaceUse SlotUsage::makeReport(uint64_t runner, int64_t now_ms) {
   v1::PlaceUse report;
   report.set_runner(runner);
@@ -24,6 +36,10 @@
     report.set_held(found->second.in_use);
     found->second.reported_ms = now_ms;
   }
+  if (const auto ended = ended_.find(runner); ended != ended_.end()) {
+    *report.mutable_outcomes() = ended->second;
+    ended_.erase(ended);
+  }
   return report;
 }
 
--- a/src/core/scheduling/slot_usage.h
+++ b/src/core/scheduling/slot_usage.h
@@ -10,6 +10,16 @@
 
 namespace workshatch::relay {
 
+/// How a request at a runner ended, as evidence about the runner.
+enum class RequestEnd {
+  /// The runner responded.
+  Completed,
+  /// The runner failed the request or broke it off.
+  Failed,
+  /// The request did not run, or was ended by its caller or by a time limit.
+  NoEvidence,
+};
+
 /// Counts the slots at runners that this relay uses, and numbers its reports about them. Times are
 /// milliseconds of the monotonic clock. Not safe for concurrent use.
 class SlotUsage {
@@ -19,8 +29,13 @@
 
   void add(uint64_t runner) { ++runners_[runner].in_use; }
   void remove(uint64_t runner);
+  /// Counts a request that ended in the next report about its runner.
+  void recordEnd(uint64_t runner, RequestEnd end);
+  /// Drops the ended requests of a runner that has no owner to report them to.
+  void dropEnded(uint64_t runner) { ended_.erase(runner); }
 
-  /// @return a report of the slots in use at the runner now.
+  /// @return a report of the slots in use at the runner now, and of the requests that ended there
+  /// since the last report.
   v1::PlaceUse makeReport(uint64_t runner, int64_t now_ms);
 
   /// @return runners with slots in use that were not reported for `kSlotUsageReportPeriodMs`.
@@ -39,6 +54,8 @@
   uint64_t sequence_ = 0;
   /// By fingerprint of the runner's incarnation; contains only runners with slots in use.
   std::unordered_map<uint64_t, Usage> runners_;
+  /// Requests that ended and were not reported, by fingerprint of the runner's incarnation.
+  std::unordered_map<uint64_t, v1::RunnerOutcomes> ended_;
 };
 
 } // namespace workshatch::relay
--- a/src/daemon/relay/slot_client.cc
+++ b/src/daemon/relay/slot_client.cc
@@ -9,6 +9,25 @@
 /// Period of the search for counts that other relays no longer report.
 constexpr int64_t kExpiryPeriodMs = 500;
 
+/// Adds what is known about a plain runner to an answer.
+void writePlainReport(const relay::PlainRunnerReport& report, v1::PlaceAnswer& answer) {
+  answer.set_service_time_ms(report.service_time_ms);
+  answer.set_failed_percent(report.failed_percent);
+  if (report.expected_ms != 0) {
+    answer.set_expected_start_ms(report.expected_ms);
+  }
+  if (report.late && !answer.granted()) {
+    answer.set_refusal(v1::PLACE_REFUSAL_LATE);
+  }
+}
+
+relay::PlainRunnerReport readPlainReport(const v1::PlaceAnswer& answer) {
+  return relay::PlainRunnerReport{.service_time_ms = answer.service_time_ms(),
+                                  .failed_percent = answer.failed_percent(),
+                                  .expected_ms = answer.expected_start_ms(),
+                                  .late = answer.refusal() == v1::PLACE_REFUSAL_LATE};
+}
+
 } // namespace
 
 SlotGuard& SlotGuard::operator=(SlotGuard&& other) noexcept {
@@ -21,9 +40,9 @@
   return *this;
 }
 
-void SlotGuard::release() {
+void SlotGuard::release(relay::RequestEnd end) {
   if (const auto client = std::exchange(client_, {}).lock()) {
-    client->release(runner_);
+    client->release(runner_, end);
   }
 }
 
@@ -53,10 +72,11 @@
 }
 
 void SlotClient::reportToNewOwners(const std::vector<std::string>& removed) {
-  owner_.recordOwnersChanged(clock_.monotonicMs());
+  const int64_t now_ms = clock_.monotonicMs();
+  owner_.recordOwnersChanged(now_ms);
   for (const std::string& relay : removed) {
     // A relay that crashed uses no slots; one that is stopping is about to release its slots.
-    owner_.dropRelay(relay);
+    owner_.dropRelay(relay, now_ms);
   }
   for (const auto& [runner, before] : previous_owners_) {
     const std::string* owner = peers_->ownerOf(runner);
@@ -75,12 +95,13 @@
   return SlotClaimResult{.verdict = decision.granted ? SlotVerdict::Granted : SlotVerdict::Refused,
                          .load = decision.load,
                          .wait_ms = decision.wait_ms,
+                         .plain = decision.plain,
                          .slot =
                              decision.granted ? SlotGuard(weak_from_this(), runner) : SlotGuard()};
 }
 
 asio::awaitable<SlotClaimResult> SlotClient::claim(uint64_t runner, uint32_t limit,
-                                                   uint32_t cold_ms) {
+                                                   uint32_t cold_ms, uint32_t start_within_ms) {
   const int64_t now_ms = clock_.monotonicMs();
   const std::string* owner_address = peers_->ownerOf(runner);
   if (owner_address == nullptr || peers_->isSilent(*owner_address)) {
@@ -93,6 +114,7 @@
   *claim.mutable_use() = used_slots_.makeReport(runner, now_ms);
   claim.set_limit(limit);
   claim.set_cold_ms(cold_ms);
+  claim.set_start_within_ms(start_within_ms);
   if (owner == peers_->ownAddress()) {
     co_return resultOf(runner, owner_.claim(owner, claim, runner_source_(runner), now_ms));
   }
@@ -104,10 +126,23 @@
     ++counts_.unanswered;
     co_return SlotClaimResult{};
   }
-  co_return resultOf(runner,
-                     relay::SlotOwner::Decision{.granted = answer->place_answer().granted(),
-                                                .load = answer->place_answer().load(),
-                                                .wait_ms = answer->place_answer().wait_ms()});
+  const relay::PlainRunnerReport plain = readPlainReport(answer->place_answer());
+  recordServiceTime(runner, plain, clock_.monotonicMs());
+  co_return resultOf(runner, relay::SlotOwner::Decision{.granted = answer->place_answer().granted(),
+                                                        .load = answer->place_answer().load(),
+                                                        .wait_ms = answer->place_answer().wait_ms(),
+                                                        .plain = plain});
+}
+
+/// Keeps a service time that another owner reported, for the runners that this relay owns.
+void SlotClient::recordServiceTime(uint64_t runner, const relay::PlainRunnerReport& report,
+                                   int64_t now_ms) {
+  if (report.service_time_ms == 0) {
+    return;
+  }
+  if (const auto plain = runner_source_(runner).plain) {
+    owner_.recordReceivedServiceTime(plain->service, report.service_time_ms, now_ms);
+  }
 }
 
 SlotGuard SlotClient::takeWithoutClaim(uint64_t runner) {
@@ -116,14 +151,16 @@
   return {weak_from_this(), runner};
 }
 
-void SlotClient::release(uint64_t runner) {
+void SlotClient::release(uint64_t runner, relay::RequestEnd end) {
   used_slots_.remove(runner);
+  used_slots_.recordEnd(runner, end);
   reportToOwner(runner);
 }
 
 void SlotClient::reportToOwner(uint64_t runner) {
   const std::string* owner = peers_->ownerOf(runner);
   if (owner == nullptr) {
+    used_slots_.dropEnded(runner);
     return;
   }
   const int64_t now_ms = clock_.monotonicMs();
@@ -157,6 +194,7 @@
   answer.set_granted(decision.granted);
   answer.set_load(decision.load);
   answer.set_wait_ms(decision.wait_ms);
+  writePlainReport(decision.plain, answer);
   peers_->send(from, frame);
 }
 
--- a/src/daemon/relay/slot_client.h
+++ b/src/daemon/relay/slot_client.h
@@ -39,7 +39,8 @@
   SlotGuard(const SlotGuard&) = delete;
   SlotGuard& operator=(const SlotGuard&) = delete;
 
-  void release();
+  /// @param end how the request ended, for the measurement of a plain runner
+  void release(relay::RequestEnd end = relay::RequestEnd::NoEvidence);
 
 private:
   std::weak_ptr<SlotClient> client_;
@@ -61,6 +62,8 @@
   /// Nonzero if the claim was refused for another reason than its limit: milliseconds for which the
   /// runner gives out no slots.
   uint32_t wait_ms = 0;
+  /// What the owner reported about a plain runner; without meaning if unanswered.
+  relay::PlainRunnerReport plain;
   /// Guards a slot only if the claim was granted.
   SlotGuard slot;
 };
@@ -92,8 +95,10 @@
   /// Claims a slot from the runner's owner.
   /// @param limit maximum number of requests in progress at the runner, including this one
   /// @param cold_ms milliseconds for which the runner stays cold according to this relay
+  /// @param start_within_ms limit of the expected time until the end of a request to a plain
+  /// runner; 0: no limit
   boost::asio::awaitable<SlotClaimResult> claim(uint64_t runner, uint32_t limit,
-                                                uint32_t cold_ms = 0);
+                                                uint32_t cold_ms = 0, uint32_t start_within_ms = 0);
   /// Takes a slot regardless of the runner's limit, and reports it to the owner.
   SlotGuard takeWithoutClaim(uint64_t runner);
 
@@ -104,13 +109,16 @@
   const Counts& counts() const { return counts_; }
   /// Number of runners for which this relay, as their owner, counts slots.
   size_t ownedRunners() const { return owner_.runnerCount(); }
+  /// Measurements of the plain runners that this relay owns.
+  const relay::ServiceTimes& serviceTimes() const { return owner_.serviceTimes(); }
 
 private:
   friend class SlotGuard;
 
   void recordOwners();
   void reportToNewOwners(const std::vector<std::string>& removed);
-  void release(uint64_t runner);
+  void release(uint64_t runner, relay::RequestEnd end);
+  void recordServiceTime(uint64_t runner, const relay::PlainRunnerReport& report, int64_t now_ms);
   void reportToOwner(uint64_t runner);
   void answerClaim(const v1::PlaceClaim& claim, const std::string& from);
   SlotClaimResult resultOf(uint64_t runner, const relay::SlotOwner::Decision& decision);
--- a/tests/unit/core/scheduling/slot_owner_test.cc
+++ b/tests/unit/core/scheduling/slot_owner_test.cc
@@ -91,7 +91,7 @@
   relay::SlotOwner owner = ownerWithAllReports();
   owner.recordUsage("a", report(5, 1), kAllReportedMs);
   owner.recordUsage("b", report(3, 1), kAllReportedMs);
-  owner.dropRelay("a");
+  owner.dropRelay("a", kAllReportedMs);
   CHECK(owner.loadOf(kRunner) == 3);
 }
 
--- a/tests/unit/daemon/relay/slot_client_test.cc
+++ b/tests/unit/daemon/relay/slot_client_test.cc
@@ -151,4 +151,17 @@
   result.slot.release();
 }
 
+TEST_CASE("An owner answers claims with the failure rate of a plain runner") {
+  TwoRelays relays;
+  relays.owned_runner.plain = relay::PlainRunner{.service = "s", .slots = 6};
+  const uint64_t runner = TwoRelays::ownedBy(kSecond);
+  for (int i = 0; i < 6; ++i) {
+    SlotClaimResult reply = relays.claim(*relays.first, runner, 6);
+    REQUIRE(reply.verdict == SlotVerdict::Granted);
+    CHECK(reply.plain.failed_percent == 0);
+    reply.slot.release(i == 0 ? relay::RequestEnd::Completed : relay::RequestEnd::Failed);
+  }
+  CHECK(relays.claim(*relays.first, runner, 6).plain.failed_percent == 83);
+}
+
 } // namespace workshatch::test
