Plain requests go to runners that respond in time and do not fail

What callers see: fewer late and failed responses of plain services when some runners are slow, and refusals instead of late responses when all are. Where service times are not known, or with the policy switch "service_times" off, a plain runner gets two requests for each slot instead of three.

Cause: the number of requests in progress says nothing about how long they take. Three per slot means 180 ms at a runner of the usual speed and 720 ms at one that works four times slower. A runner that fails half of its requests does not fail three in a row often enough to be avoided, and each relay sees few of its responses.

Change: claims carry 0.8 of the route's objective as a limit, less the fraction that is reserved for more urgent requests. Of two drawn runners the one with the shorter expected time is preferred. Runners that fail 30 percentage points more than the mean of the others are avoided, up to a third of the service; a slot there is given up before the request is sent.

--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -172,6 +172,7 @@
     {"shared_places", &relay::Policy::shared_places},
     {"few_homes", &relay::Policy::few_homes},
     {"place_owners", &relay::Policy::place_owners},
+    {"service_times", &relay::Policy::service_times},
     {"cold_pace", &relay::Policy::cold_pace},
     {"waiting_line", &relay::Policy::waiting_line},
     {"paced_returns", &relay::Policy::paced_returns},
--- a/src/core/relay/policy.h
+++ b/src/core/relay/policy.h
@@ -31,6 +31,10 @@
   /// One relay, the slot owner of a runner, counts the requests of all relays there and grants
   /// slots; off: each relay relies on load totals.
   bool place_owners = true;
+  /// Plain runners get requests up to an expected time, by the service times that slot owners
+  /// measure, and runners that fail more requests than the others are avoided; off: the number of
+  /// requests for each slot is limited.
+  bool service_times = true;
   /// Cold runners get no more requests than their sustainable rate allows.
   bool cold_pace = true;
   /// Requests during which three runners crashed are not sent to any further runner.
--- a/src/core/relay/runner.h
+++ b/src/core/relay/runner.h
@@ -51,6 +51,12 @@
   /// last reported.
   double work_time_factor = 1;
   int64_t work_time_reported_ms = 0;
+  /// What the slot owner last reported about a plain runner (core/scheduling/service_reports.h):
+  /// the service time in milliseconds (0: not known), the percentage of failed requests, and when
+  /// the report was received (0: never).
+  uint32_t service_time_ms = 0;
+  uint32_t failed_percent = 0;
+  int64_t service_reported_ms = 0;
   /// The runner counts as cold until this time.
   int64_t cold_until_ms = 0;
   /// When the runner was added to the list; zero: it was in the first list.
--- a/src/core/relay/runner_choice.cc
+++ b/src/core/relay/runner_choice.cc
@@ -7,6 +7,7 @@
 
 #include "core/relay/runner_table.h"
 #include "core/routing/rendezvous.h"
+#include "core/scheduling/service_reports.h"
 
 namespace workshatch::relay {
 
@@ -23,6 +24,11 @@
          request.excluded.end();
 }
 
+bool isUnsuitable(const RunnerRequest& request, const Runner& runner) {
+  return std::find(request.unsuitable.begin(), request.unsuitable.end(), runner.fingerprint) !=
+         request.unsuitable.end();
+}
+
 } // namespace
 
 RunnerTable::CandidateSet RunnerTable::candidatesFor(const RunnerRequest& request) const {
@@ -35,6 +41,9 @@
   }
   const v1::Rollout* rollout = rollouts_.findRollout(request.service);
   usable.reserve(service->second.runners.size());
+  // A version on trial is not avoided because of its failures, which are what the trial is to show.
+  const auto failing = request.trial ? std::vector<const Runner*>()
+                                     : findFailingRunners(service->second.runners, request.now_ms);
   for (const auto& runner : service->second.runners) {
     const bool eligible =
         !runner->isLeaving() && !runner->evacuated &&
@@ -51,7 +60,9 @@
     // Only a slot owner limits the rate of requests to a cold runner.
     const bool unpaced = (request.ignores_limits || !request.uses_slot_owners) &&
                          coldMs(*runner, request.now_ms) != 0;
-    const bool last = unpaced || runner->version_unconfirmed || isAvoided(*runner, request.now_ms);
+    const bool fails = std::find(failing.begin(), failing.end(), runner.get()) != failing.end();
+    const bool last =
+        unpaced || fails || runner->version_unconfirmed || isAvoided(*runner, request.now_ms);
     (last ? avoided : usable).push_back(runner);
   }
   if (request.trial) {
@@ -239,7 +250,9 @@
 std::optional<RunnerChoice> RunnerTable::chooseOffer(const RunnerRequest& request,
                                                      const Candidates& candidates, bool by_prompt,
                                                      bool busy) const {
-  const auto isFull = [&](const auto& runner) { return runner->full_until_ms > request.now_ms; };
+  const auto isFull = [&](const auto& runner) {
+    return runner->full_until_ms > request.now_ms || isUnsuitable(request, *runner);
+  };
   Candidates not_full;
   const bool some_full = std::any_of(candidates.begin(), candidates.end(), isFull);
   if (some_full) {
@@ -248,17 +261,21 @@
   const auto offer =
       nextOffer(options_.placement, PlacementQuery{.candidates = some_full ? not_full : candidates,
                                                    .refused = request.refused_slots,
+                                                   .unsuitable = request.unsuitable.size(),
                                                    .by_prompt = by_prompt,
                                                    .engine = request.engine,
                                                    .busy = busy,
                                                    .rank = request.rank,
+                                                   .start_within_ms = request.start_within_ms,
                                                    .now_ms = request.now_ms,
                                                    .cap_load = ownerLoadCap(request, candidates)});
   if (!offer) {
     return std::nullopt;
   }
-  return RunnerChoice{
-      .runner = offer->runner, .passed_over = offer->passed_over, .limit = offer->limit};
+  return RunnerChoice{.runner = offer->runner,
+                      .passed_over = offer->passed_over,
+                      .limit = offer->limit,
+                      .start_within_ms = offer->start_within_ms};
 }
 
 std::optional<RunnerChoice> RunnerTable::chooseByLoadTotals(const RunnerRequest& request,
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -8,6 +8,7 @@
 #include "core/relay/runner_incarnation.h"
 #include "core/relay/runner_list_history.h"
 #include "core/relay/runner_loads.h"
+#include "core/scheduling/service_reports.h"
 #include "core/scheduling/work_time.h"
 
 namespace workshatch::relay {
@@ -340,11 +341,34 @@
   if (!runner) {
     return OwnedRunner{};
   }
+  const v1::RunnerEntry& entry = runner->entry;
+  const bool plain = entry.slots() != 0 && plain_services_.contains(entry.service());
   return OwnedRunner{.reported_load = runner->load(),
                      .listed = true,
                      .evacuated = runner->evacuated,
                      .cold_ms = coldMs(*runner, now_ms),
-                     .cold_pace = cold_runners_.paceLimitFor(runner->entry.service())};
+                     .cold_pace = cold_runners_.paceLimitFor(entry.service()),
+                     .plain = plain ? std::optional(PlainRunner{.service = entry.service(),
+                                                                .slots = entry.slots()})
+                                    : std::nullopt};
+}
+
+void RunnerTable::setPlainServices(const std::vector<Service>& services) {
+  plain_services_.clear();
+  for (const Service& service : services) {
+    if (options_.policy.service_times && !service.model_engine) {
+      plain_services_.insert(service.name);
+    }
+  }
+}
+
+bool RunnerTable::isFailing(const Runner& runner, int64_t now_ms) const {
+  const auto service = services_.find(runner.entry.service());
+  if (service == services_.end()) {
+    return false;
+  }
+  const auto failing = findFailingRunners(service->second.runners, now_ms);
+  return std::find(failing.begin(), failing.end(), &runner) != failing.end();
 }
 
 void RunnerTable::endAttempt(Runner& runner, AttemptOutcome outcome, int64_t now_ms) const {
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -16,16 +16,16 @@
 
 #include "core/relay/cold_runners.h"
 #include "core/relay/home_regions.h"
-#include "core/scheduling/placement.h"
 #include "core/relay/policy.h"
 #include "core/relay/prefix_sources.h"
 #include "core/relay/rollout_gate.h"
 #include "core/relay/runner.h"
 #include "core/relay/runner_backoffs.h"
 #include "core/relay/runner_notice.h"
+#include "core/result.h"
+#include "core/scheduling/placement.h"
 #include "core/scheduling/slot_limits.h"
 #include "core/scheduling/slot_owner.h"
-#include "core/result.h"
 #include "workshatch/v1/relay.pb.h"
 
 namespace workshatch::relay {
@@ -79,6 +79,11 @@
   size_t refused_slots = 0;
   /// The request is one of those that go to a version on trial.
   bool trial = false;
+  /// Limit of the expected time of a plain request, as in `PlacementQuery`.
+  uint32_t start_within_ms = 0;
+  /// Fingerprints of the runners where, by the answers of their slot owners, the request would be
+  /// late or is likely to fail.
+  std::vector<uint64_t> unsuitable;
 };
 
 struct RunnerChoice {
@@ -91,6 +96,8 @@
   /// Where slot owners are used: highest number of requests in progress there, this one included,
   /// with which a slot may be granted.
   uint32_t limit = 0;
+  /// Likewise, the limit of the expected time of a plain request; 0: no limit.
+  uint32_t start_within_ms = 0;
 };
 
 /// Why no runner was chosen.
@@ -151,9 +158,10 @@
       : options_(std::move(options)), cold_runners_(options_.cold_factor, options_.cold_slack),
         rollouts_(options_.trial_share) {}
 
-  /// Sets the limits for cold runners from the configuration.
+  /// Sets the limits for cold runners, and which services are plain, from the configuration.
   void setServices(const std::vector<Service>& services) {
     cold_runners_.setServices(options_.policy.cold_pace ? services : std::vector<Service>());
+    setPlainServices(services);
   }
 
   /// Replaces the list of evacuated zones. Runners of a zone that is no longer evacuated may be
@@ -243,6 +251,9 @@
   uint32_t coldMs(const Runner& runner, int64_t now_ms) const {
     return cold_runners_.coldMs(runner, now_ms);
   }
+  /// @return whether the runner fails so many more requests than the others of its service that
+  /// requests avoid it (core/scheduling/service_reports.h).
+  bool isFailing(const Runner& runner, int64_t now_ms) const;
   /// Applies what a response of the runner says about the runner's state and about further requests
   /// to it.
   void applyNotice(Runner& runner, const RunnerNotice& notice, int64_t now_ms);
@@ -264,6 +275,7 @@
 private:
   using Candidates = std::vector<std::shared_ptr<Runner>>;
 
+  void setPlainServices(const std::vector<Service>& services);
   void applyEntry(Runner& runner, const v1::RunnerEntry& entry, int64_t now_ms);
   std::shared_ptr<Runner> runnerFor(std::shared_ptr<Runner> known, const v1::RunnerEntry& entry,
                                     int64_t listed_since_ms) const;
@@ -304,6 +316,8 @@
 
   const RunnerTableOptions options_;
   ColdRunners cold_runners_;
+  /// Services whose runners are measured by their slot owners.
+  std::set<std::string> plain_services_;
   uint64_t evacuation_version_ = 0;
   std::set<std::string> evacuated_zones_;
   RolloutGate rollouts_;
--- a/src/core/scheduling/placement.cc
+++ b/src/core/scheduling/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/scheduling/service_reports.h"
 #include "core/scheduling/work_time.h"
 
 namespace workshatch::relay {
@@ -38,9 +39,17 @@
   return capped(query, static_cast<uint32_t>(served) + options.home_slack);
 }
 
-/// Expected duration of a request, as a multiple of its duration on an idle runner.
-double expectedTime(const PlacementQuery& query, const Runner& runner) {
-  return (runner.load() + 1) * workTimeFactor(runner, query.now_ms);
+/// Expected duration of a request; its unit is the same for all runners.
+/// @param usual_ms service time of runners about which nothing is known; empty if no service time
+/// is known
+double expectedTime(const PlacementQuery& query, const Runner& runner,
+                    std::optional<double> usual_ms) {
+  const uint32_t slots = runner.entry.slots();
+  if (!usual_ms || slots == 0) {
+    return (runner.load() + 1) * workTimeFactor(runner, query.now_ms);
+  }
+  const double service_ms = reportedServiceMs(runner, query.now_ms).value_or(*usual_ms);
+  return service_ms * (1 + static_cast<double>(runner.load()) / slots);
 }
 
 /// @param attempt number of the draw for this request, so that each draw differs
@@ -53,7 +62,10 @@
   const uint64_t first_draw = query.rank.draw + kDrawsPerChoice * attempt;
   const auto& first = query.candidates[homes + mixBits(first_draw) % count];
   const auto& second = query.candidates[homes + mixBits(first_draw + 1) % count];
-  return expectedTime(query, *second) < expectedTime(query, *first) ? second : first;
+  const auto usual_ms =
+      query.engine ? std::nullopt : meanReportedServiceMs(query.candidates, query.now_ms);
+  return expectedTime(query, *second, usual_ms) < expectedTime(query, *first, usual_ms) ? second
+                                                                                        : first;
 }
 
 /// Offer for a prompt while the service is busy: few homes, each up to its full slot limit.
@@ -99,16 +111,21 @@
 /// Offer for a request without a shared prefix: randomly drawn runners, the last of them up to its
 /// queue limit.
 std::optional<SlotOffer> offerRandom(const PlacementOptions& options, const PlacementQuery& query) {
-  const size_t random_candidates = std::min(options.random_candidates, query.candidates.size());
-  if (query.refused >= random_candidates) {
+  const size_t random_candidates =
+      std::min(options.random_candidates, query.candidates.size() + query.unsuitable);
+  const size_t replacements = std::min(options.replacement_candidates, query.unsuitable);
+  if (query.refused >= random_candidates + replacements) {
     return std::nullopt;
   }
   const auto runner = chooseOfTwoRandom(query, 0, query.refused);
   const uint32_t slots = runner->entry.slots();
   const uint32_t limit = fullLimit(options, query, *runner);
-  const bool last = query.refused + 1 == random_candidates;
+  const bool last = query.refused + 1 >= random_candidates;
   const bool may_wait = last || query.busy || slots == 0;
-  return SlotOffer{.runner = runner, .limit = may_wait ? limit : std::min(limit, slots)};
+  const double usable_ms = usableFraction(options.slot_limits, query.rank) * query.start_within_ms;
+  return SlotOffer{.runner = runner,
+                   .limit = may_wait ? limit : std::min(limit, slots),
+                   .start_within_ms = query.engine ? 0 : static_cast<uint32_t>(usable_ms)};
 }
 
 } // namespace
--- a/src/core/scheduling/placement.h
+++ b/src/core/scheduling/placement.h
@@ -24,9 +24,9 @@
 /// the ranking, so that a prefix is cached on as few runners as needed: reading a long prefix on
 /// another runner, or copying it there, costs more than the request itself. A request without a
 /// shared prefix tries one of two randomly drawn runners, the one where its work is expected to
-/// take less time. If all relays chose the least loaded runner by the same outdated totals, they
-/// would all choose the same one. A home that works slower at the moment, because it shares its
-/// machine, gets fewer requests.
+/// take less time, by the service times that slot owners reported. If all relays chose the least
+/// loaded runner by the same outdated totals, they would all choose the same one. A home that works
+/// slower at the moment, because it shares its machine, gets fewer requests.
 struct PlacementOptions {
   /// Number of homes that a prompt tries while the service is not busy, and while it is.
   size_t homes = 4;
@@ -40,6 +40,10 @@
   /// Number of randomly drawn runners that a request without a shared prefix tries. At the last one
   /// it may wait in the runner's queue.
   size_t random_candidates = 3;
+  /// Number of further runners that such a request tries in place of runners where it would be late
+  /// or is likely to fail. These say nothing about the others; without further tries a request was
+  /// refused now and then while most runners were idle.
+  size_t replacement_candidates = 2;
   /// Number of requests over its slots that a home may have while the service is not busy: queueing
   /// there takes less time than reading their prompts on another runner.
   uint32_t home_slack = 6;
@@ -52,12 +56,18 @@
   const std::vector<std::shared_ptr<Runner>>& candidates;
   /// Number of offers of this request that slot owners refused so far.
   size_t refused = 0;
+  /// How many of these offers were of runners that are unsuitable for the request, and no
+  /// candidates any more.
+  size_t unsuitable = 0;
   /// The request is a prompt, and `candidates` are ranked for its prefix.
   bool by_prompt = false;
   bool engine = false;
   /// Most slots of the service are in use.
   bool busy = false;
   RequestRank rank;
+  /// Limit of the expected time of a request to a plain runner, in milliseconds, for requests that
+  /// may use all slots; 0: no limit.
+  uint32_t start_within_ms = 0;
   int64_t now_ms = 0;
   /// Load up to which a runner is filled while others have less; empty if the mean load is not
   /// known.
@@ -70,6 +80,9 @@
   /// Highest number of requests in progress there, this one included, with which the slot may be
   /// used.
   uint32_t limit = 0;
+  /// Limit of the expected time of the request there, in milliseconds; 0: no limit. Where the owner
+  /// knows the service time, it replaces a `limit` above the runner's slots.
+  uint32_t start_within_ms = 0;
   /// Number of candidates ranked before it.
   uint32_t passed_over = 0;
 };
--- a/src/core/scheduling/slot_limits.h
+++ b/src/core/scheduling/slot_limits.h
@@ -34,11 +34,15 @@
   /// Minimum fraction of the slots that every request may use. A fleet that refuses work while half
   /// of its slots are free serves nobody better.
   double min_usable_fraction = 0.6;
-  /// Maximum number of requests in progress at a plain service's runner, as a multiple of its
-  /// slots. Requests beyond the slots wait in the runner's queue, for at most two service times.
-  double service_queue_factor = 3;
+  /// Maximum number of requests in progress at a plain service's runner for each of its slots,
+  /// while its service time is not known. Requests beyond the slots wait in the runner's queue, for
+  /// at most one service time.
+  double plain_requests_per_slot = 2;
 };
 
+/// @return the fraction of a runner's slots that requests of this rank may use.
+double usableFraction(const SlotLimitOptions& options, const RequestRank& rank);
+
 /// @param slots number of requests that the runner processes at the same time; 0 if unknown
 /// @param engine whether the runner is a model engine, where a request that waits for a slot delays
 /// its first event
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/scheduling/service_reports.h"
+
 namespace workshatch::daemon {
 
 namespace {
@@ -16,6 +18,9 @@
 constexpr double kMaxWaitFraction = 0.2;
 /// Number of declined attempts after which the whole service is considered full.
 constexpr uint32_t kMaxDeclines = 3;
+/// Limit of the expected time of a plain request as a fraction of the latency objective. The rest
+/// is left for transit and for the spread of service times.
+constexpr double kPlainStartFraction = 0.8;
 
 } // namespace
 
@@ -124,7 +129,18 @@
                               .ignores_limits = stream_started_,
                               .uses_slot_owners = usesSlotOwners(),
                               .refused_slots = refused_in_search_,
-                              .trial = trial_};
+                              .trial = trial_,
+                              .start_within_ms = plainStartLimitMs(),
+                              .unsuitable = unsuitable_};
+}
+
+/// @return limit of the expected time of a plain request in milliseconds; 0: no limit. The
+/// objective of a stream is the time of its first event, while its service time covers the whole
+/// stream.
+uint32_t ActiveRequest::plainStartLimitMs() const {
+  const bool limited = state_.policy.service_times && !request_.engine &&
+                       request_.route->kind != relay::RouteKind::Streaming;
+  return limited ? static_cast<uint32_t>(kPlainStartFraction * request_.route->objective_ms) : 0;
 }
 
 bool ActiveRequest::usesSlotOwners() const {
@@ -134,6 +150,7 @@
 /// Chooses runners until one has a free slot. Where slot owners are used, the owner decides.
 http::awaitable<std::variant<relay::RunnerChoice, relay::NoRunner>> ActiveRequest::findSlot() {
   refused_in_search_ = 0;
+  unsuitable_.clear();
   takeTrial();
   auto chosen = chooseRunner();
   while (!interrupted()) {
@@ -163,7 +180,8 @@
   }
   const int64_t now_ms = state_.clock.monotonicMs();
   const uint32_t cold_ms = state_.runners.coldMs(*choice.runner, now_ms);
-  SlotClaimResult reply = co_await state_.slot_client->claim(runner, choice.limit, cold_ms);
+  SlotClaimResult reply =
+      co_await state_.slot_client->claim(runner, choice.limit, cold_ms, choice.start_within_ms);
   if (reply.verdict == SlotVerdict::Unanswered) {
     // Falls back to the load totals. They contain nothing about the pace of a cold runner, so a
     // cold runner is not used.
@@ -178,7 +196,29 @@
     ++slots_held_back_;
     state_.runners.recordHoldBack(*choice.runner, reply.wait_ms, state_.clock.monotonicMs());
   }
-  co_return reply.verdict == SlotVerdict::Granted;
+  const bool use = recordPlainReport(choice, reply.plain);
+  if (!use) {
+    slot_.release();
+  }
+  co_return use&& reply.verdict == SlotVerdict::Granted;
+}
+
+/// Records what the owner reported about a plain runner.
+/// @return whether the runner may be used; not if its failures show with this report.
+bool ActiveRequest::recordPlainReport(const relay::RunnerChoice& choice,
+                                      const relay::PlainRunnerReport& report) {
+  if (request_.engine || !state_.policy.service_times) {
+    return true;
+  }
+  plain_report_ = report;
+  const int64_t now_ms = state_.clock.monotonicMs();
+  relay::recordServiceReport(*choice.runner, report, now_ms);
+  const bool replaceable = !choice.last_resort && !trial_;
+  const bool fails = replaceable && state_.runners.isFailing(*choice.runner, now_ms);
+  if (fails || report.late) {
+    unsuitable_.push_back(choice.runner->fingerprint);
+  }
+  return !fails;
 }
 
 /// Chooses a runner, unless the request is new and must not overtake queued requests of the same or
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -68,6 +68,8 @@
     relay::AttemptOutcome outcome = relay::AttemptOutcome::Unreachable;
     /// The runner closed the connection while the request was in progress.
     bool closed_by_runner = false;
+    /// The attempt ended at a time limit.
+    bool timed_out = false;
   };
 
   enum class ConnectOutcome {
@@ -89,6 +91,7 @@
   relay::PromptTarget promptTarget(const relay::Runner& runner) const;
   AttemptResult broken(std::string error);
   AttemptResult brokenBy(const http::CallError& error);
+  relay::RequestEnd requestEnd(const AttemptResult& result) const;
   void recordForQuarantine(const relay::Runner& runner, const AttemptResult& result);
   void recordAttemptEnd(relay::Runner& runner, const AttemptResult& result);
   void releaseConnection(const relay::Runner& runner);
@@ -126,6 +129,8 @@
   http::awaitable<std::variant<relay::RunnerChoice, relay::NoRunner>> findSlot();
   http::awaitable<bool> claimSlot(const relay::RunnerChoice& choice);
   bool usesSlotOwners() const;
+  uint32_t plainStartLimitMs() const;
+  bool recordPlainReport(const relay::RunnerChoice& choice, const relay::PlainRunnerReport& report);
   http::awaitable<bool> waitForSlot();
   bool takeRetryFromBudget();
   void recordChoice(const relay::RunnerChoice& choice);
@@ -188,6 +193,8 @@
   /// Claims for a slot that were refused, in the current search and in all searches.
   uint32_t refused_in_search_ = 0;
   uint32_t slots_refused_ = 0;
+  /// Runners that turned out to be unsuitable in the current search, as in `RunnerRequest`.
+  std::vector<uint64_t> unsuitable_;
   /// Claims that were refused because the runner was cold or its zone evacuated.
   uint32_t slots_held_back_ = 0;
   /// Claims that the owner did not answer in time.
@@ -198,6 +205,8 @@
   uint32_t load_at_choice_ = 0;
   uint32_t passed_over_ = 0;
   uint32_t slot_limit_ = 0;
+  /// What the slot owner of the last runner reported about it, if it is a plain one.
+  relay::PlainRunnerReport plain_report_;
   bool last_resort_ = false;
   /// Remaining backoff of the runner when it was chosen and when the request was sent.
   int64_t backoff_at_choice_ms_ = 0;
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -275,7 +275,7 @@
   }
   const AttemptResult result = co_await callRunner(choice);
   releaseConnection(runner);
-  slot_.release();
+  slot_.release(requestEnd(result));
   const bool reached = result.end == AttemptEnd::Answered || result.end == AttemptEnd::Broken;
   if (!reached && request_.cache_key != 0 && state_.prefix_client) {
     state_.prefix_client->reportNotSent(promptTarget(runner));
@@ -299,9 +299,24 @@
   const bool by_runner = !error.timed_out && !interrupted();
   AttemptResult result = broken(error.timed_out ? "silent" : error.message);
   result.closed_by_runner = by_runner;
+  result.timed_out = error.timed_out;
   return result;
 }
 
+/// @return what the attempt says about a plain runner. A request that ended at a time limit, or
+/// that this side gave up, says nothing; nor does one that did not run.
+relay::RequestEnd ActiveRequest::requestEnd(const AttemptResult& result) const {
+  if (request_.engine) {
+    return relay::RequestEnd::NoEvidence;
+  }
+  if (result.outcome == relay::AttemptOutcome::Succeeded) {
+    return relay::RequestEnd::Completed;
+  }
+  const bool failed = result.outcome == relay::AttemptOutcome::Failed;
+  const bool by_runner = failed && !result.timed_out && !interrupted();
+  return by_runner ? relay::RequestEnd::Failed : relay::RequestEnd::NoEvidence;
+}
+
 /// Records evidence for or against a crash of the runner: that it closed or refused the connection,
 /// or that it completed the request.
 void ActiveRequest::recordForQuarantine(const relay::Runner& runner, const AttemptResult& result) {
--- a/src/daemon/relay/active_request_outcome.cc
+++ b/src/daemon/relay/active_request_outcome.cc
@@ -140,6 +140,8 @@
        {"part_source", prefix_source_id_},
        {"place_limit", slot_limit_},
        {"places_refused", slots_refused_},
+       {"service_time_ms", plain_report_.service_time_ms},
+       {"failed_percent", plain_report_.failed_percent},
        {"places_held_back", slots_held_back_},
        {"evacuations", state_.runners.evacuationVersion()},
        {"owners_silent", unanswered_claims_},
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -1,5 +1,7 @@
 /// @file
 /// The metrics endpoint of the relay role: its counters, and gauges of its components.
+#include <cmath>
+
 #include "adapters/metrics/text_format.h"
 #include "core/relay/group_state.h"
 #include "daemon/relay/relay_role.h"
@@ -119,10 +121,33 @@
       failures[runner->entry.id()] = runner->failures_in_row;
     }
   }
+  exposeServiceTimes(out, now);
   metrics::exposeGauges(out, "relay_runner_load", "requests at a runner, from all relays", "runner",
                         loads);
   metrics::exposeGauges(out, "relay_runner_failures", "failures of a runner in a row", "runner",
                         failures);
 }
 
+/// Appends the measurements of the plain runners whose slots this relay owns.
+void RelayRole::exposeServiceTimes(std::string& out, int64_t now_ms) const {
+  const relay::ServiceTimes& measured = slot_client_->serviceTimes();
+  metrics::LabelledCounts service_times;
+  metrics::LabelledCounts failed;
+  for (const auto& runner : state_.runners.runners()) {
+    if (const auto time_ms = measured.measuredMs(runner->fingerprint, now_ms)) {
+      service_times[runner->entry.id()] = static_cast<uint64_t>(std::llround(*time_ms));
+    }
+    const uint32_t percent = measured.failedPercent(runner->fingerprint, now_ms);
+    if (percent != 0) {
+      failed[runner->entry.id()] = percent;
+    }
+  }
+  metrics::exposeGauges(out, "relay_service_time_ms",
+                        "time for which a request uses a slot of an owned plain runner", "runner",
+                        service_times);
+  metrics::exposeGauges(out, "relay_failed_percent",
+                        "requests that failed of those that ended at an owned plain runner",
+                        "runner", failed);
+}
+
 } // namespace workshatch::daemon
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -61,6 +61,7 @@
   void checkForSuspension();
   bool ready() const;
   void exposeGauges(std::string& out) const;
+  void exposeServiceTimes(std::string& out, int64_t now_ms) const;
   http::ServerLimits callerLimits() const;
   uint32_t addressesLifetimeS() const;
 
