A caller that reads slowly does not keep the slot of a plain runner

What callers see: requests were refused as "all_full" while the runner was idle, if enough callers did not read their responses.

Cause: the slot was released after the response was written to the caller, although the runner had completed it. The time would also count as service time.

--- a/tests/unit/daemon/relay/active_request_test.cc
+++ b/tests/unit/daemon/relay/active_request_test.cc
@@ -230,6 +230,30 @@
   CHECK(failed_percent.get_future().get() == 50);
 }
 
+TEST_CASE("Callers that do not read their responses do not keep the slots of a plain runner") {
+  const size_t body_bytes = size_t{12} * 1024 * 1024;
+  ScriptedRunner runner([&](auto& socket, const auto& request) {
+    const bool large = request.find("X-Large") != std::string::npos;
+    writeTo(socket, signedAnswer("q1", large ? std::string(body_bytes, 'x') : "done"));
+  });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", runner.address(), 1);
+  const auto slots = ownAllSlots(relay, "127.0.0.1:18312");
+  relay.start();
+  boost::asio::io_context context;
+  std::vector<boost::asio::ip::tcp::socket> callers;
+  for (int i = 0; i < 2; ++i) {
+    callers.emplace_back(context);
+    callers.back().connect(*http::parseEndpoint(relay.address()));
+    boost::asio::write(callers.back(),
+                       boost::asio::buffer(TestRelay::requestText("q1", "X-Large: 1\r\n")));
+    // The relay sends the first bytes once it has the complete response of the runner.
+    char byte = 0;
+    boost::asio::read(callers.back(), boost::asio::buffer(&byte, 1));
+  }
+  CHECK(relay.sendRequest("q1").ends_with("done"));
+}
+
 TEST_CASE("With queueing enabled a request waits briefly for a slot, and is then refused") {
   ScriptedRunner runner(
       [](auto& socket, const auto&) { writeTo(socket, signedAnswer("q1", "done")); });
