--- a/tests/unit/core/scheduling/plain_runner_owner_test.cc
+++ b/tests/unit/core/scheduling/plain_runner_owner_test.cc
@@ -1,8 +1,12 @@
 /// @file
 /// Plain runners at their slot owner: limits by service times and the number of requests, and the
 /// failures of messages, relays, owners and runners that a measurement has to survive.
+#include <string>
+#include <vector>
+
 #include <doctest/doctest.h>
 
+#include "core/relay/runner_table.h"
 #include "core/scheduling/slot_owner.h"
 #include "core/scheduling/slot_usage.h"
 
@@ -191,4 +195,32 @@
   CHECK_FALSE(usage.makeReport(kRunner, 0).has_outcomes());
 }
 
+TEST_CASE("Only runners of plain services are measured, and none with the policy switch off") {
+  v1::RunnerList list;
+  for (const char* service : {"s", "engines", "unknown"}) {
+    v1::RunnerEntry* entry = list.add_runners();
+    entry->set_id(service);
+    entry->set_service(service);
+    entry->set_slots(kSlots);
+  }
+  const auto measured = [&](bool service_times) {
+    relay::RunnerTableOptions options;
+    options.policy.service_times = service_times;
+    relay::RunnerTable table(options);
+    table.setServices(
+        {relay::Service{.name = "s"}, relay::Service{.name = "engines", .model_engine = true}});
+    table.setList(list, 0);
+    std::vector<std::string> services;
+    for (const auto& runner : table.runners()) {
+      if (const auto plain = table.ownedRunner(runner->fingerprint, 0).plain) {
+        CHECK(plain->slots == kSlots);
+        services.push_back(plain->service);
+      }
+    }
+    return services;
+  };
+  CHECK(measured(true) == std::vector<std::string>{"s"});
+  CHECK(measured(false).empty());
+}
+
 } // namespace workshatch::test
--- a/tests/unit/daemon/relay/active_request_test.cc
+++ b/tests/unit/daemon/relay/active_request_test.cc
@@ -230,6 +230,23 @@
   CHECK(failed_percent.get_future().get() == 50);
 }
 
+TEST_CASE("Without an answer of the owner a plain runner gets two requests for each slot") {
+  ScriptedRunner runner(
+      [](auto& socket, const auto&) { writeTo(socket, signedAnswer("q1", "done")); });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", runner.address(), 1);
+  const auto slots = ownAllSlots(relay, "127.0.0.1:18313");
+  // Nothing answers at the owner's address.
+  slots.peers->setRelays({"127.0.0.1:18314"});
+  const auto known = relay.state().runners.runners()[0];
+  known->in_progress = 2;
+  relay.start();
+  CHECK(relay.sendRequest("q1").find("all_full") != std::string::npos);
+  boost::asio::post(relay.context(), [&] { known->in_progress = 1; });
+  CHECK(relay.sendRequest("q1").ends_with("done"));
+  CHECK(slots.client->counts().unanswered >= 2);
+}
+
 TEST_CASE("Callers that do not read their responses do not keep the slots of a plain runner") {
   const size_t body_bytes = size_t{12} * 1024 * 1024;
   ScriptedRunner runner([&](auto& socket, const auto& request) {
