--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -173,6 +173,7 @@
     {"few_homes", &relay::Policy::few_homes},
     {"place_owners", &relay::Policy::place_owners},
     {"engine_load", &relay::Policy::engine_load},
+    {"service_times", &relay::Policy::service_times},
     {"cold_pace", &relay::Policy::cold_pace},
     {"waiting_line", &relay::Policy::waiting_line},
     {"paced_returns", &relay::Policy::paced_returns},
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -83,6 +83,11 @@
   uint64_t kv_capacity_tokens = 0;
   /// The request is one of those that go to a version on trial.
   bool trial = false;
+  /// Limit of the expected time of a plain request, as in `PlacementQuery`.
+  uint32_t start_within_ms = 0;
+  /// Fingerprints of the runners where, by the answers of their slot owners, the request would be
+  /// late or is likely to fail.
+  std::vector<uint64_t> unsuitable;
 };
 
 struct RunnerChoice {
@@ -97,6 +102,8 @@
   uint32_t limit = 0;
   /// Further limits with which the slot may be granted to a prompt.
   PromptLimits prompt_limits;
+  /// Likewise, the limit of the expected time of a plain request; 0: no limit.
+  uint32_t start_within_ms = 0;
 };
 
 /// Why no runner was chosen.
@@ -157,9 +164,10 @@
       : options_(std::move(options)), cold_runners_(options_.cold_factor, options_.cold_slack),
         rollouts_(options_.trial_share) {}
 
-  /// Sets the limits for cold runners from the configuration.
+  /// Sets the limits for cold runners, and which services are plain, from the configuration.
   void setServices(const std::vector<Service>& services) {
     cold_runners_.setServices(options_.policy.cold_pace ? services : std::vector<Service>());
+    setPlainServices(services);
   }
 
   /// Replaces the list of evacuated zones. Runners of a zone that is no longer evacuated may be
@@ -249,6 +257,9 @@
   uint32_t coldMs(const Runner& runner, int64_t now_ms) const {
     return cold_runners_.coldMs(runner, now_ms);
   }
+  /// @return whether the runner fails so many more requests than the others of its service that
+  /// requests avoid it (core/scheduling/service_reports.h).
+  bool isFailing(const Runner& runner, int64_t now_ms) const;
   /// Applies what a response of the runner says about the runner's state and about further requests
   /// to it.
   void applyNotice(Runner& runner, const RunnerNotice& notice, int64_t now_ms);
@@ -270,6 +281,7 @@
 private:
   using Candidates = std::vector<std::shared_ptr<Runner>>;
 
+  void setPlainServices(const std::vector<Service>& services);
   void applyEntry(Runner& runner, const v1::RunnerEntry& entry, int64_t now_ms);
   std::shared_ptr<Runner> runnerFor(std::shared_ptr<Runner> known, const v1::RunnerEntry& entry,
                                     int64_t listed_since_ms) const;
@@ -311,6 +323,8 @@
 
   const RunnerTableOptions options_;
   ColdRunners cold_runners_;
+  /// Services whose runners are measured by their slot owners.
+  std::set<std::string> plain_services_;
   uint64_t evacuation_version_ = 0;
   std::set<std::string> evacuated_zones_;
   RolloutGate rollouts_;
--- a/src/core/scheduling/slot_limits.cc
+++ b/src/core/scheduling/slot_limits.cc
@@ -18,9 +18,9 @@
   if (slots == 0) {
     return std::numeric_limits<uint32_t>::max();
   }
-  const double usable_fraction = usableFraction(options, rank);
-  const double factor = engine ? 1 : options.service_queue_factor;
-  return std::max(static_cast<uint32_t>(usable_fraction * factor * slots), uint32_t{1});
+  const double per_slot = engine ? 1 : options.plain_requests_per_slot;
+  const double usable_slots = usableFraction(options, rank) * per_slot * slots;
+  return std::max(static_cast<uint32_t>(usable_slots), uint32_t{1});
 }
 
 } // namespace workshatch::relay
--- a/src/core/scheduling/slot_owner.h
+++ b/src/core/scheduling/slot_owner.h
@@ -12,6 +12,7 @@
 
 #include "core/scheduling/engine_load.h"
 #include "core/scheduling/prompt_read_times.h"
+#include "core/scheduling/service_times.h"
 #include "core/scheduling/slot_rate_limiter.h"
 #include "workshatch/v1/relay.pb.h"
 
@@ -37,6 +38,8 @@
   std::string service;
   /// Factor by which requests take longer than usual at the runner, as it reports itself.
   double work_time_factor = 1;
+  /// Set if the service time of the runner is to be measured.
+  std::optional<PlainRunner> plain;
 };
 
 /// Grants the slots of the runners that one relay owns.
@@ -60,6 +63,9 @@
 /// The slots of a cold runner are granted at its rate limit, whichever relay reports that it is
 /// cold. No slots are granted at a runner in an evacuated zone.
 ///
+/// Plain runners are limited by the expected time of a request where it is known
+/// (service_times.h).
+///
 /// Guarantees: no claim is granted over its limits of slots and tokens, as far as relays report
 /// their usage of the runner to this owner, except that an engine without requests in progress
 /// accepts a prompt of any size; while a runner counts as cold, no second brings it more grants
@@ -79,6 +85,8 @@
     v1::PlaceRefusal refusal = v1::PLACE_REFUSAL_UNKNOWN;
     /// Expected time from the grant to the first event of a prompt; 0: not known.
     uint32_t expected_start_ms = 0;
+    /// Set for a plain runner.
+    PlainRunnerReport plain;
   };
 
   /// Tokens in progress at an engine.
@@ -100,7 +108,7 @@
   void recordUsage(const std::string& relay, const v1::PlaceUse& use, int64_t now_ms);
 
   /// Drops the usage of a relay that is gone.
-  void dropRelay(const std::string& relay);
+  void dropRelay(const std::string& relay, int64_t now_ms);
 
   /// Drops usage whose report was not repeated in time.
   void dropStale(int64_t now_ms);
@@ -111,6 +119,13 @@
   /// @return the engines with tokens in progress.
   std::vector<OwnedEngine> engines() const;
 
+  const ServiceTimes& serviceTimes() const { return service_times_; }
+  /// Records the service time that the owner of another runner of the service reported.
+  void recordReceivedServiceTime(const std::string& service, uint32_t service_time_ms,
+                                 int64_t now_ms) {
+    service_times_.recordReceived(service, service_time_ms, now_ms);
+  }
+
 private:
   struct Usage {
     uint32_t slots_in_use = 0;
@@ -160,6 +175,10 @@
                            int64_t now_ms) const;
   void grantPrompt(SlotState& slots, const std::string& relay, const v1::PlaceClaim& claim,
                    int64_t now_ms);
+  PlainRunnerReport reportPlain(const SlotState& slots, const v1::PlaceClaim& claim,
+                                const OwnedRunner& runner, uint32_t load, int64_t now_ms);
+  static uint32_t countLimit(const v1::PlaceClaim& claim, const OwnedRunner& runner,
+                             const PlainRunnerReport& plain);
 
   /// By fingerprint of the runner's incarnation.
   std::unordered_map<uint64_t, SlotState> runners_;
@@ -167,6 +186,7 @@
   std::map<std::string, ServicePrompts> prompts_by_service_;
   /// Empty if the owners never changed.
   std::optional<int64_t> owners_changed_ms_;
+  ServiceTimes service_times_;
 };
 
 } // namespace workshatch::relay
--- a/src/daemon/relay/active_request_outcome.cc
+++ b/src/daemon/relay/active_request_outcome.cc
@@ -157,6 +157,8 @@
        {"part_source", prefix_source_id_},
        {"place_limit", slot_limit_},
        {"places_refused", slots_refused_},
+       {"service_time_ms", plain_report_.service_time_ms},
+       {"failed_percent", plain_report_.failed_percent},
        {"places_held_back", slots_held_back_},
        {"places_refused_by", slots_refused_by_},
        {"expected_start_ms", expected_start_ms_},
--- a/src/daemon/relay/slot_client.cc
+++ b/src/daemon/relay/slot_client.cc
@@ -9,6 +9,25 @@
 /// Period of the search for counts that other relays no longer report.
 constexpr int64_t kExpiryPeriodMs = 500;
 
+/// Adds what is known about a plain runner to an answer.
+void writePlainReport(const relay::PlainRunnerReport& report, v1::PlaceAnswer& answer) {
+  answer.set_service_time_ms(report.service_time_ms);
+  answer.set_failed_percent(report.failed_percent);
+  if (report.expected_ms != 0) {
+    answer.set_expected_start_ms(report.expected_ms);
+  }
+  if (report.late && !answer.granted()) {
+    answer.set_refusal(v1::PLACE_REFUSAL_LATE);
+  }
+}
+
+relay::PlainRunnerReport readPlainReport(const v1::PlaceAnswer& answer) {
+  return relay::PlainRunnerReport{.service_time_ms = answer.service_time_ms(),
+                                  .failed_percent = answer.failed_percent(),
+                                  .expected_ms = answer.expected_start_ms(),
+                                  .late = answer.refusal() == v1::PLACE_REFUSAL_LATE};
+}
+
 } // namespace
 
 SlotGuard& SlotGuard::operator=(SlotGuard&& other) noexcept {
@@ -22,9 +41,9 @@
   return *this;
 }
 
-void SlotGuard::release() {
+void SlotGuard::release(relay::RequestEnd end) {
   if (const auto client = std::exchange(client_, {}).lock()) {
-    client->release(runner_, claim_);
+    client->release(runner_, claim_, end);
   }
 }
 
@@ -61,10 +80,11 @@
 }
 
 void SlotClient::reportToNewOwners(const std::vector<std::string>& removed) {
-  owner_.recordOwnersChanged(clock_.monotonicMs());
+  const int64_t now_ms = clock_.monotonicMs();
+  owner_.recordOwnersChanged(now_ms);
   for (const std::string& relay : removed) {
     // A relay that crashed uses no slots; one that is stopping is about to release its slots.
-    owner_.dropRelay(relay);
+    owner_.dropRelay(relay, now_ms);
   }
   for (const auto& [runner, before] : previous_owners_) {
     const std::string* owner = peers_->ownerOf(runner);
@@ -81,7 +101,8 @@
   claim.set_limit(request.limit);
   claim.set_cold_ms(request.cold_ms);
   claim.set_kv_limit(request.prompt_limits.kv_limit);
-  claim.set_start_within_ms(request.prompt_limits.start_within_ms);
+  claim.set_start_within_ms(request.demand ? request.prompt_limits.start_within_ms
+                                           : request.start_within_ms);
   if (request.demand) {
     *claim.mutable_demand() = *request.demand;
     used_slots_.addClaim(request.runner, claim.use().sequence());
@@ -98,7 +119,8 @@
                          .load = decision.load,
                          .wait_ms = decision.wait_ms,
                          .refusal = decision.refusal,
-                         .expected_start_ms = decision.expected_start_ms};
+                         .expected_start_ms = decision.expected_start_ms,
+                         .plain = decision.plain};
   if (!decision.granted) {
     used_slots_.removeClaim(runner, claim.use().sequence());
     return result;
@@ -139,12 +161,26 @@
     co_return unanswered(claim);
   }
   const v1::PlaceAnswer& answer = reply->place_answer();
+  const relay::PlainRunnerReport plain = readPlainReport(answer);
+  recordServiceTime(request.runner, plain, clock_.monotonicMs());
   co_return resultOf(claim,
                      relay::SlotOwner::Decision{.granted = answer.granted(),
                                                 .load = answer.load(),
                                                 .wait_ms = answer.wait_ms(),
                                                 .refusal = answer.refusal(),
-                                                .expected_start_ms = answer.expected_start_ms()});
+                                                .expected_start_ms = answer.expected_start_ms(),
+                                                .plain = plain});
+}
+
+/// Keeps a service time that another owner reported, for the runners that this relay owns.
+void SlotClient::recordServiceTime(uint64_t runner, const relay::PlainRunnerReport& report,
+                                   int64_t now_ms) {
+  if (report.service_time_ms == 0) {
+    return;
+  }
+  if (const auto plain = runner_source_(runner).plain) {
+    owner_.recordReceivedServiceTime(plain->service, report.service_time_ms, now_ms);
+  }
 }
 
 SlotGuard SlotClient::takeWithoutClaim(uint64_t runner) {
@@ -153,9 +189,10 @@
   return {weak_from_this(), runner};
 }
 
-void SlotClient::release(uint64_t runner, uint64_t claim) {
+void SlotClient::release(uint64_t runner, uint64_t claim, relay::RequestEnd end) {
   used_slots_.remove(runner);
   used_slots_.removeClaim(runner, claim);
+  used_slots_.recordEnd(runner, end);
   reportToOwner(runner);
 }
 
@@ -168,6 +205,7 @@
 void SlotClient::reportToOwner(uint64_t runner) {
   const std::string* owner = peers_->ownerOf(runner);
   if (owner == nullptr) {
+    used_slots_.dropEnded(runner);
     return;
   }
   const int64_t now_ms = clock_.monotonicMs();
@@ -203,6 +241,7 @@
   answer.set_wait_ms(decision.wait_ms);
   answer.set_refusal(decision.refusal);
   answer.set_expected_start_ms(decision.expected_start_ms);
+  writePlainReport(decision.plain, answer);
   peers_->send(from, frame);
 }
 
--- a/src/daemon/relay/slot_client.h
+++ b/src/daemon/relay/slot_client.h
@@ -42,7 +42,8 @@
   SlotGuard(const SlotGuard&) = delete;
   SlotGuard& operator=(const SlotGuard&) = delete;
 
-  void release();
+  /// @param end how the request ended, for the measurement of a plain runner
+  void release(relay::RequestEnd end = relay::RequestEnd::NoEvidence);
   /// Reports to the owner that the first event of the prompt has arrived. Does nothing when called
   /// again, or for a request without a stated demand.
   void recordFirstEvent();
@@ -63,6 +64,8 @@
   /// Demand of a prompt; empty: not known, or the runner is no model engine.
   std::optional<v1::PromptDemand> demand;
   relay::PromptLimits prompt_limits;
+  /// Longest expected time until the end of a request to a plain runner; 0: no limit.
+  uint32_t start_within_ms = 0;
 };
 
 enum class SlotVerdict {
@@ -84,6 +87,8 @@
   v1::PlaceRefusal refusal = v1::PLACE_REFUSAL_UNKNOWN;
   /// Expected time until the first event of a prompt; 0: not known.
   uint32_t expected_start_ms = 0;
+  /// What the owner reported about a plain runner; without meaning if unanswered.
+  relay::PlainRunnerReport plain;
   /// Guards a slot only if the claim was granted.
   SlotGuard slot;
 };
@@ -126,14 +131,17 @@
   size_t ownedRunners() const { return owner_.runnerCount(); }
   /// @return the engines with tokens in progress for which this relay, as their owner, counts them.
   std::vector<relay::SlotOwner::OwnedEngine> ownedEngines() const { return owner_.engines(); }
+  /// Measurements of the plain runners that this relay owns.
+  const relay::ServiceTimes& serviceTimes() const { return owner_.serviceTimes(); }
 
 private:
   friend class SlotGuard;
 
   void recordOwners();
   void reportToNewOwners(const std::vector<std::string>& removed);
-  void release(uint64_t runner, uint64_t claim);
+  void release(uint64_t runner, uint64_t claim, relay::RequestEnd end);
   void recordFirstEvent(uint64_t runner, uint64_t claim);
+  void recordServiceTime(uint64_t runner, const relay::PlainRunnerReport& report, int64_t now_ms);
   void reportToOwner(uint64_t runner);
   void answerClaim(const v1::PlaceClaim& claim, const std::string& from);
   v1::PlaceClaim makeClaim(const SlotClaim& request, int64_t now_ms);
--- a/tests/unit/core/scheduling/slot_owner_tokens_test.cc
+++ b/tests/unit/core/scheduling/slot_owner_tokens_test.cc
@@ -199,7 +199,7 @@
   ClaimingRelay removed{.name = "b"};
   CHECK(crashed.claim(owner, 300'000, {}, kAllReportedMs).granted);
   CHECK(removed.claim(owner, 200'000, {}, kAllReportedMs).granted);
-  owner.dropRelay("b");
+  owner.dropRelay("b", kAllReportedMs);
   CHECK(kvTokens(owner) == 300'000);
   owner.dropStale(kAllReportedMs + 3499);
   CHECK(kvTokens(owner) == 300'000);
