Idle connections of a router to runners expire

Callers see nothing; the process of a router kept up to 64 idle connections for each runner it had called, and closed none of them while it was idle.

Cause: http::Client looked at an idle connection only when it was about to reuse it.

Change: idle connections have a pool of their own (IdleStreamPool), which keeps them for as long as the Keep-Alive header of the last response allows, 3 s without the header: the same rule as for connections of relays, now in keep_alive.h for both. The router closes expired ones twice a second on each worker, since a client without calls would not. The other users of http::Client close them at their next call.

--- a/bench/main.cc
+++ b/bench/main.cc
@@ -16,6 +16,7 @@
 
 #include "adapters/http/http_client.h"
 #include "adapters/program.h"
+#include "adapters/system_clock.h"
 #include "adapters/worker_pool.h"
 #include "core/admission/permit_table.h"
 #include "core/control/router_manager.h"
@@ -76,7 +77,8 @@
 LatencyMeasurement measureEndpoint(const Endpoint& endpoint, uint32_t connections,
                                    uint32_t requests) {
   boost::asio::io_context context(1);
-  http::Client client(context);
+  const SystemClock clock;
+  http::Client client(context, clock);
   LatencyMeasurement measurement;
   for (uint32_t i = 0; i < connections; ++i) {
     boost::asio::co_spawn(context,
--- a/src/adapters/http/http_client.cc
+++ b/src/adapters/http/http_client.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "adapters/http/keep_alive.h"
 #include "core/backoff.h"
 
 namespace workshatch::http {
@@ -19,7 +20,6 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr size_t kReadSize = size_t{16} * 1024;
-constexpr size_t kMaxIdlePerAddress = 64;
 
 CallError errorOf(CallPhase phase, beast::error_code failure) {
   return CallError{
@@ -92,7 +92,8 @@
   }
   if (stream_ && parser_.get().keep_alive() && buffer_.size() == 0) {
     stream_->expires_never();
-    client_.addIdle(address_, std::move(stream_));
+    const int64_t keep_alive_ms = keepAliveMsOf(parser_.get().base());
+    client_.idle_.release(address_, std::move(stream_), keep_alive_ms);
   }
   co_return std::string();
 }
@@ -115,31 +116,6 @@
   }
 }
 
-Client::Stream Client::takeIdle(const std::string& address) {
-  std::vector<Stream>& streams = idle_[address];
-  while (!streams.empty()) {
-    Stream stream = std::move(streams.back());
-    streams.pop_back();
-    // Pending input on an idle connection means that the server closed it, or that a response
-    // arrived for which there is no request. Neither connection is usable.
-    beast::error_code failure;
-    char byte = 0;
-    const ssize_t count =
-        ::recv(stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-      return stream;
-    }
-  }
-  return nullptr;
-}
-
-void Client::addIdle(const std::string& address, Stream stream) {
-  std::vector<Stream>& streams = idle_[address];
-  if (streams.size() < kMaxIdlePerAddress) {
-    streams.push_back(std::move(stream));
-  }
-}
-
 awaitable<std::variant<Client::Stream, CallError>>
 Client::connect(const std::string& address, const CallOptions& options, CallCancel* cancel) {
   const auto endpoint = parseEndpoint(address);
@@ -198,7 +174,7 @@
   request.prepare_payload();
   CallPhase phase = CallPhase::NotSent;
   if (!options.fresh_connection) {
-    if (Stream idle = takeIdle(address)) {
+    if (Stream idle = idle_.acquire(address)) {
       CallResult result = co_await exchange(std::move(idle), address, request, options, cancel);
       const bool cancelled = cancel != nullptr && cancel->cancelled();
       const CallError* error = std::get_if<CallError>(&result);
--- a/src/adapters/http/http_client.h
+++ b/src/adapters/http/http_client.h
@@ -3,11 +3,9 @@
 #pragma once
 
 #include <chrono>
-#include <map>
 #include <memory>
 #include <string>
 #include <variant>
-#include <vector>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -15,6 +13,8 @@
 #include <boost/beast/http/parser.hpp>
 
 #include "adapters/http/http_types.h"
+#include "adapters/http/idle_stream_pool.h"
+#include "ports/clock.h"
 
 namespace workshatch::http {
 
@@ -98,10 +98,12 @@
   bool cancelled_ = false;
 };
 
-/// Makes calls on one worker and keeps idle connections for reuse. Not safe for concurrent use.
+/// Makes calls on one worker and keeps idle connections for reuse, for as long as the server
+/// allows. Not safe for concurrent use.
 class Client {
 public:
-  explicit Client(boost::asio::io_context& context) : context_(context) {}
+  /// @param clock measures for how long connections are idle; must outlive the client
+  Client(boost::asio::io_context& context, const Clock& clock) : context_(context), idle_(clock) {}
 
   /// Sends a request and reads the header of the response. Retries once on a new connection if an
   /// idle connection fails other than by a timeout or `cancel`; the retry may then execute the
@@ -110,19 +112,21 @@
   awaitable<CallResult> call(const std::string& address, Request request, CallOptions options,
                              CallCancel* cancel = nullptr);
 
+  /// Closes idle connections whose keep-alive time has passed. A client that is not called any more
+  /// closes them only here, so its owner calls this periodically.
+  void closeExpiredConnections() { idle_.closeExpired(); }
+
 private:
   friend class ClientResponse;
-  using Stream = std::unique_ptr<boost::beast::tcp_stream>;
+  using Stream = IdleStreamPool::Stream;
 
   awaitable<std::variant<Stream, CallError>>
   connect(const std::string& address, const CallOptions& options, CallCancel* cancel);
   awaitable<CallResult> exchange(Stream stream, const std::string& address, Request& request,
                                  const CallOptions& options, CallCancel* cancel);
-  Stream takeIdle(const std::string& address);
-  void addIdle(const std::string& address, Stream stream);
 
   boost::asio::io_context& context_;
-  std::map<std::string, std::vector<Stream>> idle_;
+  IdleStreamPool idle_;
 };
 
 } // namespace workshatch::http
--- a/src/adapters/http/runner_connection.cc
+++ b/src/adapters/http/runner_connection.cc
@@ -1,6 +1,5 @@
 #include "adapters/http/runner_connection.h"
 
-#include <charconv>
 #include <sys/socket.h>
 #include <utility>
 
@@ -9,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "adapters/http/keep_alive.h"
 #include "adapters/tcp_options.h"
 
 namespace workshatch::http {
@@ -25,29 +25,6 @@
 constexpr uint32_t kHeaderBytes = 32U * 1024;
 constexpr std::chrono::milliseconds kPeerTimeout{1500};
 constexpr size_t kMaxIdlePerAddress = 8;
-/// Keep-alive time if the runner sends no Keep-Alive header.
-constexpr int64_t kDefaultKeepAliveMs = 3000;
-constexpr int64_t kMaxKeepAliveMs = 20'000;
-constexpr int64_t kMillisecondsPerSecond = 1000;
-
-/// How long an idle connection is kept: 70% of the timeout in the runner's Keep-Alive header, with
-/// an upper limit. The margin prevents a request from being sent on a connection that the runner is
-/// just closing. A header without a timeout gives zero.
-int64_t keepAliveMsOf(const beast::http::response_header<>& head) {
-  const auto found = head.find(Field::keep_alive);
-  if (found == head.end()) {
-    return kDefaultKeepAliveMs;
-  }
-  const std::string_view text = viewOf(found->value());
-  constexpr std::string_view kName = "timeout=";
-  const size_t at = text.find(kName);
-  int64_t seconds = 0;
-  if (at != std::string_view::npos) {
-    const char* begin = text.data() + at + kName.size();
-    std::from_chars(begin, text.data() + text.size(), seconds);
-  }
-  return std::min(seconds * kMillisecondsPerSecond * 7 / 10, kMaxKeepAliveMs);
-}
 
 } // namespace
 
--- a/src/daemon/router/request_handler.cc
+++ b/src/daemon/router/request_handler.cc
@@ -4,6 +4,7 @@
 #include <random>
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <nlohmann/json.hpp>
 
@@ -75,7 +76,7 @@
 RequestHandler::RequestHandler(Dependencies dependencies) : dependencies_(std::move(dependencies)) {
   for (size_t i = 0; i < dependencies_.workers.size(); ++i) {
     asio::io_context& worker = dependencies_.workers.context(i);
-    clients_[&worker] = std::make_unique<http::Client>(worker);
+    clients_[&worker] = std::make_unique<http::Client>(worker, dependencies_.clock);
   }
 }
 
@@ -84,6 +85,13 @@
   limiter_.configure(configuration);
 }
 
+void RequestHandler::closeExpiredConnections() {
+  for (size_t i = 0; i < dependencies_.workers.size(); ++i) {
+    asio::io_context& worker = dependencies_.workers.context(i);
+    asio::post(worker, [&client = clientOf(worker)] { client.closeExpiredConnections(); });
+  }
+}
+
 http::Response RequestHandler::makeRefusal(http::Status status, const std::string& reason) const {
   http::Problem problem;
   problem.status = status;
--- a/src/daemon/router/request_handler.h
+++ b/src/daemon/router/request_handler.h
@@ -48,6 +48,9 @@
   /// Marks the router as draining: it reports itself as not ready and closes connections after the
   /// current response.
   void setDraining() { draining_ = true; }
+  /// Closes, on each worker, the idle connections to runners whose keep-alive time has passed.
+  /// Called periodically.
+  void closeExpiredConnections();
   /// @return the response to a request that the HTTP server refuses by itself.
   http::Response makeRefusal(http::Status status, const std::string& reason) const;
 
--- a/src/daemon/router/router_role.cc
+++ b/src/daemon/router/router_role.cc
@@ -22,6 +22,8 @@
 
 constexpr std::chrono::milliseconds kTickPeriod{20};
 constexpr std::chrono::milliseconds kRunnerPollPeriod{1000};
+/// Period of closing expired connections; short against the keep-alive time of three seconds.
+constexpr std::chrono::milliseconds kIdleCheckPeriod{500};
 constexpr int64_t kRenewTimeoutMs = 1000;
 /// Pause after a renewal that brought a change, before the renewal that reports the change as in
 /// force.
@@ -110,7 +112,7 @@
           [this](http::Status status, const std::string& reason) {
             return handler_.makeRefusal(status, reason);
           }),
-      client_(workers.context(0)) {}
+      client_(workers.context(0), clock) {}
 
 Result<std::monostate> RouterRole::start() {
   const auto opened =
@@ -128,6 +130,7 @@
   asio::co_spawn(worker, platformLoop(), asio::detached);
   asio::co_spawn(worker, runnerLoop(), asio::detached);
   asio::co_spawn(worker, tickLoop(), asio::detached);
+  asio::co_spawn(worker, idleConnectionLoop(), asio::detached);
   return std::monostate{};
 }
 
@@ -259,6 +262,14 @@
   }
 }
 
+asio::awaitable<void> RouterRole::idleConnectionLoop() {
+  while (!stopped_) {
+    co_await pauseFor(kIdleCheckPeriod);
+    client_.closeExpiredConnections();
+    handler_.closeExpiredConnections();
+  }
+}
+
 std::string RouterRole::networkMetrics() const {
   const http::ServerStats& server = server_.stats();
   const datagram::PeerStats& peers = socket_.stats();
--- a/src/daemon/router/router_role.h
+++ b/src/daemon/router/router_role.h
@@ -43,6 +43,7 @@
   boost::asio::awaitable<void> runnerLoop();
   boost::asio::awaitable<void> readRunnerReport(routing::EngineInfo engine);
   boost::asio::awaitable<void> tickLoop();
+  boost::asio::awaitable<void> idleConnectionLoop();
   boost::asio::awaitable<void> departOnce();
   v1::RouterEntry routerEntry() const;
   std::string networkMetrics() const;
--- a/src/daemon/runner_list_reader.h
+++ b/src/daemon/runner_list_reader.h
@@ -22,7 +22,7 @@
 public:
   RunnerListReader(boost::asio::io_context& context, const Clock& clock, std::string address,
                    const RunnerListCodec& codec)
-      : client_(context), clock_(clock), address_(std::move(address)), codec_(codec) {}
+      : client_(context, clock), clock_(clock), address_(std::move(address)), codec_(codec) {}
 
   /// Reads all pages. Makes no call during a backoff that the platform requested.
   /// @return the complete list, without a version. An error if a backoff is in effect, a call
--- a/src/scenario/load_generator.cc
+++ b/src/scenario/load_generator.cc
@@ -56,7 +56,7 @@
 } // namespace
 
 LoadGenerator::LoadGenerator(LoadPlan plan, std::vector<std::string> routers, uint64_t seed)
-    : plan_(std::move(plan)), routers_(std::move(routers)), client_(worker_.context(0)),
+    : plan_(std::move(plan)), routers_(std::move(routers)), client_(worker_.context(0), clock_),
       random_(seed) {}
 
 LoadGenerator::~LoadGenerator() { worker_.stop(); }
--- a/src/scenario/load_generator.h
+++ b/src/scenario/load_generator.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "adapters/http/http_client.h"
+#include "adapters/system_clock.h"
 #include "adapters/worker_pool.h"
 #include "ports/seeded_random.h"
 
@@ -134,6 +135,7 @@
   const LoadPlan plan_;
   const std::vector<std::string> routers_;
   WorkerPool worker_{1};
+  const SystemClock clock_{};
   http::Client client_;
   SeededRandom random_;
   uint64_t next_id_ = 1;
--- a/tests/unit/adapters/http_server_test.cc
+++ b/tests/unit/adapters/http_server_test.cc
@@ -12,6 +12,7 @@
 #include "adapters/http/http_client.h"
 #include "adapters/http/http_server.h"
 #include "adapters/http/problem.h"
+#include "adapters/system_clock.h"
 
 namespace workshatch::test {
 
@@ -114,7 +115,8 @@
   workers.start();
 
   asio::io_context context;
-  http::Client client(context);
+  const SystemClock clock;
+  http::Client client(context, clock);
   std::vector<http::CallError> errors;
   const auto call = [&]() -> http::awaitable<void> {
     for (int i = 0; i < 2; ++i) {
--- a/tests/unit/daemon/router/request_handler_test.cc
+++ b/tests/unit/daemon/router/request_handler_test.cc
@@ -48,7 +48,7 @@
   /// @return the header `X-Execution` of the response.
   std::string executionHeaderFor(http::Request request) const {
     asio::io_context context;
-    http::Client client(context);
+    http::Client client(context, clock_);
     std::string execution;
     asio::co_spawn(
         context,
