A router that receives no answers gets no lease and is dropped

Operators see `apply` answered "pending" after 5 s, and changes that wait for a router which serves nothing, while that router can send but receives nothing (a link cut in one direction).

A router is dropped when no renewal arrived for the lease and the margin, so renewals of entry-2 arrived more often than every 1.6 s.

Cause: the leader granted and counted a lease for each renewal that arrived. A lease that the router never received cannot be told from one that it relies on.

Change: a renewal states how long ago the router sent the last one that was answered (answer_age_ms; 0 from earlier versions: as before). The promise of "accepted" does not change: expiry still counts from the last lease that was granted, whether or not it arrived.

--- a/src/core/control/router_manager.cc
+++ b/src/core/control/router_manager.cc
@@ -11,6 +11,10 @@
 
 } // namespace
 
+bool RouterManager::receivesAnswers(const v1::RenewRequest& request) const {
+  return request.answer_age_ms() < options_.lease_ms;
+}
+
 bool RouterManager::registrationDue(const v1::RouterEntry& router, int64_t now_ms) {
   Registration& last = registrations_[router.name()];
   const bool same = last.incarnation == router.incarnation() && last.state == router.state();
@@ -29,12 +33,13 @@
   const bool same_incarnation =
       known != nullptr && known->incarnation() == request.router().incarnation();
   const bool registered = same_incarnation && known->state() == request.router().state();
-  if (!registered && registrationDue(request.router(), now_ms)) {
+  const bool receives_answers = receivesAnswers(request);
+  if (receives_answers && !registered && registrationDue(request.router(), now_ms)) {
     renewal.command.emplace();
     *renewal.command->mutable_register_router() = request.router();
   }
   v1::RenewReply& reply = renewal.reply;
-  if (same_incarnation) {
+  if (receives_answers && same_incarnation) {
     leases_.recordRenewal(request, now_ms);
     reply.set_lease_ms(static_cast<uint32_t>(options_.lease_ms));
   }
--- a/src/core/control/router_manager.h
+++ b/src/core/control/router_manager.h
@@ -28,6 +28,12 @@
   };
 
   /// Answers a lease renewal. May only be called while no other replica can be leader.
+  ///
+  /// A router that received no answer for the length of a lease has no lease, although its renewals
+  /// arrive, as over a link that is cut in one direction. It is not registered and gets no new
+  /// lease until its next renewal reports an answer: otherwise it would stay in the view without
+  /// serving, and every change would wait for it. The answer tells it everything else that it
+  /// lacks.
   Renewal renew(const v1::RenewRequest& request, const ReplicatedState& state, int64_t now_ms);
 
   /// @return the command that drops routers whose leases have expired, when one is due. Only one
@@ -48,6 +54,10 @@
     int64_t proposed_ms = 0;
   };
 
+  /// @return whether the router received an answer within the length of a lease, or does not state
+  /// it.
+  bool receivesAnswers(const v1::RenewRequest& request) const;
+
   /// @return whether the router's registration has to be proposed now. If so, the proposal is
   /// recorded.
   bool registrationDue(const v1::RouterEntry& router, int64_t now_ms);
--- a/src/core/serving/serving_state.cc
+++ b/src/core/serving/serving_state.cc
@@ -1,6 +1,7 @@
 #include "core/serving/serving_state.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace workshatch::serving {
 
@@ -34,9 +35,16 @@
   if (reply.lease_ms() != 0) {
     snapshot_.lease_until_ms = std::max(snapshot_.lease_until_ms, sent_ms + reply.lease_ms());
   }
+  answered_sent_ms_ = std::max(answered_sent_ms_.value_or(sent_ms), sent_ms);
   return true;
 }
 
+uint32_t ServingState::answerAgeMs(int64_t now_ms) const {
+  constexpr int64_t kNever = std::numeric_limits<uint32_t>::max();
+  const int64_t age_ms = answered_sent_ms_ ? now_ms - *answered_sent_ms_ : kNever;
+  return static_cast<uint32_t>(std::clamp<int64_t>(age_ms, 1, kNever));
+}
+
 bool ServingState::mayServe(int64_t now_ms) const {
   return snapshot_.revision != 0 && now_ms < snapshot_.lease_until_ms;
 }
--- a/src/core/serving/serving_state.h
+++ b/src/core/serving/serving_state.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "workshatch/v1/control.pb.h"
@@ -41,6 +42,10 @@
   /// @return whether requests may be served now.
   bool mayServe(int64_t now_ms) const;
 
+  /// @return milliseconds since the sending of the last renewal whose answer was applied, at least
+  /// 1; the maximum of the type if there is none. Reported to the control leader.
+  uint32_t answerAgeMs(int64_t now_ms) const;
+
   /// Records that the permits of engines with a new owner were reported under this view.
   void setReportedView(uint64_t view) { reported_view_ = view; }
 
@@ -50,6 +55,9 @@
 private:
   ServingSnapshot snapshot_;
   uint64_t reported_view_ = 0;
+  /// When the last renewal whose answer was applied was sent, in milliseconds of this router's
+  /// monotonic clock.
+  std::optional<int64_t> answered_sent_ms_;
 };
 
 } // namespace workshatch::serving
--- a/src/daemon/router/router_role.cc
+++ b/src/daemon/router/router_role.cc
@@ -174,6 +174,7 @@
   request.set_revision_in_force(before.revision);
   const uint64_t reported_view = tables_.reportedView();
   request.set_view_in_force(reported_view);
+  request.set_answer_age_ms(tables_.renewalAnswerAgeMs());
   const std::vector<v1::PoolLoad> loads = tables_.withPermitTable(
       [](admission::PermitTable& permit_table) { return permit_table.reportLoads(); });
   for (const v1::PoolLoad& load : loads) {
--- a/src/daemon/router/router_tables.cc
+++ b/src/daemon/router/router_tables.cc
@@ -56,6 +56,11 @@
   return true;
 }
 
+uint32_t RouterTables::renewalAnswerAgeMs() const {
+  const std::lock_guard lock(serving_mutex_);
+  return serving_.answerAgeMs(clock_.monotonicMs());
+}
+
 uint64_t RouterTables::reportedView() const {
   const std::lock_guard lock(serving_mutex_);
   return serving_.reportedView();
--- a/src/daemon/router/router_tables.h
+++ b/src/daemon/router/router_tables.h
@@ -41,6 +41,8 @@
   /// @param sent_ms when the renewal was sent
   /// @return false if the reply does not fit the state in force and was ignored.
   bool applyRenewal(const v1::RenewReply& reply, int64_t sent_ms);
+  /// @return age of the last answer to a lease renewal (`ServingState::answerAgeMs`).
+  uint32_t renewalAnswerAgeMs() const;
   uint64_t reportedView() const;
   void setReportedView(uint64_t view);
 
