The log reports lost lines after the loss, and each loss once

Readers of a log that lost lines saw no `dropped_lines` after the first loss, and after later ones the total before them: BoundedOutput::takeUnreportedDrops returned the number that was reported before instead of the number of lines dropped since. It returns the difference now.

The test "The number of dropped log lines is reported once, after the loss" failed before (0 for a loss of 3 lines, 3 for a later loss of 2) and passes after.

--- a/src/adapters/logging/bounded_output.cc
+++ b/src/adapters/logging/bounded_output.cc
@@ -39,7 +39,7 @@
 }
 
 uint64_t BoundedOutput::takeUnreportedDrops() {
-  return dropped_ == dropped_reported_ ? 0 : std::exchange(dropped_reported_, dropped_);
+  return dropped_ - std::exchange(dropped_reported_, dropped_);
 }
 
 bool BoundedOutput::isWritable() const {
--- a/src/adapters/logging/bounded_output.h
+++ b/src/adapters/logging/bounded_output.h
@@ -27,7 +27,7 @@
 
   bool empty() const { return buffer_.empty(); }
   uint64_t droppedLines() const { return dropped_; }
-  /// @return the number of lines dropped since the last call that returned a number above zero.
+  /// @return the number of lines dropped since the last call.
   uint64_t takeUnreportedDrops();
 
 private:
