A stand-in that cannot open its run file aborts

The checks of scenarios that a key ran at most once read the stand-ins' run files. A stand-in whose file could not be opened recorded nothing and went on, so that the checks would have passed without looking at a run. It aborts now, as it does when a write fails.

The test "A stand-in that cannot open its run file aborts" failed before and passes after.

--- a/src/standin/run_record.h
+++ b/src/standin/run_record.h
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "adapters/http/http_types.h"
+#include "core/check.h"
 
 namespace workshatch::standin {
 
@@ -18,11 +19,13 @@
 class RunRecord {
 public:
   /// @param path file to which a line is appended before each run, so that the record survives a
-  /// killed process; empty for no file
+  /// killed process; empty for no file. Aborts the process if the file cannot be opened: without
+  /// it, runs would be missing from the checks without a trace.
   explicit RunRecord(const std::string& path) {
     if (!path.empty()) {
       constexpr int kFileMode = 0600;
       file_ = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode);
+      WORKSHATCH_CHECK(file_ >= 0, "cannot open the run file");
     }
   }
   ~RunRecord() {
