A request whose handler throws counts no longer as in progress

A tenant's callers were refused with 429 for good after as many requests as `max_in_flight` had ended by an exception, for example because a model runner sent an event whose id is a number: the request was released by a plain call after the handler, which an exception skips. A guard releases it now.

The test "A request whose handler throws does not count as in progress any more" sends two such requests for a tenant that may have one in progress. The second one was refused with 429 before and is not after.

--- a/src/daemon/router/request_handler.cc
+++ b/src/daemon/router/request_handler.cc
@@ -66,6 +66,26 @@
   });
 }
 
+/// Releases an admitted request of a tenant at the end of its scope, also if its handler throws.
+/// Otherwise the request would count towards the tenant's limit for as long as the process runs.
+class AdmittedRequest {
+public:
+  /// @param mutex guards `limiter`; both must outlive the object
+  AdmittedRequest(std::mutex& mutex, limits::TenantLimiter& limiter, std::string tenant)
+      : mutex_(mutex), limiter_(limiter), tenant_(std::move(tenant)) {}
+  ~AdmittedRequest() {
+    const std::lock_guard lock(mutex_);
+    limiter_.release(tenant_);
+  }
+  AdmittedRequest(const AdmittedRequest&) = delete;
+  AdmittedRequest& operator=(const AdmittedRequest&) = delete;
+
+private:
+  std::mutex& mutex_;
+  limits::TenantLimiter& limiter_;
+  const std::string tenant_;
+};
+
 http::Problem badRequest(std::string detail) {
   return http::Problem{
       .status = http::Status::bad_request, .code = "bad-request", .detail = std::move(detail)};
@@ -206,13 +226,12 @@
     co_await sendProblem(exchange, context, std::move(limited));
     co_return;
   }
+  const AdmittedRequest admitted(limiter_mutex_, limiter_, context.tenant);
   if (exchange.path() == kChatPath) {
     co_await serveChat(exchange, context);
   } else {
     co_await serveService(exchange, context);
   }
-  const std::lock_guard lock(limiter_mutex_);
-  limiter_.release(context.tenant);
 }
 
 asio::awaitable<void> RequestHandler::serveChat(http::Exchange& exchange, RequestContext& context) {
--- a/tests/unit/daemon/router/request_handler_test.cc
+++ b/tests/unit/daemon/router/request_handler_test.cc
@@ -1,5 +1,9 @@
 /// @file
-/// Tests of the execution state that the request handler reports for requests that it refuses.
+/// Tests of the execution state that the request handler reports for requests that it refuses, and
+/// of the limits of tenants.
+#include <optional>
+#include <string>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <doctest/doctest.h>
@@ -18,19 +22,49 @@
 constexpr uint64_t kIncarnation = 7;
 constexpr uint32_t kPermitTimeoutMs = 50;
 constexpr size_t kMaxBodyBytes = 65536;
+constexpr uint32_t kLeaseMs = 60'000;
 
 v1::Settings settingsOfRouter() {
   v1::Settings settings;
   settings.set_name("entry-1");
   settings.set_zone("a");
+  settings.mutable_router()->set_deadline_ms(kLeaseMs);
   return settings;
 }
 
-/// A router's request handler behind an HTTP server. It has no lease, like a router that has just
-/// started.
-class RouterWithoutLease {
+/// A model runner whose events have a number as their id, which the handler does not expect.
+class UnexpectedRunner {
+public:
+  UnexpectedRunner() : server_(workers_, http::ServerLimits{}, &answer, &refuse) {
+    address_ = std::get<std::string>(server_.listen("127.0.0.1:0"));
+    workers_.start();
+  }
+  ~UnexpectedRunner() { workers_.stop(); }
+  UnexpectedRunner(const UnexpectedRunner&) = delete;
+  UnexpectedRunner& operator=(const UnexpectedRunner&) = delete;
+
+  const std::string& address() const { return address_; }
+
+private:
+  static http::awaitable<void> answer(http::Exchange& exchange) {
+    const std::string events = "id: 1\ndata: {\"id\":7}\n\n";
+    http::Response response = http::makeResponse(http::Status::ok, "text/event-stream", events);
+    co_await exchange.respond(std::move(response));
+  }
+  static http::Response refuse(http::Status status, const std::string&) {
+    return http::makeResponse(status, "text/plain", "");
+  }
+
+  WorkerPool workers_{1};
+  http::Server server_;
+  std::string address_;
+};
+
+/// A router's request handler behind an HTTP server. It has no lease until `serveTenant`, like a
+/// router that has just started.
+class TestRouter {
 public:
-  RouterWithoutLease()
+  TestRouter()
       : server_(
             workers_, http::ServerLimits{},
             [this](http::Exchange& exchange) { return handler_.handle(exchange); },
@@ -40,9 +74,9 @@
     address_ = std::get<std::string>(server_.listen("127.0.0.1:0"));
     workers_.start();
   }
-  ~RouterWithoutLease() { workers_.stop(); }
-  RouterWithoutLease(const RouterWithoutLease&) = delete;
-  RouterWithoutLease& operator=(const RouterWithoutLease&) = delete;
+  ~TestRouter() { workers_.stop(); }
+  TestRouter(const TestRouter&) = delete;
+  TestRouter& operator=(const TestRouter&) = delete;
 
   /// Sends the request.
   /// @return the header `X-Execution` of the response.
@@ -63,6 +97,55 @@
     return execution;
   }
 
+  /// Serves one tenant, which may have one request in progress, with one runner.
+  void serveTenant(const std::string& tenant, const std::string& runner_address) {
+    v1::RenewReply lease;
+    lease.set_lease_ms(kLeaseMs);
+    lease.set_revision(1);
+    v1::Tenant* limited = lease.mutable_configuration()->add_tenants();
+    limited->set_name(tenant);
+    limited->set_max_in_flight(1);
+    v1::Service* service = lease.mutable_configuration()->add_services();
+    service->set_name("assistant");
+    service->set_kind("model");
+    service->set_load_unit("requests");
+    service->set_cap_factor(1.25);
+    service->set_aim_factor(1.1);
+    lease.set_view_number(1);
+    lease.set_settled_view(1);
+    lease.mutable_view()->set_number(1);
+    v1::RouterEntry* self = lease.mutable_view()->add_routers();
+    self->set_name(settings_.name());
+    self->set_incarnation(kIncarnation);
+    self->set_zone(settings_.zone());
+    self->set_state(v1::ROUTER_ACTIVE);
+    REQUIRE(tables_.applyRenewal(lease, clock_.monotonicMs()));
+    handler_.configure(lease.configuration());
+    tables_.setListed({routing::ListedRunner{.runner = "assistant-1",
+                                             .address = runner_address,
+                                             .service = "assistant",
+                                             .zone = settings_.zone()}});
+  }
+
+  /// Sends the request. @return the status of the response; nothing if the connection broke off.
+  std::optional<http::Status> statusFor(http::Request request) const {
+    asio::io_context context;
+    http::Client client(context, clock_);
+    std::optional<http::Status> status;
+    asio::co_spawn(
+        context,
+        [&]() -> http::awaitable<void> {
+          http::CallResult result = co_await client.call(address_, std::move(request), {});
+          if (auto* response = std::get_if<std::unique_ptr<http::ClientResponse>>(&result)) {
+            status = (*response)->status();
+            co_await (*response)->readAll(kMaxBodyBytes);
+          }
+        },
+        asio::detached);
+    context.run();
+    return status;
+  }
+
 private:
   const v1::Settings settings_ = settingsOfRouter();
   SystemClock clock_;
@@ -102,7 +185,7 @@
 } // namespace
 
 TEST_CASE("Without a lease, a request that resumes a stream is refused with execution unknown") {
-  const RouterWithoutLease router;
+  const TestRouter router;
   CHECK(router.executionHeaderFor(chatRequest()) == "not-run");
 
   http::Request resumed = chatRequest();
@@ -110,4 +193,14 @@
   CHECK(router.executionHeaderFor(std::move(resumed)) == "unknown");
 }
 
+// Guards against a tenant that is refused for good because a request whose handler threw still
+// counts as in progress.
+TEST_CASE("A request whose handler throws does not count as in progress any more") {
+  const UnexpectedRunner runner;
+  TestRouter router;
+  router.serveTenant("acampar", runner.address());
+  CHECK(router.statusFor(chatRequest()) == std::nullopt);
+  CHECK(router.statusFor(chatRequest()) != http::Status::too_many_requests);
+}
+
 } // namespace workshatch::test
