--- a/src/daemon/router/request_handler.cc
+++ b/src/daemon/router/request_handler.cc
@@ -4,6 +4,7 @@
 #include <random>
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <nlohmann/json.hpp>
 
@@ -65,6 +66,26 @@
   });
 }
 
+/// Releases an admitted request of a tenant at the end of its scope, also if its handler throws.
+/// Otherwise the request would count towards the tenant's limit for as long as the process runs.
+class AdmittedRequest {
+public:
+  /// @param mutex guards `limiter`; both must outlive the object
+  AdmittedRequest(std::mutex& mutex, limits::TenantLimiter& limiter, std::string tenant)
+      : mutex_(mutex), limiter_(limiter), tenant_(std::move(tenant)) {}
+  ~AdmittedRequest() {
+    const std::lock_guard lock(mutex_);
+    limiter_.release(tenant_);
+  }
+  AdmittedRequest(const AdmittedRequest&) = delete;
+  AdmittedRequest& operator=(const AdmittedRequest&) = delete;
+
+private:
+  std::mutex& mutex_;
+  limits::TenantLimiter& limiter_;
+  const std::string tenant_;
+};
+
 http::Problem badRequest(std::string detail) {
   return http::Problem{
       .status = http::Status::bad_request, .code = "bad-request", .detail = std::move(detail)};
@@ -75,7 +96,7 @@
 RequestHandler::RequestHandler(Dependencies dependencies) : dependencies_(std::move(dependencies)) {
   for (size_t i = 0; i < dependencies_.workers.size(); ++i) {
     asio::io_context& worker = dependencies_.workers.context(i);
-    clients_[&worker] = std::make_unique<http::Client>(worker);
+    clients_[&worker] = std::make_unique<http::Client>(worker, dependencies_.clock);
   }
 }
 
@@ -84,6 +105,13 @@
   limiter_.configure(configuration);
 }
 
+void RequestHandler::closeExpiredConnections() {
+  for (size_t i = 0; i < dependencies_.workers.size(); ++i) {
+    asio::io_context& worker = dependencies_.workers.context(i);
+    asio::post(worker, [&client = clientOf(worker)] { client.closeExpiredConnections(); });
+  }
+}
+
 http::Response RequestHandler::makeRefusal(http::Status status, const std::string& reason) const {
   http::Problem problem;
   problem.status = status;
@@ -198,13 +226,12 @@
     co_await sendProblem(exchange, context, std::move(limited));
     co_return;
   }
+  const AdmittedRequest admitted(limiter_mutex_, limiter_, context.tenant);
   if (exchange.path() == kChatPath) {
     co_await serveChat(exchange, context);
   } else {
     co_await serveService(exchange, context);
   }
-  const std::lock_guard lock(limiter_mutex_);
-  limiter_.release(context.tenant);
 }
 
 asio::awaitable<void> RequestHandler::serveChat(http::Exchange& exchange, RequestContext& context) {
--- a/src/daemon/router/router_role.cc
+++ b/src/daemon/router/router_role.cc
@@ -22,6 +22,8 @@
 
 constexpr std::chrono::milliseconds kTickPeriod{20};
 constexpr std::chrono::milliseconds kRunnerPollPeriod{1000};
+/// Period of closing expired connections; short against the keep-alive time of three seconds.
+constexpr std::chrono::milliseconds kIdleCheckPeriod{500};
 constexpr int64_t kRenewTimeoutMs = 1000;
 /// Pause after a renewal that brought a change, before the renewal that reports the change as in
 /// force.
@@ -110,7 +112,7 @@
           [this](http::Status status, const std::string& reason) {
             return handler_.makeRefusal(status, reason);
           }),
-      client_(workers.context(0)) {}
+      client_(workers.context(0), clock) {}
 
 Result<std::monostate> RouterRole::start() {
   const auto opened =
@@ -128,6 +130,7 @@
   asio::co_spawn(worker, platformLoop(), asio::detached);
   asio::co_spawn(worker, runnerLoop(), asio::detached);
   asio::co_spawn(worker, tickLoop(), asio::detached);
+  asio::co_spawn(worker, idleConnectionLoop(), asio::detached);
   return std::monostate{};
 }
 
@@ -171,6 +174,7 @@
   request.set_revision_in_force(before.revision);
   const uint64_t reported_view = tables_.reportedView();
   request.set_view_in_force(reported_view);
+  request.set_answer_age_ms(tables_.renewalAnswerAgeMs());
   const std::vector<v1::PoolLoad> loads = tables_.withPermitTable(
       [](admission::PermitTable& permit_table) { return permit_table.reportLoads(); });
   for (const v1::PoolLoad& load : loads) {
@@ -259,6 +263,14 @@
   }
 }
 
+asio::awaitable<void> RouterRole::idleConnectionLoop() {
+  while (!stopped_) {
+    co_await pauseFor(kIdleCheckPeriod);
+    client_.closeExpiredConnections();
+    handler_.closeExpiredConnections();
+  }
+}
+
 std::string RouterRole::networkMetrics() const {
   const http::ServerStats& server = server_.stats();
   const datagram::PeerStats& peers = socket_.stats();
