--- a/src/core/relay/policy.h
+++ b/src/core/relay/policy.h
@@ -31,6 +31,13 @@
   /// One relay, the slot owner of a runner, counts the requests of all relays there and grants
   /// slots; off: each relay relies on load totals.
   bool place_owners = true;
+  /// Slot owners also count the KV cache tokens and the unread prompt tokens of model engines, and
+  /// refuse prompts that do not fit or would start late; off: requests only.
+  bool engine_load = true;
+  /// Plain runners get requests up to an expected time, by the service times that slot owners
+  /// measure, and runners that fail more requests than the others are avoided; off: the number of
+  /// requests for each slot is limited.
+  bool service_times = true;
   /// Cold runners get no more requests than their sustainable rate allows.
   bool cold_pace = true;
   /// Requests during which three runners crashed are not sent to any further runner.
@@ -48,6 +55,9 @@
   /// The size of a request is taken from the figures of its caller and from recent requests; off:
   /// it is unknown.
   bool request_demand = true;
+  /// Slots are reserved for more urgent priorities by how common these are; off: the same number of
+  /// slots for each of them.
+  bool priority_shares = true;
   /// On a busy fleet, tenants over their share leave slots to others.
   bool tenant_shares = true;
   /// At a relay that has just started, requests wait for a short time for its first lease.
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/scheduling/service_reports.h"
+
 namespace workshatch::daemon {
 
 namespace {
@@ -16,6 +18,25 @@
 constexpr double kMaxWaitFraction = 0.2;
 /// Number of declined attempts after which the whole service is considered full.
 constexpr uint32_t kMaxDeclines = 3;
+/// Limit of the expected time of a plain request as a fraction of the latency objective. The rest
+/// is left for transit and for the spread of service times.
+constexpr double kPlainStartFraction = 0.8;
+
+/// @return the name of a reason in the log.
+const char* nameOf(v1::PlaceRefusal refusal) {
+  switch (refusal) {
+  case v1::PLACE_REFUSAL_LOAD:
+    return "load";
+  case v1::PLACE_REFUSAL_KV_CACHE:
+    return "kv_cache";
+  case v1::PLACE_REFUSAL_LATE:
+    return "late";
+  case v1::PLACE_REFUSAL_HELD_BACK:
+    return "held_back";
+  default:
+    return "unknown";
+  }
+}
 
 } // namespace
 
@@ -124,7 +145,20 @@
                               .ignores_limits = stream_started_,
                               .uses_slot_owners = usesSlotOwners(),
                               .refused_slots = refused_in_search_,
-                              .trial = trial_};
+                              .demand = request_.demand,
+                              .kv_capacity_tokens = request_.kv_capacity_tokens,
+                              .trial = trial_,
+                              .start_within_ms = plainStartLimitMs(),
+                              .unsuitable = unsuitable_};
+}
+
+/// @return limit of the expected time of a plain request in milliseconds; 0: no limit. The
+/// objective of a stream is the time of its first event, while its service time covers the whole
+/// stream.
+uint32_t ActiveRequest::plainStartLimitMs() const {
+  const bool limited = state_.policy.service_times && !request_.engine &&
+                       request_.route->kind != relay::RouteKind::Streaming;
+  return limited ? static_cast<uint32_t>(kPlainStartFraction * request_.route->objective_ms) : 0;
 }
 
 bool ActiveRequest::usesSlotOwners() const {
@@ -134,6 +168,7 @@
 /// Chooses runners until one has a free slot. Where slot owners are used, the owner decides.
 http::awaitable<std::variant<relay::RunnerChoice, relay::NoRunner>> ActiveRequest::findSlot() {
   refused_in_search_ = 0;
+  unsuitable_.clear();
   takeTrial();
   auto chosen = chooseRunner();
   while (!interrupted()) {
@@ -154,6 +189,36 @@
   co_return chosen;
 }
 
+/// @return the demand that claims state; nullopt if it is not known or does not count.
+std::optional<v1::PromptDemand> ActiveRequest::promptDemand() const {
+  const bool known = request_.demand.source != relay::DemandSource::Unknown;
+  if (!request_.engine || !known || !state_.policy.engine_load) {
+    return std::nullopt;
+  }
+  v1::PromptDemand demand;
+  demand.set_prompt_tokens(request_.demand.prompt_tokens);
+  demand.set_output_tokens(request_.demand.output_tokens);
+  demand.set_prefix(request_.cache_key);
+  demand.set_parent(request_.parent_key);
+  demand.set_prefix_tokens(static_cast<uint32_t>(request_.cached_tokens));
+  demand.set_parent_tokens(static_cast<uint32_t>(request_.parent_tokens));
+  return demand;
+}
+
+SlotClaim ActiveRequest::slotClaim(const relay::RunnerChoice& choice, uint32_t cold_ms) const {
+  return SlotClaim{.runner = choice.runner->fingerprint,
+                   .limit = choice.limit,
+                   .cold_ms = cold_ms,
+                   .demand = promptDemand(),
+                   .prompt_limits = choice.prompt_limits,
+                   .start_within_ms = choice.start_within_ms};
+}
+
+void ActiveRequest::recordRefusal(const SlotClaimResult& reply) {
+  ++slots_refused_by_[nameOf(reply.refusal)];
+  slots_held_back_ += reply.wait_ms != 0 ? 1 : 0;
+}
+
 /// Claims a slot at the runner. @return whether the request may be sent there.
 http::awaitable<bool> ActiveRequest::claimSlot(const relay::RunnerChoice& choice) {
   const uint64_t runner = choice.runner->fingerprint;
@@ -163,7 +228,8 @@
   }
   const int64_t now_ms = state_.clock.monotonicMs();
   const uint32_t cold_ms = state_.runners.coldMs(*choice.runner, now_ms);
-  SlotClaimResult reply = co_await state_.slot_client->claim(runner, choice.limit, cold_ms);
+  const SlotClaim request = slotClaim(choice, cold_ms);
+  SlotClaimResult reply = co_await state_.slot_client->claim(request);
   if (reply.verdict == SlotVerdict::Unanswered) {
     // Falls back to the load totals. They contain nothing about the pace of a cold runner, so a
     // cold runner is not used.
@@ -174,11 +240,36 @@
   }
   slot_ = std::move(reply.slot);
   state_.runners.recordLoad(*choice.runner, reply.load);
+  expected_start_ms_ = reply.expected_start_ms;
+  if (reply.verdict == SlotVerdict::Refused) {
+    recordRefusal(reply);
+  }
   if (reply.wait_ms != 0) {
-    ++slots_held_back_;
     state_.runners.recordHoldBack(*choice.runner, reply.wait_ms, state_.clock.monotonicMs());
   }
-  co_return reply.verdict == SlotVerdict::Granted;
+  const bool use = recordPlainReport(choice, reply.plain);
+  if (!use) {
+    slot_.release();
+  }
+  co_return use&& reply.verdict == SlotVerdict::Granted;
+}
+
+/// Records what the owner reported about a plain runner.
+/// @return whether the runner may be used; not if its failures show with this report.
+bool ActiveRequest::recordPlainReport(const relay::RunnerChoice& choice,
+                                      const relay::PlainRunnerReport& report) {
+  if (request_.engine || !state_.policy.service_times) {
+    return true;
+  }
+  plain_report_ = report;
+  const int64_t now_ms = state_.clock.monotonicMs();
+  relay::recordServiceReport(*choice.runner, report, now_ms);
+  const bool replaceable = !choice.last_resort && !trial_;
+  const bool fails = replaceable && state_.runners.isFailing(*choice.runner, now_ms);
+  if (fails || report.late) {
+    unsuitable_.push_back(choice.runner->fingerprint);
+  }
+  return !fails;
 }
 
 /// Chooses a runner, unless the request is new and must not overtake queued requests of the same or
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -1,5 +1,7 @@
 /// @file
 /// The metrics endpoint of the relay role: its counters, and gauges of its components.
+#include <cmath>
+
 #include "adapters/metrics/text_format.h"
 #include "core/relay/group_state.h"
 #include "daemon/relay/relay_role.h"
@@ -21,6 +23,27 @@
   co_await exchange.respond(std::move(response));
 }
 
+/// Exposes the tokens in progress at the engines whose slots are counted here.
+void RelayRole::exposeOwnedEngines(std::string& out) const {
+  metrics::LabelledCounts kv_tokens;
+  metrics::LabelledCounts unread_tokens;
+  for (const relay::SlotOwner::OwnedEngine& engine : slot_client_->ownedEngines()) {
+    const auto runner = state_.runners.find(engine.runner);
+    if (runner && engine.tokens.kv != 0) {
+      kv_tokens[runner->entry.id()] = engine.tokens.kv;
+    }
+    if (runner && engine.tokens.unread != 0) {
+      unread_tokens[runner->entry.id()] = engine.tokens.unread;
+    }
+  }
+  metrics::exposeGauges(out, "relay_owned_kv_tokens",
+                        "tokens in the KV cache of an engine whose places are counted here",
+                        "runner", kv_tokens);
+  metrics::exposeGauges(out, "relay_owned_unread_tokens",
+                        "prompt tokens that such an engine has not read yet", "runner",
+                        unread_tokens);
+}
+
 void RelayRole::exposeGauges(std::string& out) const {
   const int64_t now = clock_.monotonicMs();
   metrics::exposeGauge(out, "relay_requests_in_progress", "requests that are being served",
@@ -74,6 +97,7 @@
   metrics::exposeGauge(out, "relay_places_held_back",
                        "claims refused since a runner was cold or its zone evacuated",
                        static_cast<int64_t>(slots.held_back));
+  exposeOwnedEngines(out);
   const RunnerCrashReporter::Counts& crashes = crash_reporter_->counts();
   metrics::exposeGauge(out, "relay_runner_looks",
                        "connections made to see whether a runner that cut a request has ended",
@@ -119,10 +143,33 @@
       failures[runner->entry.id()] = runner->failures_in_row;
     }
   }
+  exposeServiceTimes(out, now);
   metrics::exposeGauges(out, "relay_runner_load", "requests at a runner, from all relays", "runner",
                         loads);
   metrics::exposeGauges(out, "relay_runner_failures", "failures of a runner in a row", "runner",
                         failures);
 }
 
+/// Appends the measurements of the plain runners whose slots this relay owns.
+void RelayRole::exposeServiceTimes(std::string& out, int64_t now_ms) const {
+  const relay::ServiceTimes& measured = slot_client_->serviceTimes();
+  metrics::LabelledCounts service_times;
+  metrics::LabelledCounts failed;
+  for (const auto& runner : state_.runners.runners()) {
+    if (const auto time_ms = measured.measuredMs(runner->fingerprint, now_ms)) {
+      service_times[runner->entry.id()] = static_cast<uint64_t>(std::llround(*time_ms));
+    }
+    const uint32_t percent = measured.failedPercent(runner->fingerprint, now_ms);
+    if (percent != 0) {
+      failed[runner->entry.id()] = percent;
+    }
+  }
+  metrics::exposeGauges(out, "relay_service_time_ms",
+                        "time for which a request uses a slot of an owned plain runner", "runner",
+                        service_times);
+  metrics::exposeGauges(out, "relay_failed_percent",
+                        "requests that failed of those that ended at an owned plain runner",
+                        "runner", failed);
+}
+
 } // namespace workshatch::daemon
--- a/tests/unit/core/scheduling/placement_test.cc
+++ b/tests/unit/core/scheduling/placement_test.cc
@@ -14,8 +14,8 @@
 #include <doctest/doctest.h>
 
 #include "core/relay/load_totals.h"
-#include "core/scheduling/placement.h"
 #include "core/relay/runner_table.h"
+#include "core/scheduling/placement.h"
 #include "core/scheduling/slot_owner.h"
 #include "core/scheduling/slot_usage.h"
 
@@ -253,15 +253,59 @@
   CHECK(tried.ids == std::vector<std::string>{"r0", "r1", "r2"});
 }
 
+TEST_CASE(
+    "The start of a prompt is limited at all of its offers but the last while slots are free") {
+  const auto candidates = runners(20, 32);
+  relay::PlacementQuery query{.candidates = candidates,
+                              .by_prompt = true,
+                              .engine = true,
+                              .prompt_limits = {.kv_limit = 1000, .start_within_ms = 200}};
+  const auto limitsOf = [&query] {
+    std::vector<uint32_t> starts;
+    for (query.refused = 0; const auto offer = relay::nextOffer({}, query); ++query.refused) {
+      CHECK(offer->prompt_limits.kv_limit == 1000);
+      starts.push_back(offer->prompt_limits.start_within_ms);
+    }
+    return starts;
+  };
+  CHECK(limitsOf() == std::vector<uint32_t>{200, 200, 200, 200, 200, 0, 0});
+  query.by_prompt = false;
+  CHECK(limitsOf() == std::vector<uint32_t>{200, 200, 0});
+  query.busy = true;
+  CHECK(limitsOf() == std::vector<uint32_t>{200, 200, 200});
+  query.by_prompt = true;
+  CHECK(limitsOf() == std::vector<uint32_t>{200, 200, 200});
+}
+
+TEST_CASE("Limits of a prompt follow from capacity, priority and the latency objective") {
+  const auto limits = [](uint32_t priority, uint64_t capacity, uint32_t objective_ms,
+                         uint32_t pause_ms) {
+    return relay::promptLimits({}, {.priority = priority, .draw = 5}, capacity,
+                               {.source = relay::DemandSource::Told,
+                                .objective_ms = objective_ms,
+                                .pause_objective_ms = pause_ms});
+  };
+  CHECK(limits(0, 400'000, 1500, 500).kv_limit == 360'000);
+  CHECK(limits(2, 400'000, 1500, 500).kv_limit == 324'000);
+  CHECK(limits(0, 0, 1500, 500).kv_limit == 0);
+  CHECK(limits(0, 0, 1500, 500).start_within_ms == 1200);
+  CHECK(limits(0, 0, 400, 500).start_within_ms == 320);
+  CHECK(limits(0, 0, 400, 0).start_within_ms == 320);
+  CHECK(limits(0, 0, 0, 300).start_within_ms == 0);
+  CHECK(limits(0, 0, 0, 0).start_within_ms == 0);
+  CHECK(relay::promptLimits({}, {}, 1000, {.objective_ms = 400}).start_within_ms == 0);
+  CHECK(relay::promptLimits({}, {}, 1000, {.objective_ms = 400}).kv_limit == 900);
+}
+
 TEST_CASE("A plain request first tries to get a slot without queueing") {
   const TriedRunners tried = tryAll(runners(10, 6), false, false);
-  CHECK(tried.limits == std::vector<uint32_t>{6, 6, 17});
-  CHECK(tryAll(runners(1, 6), false, false).limits == std::vector<uint32_t>{17});
+  CHECK(tried.limits == std::vector<uint32_t>{6, 6, 11});
+  CHECK(tryAll(runners(1, 6), false, false).limits == std::vector<uint32_t>{11});
 }
 
 TEST_CASE(
     "With two fifths of a plain service's slots in use, 300 relays do not overload one runner") {
-  // With load totals, relays fill single runners up to their limit of 17, three times their slots,
+  // With load totals, relays fill single runners up to their limit of 11, two requests per slot,
   // while others are idle.
   const auto by_owners = FleetSimulation({}).run(10'000);
   CHECK(by_owners.sent > 3000);
@@ -273,11 +317,11 @@
 
 TEST_CASE("Plain requests over the capacity fill the runners to their limits and no further") {
   const auto outcome = FleetSimulation({.runners = 6, .rate = 2500}).run(10'000);
-  CHECK(outcome.max_load <= 18);
+  CHECK(outcome.max_load <= 12);
   CHECK(outcome.refused > 0);
   // The requests sent are those that the limits allow, within a tenth.
   const double sent_per_second = outcome.sent / 8.2;
-  CHECK(sent_per_second > 0.9 * 6 * 17 / 0.06);
+  CHECK(sent_per_second > 0.9 * 6 * 11 / 0.06);
 }
 
 TEST_CASE("Model engines under high load stay at their slot limits, and prefixes at few homes") {
--- a/tests/unit/daemon/relay/active_request_test.cc
+++ b/tests/unit/daemon/relay/active_request_test.cc
@@ -4,6 +4,7 @@
 /// after the failure that it guards against.
 #include <future>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include <boost/asio/post.hpp>
@@ -43,11 +44,12 @@
   return slots;
 }
 
-/// Takes all three slots of the only runner: a plain service has three slots for each worker.
+/// Takes both slots of the only runner: while its service time is not known, a plain runner gets
+/// two requests for each worker.
 std::vector<daemon::SlotGuard> takeAllSlots(TestRelay& relay) {
   const uint64_t fingerprint = relay.state().runners.runners()[0]->fingerprint;
   std::vector<daemon::SlotGuard> taken;
-  for (int i = 0; i < 3; ++i) {
+  for (int i = 0; i < 2; ++i) {
     taken.push_back(relay.state().slot_client->takeWithoutClaim(fingerprint));
   }
   return taken;
@@ -78,6 +80,29 @@
   CHECK(std::stoi(request.substr(deadline + 12)) <= 2000);
 }
 
+TEST_CASE("A request in progress keeps the former configuration in memory") {
+  TestRelay* tested = nullptr;
+  std::weak_ptr<const relay::RouteTable> former;
+  bool released = false;
+  ScriptedRunner runner([&](auto& socket, const auto&) {
+    std::promise<bool> replaced;
+    boost::asio::post(tested->context(), [&] {
+      former = tested->state().routes;
+      tested->state().routes =
+          std::make_shared<const relay::RouteTable>(tested->state().routes->configuration());
+      replaced.set_value(former.expired());
+    });
+    released = replaced.get_future().get();
+    writeTo(socket, signedAnswer("q1", "done"));
+  });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  tested = &relay;
+  relay.addRunner("runner-1", runner.address());
+  relay.start();
+  CHECK(relay.sendRequest("q1").ends_with("done"));
+  CHECK(released);
+}
+
 TEST_CASE("Headers that only the system may set are removed from callers' requests") {
   ScriptedRunner runner(
       [](auto& socket, const auto&) { writeTo(socket, signedAnswer("q1", "done")); });
@@ -151,7 +176,7 @@
   TestRelay relay(route);
   relay.addRunner("runner-1", runner.address(), 1);
   const auto busy = relay.state().runners.runners()[0];
-  busy->in_progress = 3;
+  busy->in_progress = 2;
   relay.start();
   const std::string refused = relay.sendRequest("q1");
   CHECK(refused.starts_with("HTTP/1.1 503"));
@@ -160,7 +185,7 @@
   // A request that waited would have ended at its time limit, with another outcome.
   CHECK(relay.state().stats.outcomes["all_full"] == 1);
   CHECK(runner.requests() == 0);
-  boost::asio::post(relay.context(), [&] { busy->in_progress = 2; });
+  boost::asio::post(relay.context(), [&] { busy->in_progress = 1; });
   CHECK(relay.sendRequest("q1").ends_with("done"));
 }
 
@@ -189,6 +214,143 @@
   CHECK(slots.client->counts().refused == 1);
 }
 
+TEST_CASE("A prompt that does not fit into the engine's KV cache is refused and not sent") {
+  for (const bool limited : {true, false}) {
+    CAPTURE(limited);
+    ScriptedRunner engine([](auto& socket, const auto& request) {
+      writeTo(socket, streamHead(requestIdOf(request)) + chunk("data: 1\n\n") + kLastChunk);
+    });
+    TestRelay relay(testRoute(RouteKind::Streaming, 1), relay::Policy{.engine_load = limited});
+    relay.addRunner("runner-1", engine.address(), 64);
+    const auto slots = ownAllSlots(relay, "127.0.0.1:18305");
+    // A request of unknown demand is in progress, because an idle engine accepts any prompt.
+    const uint64_t fingerprint = relay.state().runners.runners()[0]->fingerprint;
+    std::optional<daemon::SlotGuard> taken = slots.client->takeWithoutClaim(fingerprint);
+    relay.onAdmitted([](daemon::RelayRequest& request) {
+      request.engine = true;
+      request.kv_capacity_tokens = 100'000;
+      request.demand = {
+          .prompt_tokens = 90'000, .output_tokens = 300, .source = relay::DemandSource::Told};
+    });
+    relay.start();
+    const std::string answer = relay.sendRequest("q1");
+    CHECK(answer.starts_with(limited ? "HTTP/1.1 503" : "HTTP/1.1 200"));
+    CHECK(engine.requests() == (limited ? 0 : 1));
+    std::promise<void> released;
+    boost::asio::post(relay.context(), [&] {
+      taken.reset();
+      released.set_value();
+    });
+    released.get_future().wait();
+    CHECK(relay.sendRequest("q2").starts_with("HTTP/1.1 200"));
+    // Nothing is left of a prompt that has ended.
+    std::promise<size_t> engines;
+    boost::asio::post(relay.context(),
+                      [&] { engines.set_value(slots.client->ownedEngines().size()); });
+    CHECK(engines.get_future().get() == 0);
+  }
+}
+
+TEST_CASE("Load totals decide about a prompt whose owner does not answer") {
+  ScriptedRunner engine([](auto& socket, const auto& request) {
+    writeTo(socket, streamHead(requestIdOf(request)) + chunk("data: 1\n\n") + kLastChunk);
+  });
+  TestRelay relay(testRoute(RouteKind::Streaming, 1));
+  relay.addRunner("runner-1", engine.address(), 64);
+  const auto slots = ownAllSlots(relay, "127.0.0.1:18306");
+  // Nothing listens at the owner's address.
+  slots.peers->setRelays({"127.0.0.1:18307"});
+  relay.onAdmitted([](daemon::RelayRequest& request) {
+    request.engine = true;
+    request.kv_capacity_tokens = 100;
+    request.demand = {.prompt_tokens = 90'000, .source = relay::DemandSource::Told};
+  });
+  relay.start();
+  CHECK(relay.sendRequest("q1").starts_with("HTTP/1.1 200"));
+  CHECK(slots.client->counts().unanswered == 1);
+}
+
+TEST_CASE("The owner of a plain runner learns which requests the runner completed and failed") {
+  // Requests that end at a time limit count as neither.
+  ScriptedRunner runner([](auto& socket, const auto& request) {
+    if (request.find("X-Fail") != std::string::npos) {
+      writeTo(socket, signedAnswer("q1", "bad", "500 Internal Server Error"));
+    } else if (request.find("X-Hang") == std::string::npos) {
+      writeTo(socket, signedAnswer("q1", "done"));
+    } else {
+      char bytes[64];
+      boost::system::error_code failure;
+      while (!failure) {
+        socket.read_some(boost::asio::buffer(bytes), failure);
+      }
+    }
+  });
+  relay::Route route = testRoute(RouteKind::RunOnce, 1);
+  route.timeout_ms = 100;
+  TestRelay relay(route);
+  relay.addRunner("runner-1", runner.address(), 1);
+  const SlotSetup slots = makeSlotSetup(relay, "127.0.0.1:18311", 1, [](uint64_t) {
+    return relay::OwnedRunner{.listed = true, .plain = relay::PlainRunner{.service = "s"}};
+  });
+  slots.peers->setRelays({"127.0.0.1:18311"});
+  relay.state().slot_client = slots.client;
+  const uint64_t fingerprint = relay.state().runners.runners()[0]->fingerprint;
+  relay.start();
+  CHECK(relay.sendRequest("q1", "X-Hang: 1\r\n").starts_with("HTTP/1.1 504"));
+  for (int i = 0; i < 3; ++i) {
+    CHECK(relay.sendRequest("q1").ends_with("done"));
+    CHECK(relay.sendRequest("q1", "X-Fail: 1\r\n").starts_with("HTTP/1.1 500"));
+  }
+  CHECK(relay.sendRequest("q1", "X-Hang: 1\r\n").starts_with("HTTP/1.1 504"));
+  std::promise<uint32_t> failed_percent;
+  boost::asio::post(relay.context(), [&] {
+    failed_percent.set_value(
+        slots.client->serviceTimes().failedPercent(fingerprint, relay.state().clock.monotonicMs()));
+  });
+  CHECK(failed_percent.get_future().get() == 50);
+}
+
+TEST_CASE("Without an answer of the owner a plain runner gets two requests for each slot") {
+  ScriptedRunner runner(
+      [](auto& socket, const auto&) { writeTo(socket, signedAnswer("q1", "done")); });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", runner.address(), 1);
+  const auto slots = ownAllSlots(relay, "127.0.0.1:18313");
+  // Nothing answers at the owner's address.
+  slots.peers->setRelays({"127.0.0.1:18314"});
+  const auto known = relay.state().runners.runners()[0];
+  known->in_progress = 2;
+  relay.start();
+  CHECK(relay.sendRequest("q1").find("all_full") != std::string::npos);
+  boost::asio::post(relay.context(), [&] { known->in_progress = 1; });
+  CHECK(relay.sendRequest("q1").ends_with("done"));
+  CHECK(slots.client->counts().unanswered >= 2);
+}
+
+TEST_CASE("Callers that do not read their responses do not keep the slots of a plain runner") {
+  const size_t body_bytes = size_t{12} * 1024 * 1024;
+  ScriptedRunner runner([&](auto& socket, const auto& request) {
+    const bool large = request.find("X-Large") != std::string::npos;
+    writeTo(socket, signedAnswer("q1", large ? std::string(body_bytes, 'x') : "done"));
+  });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", runner.address(), 1);
+  const auto slots = ownAllSlots(relay, "127.0.0.1:18312");
+  relay.start();
+  boost::asio::io_context context;
+  std::vector<boost::asio::ip::tcp::socket> callers;
+  for (int i = 0; i < 2; ++i) {
+    callers.emplace_back(context);
+    callers.back().connect(*http::parseEndpoint(relay.address()));
+    boost::asio::write(callers.back(),
+                       boost::asio::buffer(TestRelay::requestText("q1", "X-Large: 1\r\n")));
+    // The relay sends the first bytes once it has the complete response of the runner.
+    char byte = 0;
+    boost::asio::read(callers.back(), boost::asio::buffer(&byte, 1));
+  }
+  CHECK(relay.sendRequest("q1").ends_with("done"));
+}
+
 TEST_CASE("With queueing enabled a request waits briefly for a slot, and is then refused") {
   ScriptedRunner runner(
       [](auto& socket, const auto&) { writeTo(socket, signedAnswer("q1", "done")); });
@@ -196,9 +358,9 @@
   route.objective_ms = 1000;
   TestRelay relay(route, relay::Policy{.waiting_line = true});
   relay.addRunner("runner-1", runner.address(), 1);
-  // A plain service may have three requests in progress per worker.
+  // A plain service may have two requests in progress per worker.
   const auto busy = relay.state().runners.runners()[0];
-  busy->in_progress = 3;
+  busy->in_progress = 2;
   relay.start();
   const auto begin = std::chrono::steady_clock::now();
   const std::string refused = relay.sendRequest("q1");
@@ -209,10 +371,10 @@
   CHECK(runner.requests() == 0);
   CHECK(waited >= std::chrono::milliseconds(150));
   // When a slot becomes free, the queued request is resumed.
-  boost::asio::post(relay.context(), [&] { busy->in_progress = 3; });
+  boost::asio::post(relay.context(), [&] { busy->in_progress = 2; });
   boost::asio::steady_timer free_slot(relay.context(), std::chrono::milliseconds(50));
   free_slot.async_wait([&](boost::system::error_code) {
-    busy->in_progress = 2;
+    busy->in_progress = 1;
     relay.state().queue.wakeNext("s");
   });
   CHECK(relay.sendRequest("q1").ends_with("done"));
