A good version is no longer rolled back because bad responses come in bursts

Callers see: while a machine is busy, a good version is rolled back, with no failed call.

Cause: the comparison of versions took bad responses as independent of each other. One pause of a process makes all requests in progress there slow together, so that the variance was assumed too small.

Change: the variance is measured (core/relay/clustered_evidence). The leader keeps outcomes by intervals of 250 ms or longer (core/relay/outcome_intervals). The signed root of the likelihood ratio is divided by the root of the over-dispersion between the target version's intervals, and converted from Student's distribution, since the excess variance is known from few intervals. Eight intervals are needed. Failures are also compared by groups of runners, which needs no minimum of time: the worst group counts no more than the second worst, at least three groups are needed, and the dispersion is the larger one of the groups and of the former version's intervals. Reports contain the target version's failures by group of runners for this; relays of earlier versions report none, and then only intervals are used. The line rollout_judged has evidence_of, dispersion, intervals, all_intervals, runner_groups and relays.

--- /dev/null
+++ b/src/core/relay/clustered_evidence.h
@@ -0,0 +1,77 @@
+/// @file
+/// Evidence that one version gives more bad responses than another, if bad responses come in
+/// bursts.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace workshatch::relay {
+
+/// Bad responses, and all responses, of both versions.
+struct ResponseShares {
+  uint64_t target_bad = 0;
+  uint64_t target_all = 0;
+  uint64_t former_bad = 0;
+  uint64_t former_all = 0;
+
+  ResponseShares& operator+=(const ResponseShares& more);
+};
+
+/// Evidence against the target version, and what it rests on.
+struct Evidence {
+  /// In standard deviations; negative: the target version performs better.
+  double strength = 0;
+  /// Bad responses of the target version in excess of those that the former version would have
+  /// given.
+  double excess = 0;
+  /// Measured variance of bad responses as a multiple of their variance if they were independent of
+  /// each other; at least 1.
+  double dispersion = 1;
+  /// Number of intervals, or of groups of runners, with responses of the target version. The one
+  /// that is not used is zero.
+  size_t intervals = 0;
+  size_t runner_groups = 0;
+};
+
+/// @return the evidence from responses that are independent of each other: the signed root of the
+/// likelihood ratio, which, unlike the normal approximation, is also valid for few responses.
+Evidence compareShares(const ResponseShares& shares);
+
+/// @return the evidence from consecutive intervals.
+///
+/// One pause or fault of a process makes all requests in progress there bad, so that the number of
+/// bad responses varies more than that of independent ones (over-dispersion). The variance is
+/// measured by the differences between the target version's intervals, and the evidence is divided
+/// by its root: `n` bursts are about as much evidence as `n` single bad responses, whatever their
+/// size. Bursts have to be shorter than the intervals.
+///
+/// With fewer than `kMinIntervals` intervals the variance is not known, and there is no evidence.
+Evidence compareIntervals(const std::vector<ResponseShares>& intervals);
+
+/// Number of intervals that are needed to measure a variance.
+inline constexpr size_t kMinIntervals = 8;
+
+/// Bad responses, and all responses, at one group of the target version's runners.
+struct GroupShares {
+  uint64_t bad = 0;
+  uint64_t all = 0;
+};
+
+/// @return the evidence from several groups of runners, which needs no minimum of time, so that a
+/// version that fails many requests is detected after few of them.
+///
+/// A burst at one runner is no evidence: the group with the largest excess is left out, and at
+/// least `kMinRunnerGroups` groups are needed. The variance is measured by the differences between
+/// the other groups, and between the former version's intervals. A burst that hits all runners hits
+/// the former version at the same time.
+///
+/// @param intervals of both versions; those of the target version are not used
+Evidence compareRunnerGroups(const std::vector<GroupShares>& groups,
+                             const std::vector<ResponseShares>& intervals);
+
+/// Number of groups of runners with responses that are needed for evidence.
+inline constexpr size_t kMinRunnerGroups = 3;
+
+} // namespace workshatch::relay
--- a/src/core/relay/rollout_analysis.cc
+++ b/src/core/relay/rollout_analysis.cc
@@ -1,6 +1,7 @@
 #include "core/relay/rollout_analysis.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace workshatch::relay {
@@ -8,12 +9,12 @@
 namespace {
 
 /// Strength of evidence, in standard deviations, from which a version is rolled back. A version as
-/// good as the former one reaches it in less than one of ten million evaluations; a rollout has
-/// some thousand for each route and time window.
-constexpr double kStrongEvidence = 5.5;
+/// good as the former one reaches it in less than one of three million evaluations; a rollout has
+/// some thousand for each route and time window, most of which share their outcomes.
+constexpr double kStrongEvidence = 5;
 /// Strength of evidence from which a version is not promoted at the end of its trial, where a
 /// single evaluation decides.
-constexpr double kEvidenceAgainstPromotion = 4.5;
+constexpr double kEvidenceAgainstPromotion = 4.2;
 /// Fraction of the rollout's duration after which a version without evidence against it is
 /// promoted. The rest is left for the former versions to finish their requests.
 constexpr double kTrialFraction = 0.6;
@@ -26,19 +27,29 @@
 constexpr double kMinSlotsFraction = 0.5;
 /// Outcomes are also compared over these most recent time windows, to detect a version that turns
 /// bad later.
-constexpr int64_t kWindowsMs[] = {2000, 4000};
+constexpr int64_t kWindowsMs[] = {1000, 2000, 4000};
 constexpr int64_t kLongestWindowMs = 4000;
-constexpr int64_t kSnapshotIntervalMs = 250;
+/// Length of the intervals by which outcomes are kept.
+constexpr int64_t kIntervalMs = 250;
+/// Limits of the intervals kept: those of the longest window, and those of the whole rollout, whose
+/// length grows with its duration.
+constexpr size_t kRecentIntervals = kLongestWindowMs / kIntervalMs;
+constexpr size_t kWholeIntervals = 32;
 
 } // namespace
 
+RolloutAnalysis::RolloutAnalysis(const v1::Rollout& rollout, int64_t elapsed_ms, int64_t now_ms)
+    : duration_ms_(rollout.duration_ms()), started_ms_(now_ms - elapsed_ms),
+      recent_(kIntervalMs, kRecentIntervals, OutcomeIntervals::Overflow::DropOldest),
+      whole_(kIntervalMs, kWholeIntervals, OutcomeIntervals::Overflow::Merge) {}
+
 void RolloutAnalysis::addReport(const std::string& relay, uint64_t incarnation,
                                 const v1::RolloutReport& report, int64_t now_ms) {
-  takeSnapshot(now_ms);
   RelayReport& last = last_reports_[relay];
   if (last.incarnation != incarnation) {
     last = RelayReport{.incarnation = incarnation, .report = {}};
   }
+  VersionComparison added;
   for (const v1::VersionOutcomes& outcomes : report.outcomes()) {
     const auto& before = last.report.outcomes();
     const auto known =
@@ -46,35 +57,45 @@
           return candidate.route() == outcomes.route() && candidate.target() == outcomes.target();
         });
     const OutcomeCounts counted = known == before.end() ? OutcomeCounts() : countsOf(*known);
-    outcomes_.add(outcomes.route(), outcomes.target(), countsOf(outcomes).since(counted));
+    added.add(outcomes.route(), outcomes.target(), countsOf(outcomes).since(counted));
   }
+  add(added, runnerGroupCountsOf(report).since(runnerGroupCountsOf(last.report)), now_ms);
   last.report = report;
 }
 
-void RolloutAnalysis::takeSnapshot(int64_t now_ms) {
-  if (!snapshots_.empty() && now_ms - snapshots_.back().at_ms < kSnapshotIntervalMs) {
-    return;
-  }
-  snapshots_.push_back(Snapshot{.at_ms = now_ms, .outcomes = outcomes_});
-  while (snapshots_.size() > 1 && snapshots_[1].at_ms <= now_ms - kLongestWindowMs) {
-    snapshots_.pop_front();
+void RolloutAnalysis::add(const VersionComparison& outcomes, const RunnerGroupCounts& groups,
+                          int64_t now_ms) {
+  outcomes_ += outcomes;
+  for (OutcomeIntervals* intervals : {&recent_, &whole_}) {
+    OutcomeInterval& interval = intervals->at(now_ms);
+    interval.outcomes += outcomes;
+    interval.target_groups += groups;
   }
 }
 
-Evidence RolloutAnalysis::strongestEvidence() const {
-  Evidence strongest = outcomes_.strongest();
-  if (snapshots_.empty()) {
-    return strongest;
-  }
+size_t RolloutAnalysis::relaysWithTarget() const {
+  return static_cast<size_t>(
+      std::count_if(last_reports_.begin(), last_reports_.end(),
+                    [](const auto& entry) { return entry.second.report.target_ended_size() > 0; }));
+}
+
+/// Finds the strongest evidence over the whole rollout and over the most recent windows.
+void RolloutAnalysis::evaluate(const RolloutConditions& conditions) {
+  evidence_ = {};
+  const auto consider = [&](const OutcomeIntervals& intervals, int64_t from_ms) {
+    OutcomeWindow window;
+    for (const OutcomeInterval& interval : intervals.list()) {
+      if (interval.from_ms >= from_ms) {
+        window.push_back(&interval);
+      }
+    }
+    const RolloutEvidence found = strongestEvidence(window, conditions.report_period_ms);
+    evidence_ = evidence_.evidence.strength < found.evidence.strength ? found : evidence_;
+  };
+  consider(whole_, std::numeric_limits<int64_t>::min());
   for (const int64_t window_ms : kWindowsMs) {
-    const int64_t from_ms = snapshots_.back().at_ms - window_ms;
-    const auto snapshot =
-        std::find_if(snapshots_.begin(), snapshots_.end(),
-                     [&](const Snapshot& candidate) { return candidate.at_ms >= from_ms; });
-    const Evidence recent = outcomes_.since(snapshot->outcomes).strongest();
-    strongest = strongest.strength < recent.strength ? recent : strongest;
+    consider(recent_, conditions.now_ms - window_ms);
   }
-  return strongest;
 }
 
 std::optional<v1::RolloutPhase>
@@ -87,7 +108,7 @@
   const bool enough_slots = static_cast<double>(conditions.target_slots) >=
                             kMinSlotsFraction * static_cast<double>(conditions.former_slots);
   const bool enough_responses = outcomes_.totalOf(true).ended >= kMinResponses;
-  if (enough_slots && enough_responses && evidence_.strength < kEvidenceAgainstPromotion) {
+  if (enough_slots && enough_responses && evidence_.evidence.strength < kEvidenceAgainstPromotion) {
     return v1::ROLLOUT_PROMOTING;
   }
   return elapsed < kDecisionDeadlineFraction * duration ? std::nullopt
@@ -96,8 +117,8 @@
 
 std::optional<v1::RolloutPhase> RolloutAnalysis::decide(v1::RolloutPhase phase,
                                                         const RolloutConditions& conditions) {
-  evidence_ = strongestEvidence();
-  if (evidence_.strength >= kStrongEvidence) {
+  evaluate(conditions);
+  if (evidence_.evidence.strength >= kStrongEvidence) {
     return v1::ROLLOUT_ROLLED_BACK;
   }
   if (!conditions.all_relays_reported) {
--- a/src/core/relay/rollout_analysis.h
+++ b/src/core/relay/rollout_analysis.h
@@ -3,11 +3,12 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
 
+#include "core/relay/outcome_intervals.h"
+#include "core/relay/rollout_evidence.h"
 #include "core/relay/version_comparison.h"
 #include "workshatch/v1/relay.pb.h"
 
@@ -16,6 +17,8 @@
 /// Input of a decision besides the outcomes.
 struct RolloutConditions {
   int64_t now_ms = 0;
+  /// Period in which relays report.
+  int64_t report_period_ms = 0;
   /// Slots of all runners of the target version, and of the former versions.
   uint64_t target_slots = 0;
   uint64_t former_slots = 0;
@@ -37,8 +40,7 @@
 class RolloutAnalysis {
 public:
   /// @param elapsed_ms time since the rollout was ordered
-  RolloutAnalysis(const v1::Rollout& rollout, int64_t elapsed_ms, int64_t now_ms)
-      : duration_ms_(rollout.duration_ms()), started_ms_(now_ms - elapsed_ms) {}
+  RolloutAnalysis(const v1::Rollout& rollout, int64_t elapsed_ms, int64_t now_ms);
 
   /// Adds a relay's report. Outcomes that an earlier process of the relay reported remain counted.
   void addReport(const std::string& relay, uint64_t incarnation, const v1::RolloutReport& report,
@@ -51,7 +53,11 @@
   /// Outcomes since the beginning of the rollout, for the log.
   const VersionComparison& outcomes() const { return outcomes_; }
   /// Evidence at the last decision, for the log.
-  const Evidence& evidence() const { return evidence_; }
+  const RolloutEvidence& evidence() const { return evidence_; }
+  /// Number of intervals by which the whole rollout is evaluated, for the log.
+  size_t intervalCount() const { return whole_.list().size(); }
+  /// Number of relays that have reported responses of the target version, for the log.
+  size_t relaysWithTarget() const;
   int64_t elapsedMs(int64_t now_ms) const { return now_ms - started_ms_; }
 
 private:
@@ -59,13 +65,8 @@
     uint64_t incarnation = 0;
     v1::RolloutReport report;
   };
-  struct Snapshot {
-    int64_t at_ms = 0;
-    VersionComparison outcomes;
-  };
-
-  void takeSnapshot(int64_t now_ms);
-  Evidence strongestEvidence() const;
+  void add(const VersionComparison& outcomes, const RunnerGroupCounts& groups, int64_t now_ms);
+  void evaluate(const RolloutConditions& conditions);
   std::optional<v1::RolloutPhase> evaluateTrial(const RolloutConditions& conditions) const;
 
   const int64_t duration_ms_;
@@ -73,9 +74,9 @@
   /// The last report of each relay, by its name.
   std::map<std::string, RelayReport> last_reports_;
   VersionComparison outcomes_;
-  /// Earlier states of `outcomes_`, the oldest first.
-  std::deque<Snapshot> snapshots_;
-  Evidence evidence_;
+  OutcomeIntervals recent_;
+  OutcomeIntervals whole_;
+  RolloutEvidence evidence_;
 };
 
 } // namespace workshatch::relay
--- a/src/core/relay/rollout_outcomes.h
+++ b/src/core/relay/rollout_outcomes.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 
+#include "core/relay/runner_groups.h"
 #include "core/relay/version_comparison.h"
 #include "workshatch/v1/relay.pb.h"
 
@@ -17,6 +18,8 @@
 /// Outcome of one request at a runner.
 struct VersionOutcome {
   std::string route;
+  /// Fingerprint of the runner's incarnation.
+  uint64_t runner = 0;
   bool target = false;
   bool failed = false;
   /// Milliseconds to the first part of the response; empty: there was no response.
@@ -39,8 +42,13 @@
   /// Fingerprint of the route, and whether the runner was of the target version.
   using RouteVersion = std::pair<uint64_t, bool>;
 
+  struct RolloutCounts {
+    std::map<RouteVersion, OutcomeCounts> routes;
+    RunnerGroupCounts target_groups;
+  };
+
   /// By index of the rollout's order in the replicated log.
-  std::map<uint64_t, std::map<RouteVersion, OutcomeCounts>> counts_;
+  std::map<uint64_t, RolloutCounts> counts_;
 };
 
 } // namespace workshatch::relay
--- a/src/core/relay/version_comparison.h
+++ b/src/core/relay/version_comparison.h
@@ -1,6 +1,5 @@
 /// @file
-/// Compares the outcomes of requests at runners of two versions, and measures the evidence against
-/// the newer version.
+/// Outcomes of requests at runners of two versions, by route.
 #pragma once
 
 #include <array>
@@ -12,12 +11,16 @@
 
 namespace workshatch::relay {
 
-/// Outcomes of one route's requests at runners of one version.
+/// Number of responses in each bucket of response times.
+using ResponseTimes = std::array<uint32_t, kTimeBuckets>;
+
+/// Outcomes of one route's requests at runners of one version. Counts have the size that they have
+/// in reports, because a leader keeps them for many intervals.
 struct OutcomeCounts {
-  uint64_t ended = 0;
-  uint64_t failed = 0;
-  std::array<uint64_t, kTimeBuckets> first_times{};
-  std::array<uint64_t, kTimeBuckets> step_times{};
+  uint32_t ended = 0;
+  uint32_t failed = 0;
+  ResponseTimes first_times{};
+  ResponseTimes step_times{};
 
   OutcomeCounts& operator+=(const OutcomeCounts& more);
   /// Counts since an earlier state of the same route and version. Counts never decrease.
@@ -26,15 +29,6 @@
 
 OutcomeCounts countsOf(const v1::VersionOutcomes& outcomes);
 
-/// Evidence that the target version is worse, and the number of responses behind it.
-struct Evidence {
-  /// In standard deviations; negative: the target version performs better.
-  double strength = 0;
-  /// Bad responses of the target version in excess of those that the former version would have
-  /// given.
-  double excess = 0;
-};
-
 /// Outcomes of all routes at both versions in the same time window. Not safe for concurrent use.
 class VersionComparison {
 public:
@@ -45,26 +39,16 @@
   };
 
   void add(uint64_t route, bool target, const OutcomeCounts& counts);
-  /// @return the outcomes added since an earlier state of this comparison.
-  VersionComparison since(const VersionComparison& earlier) const;
+  VersionComparison& operator+=(const VersionComparison& more);
 
-  /// @return the strongest evidence against the target version: failures of all routes together or
-  /// of one route, or responses of one route that are late compared with the former version. A few
-  /// bad responses are no evidence.
-  Evidence strongest() const;
+  /// By fingerprint of the route's name.
+  const std::map<uint64_t, Route>& routes() const { return routes_; }
 
   /// @return the responses and failures of all routes. Response times are not included.
   OutcomeCounts totalOf(bool target) const;
 
 private:
-  /// By fingerprint of the route's name.
   std::map<uint64_t, Route> routes_;
 };
 
-/// @return the evidence against the target version from the shares of bad responses: the signed
-/// root of the likelihood ratio, which, unlike the normal approximation, is also valid for few
-/// responses.
-Evidence compareShares(uint64_t target_bad, uint64_t target_all, uint64_t former_bad,
-                       uint64_t former_all);
-
 } // namespace workshatch::relay
--- a/src/daemon/group/rollout_controller.cc
+++ b/src/daemon/group/rollout_controller.cc
@@ -55,6 +55,7 @@
   const int64_t now_ms = clock_.monotonicMs();
   relay::RolloutConditions conditions{
       .now_ms = now_ms,
+      .report_period_ms = relays.renewal_period_ms,
       .all_relays_reported = replica_.leadingForMs() >= kSettlePeriods * relays.renewal_period_ms};
   for (const v1::RunnerEntry& runner : runners.runners()) {
     if (runner.service() != rollout.service() || runner.leaving()) {
@@ -96,6 +97,7 @@
 void RolloutController::propose(const v1::Rollout& rollout, v1::RolloutPhase phase,
                                 TrackedRollout& tracked) {
   tracked.proposed_ms = clock_.monotonicMs();
+  const relay::RolloutEvidence& found = tracked.analysis.evidence();
   const relay::OutcomeCounts target = tracked.analysis.outcomes().totalOf(true);
   const relay::OutcomeCounts former = tracked.analysis.outcomes().totalOf(false);
   line_log::write("rollout_judged",
@@ -104,8 +106,14 @@
                    {"phase", relay::nameOf(rollout.phase())},
                    {"next_phase", relay::nameOf(phase)},
                    {"elapsed_ms", tracked.analysis.elapsedMs(tracked.proposed_ms)},
-                   {"evidence", tracked.analysis.evidence().strength},
-                   {"excess_bad_answers", tracked.analysis.evidence().excess},
+                   {"evidence", found.evidence.strength},
+                   {"evidence_of", relay::nameOf(found.criterion)},
+                   {"excess_bad_answers", found.evidence.excess},
+                   {"dispersion", found.evidence.dispersion},
+                   {"intervals", found.evidence.intervals},
+                   {"all_intervals", tracked.analysis.intervalCount()},
+                   {"runner_groups", found.evidence.runner_groups},
+                   {"relays", tracked.analysis.relaysWithTarget()},
                    {"target_answers", target.ended},
                    {"target_failures", target.failed},
                    {"former_answers", former.ended},
--- a/src/daemon/relay/active_request_rollout.cc
+++ b/src/daemon/relay/active_request_rollout.cc
@@ -37,6 +37,7 @@
     return;
   }
   relay::VersionOutcome outcome{.route = request_.route->name,
+                                .runner = runner.fingerprint,
                                 .target = runner.entry.version() == rollout->target_version(),
                                 .failed = result.end != AttemptEnd::Answered};
   const int64_t now_ms = state_.clock.monotonicMs();
