Responses in less than 32 ms are no evidence against a version

Callers see: on a busy machine a good version whose trial uses one runner is rolled back, with no failed call.

Cause: a response was late when it took twice as long as the former version's slow ones, however short that is. The runners of a trial get the scheduler's time slices as the machine pleases, for seconds: such delays come in every interval, and the interval variance does not contain them.

Change: nothing that takes less than 32 ms is late. The shortest objective that callers state is 49 ms between two tokens.

The test "A version is rolled back because of delays too short to matter to callers" failed first (0 of 100 promoted).

--- a/src/core/relay/rollout_evidence.cc
+++ b/src/core/relay/rollout_evidence.cc
@@ -22,6 +22,10 @@
 /// whose runners have no prompts cached yet.
 constexpr size_t kLateStepDoublings = 1;
 constexpr size_t kLateFirstDoublings = 2;
+/// No response and no event in less than this time, in milliseconds, is late. The shortest
+/// objective that callers state is 49 ms between two tokens; shorter differences come from the
+/// scheduling of processes on a busy machine, and last as long as it is busy.
+constexpr double kMinLateMs = 32;
 
 uint64_t sumOf(const ResponseTimes& times) {
   return std::accumulate(times.begin(), times.end(), uint64_t{0});
@@ -131,7 +135,8 @@
     if (sumOf(former) < kMinSamples) {
       return;
     }
-    const size_t late = slowBucketOf(former) + late_doublings * kBucketsPerDoubling;
+    const size_t late = std::max(slowBucketOf(former) + late_doublings * kBucketsPerDoubling,
+                                 timeBucketOf(kMinLateMs));
     consider(criterion, compareIntervals(sharesOf(route, [&](const auto& outcomes) {
                return ResponseShares{.target_bad = countAbove(outcomes.target.*times, late),
                                      .target_all = sumOf(outcomes.target.*times),
