--- a/tests/unit/core/relay/rollout_analysis_test.cc
+++ b/tests/unit/core/relay/rollout_analysis_test.cc
@@ -20,6 +20,8 @@
 constexpr int64_t kDurationMs = 12'000;
 constexpr int64_t kStepMs = 100;
 constexpr size_t kRoutes = 4;
+/// Runners that the target version has in use.
+constexpr size_t kTrialRunners = 4;
 /// Time after which all relays have reported to a new leader.
 constexpr int64_t kRelaysReportedMs = 1000;
 /// Fraction of the responses that fail at runners of any version.
@@ -35,6 +37,8 @@
   /// Fraction of its responses that are slow, and the factor on their times.
   double slow_fraction = 0;
   double slow_times = 4;
+  /// Factor on the times of both versions.
+  double time_scale = 1;
   /// Requests to both versions in a step, on all routes.
   int requests_in_step = 250;
   /// Time at which another leader takes over; zero: never.
@@ -96,11 +100,13 @@
           target && now_ms >= version_.from_ms && version_.only_route.value_or(route) == route;
       const bool failed =
           std::bernoulli_distribution(worse ? version_.failures : kUsualFailures)(random_);
-      relay::VersionOutcome outcome{
-          .route = "route-" + std::to_string(route), .target = target, .failed = failed};
+      relay::VersionOutcome outcome{.route = "route-" + std::to_string(route),
+                                    .runner = static_cast<uint64_t>(i) % kTrialRunners,
+                                    .target = target,
+                                    .failed = failed};
       if (!failed) {
         const bool slow = worse && std::bernoulli_distribution(version_.slow_fraction)(random_);
-        const double times = slow ? version_.slow_times : 1;
+        const double times = version_.time_scale * (slow ? version_.slow_times : 1);
         std::lognormal_distribution<double> spread(0, 0.4);
         outcome.step_ms = 20 * times * spread(random_);
         outcome.first_ms =
@@ -163,6 +169,10 @@
   CHECK(tallyOf(Version{.slow_fraction = 0.2}, 100).rolled_back >= 99);
 }
 
+TEST_CASE("A version is rolled back because of delays too short to matter to callers") {
+  CHECK(tallyOf(Version{.slow_fraction = 0.2, .time_scale = 0.02}, 100).promoted == 100);
+}
+
 TEST_CASE("A change of the leader during a rollout loses the evidence") {
   for (const int64_t lost_ms : {500, 3000, 6000}) {
     CAPTURE(lost_ms);
@@ -211,7 +221,9 @@
         v1::ROLLOUT_SUCCEEDED);
   relay::RolloutOutcomes outcomes;
   for (int i = 0; i < 200; ++i) {
-    outcomes.record(7, {.route = "r", .target = i % 2 == 0, .failed = i % 4 == 0});
+    const uint64_t runner = static_cast<uint64_t>(i) / 4 % kTrialRunners;
+    outcomes.record(7,
+                    {.route = "r", .runner = runner, .target = i % 2 == 0, .failed = i % 4 == 0});
   }
   v1::RolloutReport report;
   report.set_rollout(7);
