--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -21,7 +21,7 @@
 constexpr int64_t kMinRetryWithoutLeaseMs = 200;
 constexpr int64_t kMaxRetryWithoutLeaseMs = 1000;
 constexpr uint32_t kRetryWhileStoppingMs = 50;
-constexpr uint32_t kMaxPriority = 9;
+constexpr uint32_t kMaxPriority = relay::kPriorities - 1;
 /// Distance between the priorities of tenants, which leaves room for the priorities of routes.
 constexpr uint32_t kTenantPriorityStep = 3;
 
