--- a/src/core/relay/clustered_evidence.cc
+++ b/src/core/relay/clustered_evidence.cc
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// Weight, in degrees of freedom, of the assumption that responses are independent, where few
-/// clusters are available. A burst of ten outweighs it.
+/// Weight, in degrees of freedom, of the assumption that responses are independent. It matters
+/// where few clusters are available, and is small enough for one burst of ten bad responses to
+/// outweigh it.
 constexpr double kPriorWeight = 4;
 /// The same where groups of runners are compared: a trial uses three or four of them, whose
 /// differences alone say little.
@@ -19,11 +20,15 @@
   return seen == 0 ? 0 : seen * std::log(seen / expected);
 }
 
-/// Sum of squared differences between clusters and their mean, relative to the variance of
-/// independent responses (Pearson's chi-squared statistic).
+/// Estimates the variance of bad responses between clusters, relative to the variance of
+/// independent responses.
+///
+/// The estimate is the sum of the squared differences divided by the sum of the expected variances.
+/// Pearson's statistic adds up the quotients of single clusters instead, in which a cluster with
+/// few expected bad responses has as much weight as a large one.
 class DispersionEstimate {
 public:
-  /// @param bad, all of all clusters together
+  /// @param bad, all bad responses, and all responses, of all clusters together
   DispersionEstimate(uint64_t bad, uint64_t all)
       : share_(all == 0 ? 0 : static_cast<double>(bad) / static_cast<double>(all)) {}
 
--- a/src/core/relay/clustered_evidence.h
+++ b/src/core/relay/clustered_evidence.h
@@ -29,8 +29,8 @@
   /// Measured variance of bad responses as a multiple of their variance if they were independent of
   /// each other; at least 1.
   double dispersion = 1;
-  /// Number of intervals, or of groups of runners, with responses of the target version. The one
-  /// that is not used is zero.
+  /// Number of intervals, or of groups of runners, with responses of the target version. Evidence
+  /// is measured by either of them; the number of the other one is zero.
   size_t intervals = 0;
   size_t runner_groups = 0;
 };
@@ -62,10 +62,11 @@
 /// @return the evidence from several groups of runners, which needs no minimum of time, so that a
 /// version that fails many requests is detected after few of them.
 ///
-/// A burst at one runner is no evidence: the group with the largest excess is left out, and at
-/// least `kMinRunnerGroups` groups are needed. The variance is measured by the differences between
-/// the other groups, and between the former version's intervals. A burst that hits all runners hits
-/// the former version at the same time.
+/// A burst at one runner is no evidence: the group with the largest share of bad responses counts
+/// with the share of the second worst one, and at least `kMinRunnerGroups` groups are needed. The
+/// variance is measured by the differences between the groups, and between the former version's
+/// intervals; the larger one counts. A burst that hits all runners hits the former version at the
+/// same time.
 ///
 /// @param intervals of both versions; those of the target version are not used
 Evidence compareRunnerGroups(const std::vector<GroupShares>& groups,
--- a/src/core/relay/outcome_intervals.h
+++ b/src/core/relay/outcome_intervals.h
@@ -22,7 +22,7 @@
 };
 
 /// A bounded list of consecutive intervals of equal length, the oldest first. Intervals without
-/// reports may be missing. Times are milliseconds of the monotonic clock. Not safe for concurrent
+/// reports are missing. Times are milliseconds of the monotonic clock. Not safe for concurrent
 /// use.
 class OutcomeIntervals {
 public:
@@ -30,7 +30,7 @@
   enum class Overflow {
     /// The oldest one is dropped.
     DropOldest,
-    /// Their length doubles, so that half as many are left.
+    /// Neighboring intervals are merged in pairs, and the length of further ones doubles.
     Merge,
   };
 
--- a/src/core/relay/policy.h
+++ b/src/core/relay/policy.h
@@ -34,9 +34,9 @@
   /// Slot owners also count the KV cache tokens and the unread prompt tokens of model engines, and
   /// refuse prompts that do not fit or would start late; off: requests only.
   bool engine_load = true;
-  /// Plain runners get requests up to an expected time, by the service times that slot owners
-  /// measure, and runners that fail more requests than the others are avoided; off: the number of
-  /// requests for each slot is limited.
+  /// A plain runner gets requests as long as their expected time, by the service times that slot
+  /// owners measure, is within a limit, and runners that fail more requests than the others are
+  /// avoided; off: only the number of requests for each slot is limited.
   bool service_times = true;
   /// Cold runners get no more requests than their sustainable rate allows.
   bool cold_pace = true;
--- a/src/core/relay/rollout_analysis.cc
+++ b/src/core/relay/rollout_analysis.cc
@@ -26,13 +26,14 @@
 /// slots.
 constexpr double kMinSlotsFraction = 0.5;
 /// Outcomes are also compared over these most recent time windows, to detect a version that turns
-/// bad later.
+/// bad later. A window with fewer than `kMinIntervals` clusters, such as the first one, gives
+/// evidence from groups of runners only.
 constexpr int64_t kWindowsMs[] = {1000, 2000, 4000};
 constexpr int64_t kLongestWindowMs = 4000;
 /// Length of the intervals by which outcomes are kept.
 constexpr int64_t kIntervalMs = 250;
-/// Limits of the intervals kept: those of the longest window, and those of the whole rollout, whose
-/// length grows with its duration.
+/// Maximum numbers of intervals kept: for the longest window, and for the whole rollout. Intervals
+/// of the latter become longer as the rollout goes on.
 constexpr size_t kRecentIntervals = kLongestWindowMs / kIntervalMs;
 constexpr size_t kWholeIntervals = 32;
 
--- a/src/core/relay/rollout_analysis.h
+++ b/src/core/relay/rollout_analysis.h
@@ -65,6 +65,7 @@
     uint64_t incarnation = 0;
     v1::RolloutReport report;
   };
+
   void add(const VersionComparison& outcomes, const RunnerGroupCounts& groups, int64_t now_ms);
   void evaluate(const RolloutConditions& conditions);
   std::optional<v1::RolloutPhase> evaluateTrial(const RolloutConditions& conditions) const;
@@ -74,6 +75,7 @@
   /// The last report of each relay, by its name.
   std::map<std::string, RelayReport> last_reports_;
   VersionComparison outcomes_;
+  /// Outcomes of the longest of the recent time windows, and of the whole rollout.
   OutcomeIntervals recent_;
   OutcomeIntervals whole_;
   RolloutEvidence evidence_;
--- a/src/core/relay/rollout_evidence.cc
+++ b/src/core/relay/rollout_evidence.cc
@@ -14,8 +14,8 @@
 constexpr double kSlowFraction = 0.05;
 /// Minimum excess of bad responses for evidence, so that a single failing runner is none.
 constexpr double kMinExcess = 6;
-/// The same for evidence from groups of runners, which does not wait until a burst is over: two
-/// runners that fail for a moment fail the ten or so requests in progress there.
+/// The same for evidence from groups of runners, which may be found while a burst lasts: two
+/// runners that fail for a moment fail about ten requests that are in progress there.
 constexpr double kMinExcessOfGroups = 15;
 /// A response is late if it takes longer than the former version's slow responses by this number of
 /// doublings. The first part of a response is allowed more, because it may take longer at a version
@@ -53,9 +53,10 @@
                         .former_all = route.former.ended};
 }
 
-/// Evaluates the clusters of one window.
+/// Finds the strongest evidence in one window, whose intervals are joined into clusters.
 class WindowEvaluation {
 public:
+  /// @param cluster_ms minimum length of a cluster
   WindowEvaluation(const OutcomeWindow& window, int64_t cluster_ms) {
     int64_t cluster_from_ms = 0;
     for (const OutcomeInterval* interval : window) {
@@ -110,7 +111,7 @@
     for (const OutcomeWindow& cluster : clusters_) {
       ResponseShares& sum = shares.emplace_back();
       for (const OutcomeInterval* interval : cluster) {
-        for (const auto& [name, route] : interval->outcomes.routes()) {
+        for (const auto& [fingerprint, route] : interval->outcomes.routes()) {
           sum += failuresOf(route);
         }
       }
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -83,7 +83,7 @@
   uint64_t kv_capacity_tokens = 0;
   /// The request is one of those that go to a version on trial.
   bool trial = false;
-  /// Limit of the expected time of a plain request, as in `PlacementQuery`.
+  /// Limit of the expected time of a plain request in milliseconds, as in `PlacementQuery`.
   uint32_t start_within_ms = 0;
   /// Fingerprints of the runners where, by the answers of their slot owners, the request would be
   /// late or is likely to fail.
@@ -100,9 +100,10 @@
   /// Where slot owners are used: highest number of requests in progress there, this one included,
   /// with which a slot may be granted.
   uint32_t limit = 0;
-  /// Further limits with which the slot may be granted to a prompt.
+  /// Where slot owners are used: further limits with which the slot may be granted to a prompt.
   PromptLimits prompt_limits;
-  /// Likewise, the limit of the expected time of a plain request; 0: no limit.
+  /// Where slot owners are used: limit of the expected time of a plain request, in milliseconds; 0:
+  /// no limit.
   uint32_t start_within_ms = 0;
 };
 
--- a/src/core/relay/version_comparison.cc
+++ b/src/core/relay/version_comparison.cc
@@ -42,8 +42,8 @@
 }
 
 VersionComparison& VersionComparison::operator+=(const VersionComparison& more) {
-  for (const auto& [name, route] : more.routes_) {
-    Route& sum = routes_[name];
+  for (const auto& [fingerprint, route] : more.routes_) {
+    Route& sum = routes_[fingerprint];
     sum.former += route.former;
     sum.target += route.target;
   }
--- a/src/core/relay/version_comparison.h
+++ b/src/core/relay/version_comparison.h
@@ -14,8 +14,8 @@
 /// Number of responses in each bucket of response times.
 using ResponseTimes = std::array<uint32_t, kTimeBuckets>;
 
-/// Outcomes of one route's requests at runners of one version. Counts have the size that they have
-/// in reports, because a leader keeps them for many intervals.
+/// Outcomes of one route's requests at runners of one version. Counts are 32 bits wide, as in
+/// reports, because a leader keeps them for many intervals.
 struct OutcomeCounts {
   uint32_t ended = 0;
   uint32_t failed = 0;
--- a/src/core/scheduling/demand_estimates.cc
+++ b/src/core/scheduling/demand_estimates.cc
@@ -28,7 +28,8 @@
   return plausible ? std::optional(static_cast<uint32_t>(*plausible)) : std::nullopt;
 }
 
-/// @return the tokens in the prefix blocks that the caller listed; 0 if that is not plausible.
+/// @return the tokens in the prefix blocks that the caller lists; 0 if their number is not
+/// plausible.
 uint32_t listedTokens(const StatedDemand& stated) {
   const bool plausible = stated.listed_prompt_tokens <= kMaxPlausibleTokens;
   return plausible ? static_cast<uint32_t>(stated.listed_prompt_tokens) : 0;
--- a/src/core/scheduling/demand_estimates.h
+++ b/src/core/scheduling/demand_estimates.h
@@ -18,7 +18,7 @@
 
 /// Number of recent requests that an average covers. The sizes of a route's requests differ by a
 /// factor of several, so that the mean of a few of them says little about the next one; a relay
-/// gets about one request of a route per second, so that more would be minutes old.
+/// gets about one request of a route per second, so that a longer average would lag by minutes.
 inline constexpr uint32_t kAveragedRequests = 20;
 
 /// Moving average of token counts. Not safe for concurrent use.
@@ -75,6 +75,7 @@
   /// Drops the averages of routes and services that the configuration in force no longer has.
   void retain(const Configuration& configuration);
 
+  /// @return the number of routes and services with averages.
   size_t size() const { return averages_.size(); }
 
 private:
--- a/src/core/scheduling/engine_load.cc
+++ b/src/core/scheduling/engine_load.cc
@@ -9,7 +9,7 @@
 /// Time after its last grant for which a shared prefix counts as read. Engines keep prefixes for
 /// longer unless their KV cache is full.
 constexpr int64_t kPrefixCachedMs = 10'000;
-/// Number of prompts that the mean tokens of a service are taken over.
+/// Number of recent prompts that the mean tokens of a service cover.
 constexpr size_t kMeanPrompts = 64;
 
 /// A demand split into the parts of the prompt that are shared and its own tokens.
@@ -100,13 +100,13 @@
 
 void EngineLoad::add(const std::string& relay, const v1::PlaceUse& use,
                      const v1::PromptDemand& demand, int64_t now_ms) {
-  RelayPrompts& of_relay = prompts_by_relay_[relay];
-  if (of_relay.incarnation != use.incarnation()) {
-    removeAll(of_relay);
-    of_relay.incarnation = use.incarnation();
+  RelayPrompts& relay_prompts = prompts_by_relay_[relay];
+  if (relay_prompts.incarnation != use.incarnation()) {
+    removeAll(relay_prompts);
+    relay_prompts.incarnation = use.incarnation();
   }
   const bool repeated =
-      std::any_of(of_relay.prompts.begin(), of_relay.prompts.end(),
+      std::any_of(relay_prompts.prompts.begin(), relay_prompts.prompts.end(),
                   [&](const Prompt& prompt) { return prompt.sequence == use.sequence(); });
   if (repeated) {
     return;
@@ -123,11 +123,11 @@
     }
   }
   ++prompts_;
-  of_relay.prompts.push_back(Prompt{.sequence = use.sequence(),
-                                    .demand = demand,
-                                    .unread = unread,
-                                    .unread_of_all = tokens_.unread,
-                                    .granted_ms = now_ms});
+  relay_prompts.prompts.push_back(Prompt{.sequence = use.sequence(),
+                                         .demand = demand,
+                                         .unread = unread,
+                                         .total_unread = tokens_.unread,
+                                         .granted_ms = now_ms});
 }
 
 void EngineLoad::remove(const Prompt& prompt) {
@@ -138,12 +138,12 @@
   --prompts_;
 }
 
-void EngineLoad::removeAll(RelayPrompts& of_relay) {
-  for (const Prompt& prompt : of_relay.prompts) {
+void EngineLoad::removeAll(RelayPrompts& relay_prompts) {
+  for (const Prompt& prompt : relay_prompts.prompts) {
     remove(prompt);
   }
-  of_relay.prompts.clear();
-  of_relay.unknown_reading = 0;
+  relay_prompts.prompts.clear();
+  relay_prompts.unknown_reading = 0;
 }
 
 std::vector<PromptRead> EngineLoad::applyReport(const std::string& relay,
@@ -152,12 +152,12 @@
   if (report.claims().empty() && !prompts_by_relay_.contains(relay)) {
     return read;
   }
-  RelayPrompts& of_relay = prompts_by_relay_[relay];
-  if (of_relay.incarnation != report.incarnation()) {
-    removeAll(of_relay);
-    of_relay.incarnation = report.incarnation();
+  RelayPrompts& relay_prompts = prompts_by_relay_[relay];
+  if (relay_prompts.incarnation != report.incarnation()) {
+    removeAll(relay_prompts);
+    relay_prompts.incarnation = report.incarnation();
   }
-  std::erase_if(of_relay.prompts, [&](const Prompt& prompt) {
+  std::erase_if(relay_prompts.prompts, [&](const Prompt& prompt) {
     const bool ended = !contains(report.claims(), prompt.sequence);
     if (ended) {
       remove(prompt);
@@ -165,17 +165,17 @@
     return ended;
   });
   uint32_t known_reading = 0;
-  for (Prompt& prompt : of_relay.prompts) {
+  for (Prompt& prompt : relay_prompts.prompts) {
     const bool reading = contains(report.reading(), prompt.sequence);
     known_reading += reading ? 1 : 0;
     if (prompt.reading && !reading) {
       tokens_.unread -= prompt.unread;
       prompt.reading = false;
       read.push_back(
-          PromptRead{.tokens = prompt.unread_of_all, .duration_ms = now_ms - prompt.granted_ms});
+          PromptRead{.tokens = prompt.total_unread, .duration_ms = now_ms - prompt.granted_ms});
     }
   }
-  of_relay.unknown_reading = static_cast<uint32_t>(report.reading_size()) - known_reading;
+  relay_prompts.unknown_reading = static_cast<uint32_t>(report.reading_size()) - known_reading;
   if (report.claims().empty()) {
     prompts_by_relay_.erase(relay);
   }
@@ -199,8 +199,8 @@
 EngineTokens EngineLoad::total(uint32_t in_progress, const EngineTokens& mean) const {
   const uint64_t unknown = in_progress > prompts_ ? in_progress - prompts_ : 0;
   uint64_t unknown_reading = 0;
-  for (const auto& [relay, of_relay] : prompts_by_relay_) {
-    unknown_reading += of_relay.unknown_reading;
+  for (const auto& [relay, relay_prompts] : prompts_by_relay_) {
+    unknown_reading += relay_prompts.unknown_reading;
   }
   return EngineTokens{.kv = tokens_.kv + unknown * mean.kv,
                       .unread = tokens_.unread + std::min(unknown, unknown_reading) * mean.unread};
--- a/src/core/scheduling/engine_load.h
+++ b/src/core/scheduling/engine_load.h
@@ -57,7 +57,9 @@
   EngineTokens tokensFor(const v1::PromptDemand& demand, int64_t now_ms) const;
 
   /// Adds a granted prompt. A claim that was added before, because its datagram arrived twice, is
-  /// ignored. @param use the part of its claim that identifies the claim
+  /// ignored.
+  /// @param relay address of the relay
+  /// @param use the part of the claim that identifies it
   void add(const std::string& relay, const v1::PlaceUse& use, const v1::PromptDemand& demand,
            int64_t now_ms);
 
@@ -81,9 +83,9 @@
   struct Prompt {
     uint64_t sequence = 0;
     v1::PromptDemand demand;
-    /// Tokens of this prompt that the engine had to read, and of all prompts, at the grant.
+    /// Tokens that the engine had to read at the grant: of this prompt, and of all prompts.
     uint64_t unread = 0;
-    uint64_t unread_of_all = 0;
+    uint64_t total_unread = 0;
     int64_t granted_ms = 0;
     bool reading = true;
   };
@@ -100,7 +102,7 @@
     uint64_t tokens = 0;
   };
 
-  void removeAll(RelayPrompts& of_relay);
+  void removeAll(RelayPrompts& relay_prompts);
   void remove(const Prompt& prompt);
   void addPrefix(uint64_t prefix, uint64_t tokens);
   void removePrefix(uint64_t prefix);
--- a/src/core/scheduling/placement.cc
+++ b/src/core/scheduling/placement.cc
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// Fraction of the KV cache that is left free: outputs are longer than expected in half of the
-/// cases.
+/// Fraction of the KV cache that is left free, because about half of the outputs are longer than
+/// expected.
 constexpr double kKvReserve = 0.1;
 /// Fraction of the latency objective within which a prompt has to start; the rest covers transit
 /// and the spread of the times.
@@ -46,7 +46,7 @@
   return capped(query, static_cast<uint32_t>(served) + options.home_slack);
 }
 
-/// Limits of the last offers of a prompt.
+/// Limits of the last offers of a prompt, which have none for its start unless the service is busy.
 PromptLimits lastLimits(const PlacementQuery& query) {
   PromptLimits limits = query.prompt_limits;
   limits.start_within_ms = query.busy ? limits.start_within_ms : 0;
@@ -140,6 +140,7 @@
   const uint32_t limit = fullLimit(options, query, *runner);
   const bool last = query.refused + 1 >= random_candidates;
   const bool may_wait = last || query.busy || slots == 0;
+  // Less urgent requests wait for a smaller part of the limit, as they use fewer of the slots.
   const double usable_ms = usableFraction(options.slot_limits, query.rank) * query.start_within_ms;
   return SlotOffer{.runner = runner,
                    .limit = may_wait ? limit : std::min(limit, slots),
--- a/src/core/scheduling/placement.h
+++ b/src/core/scheduling/placement.h
@@ -57,8 +57,8 @@
   /// it may wait in the runner's queue.
   size_t random_candidates = 3;
   /// Number of further runners that such a request tries in place of runners where it would be late
-  /// or is likely to fail. These say nothing about the others; without further tries a request was
-  /// refused now and then while most runners were idle.
+  /// or is likely to fail. Such runners say nothing about the load of the others: without further
+  /// tries, requests were refused while most runners were idle.
   size_t replacement_candidates = 2;
   /// Number of requests over its slots that a home may have while the service is not busy: queueing
   /// there takes less time than reading their prompts on another runner.
@@ -72,8 +72,8 @@
   const std::vector<std::shared_ptr<Runner>>& candidates;
   /// Number of offers of this request that slot owners refused so far.
   size_t refused = 0;
-  /// How many of these offers were of runners that are unsuitable for the request, and no
-  /// candidates any more.
+  /// How many of these offers were at runners that turned out to be unsuitable for the request.
+  /// These are no longer among the candidates.
   size_t unsuitable = 0;
   /// The request is a prompt, and `candidates` are ranked for its prefix.
   bool by_prompt = false;
--- a/src/core/scheduling/priority_shares.cc
+++ b/src/core/scheduling/priority_shares.cc
@@ -10,19 +10,19 @@
 
 /// Time constant with which older requests lose their weight.
 constexpr double kTimeConstantMs = 10'000;
-/// Weight of the requests from which on the shares are known.
+/// Sum of the requests' weights from which on the shares are known.
 constexpr double kMinRequests = 20;
-/// Share of the requests from which on a priority counts as a full step.
+/// Share of the requests from which on a priority counts fully.
 constexpr double kFullStepShare = 0.025;
 
 } // namespace
 
-double PriorityShares::weightAt(const Service& service, int64_t now_ms) {
-  return std::exp(-static_cast<double>(now_ms - service.updated_ms) / kTimeConstantMs);
+double PriorityShares::weightAt(const ServiceCounts& counts, int64_t now_ms) {
+  return std::exp(-static_cast<double>(now_ms - counts.updated_ms) / kTimeConstantMs);
 }
 
 void PriorityShares::record(const std::string& service, uint32_t priority, int64_t now_ms) {
-  Service& counted = services_[service];
+  ServiceCounts& counted = services_[service];
   const double weight = weightAt(counted, now_ms);
   for (double& requests : counted.requests) {
     requests *= weight;
--- a/src/core/scheduling/priority_shares.h
+++ b/src/core/scheduling/priority_shares.h
@@ -19,8 +19,10 @@
 ///
 /// Load pattern: the priorities in use begin well below the most urgent one, because tenants have
 /// priorities too. Slots that are reserved for priorities without requests are then never used,
-/// which under overload is capacity lost. Each priority counts by twice its share of the requests,
-/// up to a full step at a fortieth: requests that rare find a free slot in a twentieth of them.
+/// which under overload is capacity lost. A priority counts in proportion to its share of the
+/// requests, and fully from a fortieth on. With the default of 0.05 for
+/// `SlotLimitOptions::reserved_fraction_per_priority`, twice its share of the slots is thus
+/// reserved for it, and at most a twentieth of them.
 ///
 /// Limits: the shares are those of this relay, over about the last 10 s. Until it has received 20
 /// requests of a service in that time, the shares are not known.
@@ -36,15 +38,15 @@
                                       int64_t now_ms) const;
 
 private:
-  struct Service {
+  struct ServiceCounts {
     /// Requests by priority, weighted by their age at `updated_ms`.
     std::array<double, kPriorities> requests{};
     int64_t updated_ms = 0;
   };
 
-  static double weightAt(const Service& service, int64_t now_ms);
+  static double weightAt(const ServiceCounts& counts, int64_t now_ms);
 
-  std::map<std::string, Service> services_;
+  std::map<std::string, ServiceCounts> services_;
 };
 
 } // namespace workshatch::relay
--- a/src/core/scheduling/prompt_read_times.cc
+++ b/src/core/scheduling/prompt_read_times.cc
@@ -9,7 +9,8 @@
 
 constexpr double kLineTimeConstantMs = 10'000;
 constexpr double kFactorTimeConstantMs = 1000;
-/// Time without samples after which the older ones have less than a twentieth of their weight.
+/// Time without samples after which the older ones are ignored: they have less than a twentieth of
+/// their weight.
 constexpr int64_t kLineValidMs = 30'000;
 constexpr int64_t kFactorValidMs = 3000;
 /// Variance of the tokens, relative to the square of their mean, below which the samples do not
@@ -81,7 +82,7 @@
   const bool recent = last_sample_ms_ && now_ms - *last_sample_ms_ < kFactorValidMs;
   const double remaining =
       recent ? remainingWeight(now_ms - *last_sample_ms_, kFactorTimeConstantMs) : 0;
-  // One sample counts at most as much as an engine at the end of the range would report.
+  // One sample counts at most like that of an engine with the highest factor.
   const double limited_ms = std::min(duration_ms, kMaxReadFactor * expected_ms);
   expected_ms_ = remaining * expected_ms_ + expected_ms;
   duration_ms_ = remaining * duration_ms_ + limited_ms;
--- a/src/core/scheduling/prompt_read_times.h
+++ b/src/core/scheduling/prompt_read_times.h
@@ -25,12 +25,14 @@
   int64_t duration_ms = 0;
 };
 
-/// Fits the line duration = fixed + per_token * tokens to the prompts of all engines of a service.
+/// Fits the line duration = fixed + per_token * tokens to the prompts of all engines of a service
+/// whose slots one relay owns.
 ///
 /// The fit is by least squares with neither part below zero. Samples lose their weight with a time
-/// constant of 10 s, and all of them are dropped when none has arrived for three time constants.
-/// Duration samples are limited to `kMaxReadFactor` times the line, because a lost report of a
-/// first event is made up for by a report that may be 1.5 s late.
+/// constant of 10 s. The first one after three time constants without any replaces all of them;
+/// until it arrives, the last line stays in use. Duration samples are limited to `kMaxReadFactor`
+/// times the line, because a lost report of a first event is made up for by a report that may
+/// be 1.5 s late.
 ///
 /// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class PromptReadTimes {
--- a/src/core/scheduling/service_time_window.cc
+++ b/src/core/scheduling/service_time_window.cc
@@ -11,7 +11,7 @@
 constexpr int64_t kWindowMs = 2000;
 /// Length up to which the window is extended.
 constexpr int64_t kLongestWindowMs = 10'000;
-/// Minimum number of ended requests for a service time, and for a failure rate.
+/// Minimum numbers of ended requests for a service time, and for a failure rate.
 constexpr uint32_t kMinEndedForServiceTime = 5;
 constexpr uint32_t kMinEndedForFailureRate = 6;
 constexpr uint32_t kPercent = 100;
@@ -62,8 +62,8 @@
   return sums;
 }
 
-/// Adds older buckets until enough requests ended. The buckets between the last counted request and
-/// the one before it contain a part of the time of the former, so they are added as well.
+/// Adds older buckets until enough requests ended. The oldest of these requests also used its slot
+/// before the bucket in which it ended, so buckets are added up to the next older end of a request.
 void ServiceTimeWindow::extend(Sums& sums, int64_t now_ms) const {
   for (int64_t age = kWindowMs / kBucketMs + 1; age <= kLongestWindowMs / kBucketMs; ++age) {
     const Bucket* bucket = findBucket(now_ms / kBucketMs - age);
--- a/src/core/scheduling/service_times.cc
+++ b/src/core/scheduling/service_times.cc
@@ -61,8 +61,8 @@
   return found == runners_.end() ? 0 : found->second.window.failedPercent(now_ms);
 }
 
-/// @return the usual service time at the runners of a service other than `except`; empty: not
-/// known.
+/// @return the mean service time of the measured runners of a service other than `except`, else the
+/// last one that was received; empty: not known.
 std::optional<double> ServiceTimes::typicalMs(const std::string& service, uint64_t except,
                                               int64_t now_ms) const {
   double sum_ms = 0;
--- a/src/core/scheduling/service_times.h
+++ b/src/core/scheduling/service_times.h
@@ -21,7 +21,7 @@
   uint32_t slots = 1;
 };
 
-/// What a slot owner tells about a plain runner when it answers a claim.
+/// What a slot owner reports about a plain runner when it answers a claim.
 struct PlainRunnerReport {
   /// Measured time for which a request uses a slot, in milliseconds; 0: not known.
   uint32_t service_time_ms = 0;
@@ -43,8 +43,8 @@
 ///
 /// The expected time of a new request is the service time * (1 + requests in progress / slots). A
 /// runner without a service time of its own is expected to be as fast as the mean of the service's
-/// other runners that are measured here, else as the runner about which this relay last received an
-/// answer.
+/// other runners that are measured here, else as the runner whose service time another owner last
+/// reported to this relay.
 ///
 /// Guarantees: once a service time is known, no request that would wait in the runner's queue is
 /// admitted with an expected time over its limit. An idle runner is always admitted, so that a
--- a/src/core/scheduling/slot_limits.h
+++ b/src/core/scheduling/slot_limits.h
@@ -12,8 +12,8 @@
 struct RequestRank {
   /// 0 is the most urgent, 9 the least urgent.
   uint32_t priority = 0;
-  /// Number of more urgent priorities that slots are reserved for, each counted by how common its
-  /// requests are (`PriorityShares`). Empty: not known, all of them are reserved for.
+  /// Number of more urgent priorities that slots are reserved for, each weighted by how common its
+  /// requests are (`PriorityShares`). Empty: not known; slots are reserved for all of them.
   std::optional<double> reserved_steps;
   /// Whether the request's tenant uses more than its share of the fleet.
   bool over_share = false;
@@ -25,7 +25,7 @@
 /// these find a free slot without waiting and without preempting running requests.
 struct SlotLimitOptions {
   /// Fraction of a runner's slots that requests leave free for each more urgent priority. With 48
-  /// slots it is two slots per step; fewer would be lost in the lag of the load totals.
+  /// slots it is two slots for each; fewer would be lost in the lag of the load totals.
   double reserved_fraction_per_priority = 0.05;
   /// One request in this many counts as the most urgent, whatever its priority, so that no kind of
   /// request starves while more urgent requests alone fill the fleet.
--- a/src/core/scheduling/slot_owner.cc
+++ b/src/core/scheduling/slot_owner.cc
@@ -89,8 +89,8 @@
   return static_cast<uint32_t>(std::clamp(std::ceil(*usual_ms * factor), 1.0, kMaxStartMs));
 }
 
-/// Checks the limits of a prompt. A claim without a demand counts with the mean of the service, and
-/// no start is expected for it, because the claim may be for a plain runner.
+/// Checks the limits of a prompt. A claim without a demand counts with the mean of the service. Its
+/// start is not limited, because its time limit may be that of a plain request.
 SlotOwner::PromptCheck SlotOwner::checkPrompt(const SlotState& slots, const v1::PlaceClaim& claim,
                                               const OwnedRunner& runner, uint32_t load,
                                               int64_t now_ms) const {
@@ -99,7 +99,7 @@
   }
   const EngineTokens stated = slots.engine.tokensFor(claim.demand(), now_ms);
   const auto prompts = prompts_by_service_.find(slots.service);
-  // A new owner that knows no prompt takes the first one for a usual one.
+  // Until a prompt of the service was granted here, the others are assumed to be like this one.
   const EngineTokens mean =
       prompts == prompts_by_service_.end() ? stated : prompts->second.mean_tokens.mean(stated);
   const EngineTokens added = claim.has_demand() ? stated : mean;
@@ -150,7 +150,8 @@
   return slots.rate_limiter->take(runner.cold_pace, owner_overlap, now_ms);
 }
 
-/// Measures a plain runner. @return what is known about it before the claim is granted.
+/// Starts the measurement of a plain runner, if it is not being measured.
+/// @return what is known about the runner before the claim is granted.
 PlainRunnerReport SlotOwner::reportPlain(const SlotState& slots, const v1::PlaceClaim& claim,
                                          const OwnedRunner& runner, uint32_t load, int64_t now_ms) {
   if (!runner.plain) {
@@ -160,8 +161,9 @@
   return service_times_.report(claim.use().runner(), load, claim.start_within_ms(), now_ms);
 }
 
-/// @return the number of requests in progress below which the claim is granted. For a claim that
-/// may wait in the queue of a plain runner, the expected time replaces it once that is known.
+/// @return the number of requests in progress below which the claim is granted. A claim that may
+/// wait in the queue of a plain runner has no such limit once its expected time is known and
+/// limited.
 uint32_t SlotOwner::countLimit(const v1::PlaceClaim& claim, const OwnedRunner& runner,
                                const PlainRunnerReport& plain) {
   const bool may_wait = runner.plain && claim.limit() > runner.plain->slots;
--- a/src/core/scheduling/slot_owner.h
+++ b/src/core/scheduling/slot_owner.h
@@ -55,7 +55,7 @@
 /// owners may then grant some slots twice.
 ///
 /// At a model engine a free slot is not enough: a claim that states the demand of its prompt also
-/// states how many tokens the KV cache may hold with it, and how late it may start. The owner
+/// states how many tokens the KV cache may hold with it, and its longest expected start. The owner
 /// counts the tokens of the prompts in progress (`EngineLoad`) and learns from their first events
 /// how long reading takes (`PromptReadTimes`). Requests whose demand is not known count with the
 /// mean of the service's recent prompts.
@@ -67,10 +67,10 @@
 /// (service_times.h).
 ///
 /// Guarantees: no claim is granted over its limits of slots and tokens, as far as relays report
-/// their usage of the runner to this owner, except that an engine without requests in progress
-/// accepts a prompt of any size; while a runner counts as cold, no second brings it more grants
-/// than its rate limit and burst allow. Times are milliseconds of the monotonic clock. Not safe for
-/// concurrent use.
+/// their usage of the runner to this owner, except that the KV cache of an engine without requests
+/// in progress accepts a prompt of any size; while a runner counts as cold, no second brings it
+/// more grants than its rate limit and burst allow. Times are milliseconds of the monotonic clock.
+/// Not safe for concurrent use.
 class SlotOwner {
 public:
   /// The answer to a claim.
@@ -149,12 +149,12 @@
     /// As of the last claim; empty before it, or if the runner was never in the owner's list.
     std::string service;
   };
-  /// What was learned from the prompts of a service at all of its engines.
+  /// What was learned from the prompts of a service at the engines that this relay owns.
   struct ServicePrompts {
     PromptReadTimes read_times;
     MeanPromptTokens mean_tokens;
   };
-  /// What the limits of a prompt say about its claim.
+  /// Result of checking a claim against the limits of its prompt.
   struct PromptCheck {
     /// `PLACE_REFUSAL_UNKNOWN`: the claim is within the limits.
     v1::PlaceRefusal refusal = v1::PLACE_REFUSAL_UNKNOWN;
--- a/src/core/scheduling/slot_usage.h
+++ b/src/core/scheduling/slot_usage.h
@@ -22,8 +22,8 @@
 
 /// Counts the slots at runners that this relay uses, and numbers its reports about them.
 ///
-/// Reports also list the claims of prompts whose demand was stated, so that the owner knows which
-/// of them are still in progress. A claim is listed from the moment when it is sent: otherwise a
+/// Reports also list the claims that state the demand of a prompt, so that the owner knows which
+/// prompts are still in progress. A claim is listed from the moment when it is sent: otherwise a
 /// report that is sent before the answer arrives would tell the owner that the prompt has ended.
 ///
 /// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
@@ -42,7 +42,7 @@
   /// Lists the claim of a prompt in the reports about the runner, as one without a first event.
   void addClaim(uint64_t runner, uint64_t sequence);
   /// Records that the first event of the prompt with this claim has arrived.
-  /// @return whether the claim is listed and this was not recorded before.
+  /// @return whether this changes the reports: the claim is listed as one without a first event.
   bool recordFirstEvent(uint64_t runner, uint64_t sequence);
   /// Lists the claim no longer: it was not granted, or its request has ended.
   void removeClaim(uint64_t runner, uint64_t sequence);
@@ -60,7 +60,7 @@
 private:
   struct Claim {
     uint64_t sequence = 0;
-    /// No event has arrived.
+    /// Whether its first event has not arrived yet.
     bool reading = true;
   };
   struct Usage {
--- a/tests/unit/core/scheduling/demand_estimates_test.cc
+++ b/tests/unit/core/scheduling/demand_estimates_test.cc
@@ -120,7 +120,7 @@
   CHECK(*average.value() > 900);
 }
 
-TEST_CASE("A request to a plain service, or the pauses of a response that is no stream, count") {
+TEST_CASE("A plain request has a demand, or a response that is no stream a pause objective") {
   relay::DemandEstimates estimates;
   const relay::Service plain{.name = "s"};
   const auto demand = estimates.admit(kRoute, plain, StatedDemand{.prompt_tokens = 1460});
--- a/tests/unit/core/scheduling/engine_load_pattern_test.cc
+++ b/tests/unit/core/scheduling/engine_load_pattern_test.cc
@@ -1,7 +1,7 @@
 /// @file
 /// Simulates the load pattern that token limits at slot owners address: prompts of mixed sizes at
-/// model engines whose KV cache is full before their slots are. Each pattern also runs the decision
-/// that counts requests only, and compares what callers get.
+/// model engines whose KV cache is full before their slots are. Each pattern also runs without
+/// token limits, where owners count requests only, and compares what callers get.
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
@@ -205,7 +205,7 @@
 /// Relays that send prompts to engines, all of which are owned by one slot owner.
 class EngineFleet {
 public:
-  /// @param token_limits claims state the demand and its limits; false: the former decision
+  /// @param token_limits claims state the demand and its limits; false: owners count requests only
   EngineFleet(size_t engines, std::vector<Kind> kinds, bool token_limits)
       : kinds_(std::move(kinds)), token_limits_(token_limits), engines_(engines) {
     for (size_t i = 0; i < engines; ++i) {
@@ -246,20 +246,23 @@
   /// Makes a prompt whose sizes vary: the shared part by a factor of three, the own part up to
   /// 11,000 tokens, and the output around its expectation.
   Prompt makePrompt(size_t kind, int64_t now_ms) {
-    const Kind& of = kinds_[kind];
-    const uint64_t prefix = random_() % of.prefixes;
+    const Kind& properties = kinds_[kind];
+    const uint64_t prefix = random_() % properties.prefixes;
     const double prefix_factor =
-        0.5 + static_cast<double>(prefix) / static_cast<double>(of.prefixes);
-    const double own = of.own_tokens * std::lognormal_distribution<double>(-0.3, 0.8)(random_);
+        0.5 + static_cast<double>(prefix) / static_cast<double>(properties.prefixes);
+    const double own =
+        properties.own_tokens * std::lognormal_distribution<double>(-0.3, 0.8)(random_);
     const double output_factor = std::lognormal_distribution<double>(0, 0.4)(random_);
     Prompt prompt{.kind = kind, .arrived_ms = static_cast<double>(now_ms)};
     prompt.demand.set_prefix(1 + prefix + 1000 * kind);
-    prompt.demand.set_prefix_tokens(static_cast<uint32_t>(prefix_factor * of.prefix_tokens));
+    prompt.demand.set_prefix_tokens(
+        static_cast<uint32_t>(prefix_factor * properties.prefix_tokens));
     prompt.demand.set_prompt_tokens(prompt.demand.prefix_tokens() +
                                     static_cast<uint32_t>(std::clamp(own, 20.0, 11'000.0)));
-    prompt.demand.set_output_tokens(of.events * kTokensPerEvent);
-    prompt.output_tokens = std::max(
-        kTokensPerEvent, static_cast<uint32_t>(output_factor * of.events * kTokensPerEvent));
+    prompt.demand.set_output_tokens(properties.events * kTokensPerEvent);
+    prompt.output_tokens =
+        std::max(kTokensPerEvent,
+                 static_cast<uint32_t>(output_factor * properties.events * kTokensPerEvent));
     prompt.relay = random_() % kRelays;
     return prompt;
   }
@@ -279,12 +282,12 @@
 
   void request(size_t kind, int64_t now_ms) {
     Prompt prompt = makePrompt(kind, now_ms);
-    const Kind& of = kinds_[kind];
-    const relay::RequestRank rank{.priority = of.priority, .draw = random_()};
+    const Kind& properties = kinds_[kind];
+    const relay::RequestRank rank{.priority = properties.priority, .draw = random_()};
     const relay::RequestDemand demand{.prompt_tokens = prompt.demand.prompt_tokens(),
                                       .output_tokens = prompt.demand.output_tokens(),
                                       .source = relay::DemandSource::Told,
-                                      .objective_ms = of.objective_ms,
+                                      .objective_ms = properties.objective_ms,
                                       .pause_objective_ms = kPauseObjectiveMs};
     const auto candidates = ranked(prompt.demand.prefix());
     const double slots_in_use = inProgress() / static_cast<double>(kSlots * engines_.size());
@@ -307,7 +310,7 @@
       ++query.refused;
     }
     ++outcome_.refused;
-    outcome_.urgent_not_in_time += of.priority == 0 ? 1 : 0;
+    outcome_.urgent_not_in_time += properties.priority == 0 ? 1 : 0;
   }
 
   bool takeSlot(const relay::SlotOffer& offer, Prompt& prompt, int64_t now_ms) {
@@ -347,12 +350,12 @@
   }
 
   void recordEnd(const Prompt& prompt) {
-    const Kind& of = kinds_[prompt.kind];
+    const Kind& properties = kinds_[prompt.kind];
     const double first_ms = prompt.first_event_ms - prompt.arrived_ms;
     const bool in_time =
-        first_ms <= of.objective_ms && prompt.longest_pause_ms <= kPauseObjectiveMs;
+        first_ms <= properties.objective_ms && prompt.longest_pause_ms <= kPauseObjectiveMs;
     ++(in_time ? outcome_.in_time : outcome_.late);
-    outcome_.urgent_not_in_time += !in_time && of.priority == 0 ? 1 : 0;
+    outcome_.urgent_not_in_time += !in_time && properties.priority == 0 ? 1 : 0;
     first_event_ms_.push_back(first_ms);
   }
 
@@ -427,6 +430,8 @@
 
 } // namespace
 
+// Guards against prompts that are granted a free slot although the KV cache is full: the engine
+// preempts running requests, and urgent ones are late.
 TEST_CASE(
     "An engine whose KV cache is full before its slots preempts nothing and is late less often") {
   const Comparison outcomes = compare(1, mixedPrompts(15, 5, 500));
@@ -439,6 +444,8 @@
   CHECK(outcomes.limited.p99_first_ms < 0.6 * outcomes.counted.p99_first_ms);
 }
 
+// Guards against overload in which engines admit more prompts than they can process in time, so
+// that most are late.
 TEST_CASE("A dozen engines over their capacity serve more prompts in time and refuse fewer") {
   const Comparison outcomes = compare(12, mixedPrompts(15, 13.5, 2400));
   CHECK(outcomes.counted.preempted > 50);
@@ -450,6 +457,7 @@
   CHECK(outcomes.limited.p99_first_ms < 0.5 * outcomes.counted.p99_first_ms);
 }
 
+// Guards against token limits that refuse prompts while there is room for them.
 TEST_CASE("A dozen engines below their capacity refuse nothing because of token limits") {
   const Comparison outcomes = compare(12, mixedPrompts(5, 4.5, 2400));
   CHECK(outcomes.limited.refused == 0);
--- a/tests/unit/core/scheduling/engine_load_test.cc
+++ b/tests/unit/core/scheduling/engine_load_test.cc
@@ -49,6 +49,8 @@
 
 } // namespace
 
+// Guards against an engine that counts as full because a prefix is counted once for each of its
+// prompts.
 TEST_CASE("A shared prefix fills the KV cache once, until the last prompt with it has ended") {
   EngineLoad load;
   load.add("a", report(1, {}, {}), sharedDemand(1000, 300), 0);
@@ -65,6 +67,8 @@
   CHECK(known(load).unread == 0);
 }
 
+// Guards against an expected start that is too early because a prefix counts as cached when only a
+// part of it is.
 TEST_CASE("Of a prompt that shares only the shorter prefix, the longer one is to be read") {
   EngineLoad load;
   load.add("a", report(1, {}, {}), sharedDemand(1000, 300), 0);
@@ -79,6 +83,7 @@
   CHECK(load.tokensFor(shorter, 10).unread == 500);
 }
 
+// Guards against prompts that count as cached long after the engine may have evicted their prefix.
 TEST_CASE("A prefix counts as read for ten seconds after its last grant") {
   EngineLoad load;
   load.add("a", report(1, {}, {}), sharedDemand(1000, 300), 0);
@@ -89,6 +94,8 @@
   CHECK(load.tokensFor(sharedDemand(500, 100), 1000).kv == 10'600);
 }
 
+// Guards against a prompt whose tokens count as unread during its whole output, or whose time is
+// learned twice.
 TEST_CASE("The first event ends the reading of a prompt and gives one sample of its time") {
   EngineLoad load;
   load.add("a", report(1, {}, {}), demandOf(3000, 100), 0);
@@ -103,6 +110,8 @@
   CHECK(known(load).kv == 5200);
 }
 
+// Guards against tokens that remain counted when a report is lost, and a wrong sample of the time
+// of a prompt whose first event was not reported.
 TEST_CASE(
     "The report after a lost one corrects the tokens, and a prompt that ended gives no sample") {
   EngineLoad load;
@@ -114,6 +123,8 @@
   CHECK(known(load).unread == 2000);
 }
 
+// Guards against prompts of a crashed relay that remain counted because the new process uses the
+// same address.
 TEST_CASE("The prompts of a relay's earlier process are dropped with its first report") {
   EngineLoad load;
   load.add("a", report(1, {}, {}), demandOf(3000, 100), 0);
@@ -123,6 +134,7 @@
   CHECK(known(load).kv == 700);
 }
 
+// Guards against tokens that are counted twice.
 TEST_CASE("A claim whose datagram arrives twice counts once") {
   EngineLoad load;
   load.add("a", report(1, {}, {}), demandOf(3000, 100), 0);
@@ -130,6 +142,8 @@
   CHECK(known(load).kv == 3100);
 }
 
+// Guards against an engine that seems empty because the demand of its requests is not known, or was
+// stated to another owner.
 TEST_CASE("Requests of unknown demand count with the mean") {
   EngineLoad load;
   load.add("a", report(1, {}, {}), demandOf(3000, 100), 0);
@@ -148,6 +162,7 @@
   CHECK(mean.mean({}).unread == 300);
 }
 
+// Guards against token counts that wrap around below zero because of untrue figures.
 TEST_CASE("A demand whose prefixes are longer than its prompt is cut to the prompt") {
   EngineLoad load;
   v1::PromptDemand demand = demandOf(100, 5);
--- a/tests/unit/core/scheduling/event_pauses_test.cc
+++ b/tests/unit/core/scheduling/event_pauses_test.cc
@@ -7,7 +7,7 @@
 
 namespace workshatch::test {
 
-TEST_CASE("The time until the first event counts as a pause, or the longest pause is not the one") {
+TEST_CASE("The time until the first event counts as a pause, or the longest pause is missed") {
   relay::EventPauses pauses;
   CHECK(pauses.eventAfterLongest() == 0);
   CHECK(pauses.recordEvent(5000) == 0);
--- a/tests/unit/core/scheduling/placement_test.cc
+++ b/tests/unit/core/scheduling/placement_test.cc
@@ -253,6 +253,7 @@
   CHECK(tried.ids == std::vector<std::string>{"r0", "r1", "r2"});
 }
 
+// Guards against a prompt that is refused everywhere for its late start although slots are free.
 TEST_CASE(
     "The start of a prompt is limited at all of its offers but the last while slots are free") {
   const auto candidates = runners(20, 32);
@@ -277,6 +278,8 @@
   CHECK(limitsOf() == std::vector<uint32_t>{200, 200, 200});
 }
 
+// Guards against less urgent prompts that take the whole KV cache, and a limit of the start where
+// nothing is known to compare it with.
 TEST_CASE("Limits of a prompt follow from capacity, priority and the latency objective") {
   const auto limits = [](uint32_t priority, uint64_t capacity, uint32_t objective_ms,
                          uint32_t pause_ms) {
--- a/tests/unit/core/scheduling/plain_runner_owner_test.cc
+++ b/tests/unit/core/scheduling/plain_runner_owner_test.cc
@@ -66,12 +66,14 @@
 
 } // namespace
 
+// Guards against a long queue at a runner about which nothing is known.
 TEST_CASE("Until a service time is known a runner gets two requests for each slot") {
   relay::SlotOwner owner;
   Relay relay{.address = "a"};
   CHECK(fill(relay, owner, 0) == 2 * kSlots);
 }
 
+// Guards against a fast runner that is kept idle by a fixed limit.
 TEST_CASE("A known service time replaces the limit of requests, but not that of the free slots") {
   relay::SlotOwner owner;
   Relay relay{.address = "a"};
@@ -81,6 +83,7 @@
   CHECK_FALSE(other.claim(owner, kSlots, now_ms).granted);
 }
 
+// Guards against a service time or load that stays wrong after a lost datagram.
 TEST_CASE("A lost report loses its own samples only, and the next one corrects the load") {
   relay::SlotOwner owner;
   Relay relay{.address = "a"};
@@ -98,6 +101,7 @@
   CHECK(*time_ms == doctest::Approx(60).epsilon(0.15));
 }
 
+// Guards against a runner that seems twice as fast because a datagram is duplicated.
 TEST_CASE("A report that arrives twice counts its requests once") {
   relay::SlotOwner owner;
   Relay relay{.address = "a"};
@@ -112,6 +116,7 @@
   CHECK(*owner.serviceTimes().measuredMs(kRunner, now_ms) == doctest::Approx(60).epsilon(0.05));
 }
 
+// Guards against a runner that seems full of the requests of a crashed relay.
 TEST_CASE("The requests of a relay that is gone do not keep others from a runner") {
   relay::SlotOwner owner;
   Relay relay{.address = "a"};
@@ -135,6 +140,7 @@
   }
 }
 
+// Guards against a slow runner that is filled after each change of its owner.
 TEST_CASE("A new owner uses the service time that it received last until it has measured its own") {
   relay::SlotOwner owner;
   owner.recordReceivedServiceTime("s", 60, 0);
@@ -142,6 +148,7 @@
   CHECK(fill(relay, owner, 0) == 19);
 }
 
+// Guards against a runner that is avoided for the speed of its earlier process.
 TEST_CASE("A restarted runner starts without the service time of its predecessor") {
   relay::SlotOwner owner;
   Relay relay{.address = "a"};
@@ -153,6 +160,7 @@
   CHECK(decision.plain.service_time_ms == 0);
 }
 
+// Guards against a runner that gets requests without any limit while lists of relays differ.
 TEST_CASE("Two owners of one runner each grant up to the limit and no further") {
   relay::SlotOwner former;
   relay::SlotOwner present;
@@ -164,6 +172,7 @@
   CHECK(fill(other, present, now_ms) == 19);
 }
 
+// Guards against figures that are computed from requests that the runner did not end.
 TEST_CASE("A runner that answers nothing has no service time and no failure rate") {
   relay::SlotOwner owner;
   Relay relay{.address = "a"};
@@ -173,6 +182,7 @@
   CHECK(relay.claim(owner, 2 * kSlots, now_ms).granted);
 }
 
+// Guards against a runner that is avoided for one failure, or long after its last one.
 TEST_CASE("A failure rate needs six requests, and covers the last two seconds") {
   relay::SlotOwner owner;
   Relay relay{.address = "a"};
@@ -183,6 +193,7 @@
   CHECK(owner.serviceTimes().failedPercent(kRunner, now_ms + 2500) == 0);
 }
 
+// Guards against a service time that is too short because requests are reported twice.
 TEST_CASE("Ended requests are reported once, with the next report about their runner") {
   relay::SlotUsage usage(1);
   usage.recordEnd(kRunner, relay::RequestEnd::Completed);
@@ -195,6 +206,8 @@
   CHECK_FALSE(usage.makeReport(kRunner, 0).has_outcomes());
 }
 
+// Guards against model engines that are limited by service times, which do not fit requests that
+// are processed in a batch.
 TEST_CASE("Only runners of plain services are measured, and none with the policy switch off") {
   v1::RunnerList list;
   for (const char* service : {"s", "engines", "unknown"}) {
--- a/tests/unit/core/scheduling/prompt_read_times_test.cc
+++ b/tests/unit/core/scheduling/prompt_read_times_test.cc
@@ -36,6 +36,7 @@
 
 } // namespace
 
+// Guards against limits that are applied by a line through a few samples.
 TEST_CASE("Read times follow the line of the samples, and are not known with few of them") {
   PromptReadTimes times;
   addMixedPrompts(times, static_cast<int64_t>(relay::kMinReadSamples) - 1, 0);
@@ -47,6 +48,7 @@
         doctest::Approx(kFixedMs + 50'000 * kMsPerToken).epsilon(0.03));
 }
 
+// Guards against refusals by times that were learned before the load changed.
 TEST_CASE("Read times follow a change of speed within the time constant, and expire") {
   PromptReadTimes times;
   addMixedPrompts(times, 1000, 0);
@@ -57,6 +59,7 @@
   CHECK_FALSE(times.expectedMs(1000));
 }
 
+// Guards against a line that is not determined by its samples.
 TEST_CASE("Prompts of equal size, or of falling times, give no negative or endless expectation") {
   PromptReadTimes equal;
   PromptReadTimes falling;
@@ -73,6 +76,7 @@
   CHECK(*empty_prompts.expectedMs(1000) == doctest::Approx(30));
 }
 
+// Guards against refusals because of a single lost report.
 TEST_CASE(
     "A first event that is reported 1.5 s late, after a lost report, shifts the line little") {
   PromptReadTimes times;
@@ -82,6 +86,8 @@
   CHECK(std::abs(*times.expectedMs(3000) - before) < 0.1 * before);
 }
 
+// Guards against a slow engine that is taken for a usual one, and one that is avoided after it has
+// recovered.
 TEST_CASE(
     "An engine's factor follows its own times within a second, in bounds, for three seconds") {
   relay::EngineReadFactor engine;
--- a/tests/unit/core/scheduling/service_reports_test.cc
+++ b/tests/unit/core/scheduling/service_reports_test.cc
@@ -9,6 +9,8 @@
 
 namespace workshatch::test {
 
+// Guards against relays that keep sending requests to a broken runner, and a service whose runners
+// are all avoided because the requests themselves fail.
 TEST_CASE("A runner is avoided for failures that the others of its service do not have") {
   std::vector<std::shared_ptr<relay::Runner>> runners;
   for (int i = 0; i < 6; ++i) {
--- a/tests/unit/core/scheduling/service_times_fleet_test.cc
+++ b/tests/unit/core/scheduling/service_times_fleet_test.cc
@@ -289,6 +289,7 @@
 
 } // namespace
 
+// Guards against slow runners that make the requests sent to them late while others are idle.
 TEST_CASE("Two of six runners that work four times slower make few requests late") {
   const auto results = compare({.runners = slowRunners(2, 4), .requests_per_s = 255});
   CHECK(100 * results.by_time.in_time >= 98 * results.by_time.total());
@@ -298,6 +299,7 @@
   CHECK(results.by_count.percentile_99_ms > kObjectiveMs);
 }
 
+// Guards against queues of late requests at slow runners when the fast ones are full.
 TEST_CASE("Two slow runners are not filled with late requests when the others are fully used") {
   const auto results = compare({.runners = slowRunners(2, 4), .requests_per_s = 400});
   CHECK(results.by_time.in_time > results.by_count.in_time);
@@ -307,6 +309,7 @@
   CHECK(results.by_count.percentile_99_ms > 2 * kObjectiveMs);
 }
 
+// Guards against overload in which the limit by time costs throughput.
 TEST_CASE("Six runners at one and a half of their capacity serve as many in time as with a count") {
   const auto results = compare({.runners = slowRunners(0, 1), .requests_per_s = 1.5 * kCapacity});
   CHECK(100 * results.by_time.in_time >= 99 * results.by_count.in_time);
@@ -315,6 +318,7 @@
   CHECK(results.by_time.percentile_99_ms <= kObjectiveMs);
 }
 
+// Guards against overload in which all responses are late and none is useful.
 TEST_CASE("Runners that are all slower serve what they can in time, and the rest is refused") {
   const double slower = 2.5;
   const double capacity = kCapacity / slower;
@@ -326,6 +330,7 @@
   CHECK(results.by_count.late > 10 * results.by_count.in_time);
 }
 
+// Guards against a failing runner that no relay notices because each sends it few requests.
 TEST_CASE("A runner that fails half of its requests is avoided by the evidence of all relays") {
   // A relay sends this runner a request every two seconds, too few to notice by itself.
   FleetShape shape{.runners = std::vector<SimulatedRunner>(6), .requests_per_s = 255};
@@ -336,6 +341,7 @@
   CHECK(100 * results.by_time.in_time >= 99 * results.by_time.total());
 }
 
+// Guards against the overload of the last runners that are not avoided.
 TEST_CASE("If most runners fail, no relay avoids more than a third of them") {
   FleetShape shape{.runners = std::vector<SimulatedRunner>(6), .requests_per_s = 255};
   for (size_t i = 0; i < 4; ++i) {
--- a/tests/unit/core/scheduling/service_times_test.cc
+++ b/tests/unit/core/scheduling/service_times_test.cc
@@ -34,6 +34,7 @@
 
 } // namespace
 
+// Guards against a runner that counts as slow because it is busy.
 TEST_CASE("A service time does not contain the time that requests wait in the runner's queue") {
   relay::ServiceTimes idle;
   serve(idle, kRunner, 2, 60, 0, kMeasuredMs);
@@ -43,6 +44,8 @@
   CHECK(*queueing.measuredMs(kRunner, kMeasuredMs) == doctest::Approx(60).epsilon(0.05));
 }
 
+// Guards against refusals by a time that was measured from a few requests, or before the runner's
+// speed changed.
 TEST_CASE("A service time needs a whole window and five requests, and follows a change of speed") {
   relay::ServiceTimes times;
   serve(times, kRunner, 6, 60, 0, 1900);
@@ -56,12 +59,15 @@
   CHECK_FALSE(times.measuredMs(kOtherRunner, kMeasuredMs));
 }
 
+// Guards against a slow runner that counts as one of usual speed because few of its requests end.
 TEST_CASE("A runner that gets one request at a time because it is slow keeps its service time") {
   relay::ServiceTimes times;
   serve(times, kRunner, 1, 900, 0, 8100);
   CHECK(*times.measuredMs(kRunner, 8100) == doctest::Approx(900).epsilon(0.1));
 }
 
+// Guards against a slow runner that is filled with late requests up to the same number as a fast
+// one.
 TEST_CASE("A claim that would wait is refused by the expected time, not by its number") {
   relay::ServiceTimes times;
   serve(times, kRunner, 6, 60, 0, kMeasuredMs);
@@ -71,6 +77,7 @@
   CHECK_FALSE(times.report(kRunner, 19, 0, kMeasuredMs).late);
 }
 
+// Guards against a refusal although no other runner would respond sooner.
 TEST_CASE("A free slot is refused for its expected time only if other runners are fast enough") {
   relay::ServiceTimes times;
   serve(times, kRunner, 6, 240, 0, kMeasuredMs);
@@ -82,6 +89,7 @@
   CHECK_FALSE(times.report(kRunner, 0, kWithinMs, kMeasuredMs).late);
 }
 
+// Guards against a slow service that refuses all requests.
 TEST_CASE("A service whose requests take longer than the limit is still served in all its slots") {
   relay::ServiceTimes times;
   serve(times, kRunner, 6, 400, 0, kMeasuredMs);
@@ -90,6 +98,7 @@
   CHECK(times.report(kRunner, kSlots, kWithinMs, kMeasuredMs).late);
 }
 
+// Guards against a burst of late requests at runners that are not measured yet.
 TEST_CASE("A runner without a service time counts like the others that are measured or reported") {
   relay::ServiceTimes times;
   times.measure(kRunner, kPlain, 0, 0);
--- a/tests/unit/core/scheduling/slot_owner_tokens_test.cc
+++ b/tests/unit/core/scheduling/slot_owner_tokens_test.cc
@@ -97,6 +97,7 @@
 
 } // namespace
 
+// Guards against preempted requests at a full engine, and a large prompt that no engine accepts.
 TEST_CASE("A prompt that does not fit into the KV cache is refused, except at an idle engine") {
   relay::SlotOwner owner = ownerWithAllReports();
   ClaimingRelay relay{.name = "a"};
@@ -114,6 +115,7 @@
   CHECK(relay.claim(owner, 100'000, {}, kAllReportedMs).granted);
 }
 
+// Guards against a prompt that gets a free slot but no first event in time.
 TEST_CASE("A prompt behind too many unread tokens is refused as late") {
   relay::SlotOwner owner = ownerWithAllReports();
   ClaimingRelay relay{.name = "a"};
@@ -133,6 +135,7 @@
   CHECK(relay.claim(owner, 1800, {.start_within_ms = 200}, now_ms + 180).granted);
 }
 
+// Guards against an engine that gets no prompts, or all of them, because of an untrue factor.
 TEST_CASE("An engine that reports a wrong work time is limited to a factor of ten") {
   relay::SlotOwner owner = ownerWithAllReports();
   ClaimingRelay relay{.name = "a"};
@@ -149,6 +152,7 @@
         doctest::Approx(100).epsilon(0.05));
 }
 
+// Guards against an owner that takes a slow engine for a usual one.
 TEST_CASE("An owner finds service and work time of an engine in its runner table") {
   relay::RunnerTable table{relay::RunnerTableOptions{}};
   v1::RunnerList list;
@@ -164,6 +168,7 @@
   CHECK(table.ownedRunner(runner.fingerprint, 2000).work_time_factor == 1);
 }
 
+// Guards against an engine that seems full after a lost datagram.
 TEST_CASE("An end whose report is lost counts until the next report only") {
   relay::SlotOwner owner = ownerWithAllReports();
   ClaimingRelay relay{.name = "a"};
@@ -175,6 +180,8 @@
   CHECK(kvTokens(owner) == 300'000);
 }
 
+// Guards against a prompt that its owner drops because its relay sent a report before it knew of
+// the grant.
 TEST_CASE("A report that is sent before the answer to a claim does not end its prompt") {
   relay::SlotOwner owner = ownerWithAllReports();
   relay::SlotUsage usage(1);
@@ -193,6 +200,7 @@
   CHECK(kvTokens(owner) == 500);
 }
 
+// Guards against an engine that seems full of the prompts of a crashed relay.
 TEST_CASE("The prompts of a relay that is gone are dropped") {
   relay::SlotOwner owner = ownerWithAllReports();
   ClaimingRelay crashed{.name = "a"};
@@ -207,6 +215,7 @@
   CHECK(kvTokens(owner) == 0);
 }
 
+// Guards against a full engine that seems empty to its new owner.
 TEST_CASE("A new owner counts the prompts of the former one with the mean demand") {
   relay::SlotOwner former = ownerWithAllReports();
   relay::SlotOwner next = ownerWithAllReports();
@@ -225,6 +234,7 @@
   CHECK(next.engines()[0].tokens.unread == 310'000);
 }
 
+// Guards against an empty engine that seems as full as before its restart.
 TEST_CASE("A restarted engine starts without tokens") {
   relay::SlotOwner owner = ownerWithAllReports();
   ClaimingRelay relay{.name = "a"};
@@ -235,6 +245,7 @@
   CHECK(relay.claim(owner, 390'000, restarted, kAllReportedMs).granted);
 }
 
+// Guards against an engine that gets prompts without any limit while lists of relays differ.
 TEST_CASE("Two owners at a time each grant up to the limits and no further") {
   relay::SlotOwner first = ownerWithAllReports();
   relay::SlotOwner second = ownerWithAllReports();
