A version that turns slow is rolled back in a large fleet too

Found by reading; the relays of large fleets report once in 3 ms for each relay.

Cause: evidence needs eight intervals, each at least a report period long, and such a rollout has three to seven.

--- a/src/core/relay/clustered_evidence.cc
+++ b/src/core/relay/clustered_evidence.cc
@@ -142,16 +142,18 @@
   return Evidence{.strength = excess < 0 ? -strength : strength, .excess = excess};
 }
 
-Evidence compareIntervals(const std::vector<ResponseShares>& intervals) {
+Evidence compareIntervals(const std::vector<ResponseShares>& intervals, IntervalLength length) {
   const ResponseShares sum = sumOf(intervals);
   DispersionEstimate estimate(sum.target_bad, sum.target_all);
   for (const ResponseShares& interval : intervals) {
     estimate.add(interval.target_bad, interval.target_all);
   }
-  if (estimate.clusters() < kMinIntervals) {
-    return {};
-  }
+  const bool are_long = length == IntervalLength::Long;
   Evidence evidence = compareShares(sum);
+  if (estimate.clusters() < (are_long ? kMinLongIntervals : kMinIntervals)) {
+    evidence.strength *= kIndependentWeight;
+    return are_long ? evidence : Evidence{};
+  }
   applyDispersion(evidence, estimate);
   evidence.intervals = estimate.clusters();
   return evidence;
--- a/src/core/relay/clustered_evidence.h
+++ b/src/core/relay/clustered_evidence.h
@@ -39,6 +39,14 @@
 /// likelihood ratio, which, unlike the normal approximation, is also valid for few responses.
 Evidence compareShares(const ResponseShares& shares);
 
+/// How long intervals are compared with the pauses and faults that make responses bad together.
+enum class IntervalLength {
+  /// A fraction of a second.
+  Short,
+  /// About a second, as in a large fleet, whose relays report that often.
+  Long,
+};
+
 /// @return the evidence from consecutive intervals.
 ///
 /// One pause or fault of a process makes all requests in progress there bad, so that the number of
@@ -47,11 +55,17 @@
 /// by its root: `n` bursts are about as much evidence as `n` single bad responses, whatever their
 /// size. Bursts have to be shorter than the intervals.
 ///
-/// With fewer than `kMinIntervals` intervals the variance is not known, and there is no evidence.
-Evidence compareIntervals(const std::vector<ResponseShares>& intervals);
+/// With too few intervals the variance is not known. There is no evidence then from short
+/// intervals. From long ones, of which a rollout of some seconds has few, the responses count as
+/// independent of each other, by the fraction `kIndependentWeight`.
+Evidence compareIntervals(const std::vector<ResponseShares>& intervals, IntervalLength length);
 
-/// Number of intervals that are needed to measure a variance.
+/// Number of short and of long intervals that are needed to measure a variance. Most bursts are
+/// shorter than a long interval.
 inline constexpr size_t kMinIntervals = 8;
+inline constexpr size_t kMinLongIntervals = 4;
+/// Responses that are taken as independent have to differ more, because a burst makes several bad.
+inline constexpr double kIndependentWeight = 0.9;
 
 /// Bad responses, and all responses, at one group of the target version's runners.
 struct GroupShares {
--- a/src/core/relay/rollout_analysis.cc
+++ b/src/core/relay/rollout_analysis.cc
@@ -26,7 +26,7 @@
 /// slots.
 constexpr double kMinSlotsFraction = 0.5;
 /// Outcomes are also compared over these most recent time windows, to detect a version that turns
-/// bad later. A window with fewer than `kMinIntervals` clusters, such as the first one, gives
+/// bad later. A window with too few clusters, such as the first one, gives
 /// evidence from groups of runners only.
 constexpr int64_t kWindowsMs[] = {1000, 2000, 4000};
 constexpr int64_t kLongestWindowMs = 4000;
--- a/src/core/relay/rollout_evidence.cc
+++ b/src/core/relay/rollout_evidence.cc
@@ -53,11 +53,16 @@
                         .former_all = route.former.ended};
 }
 
+/// Clusters of a small fleet, whose relays report several times per second.
+constexpr int64_t kShortClusterMs = 250;
+
 /// Finds the strongest evidence in one window, whose intervals are joined into clusters.
 class WindowEvaluation {
 public:
   /// @param cluster_ms minimum length of a cluster
-  WindowEvaluation(const OutcomeWindow& window, int64_t cluster_ms) {
+  WindowEvaluation(const OutcomeWindow& window, int64_t cluster_ms)
+      : cluster_length_(cluster_ms > kShortClusterMs ? IntervalLength::Long
+                                                     : IntervalLength::Short) {
     int64_t cluster_from_ms = 0;
     for (const OutcomeInterval* interval : window) {
       if (clusters_.empty() || interval->from_ms - cluster_from_ms >= cluster_ms) {
@@ -72,7 +77,8 @@
   RolloutEvidence strongest() {
     compareFailures();
     for (const auto& [fingerprint, route] : total_.outcomes.routes()) {
-      consider(RolloutCriterion::Failures, compareIntervals(sharesOf(fingerprint, failuresOf)));
+      consider(RolloutCriterion::Failures,
+               compareIntervals(sharesOf(fingerprint, failuresOf), cluster_length_));
       compareTimes(RolloutCriterion::FirstTimes, fingerprint, &OutcomeCounts::first_times,
                    kLateFirstDoublings);
       compareTimes(RolloutCriterion::StepTimes, fingerprint, &OutcomeCounts::step_times,
@@ -121,7 +127,7 @@
 
   void compareFailures() {
     const Shares shares = failuresOfAllRoutes();
-    consider(RolloutCriterion::Failures, compareIntervals(shares));
+    consider(RolloutCriterion::Failures, compareIntervals(shares, cluster_length_));
     std::vector<GroupShares> groups;
     for (size_t group = 0; group < kRunnerGroups; ++group) {
       groups.push_back(
@@ -138,14 +144,19 @@
     }
     const size_t late = std::max(slowBucketOf(former) + late_doublings * kBucketsPerDoubling,
                                  timeBucketOf(kMinLateMs));
-    consider(criterion, compareIntervals(sharesOf(route, [&](const auto& outcomes) {
-               return ResponseShares{.target_bad = countAbove(outcomes.target.*times, late),
-                                     .target_all = sumOf(outcomes.target.*times),
-                                     .former_bad = countAbove(outcomes.former.*times, late),
-                                     .former_all = sumOf(outcomes.former.*times)};
-             })));
+    consider(criterion,
+             compareIntervals(sharesOf(route,
+                                       [&](const auto& outcomes) {
+                                         return ResponseShares{
+                                             .target_bad = countAbove(outcomes.target.*times, late),
+                                             .target_all = sumOf(outcomes.target.*times),
+                                             .former_bad = countAbove(outcomes.former.*times, late),
+                                             .former_all = sumOf(outcomes.former.*times)};
+                                       }),
+                              cluster_length_));
   }
 
+  const IntervalLength cluster_length_;
   std::vector<OutcomeWindow> clusters_;
   OutcomeInterval total_;
   RolloutEvidence strongest_;
