Comments and local names of relays, routers and their tests are clearer

Comments state units, thread safety and what a function also counts; one said that a function only counts late streams, although it records the time of each. No change of behavior.

--- a/src/adapters/http/idle_stream_pool.h
+++ b/src/adapters/http/idle_stream_pool.h
@@ -15,11 +15,12 @@
 
 namespace workshatch::http {
 
-/// Idle connections of one Client. Used only on the client's worker.
+/// Idle connections of one Client. Not safe for concurrent use: used only on the client's worker.
 class IdleStreamPool {
 public:
   using Stream = std::unique_ptr<boost::beast::tcp_stream>;
 
+  /// @param clock must outlive the pool
   explicit IdleStreamPool(const Clock& clock) : clock_(clock) {}
 
   /// Removes a usable connection from the pool, the most recently used one first, so that
@@ -37,7 +38,7 @@
 private:
   struct Idle {
     Stream stream;
-    /// Time of the clock in milliseconds.
+    /// When the keep-alive time has passed, in milliseconds of the monotonic clock.
     int64_t expires_ms = 0;
   };
 
--- a/src/adapters/http/keep_alive.cc
+++ b/src/adapters/http/keep_alive.cc
@@ -12,7 +12,8 @@
 
 /// Keep-alive time if the server sends no Keep-Alive header.
 constexpr int64_t kDefaultKeepAliveMs = 3000;
-/// Limits how long descriptors stay in use after a burst of requests.
+/// Upper limit of the keep-alive time. It limits how long descriptors stay in use after a burst of
+/// requests.
 constexpr int64_t kMaxKeepAliveMs = 20'000;
 constexpr int64_t kMillisecondsPerSecond = 1000;
 
--- a/src/daemon/group/rollout_controller.cc
+++ b/src/daemon/group/rollout_controller.cc
@@ -97,7 +97,7 @@
 void RolloutController::propose(const v1::Rollout& rollout, v1::RolloutPhase phase,
                                 TrackedRollout& tracked) {
   tracked.proposed_ms = clock_.monotonicMs();
-  const relay::RolloutEvidence& found = tracked.analysis.evidence();
+  const relay::RolloutEvidence& strongest = tracked.analysis.evidence();
   const relay::OutcomeCounts target = tracked.analysis.outcomes().totalOf(true);
   const relay::OutcomeCounts former = tracked.analysis.outcomes().totalOf(false);
   line_log::write("rollout_judged",
@@ -106,13 +106,13 @@
                    {"phase", relay::nameOf(rollout.phase())},
                    {"next_phase", relay::nameOf(phase)},
                    {"elapsed_ms", tracked.analysis.elapsedMs(tracked.proposed_ms)},
-                   {"evidence", found.evidence.strength},
-                   {"evidence_of", relay::nameOf(found.criterion)},
-                   {"excess_bad_answers", found.evidence.excess},
-                   {"dispersion", found.evidence.dispersion},
-                   {"intervals", found.evidence.intervals},
+                   {"evidence", strongest.evidence.strength},
+                   {"evidence_of", relay::nameOf(strongest.criterion)},
+                   {"excess_bad_answers", strongest.evidence.excess},
+                   {"dispersion", strongest.evidence.dispersion},
+                   {"intervals", strongest.evidence.intervals},
                    {"all_intervals", tracked.analysis.intervalCount()},
-                   {"runner_groups", found.evidence.runner_groups},
+                   {"runner_groups", strongest.evidence.runner_groups},
                    {"relays", tracked.analysis.relaysWithTarget()},
                    {"target_answers", target.ended},
                    {"target_failures", target.failed},
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -22,7 +22,7 @@
 /// is left for transit and for the spread of service times.
 constexpr double kPlainStartFraction = 0.8;
 
-/// @return the name of a reason in the log.
+/// @return the name of the reason in the log line `request_ended`.
 const char* nameOf(v1::PlaceRefusal refusal) {
   switch (refusal) {
   case v1::PLACE_REFUSAL_LOAD:
@@ -189,7 +189,8 @@
   co_return chosen;
 }
 
-/// @return the demand that claims state; nullopt if it is not known or does not count.
+/// @return the demand for a claim; nullopt if it is not known, the runner is no model engine, or
+/// slot owners do not count the load of engines (`engine_load`).
 std::optional<v1::PromptDemand> ActiveRequest::promptDemand() const {
   const bool known = request_.demand.source != relay::DemandSource::Unknown;
   if (!request_.engine || !known || !state_.policy.engine_load) {
@@ -228,8 +229,8 @@
   }
   const int64_t now_ms = state_.clock.monotonicMs();
   const uint32_t cold_ms = state_.runners.coldMs(*choice.runner, now_ms);
-  const SlotClaim request = slotClaim(choice, cold_ms);
-  SlotClaimResult reply = co_await state_.slot_client->claim(request);
+  const SlotClaim claim = slotClaim(choice, cold_ms);
+  SlotClaimResult reply = co_await state_.slot_client->claim(claim);
   if (reply.verdict == SlotVerdict::Unanswered) {
     // Falls back to the load totals. They contain nothing about the pace of a cold runner, so a
     // cold runner is not used.
@@ -247,15 +248,17 @@
   if (reply.wait_ms != 0) {
     state_.runners.recordHoldBack(*choice.runner, reply.wait_ms, state_.clock.monotonicMs());
   }
-  const bool use = recordPlainReport(choice, reply.plain);
-  if (!use) {
+  const bool usable = recordPlainReport(choice, reply.plain);
+  if (!usable) {
     slot_.release();
   }
-  co_return use&& reply.verdict == SlotVerdict::Granted;
+  const bool granted = reply.verdict == SlotVerdict::Granted && usable;
+  co_return granted;
 }
 
 /// Records what the owner reported about a plain runner.
-/// @return whether the runner may be used; not if its failures show with this report.
+/// @return false if the report shows that the runner fails more requests than the others and
+/// another runner may replace it.
 bool ActiveRequest::recordPlainReport(const relay::RunnerChoice& choice,
                                       const relay::PlainRunnerReport& report) {
   if (request_.engine || !state_.policy.service_times) {
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -203,9 +203,10 @@
   std::vector<uint64_t> unsuitable_;
   /// Claims that were refused because the runner was cold or its zone evacuated.
   uint32_t slots_held_back_ = 0;
-  /// Refused claims by reason, under the names of the log.
+  /// Refused claims, by the name of the reason in the log.
   std::map<std::string, uint32_t> slots_refused_by_;
-  /// What the owner of the last claimed slot expected; zero: not known.
+  /// Milliseconds from the grant to the first event, or to the end of a plain request, as expected
+  /// by the last owner that answered; zero: not known.
   uint32_t expected_start_ms_ = 0;
   /// Claims that the owner did not answer in time.
   uint32_t unanswered_claims_ = 0;
@@ -215,7 +216,7 @@
   uint32_t load_at_choice_ = 0;
   uint32_t passed_over_ = 0;
   uint32_t slot_limit_ = 0;
-  /// What the slot owner of the last runner reported about it, if it is a plain one.
+  /// Report about the last plain runner that was asked for a slot, from its slot owner.
   relay::PlainRunnerReport plain_report_;
   bool last_resort_ = false;
   /// Remaining backoff of the runner when it was chosen and when the request was sent.
--- a/src/daemon/relay/active_request_answer.cc
+++ b/src/daemon/relay/active_request_answer.cc
@@ -124,7 +124,8 @@
     co_return AttemptResult{.end = AttemptEnd::Broken, .outcome = relay::AttemptOutcome::Failed};
   }
   state_.stats.answer.add(state_.clock.monotonicMs() - request_.received_ms);
-  // The runner is done; a caller that reads slowly must not count as its service time.
+  // The runner has completed the request. The time for which a slow caller reads must not count as
+  // its service time.
   slot_.release(relay::RequestEnd::Completed);
   co_await exchange_.respond(std::move(response));
   co_return AttemptResult{.end = AttemptEnd::Answered, .outcome = relay::AttemptOutcome::Succeeded};
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -303,8 +303,8 @@
   return result;
 }
 
-/// @return what the attempt says about a plain runner. A request that ended at a time limit, or
-/// that this side gave up, says nothing; nor does one that did not run.
+/// @return how the request ended, for the measurement of a plain runner. An attempt is no evidence
+/// if it ended at a time limit, was ended by the caller or this relay, or did not run.
 relay::RequestEnd ActiveRequest::requestEnd(const AttemptResult& result) const {
   if (request_.engine) {
     return relay::RequestEnd::NoEvidence;
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -95,7 +95,8 @@
   return caller_timeout_ms ? std::optional<int64_t>(*caller_timeout_ms) : std::nullopt;
 }
 
-/// Sets the shared prefix of the prompt.
+/// Sets the two longest shared prefixes of the prompt: all blocks except the last one, and all
+/// except the last two.
 /// @return the tokens in all blocks that the caller lists; 0 if it lists none.
 uint64_t readPrompt(const http::Request& request, const RelayDialect& dialect,
                     RelayRequest& relayed) {
@@ -120,7 +121,8 @@
   return blocks.empty() ? 0 : tokens + blocks.back().tokens;
 }
 
-/// Determines what the request needs at a runner, and counts where the figures come from.
+/// Determines what the request needs at a runner, adds the stated sizes to the averages of the
+/// route, and counts the source of the demand.
 /// @param service null if the configuration does not have it
 relay::RequestDemand demandOf(const http::Request& request, const RelayRequest& relayed,
                               const relay::Service* service, uint64_t listed_prompt_tokens,
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -22,7 +22,8 @@
 struct RelayRequest {
   /// Version of the configuration that the request was admitted under.
   uint64_t configuration_version = 0;
-  /// Copies, so that a long request keeps no former configuration in memory.
+  /// A copy, as `tenant` is: a reference into the route table would keep a replaced configuration
+  /// in memory until the request ends.
   std::shared_ptr<const relay::Route> route;
   /// Null if the request needs no key.
   std::shared_ptr<const relay::Tenant> tenant;
@@ -59,8 +60,8 @@
   }
 };
 
-/// Validates and routes a request. Counts and learns the figures that its caller states about its
-/// size.
+/// Validates and routes a request. Also counts the sizes that callers state, adds them to the
+/// averages of the route, and counts the request towards the priority shares of its service.
 /// @param received_ms when the request was received
 /// @return the admitted request, or the problem to send to the caller.
 std::variant<RelayRequest, http::Problem> admit(const http::Request& request, RelayState& state,
--- a/src/daemon/relay/relay_stats.h
+++ b/src/daemon/relay/relay_stats.h
@@ -32,8 +32,8 @@
   uint64_t leaving_announced = 0;
   /// Requests that were sent to a runner during its backoff.
   uint64_t sent_in_backoff = 0;
-  /// Requests to model engines whose size their callers stated, and those for which the averages of
-  /// their routes stand in.
+  /// Requests to model engines whose size their callers stated, and those whose size was estimated
+  /// from recent requests of the same route and service.
   uint64_t demands_told = 0;
   uint64_t demands_estimated = 0;
   /// Figures of callers about the size of a request that were ignored.
@@ -49,9 +49,9 @@
   /// Counts the notices in the headers of a runner's response.
   void recordNotice(const relay::RunnerNotice& notice);
 
-  /// Counts where the size of a request is known from.
+  /// Counts the source of a request's size, and the figures of its caller that were ignored.
   void recordDemand(const relay::RequestDemand& demand, const relay::StatedDemand& stated);
-  /// Counts the first event of a stream if it is late.
+  /// Records the time of the first event of a stream, and counts the stream if it is late.
   /// @param waited_ms time since the request was received
   void recordFirstEvent(const relay::RequestDemand& demand, int64_t waited_ms);
   /// Counts a pause between two events of a stream if it is too long.
--- a/src/daemon/relay/slot_client.cc
+++ b/src/daemon/relay/slot_client.cc
@@ -9,7 +9,7 @@
 /// Period of the search for counts that other relays no longer report.
 constexpr int64_t kExpiryPeriodMs = 500;
 
-/// Adds what is known about a plain runner to an answer.
+/// Adds the report about a plain runner to an answer.
 void writePlainReport(const relay::PlainRunnerReport& report, v1::PlaceAnswer& answer) {
   answer.set_service_time_ms(report.service_time_ms);
   answer.set_failed_percent(report.failed_percent);
@@ -94,7 +94,8 @@
   }
 }
 
-/// Makes a claim. If it states a demand, reports list it from now on.
+/// Makes the message of a claim. If it has a demand, the usage reports to the owner list the claim
+/// from now on.
 v1::PlaceClaim SlotClient::makeClaim(const SlotClaim& request, int64_t now_ms) {
   v1::PlaceClaim claim;
   *claim.mutable_use() = used_slots_.makeReport(request.runner, now_ms);
@@ -132,7 +133,8 @@
   return result;
 }
 
-/// Gives up a claim. If the owner granted it all the same, the next report corrects its count.
+/// Gives up a claim that was not answered in time. If the owner granted it nevertheless, the next
+/// report corrects the owner's count.
 SlotClaimResult SlotClient::unanswered(const v1::PlaceClaim& claim) {
   ++counts_.unanswered;
   used_slots_.removeClaim(claim.use().runner(), claim.use().sequence());
--- a/src/daemon/relay/slot_client.h
+++ b/src/daemon/relay/slot_client.h
@@ -44,8 +44,8 @@
 
   /// @param end how the request ended, for the measurement of a plain runner
   void release(relay::RequestEnd end = relay::RequestEnd::NoEvidence);
-  /// Reports to the owner that the first event of the prompt has arrived. Does nothing when called
-  /// again, or for a request without a stated demand.
+  /// Reports to the owner that the first event of the response has arrived. Does nothing when
+  /// called again, or if the claim for the slot had no demand.
   void recordFirstEvent();
 
 private:
@@ -54,8 +54,9 @@
   uint64_t claim_ = 0;
 };
 
-/// What a request asks of the owner of a runner.
+/// A claim for a slot at a runner.
 struct SlotClaim {
+  /// Fingerprint of the runner.
   uint64_t runner = 0;
   /// Maximum number of requests in progress at the runner, including this one.
   uint32_t limit = 0;
@@ -64,7 +65,8 @@
   /// Demand of a prompt; empty: not known, or the runner is no model engine.
   std::optional<v1::PromptDemand> demand;
   relay::PromptLimits prompt_limits;
-  /// Longest expected time until the end of a request to a plain runner; 0: no limit.
+  /// Longest expected time in milliseconds until the end of a request to a plain runner; 0: no
+  /// limit. Used only without a demand; the limit of a prompt is that of `prompt_limits`.
   uint32_t start_within_ms = 0;
 };
 
@@ -83,9 +85,10 @@
   /// Nonzero if the claim was refused for another reason than its limit: milliseconds for which the
   /// runner gives out no slots.
   uint32_t wait_ms = 0;
-  /// Why the claim was refused.
+  /// Why the claim was refused; without meaning if it was granted or unanswered.
   v1::PlaceRefusal refusal = v1::PLACE_REFUSAL_UNKNOWN;
-  /// Expected time until the first event of a prompt; 0: not known.
+  /// Expected milliseconds until the first event of a prompt, or until the end of a plain request;
+  /// 0: not known.
   uint32_t expected_start_ms = 0;
   /// What the owner reported about a plain runner; without meaning if unanswered.
   relay::PlainRunnerReport plain;
@@ -129,9 +132,10 @@
   const Counts& counts() const { return counts_; }
   /// Number of runners for which this relay, as their owner, counts slots.
   size_t ownedRunners() const { return owner_.runnerCount(); }
-  /// @return the engines with tokens in progress for which this relay, as their owner, counts them.
+  /// @return the engines that this relay owns, with their tokens in progress; engines without any
+  /// are left out.
   std::vector<relay::SlotOwner::OwnedEngine> ownedEngines() const { return owner_.engines(); }
-  /// Measurements of the plain runners that this relay owns.
+  /// @return the measurements of the plain runners that this relay owns.
   const relay::ServiceTimes& serviceTimes() const { return owner_.serviceTimes(); }
 
 private:
--- a/src/daemon/router/request_handler.h
+++ b/src/daemon/router/request_handler.h
@@ -48,8 +48,8 @@
   /// Marks the router as draining: it reports itself as not ready and closes connections after the
   /// current response.
   void setDraining() { draining_ = true; }
-  /// Closes, on each worker, the idle connections to runners whose keep-alive time has passed.
-  /// Called periodically.
+  /// Closes, on each worker, the idle connections to runners whose keep-alive time has passed. To
+  /// be called periodically. Returns before they are closed. Safe for concurrent use.
   void closeExpiredConnections();
   /// @return the response to a request that the HTTP server refuses by itself.
   http::Response makeRefusal(http::Status status, const std::string& reason) const;
--- a/src/daemon/router/router_role.cc
+++ b/src/daemon/router/router_role.cc
@@ -22,7 +22,8 @@
 
 constexpr std::chrono::milliseconds kTickPeriod{20};
 constexpr std::chrono::milliseconds kRunnerPollPeriod{1000};
-/// Period of closing expired connections; short against the keep-alive time of three seconds.
+/// Period of closing expired connections. Short compared with the keep-alive time of 3 s that
+/// applies if a server states none.
 constexpr std::chrono::milliseconds kIdleCheckPeriod{500};
 constexpr int64_t kRenewTimeoutMs = 1000;
 /// Pause after a renewal that brought a change, before the renewal that reports the change as in
--- a/tests/unit/daemon/relay/active_request_test.cc
+++ b/tests/unit/daemon/relay/active_request_test.cc
@@ -44,8 +44,8 @@
   return slots;
 }
 
-/// Takes both slots of the only runner: while its service time is not known, a plain runner gets
-/// two requests for each worker.
+/// Fills the only runner, which has one slot: while its service time is not known, a plain runner
+/// gets two requests for each slot.
 std::vector<daemon::SlotGuard> takeAllSlots(TestRelay& relay) {
   const uint64_t fingerprint = relay.state().runners.runners()[0]->fingerprint;
   std::vector<daemon::SlotGuard> taken;
@@ -271,7 +271,7 @@
 }
 
 TEST_CASE("The owner of a plain runner learns which requests the runner completed and failed") {
-  // Requests that end at a time limit count as neither.
+  // A request with X-Hang ends at its time limit and must count as neither.
   ScriptedRunner runner([](auto& socket, const auto& request) {
     if (request.find("X-Fail") != std::string::npos) {
       writeTo(socket, signedAnswer("q1", "bad", "500 Internal Server Error"));
@@ -358,7 +358,7 @@
   route.objective_ms = 1000;
   TestRelay relay(route, relay::Policy{.waiting_line = true});
   relay.addRunner("runner-1", runner.address(), 1);
-  // A plain service may have two requests in progress per worker.
+  // A plain runner gets two requests for each slot.
   const auto busy = relay.state().runners.runners()[0];
   busy->in_progress = 2;
   relay.start();
--- a/tests/unit/daemon/relay/request_demand_test.cc
+++ b/tests/unit/daemon/relay/request_demand_test.cc
@@ -23,7 +23,7 @@
 namespace {
 
 /// Collects the lines of the log during its lifetime. Standard output is redirected meanwhile, so
-/// that results of checks must not be printed.
+/// no check may be made in this time: its result would not be shown.
 class LogCapture {
 public:
   LogCapture() : file_(std::tmpfile()), standard_output_(::dup(STDOUT_FILENO)) {
--- a/tests/unit/daemon/relay/slot_client_test.cc
+++ b/tests/unit/daemon/relay/slot_client_test.cc
@@ -52,7 +52,8 @@
     return claim(client, daemon::SlotClaim{.runner = runner, .limit = limit});
   }
 
-  /// Sends a claim and returns without its result. @param reply set when the result is there
+  /// Sends a claim and returns without waiting for the answer.
+  /// @param reply receives the result; must outlive the claim
   void startClaim(SlotClient& client, const daemon::SlotClaim& request,
                   std::optional<SlotClaimResult>& reply) {
     boost::asio::co_spawn(
--- a/tests/unit/daemon/router/request_handler_test.cc
+++ b/tests/unit/daemon/router/request_handler_test.cc
@@ -1,6 +1,6 @@
 /// @file
 /// Tests of the execution state that the request handler reports for requests that it refuses, and
-/// of the limits of tenants.
+/// of the limit of a tenant's requests in progress.
 #include <optional>
 #include <string>
 
@@ -32,7 +32,8 @@
   return settings;
 }
 
-/// A model runner whose events have a number as their id, which the handler does not expect.
+/// A model runner whose events have a number as their JSON member `id` instead of a string, which
+/// makes the handler throw.
 class UnexpectedRunner {
 public:
   UnexpectedRunner() : server_(workers_, http::ServerLimits{}, &answer, &refuse) {
@@ -81,19 +82,11 @@
   /// Sends the request.
   /// @return the header `X-Execution` of the response.
   std::string executionHeaderFor(http::Request request) const {
-    asio::io_context context;
-    http::Client client(context, clock_);
     std::string execution;
-    asio::co_spawn(
-        context,
-        [&]() -> http::awaitable<void> {
-          http::CallResult result = co_await client.call(address_, std::move(request), {});
-          auto& response = *std::get<std::unique_ptr<http::ClientResponse>>(result);
-          execution = response.header("X-Execution").value_or("missing");
-          co_await response.readAll(kMaxBodyBytes);
-        },
-        asio::detached);
-    context.run();
+    send(std::move(request), [&execution](http::CallResult& result) {
+      auto& response = *std::get<std::unique_ptr<http::ClientResponse>>(result);
+      execution = response.header("X-Execution").value_or("missing");
+    });
     return execution;
   }
 
@@ -129,24 +122,34 @@
 
   /// Sends the request. @return the status of the response; nothing if the connection broke off.
   std::optional<http::Status> statusFor(http::Request request) const {
+    std::optional<http::Status> status;
+    send(std::move(request), [&status](http::CallResult& result) {
+      if (auto* response = std::get_if<std::unique_ptr<http::ClientResponse>>(&result)) {
+        status = (*response)->status();
+      }
+    });
+    return status;
+  }
+
+private:
+  /// Sends the request, calls `inspect` with the result and reads the response, if there is one, to
+  /// its end.
+  template <typename Inspect> void send(http::Request request, Inspect inspect) const {
     asio::io_context context;
     http::Client client(context, clock_);
-    std::optional<http::Status> status;
     asio::co_spawn(
         context,
         [&]() -> http::awaitable<void> {
           http::CallResult result = co_await client.call(address_, std::move(request), {});
+          inspect(result);
           if (auto* response = std::get_if<std::unique_ptr<http::ClientResponse>>(&result)) {
-            status = (*response)->status();
             co_await (*response)->readAll(kMaxBodyBytes);
           }
         },
         asio::detached);
     context.run();
-    return status;
   }
 
-private:
   const v1::Settings settings_ = settingsOfRouter();
   SystemClock clock_;
   WorkerPool workers_{1};
