--- a/tests/unit/core/relay/rollout_analysis_test.cc
+++ b/tests/unit/core/relay/rollout_analysis_test.cc
@@ -41,6 +41,8 @@
   double time_scale = 1;
   /// Requests to both versions in a step, on all routes.
   int requests_in_step = 250;
+  /// Period of the relays' reports as the leader knows it, in milliseconds.
+  int64_t report_period_ms = 0;
   /// Time at which another leader takes over; zero: never.
   int64_t leader_lost_ms = 0;
   /// Factor on the times to the first part of a response, because a new runner has no prompts
@@ -79,11 +81,13 @@
       report.set_rollout(rollout_.id());
       outcomes_.fill(report);
       analysis->addReport("relay", 1, report, now_ms);
-      const auto phase = analysis->decide(
-          v1::ROLLOUT_CANARY, relay::RolloutConditions{.now_ms = now_ms,
-                                                       .target_slots = 8,
-                                                       .former_slots = 8,
-                                                       .all_relays_reported = all_relays_reported});
+      const auto phase =
+          analysis->decide(v1::ROLLOUT_CANARY,
+                           relay::RolloutConditions{.now_ms = now_ms,
+                                                    .report_period_ms = version_.report_period_ms,
+                                                    .target_slots = 8,
+                                                    .former_slots = 8,
+                                                    .all_relays_reported = all_relays_reported});
       if (phase) {
         return Decision{.phase = *phase, .at_ms = now_ms, .bad_answers = bad_answers_};
       }
@@ -169,6 +173,15 @@
   CHECK(tallyOf(Version{.slow_fraction = 0.2}, 100).rolled_back >= 99);
 }
 
+TEST_CASE("A version that turns slow is promoted in a large fleet, whose relays report rarely") {
+  for (const int64_t period_ms : {300, 900, 1200}) {
+    CAPTURE(period_ms);
+    const Version slow{.from_ms = 5000, .slow_fraction = 0.5, .report_period_ms = period_ms};
+    CHECK(tallyOf(slow, 50).rolled_back == 50);
+    CHECK(tallyOf(Version{.report_period_ms = period_ms}, 50).promoted == 50);
+  }
+}
+
 TEST_CASE("A version is rolled back because of delays too short to matter to callers") {
   CHECK(tallyOf(Version{.slow_fraction = 0.2, .time_scale = 0.02}, 100).promoted == 100);
 }
