An idle engine accepts a prompt whatever start it expects

What callers would have seen: refusals ("late") for as long as the service is busy. Found by reading: the line that was fitted to slow prompts is replaced only by new samples, and an engine that refuses all prompts makes none; 3,600 of 3,600 claims of one per second were refused at an idle engine in a simulated hour.

Change: as for the KV cache, an engine without requests in progress accepts any prompt. The test of a wrong work time ends each prompt before the next claim; its figures are the same.

--- a/src/core/scheduling/slot_owner.cc
+++ b/src/core/scheduling/slot_owner.cc
@@ -108,7 +108,12 @@
   if (claim.has_demand()) {
     check.expected_start_ms = expectedStartMs(slots, total.unread + added.unread, runner, now_ms);
   }
-  if (claim.kv_limit() != 0 && load != 0 && total.kv + added.kv > claim.kv_limit()) {
+  // An idle engine accepts any prompt: it cannot serve it sooner later, and its times would never
+  // be measured again.
+  if (load == 0) {
+    return check;
+  }
+  if (claim.kv_limit() != 0 && total.kv + added.kv > claim.kv_limit()) {
     check.refusal = v1::PLACE_REFUSAL_KV_CACHE;
   } else if (claim.start_within_ms() != 0 && check.expected_start_ms > claim.start_within_ms()) {
     check.refusal = v1::PLACE_REFUSAL_LATE;
