--- a/src/adapters/http/keep_alive.cc
+++ b/src/adapters/http/keep_alive.cc
@@ -15,7 +15,10 @@
 /// Upper limit of the keep-alive time. It limits how long descriptors stay in use after a burst of
 /// requests.
 constexpr int64_t kMaxKeepAliveMs = 20'000;
+/// Fraction of the server's timeout for which a connection is kept, in percent.
+constexpr int64_t kKeptPercent = 70;
 constexpr int64_t kMillisecondsPerSecond = 1000;
+constexpr int64_t kPercent = 100;
 
 } // namespace
 
@@ -32,7 +35,9 @@
     const char* begin = text.data() + at + kName.size();
     std::from_chars(begin, text.data() + text.size(), seconds);
   }
-  return std::min(seconds * kMillisecondsPerSecond * 7 / 10, kMaxKeepAliveMs);
+  // Limited before the multiplication, because a server may state any number.
+  const int64_t timeout_ms = std::min(seconds, kMaxKeepAliveMs) * kMillisecondsPerSecond;
+  return std::min(timeout_ms * kKeptPercent / kPercent, kMaxKeepAliveMs);
 }
 
 } // namespace workshatch::http
