The log line of a plain request has its expected time also from a local owner

expected_start_ms was 0 when the relay itself owned the runner, and a refusal because of an evacuated zone read "late" when another relay owned it. Both now come from the same decision.

--- a/src/daemon/relay/slot_client.cc
+++ b/src/daemon/relay/slot_client.cc
@@ -1,5 +1,7 @@
 #include "daemon/relay/slot_client.h"
 
+#include <algorithm>
+
 namespace workshatch::daemon {
 
 namespace asio = boost::asio;
@@ -16,9 +18,6 @@
   if (report.expected_ms != 0) {
     answer.set_expected_start_ms(report.expected_ms);
   }
-  if (report.late && !answer.granted()) {
-    answer.set_refusal(v1::PLACE_REFUSAL_LATE);
-  }
 }
 
 relay::PlainRunnerReport readPlainReport(const v1::PlaceAnswer& answer) {
@@ -120,7 +119,8 @@
                          .load = decision.load,
                          .wait_ms = decision.wait_ms,
                          .refusal = decision.refusal,
-                         .expected_start_ms = decision.expected_start_ms,
+                         .expected_start_ms =
+                             std::max(decision.expected_start_ms, decision.plain.expected_ms),
                          .plain = decision.plain};
   if (!decision.granted) {
     used_slots_.removeClaim(runner, claim.use().sequence());
