--- a/src/daemon/relay/slot_client.cc
+++ b/src/daemon/relay/slot_client.cc
@@ -1,5 +1,7 @@
 #include "daemon/relay/slot_client.h"
 
+#include <algorithm>
+
 namespace workshatch::daemon {
 
 namespace asio = boost::asio;
@@ -9,16 +11,13 @@
 /// Period of the search for counts that other relays no longer report.
 constexpr int64_t kExpiryPeriodMs = 500;
 
-/// Adds what is known about a plain runner to an answer.
+/// Adds the report about a plain runner to an answer.
 void writePlainReport(const relay::PlainRunnerReport& report, v1::PlaceAnswer& answer) {
   answer.set_service_time_ms(report.service_time_ms);
   answer.set_failed_percent(report.failed_percent);
   if (report.expected_ms != 0) {
     answer.set_expected_start_ms(report.expected_ms);
   }
-  if (report.late && !answer.granted()) {
-    answer.set_refusal(v1::PLACE_REFUSAL_LATE);
-  }
 }
 
 relay::PlainRunnerReport readPlainReport(const v1::PlaceAnswer& answer) {
@@ -94,7 +93,8 @@
   }
 }
 
-/// Makes a claim. If it states a demand, reports list it from now on.
+/// Makes the message of a claim. If it has a demand, the usage reports to the owner list the claim
+/// from now on.
 v1::PlaceClaim SlotClient::makeClaim(const SlotClaim& request, int64_t now_ms) {
   v1::PlaceClaim claim;
   *claim.mutable_use() = used_slots_.makeReport(request.runner, now_ms);
@@ -119,7 +119,8 @@
                          .load = decision.load,
                          .wait_ms = decision.wait_ms,
                          .refusal = decision.refusal,
-                         .expected_start_ms = decision.expected_start_ms,
+                         .expected_start_ms =
+                             std::max(decision.expected_start_ms, decision.plain.expected_ms),
                          .plain = decision.plain};
   if (!decision.granted) {
     used_slots_.removeClaim(runner, claim.use().sequence());
@@ -132,7 +133,8 @@
   return result;
 }
 
-/// Gives up a claim. If the owner granted it all the same, the next report corrects its count.
+/// Gives up a claim that was not answered in time. If the owner granted it nevertheless, the next
+/// report corrects the owner's count.
 SlotClaimResult SlotClient::unanswered(const v1::PlaceClaim& claim) {
   ++counts_.unanswered;
   used_slots_.removeClaim(claim.use().runner(), claim.use().sequence());
