The expected time at a plain runner and the fraction of an objective stand once

What callers see: nothing; behaviour is unchanged.

Cause: slot owners and the choice of runners each had the formula service time * (1 + requests / slots), and the limit of 0.8 of the objective, with the same reason, stood in placement.cc for prompts and in active_request.cc for plain requests.

Change: expectedServiceMs in service_times.h and kInTimeFraction in placement.h serve both.

--- a/src/core/scheduling/placement.cc
+++ b/src/core/scheduling/placement.cc
@@ -12,9 +12,6 @@
 /// Fraction of the KV cache that is left free, because about half of the outputs are longer than
 /// expected.
 constexpr double kKvReserve = 0.1;
-/// Fraction of the latency objective within which a prompt has to start; the rest covers transit
-/// and the spread of the times.
-constexpr double kStartFraction = 0.8;
 
 using Candidates = std::vector<std::shared_ptr<Runner>>;
 
@@ -63,7 +60,7 @@
     return (runner.load() + 1) * workTimeFactor(runner, query.now_ms);
   }
   const double service_ms = reportedServiceMs(runner, query.now_ms).value_or(*usual_ms);
-  return service_ms * (1 + static_cast<double>(runner.load()) / slots);
+  return expectedServiceMs(service_ms, runner.load(), slots);
 }
 
 /// @param attempt number of the draw for this request, so that each draw differs
@@ -158,7 +155,7 @@
   if (demand.source == DemandSource::Unknown) {
     return limits;
   }
-  limits.start_within_ms = static_cast<uint32_t>(kStartFraction * demand.objective_ms);
+  limits.start_within_ms = static_cast<uint32_t>(kInTimeFraction * demand.objective_ms);
   return limits;
 }
 
--- a/src/core/scheduling/placement.h
+++ b/src/core/scheduling/placement.h
@@ -14,6 +14,10 @@
 
 namespace workshatch::relay {
 
+/// Fraction of the latency objective within which a prompt is expected to start, or a plain request
+/// to end; the rest covers transit and the spread of the times.
+inline constexpr double kInTimeFraction = 0.8;
+
 /// Limits of a prompt at a model engine, besides that of its slots. Zero: no limit.
 struct PromptLimits {
   /// Tokens in the engine's KV cache, those of the prompt included.
--- a/src/core/scheduling/service_times.cc
+++ b/src/core/scheduling/service_times.cc
@@ -11,10 +11,6 @@
 /// measured yet. It covers the time until their first measurement, which takes at least 2 s.
 constexpr int64_t kReceivedValidMs = 10'000;
 
-double expectedMs(double service_time_ms, uint32_t load, uint32_t slots) {
-  return service_time_ms * (1 + static_cast<double>(load) / slots);
-}
-
 /// Rounds up, because zero means that a time is not known.
 uint32_t wholeMs(double milliseconds) {
   return std::max(static_cast<uint32_t>(std::ceil(milliseconds)), uint32_t{1});
@@ -22,6 +18,10 @@
 
 } // namespace
 
+double expectedServiceMs(double service_time_ms, uint32_t load, uint32_t slots) {
+  return service_time_ms * (1 + static_cast<double>(load) / slots);
+}
+
 void ServiceTimes::measure(uint64_t runner, const PlainRunner& plain, uint32_t load,
                            int64_t now_ms) {
   const auto [found, added] = runners_.try_emplace(
@@ -99,11 +99,12 @@
   if (!service_time_ms) {
     return report;
   }
-  const double time_ms = expectedMs(*service_time_ms, load, plain.slots);
+  const double time_ms = expectedServiceMs(*service_time_ms, load, plain.slots);
   report.expected_ms = wholeMs(time_ms);
   const bool over_limit = within_ms != 0 && time_ms > within_ms;
   const bool would_queue = load >= plain.slots;
-  const bool others_in_time = typical_ms && expectedMs(*typical_ms, load, plain.slots) <= within_ms;
+  const bool others_in_time =
+      typical_ms && expectedServiceMs(*typical_ms, load, plain.slots) <= within_ms;
   report.late = over_limit && load != 0 && (would_queue || others_in_time);
   return report;
 }
--- a/src/core/scheduling/service_times.h
+++ b/src/core/scheduling/service_times.h
@@ -33,6 +33,11 @@
   bool late = false;
 };
 
+/// @param slots requests that the runner processes at the same time, at least 1
+/// @return expected time in milliseconds of a further request at a plain runner with `load`
+/// requests in progress.
+double expectedServiceMs(double service_time_ms, uint32_t load, uint32_t slots);
+
 /// Decides by service times whether plain runners get further requests.
 ///
 /// Load pattern: some plain runners work several times slower than others, or the service gets more
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -18,9 +18,6 @@
 constexpr double kMaxWaitFraction = 0.2;
 /// Number of declined attempts after which the whole service is considered full.
 constexpr uint32_t kMaxDeclines = 3;
-/// Limit of the expected time of a plain request as a fraction of the latency objective. The rest
-/// is left for transit and for the spread of service times.
-constexpr double kPlainStartFraction = 0.8;
 
 /// @return the name of the reason in the log line `request_ended`.
 const char* nameOf(v1::PlaceRefusal refusal) {
@@ -158,7 +155,7 @@
 uint32_t ActiveRequest::plainStartLimitMs() const {
   const bool limited = state_.policy.service_times && !request_.engine &&
                        request_.route->kind != relay::RouteKind::Streaming;
-  return limited ? static_cast<uint32_t>(kPlainStartFraction * request_.route->objective_ms) : 0;
+  return limited ? static_cast<uint32_t>(relay::kInTimeFraction * request_.route->objective_ms) : 0;
 }
 
 bool ActiveRequest::usesSlotOwners() const {
