--- a/scripts/check_names.sh
+++ b/scripts/check_names.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-names='Server-Leaving|X-(Server-Signature|Api-Key|Target-Instance|Not-Executed|Prompt-Prefix|Token-Usage|Deadline-Ms|Instance-Load|Instance-Id|Request-Priority)|/-/(resolve|config|readyz|report)|pathPrefix|apiKeys|kvCapacity|gapTargetMs|timeoutMs|maxAttempts|cloudApi|coldLeftMs|fleetbench|WORKSHATCH_SETTINGS'
+names='Server-Leaving|X-(Server-Signature|Api-Key|Target-Instance|Not-Executed|Prompt-Prefix|Token-Usage|Length-Hint|Deadline-Ms|Instance-Load|Instance-Id|Request-Priority)|/-/(resolve|config|readyz|report)|pathPrefix|apiKeys|kvCapacity|gapTargetMs|"stride"|timeoutMs|maxAttempts|cloudApi|coldLeftMs|fleetbench|WORKSHATCH_SETTINGS'
 if git grep -nE "$names" -- src proto schema tests bench examples; then
   echo "names of the platform outside platform/ and deploy/" >&2
   exit 1
--- a/scripts/settings_reference.py
+++ b/scripts/settings_reference.py
@@ -10,6 +10,21 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TARGET = ROOT / "docs" / "SETTINGS.md"
 
+PLATFORM = """\
+## On the users' platform
+
+The settings of `workshatch-platform`, with the members of `policy`, are listed in
+[OPERATIONS.md](OPERATIONS.md). Members of the platform's configuration by which requests are scheduled:
+
+| member | type | default | range | meaning |
+|---|---|---|---|---|
+| `routes[].goalMs` | number | 0 | 0 to 4294967295 | objective: time until the first event of a stream, or until a whole response, milliseconds; 0: none |
+| `routes[].gapTargetMs` | number | 0 | 0 to 4294967295 | pause objective: longest pause between two events of a stream, milliseconds; 0: none; ignored on routes that are not streaming |
+| `services[].engine.stride` | number | 0 | 0 to 4294967295 | output tokens per event; 0: unknown, so that no output averages are learned |
+| `services[].engine.kvCapacity` | number | 0 | 0 to 2^64 - 1 | capacity of one engine's KV cache, tokens; 0: unknown |
+
+A value of another type or out of range makes the configuration invalid."""
+
 
 def resolve(schema, node):
     while "$ref" in node:
@@ -44,6 +59,7 @@
         schema = json.loads((ROOT / "schema" / f"{name}.schema.json").read_text())
         lines += [f"## {title}", "", "| member | type | default | range | meaning |",
                   "|---|---|---|---|---|", *rows(schema, schema, ""), ""]
+    lines += PLATFORM.splitlines() + [""]
     return "\n".join(lines)
 
 
