Lines of attempts and requests tell a cut relay from crashed runners

What callers saw: relays without a path to the runners served 44 of 222 first tries, the others 263 of 264. The lines of the incident could not tell whether a relay heard any runner of the service while its attempts failed, nor whether it avoided a runner for what it saw or for what others reported.

Change, no logic: attempt_ended has the phase, its time, the time since any runner of the service was heard, and how many of its runners are avoided for either reason; request_ended has the latter.

--- a/src/core/relay/runner.h
+++ b/src/core/relay/runner.h
@@ -31,6 +31,8 @@
   uint32_t failures_in_row = 0;
   /// When the runner last sent anything, or when the first of its present attempts began.
   int64_t last_activity_ms = 0;
+  /// When the runner last accepted a connection or sent anything; 0: never.
+  int64_t last_heard_ms = 0;
   /// End of the time for which the runner is avoided because other relays get no response from it.
   int64_t suspected_until_ms = 0;
   /// The runner is not chosen before this time, unless no other is left.
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -294,6 +294,24 @@
          isSilent(runner, now_ms);
 }
 
+ServiceEvidence RunnerTable::evidenceOf(const std::string& service, int64_t now_ms) const {
+  ServiceEvidence evidence;
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return evidence;
+  }
+  int64_t last_heard_ms = 0;
+  for (const auto& runner : found->second.runners) {
+    const bool own = runner->avoid_until_ms > now_ms || isSilent(*runner, now_ms);
+    ++evidence.runners;
+    evidence.avoided_by_own += own ? 1 : 0;
+    evidence.avoided_by_reports += !own && runner->suspected_until_ms > now_ms ? 1 : 0;
+    last_heard_ms = std::max(last_heard_ms, runner->last_heard_ms);
+  }
+  evidence.heard_ago_ms = last_heard_ms == 0 ? -1 : now_ms - last_heard_ms;
+  return evidence;
+}
+
 void RunnerTable::recordLoad(Runner& runner, uint32_t load) const {
   if (options_.policy.shared_loads) {
     runner.others_in_progress = load > runner.in_progress ? load - runner.in_progress : 0;
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -107,6 +107,17 @@
   uint32_t start_within_ms = 0;
 };
 
+/// What a relay knows about the runners of one service as a whole.
+struct ServiceEvidence {
+  uint32_t runners = 0;
+  /// Runners that the relay avoids because of what it observed itself, and only because of reports
+  /// of other relays.
+  uint32_t avoided_by_own = 0;
+  uint32_t avoided_by_reports = 0;
+  /// Milliseconds since any of the runners was heard; -1: none ever was.
+  int64_t heard_ago_ms = -1;
+};
+
 /// Why no runner was chosen.
 enum class NoRunner {
   /// The service has no usable runner that was not tried yet.
@@ -274,7 +285,14 @@
 
   void beginAttempt(Runner& runner, int64_t now_ms) const;
   /// Records that bytes were received from the runner.
-  void recordActivity(Runner& runner, int64_t now_ms) const { runner.last_activity_ms = now_ms; }
+  void recordActivity(Runner& runner, int64_t now_ms) const {
+    runner.last_activity_ms = now_ms;
+    recordHeard(runner, now_ms);
+  }
+  /// Records that the runner sent something or accepted a connection.
+  void recordHeard(Runner& runner, int64_t now_ms) const { runner.last_heard_ms = now_ms; }
+  /// @return what this relay knows about the runners of the service.
+  ServiceEvidence evidenceOf(const std::string& service, int64_t now_ms) const;
   void endAttempt(Runner& runner, AttemptOutcome outcome, int64_t now_ms) const;
 
   const std::vector<std::shared_ptr<Runner>>& runners() const { return runners_; }
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -332,7 +332,9 @@
   passed_over_ = choice.passed_over;
   slot_limit_ = choice.limit;
   last_resort_ = choice.last_resort;
-  backoff_at_choice_ms_ = choice.runner->backoff.time.remainingMs(state_.clock.monotonicMs());
+  const int64_t now_ms = state_.clock.monotonicMs();
+  backoff_at_choice_ms_ = choice.runner->backoff.time.remainingMs(now_ms);
+  evidence_ = state_.runners.evidenceOf(request_.service, now_ms);
 }
 
 bool ActiveRequest::mayTryAgain(AttemptEnd last) const {
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -85,7 +85,7 @@
   // One attempt (active_request_attempt.cc).
   http::awaitable<AttemptEnd> attempt(const relay::RunnerChoice& choice);
   http::awaitable<AttemptResult> callRunner(const relay::RunnerChoice& choice);
-  http::awaitable<ConnectOutcome> connect(const relay::Runner& runner);
+  http::awaitable<ConnectOutcome> connect(relay::Runner& runner);
   http::awaitable<std::optional<http::CallError>> send(const relay::RunnerChoice& choice);
   std::optional<PrefixClient::Lookup> lookUpPrefixSource(const relay::Runner& runner);
   http::awaitable<std::shared_ptr<relay::Runner>>
@@ -222,6 +222,10 @@
   /// Remaining backoff of the runner when it was chosen and when the request was sent.
   int64_t backoff_at_choice_ms_ = 0;
   int64_t backoff_at_send_ms_ = 0;
+  /// What was known about the runners of the service when the last one was chosen.
+  relay::ServiceEvidence evidence_;
+  /// When the current attempt began.
+  int64_t attempt_began_ms_ = 0;
   /// What the current attempt's runner reported about itself in its response headers.
   relay::RunnerNotice notice_;
   /// Id of the last prefix source, for the log; empty if there was none.
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -75,7 +75,7 @@
       std::max(kMinSilenceTimeoutMs, kSilenceTimeoutObjectives * request_.route->objective_ms));
 }
 
-http::awaitable<ActiveRequest::ConnectOutcome> ActiveRequest::connect(const relay::Runner& runner) {
+http::awaitable<ActiveRequest::ConnectOutcome> ActiveRequest::connect(relay::Runner& runner) {
   connection_ = state_.connections.acquire(runner.entry.address());
   if (connection_) {
     co_return ConnectOutcome::Connected;
@@ -87,6 +87,7 @@
   connection_ = std::make_shared<http::RunnerConnection>(context_);
   const auto error = co_await connection_->connect(*endpoint, kConnectTimeout);
   if (!error) {
+    state_.runners.recordHeard(runner, state_.clock.monotonicMs());
     if (state_.crash_reporter) {
       state_.crash_reporter->recordListening(runner);
     }
@@ -119,12 +120,19 @@
   if (result.end != AttemptEnd::Answered) {
     const int64_t backoff_asked_ms =
         notice_.backoff_ms ? static_cast<int64_t>(*notice_.backoff_ms) : -1;
+    const relay::ServiceEvidence evidence = state_.runners.evidenceOf(request_.service, now_ms);
     line_log::write("attempt_ended", {{"request", request_.id},
                                       {"identity", relay::textOf(request_.identity)},
                                       {"runner", runner.entry.id()},
                                       {"runner_load", runner.load()},
                                       {"outcome", nameOf(outcome)},
                                       {"error", last_error_},
+                                      {"phase", sent_ms_ == 0 ? "connecting" : "sent"},
+                                      {"ms", now_ms - attempt_began_ms_},
+                                      {"service_heard_ms", evidence.heard_ago_ms},
+                                      {"runners_avoided", evidence.avoided_by_own},
+                                      {"runners_reported", evidence.avoided_by_reports},
+                                      {"runners_of_service", evidence.runners},
                                       {"runner_failures", runner.failures_in_row},
                                       {"last_resort", last_resort_},
                                       {"backoff_at_choice_ms", backoff_at_choice_ms_},
@@ -269,7 +277,8 @@
   sent_ms_ = 0;
   backoff_at_send_ms_ = 0;
   notice_ = {};
-  state_.runners.beginAttempt(runner, state_.clock.monotonicMs());
+  attempt_began_ms_ = state_.clock.monotonicMs();
+  state_.runners.beginAttempt(runner, attempt_began_ms_);
   if (request_.tenant != nullptr) {
     state_.tenants.begin(request_.tenant->name);
   }
--- a/src/daemon/relay/active_request_outcome.cc
+++ b/src/daemon/relay/active_request_outcome.cc
@@ -152,6 +152,8 @@
        {"pause_objective_ms", request_.demand.pause_objective_ms},
        {"declines", declines_},
        {"last_resort", last_resort_},
+       {"runners_avoided", evidence_.avoided_by_own},
+       {"runners_reported", evidence_.avoided_by_reports},
        {"backoff_at_choice_ms", backoff_at_choice_ms_},
        {"backoff_at_send_ms", backoff_at_send_ms_},
        {"part_source", prefix_source_id_},
