Test: callers of a relay that lost its path to the runners are hardly served

So that one relay of a process can be cut, all connections to runners are now made by RunnerDialer, which resolves the setting runner_address_overrides (port forwarding), as the product's daemon does for its peers. No other logic changes.

--- a/src/adapters/address_overrides.h
+++ b/src/adapters/address_overrides.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 
 #include "workshatch/v1/settings.pb.h"
 
@@ -21,6 +22,10 @@
     }
   }
 
+  /// @param overrides addresses to connect to, by advertised address
+  explicit AddressOverrides(std::map<std::string, std::string> overrides)
+      : overrides_(std::move(overrides)) {}
+
   /// @return the override for `address`, or `address` itself if there is none. The reference is
   /// valid as long as both this object and `address`.
   const std::string& resolve(const std::string& address) const {
--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -233,6 +233,7 @@
   reader.flag("first_start", settings.first_start);
   reader.text("data_folder", settings.data_folder, false);
   reader.address("runner_list_address", settings.runner_list_address, true);
+  reader.textMap("runner_address_overrides", settings.runner_address_overrides);
   reader.number("runner_list_calls", settings.runner_list_calls, 0.1, 1e6);
   reader.number("link_mbps", settings.link_mbps, 0.1, 1e6);
   constexpr double kBytesPerMegabyte = 1024 * 1024;
--- a/src/adapters/settings/relay_settings.h
+++ b/src/adapters/settings/relay_settings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -61,6 +62,9 @@
   bool first_start = false;
   std::string data_folder;
   std::string runner_list_address;
+  /// Addresses at which this machine reaches runners, by their address in the list, for those that
+  /// it reaches at another one (port forwarding).
+  std::map<std::string, std::string> runner_address_overrides;
   /// Limit on the calls per second to the runner list by all processes together.
   double runner_list_calls = 10;
   /// Network bandwidth of the machine in Mbit/s.
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -21,6 +21,7 @@
 #include "core/scheduling/event_pauses.h"
 #include "daemon/relay/relay_request.h"
 #include "daemon/relay/relay_state.h"
+#include "daemon/relay/runner_dialer.h"
 
 namespace workshatch::daemon {
 
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -80,12 +80,9 @@
   if (connection_) {
     co_return ConnectOutcome::Connected;
   }
-  const auto endpoint = http::parseEndpoint(runner.entry.address());
-  if (!endpoint) {
-    co_return ConnectOutcome::Failed;
-  }
   connection_ = std::make_shared<http::RunnerConnection>(context_);
-  const auto error = co_await connection_->connect(*endpoint, kConnectTimeout);
+  const RunnerDialer dialer(state_.runner_addresses);
+  const auto error = co_await dialer.dial(connection_, runner.entry.address(), kConnectTimeout);
   if (!error) {
     state_.runners.recordHeard(runner, state_.clock.monotonicMs());
     if (state_.crash_reporter) {
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -72,8 +72,8 @@
                                                       return state_.runners.isCopySource(
                                                           runner, clock_.monotonicMs());
                                                     })),
-      crash_reporter_(
-          std::make_shared<RunnerCrashReporter>(context_, clock, [this] { control_.renewNow(); })),
+      crash_reporter_(std::make_shared<RunnerCrashReporter>(
+          context_, clock, RunnerDialer(state_.runner_addresses), [this] { control_.renewNow(); })),
       caller_server_(
           workers, [this] { return callerLimits(); },
           [this](http::Exchange& exchange) { return handle(exchange); }, refuseBadRequest),
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "adapters/address_overrides.h"
 #include "adapters/http/runner_connection.h"
 #include "adapters/settings/relay_settings.h"
 #include "core/relay/quarantine.h"
@@ -51,6 +52,7 @@
   RelayState(const settings::RelaySettings& settings, const Clock& time, const RelayDialect& names,
              double draw = 0)
       : clock(time), dialect(names), zone(settings.zone),
+        runner_addresses(settings.runner_address_overrides),
         lease(static_cast<int64_t>(kLeaseFraction *
                                    static_cast<double>(settings.bounds.revoked_key_ms))),
         policy(settings.policy), runners(relay::RunnerTableOptions{
@@ -70,6 +72,7 @@
   const Clock& clock;
   const RelayDialect& dialect;
   const std::string zone;
+  const AddressOverrides runner_addresses;
   /// The configuration in force; null before the first one. Its version never decreases.
   std::shared_ptr<const relay::RouteTable> routes;
   relay::ServingLease lease;
--- a/src/daemon/relay/runner_crash_reporter.cc
+++ b/src/daemon/relay/runner_crash_reporter.cc
@@ -39,13 +39,9 @@
 }
 
 http::awaitable<void> RunnerCrashReporter::probe(uint64_t runner, std::string address) {
-  const auto endpoint = http::parseEndpoint(address);
-  if (!endpoint) {
-    co_return;
-  }
   ++counts_.probes;
   const auto connection = std::make_shared<http::RunnerConnection>(context_);
-  const auto error = co_await connection->connect(*endpoint, kProbeTimeout);
+  const auto error = co_await dialer_.dial(connection, std::move(address), kProbeTimeout);
   connection->close();
   if (!error) {
     monitor_.recordListening(runner);
--- a/src/daemon/relay/runner_crash_reporter.h
+++ b/src/daemon/relay/runner_crash_reporter.h
@@ -12,6 +12,7 @@
 #include "adapters/http/http_types.h"
 #include "core/relay/runner.h"
 #include "core/relay/runner_crash_monitor.h"
+#include "daemon/relay/runner_dialer.h"
 #include "ports/clock.h"
 
 namespace workshatch::daemon {
@@ -32,9 +33,10 @@
 
   /// @param notify_leader called when there are reports for the next renewal, which should be sent
   /// without delay
-  RunnerCrashReporter(boost::asio::io_context& context, const Clock& clock,
+  RunnerCrashReporter(boost::asio::io_context& context, const Clock& clock, RunnerDialer dialer,
                       std::function<void()> notify_leader)
-      : context_(context), clock_(clock), notify_leader_(std::move(notify_leader)) {}
+      : context_(context), clock_(clock), dialer_(dialer),
+        notify_leader_(std::move(notify_leader)) {}
 
   /// Records that the runner closed the connection of a request in progress, and probes the runner
   /// if necessary.
@@ -60,6 +62,7 @@
 
   boost::asio::io_context& context_;
   const Clock& clock_;
+  const RunnerDialer dialer_;
   const std::function<void()> notify_leader_;
   relay::RunnerCrashMonitor monitor_;
   Counts counts_;
--- a/tests/unit/daemon/fleet/test_fleet.h
+++ b/tests/unit/daemon/fleet/test_fleet.h
@@ -22,6 +22,7 @@
 #include "adapters/system_clock.h"
 #include "daemon/group/group_role.h"
 #include "daemon/relay/relay_role.h"
+#include "unit/daemon/fleet/partition.h"
 #include "unit/daemon/relay/relay_fixture.h"
 
 namespace workshatch::test {
@@ -203,7 +204,10 @@
   size_t runners = 12;
   /// Number of runners of version "v2", which the platform lists after `startNewRunners`.
   size_t new_runners = 0;
-  /// First of four consecutive ports that no other test may use.
+  /// Number of runners that keep connections open and can be cut from single relays. They are
+  /// listed beside the others.
+  size_t keeping_runners = 0;
+  /// First of five consecutive ports that no other test may use.
   uint16_t first_port = 0;
   /// Time until a crashed runner restarts; zero if it stays down.
   std::chrono::milliseconds runners_restart_after{0};
@@ -226,6 +230,12 @@
     for (size_t i = 0; i < options.new_runners; ++i) {
       new_runners_.push_back(std::make_unique<CrashingRunner>("ko"));
     }
+    for (size_t i = 0; i < options.keeping_runners; ++i) {
+      keeping_runners_.push_back(std::make_unique<KeepingRunner>(std::chrono::milliseconds(5)));
+    }
+    for (size_t i = 0; i < options.relays && options.keeping_runners > 0; ++i) {
+      gates_.push_back(std::make_unique<RunnerGates>(keepingRunnerAddresses()));
+    }
     startGroup(true);
     REQUIRE(within(kTestTimeout, [&] { return configurationTaken(); }));
     for (size_t i = 0; i < options.relays; ++i) {
@@ -259,6 +269,9 @@
     relays_[relay] = startRelay(relay);
   }
 
+  /// Sets the partition between a relay and all runners that keep connections open.
+  void partition(size_t relay, Partition partition) { gates_[relay]->set(partition); }
+
   /// Sends a request with a body of two bytes to a relay. @return the complete response.
   std::string sendRequest(size_t relay, const std::string& body, const std::string& key = "key-1") {
     // Each request has its own id.
@@ -295,10 +308,14 @@
     return crashes;
   }
   size_t relayCount() const { return relays_.size(); }
+  /// @return the metrics of a relay; empty if it does not answer.
+  std::string metricsOf(size_t relay) const {
+    auto text = http::blockingGet(metricsAddress(relay), "/metrics");
+    return isError(text) ? "" : std::get<std::string>(std::move(text));
+  }
   /// @return whether the metrics of a relay contain a line.
   bool metricsHave(size_t relay, const std::string& line) const {
-    const auto text = http::blockingGet(metricsAddress(relay), "/metrics");
-    return !isError(text) && std::get<std::string>(text).find(line + "\n") != std::string::npos;
+    return metricsOf(relay).find(line + "\n") != std::string::npos;
   }
 
 private:
@@ -319,6 +336,14 @@
     return requests;
   }
 
+  std::vector<std::string> keepingRunnerAddresses() const {
+    std::vector<std::string> addresses;
+    for (const auto& runner : keeping_runners_) {
+      addresses.push_back(runner->address());
+    }
+    return addresses;
+  }
+
   /// Each role has its own IP address, as if it ran on its own machine.
   static std::string ipOf(size_t process) { return "127.0.0." + std::to_string(process + 1); }
   std::string at(const std::string& ip, uint16_t port) const {
@@ -369,6 +394,9 @@
     settings.ip = ipOf(number + 1);
     settings.caller_address = callerAddress(number);
     settings.metrics_address = metricsAddress(number);
+    if (!gates_.empty()) {
+      settings.runner_address_overrides = gates_[number]->overrides();
+    }
     auto relay = std::make_unique<Relay>();
     relay->role = std::make_unique<daemon::RelayRole>(settings, relay->workers, clock_, adapters());
     REQUIRE_FALSE(isError(relay->role->start()));
@@ -389,6 +417,9 @@
         lines += "runner-" + std::to_string(i) + " " + runners_[i]->address() + " v1\n";
       }
     }
+    for (size_t i = 0; i < keeping_runners_.size(); ++i) {
+      lines += "keeping-" + std::to_string(i) + " " + keeping_runners_[i]->address() + " v1\n";
+    }
     for (size_t i = 0; new_runners_started_ && i < new_runners_.size(); ++i) {
       lines += "new-" + std::to_string(i) + " " + new_runners_[i]->address() + " v2\n";
     }
@@ -405,6 +436,9 @@
   const LinesCodec lists_{};
   std::vector<std::unique_ptr<CrashingRunner>> runners_;
   std::vector<std::unique_ptr<CrashingRunner>> new_runners_;
+  std::vector<std::unique_ptr<KeepingRunner>> keeping_runners_;
+  /// The connections of each relay to the runners that keep connections open.
+  std::vector<std::unique_ptr<RunnerGates>> gates_;
   std::atomic<bool> new_runners_started_{false};
   ScriptedRunner list_;
   std::unique_ptr<Group> group_;
