--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -87,6 +87,8 @@
   /// Adds a reusable connection to the pool, for as long as the Keep-Alive header of the runner's
   /// last response allows.
   void release(const std::string& address, std::shared_ptr<RunnerConnection> connection);
+  /// Closes the idle connections to an address.
+  void closeIdle(const std::string& address) { idle_.erase(address); }
   /// Closes connections whose keep-alive time has expired.
   void dropExpired();
 
--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -163,6 +163,7 @@
     {"fetch_cached_parts", &relay::Policy::fetch_cached_parts},
     {"part_directory", &relay::Policy::part_directory},
     {"quarantine", &relay::Policy::quarantine},
+    {"peer_forwarding", &relay::Policy::peer_forwarding},
     {"shared_loads", &relay::Policy::shared_loads},
     {"shared_suspicions", &relay::Policy::shared_suspicions},
     {"hold_downs", &relay::Policy::hold_downs},
@@ -229,6 +230,11 @@
   if (settings.link_port == 0) {
     reader.addError("link_port", "is missing");
   }
+  settings.forward_port = static_cast<uint16_t>(settings.link_port + 1);
+  reader.number("forward_port", settings.forward_port, 1, kMaxPort);
+  if (settings.forward_port == settings.link_port) {
+    reader.addError("forward_port", "must differ from link_port");
+  }
   reader.addresses("seeds", settings.seeds);
   reader.flag("first_start", settings.first_start);
   reader.text("data_folder", settings.data_folder, false);
--- a/src/adapters/settings/relay_settings.h
+++ b/src/adapters/settings/relay_settings.h
@@ -56,6 +56,8 @@
   std::string metrics_address;
   /// First of the ports for frames between processes of the fleet; the same on all machines.
   uint16_t link_port = 0;
+  /// Port at which relays take the requests that other relays forward; the same on all machines.
+  uint16_t forward_port = 0;
   /// Operator addresses of some group replicas.
   std::vector<std::string> seeds;
   /// Whether the whole system starts for the first time, with empty disks.
--- a/src/core/relay/policy.h
+++ b/src/core/relay/policy.h
@@ -15,6 +15,9 @@
   /// One relay keeps the directory of the engines that have a prefix cached, and names the source;
   /// off: each relay relies on what it sent itself and on the ranking.
   bool part_directory = true;
+  /// A relay detects that it has lost its network path to the runners of a service, says so, and
+  /// forwards requests for them to relays that have one; off: it tries one runner after another.
+  bool peer_forwarding = true;
   /// Requests of the other relays are included in a runner's load.
   bool shared_loads = true;
   /// Runners that two relays report as suspects are avoided by all relays.
--- a/src/core/relay/relay_addresses.h
+++ b/src/core/relay/relay_addresses.h
@@ -19,10 +19,14 @@
   /// the relay leaves itself out of the answer, because it would soon refuse callers.
   std::string own_address;
   bool confirmed_recently = true;
+  /// Fingerprints of the services that the caller's host uses. Relays without a network path to one
+  /// of them are left out, unless no other relay remains.
+  std::vector<uint64_t> services;
   /// Random number that selects the relays to return if there are too many.
   uint64_t draw = 0;
 };
 
+/// Selects among the relays that have a network path to the services of the caller's host.
 /// @return the relays of the caller's zone; if these are too few, those of its region; if these are
 /// too few as well, those of all regions. Never empty. The region comes before all others so that
 /// requests that may run only in their caller's region stay in it.
--- a/src/core/relay/relay_list_history.cc
+++ b/src/core/relay/relay_list_history.cc
@@ -19,7 +19,9 @@
 }
 
 bool sameEntry(const v1::RelayEntry& left, const v1::RelayEntry& right) {
-  return left.address() == right.address() && left.zone() == right.zone();
+  return left.address() == right.address() && left.zone() == right.zone() &&
+         std::equal(left.lost_services().begin(), left.lost_services().end(),
+                    right.lost_services().begin(), right.lost_services().end());
 }
 
 bool sameList(const v1::RelayList& left, const v1::RelayList& right) {
--- a/src/core/relay/route_table.cc
+++ b/src/core/relay/route_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <set>
 #include <utility>
 
 namespace workshatch::relay {
@@ -50,6 +51,20 @@
   return nullptr;
 }
 
+std::vector<std::string> RouteTable::servicesOf(std::string_view host) const {
+  std::set<std::string> services;
+  const auto found = routes_.find(normalizedHost(host));
+  if (found == routes_.end()) {
+    return {};
+  }
+  for (const Route* route : found->second) {
+    for (const RouteTarget& target : route->targets) {
+      services.insert(target.service);
+    }
+  }
+  return {services.begin(), services.end()};
+}
+
 const Tenant* RouteTable::findTenant(std::string_view key) const {
   const auto found = tenants_.find(key);
   return found == tenants_.end() ? nullptr : found->second;
--- a/src/core/relay/route_table.h
+++ b/src/core/relay/route_table.h
@@ -30,6 +30,9 @@
   /// @return the route of this host with the longest prefix that the path begins with, or null.
   const Route* findRoute(std::string_view host, std::string_view path) const;
 
+  /// @return the names of the services that the routes of this host use; a port is ignored.
+  std::vector<std::string> servicesOf(std::string_view host) const;
+
   /// @return the tenant that owns the key, or null.
   const Tenant* findTenant(std::string_view key) const;
 
--- a/src/core/relay/runner.h
+++ b/src/core/relay/runner.h
@@ -29,6 +29,8 @@
   /// Moving average of the fraction of failed attempts, 0 to 1.
   double failure_rate = 0;
   uint32_t failures_in_row = 0;
+  /// When the last failed attempt ended.
+  int64_t failed_ms = 0;
   /// When the runner last sent anything, or when the first of its present attempts began.
   int64_t last_activity_ms = 0;
   /// When the runner last accepted a connection or sent anything; 0: never.
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -274,8 +274,7 @@
   for (size_t i = 0; i < runners_.size(); ++i) {
     const Runner& runner = *runners_[i];
     counts.push_back(runner.in_progress);
-    const bool failing = runner.failures_in_row > 0 && runner.avoid_until_ms > now_ms;
-    if (failing || isSilent(runner, now_ms)) {
+    if (isSuspect(runner, now_ms)) {
       loads.add_suspects(static_cast<uint32_t>(i));
     }
   }
@@ -283,10 +282,29 @@
   return loads;
 }
 
+/// @return whether the runner fails or is silent although another runner of its service was heard
+/// since, so that the network path of this relay is not the cause.
+bool RunnerTable::isSuspect(const Runner& runner, int64_t now_ms) const {
+  const bool failing = runner.failures_in_row > 0 && runner.avoid_until_ms > now_ms;
+  if (!failing && !isSilent(runner, now_ms)) {
+    return false;
+  }
+  const ServiceRunners& service = services_.at(runner.entry.service());
+  const int64_t since_ms =
+      failing ? runner.failed_ms : runner.last_activity_ms + silenceLimitMs(runner);
+  return !service.path_lost &&
+         std::any_of(service.runners.begin(), service.runners.end(), [&](const auto& other) {
+           return other.get() != &runner && other->last_heard_ms > since_ms;
+         });
+}
+
+int64_t RunnerTable::silenceLimitMs(const Runner& runner) const {
+  return runner.engine ? options_.silent_engine_ms : options_.silent_service_ms;
+}
+
 bool RunnerTable::isSilent(const Runner& runner, int64_t now_ms) const {
-  const int64_t limit = runner.engine ? options_.silent_engine_ms : options_.silent_service_ms;
   return options_.policy.silence_limits && runner.in_progress > 0 &&
-         now_ms - runner.last_activity_ms > limit;
+         now_ms - runner.last_activity_ms > silenceLimitMs(runner);
 }
 
 bool RunnerTable::isAvoided(const Runner& runner, int64_t now_ms) const {
@@ -391,13 +409,30 @@
   return std::find(failing.begin(), failing.end(), &runner) != failing.end();
 }
 
+std::vector<std::shared_ptr<Runner>> RunnerTable::runnersOf(const std::string& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? Candidates() : found->second.runners;
+}
+
+void RunnerTable::recordProcessEnded(uint64_t fingerprint, int64_t now_ms) const {
+  if (const auto runner = find(fingerprint)) {
+    cold_runners_.recordProcessStart(*runner, now_ms);
+  }
+}
+
+void RunnerTable::setPathLost(const std::string& service, bool lost) {
+  ServiceRunners& runners = services_[service];
+  runners.path_lost = lost;
+  for (const auto& runner : runners.runners) {
+    runner->failures_in_row = 0;
+    runner->avoid_until_ms = 0;
+  }
+}
+
 void RunnerTable::endAttempt(Runner& runner, AttemptOutcome outcome, int64_t now_ms) const {
   if (runner.in_progress > 0) {
     --runner.in_progress;
   }
-  if (outcome == AttemptOutcome::ProcessGone) {
-    cold_runners_.recordProcessStart(runner, now_ms);
-  }
   if (!options_.policy.hold_downs) {
     return;
   }
@@ -416,11 +451,13 @@
   case AttemptOutcome::ProcessGone:
   case AttemptOutcome::Unreachable:
     ++runner.failures_in_row;
+    runner.failed_ms = now_ms;
     runner.avoid_until_ms = now_ms + holdDownMs(kAvoidUnreachableMs, runner.failures_in_row);
     break;
   case AttemptOutcome::Failed:
     runner.failure_rate = runner.failure_rate * (1 - kNewestWeight) + kNewestWeight;
     ++runner.failures_in_row;
+    runner.failed_ms = now_ms;
     if (runner.failures_in_row >= kFailuresToAvoid) {
       runner.avoid_until_ms =
           now_ms + holdDownMs(kAvoidFailingMs, runner.failures_in_row - kFailuresToAvoid + 1);
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -296,6 +296,13 @@
   void endAttempt(Runner& runner, AttemptOutcome outcome, int64_t now_ms) const;
 
   const std::vector<std::shared_ptr<Runner>>& runners() const { return runners_; }
+  /// @return the listed runners of the service.
+  std::vector<std::shared_ptr<Runner>> runnersOf(const std::string& service) const;
+  /// Records that a runner's process has ended: the one that replaces it starts cold.
+  void recordProcessEnded(uint64_t fingerprint, int64_t now_ms) const;
+  /// Sets whether this relay has lost its network path to the runners of the service. The failures
+  /// of its attempts say nothing about them then, and are forgotten.
+  void setPathLost(const std::string& service, bool lost);
 
 private:
   using Candidates = std::vector<std::shared_ptr<Runner>>;
@@ -336,6 +343,8 @@
   RunnerChoice chooseByLoad(const RunnerRequest& request, const Candidates& candidates) const;
   static double meanLoad(const Candidates& candidates);
   double meanForCap(const RunnerRequest& request, const Candidates& candidates) const;
+  bool isSuspect(const Runner& runner, int64_t now_ms) const;
+  int64_t silenceLimitMs(const Runner& runner) const;
   bool isSilent(const Runner& runner, int64_t now_ms) const;
   bool isAvoided(const Runner& runner, int64_t now_ms) const;
   void dropStaleLoadTotals(int64_t now_ms);
@@ -355,6 +364,8 @@
   std::unordered_map<uint64_t, std::shared_ptr<Runner>> by_fingerprint_;
   struct ServiceRunners {
     Candidates runners;
+    /// This relay has no network path to them.
+    bool path_lost = false;
     /// Requests of this relay since the last load totals, and between those and the ones before.
     uint32_t requests_since_totals = 0;
     uint32_t requests_before_totals = 0;
--- a/src/daemon/group/lease_service.cc
+++ b/src/daemon/group/lease_service.cc
@@ -310,6 +310,7 @@
       v1::RelayEntry* entry = list.add_relays();
       entry->set_address(relay.renewal.address());
       entry->set_zone(relay.renewal.zone());
+      *entry->mutable_lost_services() = relay.renewal.lost_services();
     }
   }
   updates_.setRelays(std::move(list));
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -16,6 +16,9 @@
 /// Maximum wait for a slot, as a fraction of the latency objective. A caller that is refused after
 /// this wait can still be served in time elsewhere or later.
 constexpr double kMaxWaitFraction = 0.2;
+/// After this time without any bytes from a runner an attempt may hang because the path to the
+/// runners is lost.
+constexpr int64_t kHungMs = 400;
 /// Number of declined attempts after which the whole service is considered full.
 constexpr uint32_t kMaxDeclines = 3;
 
@@ -68,6 +71,29 @@
   }
 }
 
+void ActiveRequest::onPathLost(const std::string& service) {
+  if (!at_runner_ || request_.service != service || interrupted()) {
+    return;
+  }
+  const int64_t silent_ms = state_.clock.monotonicMs() - std::max(sent_ms_, last_received_ms_);
+  if (sent_ms_ != 0 && silent_ms < kHungMs) {
+    return;
+  }
+  slot_.release();
+  if (sent_ms_ == 0 ||
+      (request_.repeatable() && ran_attempts_ + 1 < request_.route->max_attempts)) {
+    hung_ = true;
+    connection_->close();
+  }
+}
+
+void ActiveRequest::checkForSilence(int64_t now_ms) {
+  const int64_t last_ms = std::max(sent_ms_, last_received_ms_);
+  if (at_runner_ && sent_ms_ != 0 && now_ms - last_ms > kHungMs) {
+    state_.path_prober->recordSilence(request_.service);
+  }
+}
+
 void ActiveRequest::cancelIfQuarantined() {
   if (inQuarantine() && !stream_started_) {
     quarantine_cancelled_ = true;
@@ -85,9 +111,23 @@
       active_request->interrupt();
     }
   });
-  state_.budget.recordRequest(request_.service, request_.received_ms);
+  ran_attempts_ = request_.origin ? request_.origin->runs : 0;
+  may_have_run_ = ran_attempts_ > 0;
+  if (!request_.origin) {
+    state_.budget.recordRequest(request_.service, request_.received_ms);
+  }
   // A quarantined request would crash the next runner too, and fail all other requests there.
   while (!interrupted() && !blocked()) {
+    if (shouldForward()) {
+      const bool go_on = co_await forward();
+      if (!go_on) {
+        break;
+      }
+      continue;
+    }
+    if (pathLost()) {
+      break;
+    }
     const auto chosen = co_await findSlot();
     if (interrupted()) {
       break;
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -50,6 +50,13 @@
   /// the request.
   void cancelIfQuarantined();
 
+  /// Ends the request's part in a lost path to the runners of its service: gives its slot up, since
+  /// its runner has finished or dropped it, and lets an attempt go that is still connecting or may
+  /// be made again elsewhere. Other attempts go on: their responses may still arrive.
+  void onPathLost(const std::string& service);
+  /// Reports to the path prober if the request has heard nothing from its runner for long.
+  void checkForSilence(int64_t now_ms);
+
 private:
   /// Result of an attempt as far as the next step of the request depends on it.
   enum class AttemptEnd {
@@ -87,6 +94,7 @@
   http::awaitable<AttemptEnd> attempt(const relay::RunnerChoice& choice);
   http::awaitable<AttemptResult> callRunner(const relay::RunnerChoice& choice);
   http::awaitable<ConnectOutcome> connect(relay::Runner& runner);
+  void recordConnectFailed(const relay::Runner& runner, bool refused, int64_t began_ms);
   http::awaitable<std::optional<http::CallError>> send(const relay::RunnerChoice& choice);
   std::optional<PrefixClient::Lookup> lookUpPrefixSource(const relay::Runner& runner);
   http::awaitable<std::shared_ptr<relay::Runner>>
@@ -97,7 +105,7 @@
   relay::RequestEnd requestEnd(const AttemptResult& result) const;
   void recordForQuarantine(const relay::Runner& runner, const AttemptResult& result);
   void recordAttemptEnd(relay::Runner& runner, const AttemptResult& result);
-  void releaseConnection(const relay::Runner& runner);
+  void releaseConnection(const std::string& address);
   std::chrono::milliseconds silenceTimeout(bool streaming) const;
   void recordActivity(relay::Runner& runner);
   void applyNotice(relay::Runner& runner);
@@ -107,12 +115,23 @@
   http::awaitable<AttemptResult> handleAnswer(relay::Runner& runner);
   http::awaitable<AttemptResult> handleRefusal(relay::AttemptOutcome outcome);
   http::awaitable<AttemptResult> relayPlainAnswer();
-  http::awaitable<AttemptResult> relayStream(relay::Runner& runner);
+  /// @param runner null if another relay responds
+  http::awaitable<AttemptResult> relayStream(relay::Runner* runner);
   http::awaitable<bool> relayEvent(const relay::CompleteEvent& event, int64_t received_ms);
   void trackReader();
   void abortSlowReader();
   http::Response responseHead() const;
 
+  // Forwarding to another relay (active_request_forward.cc).
+  bool shouldForward() const;
+  http::awaitable<bool> forward();
+  http::awaitable<AttemptEnd> forwardTo(const std::string& peer);
+  http::awaitable<AttemptEnd> callPeer(const std::string& peer);
+  http::awaitable<AttemptEnd> handlePeerAnswer();
+  bool pathLost() const {
+    return state_.path_prober && state_.path_prober->isLost(request_.service);
+  }
+
   // Participation in a rollout (active_request_rollout.cc).
   void takeTrial();
   void returnUnusedTrial();
@@ -123,6 +142,7 @@
   http::awaitable<void> refuse(http::Status status, std::string code, std::string detail);
   http::awaitable<void> refuseNotRun();
   uint32_t retryAfterMs() const;
+  uint32_t retryWithoutPathMs() const;
   void learnOutput();
   void logOutcome(const std::string& outcome);
 
@@ -193,6 +213,20 @@
   relay::QueuePosition queue_position_;
   /// When the last wait for a slot ended; zero if there was none.
   int64_t waited_until_ms_ = 0;
+  /// Attempts whose connection did not come up.
+  uint32_t unreached_ = 0;
+  /// The current attempt is one at a runner, and when it last received anything; zero: it has not
+  /// sent the request.
+  bool at_runner_ = false;
+  /// The current attempt was given up because it hung while the path to the runners was lost.
+  bool hung_ = false;
+  int64_t last_received_ms_ = 0;
+  /// Addresses of the relays to which the request was forwarded, and how the last of them
+  /// responded.
+  std::vector<std::string> peers_tried_;
+  std::string forward_outcome_;
+  /// Outcome of an answered request in the log.
+  std::string answered_as_ = "answered";
   /// Ids of the runners that were chosen for attempts.
   std::vector<std::string> tried_;
   /// The request uses a trial of the version on trial and has not been sent yet.
--- a/src/daemon/relay/active_request_answer.cc
+++ b/src/daemon/relay/active_request_answer.cc
@@ -74,7 +74,7 @@
   const bool streaming = request_.route->kind == relay::RouteKind::Streaming && isSuccess(status) &&
                          type.starts_with("text/event-stream");
   if (streaming) {
-    co_return co_await relayStream(runner);
+    co_return co_await relayStream(&runner);
   }
   if (stream_started_) {
     co_return broken("no stream to resume: status " + std::to_string(status));
@@ -90,7 +90,9 @@
   response.result(head.result_int());
   for (const auto& field : head) {
     const bool load = boost::beast::iequals(field.name_string(), names.load);
-    if (!load && !isConnectionHeader(field.name()) && isHeaderValue(http::viewOf(field.value()))) {
+    const bool internal = load || isRelayHeader(http::viewOf(field.name_string()));
+    if (!internal && !isConnectionHeader(field.name()) &&
+        isHeaderValue(http::viewOf(field.value()))) {
       response.insert(field.name(), field.name_string(), field.value());
     }
   }
@@ -195,7 +197,7 @@
   interrupt();
 }
 
-http::awaitable<ActiveRequest::AttemptResult> ActiveRequest::relayStream(relay::Runner& runner) {
+http::awaitable<ActiveRequest::AttemptResult> ActiveRequest::relayStream(relay::Runner* runner) {
   relay::EventSplitter splitter;
   while (true) {
     auto chunk = co_await connection_->read(silenceTimeout(true));
@@ -207,7 +209,9 @@
       break;
     }
     const int64_t received_ms = state_.clock.monotonicMs();
-    recordActivity(runner);
+    if (runner != nullptr) {
+      recordActivity(*runner);
+    }
     splitter.feed(text);
     while (const auto event = splitter.next()) {
       if (interrupted()) {
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -42,7 +42,8 @@
 } // namespace
 
 void ActiveRequest::recordActivity(relay::Runner& runner) {
-  state_.runners.recordActivity(runner, state_.clock.monotonicMs());
+  last_received_ms_ = state_.clock.monotonicMs();
+  state_.runners.recordActivity(runner, last_received_ms_);
 }
 
 /// Applies the notice in the headers of a response: what the runner reports about its state and
@@ -81,19 +82,40 @@
     co_return ConnectOutcome::Connected;
   }
   connection_ = std::make_shared<http::RunnerConnection>(context_);
+  const int64_t began_ms = state_.clock.monotonicMs();
   const RunnerDialer dialer(state_.runner_addresses);
   const auto error = co_await dialer.dial(connection_, runner.entry.address(), kConnectTimeout);
   if (!error) {
     state_.runners.recordHeard(runner, state_.clock.monotonicMs());
+    if (state_.path_prober) {
+      state_.path_prober->recordConnected(runner);
+    }
     if (state_.crash_reporter) {
       state_.crash_reporter->recordListening(runner);
     }
     co_return ConnectOutcome::Connected;
   }
   last_error_ = error->message;
+  if (!interrupted()) {
+    recordConnectFailed(runner, error->refused, began_ms);
+  }
   co_return error->refused ? ConnectOutcome::Refused : ConnectOutcome::Failed;
 }
 
+/// Records that the runner could not be reached. Without a path prober, a runner that refuses a
+/// connection is taken to have ended.
+void ActiveRequest::recordConnectFailed(const relay::Runner& runner, bool refused,
+                                        int64_t began_ms) {
+  if (state_.path_prober) {
+    state_.path_prober->recordConnectFailed(runner, refused, began_ms);
+  } else if (refused) {
+    state_.runners.recordProcessEnded(runner.fingerprint, state_.clock.monotonicMs());
+    if (state_.crash_reporter) {
+      state_.crash_reporter->recordConnectionRefused(runner.fingerprint);
+    }
+  }
+}
+
 /// Records the result of the attempt in the runner's state, in the counters and in the log.
 void ActiveRequest::recordAttemptEnd(relay::Runner& runner, const AttemptResult& result) {
   if (result.end == AttemptEnd::Broken || result.end == AttemptEnd::Answered) {
@@ -141,9 +163,9 @@
 }
 
 /// Returns the connection to the pool if it is reusable; closes it otherwise.
-void ActiveRequest::releaseConnection(const relay::Runner& runner) {
+void ActiveRequest::releaseConnection(const std::string& address) {
   if (connection_ && connection_->reusable()) {
-    state_.connections.release(runner.entry.address(), connection_);
+    state_.connections.release(address, connection_);
   } else if (connection_) {
     connection_->close();
   }
@@ -272,6 +294,7 @@
 ActiveRequest::attempt(const relay::RunnerChoice& choice) {
   relay::Runner& runner = *choice.runner;
   sent_ms_ = 0;
+  last_received_ms_ = 0;
   backoff_at_send_ms_ = 0;
   notice_ = {};
   attempt_began_ms_ = state_.clock.monotonicMs();
@@ -279,8 +302,12 @@
   if (request_.tenant != nullptr) {
     state_.tenants.begin(request_.tenant->name);
   }
+  at_runner_ = true;
+  hung_ = false;
   const AttemptResult result = co_await callRunner(choice);
-  releaseConnection(runner);
+  at_runner_ = false;
+  unreached_ += result.end == AttemptEnd::Unreachable && !interrupted() ? 1 : 0;
+  releaseConnection(runner.entry.address());
   slot_.release(requestEnd(result));
   const bool reached = result.end == AttemptEnd::Answered || result.end == AttemptEnd::Broken;
   if (!reached && request_.cache_key != 0 && state_.prefix_client) {
@@ -302,7 +329,7 @@
 
 /// Same as `broken`, for an error of the connection.
 ActiveRequest::AttemptResult ActiveRequest::brokenBy(const http::CallError& error) {
-  const bool by_runner = !error.timed_out && !interrupted();
+  const bool by_runner = !error.timed_out && !interrupted() && !hung_;
   AttemptResult result = broken(error.timed_out ? "silent" : error.message);
   result.closed_by_runner = by_runner;
   result.timed_out = error.timed_out;
@@ -319,20 +346,18 @@
     return relay::RequestEnd::Completed;
   }
   const bool failed = result.outcome == relay::AttemptOutcome::Failed;
-  const bool by_runner = failed && !result.timed_out && !interrupted();
+  const bool by_runner = failed && !result.timed_out && !interrupted() && !hung_;
   return by_runner ? relay::RequestEnd::Failed : relay::RequestEnd::NoEvidence;
 }
 
-/// Records evidence for or against a crash of the runner: that it closed or refused the connection,
-/// or that it completed the request.
+/// Records evidence for or against a crash of the runner: that it closed the connection, or that it
+/// completed the request.
 void ActiveRequest::recordForQuarantine(const relay::Runner& runner, const AttemptResult& result) {
   if (!state_.crash_reporter) {
     return;
   }
   if (result.closed_by_runner) {
     state_.crash_reporter->recordDisconnect(runner, request_.identity);
-  } else if (result.outcome == relay::AttemptOutcome::ProcessGone) {
-    state_.crash_reporter->recordConnectionRefused(runner);
   } else if (result.outcome == relay::AttemptOutcome::Succeeded) {
     state_.crash_reporter->recordCompleted(request_.identity);
   }
--- /dev/null
+++ b/src/daemon/relay/active_request_forward.cc
@@ -0,0 +1,161 @@
+/// @file
+/// Forwarding of a request to another relay, when this one cannot send it to any runner.
+#include <algorithm>
+#include <utility>
+
+#include "adapters/logging/line_log.h"
+#include "core/address_text.h"
+#include "daemon/relay/active_request.h"
+
+namespace workshatch::daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds kConnectTimeout{300};
+/// Attempts without a connection after which a request is forwarded although the path to its
+/// service is not known to be lost: the caller has waited for one timeout after another.
+constexpr uint32_t kUnreachedForForwarding = 2;
+/// Number of relays to which a request is forwarded before it is refused.
+constexpr size_t kMaxPeers = 3;
+/// A repeatable request is forwarded to another relay if the first one sends nothing for this time.
+/// That relay itself tries another runner sooner.
+constexpr std::chrono::milliseconds kPeerSilenceTimeout{3000};
+constexpr unsigned kServerErrors = 500;
+
+} // namespace
+
+bool ActiveRequest::shouldForward() const {
+  if (!state_.path_prober || request_.origin || peers_tried_.size() >= kMaxPeers) {
+    return false;
+  }
+  const bool wanted = pathLost() || unreached_ >= kUnreachedForForwarding;
+  return wanted && state_.peer_relays.choose(request_.service, peers_tried_, request_.rank.draw,
+                                             state_.clock.monotonicMs());
+}
+
+/// Forwards the request to one relay. @return whether to go on with other relays or runners.
+http::awaitable<bool> ActiveRequest::forward() {
+  if (!takeRetryFromBudget()) {
+    co_return false;
+  }
+  const uint64_t draw = request_.rank.draw + peers_tried_.size();
+  const auto peer =
+      state_.peer_relays.choose(request_.service, peers_tried_, draw, state_.clock.monotonicMs());
+  if (!peer) {
+    co_return true;
+  }
+  peers_tried_.push_back(*peer);
+  no_runner_.reset();
+  last_end_ = co_await forwardTo(*peer);
+  co_return last_end_ != AttemptEnd::Answered&& mayTryAgain(last_end_);
+}
+
+http::awaitable<ActiveRequest::AttemptEnd> ActiveRequest::forwardTo(const std::string& peer) {
+  sent_ms_ = 0;
+  attempt_began_ms_ = state_.clock.monotonicMs();
+  state_.peer_relays.begin(peer);
+  const AttemptEnd end = co_await callPeer(peer);
+  state_.peer_relays.end(peer);
+  releaseConnection(withPort(peer, state_.forward_port));
+  const int64_t now_ms = state_.clock.monotonicMs();
+  const bool failed = end == AttemptEnd::Unreachable || end == AttemptEnd::Broken;
+  if (failed && !interrupted()) {
+    state_.peer_relays.recordFailure(peer, now_ms);
+  }
+  if (end == AttemptEnd::Broken) {
+    may_have_run_ = true;
+    ++ran_attempts_;
+  }
+  ++state_.stats.forwards[forward_outcome_];
+  if (end != AttemptEnd::Answered) {
+    line_log::write("forward_ended", {{"request", request_.id},
+                                      {"relay", peer},
+                                      {"outcome", forward_outcome_},
+                                      {"error", last_error_},
+                                      {"ms", now_ms - attempt_began_ms_},
+                                      {"path_lost", pathLost()}});
+  }
+  co_return end;
+}
+
+/// Connects to the relay, sends it the request and relays its response.
+http::awaitable<ActiveRequest::AttemptEnd> ActiveRequest::callPeer(const std::string& peer) {
+  forward_outcome_ = "unreachable";
+  const std::string address = withPort(peer, state_.forward_port);
+  connection_ = state_.connections.acquire(address);
+  if (!connection_) {
+    const auto endpoint = http::parseEndpoint(address);
+    if (!endpoint) {
+      last_error_ = "invalid address";
+      co_return AttemptEnd::Unreachable;
+    }
+    connection_ = std::make_shared<http::RunnerConnection>(context_);
+    const auto error = co_await connection_->connect(*endpoint, kConnectTimeout);
+    if (error) {
+      last_error_ = error->message;
+      co_return AttemptEnd::Unreachable;
+    }
+  }
+  checkDeadline();
+  if (interrupted() || blocked()) {
+    forward_outcome_ = "withdrawn";
+    co_return AttemptEnd::Withdrawn;
+  }
+  ++sent_attempts_;
+  sent_ms_ = state_.clock.monotonicMs();
+  std::string bytes =
+      formatForPeer(exchange_.request(), state_,
+                    ForwardedAttempt{.origin = ForwardOrigin{.configuration_version =
+                                                                 request_.configuration_version,
+                                                             .runs = ran_attempts_},
+                                     .remaining_ms = request_.deadline_ms - sent_ms_,
+                                     .last_event_id = last_event_id_});
+  const std::chrono::milliseconds limit =
+      request_.repeatable() ? kPeerSilenceTimeout : std::chrono::milliseconds(0);
+  const auto error = co_await connection_->exchange(std::move(bytes), limit);
+  if (error) {
+    forward_outcome_ = "broken";
+    co_return brokenBy(*error).end;
+  }
+  co_return co_await handlePeerAnswer();
+}
+
+http::awaitable<ActiveRequest::AttemptEnd> ActiveRequest::handlePeerAnswer() {
+  const auto& head = connection_->head();
+  const PeerRefusal refusal = peerRefusalOf(head);
+  if (refusal == PeerRefusal::ByPeer) {
+    forward_outcome_ = "refused";
+    // It was sent, but it is no first attempt at a runner.
+    --sent_attempts_;
+    const AttemptResult read = co_await handleRefusal(relay::AttemptOutcome::Withdrawn);
+    co_return read.end;
+  }
+  const std::string_view type = http::viewOf(head[http::Field::content_type]);
+  const bool stream = type.starts_with("text/event-stream");
+  if (stream_started_ && !stream) {
+    forward_outcome_ = "not_resumed";
+    co_return broken("no stream to resume: status " + std::to_string(head.result_int())).end;
+  }
+  const bool refused = refusal == PeerRefusal::ByService;
+  const bool failed = head.result_int() >= kServerErrors;
+  AttemptResult result;
+  if (stream) {
+    result = co_await relayStream(nullptr);
+  } else {
+    result = co_await relayPlainAnswer();
+    if (failure_ && failed) {
+      // The other relay has made all attempts that are allowed.
+      co_await exchange_.respond(std::move(*failure_));
+      failure_.reset();
+      result.end = AttemptEnd::Answered;
+    }
+  }
+  const bool answered = result.end == AttemptEnd::Answered;
+  forward_outcome_ = !answered ? "broken" : refused ? "all_full" : failed ? "failed" : "answered";
+  if (answered && (refused || failed)) {
+    answered_as_ = refused ? "forward_refused" : "forward_failed";
+  }
+  co_return result.end;
+}
+
+} // namespace workshatch::daemon
--- a/src/daemon/relay/active_request_outcome.cc
+++ b/src/daemon/relay/active_request_outcome.cc
@@ -13,6 +13,11 @@
 
 /// Retry delay when no runner is available: about the time until another one is found or restarted.
 constexpr uint32_t kRetryWithoutRunnerMs = 150;
+/// Bounds of the retry delay while there is no path to the runners, and the range of delays over
+/// which callers are spread.
+constexpr int64_t kMinRetryWithoutPathMs = 200;
+constexpr int64_t kMaxRetryWithoutPathMs = 1000;
+constexpr uint64_t kRetrySpreadMs = 250;
 
 } // namespace
 
@@ -28,10 +33,26 @@
   if (status == http::Status::service_unavailable) {
     response.set(http::Field::retry_after, state_.dialect.retryAfter(retryAfterMs()));
   }
+  if (request_.origin && status == http::Status::service_unavailable) {
+    setPeerRefusal(response, problem.code);
+  }
   co_await exchange_.respond(std::move(response));
 }
 
+/// @return the retry delay while this relay, and all others as far as it knows, have no path to the
+/// runners: the time without one so far, within bounds. Callers are spread over a further
+/// `kRetrySpreadMs`.
+uint32_t ActiveRequest::retryWithoutPathMs() const {
+  const int64_t lost_ms = state_.path_prober->lostForMs(request_.service);
+  const int64_t wait_ms = std::clamp(lost_ms, kMinRetryWithoutPathMs, kMaxRetryWithoutPathMs);
+  return static_cast<uint32_t>(wait_ms) +
+         static_cast<uint32_t>(request_.rank.draw % kRetrySpreadMs);
+}
+
 uint32_t ActiveRequest::retryAfterMs() const {
+  if (pathLost()) {
+    return retryWithoutPathMs();
+  }
   if (const uint64_t* since_ms = state_.quarantine.sinceMs(request_.identity)) {
     return relay::quarantineLeftMs(*since_ms, state_.clock.wallMs());
   }
@@ -54,7 +75,7 @@
 http::awaitable<void> ActiveRequest::finish() {
   if (last_end_ == AttemptEnd::Answered) {
     learnOutput();
-    logOutcome("answered");
+    logOutcome(answered_as_);
     co_return;
   }
   if (caller_left_) {
@@ -107,7 +128,10 @@
 http::awaitable<void> ActiveRequest::refuseNotRun() {
   std::string code = "no_runner";
   std::string detail = "no runner could take the request";
-  if (runnersBackingOff()) {
+  if (pathLost()) {
+    code = kNoPathCode;
+    detail = "this relay has no network path to the runners";
+  } else if (runnersBackingOff()) {
     code = "all_backing_off";
     detail = "all runners asked this relay to pause";
   } else if (runnersFull()) {
@@ -156,6 +180,10 @@
        {"runners_reported", evidence_.avoided_by_reports},
        {"backoff_at_choice_ms", backoff_at_choice_ms_},
        {"backoff_at_send_ms", backoff_at_send_ms_},
+       {"forwarded", request_.origin.has_value()},
+       {"forwarded_to", peers_tried_},
+       {"forward_outcome", forward_outcome_},
+       {"path_lost", pathLost()},
        {"part_source", prefix_source_id_},
        {"place_limit", slot_limit_},
        {"places_refused", slots_refused_},
--- a/src/daemon/relay/active_request_rollout.cc
+++ b/src/daemon/relay/active_request_rollout.cc
@@ -27,10 +27,10 @@
 
 /// Records the outcome of an attempt for the version of its runner, while a rollout is in progress.
 /// Counts attempts that were answered and attempts that broke, except those that broke because the
-/// caller disconnected or the request was quarantined.
+/// caller disconnected, the request was quarantined, or the path to the runners was lost.
 void ActiveRequest::recordForRollout(const relay::Runner& runner, const AttemptResult& result) {
   const v1::Rollout* rollout = state_.runners.rollouts().findRollout(request_.service);
-  const bool withdrawn = caller_left_ || quarantine_cancelled_;
+  const bool withdrawn = caller_left_ || quarantine_cancelled_ || hung_;
   const bool conclusive =
       result.end == AttemptEnd::Answered || (result.end == AttemptEnd::Broken && !withdrawn);
   if (rollout == nullptr || !relay::isInProgress(*rollout) || sent_ms_ == 0 || !conclusive) {
--- a/src/daemon/relay/relay_lease.cc
+++ b/src/daemon/relay/relay_lease.cc
@@ -1,6 +1,7 @@
 /// @file
 /// The lease protocol of the relay role: builds the renewals for the leader and applies its
 /// replies.
+#include <algorithm>
 #include <utility>
 
 #include "adapters/logging/line_log.h"
@@ -28,6 +29,10 @@
   renewal.set_quarantine_version(state_.quarantine.version());
   addRollouts(renewal);
   addSilentRelays(renewal);
+  for (const std::string& service : path_prober_->lostServices()) {
+    renewal.add_lost_services(relay::serviceFingerprint(service));
+  }
+  std::sort(renewal.mutable_lost_services()->begin(), renewal.mutable_lost_services()->end());
   crash_reporter_->fill(renewal, first_on_link);
   for (const relay::RequestIdentity& request : completed_quarantined_) {
     *renewal.add_ran_whole() = relay::messageOf(request);
@@ -183,6 +188,7 @@
   const auto relays = static_cast<size_t>(relays_.relays_size());
   state_.budget.setRelays(relays, clock_.monotonicMs());
   state_.runners.setRelays(relays);
+  state_.peer_relays.setList(relays_);
   std::vector<std::string> owners;
   for (const v1::RelayEntry& relay : relays_.relays()) {
     owners.push_back(withPort(relay.address(), settings_.link_port));
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -97,6 +97,19 @@
   metrics::exposeGauge(out, "relay_places_held_back",
                        "claims refused since a runner was cold or its zone evacuated",
                        static_cast<int64_t>(slots.held_back));
+  const PathProber::Counts& probes = path_prober_->counts();
+  metrics::exposeGauge(out, "relay_path_probes", "connections made to see whether there is a path",
+                       static_cast<int64_t>(probes.probes));
+  metrics::exposeGauge(out, "relay_path_probes_failed", "of these: no connection came up",
+                       static_cast<int64_t>(probes.probes_failed));
+  metrics::exposeGauge(out, "relay_paths_lost_total", "times that a path to a service was lost",
+                       static_cast<int64_t>(probes.paths_lost));
+  metrics::LabelledCounts lost_paths;
+  for (const std::string& service : path_prober_->lostServices()) {
+    lost_paths[service] = 1;
+  }
+  metrics::exposeGauges(out, "relay_path_lost", "1 while there is no path to the service's runners",
+                        "service", lost_paths);
   exposeOwnedEngines(out);
   const RunnerCrashReporter::Counts& crashes = crash_reporter_->counts();
   metrics::exposeGauge(out, "relay_runner_looks",
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -4,10 +4,7 @@
 #include <array>
 #include <utility>
 
-#include <boost/beast/core/string.hpp>
-
 #include "core/backoff.h"
-#include "core/header_text.h"
 #include "core/relay/first_lease.h"
 #include "core/routing/rendezvous.h"
 
@@ -25,45 +22,6 @@
 /// Distance between the priorities of tenants, which leaves room for the priorities of routes.
 constexpr uint32_t kTenantPriorityStep = 3;
 
-bool sameName(std::string_view left, std::string_view right) {
-  return boost::beast::iequals(boost::beast::string_view(left.data(), left.size()),
-                               boost::beast::string_view(right.data(), right.size()));
-}
-
-/// @return whether a caller's header must not be forwarded: it concerns one connection only, or the
-/// relay or the system sets it.
-bool isOwnHeader(std::string_view name, const HeaderNames& names) {
-  constexpr std::array<std::string_view, 8> kConnectionHeaders = {
-      "connection", "keep-alive", "transfer-encoding", "content-length",
-      "te",         "trailer",    "upgrade",           "expect"};
-  const auto same = [name](std::string_view other) { return sameName(name, other); };
-  const bool of_connection =
-      std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(), same) ||
-      same("proxy-connection") || same("proxy-authorization");
-  return of_connection || same(names.key) || same(names.deadline) ||
-         std::any_of(names.system_only.begin(), names.system_only.end(), same);
-}
-
-/// @return whether the Connection header lists `name`.
-bool namedByConnection(const http::Request& request, std::string_view name) {
-  const auto connection = request.find(http::Field::connection);
-  if (connection == request.end()) {
-    return false;
-  }
-  std::string_view rest = http::viewOf(connection->value());
-  while (!rest.empty()) {
-    const size_t comma = rest.find(',');
-    std::string_view token = rest.substr(0, comma);
-    const size_t begin = token.find_first_not_of(" \t");
-    const size_t end = token.find_last_not_of(" \t");
-    if (begin != std::string_view::npos && sameName(token.substr(begin, end - begin + 1), name)) {
-      return true;
-    }
-    rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
-  }
-  return false;
-}
-
 http::Problem refusal(http::Status status, std::string code, std::string detail,
                       const std::string& id, uint32_t retry_after_ms = 0) {
   return http::Problem{.status = status,
@@ -160,22 +118,16 @@
                   kMaxPriority);
 }
 
-void appendHeader(std::string& out, std::string_view name, std::string_view value) {
-  // All headers for runners pass this check, which prevents header injection.
-  if (!isHeaderName(name) || !isHeaderValue(value)) {
-    return;
-  }
-  out.append(name).append(": ").append(value).append("\r\n");
-}
-
 } // namespace
 
 std::variant<RelayRequest, http::Problem> admit(const http::Request& request, RelayState& state,
-                                                int64_t received_ms) {
+                                                int64_t received_ms,
+                                                std::optional<ForwardOrigin> origin) {
   const HeaderNames& names = state.dialect.headers();
   const int64_t now_ms = state.clock.monotonicMs();
   RelayRequest relayed;
   relayed.received_ms = received_ms;
+  relayed.origin = origin;
   relayed.id = http::fieldOf(request, names.request_id).value_or("");
   const std::string& id = relayed.id;
   if (state.refusing) {
@@ -186,6 +138,11 @@
     return refusal(http::Status::service_unavailable, "no_configuration",
                    "no configuration has arrived yet", id, retryWithoutLeaseMs(state, now_ms));
   }
+  if (origin && origin->configuration_version > state.routes->version()) {
+    return refusal(http::Status::service_unavailable, "older_configuration",
+                   "the relay that forwarded the request has a newer configuration", id,
+                   kRetryWhileStoppingMs);
+  }
   if (id.empty()) {
     return refusal(http::Status::bad_request, "no_request_id", names.request_id + " is missing",
                    id);
@@ -248,40 +205,4 @@
   return relay::firstLeaseWaitMs(received_ms - state.started_ms, caller_timeout_ms.value_or(0));
 }
 
-std::string formatForRunner(const http::Request& request, const RelayRequest& relayed,
-                            const RelayState& state, const AttemptHeaders& attempt) {
-  const HeaderNames& names = state.dialect.headers();
-  constexpr size_t kHeadBytes = 1024;
-  std::string out;
-  out.reserve(kHeadBytes + request.body().size());
-  out.append(http::viewOf(request.method_string())).append(" ");
-  out.append(http::viewOf(request.target())).append(" HTTP/1.1\r\n");
-  for (const auto& field : request) {
-    const std::string_view name = http::viewOf(field.name_string());
-    const bool replaced = sameName(name, names.last_event) && !attempt.last_event_id.empty();
-    if (!replaced && !isOwnHeader(name, names) && !namedByConnection(request, name)) {
-      appendHeader(out, name, http::viewOf(field.value()));
-    }
-  }
-  appendHeader(out, names.deadline, std::to_string(std::max<int64_t>(attempt.remaining_ms, 1)));
-  appendHeader(out, names.target_runner, attempt.runner_id);
-  appendHeader(out, names.priority, std::to_string(relayed.rank.priority));
-  if (relayed.tenant != nullptr) {
-    appendHeader(out, names.tenant, relayed.tenant->name);
-  }
-  if (!attempt.last_event_id.empty()) {
-    appendHeader(out, names.last_event, attempt.last_event_id);
-  }
-  if (!attempt.fetch_from.empty()) {
-    appendHeader(out, names.fetch_from, attempt.fetch_from);
-  }
-  const bool has_body = !request.body().empty() || request.has_content_length() ||
-                        request.chunked() || request.method() == http::Verb::post;
-  if (has_body) {
-    appendHeader(out, "Content-Length", std::to_string(request.body().size()));
-  }
-  out.append("\r\n").append(request.body());
-  return out;
-}
-
 } // namespace workshatch::daemon
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -1,5 +1,5 @@
 /// @file
-/// Admission of callers' requests: validation, routing, and the request format for runners.
+/// Admission of callers' requests: validation and routing.
 #pragma once
 
 #include <cstdint>
@@ -14,6 +14,7 @@
 #include "core/relay/route_table.h"
 #include "core/scheduling/request_demand.h"
 #include "daemon/relay/relay_state.h"
+#include "daemon/relay/request_format.h"
 
 namespace workshatch::daemon {
 
@@ -50,6 +51,8 @@
   bool engine = false;
   /// Rank among competing requests for a busy runner. Its priority is also sent to the runner.
   relay::RequestRank rank;
+  /// Set if another relay forwarded the request here. It is not forwarded again.
+  std::optional<ForwardOrigin> origin;
   /// What the request needs at a runner, and when its response is due.
   relay::RequestDemand demand;
 
@@ -63,26 +66,14 @@
 /// Validates and routes a request. Also counts the sizes that callers state, adds them to the
 /// averages of the route, and counts the request towards the priority shares of its service.
 /// @param received_ms when the request was received
+/// @param origin set if another relay forwarded the request
 /// @return the admitted request, or the problem to send to the caller.
 std::variant<RelayRequest, http::Problem> admit(const http::Request& request, RelayState& state,
-                                                int64_t received_ms);
+                                                int64_t received_ms,
+                                                std::optional<ForwardOrigin> origin = {});
 
 /// @return milliseconds for which this request may wait for the relay's first lease; zero if the
 /// relay has had a lease or none is expected soon enough.
 int64_t leaseWaitMs(const http::Request& request, const RelayState& state, int64_t received_ms);
 
-/// Header values that differ between the attempts of one request.
-struct AttemptHeaders {
-  std::string runner_id;
-  int64_t remaining_ms = 0;
-  /// Last event that the caller received; empty if the stream starts from the beginning.
-  std::string last_event_id;
-  /// Address of the runner from which to copy the prompt prefix; empty if there is none.
-  std::string fetch_from;
-};
-
-/// @return the head and body of the HTTP request for a runner.
-std::string formatForRunner(const http::Request& request, const RelayRequest& relayed,
-                            const RelayState& state, const AttemptHeaders& attempt);
-
 } // namespace workshatch::daemon
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -72,11 +72,21 @@
                                                       return state_.runners.isCopySource(
                                                           runner, clock_.monotonicMs());
                                                     })),
+      path_prober_(std::make_shared<PathProber>(
+          context_, clock, random_, RunnerDialer(state_.runner_addresses), state_.runners,
+          PathProber::Observer{.changed = [this](const std::string& service,
+                                                 bool lost) { onPathChange(service, lost); },
+                               .ended = [this](uint64_t runner) { onRunnerEnded(runner); }})),
       crash_reporter_(std::make_shared<RunnerCrashReporter>(
-          context_, clock, RunnerDialer(state_.runner_addresses), [this] { control_.renewNow(); })),
+          context_, clock, RunnerDialer(state_.runner_addresses),
+          settings_.policy.peer_forwarding ? path_prober_ : nullptr,
+          [this] { control_.renewNow(); })),
       caller_server_(
           workers, [this] { return callerLimits(); },
           [this](http::Exchange& exchange) { return handle(exchange); }, refuseBadRequest),
+      forward_server_(
+          workers, [this] { return callerLimits(); },
+          [this](http::Exchange& exchange) { return handleForwarded(exchange); }, refuseBadRequest),
       ready_server_(
           workers, smallLimits(),
           [this](http::Exchange& exchange) { return handleReady(exchange); }, refuseBadRequest),
@@ -93,7 +103,9 @@
     http::Server& server;
     const std::string& address;
   };
-  const std::array<Listener, 4> listeners = {Listener{caller_server_, settings_.caller_address},
+  const std::string forward_address = forwardAddress();
+  const std::array<Listener, 5> listeners = {Listener{caller_server_, settings_.caller_address},
+                                             Listener{forward_server_, forward_address},
                                              Listener{ready_server_, settings_.ready_address},
                                              Listener{resolve_server_, settings_.resolve_address},
                                              Listener{metrics_server_, settings_.metrics_address}};
@@ -119,6 +131,9 @@
   });
   state_.slot_client = slot_client_;
   state_.prefix_client = prefix_client_;
+  if (settings_.policy.peer_forwarding) {
+    state_.path_prober = path_prober_;
+  }
   if (settings_.policy.quarantine) {
     state_.crash_reporter = crash_reporter_;
   }
@@ -143,7 +158,52 @@
   return limits;
 }
 
+std::string RelayRole::forwardAddress() const {
+  return settings_.policy.peer_forwarding
+             ? withPort(settings_.caller_address, settings_.forward_port)
+             : "";
+}
+
+/// Reacts to the loss or the return of the network path to the runners of a service.
+void RelayRole::onPathChange(const std::string& service, bool lost) {
+  state_.runners.setPathLost(service, lost);
+  if (lost) {
+    for (const auto& runner : state_.runners.runnersOf(service)) {
+      state_.connections.closeIdle(runner->entry.address());
+    }
+    for (ActiveRequest* active_request : state_.active_requests) {
+      active_request->onPathLost(service);
+    }
+  }
+  control_.renewNow();
+}
+
+void RelayRole::onRunnerEnded(uint64_t runner) {
+  state_.runners.recordProcessEnded(runner, clock_.monotonicMs());
+  if (settings_.policy.quarantine) {
+    crash_reporter_->recordConnectionRefused(runner);
+  }
+}
+
 http::awaitable<void> RelayRole::handle(http::Exchange& exchange) {
+  return serve(exchange, std::nullopt);
+}
+
+/// Serves a request that another relay forwards.
+http::awaitable<void> RelayRole::handleForwarded(http::Exchange& exchange) {
+  const auto origin = parseForwardOrigin(exchange.request());
+  if (!origin) {
+    http::Response response =
+        refuseBadRequest(http::Status::bad_request, "not a forwarded request");
+    co_await exchange.respond(std::move(response));
+    co_return;
+  }
+  ++state_.stats.forwards_received;
+  co_await serve(exchange, origin);
+}
+
+http::awaitable<void> RelayRole::serve(http::Exchange& exchange,
+                                       std::optional<ForwardOrigin> origin) {
   if (state_.stopping) {
     exchange.closeAfterResponse();
   }
@@ -152,7 +212,7 @@
   if (wait_ms > 0) {
     co_await lease_wait_.wait(std::chrono::milliseconds(wait_ms));
   }
-  auto admitted = admit(exchange.request(), state_, received_ms);
+  auto admitted = admit(exchange.request(), state_, received_ms, origin);
   if (auto* problem = std::get_if<http::Problem>(&admitted)) {
     ++state_.stats.outcomes[problem->code];
     line_log::write("request_refused",
@@ -167,6 +227,9 @@
     if (retry_after_ms != 0) {
       response.set(http::Field::retry_after, adapters_.dialect.retryAfter(retry_after_ms));
     }
+    if (origin && problem->status == http::Status::service_unavailable) {
+      setPeerRefusal(response, problem->code);
+    }
     co_await exchange.respond(std::move(response));
     co_return;
   }
@@ -202,6 +265,7 @@
                         .value_or(""),
           .own_address = settings_.caller_address,
           .confirmed_recently = state_.lease.isFresh(clock_.monotonicMs()),
+          .services = servicesOfHost(exchange.target()),
           .draw = random_.next()});
   http::Response response =
       http::makeResponse(http::Status::ok, "application/json",
@@ -209,6 +273,18 @@
   co_await exchange.respond(std::move(response));
 }
 
+/// @return fingerprints of the services that the host in a query for addresses uses.
+std::vector<uint64_t> RelayRole::servicesOfHost(std::string_view target) const {
+  const auto host = http::queryParameter(target, adapters_.dialect.hostParameter());
+  std::vector<uint64_t> services;
+  if (host && state_.routes) {
+    for (const std::string& service : state_.routes->servicesOf(*host)) {
+      services.push_back(relay::serviceFingerprint(service));
+    }
+  }
+  return services;
+}
+
 uint32_t RelayRole::addressesLifetimeS() const {
   const relay::AddressLifetimes lifetimes{
       .ordinary_s = settings_.bounds.endpoints_ttl_s,
@@ -266,6 +342,13 @@
 void RelayRole::housekeep() {
   checkForSuspension();
   state_.connections.dropExpired();
+  if (state_.path_prober) {
+    const int64_t now_ms = clock_.monotonicMs();
+    for (ActiveRequest* active_request : state_.active_requests) {
+      active_request->checkForSilence(now_ms);
+    }
+    state_.path_prober->tick();
+  }
   slot_client_->tick();
   prefix_client_->tick();
   // A runner that declined counts as full for a limited time. Nothing else signals the end of this
@@ -293,20 +376,26 @@
   const int64_t begin = clock_.monotonicMs();
   asio::steady_timer timer(context_);
   caller_server_.closeConnections();
+  forward_server_.closeConnections();
   timer.expires_after(kAcceptWhileStopping);
   co_await timer.async_wait(kAwait);
   state_.refusing = true;
   caller_server_.stopAccepting();
   caller_server_.closeIdle();
+  forward_server_.stopAccepting();
+  forward_server_.closeIdle();
+  const auto requestsInProgress = [this] {
+    return caller_server_.requestsInProgress() + forward_server_.requestsInProgress();
+  };
   const auto last =
       begin + static_cast<int64_t>(kStopFraction * static_cast<double>(settings_.bounds.stop_ms));
-  while (caller_server_.requestsInProgress() > 0 && clock_.monotonicMs() < last) {
+  while (requestsInProgress() > 0 && clock_.monotonicMs() < last) {
     timer.expires_after(kHousekeepingPeriod);
     co_await timer.async_wait(kAwait);
   }
   control_.stop();
-  line_log::write("drained", {{"left", caller_server_.requestsInProgress()},
-                              {"ms", clock_.monotonicMs() - begin}});
+  line_log::write("drained",
+                  {{"left", requestsInProgress()}, {"ms", clock_.monotonicMs() - begin}});
   stopped();
 }
 
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -5,8 +5,11 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -18,6 +21,7 @@
 #include "daemon/configuration_transfer.h"
 #include "daemon/relay/control_link.h"
 #include "daemon/relay/lease_wait.h"
+#include "daemon/relay/relay_request.h"
 #include "daemon/relay/relay_state.h"
 #include "daemon/relay_adapters.h"
 #include "daemon/role.h"
@@ -41,6 +45,11 @@
 
 private:
   http::awaitable<void> handle(http::Exchange& exchange);
+  http::awaitable<void> handleForwarded(http::Exchange& exchange);
+  http::awaitable<void> serve(http::Exchange& exchange, std::optional<ForwardOrigin> origin);
+  void onPathChange(const std::string& service, bool lost);
+  void onRunnerEnded(uint64_t runner);
+  std::string forwardAddress() const;
   http::awaitable<void> handleReady(http::Exchange& exchange);
   http::awaitable<void> handleResolve(http::Exchange& exchange);
   http::awaitable<void> handleMetrics(http::Exchange& exchange);
@@ -64,6 +73,7 @@
   void exposeOwnedEngines(std::string& out) const;
   void exposeServiceTimes(std::string& out, int64_t now_ms) const;
   http::ServerLimits callerLimits() const;
+  std::vector<uint64_t> servicesOfHost(std::string_view target) const;
   uint32_t addressesLifetimeS() const;
 
   const settings::RelaySettings settings_;
@@ -79,6 +89,7 @@
   /// Shared with the slots that requests in progress use, which may outlive the role.
   const std::shared_ptr<SlotClient> slot_client_;
   const std::shared_ptr<PrefixClient> prefix_client_;
+  const std::shared_ptr<PathProber> path_prober_;
   const std::shared_ptr<RunnerCrashReporter> crash_reporter_;
   /// Quarantined requests that runners recently completed for this relay; reported in each renewal.
   std::vector<relay::RequestIdentity> completed_quarantined_;
@@ -93,6 +104,8 @@
   /// When this relay last read the list of runners from the platform itself.
   int64_t own_list_read_ms_ = 0;
   http::Server caller_server_;
+  /// Takes the requests that other relays forward.
+  http::Server forward_server_;
   http::Server ready_server_;
   http::Server resolve_server_;
   http::Server metrics_server_;
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -10,6 +10,7 @@
 #include "adapters/address_overrides.h"
 #include "adapters/http/runner_connection.h"
 #include "adapters/settings/relay_settings.h"
+#include "core/relay/peer_relays.h"
 #include "core/relay/quarantine.h"
 #include "core/relay/read_ahead_budget.h"
 #include "core/relay/retry_budget.h"
@@ -22,6 +23,7 @@
 #include "core/scheduling/request_queues.h"
 #include "core/scheduling/retry_after_scheduler.h"
 #include "core/scheduling/tenant_shares.h"
+#include "daemon/relay/path_prober.h"
 #include "daemon/relay/prefix_client.h"
 #include "daemon/relay/relay_stats.h"
 #include "daemon/relay/runner_crash_reporter.h"
@@ -66,6 +68,8 @@
                                          .window_ms = settings.bounds.repeat_window_ms,
                                          .slack = settings.bounds.repeat_slack,
                                          .draw = draw}),
+        peer_relays(settings.caller_address, settings.zone, settings.zones),
+        forward_port(settings.forward_port),
         read_ahead(relay::ReadAheadLimits{.process_bytes = settings.read_ahead_bytes}),
         connections(time), started_ms(time.monotonicMs()) {}
 
@@ -83,6 +87,12 @@
   std::shared_ptr<SlotClient> slot_client;
   /// Null if prefix sources are not looked up.
   std::shared_ptr<PrefixClient> prefix_client;
+  /// Null if lost paths to runners are not detected; requests are not forwarded to other relays
+  /// then.
+  std::shared_ptr<PathProber> path_prober;
+  relay::PeerRelays peer_relays;
+  /// Port at which relays take requests that other relays forward; the same on all machines.
+  const uint16_t forward_port;
   /// Null if crashes of runners are not reported.
   std::shared_ptr<RunnerCrashReporter> crash_reporter;
   /// Requests that must not be sent to any runner.
--- a/src/daemon/relay/relay_stats.cc
+++ b/src/daemon/relay/relay_stats.cc
@@ -39,6 +39,10 @@
   exposeCounters(out, "relay_requests_total", "requests by outcome", "outcome", outcomes);
   exposeCounters(out, "relay_attempts_total", "attempts at runners by outcome", "outcome",
                  attempts);
+  exposeCounters(out, "relay_forwards_total", "requests forwarded to other relays by outcome",
+                 "outcome", forwards);
+  exposeCounter(out, "relay_forwards_received_total", "requests that other relays forwarded here",
+                forwards_received);
   exposeCounter(out, "relay_repeats_total", "attempts beyond the first of a request", repeats);
   exposeCounter(out, "relay_repeats_refused_total", "repeats that the budget did not allow",
                 repeats_refused);
--- a/src/daemon/relay/relay_stats.h
+++ b/src/daemon/relay/relay_stats.h
@@ -17,6 +17,10 @@
   metrics::LabelledCounts outcomes;
   /// Attempts at runners by outcome.
   metrics::LabelledCounts attempts;
+  /// Requests forwarded to other relays by the outcome there, and requests that other relays
+  /// forwarded here.
+  metrics::LabelledCounts forwards;
+  uint64_t forwards_received = 0;
   uint64_t repeats = 0;
   uint64_t repeats_refused = 0;
   uint64_t resumed_streams = 0;
--- a/src/daemon/relay/runner_crash_reporter.cc
+++ b/src/daemon/relay/runner_crash_reporter.cc
@@ -31,31 +31,32 @@
     return;
   }
   asio::co_spawn(
-      context_,
-      [self = shared_from_this(), id = runner.fingerprint, address = runner.entry.address()] {
-        return self->probe(id, address);
-      },
+      context_, [self = shared_from_this(), probed = runner] { return self->probe(probed); },
       asio::detached);
 }
 
-http::awaitable<void> RunnerCrashReporter::probe(uint64_t runner, std::string address) {
+http::awaitable<void> RunnerCrashReporter::probe(relay::Runner runner) {
   ++counts_.probes;
+  const int64_t began_ms = clock_.monotonicMs();
   const auto connection = std::make_shared<http::RunnerConnection>(context_);
-  const auto error = co_await dialer_.dial(connection, std::move(address), kProbeTimeout);
+  const auto error = co_await dialer_.dial(connection, runner.entry.address(), kProbeTimeout);
   connection->close();
   if (!error) {
-    monitor_.recordListening(runner);
+    monitor_.recordListening(runner.fingerprint);
+    co_return;
+  }
+  counts_.refused += error->refused ? 1 : 0;
+  if (path_prober_) {
+    path_prober_->recordConnectFailed(runner, error->refused, began_ms);
   } else if (error->refused) {
-    ++counts_.refused;
-    onConnectionRefused(runner);
+    recordConnectionRefused(runner.fingerprint);
   }
 }
 
-void RunnerCrashReporter::onConnectionRefused(uint64_t runner) {
-  if (!monitor_.recordConnectionRefused(runner, clock_.monotonicMs())) {
-    return;
+void RunnerCrashReporter::recordConnectionRefused(uint64_t runner) {
+  if (monitor_.recordConnectionRefused(runner, clock_.monotonicMs())) {
+    notifyLeader();
   }
-  notifyLeader();
 }
 
 void RunnerCrashReporter::notifyLeader() {
@@ -63,10 +64,6 @@
   notify_leader_();
 }
 
-void RunnerCrashReporter::recordConnectionRefused(const relay::Runner& runner) {
-  onConnectionRefused(runner.fingerprint);
-}
-
 void RunnerCrashReporter::recordListening(const relay::Runner& runner) {
   monitor_.recordListening(runner.fingerprint);
 }
--- a/src/daemon/relay/runner_crash_reporter.h
+++ b/src/daemon/relay/runner_crash_reporter.h
@@ -12,6 +12,7 @@
 #include "adapters/http/http_types.h"
 #include "core/relay/runner.h"
 #include "core/relay/runner_crash_monitor.h"
+#include "daemon/relay/path_prober.h"
 #include "daemon/relay/runner_dialer.h"
 #include "ports/clock.h"
 
@@ -33,16 +34,20 @@
 
   /// @param notify_leader called when there are reports for the next renewal, which should be sent
   /// without delay
+  /// @param path_prober decides whether a refused connection is evidence of a crash, and then calls
+  /// `recordConnectionRefused`
   RunnerCrashReporter(boost::asio::io_context& context, const Clock& clock, RunnerDialer dialer,
-                      std::function<void()> notify_leader)
-      : context_(context), clock_(clock), dialer_(dialer),
+                      std::shared_ptr<PathProber> path_prober, std::function<void()> notify_leader)
+      : context_(context), clock_(clock), dialer_(dialer), path_prober_(std::move(path_prober)),
         notify_leader_(std::move(notify_leader)) {}
 
   /// Records that the runner closed the connection of a request in progress, and probes the runner
   /// if necessary.
   void recordDisconnect(const relay::Runner& runner, const relay::RequestIdentity& request);
-  /// Records that the runner's address refused or accepted a connection.
-  void recordConnectionRefused(const relay::Runner& runner);
+  /// Records that the runner's address refused a connection, and this relay's network path is not
+  /// the cause. @param runner fingerprint of the runner
+  void recordConnectionRefused(uint64_t runner);
+  /// Records that the runner's address accepted a connection.
   void recordListening(const relay::Runner& runner);
   /// Records that a runner completed the request successfully.
   void recordCompleted(const relay::RequestIdentity& request);
@@ -56,13 +61,13 @@
   const Counts& counts() const { return counts_; }
 
 private:
-  http::awaitable<void> probe(uint64_t runner, std::string address);
-  void onConnectionRefused(uint64_t runner);
+  http::awaitable<void> probe(relay::Runner runner);
   void notifyLeader();
 
   boost::asio::io_context& context_;
   const Clock& clock_;
   const RunnerDialer dialer_;
+  const std::shared_ptr<PathProber> path_prober_;
   const std::function<void()> notify_leader_;
   relay::RunnerCrashMonitor monitor_;
   Counts counts_;
--- a/src/ports/relay_dialect.h
+++ b/src/ports/relay_dialect.h
@@ -130,6 +130,8 @@
   /// @param ttl_s time for which the addresses may be used, in seconds
   virtual std::string addresses(const std::vector<std::string>& addresses,
                                 uint32_t ttl_s) const = 0;
+  /// Name of the query parameter that holds the host that the caller will send requests to.
+  virtual std::string hostParameter() const = 0;
   /// Name of the query parameter that holds the caller's zone.
   virtual std::string zoneParameter() const = 0;
   /// Name of the query parameter that holds the caller's region.
--- a/tests/unit/core/relay/cold_runners_test.cc
+++ b/tests/unit/core/relay/cold_runners_test.cc
@@ -240,8 +240,10 @@
   table.endAttempt(runner, relay::AttemptOutcome::Failed, 2000);
   table.endAttempt(runner, relay::AttemptOutcome::Refused, 2000);
   table.endAttempt(runner, relay::AttemptOutcome::Unreachable, 2000);
-  CHECK(table.coldMs(runner, 2000) == 0);
   table.endAttempt(runner, relay::AttemptOutcome::ProcessGone, 2000);
+  // A refused connection alone may be due to the network path of this relay.
+  CHECK(table.coldMs(runner, 2000) == 0);
+  table.recordProcessEnded(runner.fingerprint, 2000);
   CHECK(table.coldMs(runner, 2000) == 3000);
 }
 
--- a/tests/unit/core/relay/relay_addresses_test.cc
+++ b/tests/unit/core/relay/relay_addresses_test.cc
@@ -95,4 +95,27 @@
   CHECK(silent.count(40'000) == 0);
 }
 
+TEST_CASE("Callers are sent to relays that have no path to the services of their host") {
+  constexpr uint64_t kService = 7;
+  constexpr uint64_t kOther = 8;
+  v1::RelayList list;
+  for (const char* address : {"a1", "a2", "a3", "b1", "b2"}) {
+    add(list, address, std::string(1, address[0]));
+  }
+  list.mutable_relays(0)->add_lost_services(kService);
+  const auto selected = [&](uint64_t service) {
+    return relay::selectAddresses(
+        list, kZones, relay::AddressQuery{.zone = "a", .own_address = "a1", .services = {service}});
+  };
+  CHECK(selected(kService) == std::vector<std::string>{"a2", "a3"});
+  CHECK(selected(kOther) == std::vector<std::string>{"a1", "a2", "a3"});
+  // Too few relays of the zone remain, and then none at all.
+  list.mutable_relays(1)->add_lost_services(kService);
+  CHECK(selected(kService) == std::vector<std::string>{"a3", "b1", "b2"});
+  for (v1::RelayEntry& relay : *list.mutable_relays()) {
+    relay.add_lost_services(kService);
+  }
+  CHECK(selected(kService) == std::vector<std::string>{"a1", "a2", "a3"});
+}
+
 } // namespace workshatch::test
--- a/tests/unit/core/relay/runner_table_test.cc
+++ b/tests/unit/core/relay/runner_table_test.cc
@@ -264,6 +264,14 @@
   CHECK(chosen(table, later)->runner == home);
   later.now_ms = 1600;
   CHECK(chosen(table, later)->runner != home);
+  // While no other runner is heard, the relay's own network path may be the cause.
+  CHECK(table.ownLoads(1600).suspects_size() == 0);
+  const auto& others = table.runners();
+  table.recordHeard(home == others[0] ? *others[1] : *others[0], 1550);
+  CHECK(table.ownLoads(1600).suspects_size() == 1);
+  table.setPathLost(home->entry.service(), true);
+  CHECK(table.ownLoads(1600).suspects_size() == 0);
+  table.setPathLost(home->entry.service(), false);
   CHECK(table.ownLoads(1600).suspects_size() == 1);
   table.recordActivity(*home, 1600);
   CHECK(chosen(table, later)->runner == home);
--- a/tests/unit/daemon/fleet/test_fleet.h
+++ b/tests/unit/daemon/fleet/test_fleet.h
@@ -364,6 +364,7 @@
     settings.zones = relay::ZoneRegions({{"north", "here"}, {"south", "here"}});
     settings.seeds = {at(ipOf(0), 0)};
     settings.link_port = static_cast<uint16_t>(first_port_ + 1);
+    settings.forward_port = static_cast<uint16_t>(first_port_ + 4);
     settings.runner_list_address = list_.address();
     settings.runner_list_calls = 100;
     return settings;
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -162,6 +162,7 @@
                                .cold_ms = timeOf("W-Cold")};
   }
   std::string addresses(const std::vector<std::string>&, uint32_t) const override { return ""; }
+  std::string hostParameter() const override { return "host"; }
   std::string zoneParameter() const override { return "zone"; }
   std::string regionParameter() const override { return "region"; }
   std::string retryAfter(uint32_t milliseconds) const override {
