The end of the last runners of a service is known again

When a request ends all three plain runners one after the other, none is left to show that the path is not the cause, so the third end was never reported.

Change: if no runner of the service accepts a connection, the runner of another service that was heard last is probed; if it accepts, those that refused have ended. Without any other service they are taken to have ended.

Evidence: the test 'The end of the last runners of a service is never known to be one' (it can't compile before; the count it checks was 0).

--- a/src/core/relay/runner_paths.cc
+++ b/src/core/relay/runner_paths.cc
@@ -22,10 +22,9 @@
 
 } // namespace
 
-void RunnerPaths::confirmFailures(Service& service) {
-  ended_.insert(ended_.end(), service.refused.begin(), service.refused.end());
-  service.failed.clear();
-  service.refused.clear();
+void RunnerPaths::confirmFailures(const std::string& name) {
+  explainRefusals(name);
+  services_[name].failed.clear();
 }
 
 void RunnerPaths::recordConnected(const Runner& runner, int64_t now_ms) {
@@ -35,7 +34,7 @@
   service.failed.erase(runner.fingerprint);
   service.refused.erase(runner.fingerprint);
   if (!service.lost_ms) {
-    confirmFailures(service);
+    confirmFailures(runner.entry.service());
   }
 }
 
@@ -140,6 +139,17 @@
   return Change::Lost;
 }
 
+bool RunnerPaths::hasUnexplainedRefusals(const std::string& service) const {
+  const auto found = services_.find(service);
+  return found != services_.end() && !found->second.refused.empty();
+}
+
+void RunnerPaths::explainRefusals(const std::string& name) {
+  Service& service = services_[name];
+  ended_.insert(ended_.end(), service.refused.begin(), service.refused.end());
+  service.refused.clear();
+}
+
 std::vector<uint64_t> RunnerPaths::takeEnded() { return std::exchange(ended_, {}); }
 
 } // namespace workshatch::relay
--- a/src/core/relay/runner_paths.h
+++ b/src/core/relay/runner_paths.h
@@ -29,6 +29,9 @@
 /// no runner accepts one, the path to the service is lost. While it is lost, runners are probed
 /// periodically, and the first one that accepts a connection restores the path.
 ///
+/// A runner that refused a connection has ended if another runner accepts one, also one of another
+/// service if its own service has none left.
+///
 /// Guarantee: while at least one of the runners that were heard last accepts connections, the path
 /// is not lost. Whether all runners of a service failed or this machine lost its path to them can't
 /// be told here; other relays can tell.
@@ -67,6 +70,11 @@
   /// Ends the round of probes of a service. @param reached whether a runner accepted a connection
   Change endRound(const std::string& service, bool reached, int64_t now_ms);
 
+  /// @return whether runners of the service refused connections, and it is not known why.
+  bool hasUnexplainedRefusals(const std::string& service) const;
+  /// Records that a runner of another service accepted a connection: the runners that refused one
+  /// have ended.
+  void explainRefusals(const std::string& service);
   /// Removes and returns the fingerprints of the runners that refused a connection although there
   /// is a path to other runners, so that their processes have ended.
   std::vector<uint64_t> takeEnded();
@@ -92,7 +100,7 @@
     std::optional<int64_t> lost_ms;
   };
 
-  void confirmFailures(Service& service);
+  void confirmFailures(const std::string& name);
   static Runners heardLast(Runners candidates);
 
   std::map<std::string, Service> services_;
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -428,6 +428,17 @@
     runner->avoid_until_ms = 0;
   }
 }
+std::shared_ptr<Runner> RunnerTable::heardLastOutside(const std::string& service) const {
+  std::shared_ptr<Runner> last;
+  for (const auto& runner : runners_) {
+    const bool outside = runner->entry.service() != service;
+    if (outside && (!last || runner->last_heard_ms > last->last_heard_ms)) {
+      last = runner;
+    }
+  }
+  return last;
+}
+
 
 void RunnerTable::endAttempt(Runner& runner, AttemptOutcome outcome, int64_t now_ms) const {
   if (runner.in_progress > 0) {
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -301,6 +301,8 @@
   /// Records that a runner's process has ended: the one that replaces it starts cold.
   void recordProcessEnded(uint64_t fingerprint, int64_t now_ms) const;
   /// Sets whether this relay has lost its network path to the runners of the service. The failures
+  /// @return the listed runner of any other service that was heard last; null: there is none.
+  std::shared_ptr<Runner> heardLastOutside(const std::string& service) const;
   /// of its attempts say nothing about them then, and are forgotten.
   void setPathLost(const std::string& service, bool lost);
 
--- a/src/daemon/relay/path_prober.cc
+++ b/src/daemon/relay/path_prober.cc
@@ -80,6 +80,9 @@
   const int64_t lost_ms = lostForMs(round.service);
   const Change change = paths_.endRound(round.service, reached, clock_.monotonicMs());
   reportEnded();
+  if (!reached && paths_.hasUnexplainedRefusals(round.service)) {
+    explainRefusals(round.service);
+  }
   if (change == Change::None) {
     return;
   }
@@ -93,6 +96,36 @@
   observer_.changed(round.service, lost);
 }
 
+/// Finds out by a runner of another service whether runners that refused connections have ended.
+/// Without any such runner they are taken to have ended.
+void PathProber::explainRefusals(const std::string& service) {
+  const auto outside = runners_.heardLastOutside(service);
+  if (!outside) {
+    paths_.explainRefusals(service);
+    reportEnded();
+    return;
+  }
+  asio::co_spawn(
+      context_,
+      [self = shared_from_this(), service, address = outside->entry.address()] {
+        return self->probeOutside(service, address);
+      },
+      asio::detached);
+}
+
+http::awaitable<void> PathProber::probeOutside(std::string service, std::string address) {
+  ++counts_.probes;
+  const auto connection = std::make_shared<http::RunnerConnection>(context_);
+  const auto error = co_await dialer_.dial(connection, std::move(address), kProbeTimeout);
+  connection->close();
+  if (error) {
+    ++counts_.probes_failed;
+    co_return;
+  }
+  paths_.explainRefusals(service);
+  reportEnded();
+}
+
 void PathProber::reportEnded() {
   for (const uint64_t runner : paths_.takeEnded()) {
     observer_.ended(runner);
--- a/src/daemon/relay/path_prober.h
+++ b/src/daemon/relay/path_prober.h
@@ -73,6 +73,8 @@
   void begin(const std::string& service);
   http::awaitable<void> probe(std::shared_ptr<Round> round, std::shared_ptr<relay::Runner> runner);
   void end(Round& round, bool reached);
+  void explainRefusals(const std::string& service);
+  http::awaitable<void> probeOutside(std::string service, std::string address);
   void reportEnded();
 
   boost::asio::io_context& context_;
--- a/tests/unit/core/relay/runner_paths_test.cc
+++ b/tests/unit/core/relay/runner_paths_test.cc
@@ -110,6 +110,19 @@
   CHECK(rounds == 4);
 }
 
+TEST_CASE("The end of the last runners of a service is never known to be one") {
+  const auto runners = runnersOf("s", 3);
+  relay::RunnerPaths paths;
+  paths.recordConnectFailed(*runners[0], true, 1000);
+  CHECK(runRound(paths, runners, {}, 1000) == Change::Lost);
+  CHECK(paths.takeEnded().empty());
+  CHECK(paths.hasUnexplainedRefusals("s"));
+  paths.explainRefusals("s");
+  CHECK(paths.takeEnded().size() == 3);
+  CHECK_FALSE(paths.hasUnexplainedRefusals("s"));
+  CHECK(paths.isLost("s"));
+}
+
 TEST_CASE("A service with one runner that ended is taken for reachable") {
   const auto runners = runnersOf("s", 1);
   relay::RunnerPaths paths;
