Requests no longer wait in the queues of runners that fail if they decline too many

What callers would see: runners that say in their answers that they are brittle (Server-Brittle: N) fall over when they have to decline more than N requests within a second, and their queues get shorter; relays sent them twice as many plain requests as they have slots, and prompts six over.

Cause: the header was not read.

Declines are reported to the runner's slot owner, which grants no slot there for the rest of a second after half of N.

--- a/src/core/relay/runner_choice.cc
+++ b/src/core/relay/runner_choice.cc
@@ -162,6 +162,9 @@
 uint32_t RunnerTable::loadLimitFor(const RunnerRequest& request, const Runner& runner,
                                    bool busy) const {
   const uint32_t slots = runner.entry.slots();
+  if (slots != 0 && maxDeclines(request.service, request.now_ms)) {
+    return std::min(slots, slotLimit(options_.slot_limits, slots, request.engine, request.rank));
+  }
   if (!busy && request.engine && slots != 0) {
     return slots + static_cast<uint32_t>(options_.spill_slack);
   }
@@ -281,11 +284,24 @@
   if (!offer) {
     return std::nullopt;
   }
-  return RunnerChoice{.runner = offer->runner,
+  RunnerChoice choice{.runner = offer->runner,
                       .passed_over = offer->passed_over,
                       .limit = offer->limit,
                       .prompt_limits = offer->prompt_limits,
                       .start_within_ms = offer->start_within_ms};
+  limitToSlots(request, choice);
+  return choice;
+}
+
+/// Lets no request wait in the queue of a brittle runner: the queue may be shorter than before, and
+/// declining requests ends the runner's process.
+void RunnerTable::limitToSlots(const RunnerRequest& request, RunnerChoice& choice) const {
+  const uint32_t slots = choice.runner->entry.slots();
+  if (slots == 0 || !maxDeclines(request.service, request.now_ms)) {
+    return;
+  }
+  choice.limit = std::min(choice.limit, slots);
+  choice.start_within_ms = 0;
 }
 
 std::optional<RunnerChoice> RunnerTable::chooseByLoadTotals(const RunnerRequest& request,
--- a/src/core/relay/runner_notice.h
+++ b/src/core/relay/runner_notice.h
@@ -31,6 +31,9 @@
   /// Time for which the runner remains cold. Empty: not reported.
   std::optional<uint32_t> cold_ms;
   std::optional<RunnerLoad> load;
+  /// Number of requests that the runner can decline for want of room in one second; its process
+  /// fails if it has to decline more. Empty: it did not state one.
+  std::optional<uint32_t> max_declines;
 };
 
 } // namespace workshatch::relay
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -27,6 +27,9 @@
 constexpr int64_t kFullMs = 100;
 constexpr int64_t kFullWhileIdleMs = 20;
 constexpr int64_t kAvoidMisdirectedMs = 5000;
+/// Time for which the runners of a service count as brittle after one of them said so. All their
+/// responses say it, but a relay may get none of them for a while.
+constexpr int64_t kBrittleValidMs = 5000;
 
 int64_t holdDownMs(int64_t first_ms, uint32_t failures) {
   constexpr uint32_t kMaxDoublings = 5;
@@ -341,6 +344,11 @@
   if (notice.load && notice.load->work_time_factor) {
     recordWorkTime(runner, *notice.load->work_time_factor, now_ms);
   }
+  if (notice.max_declines) {
+    ServiceRunners& service = services_[runner.entry.service()];
+    service.brittle_until_ms = now_ms + kBrittleValidMs;
+    service.max_declines = *notice.max_declines;
+  }
   runner.backoff = backoffs_.record(runner.fingerprint, notice, now_ms);
   // Since the attempt began the runner may have been removed from the list and added again.
   if (const auto listed = find(runner.fingerprint)) {
@@ -348,6 +356,12 @@
   }
 }
 
+std::optional<uint32_t> RunnerTable::maxDeclines(const std::string& service, int64_t now_ms) const {
+  const auto found = services_.find(service);
+  const bool brittle = found != services_.end() && found->second.brittle_until_ms > now_ms;
+  return brittle ? std::optional(found->second.max_declines) : std::nullopt;
+}
+
 void RunnerTable::beginAttempt(Runner& runner, int64_t now_ms) const {
   if (runner.in_progress++ == 0) {
     runner.last_activity_ms = now_ms;
@@ -414,6 +428,17 @@
   return found == services_.end() ? Candidates() : found->second.runners;
 }
 
+std::shared_ptr<Runner> RunnerTable::heardLastOutside(const std::string& service) const {
+  std::shared_ptr<Runner> last;
+  for (const auto& runner : runners_) {
+    const bool outside = runner->entry.service() != service;
+    if (outside && (!last || runner->last_heard_ms > last->last_heard_ms)) {
+      last = runner;
+    }
+  }
+  return last;
+}
+
 void RunnerTable::recordProcessEnded(uint64_t fingerprint, int64_t now_ms) const {
   if (const auto runner = find(fingerprint)) {
     cold_runners_.recordProcessStart(*runner, now_ms);
@@ -428,17 +453,6 @@
     runner->avoid_until_ms = 0;
   }
 }
-std::shared_ptr<Runner> RunnerTable::heardLastOutside(const std::string& service) const {
-  std::shared_ptr<Runner> last;
-  for (const auto& runner : runners_) {
-    const bool outside = runner->entry.service() != service;
-    if (outside && (!last || runner->last_heard_ms > last->last_heard_ms)) {
-      last = runner;
-    }
-  }
-  return last;
-}
-
 
 void RunnerTable::endAttempt(Runner& runner, AttemptOutcome outcome, int64_t now_ms) const {
   if (runner.in_progress > 0) {
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -275,6 +275,9 @@
   /// Applies what a response of the runner says about the runner's state and about further requests
   /// to it.
   void applyNotice(Runner& runner, const RunnerNotice& notice, int64_t now_ms);
+  /// @return the number of requests that a runner of the service can decline within a second before
+  /// its process fails; empty: the runners state none.
+  std::optional<uint32_t> maxDeclines(const std::string& service, int64_t now_ms) const;
   /// Records that the runner's owner grants no slots there for `wait_ms`.
   void recordHoldBack(Runner& runner, uint32_t wait_ms, int64_t now_ms) const {
     runner.full_until_ms = std::max(runner.full_until_ms, now_ms + wait_ms);
@@ -298,11 +301,11 @@
   const std::vector<std::shared_ptr<Runner>>& runners() const { return runners_; }
   /// @return the listed runners of the service.
   std::vector<std::shared_ptr<Runner>> runnersOf(const std::string& service) const;
+  /// @return the listed runner of any other service that was heard last; null: there is none.
+  std::shared_ptr<Runner> heardLastOutside(const std::string& service) const;
   /// Records that a runner's process has ended: the one that replaces it starts cold.
   void recordProcessEnded(uint64_t fingerprint, int64_t now_ms) const;
   /// Sets whether this relay has lost its network path to the runners of the service. The failures
-  /// @return the listed runner of any other service that was heard last; null: there is none.
-  std::shared_ptr<Runner> heardLastOutside(const std::string& service) const;
   /// of its attempts say nothing about them then, and are forgotten.
   void setPathLost(const std::string& service, bool lost);
 
@@ -332,6 +335,7 @@
   bool isWithinShare(const RunnerRequest& request, const Runner& runner, uint32_t limit) const;
   double expectedRequestsPerRunner(const std::string& service) const;
   bool isBusy(const Candidates& candidates) const;
+  void limitToSlots(const RunnerRequest& request, RunnerChoice& choice) const;
   std::optional<RunnerChoice> chooseOffer(const RunnerRequest& request,
                                           const Candidates& candidates, bool by_prompt,
                                           bool busy) const;
@@ -366,6 +370,10 @@
   std::unordered_map<uint64_t, std::shared_ptr<Runner>> by_fingerprint_;
   struct ServiceRunners {
     Candidates runners;
+    /// Their processes fail if they decline more than `max_declines` requests within a second, as
+    /// they said themselves; until this time if none of them repeats it.
+    int64_t brittle_until_ms = 0;
+    uint32_t max_declines = 0;
     /// This relay has no network path to them.
     bool path_lost = false;
     /// Requests of this relay since the last load totals, and between those and the ones before.
--- a/src/core/scheduling/slot_owner.cc
+++ b/src/core/scheduling/slot_owner.cc
@@ -20,6 +20,8 @@
 /// Time after which a runner that grants no slots may be tried again. Relays need not wait for it
 /// after an evacuation: they are notified of its end and then send claims again.
 constexpr uint32_t kNoSlotsRetryMs = 500;
+/// Period over which the declines of brittle runners are counted.
+constexpr int64_t kDeclinePeriodMs = 1000;
 
 } // namespace
 
@@ -50,6 +52,7 @@
   setSlotsInUse(slots, usage, report.held());
   service_times_.recordLoad(report.runner(), slots.load, now_ms);
   service_times_.recordEnded(report.runner(), report.outcomes(), now_ms);
+  recordDeclines(slots, report.outcomes().declined(), now_ms);
   recordPromptReads(slots, slots.engine.applyReport(relay, report, now_ms), now_ms);
 }
 
@@ -131,6 +134,31 @@
   slots.engine.add(relay, claim.use(), claim.demand(), now_ms);
 }
 
+void SlotOwner::recordDeclines(SlotState& slots, uint32_t declines, int64_t now_ms) {
+  if (declines == 0) {
+    return;
+  }
+  if (now_ms - slots.declines_since_ms >= kDeclinePeriodMs) {
+    slots.declines = 0;
+    slots.declines_since_ms = now_ms;
+  }
+  slots.declines += declines;
+}
+
+/// @return 0 if a brittle runner may be sent another request that it may decline, else the delay in
+/// milliseconds until it may.
+uint32_t SlotOwner::brittleDelayMs(const SlotState& slots, const v1::PlaceClaim& claim,
+                                   int64_t now_ms) {
+  if (claim.brittle_declines() == 0) {
+    return 0;
+  }
+  // The other half is left to requests that are on their way.
+  const uint32_t allowed = (claim.brittle_declines() - 1) / 2;
+  const int64_t left_ms = slots.declines_since_ms + kDeclinePeriodMs - now_ms;
+  const bool held = slots.declines != 0 && slots.declines >= allowed && left_ms > 0;
+  return held ? static_cast<uint32_t>(left_ms) : 0;
+}
+
 /// @return 0 if the rate limit of a cold runner allows another request, else the delay in
 /// milliseconds until it does.
 uint32_t SlotOwner::rateLimitDelayMs(SlotState& slots, const v1::PlaceClaim& claim,
@@ -186,6 +214,10 @@
   const bool learning = now_ms - slots.known_since_ms < kLearningPeriodMs;
   const uint32_t load = learning ? std::max(slots.load, runner.reported_load) : slots.load;
   const PlainRunnerReport plain = reportPlain(slots, claim, runner, load, now_ms);
+  if (const uint32_t wait_ms = brittleDelayMs(slots, claim, now_ms); wait_ms != 0) {
+    return Decision{
+        .load = load, .wait_ms = wait_ms, .refusal = v1::PLACE_REFUSAL_HELD_BACK, .plain = plain};
+  }
   if (runner.evacuated) {
     return Decision{.load = load,
                     .wait_ms = kNoSlotsRetryMs,
--- a/src/core/scheduling/slot_owner.h
+++ b/src/core/scheduling/slot_owner.h
@@ -63,6 +63,9 @@
 /// The slots of a cold runner are granted at its rate limit, whichever relay reports that it is
 /// cold. No slots are granted at a runner in an evacuated zone.
 ///
+/// A brittle runner, whose process fails if it declines too many requests within a second, is
+/// granted no slots for a second after it declined half as many.
+///
 /// Plain runners are limited by the expected time of a request where it is known
 /// (service_times.h).
 ///
@@ -143,6 +146,9 @@
     int64_t cold_until_ms = 0;
     /// Limits the grants while the runner is cold; empty while it is warm.
     std::optional<SlotRateLimiter> rate_limiter;
+    /// Requests that the runner declined within the second that began at `declines_since_ms`.
+    uint32_t declines = 0;
+    int64_t declines_since_ms = 0;
     /// Prompts in progress, and the speed of the engine. Unused for plain runners.
     EngineLoad engine;
     EngineReadFactor read_factor;
@@ -162,6 +168,9 @@
   };
 
   SlotState& slotStateOf(uint64_t runner, int64_t now_ms);
+  static void recordDeclines(SlotState& slots, uint32_t declines, int64_t now_ms);
+  static uint32_t brittleDelayMs(const SlotState& slots, const v1::PlaceClaim& claim,
+                                 int64_t now_ms);
   uint32_t rateLimitDelayMs(SlotState& slots, const v1::PlaceClaim& claim,
                             const OwnedRunner& runner, int64_t now_ms) const;
   static void setSlotsInUse(SlotState& slots, Usage& usage, uint32_t slots_in_use);
--- a/src/core/scheduling/slot_usage.cc
+++ b/src/core/scheduling/slot_usage.cc
@@ -56,6 +56,8 @@
   v1::RunnerOutcomes& ended = ended_[runner];
   if (end == RequestEnd::Completed) {
     ended.set_completed(ended.completed() + 1);
+  } else if (end == RequestEnd::Declined) {
+    ended.set_declined(ended.declined() + 1);
   } else {
     ended.set_failed(ended.failed() + 1);
   }
--- a/src/core/scheduling/slot_usage.h
+++ b/src/core/scheduling/slot_usage.h
@@ -16,7 +16,9 @@
   Completed,
   /// The runner failed the request or broke it off.
   Failed,
-  /// The request did not run, or was ended by its caller or by a time limit.
+  /// The runner declined the request for want of room.
+  Declined,
+  /// The request did not run for another reason, or was ended by its caller or by a time limit.
   NoEvidence,
 };
 
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -249,7 +249,9 @@
                    .cold_ms = cold_ms,
                    .demand = promptDemand(),
                    .prompt_limits = choice.prompt_limits,
-                   .start_within_ms = choice.start_within_ms};
+                   .start_within_ms = choice.start_within_ms,
+                   .max_declines =
+                       state_.runners.maxDeclines(request_.service, state_.clock.monotonicMs())};
 }
 
 void ActiveRequest::recordRefusal(const SlotClaimResult& reply) {
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -339,6 +339,9 @@
 /// @return how the request ended, for the measurement of a plain runner. An attempt is no evidence
 /// if it ended at a time limit, was ended by the caller or this relay, or did not run.
 relay::RequestEnd ActiveRequest::requestEnd(const AttemptResult& result) const {
+  if (result.outcome == relay::AttemptOutcome::Refused) {
+    return relay::RequestEnd::Declined;
+  }
   if (request_.engine) {
     return relay::RequestEnd::NoEvidence;
   }
--- a/src/daemon/relay/slot_client.cc
+++ b/src/daemon/relay/slot_client.cc
@@ -101,6 +101,7 @@
   claim.set_limit(request.limit);
   claim.set_cold_ms(request.cold_ms);
   claim.set_kv_limit(request.prompt_limits.kv_limit);
+  claim.set_brittle_declines(request.max_declines ? *request.max_declines + 1 : 0);
   claim.set_start_within_ms(request.demand ? request.prompt_limits.start_within_ms
                                            : request.start_within_ms);
   if (request.demand) {
--- a/src/daemon/relay/slot_client.h
+++ b/src/daemon/relay/slot_client.h
@@ -68,6 +68,9 @@
   /// Longest expected time in milliseconds until the end of a request to a plain runner; 0: no
   /// limit. Used only without a demand; the limit of a prompt is that of `prompt_limits`.
   uint32_t start_within_ms = 0;
+  /// Requests that the runner can decline within a second before its process fails; empty: not
+  /// stated.
+  std::optional<uint32_t> max_declines;
 };
 
 enum class SlotVerdict {
