Connections to runners that are silent for a second or so are kept

What callers would see: a request in progress at a runner that is silent for a second fails with 502. By reading, after the users' note that a user timeout also decides when keep-alive probes give up: connections to runners had probes after 1 s, 2 of them, and a user timeout of 1.5 s, so that they ended after 2 s without an answer instead of 3 s.

Change: 3 s while a request is in progress; 1.5 s while a connection is idle, since a new one costs less than a request on a dead one. The number of probes follows from the timeout, so that both give the same time.

--- a/src/adapters/http/runner_connection.cc
+++ b/src/adapters/http/runner_connection.cc
@@ -23,7 +23,6 @@
 constexpr size_t kReadSize = 4096;
 /// Size limit of the header of a response.
 constexpr uint32_t kHeaderBytes = 32U * 1024;
-constexpr std::chrono::milliseconds kPeerTimeout{1500};
 constexpr size_t kMaxIdlePerAddress = 8;
 
 } // namespace
@@ -64,7 +63,7 @@
     close();
     co_return makeError(CallPhase::NotSent, error);
   }
-  tcp_options::configure(socket_, kPeerTimeout);
+  tcp_options::configure(socket_, tcp_options::kRequestPeerTimeout);
   co_return std::nullopt;
 }
 
@@ -128,6 +127,11 @@
   co_return std::string();
 }
 
+void RunnerConnection::setIdle(bool idle) {
+  tcp_options::setPeerTimeout(socket_, idle ? tcp_options::kIdlePeerTimeout
+                                            : tcp_options::kRequestPeerTimeout);
+}
+
 void RunnerConnection::close() {
   closed_ = true;
   error_code ignored;
@@ -156,6 +160,7 @@
     Idle idle = std::move(idle_connections.back());
     idle_connections.pop_back();
     if (idle.expires_ms > now && idle.connection->hasNoPendingInput()) {
+      idle.connection->setIdle(false);
       return idle.connection;
     }
     idle.connection->close();
@@ -172,6 +177,7 @@
     return;
   }
   const int64_t expires_ms = clock_.monotonicMs() + keep_alive_ms;
+  connection->setIdle(true);
   idle_connections.push_back(Idle{.connection = std::move(connection), .expires_ms = expires_ms});
 }
 
--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -49,6 +49,9 @@
   /// @return the next part of the body; empty at the end of the body.
   awaitable<std::variant<std::string, CallError>> read(std::chrono::milliseconds timeout);
 
+  /// Sets how soon the connection fails if the runner is silent: sooner while it is idle.
+  void setIdle(bool idle);
+
   /// Closes the connection. Operations in progress fail.
   void close();
 
--- a/src/adapters/tcp_options.cc
+++ b/src/adapters/tcp_options.cc
@@ -4,13 +4,15 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace workshatch::tcp_options {
 
 namespace {
 
 constexpr int kProbeIdleS = 1;
 constexpr int kProbeIntervalS = 1;
-constexpr int kProbeCount = 2;
+constexpr int kMsPerSecond = 1000;
 
 void set(int handle, int level, int name, int value) {
   // Errors are ignored: without an option, failures are detected later, with no other effect.
@@ -22,11 +24,20 @@
 void configure(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds peer_timeout) {
   const int handle = socket.native_handle();
   set(handle, IPPROTO_TCP, TCP_NODELAY, 1);
-  set(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(peer_timeout.count()));
   set(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
   set(handle, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIdleS);
   set(handle, IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalS);
-  set(handle, IPPROTO_TCP, TCP_KEEPCNT, kProbeCount);
+  setPeerTimeout(socket, peer_timeout);
+}
+
+void setPeerTimeout(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds peer_timeout) {
+  const int handle = socket.native_handle();
+  // Linux applies the user timeout to probes too, whatever their number; the number gives the same
+  // time on other systems.
+  const auto timeout_ms = static_cast<int>(peer_timeout.count());
+  const int seconds = (timeout_ms + kMsPerSecond - 1) / kMsPerSecond;
+  set(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, timeout_ms);
+  set(handle, IPPROTO_TCP, TCP_KEEPCNT, std::max((seconds - kProbeIdleS) / kProbeIntervalS, 1));
 }
 
 } // namespace workshatch::tcp_options
--- a/src/adapters/tcp_options.h
+++ b/src/adapters/tcp_options.h
@@ -8,9 +8,18 @@
 
 namespace workshatch::tcp_options {
 
+/// Peer timeout of a connection with a request in progress. A runner may be silent for a second or
+/// so and go on.
+inline constexpr std::chrono::milliseconds kRequestPeerTimeout{3000};
+/// Peer timeout of an idle connection: a new one costs less than a request on a dead one.
+inline constexpr std::chrono::milliseconds kIdlePeerTimeout{1500};
+
 /// Disables Nagle's algorithm, enables keep-alive probes, and sets the time after which a
 /// connection fails if its peer does not acknowledge sent data or probes.
-/// @param peer_timeout time without an acknowledgement
+/// @param peer_timeout time without an acknowledgement; probes are sent each second
 void configure(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds peer_timeout);
 
+/// Changes the time after which a configured connection fails.
+void setPeerTimeout(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds peer_timeout);
+
 } // namespace workshatch::tcp_options
