--- a/tests/unit/daemon/fleet/partition_test.cc
+++ b/tests/unit/daemon/fleet/partition_test.cc
@@ -1,6 +1,7 @@
 /// @file
 /// Tests of relays that lose their path to all runners while callers, the group and the other
 /// relays still reach them. The tests are named after the failures that they guard against.
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <vector>
@@ -15,7 +16,8 @@
 
 constexpr size_t kRelays = 4;
 constexpr size_t kRunners = 4;
-/// Time after the beginning of a partition from which on callers must be served.
+/// Time after the beginning of a partition from which on callers must be served. A test goes on as
+/// soon as they are.
 constexpr std::chrono::milliseconds kSettleTime{3000};
 /// First tries at each relay in a measurement, and how many of them may fail: 5 in 100.
 constexpr size_t kTries = 40;
@@ -34,8 +36,18 @@
   return failed <= kMayFail;
 }
 
-/// Sends requests to all relays in turn for a time, so that idle connections to runners exist or
-/// a partition is noticed.
+/// @return whether the next requests to the relay are all served.
+bool servesNext(TestFleet& fleet, size_t relay) {
+  constexpr size_t kInARow = 5;
+  for (size_t i = 0; i < kInARow; ++i) {
+    if (!isServed(fleet, relay)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/// Sends requests to all relays in turn for a time, so that idle connections to runners exist.
 void sendToAll(TestFleet& fleet, std::chrono::milliseconds time) {
   const auto until = std::chrono::steady_clock::now() + time;
   for (size_t i = 0; std::chrono::steady_clock::now() < until; ++i) {
@@ -66,7 +78,13 @@
       CAPTURE(static_cast<int>(kind));
       sendToAll(fleet, kWarmUp);
       partition(fleet, cut, kind);
-      sendToAll(fleet, kSettleTime);
+      const auto cut_at = std::chrono::steady_clock::now();
+      for (size_t relay = 0; relay < cut; ++relay) {
+        const auto spent = std::chrono::steady_clock::now() - cut_at;
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::max<std::chrono::steady_clock::duration>(kSettleTime - spent, {}));
+        within(left, [&] { return servesNext(fleet, relay); });
+      }
       for (size_t relay = 0; relay < kRelays; ++relay) {
         CAPTURE(relay);
         CHECK(servesCallers(fleet, relay));
@@ -77,4 +95,30 @@
   }
 }
 
+TEST_CASE("Callers wait for one timeout after another while no relay has a path to the runners") {
+  constexpr std::chrono::milliseconds kWarmUp{300};
+  /// Less than a single connection attempt takes.
+  constexpr std::chrono::milliseconds kAtOnce{250};
+  TestFleet fleet = makeFleet(18660);
+  sendToAll(fleet, kWarmUp);
+  partition(fleet, kRelays, Partition::Hang);
+  const auto refusedAtOnce = [&](size_t relay) {
+    const auto begin = std::chrono::steady_clock::now();
+    const std::string answer = fleet.sendRequest(relay, "hi");
+    return answer.find("no_path") != std::string::npos &&
+           answer.find("Retry-After") != std::string::npos &&
+           std::chrono::steady_clock::now() - begin < kAtOnce;
+  };
+  for (size_t relay = 0; relay < kRelays; ++relay) {
+    CAPTURE(relay);
+    CHECK(within(kTestTimeout, [&] { return refusedAtOnce(relay); }));
+  }
+  CHECK(refusedAtOnce(0));
+  partition(fleet, kRelays, Partition::None);
+  for (size_t relay = 0; relay < kRelays; ++relay) {
+    CAPTURE(relay);
+    CHECK(within(kSettleTime, [&] { return servesNext(fleet, relay); }));
+  }
+}
+
 } // namespace workshatch::test
