Stand-in runners announce that they close their connections

Seen: the unit test 'A repeatable request is sent to another runner after a failure' failed once, in a whole run. Cause, by the log of that run: ScriptedRunner closes each connection after its answer without saying so; the relay took the kept connection to runner-2 before the reset arrived ('Connection reset by peer'), and the one attempt left went to the runner that fails.

--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -255,11 +255,14 @@
   return request.substr(begin, request.find("\r\n", begin) - begin);
 }
 
-/// @return a signed response with a body to the request with this id.
+/// @return a signed response with a body to the request with this id. It announces that the
+/// connection is closed, as a ScriptedRunner does after each response: a relay that took it for
+/// open could send the next request on it.
 inline std::string signedAnswer(const std::string& id, const std::string& body,
                                 const std::string& status = "200 OK") {
   return "HTTP/1.1 " + status + "\r\nW-Request: " + id +
-         "\r\nW-Signature: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+         "\r\nW-Signature: s\r\nConnection: close\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 inline std::string streamHead(const std::string& id) {
