A test of rollouts waits for the restarted group before it asks for the status

Cause, by the log of that run: the group was restarted 120 ms before the check and had no leader yet (links lost for 'no_leader', no leadership_won in between); the wait before the check was for 100 requests since before the restart, which callers had sent meanwhile. The status was asked once, and the group answers that it can't be sure without a leader. Change: the wait counts from after the restart, and the status is asked until it is answered with 200; it must be 'rolled back' then.

--- a/tests/unit/daemon/fleet/rollout_test.cc
+++ b/tests/unit/daemon/fleet/rollout_test.cc
@@ -137,8 +137,14 @@
   for (size_t relay = 0; relay < kRelays; ++relay) {
     fleet.restartRelay(relay);
   }
-  REQUIRE(within(kTestTimeout, [&] { return fleet.requestsAtRunners() > at_former + 100; }));
+  const size_t after_restart = fleet.requestsAtRunners();
+  REQUIRE(within(kTestTimeout, [&] { return fleet.requestsAtRunners() > after_restart + 100; }));
   CHECK(fleet.requestsAtNewRunners() == at_new);
+  // Until it has a leader again, the group answers that it can't be sure.
+  const auto answered = [&] {
+    return fleet.operate(http::Verb::get, "/rollout/s").result() == http::Status::ok;
+  };
+  REQUIRE(within(kTestTimeout, answered));
   CHECK(rolloutState(fleet) == answerOf(RolloutState::RolledBack));
 }
 
