The next relay to forward to is chosen once; dead code and a misplaced comment go

Reading the change again: each forwarded request looked through the list of relays twice, once to decide whether to forward and once to choose (shouldForward, forward); now nextPeer does both. The refusal code 'not_forwarded' was never sent. The comment of two members of ActiveRequest had a third one between them.

--- a/src/core/relay/peer_relays.h
+++ b/src/core/relay/peer_relays.h
@@ -19,7 +19,15 @@
 /// @return whether the relay reports that it has no path to the runners of the service.
 bool hasLostPath(const v1::RelayEntry& relay, uint64_t service);
 
-/// The other relays, and what this relay knows of them as forwarders. Times are milliseconds of the
+/// The other relays, and what this relay knows of them as forwarders.
+///
+/// Load pattern: some or most relays of a fleet lose their path to a service at once and forward
+/// all their requests to the rest. If all of them chose the nearest relay, or the same one, it
+/// would get the load of all. Two random draws spread the requests, and the forwarder's own
+/// requests in progress tell the slower of the two.
+///
+/// Limits: the choice does not know the load of a relay by others; a relay that lost its path since
+/// the last list refuses, and the next one is tried. Times are milliseconds of the
 /// monotonic clock. Not safe for concurrent use.
 class PeerRelays {
 public:
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -118,8 +118,8 @@
   }
   // A quarantined request would crash the next runner too, and fail all other requests there.
   while (!interrupted() && !blocked()) {
-    if (shouldForward()) {
-      const bool go_on = co_await forward();
+    if (auto peer = nextPeer()) {
+      const bool go_on = co_await forward(*std::move(peer));
       if (!go_on) {
         break;
       }
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -123,8 +123,8 @@
   http::Response responseHead() const;
 
   // Forwarding to another relay (active_request_forward.cc).
-  bool shouldForward() const;
-  http::awaitable<bool> forward();
+  std::optional<std::string> nextPeer() const;
+  http::awaitable<bool> forward(std::string peer);
   http::awaitable<AttemptEnd> forwardTo(const std::string& peer);
   http::awaitable<AttemptEnd> callPeer(const std::string& peer);
   http::awaitable<AttemptEnd> handlePeerAnswer();
@@ -215,11 +215,11 @@
   int64_t waited_until_ms_ = 0;
   /// Attempts whose connection did not come up.
   uint32_t unreached_ = 0;
-  /// The current attempt is one at a runner, and when it last received anything; zero: it has not
-  /// sent the request.
+  /// The current attempt is one at a runner.
   bool at_runner_ = false;
   /// The current attempt was given up because it hung while the path to the runners was lost.
   bool hung_ = false;
+  /// When the current attempt last received anything from its runner; zero: it has not.
   int64_t last_received_ms_ = 0;
   /// Addresses of the relays to which the request was forwarded, and how the last of them
   /// responded.
--- a/src/daemon/relay/active_request_forward.cc
+++ b/src/daemon/relay/active_request_forward.cc
@@ -24,30 +24,30 @@
 
 } // namespace
 
-bool ActiveRequest::shouldForward() const {
+/// @return the relay to forward the request to next; nullopt: it is not to be forwarded, or no
+/// relay is known to have a path.
+std::optional<std::string> ActiveRequest::nextPeer() const {
   if (!state_.path_prober || request_.origin || peers_tried_.size() >= kMaxPeers) {
-    return false;
+    return std::nullopt;
   }
-  const bool wanted = pathLost() || unreached_ >= kUnreachedForForwarding;
-  return wanted && state_.peer_relays.choose(request_.service, peers_tried_, request_.rank.draw,
-                                             state_.clock.monotonicMs());
+  if (!pathLost() && unreached_ < kUnreachedForForwarding) {
+    return std::nullopt;
+  }
+  const uint64_t draw = request_.rank.draw + peers_tried_.size();
+  return state_.peer_relays.choose(request_.service, peers_tried_, draw,
+                                   state_.clock.monotonicMs());
 }
 
 /// Forwards the request to one relay. @return whether to go on with other relays or runners.
-http::awaitable<bool> ActiveRequest::forward() {
+http::awaitable<bool> ActiveRequest::forward(std::string peer) {
   if (!takeRetryFromBudget()) {
     co_return false;
   }
-  const uint64_t draw = request_.rank.draw + peers_tried_.size();
-  const auto peer =
-      state_.peer_relays.choose(request_.service, peers_tried_, draw, state_.clock.monotonicMs());
-  if (!peer) {
-    co_return true;
-  }
-  peers_tried_.push_back(*peer);
+  peers_tried_.push_back(peer);
   no_runner_.reset();
-  last_end_ = co_await forwardTo(*peer);
-  co_return last_end_ != AttemptEnd::Answered&& mayTryAgain(last_end_);
+  last_end_ = co_await forwardTo(peer);
+  const bool answered = last_end_ == AttemptEnd::Answered;
+  co_return !answered && mayTryAgain(last_end_);
 }
 
 http::awaitable<ActiveRequest::AttemptEnd> ActiveRequest::forwardTo(const std::string& peer) {
--- a/src/daemon/relay/request_format.cc
+++ b/src/daemon/relay/request_format.cc
@@ -20,9 +20,9 @@
 constexpr std::string_view kRefusalHeader = "Workshatch-Refusal";
 /// Codes of refusals whose reason lies in the relay that refused; another one may serve the
 /// request.
-constexpr std::array<std::string_view, 8> kPeerCodes = {
-    "stopping",      "no_lease",        "no_configuration", "older_configuration",
-    "not_forwarded", "all_backing_off", "no_runner",        kNoPathCode};
+constexpr std::array<std::string_view, 7> kPeerCodes = {
+    "stopping",        "no_lease",  "no_configuration", "older_configuration",
+    "all_backing_off", "no_runner", kNoPathCode};
 
 bool sameName(std::string_view left, std::string_view right) {
   return boost::beast::iequals(boost::beast::string_view(left.data(), left.size()),
