--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -370,6 +370,7 @@
 
 void ActiveRequest::recordChoice(const relay::RunnerChoice& choice) {
   tried_.push_back(choice.runner->entry.id());
+  tried_versions_.push_back(choice.runner->entry.version());
   load_at_choice_ = choice.runner->load();
   passed_over_ = choice.passed_over;
   slot_limit_ = choice.limit;
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -227,8 +227,9 @@
   std::string forward_outcome_;
   /// Outcome of an answered request in the log.
   std::string answered_as_ = "answered";
-  /// Ids of the runners that were chosen for attempts.
+  /// Ids of the runners that were chosen for attempts, and the versions of their software.
   std::vector<std::string> tried_;
+  std::vector<std::string> tried_versions_;
   /// The request uses a trial of the version on trial and has not been sent yet.
   bool trial_ = false;
   /// Claims for a slot that were refused, in the current search and in all searches.
--- a/src/daemon/relay/active_request_outcome.cc
+++ b/src/daemon/relay/active_request_outcome.cc
@@ -165,6 +165,8 @@
        {"route", request_.route->name},
        {"service", request_.service},
        {"tried", tried_},
+       {"versions", tried_versions_},
+       {"resumes", request_.resumes},
        {"runner_load", load_at_choice_},
        {"passed_over", passed_over_},
        {"priority", request_.rank.priority},
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -175,6 +175,7 @@
   relayed.identity =
       relay::identityOf(relayed.tenant == nullptr ? "" : relayed.tenant->name,
                         http::viewOf(request.method_string()), target, request.body());
+  relayed.resumes = http::fieldOf(request, names.resumes).value_or("");
   relayed.rank.draw = routing::fingerprintOf(id);
   relayed.service = relay::RouteTable::pickService(*relayed.route, relayed.rank.draw);
   const int64_t allowed_ms = relayed.route->timeout_ms;
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -30,6 +30,9 @@
   std::shared_ptr<const relay::Tenant> tenant;
   std::string service;
   std::string id;
+  /// Request id of the attempt that brought the first event of the stream that the caller resumes;
+  /// empty if the request does not name one.
+  std::string resumes;
   /// Equal for all requests with the same tenant, method, target and body.
   relay::RequestIdentity identity;
   int64_t received_ms = 0;
--- a/src/ports/relay_dialect.h
+++ b/src/ports/relay_dialect.h
@@ -40,6 +40,9 @@
   std::string load;
   /// ID of the last event that the caller has received.
   std::string last_event;
+  /// Request id of the attempt that brought the first event of a stream, sent by a caller that
+  /// resumes the stream.
+  std::string resumes;
   /// Address of a runner from which the engine fetches cached prefix blocks that it lacks.
   std::string fetch_from;
   /// Headers that runners obey as instructions of the system. They are removed from callers'
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -86,6 +86,7 @@
         .signature = "W-Signature",
         .load = "W-Load",
         .last_event = "Last-Event-Id",
+        .resumes = "W-Resumes",
         .fetch_from = "W-Fetch",
         .system_only = {"W-Tenant", "W-Runner", "W-Priority", "W-Fetch", "W-Reserved"}};
     return names;
@@ -395,15 +396,21 @@
 /// Decodes every document as a configuration with one route and one service.
 class OneRouteCodec : public ConfigurationCodec {
 public:
+  explicit OneRouteCodec(relay::Route route = testRoute(relay::RouteKind::RunOnce, 1))
+      : route_(std::move(route)) {}
+
   Result<relay::Configuration> decode(std::string_view) const override {
     relay::Configuration configuration;
     configuration.version = 1;
     configuration.services = {relay::Service{.name = "s"}};
     configuration.tenants = {relay::Tenant{.name = "tenant-1", .keys = {"key-1"}},
                              relay::Tenant{.name = "tenant-2", .keys = {"key-2"}}};
-    configuration.routes = {testRoute(relay::RouteKind::RunOnce, 1)};
+    configuration.routes = {route_};
     return configuration;
   }
+
+private:
+  const relay::Route route_;
 };
 
 } // namespace workshatch::test
