--- a/tests/unit/daemon/fleet/test_fleet.h
+++ b/tests/unit/daemon/fleet/test_fleet.h
@@ -23,6 +23,7 @@
 #include "daemon/group/group_role.h"
 #include "daemon/relay/relay_role.h"
 #include "unit/daemon/fleet/partition.h"
+#include "unit/daemon/fleet/streaming_runner.h"
 #include "unit/daemon/relay/relay_fixture.h"
 
 namespace workshatch::test {
@@ -207,6 +208,11 @@
   /// Number of runners that keep connections open and can be cut from single relays. They are
   /// listed beside the others.
   size_t keeping_runners = 0;
+  /// Versions of the runners that stream events, one for each runner. They are listed beside the
+  /// others.
+  std::vector<std::string> streaming_versions;
+  /// The only route of the configuration.
+  relay::Route route = testRoute(relay::RouteKind::RunOnce, 1);
   /// First of five consecutive ports that no other test may use.
   uint16_t first_port = 0;
   /// Time until a crashed runner restarts; zero if it stays down.
@@ -218,7 +224,7 @@
 class TestFleet {
 public:
   explicit TestFleet(const FleetOptions& options)
-      : policy_(options.policy), first_port_(options.first_port),
+      : policy_(options.policy), first_port_(options.first_port), configurations_(options.route),
         folder_(std::filesystem::temp_directory_path() /
                 ("workshatch-fleet-test-" + std::to_string(options.first_port))),
         list_([this](auto& socket, const auto&) { sendRunnerList(socket); }) {
@@ -233,8 +239,12 @@
     for (size_t i = 0; i < options.keeping_runners; ++i) {
       keeping_runners_.push_back(std::make_unique<KeepingRunner>(std::chrono::milliseconds(5)));
     }
-    for (size_t i = 0; i < options.relays && options.keeping_runners > 0; ++i) {
-      gates_.push_back(std::make_unique<RunnerGates>(keepingRunnerAddresses()));
+    for (const std::string& version : options.streaming_versions) {
+      streaming_runners_.push_back(
+          std::make_unique<StreamingRunner>(version, std::chrono::milliseconds(20)));
+    }
+    for (size_t i = 0; i < options.relays && !gatedRunnerAddresses().empty(); ++i) {
+      gates_.push_back(std::make_unique<RunnerGates>(gatedRunnerAddresses()));
     }
     startGroup(true);
     REQUIRE(within(kTestTimeout, [&] { return configurationTaken(); }));
@@ -247,10 +257,11 @@
     }
   }
   ~TestFleet() {
-    for (auto& relay : relays_) {
-      relay->workers.stop();
+    for (size_t i = 0; i < relays_.size(); ++i) {
+      if (relays_[i]) {
+        crashRelay(i);
+      }
     }
-    relays_.clear();
     stopGroup();
     std::filesystem::remove_all(folder_);
   }
@@ -262,28 +273,40 @@
     stopGroup();
     startGroup(false);
   }
-  /// Simulates a crash and restart of a relay's process.
-  void restartRelay(size_t relay) {
+  /// Simulates a crash of a relay's process.
+  void crashRelay(size_t relay) {
     relays_[relay]->workers.stop();
     relays_[relay].reset();
+  }
+  /// Simulates a crash and restart of a relay's process.
+  void restartRelay(size_t relay) {
+    if (relays_[relay]) {
+      crashRelay(relay);
+    }
     relays_[relay] = startRelay(relay);
   }
 
-  /// Sets the partition between a relay and all runners that keep connections open.
+  /// Sets the partition between a relay and all runners that keep connections open or stream.
   void partition(size_t relay, Partition partition) { gates_[relay]->set(partition); }
 
+  /// @return a request id that was not used before.
+  std::string newRequestId() { return "q" + std::to_string(++requests_sent_); }
+  /// Sends a request to a relay. @return the complete response; if the connection was closed before
+  /// its end, what was received until then.
+  std::string sendRequest(size_t relay, const CallerRequest& request) const {
+    return answerTo(requestText(request), callerAddress(relay));
+  }
   /// Sends a request with a body of two bytes to a relay. @return the complete response.
   std::string sendRequest(size_t relay, const std::string& body, const std::string& key = "key-1") {
-    // Each request has its own id.
-    const std::string id = "q" + std::to_string(++requests_sent_);
-    return answerTo(requestText(CallerRequest{.id = id, .key = key, .body = body}),
-                    callerAddress(relay));
+    return sendRequest(relay, CallerRequest{.id = newRequestId(), .key = key, .body = body});
   }
 
   /// Makes the platform list the runners of version "v2" from now on.
   void startNewRunners() { new_runners_started_ = true; }
   CrashingRunner& newRunner(size_t number) { return *new_runners_[number]; }
   CrashingRunner& runner(size_t number) { return *runners_[number]; }
+  StreamingRunner& streamingRunner(size_t number) { return *streaming_runners_[number]; }
+  size_t streamingRunnerCount() const { return streaming_runners_.size(); }
   size_t requestsAtNewRunners() const { return requestsAt(new_runners_); }
   size_t requestsAtRunners() const { return requestsAt(runners_); }
   /// Makes a call of an operator. @return the response; without one, an empty body and status 0.
@@ -336,11 +359,15 @@
     return requests;
   }
 
-  std::vector<std::string> keepingRunnerAddresses() const {
+  /// Addresses of the runners that can be cut from single relays.
+  std::vector<std::string> gatedRunnerAddresses() const {
     std::vector<std::string> addresses;
     for (const auto& runner : keeping_runners_) {
       addresses.push_back(runner->address());
     }
+    for (const auto& runner : streaming_runners_) {
+      addresses.push_back(runner->address());
+    }
     return addresses;
   }
 
@@ -421,6 +448,13 @@
     for (size_t i = 0; i < keeping_runners_.size(); ++i) {
       lines += "keeping-" + std::to_string(i) + " " + keeping_runners_[i]->address() + " v1\n";
     }
+    for (size_t i = 0; i < streaming_runners_.size(); ++i) {
+      const StreamingRunner& runner = *streaming_runners_[i];
+      if (runner.listed()) {
+        lines += "streaming-" + std::to_string(i) + " " + runner.address() + " " +
+                 runner.version() + "\n";
+      }
+    }
     for (size_t i = 0; new_runners_started_ && i < new_runners_.size(); ++i) {
       lines += "new-" + std::to_string(i) + " " + new_runners_[i]->address() + " v2\n";
     }
@@ -433,11 +467,12 @@
   const std::filesystem::path folder_;
   const SystemClock clock_{};
   const TestDialect dialect_{};
-  const OneRouteCodec configurations_{};
+  const OneRouteCodec configurations_;
   const LinesCodec lists_{};
   std::vector<std::unique_ptr<CrashingRunner>> runners_;
   std::vector<std::unique_ptr<CrashingRunner>> new_runners_;
   std::vector<std::unique_ptr<KeepingRunner>> keeping_runners_;
+  std::vector<std::unique_ptr<StreamingRunner>> streaming_runners_;
   /// The connections of each relay to the runners that keep connections open.
   std::vector<std::unique_ptr<RunnerGates>> gates_;
   std::atomic<bool> new_runners_started_{false};
