A stream goes on only at runners of the software version that began it

What callers saw: events of two software versions in one stream, in one answer or over their attempts.

Cause: a runner of a service was taken for any other. The relay that goes on with a stream chose any runner; no relay remembered a stream beyond its own attempt, and none read the header by which a caller names it. Ruled out as the only cause: old lists and reborn ids (no list changes in the test).

Unknown version or no runner of it: refused at once, not run. The same class: prefixes are copied within a version only, a resumed stream stays at the service that began it, an id at another version is another incarnation, a runner that left the list is not sent anything any more, forwarded streams carry their version.

A service of one version stores no record.

--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -164,6 +164,7 @@
     {"part_directory", &relay::Policy::part_directory},
     {"quarantine", &relay::Policy::quarantine},
     {"peer_forwarding", &relay::Policy::peer_forwarding},
+    {"stream_versions", &relay::Policy::stream_versions},
     {"shared_loads", &relay::Policy::shared_loads},
     {"shared_suspicions", &relay::Policy::shared_suspicions},
     {"hold_downs", &relay::Policy::hold_downs},
--- a/src/core/relay/policy.h
+++ b/src/core/relay/policy.h
@@ -18,6 +18,9 @@
   /// A relay detects that it has lost its network path to the runners of a service, says so, and
   /// forwards requests for them to relays that have one; off: it tries one runner after another.
   bool peer_forwarding = true;
+  /// A stream goes on only at runners of the version that began it, and is refused if nobody knows
+  /// that version; off: at any runner of the service.
+  bool stream_versions = true;
   /// Requests of the other relays are included in a runner's load.
   bool shared_loads = true;
   /// Runners that two relays report as suspects are avoided by all relays.
--- a/src/core/relay/runner.h
+++ b/src/core/relay/runner.h
@@ -61,6 +61,9 @@
   uint32_t service_time_ms = 0;
   uint32_t failed_percent = 0;
   int64_t service_reported_ms = 0;
+  /// When this relay last found that the runner's process had ended; 0: never. A process that
+  /// listens there since may run another version than the list says.
+  int64_t process_ended_ms = 0;
   /// The runner counts as cold until this time.
   int64_t cold_until_ms = 0;
   /// When the runner was added to the list; zero: it was in the first list.
--- a/src/core/relay/runner_choice.cc
+++ b/src/core/relay/runner_choice.cc
@@ -29,8 +29,29 @@
          request.unsuitable.end();
 }
 
+/// Time for which the list may still name the version of a process that has ended.
+constexpr int64_t kListAgeMs = 10'000;
+
+/// @return whether the runner has the version that the request needs, as far as is known.
+bool hasVersionFor(const RunnerRequest& request, const Runner& runner) {
+  if (!request.version) {
+    return true;
+  }
+  const bool replaced =
+      runner.process_ended_ms != 0 && request.now_ms - runner.process_ended_ms < kListAgeMs;
+  return runner.entry.version() == *request.version && !replaced;
+}
+
 } // namespace
 
+/// @return whether the request may go to the runner by the orders of operators, the request's
+/// regions and its version.
+bool RunnerTable::mayServe(const RunnerRequest& request, const Runner& runner) const {
+  return !runner.isLeaving() && !runner.evacuated && hasVersionFor(request, runner) &&
+         isAdmittedByRollout(runner, request.trial, request.version.has_value()) &&
+         isHome(request.home_regions, runner);
+}
+
 RunnerTable::CandidateSet RunnerTable::candidatesFor(const RunnerRequest& request) const {
   CandidateSet candidate_set;
   Candidates& usable = candidate_set.runners;
@@ -39,16 +60,12 @@
   if (service == services_.end()) {
     return candidate_set;
   }
-  const v1::Rollout* rollout = rollouts_.findRollout(request.service);
   usable.reserve(service->second.runners.size());
   // A version on trial is not avoided because of its failures, which are what the trial is to show.
   const auto failing = request.trial ? std::vector<const Runner*>()
                                      : findFailingRunners(service->second.runners, request.now_ms);
   for (const auto& runner : service->second.runners) {
-    const bool eligible =
-        !runner->isLeaving() && !runner->evacuated &&
-        (rollout == nullptr || admitsVersion(*rollout, runner->entry.version(), request.trial));
-    if (!eligible || !isHome(request.home_regions, *runner) || isExcluded(request, *runner)) {
+    if (!mayServe(request, *runner) || isExcluded(request, *runner)) {
       continue;
     }
     // A runner that requested a backoff is not even a last resort: its request is explicit, unlike
@@ -101,19 +118,19 @@
 }
 
 /// Mean load for the load cap. It covers the candidates and those runners of the service that get
-/// no requests because of an evacuation, a rollout or their own backoff, because the operators'
-/// bound counts these as well.
+/// no requests because of an evacuation, a rollout, their version or their own backoff, because the
+/// operators' bound counts these as well.
 double RunnerTable::meanForCap(const RunnerRequest& request, const Candidates& candidates) const {
   uint64_t load = 0;
   size_t counted = candidates.size();
   for (const auto& runner : candidates) {
     load += runner->load();
   }
-  const v1::Rollout* rollout = rollouts_.findRollout(request.service);
   for (const auto& runner : services_.at(request.service).runners) {
     const bool gets_no_requests =
         runner->evacuated || isBackingOff(*runner, request.now_ms) ||
-        (rollout != nullptr && !admitsVersion(*rollout, runner->entry.version(), request.trial));
+        !hasVersionFor(request, *runner) ||
+        !isAdmittedByRollout(*runner, request.trial, request.version.has_value());
     load += gets_no_requests ? runner->load() : 0;
     counted += gets_no_requests ? 1 : 0;
   }
@@ -353,7 +370,9 @@
                                                .avoided =
                                                    [&](const Runner& runner) {
                                                      return isAvoided(runner, request.now_ms) ||
-                                                            !isHome(request.home_regions, runner);
+                                                            !isHome(request.home_regions, runner) ||
+                                                            runner.entry.version() !=
+                                                                chosen.entry.version();
                                                    },
                                                .now_ms = request.now_ms});
 }
--- a/src/core/relay/runner_incarnation.h
+++ b/src/core/relay/runner_incarnation.h
@@ -28,9 +28,10 @@
 
 RunnerIncarnation incarnationOf(const v1::RunnerEntry& entry);
 
-/// @return whether two entries describe the same process.
+/// @return whether two entries describe the same process, which never changes its version.
 inline bool sameIncarnation(const v1::RunnerEntry& left, const v1::RunnerEntry& right) {
-  return left.id() == right.id() && left.born_ms() == right.born_ms();
+  return left.id() == right.id() && left.born_ms() == right.born_ms() &&
+         left.version() == right.version();
 }
 
 } // namespace workshatch::relay
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -79,6 +79,7 @@
   by_fingerprint_.clear();
   for (auto& [service, state] : services_) {
     state.runners.clear();
+    state.versions.clear(now_ms);
   }
   list_version_ = list.version();
   list_fingerprint_ = 0;
@@ -92,8 +93,9 @@
   }
 }
 
-void RunnerTable::delist(Runner& runner) {
+void RunnerTable::delist(Runner& runner, int64_t now_ms) {
   runner.gone = true;
+  services_[runner.entry.service()].versions.remove(runner.entry.version(), now_ms);
   list_fingerprint_ -= runner.entry_fingerprint;
   by_fingerprint_.erase(runner.fingerprint);
 }
@@ -131,7 +133,7 @@
   list_version_ = update.version();
   for (const std::string& id : update.removed()) {
     if (const auto runner = findById(runners_, id)) {
-      delist(*runner);
+      delist(*runner, now_ms);
     }
   }
   Candidates added;
@@ -140,7 +142,7 @@
     const bool moved = known && known->entry.service() != entry.service();
     auto runner = runnerFor(moved ? nullptr : known, entry, listed_since_ms);
     if (known) {
-      delist(*known);
+      delist(*known, now_ms);
     }
     const bool stays = runner == known;
     applyEntry(*runner, entry, now_ms);
@@ -179,6 +181,7 @@
   runner.version_unconfirmed = read_from_platform && !version_known;
   ++entries_applied_;
   runner.entry = entry;
+  services_[entry.service()].versions.add(entry.version(), now_ms);
   runner.entry_fingerprint = fingerprintOf(entry);
   // The cold time of an entry counts from now. The stored entry must not contain it, because the
   // next update would apply it again.
@@ -206,9 +209,16 @@
   }
 }
 
-bool RunnerTable::isAdmittedByRollout(const Runner& runner, bool trial) const {
+bool RunnerTable::isAdmittedByRollout(const Runner& runner, bool trial, bool resumes) const {
   const v1::Rollout* rollout = rollouts_.findRollout(runner.entry.service());
-  return rollout == nullptr || admitsVersion(*rollout, runner.entry.version(), trial);
+  // A stream that began before or during a rollout ends at its version, as long as that is served.
+  const bool stays = resumes && rollout != nullptr && isInProgress(*rollout);
+  return rollout == nullptr || stays || admitsVersion(*rollout, runner.entry.version(), trial);
+}
+
+const VersionMix* RunnerTable::versionsOf(const std::string& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? nullptr : &found->second.versions;
 }
 
 uint32_t RunnerTable::inProgressAtFormer(const v1::Rollout& rollout) const {
@@ -381,9 +391,11 @@
   return found == by_fingerprint_.end() ? nullptr : found->second;
 }
 
-bool RunnerTable::isCopySource(uint64_t fingerprint, int64_t now_ms) const {
-  const auto runner = find(fingerprint);
-  return runner && !isAvoided(*runner, now_ms);
+bool RunnerTable::isCopySource(uint64_t source, uint64_t target, int64_t now_ms) const {
+  const auto runner = find(source);
+  const auto copier = find(target);
+  const bool fits = !copier || (runner && runner->entry.version() == copier->entry.version());
+  return runner && fits && !isAvoided(*runner, now_ms);
 }
 
 OwnedRunner RunnerTable::ownedRunner(uint64_t fingerprint, int64_t now_ms) const {
@@ -441,6 +453,7 @@
 
 void RunnerTable::recordProcessEnded(uint64_t fingerprint, int64_t now_ms) const {
   if (const auto runner = find(fingerprint)) {
+    runner->process_ended_ms = now_ms;
     cold_runners_.recordProcessStart(*runner, now_ms);
   }
 }
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -22,6 +22,7 @@
 #include "core/relay/runner.h"
 #include "core/relay/runner_backoffs.h"
 #include "core/relay/runner_notice.h"
+#include "core/relay/version_mix.h"
 #include "core/result.h"
 #include "core/scheduling/placement.h"
 #include "core/scheduling/slot_limits.h"
@@ -83,6 +84,9 @@
   uint64_t kv_capacity_tokens = 0;
   /// The request is one of those that go to a version on trial.
   bool trial = false;
+  /// Version of the runner that began the stream which the request resumes: other runners must not
+  /// go on with it. Empty: any version.
+  std::optional<std::string> version;
   /// Limit of the expected time of a plain request in milliseconds, as in `PlacementQuery`.
   uint32_t start_within_ms = 0;
   /// Fingerprints of the runners where, by the answers of their slot owners, the request would be
@@ -190,9 +194,10 @@
   /// The rollouts, and this relay's budget of trial requests for them.
   RolloutGate& rollouts() { return rollouts_; }
   const RolloutGate& rollouts() const { return rollouts_; }
-  /// @return whether the rollouts allow a request to go to the runner; `trial` as in
-  /// `RunnerRequest`.
-  bool isAdmittedByRollout(const Runner& runner, bool trial) const;
+  /// @return whether the rollouts allow a request to go to the runner.
+  /// @param trial as in `RunnerRequest`
+  /// @param resumes the request resumes a stream that a runner of this version began
+  bool isAdmittedByRollout(const Runner& runner, bool trial, bool resumes) const;
   /// @return number of requests of this relay in progress at runners of versions that the rollout
   /// replaces.
   uint32_t inProgressAtFormer(const v1::Rollout& rollout) const;
@@ -251,9 +256,12 @@
 
   /// @return the listed runner with this fingerprint; null: none.
   std::shared_ptr<Runner> find(uint64_t fingerprint) const;
-  /// @return whether the runner is listed and not avoided, so that cached prefixes can be copied
-  /// from it.
-  bool isCopySource(uint64_t fingerprint, int64_t now_ms) const;
+  /// @return whether the runner `source` is listed and not avoided, so that the runner `target` can
+  /// copy cached prefixes from it. If both are listed, they must have the same version.
+  bool isCopySource(uint64_t source, uint64_t target, int64_t now_ms) const;
+
+  /// @return the versions of the service's runners; null: the service was never listed.
+  const VersionMix* versionsOf(const std::string& service) const;
 
   /// @return whether the allowed regions of a request include the runner, for running there or
   /// copying from there.
@@ -314,9 +322,10 @@
 
   void setPlainServices(const std::vector<Service>& services);
   void applyEntry(Runner& runner, const v1::RunnerEntry& entry, int64_t now_ms);
+  bool mayServe(const RunnerRequest& request, const Runner& runner) const;
   std::shared_ptr<Runner> runnerFor(std::shared_ptr<Runner> known, const v1::RunnerEntry& entry,
                                     int64_t listed_since_ms) const;
-  void delist(Runner& runner);
+  void delist(Runner& runner, int64_t now_ms);
   void updateLists(Candidates added);
   static void removeGone(Candidates& runners);
   static void insertSorted(Candidates& runners, Candidates added);
@@ -370,6 +379,7 @@
   std::unordered_map<uint64_t, std::shared_ptr<Runner>> by_fingerprint_;
   struct ServiceRunners {
     Candidates runners;
+    VersionMix versions;
     /// Their processes fail if they decline more than `max_declines` requests within a second, as
     /// they said themselves; until this time if none of them repeats it.
     int64_t brittle_until_ms = 0;
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -116,8 +116,11 @@
   if (!request_.origin) {
     state_.budget.recordRequest(request_.service, request_.received_ms);
   }
+  if (resumesStream()) {
+    co_await findOrigin();
+  }
   // A quarantined request would crash the next runner too, and fail all other requests there.
-  while (!interrupted() && !blocked()) {
+  while (!interrupted() && !blocked() && !version_unknown_) {
     if (auto peer = nextPeer()) {
       const bool go_on = co_await forward(*std::move(peer));
       if (!go_on) {
@@ -185,6 +188,7 @@
                               .demand = request_.demand,
                               .kv_capacity_tokens = request_.kv_capacity_tokens,
                               .trial = trial_,
+                              .version = stream_version_,
                               .start_within_ms = plainStartLimitMs(),
                               .unsuitable = unsuitable_};
 }
@@ -387,7 +391,8 @@
   if (last != AttemptEnd::Broken) {
     return true;
   }
-  return request_.repeatable() && ran_attempts_ < request_.route->max_attempts;
+  const bool version_known = !stream_started_ || stream_version_ || !state_.stream_origins;
+  return version_known && request_.repeatable() && ran_attempts_ < request_.route->max_attempts;
 }
 
 } // namespace workshatch::daemon
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -132,6 +132,14 @@
     return state_.path_prober && state_.path_prober->isLost(request_.service);
   }
 
+  // Software versions of streams (active_request_version.cc).
+  bool resumesStream() const;
+  bool recordsOrigin() const;
+  relay::StreamId streamId() const;
+  http::awaitable<void> findOrigin();
+  http::awaitable<void> recordOrigin();
+  std::optional<std::string> versionOfPeerAnswer() const;
+
   // Participation in a rollout (active_request_rollout.cc).
   void takeTrial();
   void returnUnusedTrial();
@@ -141,7 +149,7 @@
   http::awaitable<void> finish();
   http::awaitable<void> refuse(http::Status status, std::string code, std::string detail);
   http::awaitable<void> refuseNotRun();
-  uint32_t retryAfterMs() const;
+  std::optional<uint32_t> retryAfterMs() const;
   uint32_t retryWithoutPathMs() const;
   void learnOutput();
   void logOutcome(const std::string& outcome);
@@ -227,6 +235,18 @@
   std::string forward_outcome_;
   /// Outcome of an answered request in the log.
   std::string answered_as_ = "answered";
+  /// Version of the runner that began the stream; no other version may go on with it. Empty while
+  /// the stream has not begun.
+  std::optional<std::string> stream_version_;
+  /// Version of the runner of the current attempt; empty if another relay responds that does not
+  /// tell it.
+  std::optional<std::string> attempt_version_;
+  /// Nobody knows the version of the runner that began the stream which the caller resumes.
+  bool version_unknown_ = false;
+  /// Other relays have answered that they do not know it either.
+  bool others_do_not_know_ = false;
+  /// When the origin of the stream was last recorded; zero: it was not.
+  int64_t recorded_ms_ = 0;
   /// Ids of the runners that were chosen for attempts, and the versions of their software.
   std::vector<std::string> tried_;
   std::vector<std::string> tried_versions_;
--- a/src/daemon/relay/active_request_answer.cc
+++ b/src/daemon/relay/active_request_answer.cc
@@ -142,11 +142,18 @@
   const int64_t pause_ms = pauses_.recordEvent(received_ms);
   state_.stats.recordPause(request_.demand, pause_ms);
   if (!stream_started_) {
+    co_await recordOrigin();
+    if (interrupted()) {
+      co_return false;
+    }
     stream_started_ = true;
     first_event_ms_ = now;
     slot_.recordFirstEvent();
     state_.stats.recordFirstEvent(request_.demand, now - request_.received_ms);
     http::Response head = responseHead();
+    if (request_.origin) {
+      setStreamVersion(head, *attempt_version_);
+    }
     const bool started = co_await exchange_.startStream(std::move(head));
     if (!started) {
       co_return false;
@@ -154,6 +161,7 @@
     trackReader();
   } else {
     state_.stats.event_gap.add(now - last_event_ms_);
+    co_await recordOrigin();
   }
   last_event_ms_ = now;
   ++events_;
@@ -219,7 +227,7 @@
       }
       const bool written = co_await relayEvent(*event, received_ms);
       if (!written) {
-        caller_left_ = !reader_cut_;
+        caller_left_ = caller_left_ || !interrupted();
         co_return broken(last_error_);
       }
     }
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -224,7 +224,8 @@
     co_return state_.runners.likelyPrefixSource(runnerRequest(), *choice.runner);
   }
   const auto source = state_.runners.find(answer->runner);
-  const bool allowed = source != nullptr && state_.runners.isHome(homeRegions(), *source);
+  const bool allowed = source != nullptr && state_.runners.isHome(homeRegions(), *source) &&
+                       source->entry.version() == choice.runner->entry.version();
   co_return allowed ? source : nullptr;
 }
 
@@ -246,7 +247,12 @@
     last_error_ = "runner requested a backoff";
     return false;
   }
-  if (!state_.runners.isAdmittedByRollout(runner, trial_)) {
+  if (runner.gone) {
+    // Another process may listen at its address, also under its id.
+    last_error_ = "runner is no longer listed";
+    return false;
+  }
+  if (!state_.runners.isAdmittedByRollout(runner, trial_, stream_version_.has_value())) {
     last_error_ = "version not admitted by the rollout";
     return false;
   }
@@ -303,6 +309,7 @@
     state_.tenants.begin(request_.tenant->name);
   }
   at_runner_ = true;
+  attempt_version_ = runner.entry.version();
   hung_ = false;
   const AttemptResult result = co_await callRunner(choice);
   at_runner_ = false;
--- a/src/daemon/relay/active_request_forward.cc
+++ b/src/daemon/relay/active_request_forward.cc
@@ -107,7 +107,8 @@
       formatForPeer(exchange_.request(), state_,
                     ForwardedAttempt{.origin = ForwardOrigin{.configuration_version =
                                                                  request_.configuration_version,
-                                                             .runs = ran_attempts_},
+                                                             .runs = ran_attempts_,
+                                                             .stream_version = stream_version_},
                                      .remaining_ms = request_.deadline_ms - sent_ms_,
                                      .last_event_id = last_event_id_});
   const std::chrono::milliseconds limit =
@@ -136,6 +137,11 @@
     forward_outcome_ = "not_resumed";
     co_return broken("no stream to resume: status " + std::to_string(head.result_int())).end;
   }
+  attempt_version_ = versionOfPeerAnswer();
+  if (stream && stream_version_ && attempt_version_ != stream_version_) {
+    forward_outcome_ = "other_version";
+    co_return broken("another version goes on with the stream").end;
+  }
   const bool refused = refusal == PeerRefusal::ByService;
   const bool failed = head.result_int() >= kServerErrors;
   AttemptResult result;
--- a/src/daemon/relay/active_request_outcome.cc
+++ b/src/daemon/relay/active_request_outcome.cc
@@ -13,6 +13,9 @@
 
 /// Retry delay when no runner is available: about the time until another one is found or restarted.
 constexpr uint32_t kRetryWithoutRunnerMs = 150;
+/// Retry delay when the version of a stream has no runner: about the time in which a crashed runner
+/// is replaced by another one of its version.
+constexpr uint32_t kRetryWithoutVersionMs = 1000;
 /// Bounds of the retry delay while there is no path to the runners, and the range of delays over
 /// which callers are spread.
 constexpr int64_t kMinRetryWithoutPathMs = 200;
@@ -30,8 +33,9 @@
                             may_have_run_ ? http::Execution::Unknown : http::Execution::NotRun,
                         .request_id = request_.id};
   http::Response response = http::makeProblem(problem);
-  if (status == http::Status::service_unavailable) {
-    response.set(http::Field::retry_after, state_.dialect.retryAfter(retryAfterMs()));
+  const std::optional<uint32_t> retry_after_ms = retryAfterMs();
+  if (status == http::Status::service_unavailable && retry_after_ms) {
+    response.set(http::Field::retry_after, state_.dialect.retryAfter(*retry_after_ms));
   }
   if (request_.origin && status == http::Status::service_unavailable) {
     setPeerRefusal(response, problem.code);
@@ -49,7 +53,11 @@
          static_cast<uint32_t>(request_.rank.draw % kRetrySpreadMs);
 }
 
-uint32_t ActiveRequest::retryAfterMs() const {
+/// @return the retry delay; nullopt if there is no use in coming back.
+std::optional<uint32_t> ActiveRequest::retryAfterMs() const {
+  if (version_unknown_) {
+    return others_do_not_know_ ? std::nullopt : std::optional(kRetryWithoutRunnerMs);
+  }
   if (pathLost()) {
     return retryWithoutPathMs();
   }
@@ -58,7 +66,7 @@
   }
   const bool returns_later = runnersFull() || runnersBackingOff();
   if (!returns_later || !state_.policy.paced_returns) {
-    return kRetryWithoutRunnerMs;
+    return stream_version_ ? kRetryWithoutVersionMs : kRetryWithoutRunnerMs;
   }
   const int64_t now_ms = state_.clock.monotonicMs();
   const uint32_t paced_ms = state_.retry_after_scheduler.nextDelayMs(
@@ -111,6 +119,12 @@
                     "this relay has lost touch with the group");
     co_return;
   }
+  if (version_unknown_ && !timed_out_) {
+    logOutcome("stream_version_unknown");
+    co_await refuse(http::Status::service_unavailable, "stream_version_unknown",
+                    "no relay knows which version began this stream");
+    co_return;
+  }
   if (!may_have_run_) {
     co_await refuseNotRun();
     co_return;
@@ -137,6 +151,9 @@
   } else if (runnersFull()) {
     code = "all_full";
     detail = "all runners are full";
+  } else if (stream_version_) {
+    code = "no_runner_of_version";
+    detail = "no runner of the version that began this stream could take the request";
   }
   const std::string outcome = code == "no_runner" ? "not_run" : code;
   logOutcome(timed_out_ ? "not_run_timed_out" : outcome);
@@ -146,10 +163,8 @@
 /// Records the output of a completed stream for the estimates of later requests. The stream of a
 /// caller that resumes an earlier one has only the rest of the output.
 void ActiveRequest::learnOutput() {
-  const std::string& last_event = state_.dialect.headers().last_event;
-  const bool resumed_by_caller = http::fieldOf(exchange_.request(), last_event).has_value();
   const relay::Service* service = state_.routes->findService(request_.service);
-  if (stream_started_ && !resumed_by_caller && service != nullptr) {
+  if (stream_started_ && !resumesStream() && service != nullptr) {
     state_.demand_estimates.recordOutput(*request_.route, *service, events_);
   }
 }
--- a/src/daemon/relay/active_request_rollout.cc
+++ b/src/daemon/relay/active_request_rollout.cc
@@ -11,7 +11,7 @@
 /// Takes a trial if the rollout grants one. Only first sends use trials, and only while the lease
 /// is fresh, so that the relay would receive a rollback without delay.
 void ActiveRequest::takeTrial() {
-  if (trial_ || sent_attempts_ != 0 || stream_started_) {
+  if (trial_ || sent_attempts_ != 0 || stream_started_ || stream_version_) {
     return;
   }
   trial_ = state_.lease.isFresh(state_.clock.monotonicMs()) &&
--- a/src/daemon/relay/prefix_client.cc
+++ b/src/daemon/relay/prefix_client.cc
@@ -15,8 +15,8 @@
 } // namespace
 
 PrefixClient::PrefixClient(std::shared_ptr<RelayPeers> peers, const Clock& clock,
-                           relay::PrefixDirectory::Usable usable)
-    : peers_(std::move(peers)), clock_(clock), usable_(std::move(usable)) {
+                           CopyFilter can_copy)
+    : peers_(std::move(peers)), clock_(clock), can_copy_(std::move(can_copy)) {
   peers_->onFrame(v1::Frame::kPartQuestion,
                   [this](const v1::Frame& frame, const std::string& from) {
                     answerLookup(frame.part_question(), from);
@@ -43,7 +43,7 @@
     return lookup;
   }
   if (*owner == peers_->ownAddress()) {
-    lookup.local_answer_ = directory_.sourceFor(prompt, usable_, clock_.monotonicMs());
+    lookup.local_answer_ = findSource(prompt);
     return lookup;
   }
   v1::Frame frame;
@@ -101,14 +101,18 @@
   peers_->send(*owner, frame);
 }
 
+relay::PrefixSource PrefixClient::findSource(const relay::PromptTarget& prompt) {
+  const auto usable = [&](uint64_t source) { return can_copy_(source, prompt.runner); };
+  return directory_.sourceFor(prompt, usable, clock_.monotonicMs());
+}
+
 void PrefixClient::answerLookup(const v1::PartQuestion& question, const std::string& from) {
   const relay::PrefixSource source =
-      directory_.sourceFor(relay::PromptTarget{.prefix = question.part(),
-                                               .parent = question.parent(),
-                                               .runner = question.runner(),
-                                               .part_copy_us = question.part_copy_us(),
-                                               .parent_copy_us = question.parent_copy_us()},
-                           usable_, clock_.monotonicMs());
+      findSource(relay::PromptTarget{.prefix = question.part(),
+                                     .parent = question.parent(),
+                                     .runner = question.runner(),
+                                     .part_copy_us = question.part_copy_us(),
+                                     .parent_copy_us = question.parent_copy_us()});
   v1::Frame frame;
   v1::PartAnswer& answer = *frame.mutable_part_answer();
   answer.set_sequence(question.sequence());
--- a/src/daemon/relay/prefix_client.h
+++ b/src/daemon/relay/prefix_client.h
@@ -49,9 +49,10 @@
     std::unique_ptr<PeerCall> call_;
   };
 
-  /// @param usable returns whether a runner can serve as a source for copies
-  PrefixClient(std::shared_ptr<RelayPeers> peers, const Clock& clock,
-               relay::PrefixDirectory::Usable usable);
+  /// @return whether the runner `target` can copy prefixes from the runner `source`.
+  using CopyFilter = std::function<bool(uint64_t source, uint64_t target)>;
+
+  PrefixClient(std::shared_ptr<RelayPeers> peers, const Clock& clock, CopyFilter can_copy);
 
   /// Reports to the owner that a prompt is about to be sent to its runner, and requests a source
   /// for its prefix.
@@ -70,11 +71,12 @@
 
 private:
   void answerLookup(const v1::PartQuestion& question, const std::string& from);
+  relay::PrefixSource findSource(const relay::PromptTarget& prompt);
   relay::PrefixSource count(const relay::PrefixSource& source);
 
   const std::shared_ptr<RelayPeers> peers_;
   const Clock& clock_;
-  const relay::PrefixDirectory::Usable usable_;
+  const CopyFilter can_copy_;
   relay::PrefixDirectory directory_;
   uint64_t sequence_ = 0;
   int64_t next_expiry_ms_ = 0;
--- a/src/daemon/relay/relay_lease.cc
+++ b/src/daemon/relay/relay_lease.cc
@@ -190,10 +190,13 @@
   state_.runners.setRelays(relays);
   state_.peer_relays.setList(relays_);
   std::vector<std::string> owners;
+  std::vector<relay::RecordHolder> record_holders;
   for (const v1::RelayEntry& relay : relays_.relays()) {
     owners.push_back(withPort(relay.address(), settings_.link_port));
+    record_holders.push_back(relay::RecordHolder{.address = owners.back(), .zone = relay.zone()});
   }
   peers_->setRelays(std::move(owners));
+  stream_origins_->setRelays(std::move(record_holders));
   return true;
 }
 
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -44,6 +44,31 @@
                         unread_tokens);
 }
 
+/// Exposes the records of where streams began, for callers that resume them.
+void RelayRole::exposeStreamRecords(std::string& out) const {
+  const StreamOriginClient::Counts& counts = stream_origins_->counts();
+  metrics::exposeGauge(out, "relay_stream_records_stored",
+                       "streams whose version was recorded at other relays as they began",
+                       static_cast<int64_t>(counts.recorded));
+  metrics::exposeGauge(out, "relay_stream_records_unacknowledged",
+                       "of these: fewer than two relays acknowledged it in time",
+                       static_cast<int64_t>(counts.unacknowledged));
+  metrics::exposeGauge(out, "relay_stream_records_repeated",
+                       "records of streams in progress that were stored again",
+                       static_cast<int64_t>(counts.repeated));
+  metrics::exposeGauge(out, "relay_stream_records_held", "records that are held here",
+                       static_cast<int64_t>(stream_origins_->recordsHeld()));
+  metrics::exposeGauge(out, "relay_stream_lookups_found",
+                       "resumed streams whose version another relay or this one knew",
+                       static_cast<int64_t>(counts.found));
+  metrics::exposeGauge(out, "relay_stream_lookups_unknown",
+                       "resumed streams of which the relays asked had no record",
+                       static_cast<int64_t>(counts.unknown));
+  metrics::exposeGauge(out, "relay_stream_lookups_unanswered",
+                       "resumed streams for which no relay answered in time",
+                       static_cast<int64_t>(counts.unanswered));
+}
+
 void RelayRole::exposeGauges(std::string& out) const {
   const int64_t now = clock_.monotonicMs();
   metrics::exposeGauge(out, "relay_requests_in_progress", "requests that are being served",
@@ -92,6 +117,7 @@
                        static_cast<int64_t>(prefixes.unanswered));
   metrics::exposeGauge(out, "relay_parts_counted", "parts of prompts that are counted here",
                        static_cast<int64_t>(prefix_client_->trackedPrefixes()));
+  exposeStreamRecords(out);
   metrics::exposeGauge(out, "relay_places_runners", "runners whose places are counted here",
                        static_cast<int64_t>(slot_client_->ownedRunners()));
   metrics::exposeGauge(out, "relay_places_held_back",
--- a/src/daemon/relay/relay_peers.cc
+++ b/src/daemon/relay/relay_peers.cc
@@ -46,6 +46,13 @@
   socket_.send(address, bytes);
 }
 
+void RelayPeers::reportUnanswered(const std::string& relay) {
+  owners_.recordUnanswered(relay, clock_.monotonicMs());
+  if (on_silent_) {
+    on_silent_(relay);
+  }
+}
+
 void RelayPeers::onDatagram(std::string_view bytes, const datagram::UdpSocket::Endpoint& from) {
   counts_.received_bytes += bytes.size();
   v1::Frame frame;
@@ -89,10 +96,7 @@
     co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   if (!answered_) {
-    peers_->owners_.recordUnanswered(relay_, peers_->clock_.monotonicMs());
-    if (peers_->on_silent_) {
-      peers_->on_silent_(relay_);
-    }
+    peers_->reportUnanswered(relay_);
     co_return nullptr;
   }
   peers_->owners_.recordAnswered(relay_);
--- a/src/daemon/relay/relay_peers.h
+++ b/src/daemon/relay/relay_peers.h
@@ -95,6 +95,8 @@
   }
 
   void send(const std::string& address, const v1::Frame& frame);
+  /// Records that a relay did not answer in time, and reports it as silent.
+  void reportUnanswered(const std::string& relay);
 
   const Counts& counts() const { return counts_; }
 
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -177,7 +177,10 @@
                         http::viewOf(request.method_string()), target, request.body());
   relayed.resumes = http::fieldOf(request, names.resumes).value_or("");
   relayed.rank.draw = routing::fingerprintOf(id);
-  relayed.service = relay::RouteTable::pickService(*relayed.route, relayed.rank.draw);
+  // A stream that is resumed goes to the service that began it.
+  const uint64_t service_draw =
+      relayed.resumes.empty() ? relayed.rank.draw : routing::fingerprintOf(relayed.resumes);
+  relayed.service = relay::RouteTable::pickService(*relayed.route, service_draw);
   const int64_t allowed_ms = relayed.route->timeout_ms;
   const int64_t caller_timeout_ms = callerTimeoutMs(request, names).value_or(allowed_ms);
   relayed.deadline_ms = relayed.received_ms + std::min(caller_timeout_ms, allowed_ms);
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -68,10 +68,16 @@
                                                       runner, clock_.monotonicMs());
                                                 })),
       prefix_client_(std::make_shared<PrefixClient>(peers_, clock,
-                                                    [this](uint64_t runner) {
+                                                    [this](uint64_t source, uint64_t target) {
                                                       return state_.runners.isCopySource(
-                                                          runner, clock_.monotonicMs());
+                                                          source, target, clock_.monotonicMs());
                                                     })),
+      stream_origins_(std::make_shared<StreamOriginClient>(
+          context_, peers_, clock,
+          [this](const std::string& service, int64_t window_ms) {
+            const relay::VersionMix* versions = state_.runners.versionsOf(service);
+            return versions != nullptr && versions->wasMixedWithin(window_ms, clock_.monotonicMs());
+          })),
       path_prober_(std::make_shared<PathProber>(
           context_, clock, random_, RunnerDialer(state_.runner_addresses), state_.runners,
           PathProber::Observer{.changed = [this](const std::string& service,
@@ -131,6 +137,9 @@
   });
   state_.slot_client = slot_client_;
   state_.prefix_client = prefix_client_;
+  if (settings_.policy.stream_versions) {
+    state_.stream_origins = stream_origins_;
+  }
   if (settings_.policy.peer_forwarding) {
     state_.path_prober = path_prober_;
   }
@@ -351,6 +360,7 @@
   }
   slot_client_->tick();
   prefix_client_->tick();
+  stream_origins_->tick();
   // A runner that declined counts as full for a limited time. Nothing else signals the end of this
   // time to queued requests.
   state_.queue.wakeNextOfEachService();
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -71,6 +71,7 @@
   bool ready() const;
   void exposeGauges(std::string& out) const;
   void exposeOwnedEngines(std::string& out) const;
+  void exposeStreamRecords(std::string& out) const;
   void exposeServiceTimes(std::string& out, int64_t now_ms) const;
   http::ServerLimits callerLimits() const;
   std::vector<uint64_t> servicesOfHost(std::string_view target) const;
@@ -89,6 +90,7 @@
   /// Shared with the slots that requests in progress use, which may outlive the role.
   const std::shared_ptr<SlotClient> slot_client_;
   const std::shared_ptr<PrefixClient> prefix_client_;
+  const std::shared_ptr<StreamOriginClient> stream_origins_;
   const std::shared_ptr<PathProber> path_prober_;
   const std::shared_ptr<RunnerCrashReporter> crash_reporter_;
   /// Quarantined requests that runners recently completed for this relay; reported in each renewal.
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -28,6 +28,7 @@
 #include "daemon/relay/relay_stats.h"
 #include "daemon/relay/runner_crash_reporter.h"
 #include "daemon/relay/slot_client.h"
+#include "daemon/relay/stream_origin_client.h"
 #include "ports/clock.h"
 #include "ports/relay_dialect.h"
 
@@ -87,6 +88,8 @@
   std::shared_ptr<SlotClient> slot_client;
   /// Null if prefix sources are not looked up.
   std::shared_ptr<PrefixClient> prefix_client;
+  /// Null if streams may go on at any version.
+  std::shared_ptr<StreamOriginClient> stream_origins;
   /// Null if lost paths to runners are not detected; requests are not forwarded to other relays
   /// then.
   std::shared_ptr<PathProber> path_prober;
--- a/src/daemon/relay/request_format.cc
+++ b/src/daemon/relay/request_format.cc
@@ -17,12 +17,14 @@
 /// Headers between relays.
 constexpr std::string_view kConfigurationHeader = "Workshatch-Configuration";
 constexpr std::string_view kRunsHeader = "Workshatch-Runs";
+constexpr std::string_view kStreamVersionHeader = "Workshatch-Stream-Version";
 constexpr std::string_view kRefusalHeader = "Workshatch-Refusal";
 /// Codes of refusals whose reason lies in the relay that refused; another one may serve the
 /// request.
-constexpr std::array<std::string_view, 7> kPeerCodes = {
-    "stopping",        "no_lease",  "no_configuration", "older_configuration",
-    "all_backing_off", "no_runner", kNoPathCode};
+constexpr std::array<std::string_view, 9> kPeerCodes = {
+    "stopping",        "no_lease",  "no_configuration",     "older_configuration",
+    "all_backing_off", "no_runner", "no_runner_of_version", "stream_version_unknown",
+    kNoPathCode};
 
 bool sameName(std::string_view left, std::string_view right) {
   return boost::beast::iequals(boost::beast::string_view(left.data(), left.size()),
@@ -145,6 +147,9 @@
   appendHeader(out, names.key, http::fieldOf(request, names.key).value_or(""));
   appendHeader(out, kConfigurationHeader, std::to_string(attempt.origin.configuration_version));
   appendHeader(out, kRunsHeader, std::to_string(attempt.origin.runs));
+  if (attempt.origin.stream_version) {
+    appendHeader(out, kStreamVersionHeader, *attempt.origin.stream_version);
+  }
   appendBody(out, request);
   return out;
 }
@@ -155,7 +160,17 @@
   if (!version || !runs) {
     return std::nullopt;
   }
-  return ForwardOrigin{.configuration_version = *version, .runs = *runs};
+  return ForwardOrigin{.configuration_version = *version,
+                       .runs = *runs,
+                       .stream_version = http::fieldOf(request, kStreamVersionHeader)};
+}
+
+void setStreamVersion(http::Response& response, const std::string& version) {
+  http::setHeader(response, kStreamVersionHeader, version);
+}
+
+std::optional<std::string> streamVersionOf(const boost::beast::http::response_header<>& head) {
+  return http::fieldOf(head, kStreamVersionHeader);
 }
 
 void setPeerRefusal(http::Response& response, const std::string& code) {
@@ -173,7 +188,7 @@
 
 bool isRelayHeader(std::string_view name) {
   return sameName(name, kConfigurationHeader) || sameName(name, kRunsHeader) ||
-         sameName(name, kRefusalHeader);
+         sameName(name, kRefusalHeader) || sameName(name, kStreamVersionHeader);
 }
 
 } // namespace workshatch::daemon
--- a/src/daemon/relay/request_format.h
+++ b/src/daemon/relay/request_format.h
@@ -34,6 +34,8 @@
   uint64_t configuration_version = 0;
   /// Number of runners that may have run the request.
   uint32_t runs = 0;
+  /// Version at which the stream may go on; empty: it has not begun.
+  std::optional<std::string> stream_version;
 };
 
 /// A request on its way to another relay.
@@ -67,6 +69,11 @@
 /// @return what another relay told about the request; nullopt if it is malformed.
 std::optional<ForwardOrigin> parseForwardOrigin(const http::Request& request);
 
+/// Tells the relay that forwarded a request which version began the stream.
+void setStreamVersion(http::Response& response, const std::string& version);
+/// @return the version that the other relay told; nullopt: none.
+std::optional<std::string> streamVersionOf(const boost::beast::http::response_header<>& head);
+
 /// Marks the response to a forwarded request as a refusal. @param code code of the problem
 void setPeerRefusal(http::Response& response, const std::string& code);
 PeerRefusal peerRefusalOf(const boost::beast::http::response_header<>& head);
--- a/tests/unit/core/relay/runner_incarnation_test.cc
+++ b/tests/unit/core/relay/runner_incarnation_test.cc
@@ -73,11 +73,11 @@
 TEST_CASE("A restarted runner keeps no prefixes and no slots in use") {
   relay::RunnerTable table = tableOf(listOf(1, 5000));
   const uint64_t former = table.runners()[0]->fingerprint;
-  CHECK(table.isCopySource(former, 1000));
+  CHECK(table.isCopySource(former, 0, 1000));
   table.setList(listOf(2, 9000), 2000);
   const uint64_t present = table.runners()[0]->fingerprint;
-  CHECK_FALSE(table.isCopySource(former, 2000));
-  CHECK(table.isCopySource(present, 2000));
+  CHECK_FALSE(table.isCopySource(former, 0, 2000));
+  CHECK(table.isCopySource(present, 0, 2000));
   CHECK_FALSE(table.ownedRunner(former, 2000).listed);
   // Its owner starts with an empty count, also when the use of the former process is reported late.
   relay::SlotOwner owner;
--- a/tests/unit/daemon/fleet/stream_version_test.cc
+++ b/tests/unit/daemon/fleet/stream_version_test.cc
@@ -21,16 +21,21 @@
 /// Streams of a measurement that may be refused: 5 in 100.
 constexpr size_t kMayBeRefused = 2;
 
-FleetOptions twoVersions(uint16_t first_port) {
+FleetOptions fleetOf(std::vector<std::string> versions, uint16_t first_port,
+                     size_t relays = kRelays) {
   relay::Route route = testRoute(relay::RouteKind::Streaming, 3, true);
   route.timeout_ms = 5000;
-  return FleetOptions{.relays = kRelays,
+  return FleetOptions{.relays = relays,
                       .runners = 0,
-                      .streaming_versions = {"v1", "v1", "v1", "v2", "v2", "v2"},
+                      .streaming_versions = std::move(versions),
                       .route = std::move(route),
                       .first_port = first_port};
 }
 
+FleetOptions twoVersions(uint16_t first_port, size_t relays = kRelays) {
+  return fleetOf({"v1", "v1", "v1", "v2", "v2", "v2"}, first_port, relays);
+}
+
 /// A caller's stream, which its next attempt takes up where the last one ended.
 class Stream {
 public:
@@ -91,16 +96,39 @@
   }
 }
 
-/// Begins streams at one relay, and crashes the relay in the middle of them.
-std::vector<Stream> beginAtRelayThatCrashes(TestFleet& fleet, size_t relay) {
+/// Begins streams at relay `first`, and crashes it and the next ones in the middle of the streams.
+std::vector<Stream> beginAndCrash(TestFleet& fleet, size_t first, size_t crashing) {
   std::vector<Stream> streams(kStreams, Stream(fleet));
-  attemptAll(streams, relay, 1, [&] {
+  attemptAll(streams, first, 1, [&] {
     std::this_thread::sleep_for(std::chrono::milliseconds(90));
-    fleet.crashRelay(relay);
+    for (size_t relay = first; relay < first + crashing; ++relay) {
+      fleet.crashRelay(relay);
+    }
   });
+  const size_t begun =
+      countOf(streams, [](const Stream& stream) { return stream.received().last_event > 0; });
+  CHECK(begun >= kStreams - kMayBeRefused);
   return streams;
 }
 
+/// Waits until a relay that was restarted serves requests.
+void awaitServing(TestFleet& fleet, size_t relay) {
+  REQUIRE(within(kTestTimeout, [&] {
+    return fleet.sendRequest(relay, "hi").find("whole") != std::string::npos;
+  }));
+}
+
+/// @return the value of a metric of a relay.
+std::string metricOf(const TestFleet& fleet, size_t relay, const std::string& name) {
+  const std::string line = "\nworkshatch_" + name + " ";
+  const std::string text = fleet.metricsOf(relay);
+  const size_t position = text.find(line);
+  return position == std::string::npos
+             ? ""
+             : text.substr(position + line.size(),
+                           text.find('\n', position + line.size()) - position - line.size());
+}
+
 } // namespace
 
 TEST_CASE("A stream that its runner breaks off goes on at a runner of the same version") {
@@ -121,13 +149,94 @@
 TEST_CASE("A stream whose relay crashes is resumed at a runner of the same version") {
   TestFleet fleet(twoVersions(18720));
   for (size_t round = 0; round < 3; ++round) {
-    std::vector<Stream> streams = beginAtRelayThatCrashes(fleet, round);
-    CHECK(countOf(streams, [](const Stream& stream) { return stream.received().last_event > 0; }) >=
-          kStreams - kMayBeRefused);
+    std::vector<Stream> streams = beginAndCrash(fleet, round, 1);
     attemptAll(streams, kRelays / 2, kRelays / 2, [] {});
     CHECK(mixedOf(streams) == 0);
     CHECK(incompleteOf(streams) <= kMayBeRefused);
   }
 }
 
+TEST_CASE("A stream is resumed at its version although a third of the relays crash at once") {
+  constexpr size_t kManyRelays = 12;
+  constexpr size_t kCrashing = 4;
+  TestFleet fleet(twoVersions(18740, kManyRelays));
+  for (size_t round = 0; round < 2; ++round) {
+    std::vector<Stream> streams = beginAndCrash(fleet, 0, kCrashing);
+    attemptAll(streams, kCrashing, kManyRelays - kCrashing, [] {});
+    CHECK(mixedOf(streams) == 0);
+    CHECK(incompleteOf(streams) <= kMayBeRefused);
+    for (size_t relay = 0; relay < kCrashing; ++relay) {
+      fleet.restartRelay(relay);
+    }
+    awaitServing(fleet, 0);
+  }
+}
+
+TEST_CASE("A stream that no relay remembers is refused instead of resumed at another version") {
+  TestFleet fleet(twoVersions(18760));
+  std::vector<Stream> streams = beginAndCrash(fleet, 0, kRelays);
+  for (size_t relay = 0; relay < kRelays; ++relay) {
+    fleet.restartRelay(relay);
+    awaitServing(fleet, relay);
+  }
+  for (Stream& stream : streams) {
+    if (!stream.received().whole) {
+      CHECK(stream.attempt(1).starts_with("HTTP/1.1 503"));
+    }
+  }
+  CHECK(mixedOf(streams) == 0);
+}
+
+TEST_CASE("A service of one version records nothing, and its streams are resumed after restarts") {
+  TestFleet fleet(fleetOf({"v1", "v1", "v1"}, 18780));
+  std::vector<Stream> streams = beginAndCrash(fleet, 0, 1);
+  for (size_t relay = 1; relay < kRelays; ++relay) {
+    CHECK(metricOf(fleet, relay, "relay_stream_records_stored") == "0");
+    CHECK(metricOf(fleet, relay, "relay_stream_records_held") == "0");
+  }
+  for (size_t relay = 0; relay < kRelays; ++relay) {
+    fleet.restartRelay(relay);
+    awaitServing(fleet, relay);
+  }
+  attemptAll(streams, 0, kRelays, [] {});
+  CHECK(incompleteOf(streams) <= kMayBeRefused);
+}
+
+TEST_CASE("A stream whose version has no runners left is refused at once") {
+  constexpr std::chrono::milliseconds kAtOnce{500};
+  TestFleet fleet(fleetOf({"v1", "v1", "v2"}, 18800));
+  std::vector<Stream> streams = beginAndCrash(fleet, 0, 1);
+  const std::string listed = metricOf(fleet, 1, "relay_runner_list_version");
+  fleet.streamingRunner(2).setListed(false);
+  REQUIRE(within(kTestTimeout,
+                 [&] { return metricOf(fleet, 1, "relay_runner_list_version") != listed; }));
+  size_t refused = 0;
+  for (Stream& stream : streams) {
+    const bool of_lost_version = stream.received().versions.contains("v2");
+    const auto began = std::chrono::steady_clock::now();
+    const std::string response = stream.attempt(1);
+    if (of_lost_version) {
+      CHECK(response.starts_with("HTTP/1.1 503"));
+      CHECK(std::chrono::steady_clock::now() - began < kAtOnce);
+      ++refused;
+    } else {
+      CHECK(stream.received().whole);
+    }
+  }
+  CHECK(refused > 0);
+  CHECK(mixedOf(streams) == 0);
+}
+
+TEST_CASE("A stream is resumed at its version by way of another relay") {
+  TestFleet fleet(twoVersions(18820));
+  std::vector<Stream> streams = beginAndCrash(fleet, 0, 1);
+  fleet.partition(1, Partition::Reset);
+  // The relay knows that it has no path once it forwards requests.
+  REQUIRE(within(kTestTimeout,
+                 [&] { return fleet.sendRequest(1, "hi").find("whole") != std::string::npos; }));
+  attemptAll(streams, 1, 1, [] {});
+  CHECK(mixedOf(streams) == 0);
+  CHECK(incompleteOf(streams) <= kMayBeRefused);
+}
+
 } // namespace workshatch::test
--- a/tests/unit/daemon/fleet/test_fleet.h
+++ b/tests/unit/daemon/fleet/test_fleet.h
@@ -224,9 +224,10 @@
 class TestFleet {
 public:
   explicit TestFleet(const FleetOptions& options)
-      : policy_(options.policy), first_port_(options.first_port), configurations_(options.route),
+      : policy_(options.policy), first_port_(options.first_port),
         folder_(std::filesystem::temp_directory_path() /
                 ("workshatch-fleet-test-" + std::to_string(options.first_port))),
+        configurations_(options.route),
         list_([this](auto& socket, const auto&) { sendRunnerList(socket); }) {
     std::filesystem::remove_all(folder_);
     std::filesystem::create_directories(folder_);
--- a/tests/unit/daemon/relay/active_request_test.cc
+++ b/tests/unit/daemon/relay/active_request_test.cc
@@ -557,7 +557,7 @@
   const auto peers = std::make_shared<daemon::RelayPeers>(relay.context(), relay.state().clock);
   REQUIRE_FALSE(isError(peers->open("127.0.0.1:18310")));
   relay.state().prefix_client = std::make_shared<daemon::PrefixClient>(
-      peers, relay.state().clock, [](uint64_t) { return true; });
+      peers, relay.state().clock, [](uint64_t, uint64_t) { return true; });
   peers->setRelays({"127.0.0.1:18309"});
   relay.start();
   CHECK(relay.sendRequest("q1", "W-Parts: two\r\n").ends_with("done"));
