--- a/src/core/relay/request_identity.cc
+++ b/src/core/relay/request_identity.cc
@@ -41,4 +41,11 @@
   return text.data();
 }
 
+std::string textOfPart(uint64_t part) {
+  constexpr size_t kTextBytes = 17;
+  std::array<char, kTextBytes> text{};
+  std::snprintf(text.data(), text.size(), "%016" PRIx64, part);
+  return text.data();
+}
+
 } // namespace workshatch::relay
--- a/src/core/relay/request_identity.h
+++ b/src/core/relay/request_identity.h
@@ -39,5 +39,7 @@
 
 /// @return the identity as written to logs: caller and content, each as 16 hexadecimal digits.
 std::string textOf(const RequestIdentity& identity);
+/// @return the fingerprint of a part of a prompt as written to logs: 16 hexadecimal digits.
+std::string textOfPart(uint64_t part);
 
 } // namespace workshatch::relay
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -104,6 +104,7 @@
   AttemptResult brokenBy(const http::CallError& error);
   relay::RequestEnd requestEnd(const AttemptResult& result) const;
   void recordForQuarantine(const relay::Runner& runner, const AttemptResult& result);
+  std::vector<std::string> partTexts() const;
   void recordAttemptEnd(relay::Runner& runner, const AttemptResult& result);
   void releaseConnection(const std::string& address);
   std::chrono::milliseconds silenceTimeout(bool streaming) const;
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -116,6 +116,15 @@
   }
 }
 
+/// @return the shared parts of the prompt as written to logs, in their order.
+std::vector<std::string> ActiveRequest::partTexts() const {
+  std::vector<std::string> texts;
+  for (const uint64_t part : request_.parts) {
+    texts.push_back(relay::textOfPart(part));
+  }
+  return texts;
+}
+
 /// Records the result of the attempt in the runner's state, in the counters and in the log.
 void ActiveRequest::recordAttemptEnd(relay::Runner& runner, const AttemptResult& result) {
   if (result.end == AttemptEnd::Broken || result.end == AttemptEnd::Answered) {
@@ -142,6 +151,7 @@
     const relay::ServiceEvidence evidence = state_.runners.evidenceOf(request_.service, now_ms);
     line_log::write("attempt_ended", {{"request", request_.id},
                                       {"identity", relay::textOf(request_.identity)},
+                                      {"parts", partTexts()},
                                       {"runner", runner.entry.id()},
                                       {"runner_load", runner.load()},
                                       {"outcome", nameOf(outcome)},
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -69,6 +69,7 @@
     relayed.parent_tokens = tokens;
     tokens += blocks[i].tokens;
     relayed.cached_tokens = tokens;
+    relayed.parts.push_back(routing::fingerprintOf(blocks[i].id));
   }
   if (blocks.size() >= kSharedFromEnd) {
     relayed.cache_key = routing::fingerprintOf(blocks[blocks.size() - kSharedFromEnd].id);
--- a/src/daemon/relay/relay_request.h
+++ b/src/daemon/relay/relay_request.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "adapters/http/http_server.h"
 #include "adapters/http/problem.h"
@@ -38,6 +39,9 @@
   int64_t received_ms = 0;
   /// Latest time of the final response to the caller.
   int64_t deadline_ms = 0;
+  /// Fingerprints of the prefix blocks of the prompt in their order, without the last one, which
+  /// belongs to the request or its session alone.
+  std::vector<uint64_t> parts;
   /// Fingerprint of the last shared prefix block of the prompt; zero if there is none.
   uint64_t cache_key = 0;
   /// Fingerprint of the shared prefix block before it; zero if there is none.
