Test: prompts with a part that crashes each runner that begins to answer them (fails)

What callers saw: runners crash one after the other under requests that share nothing but one part of their prompts.

--- a/tests/unit/daemon/fleet/test_fleet.h
+++ b/tests/unit/daemon/fleet/test_fleet.h
@@ -23,6 +23,7 @@
 #include "daemon/group/group_role.h"
 #include "daemon/relay/relay_role.h"
 #include "unit/daemon/fleet/partition.h"
+#include "unit/daemon/fleet/prompt_runner.h"
 #include "unit/daemon/fleet/streaming_runner.h"
 #include "unit/daemon/relay/relay_fixture.h"
 
@@ -211,6 +212,10 @@
   /// Versions of the runners that stream events, one for each runner. They are listed beside the
   /// others.
   std::vector<std::string> streaming_versions;
+  /// Number of runners that some parts of prompts crash, and these parts. They are listed beside
+  /// the others.
+  size_t prompt_runners = 0;
+  std::set<std::string> crashing_parts;
   /// The only route of the configuration.
   relay::Route route = testRoute(relay::RouteKind::RunOnce, 1);
   /// First of five consecutive ports that no other test may use.
@@ -227,7 +232,7 @@
       : policy_(options.policy), first_port_(options.first_port),
         folder_(std::filesystem::temp_directory_path() /
                 ("workshatch-fleet-test-" + std::to_string(options.first_port))),
-        configurations_(options.route),
+        configurations_(options.route), crashing_parts_(options.crashing_parts),
         list_([this](auto& socket, const auto&) { sendRunnerList(socket); }) {
     std::filesystem::remove_all(folder_);
     std::filesystem::create_directories(folder_);
@@ -244,6 +249,10 @@
       streaming_runners_.push_back(
           std::make_unique<StreamingRunner>(version, std::chrono::milliseconds(20)));
     }
+    for (size_t i = 0; i < options.prompt_runners; ++i) {
+      prompt_runners_.push_back(
+          std::make_unique<PromptRunner>(crashing_parts_, options.runners_restart_after));
+    }
     for (size_t i = 0; i < options.relays && !gatedRunnerAddresses().empty(); ++i) {
       gates_.push_back(std::make_unique<RunnerGates>(gatedRunnerAddresses()));
     }
@@ -307,6 +316,8 @@
   CrashingRunner& newRunner(size_t number) { return *new_runners_[number]; }
   CrashingRunner& runner(size_t number) { return *runners_[number]; }
   StreamingRunner& streamingRunner(size_t number) { return *streaming_runners_[number]; }
+  PromptRunner& promptRunner(size_t number) { return *prompt_runners_[number]; }
+  const CrashingParts& crashingParts() const { return crashing_parts_; }
   size_t streamingRunnerCount() const { return streaming_runners_.size(); }
   size_t requestsAtNewRunners() const { return requestsAt(new_runners_); }
   size_t requestsAtRunners() const { return requestsAt(runners_); }
@@ -456,6 +467,14 @@
                  runner.version() + "\n";
       }
     }
+    for (size_t i = 0; i < prompt_runners_.size(); ++i) {
+      if (!prompt_runners_[i]->crashed()) {
+        // Each start of a runner has an id of its own.
+        lines += "prompt-" + std::to_string(i) + "-" +
+                 std::to_string(prompt_runners_[i]->starts()) + " " +
+                 prompt_runners_[i]->address() + " v1\n";
+      }
+    }
     for (size_t i = 0; new_runners_started_ && i < new_runners_.size(); ++i) {
       lines += "new-" + std::to_string(i) + " " + new_runners_[i]->address() + " v2\n";
     }
@@ -474,6 +493,8 @@
   std::vector<std::unique_ptr<CrashingRunner>> new_runners_;
   std::vector<std::unique_ptr<KeepingRunner>> keeping_runners_;
   std::vector<std::unique_ptr<StreamingRunner>> streaming_runners_;
+  CrashingParts crashing_parts_;
+  std::vector<std::unique_ptr<PromptRunner>> prompt_runners_;
   /// The connections of each relay to the runners that keep connections open.
   std::vector<std::unique_ptr<RunnerGates>> gates_;
   std::atomic<bool> new_runners_started_{false};
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -130,9 +130,18 @@
                                 const std::string& target_version) const override {
     return std::to_string(static_cast<int>(state)) + " " + target_version;
   }
-  /// Any value stands for two prefix blocks, the first of which is shared.
-  std::vector<PrefixBlock> parsePrefixBlocks(std::string_view) const override {
-    return {PrefixBlock{.id = "shared", .tokens = 1}, PrefixBlock{.id = "own", .tokens = 1}};
+  /// A value with commas lists the ids of prefix blocks. Any other stands for two prefix blocks,
+  /// the first of which is shared.
+  std::vector<PrefixBlock> parsePrefixBlocks(std::string_view value) const override {
+    if (value.find(',') == std::string_view::npos) {
+      return {PrefixBlock{.id = "shared", .tokens = 1}, PrefixBlock{.id = "own", .tokens = 1}};
+    }
+    std::vector<PrefixBlock> blocks;
+    std::istringstream ids{std::string(value)};
+    for (std::string id; std::getline(ids, id, ',');) {
+      blocks.push_back(PrefixBlock{.id = id, .tokens = 1});
+    }
+    return blocks;
   }
   /// `W-Size` has the prompt tokens and the maximum output tokens as two words, `W-Hint` the
   /// expected output tokens.
