A part of prompts that crashes runners goes into quarantine

What callers saw: requests that share one part of their prompts, no two alike, crash runner after runner.

Cause: crashes are counted by whole requests, and the fault follows a part. Ruled out: another reason for the crashes (the test's runners do nothing else).

--- a/src/core/relay/request_identity.h
+++ b/src/core/relay/request_identity.h
@@ -30,6 +30,13 @@
 };
 
 /// @param tenant empty: the request needs no key
+/// @return the identity that stands for all requests with this shared part in their prompts. It
+/// differs from that of every request, whose caller is never zero.
+inline RequestIdentity identityOfPart(uint64_t part) {
+  return RequestIdentity{.caller = 0, .content = part};
+}
+inline bool isPart(const RequestIdentity& identity) { return identity.caller == 0; }
+
 /// @param target path and query
 RequestIdentity identityOf(std::string_view tenant, std::string_view method,
                            std::string_view target, std::string_view body);
--- a/src/core/relay/runner_crash_counts.cc
+++ b/src/core/relay/runner_crash_counts.cc
@@ -33,7 +33,9 @@
     addCompleted(identityOf(request), now_ms);
   }
   for (const v1::RunnerEnd& report : renewal.runner_ends()) {
-    addCrash(report, now_ms);
+    if (report.has_request()) {
+      addCrash(report, now_ms);
+    }
   }
 }
 
--- a/src/core/relay/runner_crash_monitor.cc
+++ b/src/core/relay/runner_crash_monitor.cc
@@ -20,14 +20,17 @@
 } // namespace
 
 RunnerCrashMonitor::AfterDisconnect
-RunnerCrashMonitor::recordDisconnect(uint64_t runner, const RequestIdentity& request,
+RunnerCrashMonitor::recordDisconnect(uint64_t runner, const PresentRequest& present,
                                      int64_t now_ms) {
   dropExpired(now_ms);
-  if (completed_.contains(request, now_ms)) {
+  const bool completed = completed_.contains(present.request, now_ms);
+  if (completed && present.parts.empty()) {
     return AfterDisconnect::Nothing;
   }
   Suspect& suspect = suspects_[runner];
-  const Disconnect disconnect{.request = request, .disconnected_ms = now_ms};
+  const Disconnect disconnect{.request = completed ? std::nullopt : std::optional(present.request),
+                              .parts = present.parts,
+                              .disconnected_ms = now_ms};
   if (suspect.refused_ms) {
     report(runner, disconnect);
     return AfterDisconnect::Report;
@@ -61,8 +64,10 @@
 }
 
 void RunnerCrashMonitor::report(uint64_t runner, const Disconnect& disconnect) {
-  reports_.push_back(Report{
-      .request = disconnect.request, .runner = runner, .crashed_ms = disconnect.disconnected_ms});
+  reports_.push_back(Report{.request = disconnect.request,
+                            .parts = disconnect.parts,
+                            .runner = runner,
+                            .crashed_ms = disconnect.disconnected_ms});
   ++unreported_;
   if (reports_.size() > kMaxReports) {
     reports_.pop_front();
@@ -95,7 +100,10 @@
   const size_t first_unsent = first_on_link ? 0 : reports_.size() - unreported_;
   for (size_t i = first_unsent; i < reports_.size(); ++i) {
     v1::RunnerEnd* end = renewal.add_runner_ends();
-    *end->mutable_request() = messageOf(reports_[i].request);
+    if (reports_[i].request) {
+      *end->mutable_request() = messageOf(*reports_[i].request);
+    }
+    end->mutable_parts()->Add(reports_[i].parts.begin(), reports_[i].parts.end());
     end->set_runner(reports_[i].runner);
     end->set_age_ms(static_cast<uint32_t>(now_ms - reports_[i].crashed_ms));
   }
--- a/src/core/relay/runner_crash_monitor.h
+++ b/src/core/relay/runner_crash_monitor.h
@@ -20,14 +20,24 @@
 /// A runner that breaks off or corrupts a response keeps listening. A machine that lost power or
 /// its network sends nothing at all. A request is therefore reported as present at a crash only if
 /// both were observed within a short time: its connection was closed, and the address refused
-/// another one. Requests that completed recently are never reported.
+/// another one. Requests that completed recently are reported for the parts of their prompts only.
 ///
 /// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class RunnerCrashMonitor {
 public:
+  /// A request that was in progress at a runner.
+  struct PresentRequest {
+    RequestIdentity request;
+    /// Fingerprints of the shared parts of its prompt; empty if none of them can have crashed the
+    /// runner, which had been answering the request for a while.
+    std::vector<uint64_t> parts;
+  };
+
   /// A request that was in progress at a runner whose process crashed.
   struct Report {
-    RequestIdentity request;
+    /// Empty: the request completed recently, but its parts may have crashed the runner.
+    std::optional<RequestIdentity> request;
+    std::vector<uint64_t> parts;
     /// Fingerprint of the runner's incarnation.
     uint64_t runner = 0;
     int64_t crashed_ms = 0;
@@ -43,7 +53,7 @@
   };
 
   /// Records that the runner closed the connection of a request in progress.
-  AfterDisconnect recordDisconnect(uint64_t runner, const RequestIdentity& request, int64_t now_ms);
+  AfterDisconnect recordDisconnect(uint64_t runner, const PresentRequest& present, int64_t now_ms);
 
   /// Records that the runner's address refused a connection.
   /// @return whether there is a new report for the leader.
@@ -66,7 +76,8 @@
 
 private:
   struct Disconnect {
-    RequestIdentity request;
+    std::optional<RequestIdentity> request;
+    std::vector<uint64_t> parts;
     int64_t disconnected_ms = 0;
   };
   struct Suspect {
--- a/src/daemon/group/lease_service.cc
+++ b/src/daemon/group/lease_service.cc
@@ -42,7 +42,9 @@
     return;
   }
   updates_.beginTerm();
-  crash_counts_.setQuarantine(replica_.quarantine());
+  setQuarantine();
+  part_crash_counts_.beginTerm(clock_.monotonicMs());
+  updates_.setSuspectedParts(v1::SuspectedParts());
   relays_.clear();
   relay_monitor_.clear();
   silent_relays_.clear();
@@ -67,6 +69,7 @@
   // Recorded even if this replica is not the leader, since a relay sends each crash report once and
   // this replica may become the leader.
   crash_counts_.addReport(renewal, clock_.monotonicMs());
+  part_crash_counts_.addReport(renewal, clock_.monotonicMs());
   if (!replica_.isLeader()) {
     sendLeaderAddress(link, renewal.sequence());
     if (!replica_.knowsLeader()) {
@@ -130,6 +133,7 @@
   relay.renewal = renewal;
   // The crash reports have been counted by `handleRenewal`.
   relay.renewal.clear_runner_ends();
+  relay.renewal.clear_sound_parts();
   relay_monitor_.recordRenewal(renewal.name(), clock_.monotonicMs());
   requestEarlyRenewals(renewal);
   silent_relays_.recordRenewal(renewal.name());
@@ -238,10 +242,24 @@
   link->send(frame);
 }
 
-/// Proposes the quarantine orders that are due according to the runner crashes reported by relays.
+void LeaseService::setQuarantine() {
+  crash_counts_.setQuarantine(replica_.quarantine());
+  part_crash_counts_.setQuarantine(replica_.quarantine());
+}
+
+/// Proposes the quarantine orders that are due according to the runner crashes reported by relays,
+/// and asks the relays about parts of prompts that are suspected.
 void LeaseService::orderQuarantine() {
-  for (v1::QuarantineOrder& order :
-       crash_counts_.dueOrders(clock_.monotonicMs(), clock_.wallMs())) {
+  const int64_t now_ms = clock_.monotonicMs();
+  const uint64_t wall_ms = clock_.wallMs();
+  std::vector<v1::QuarantineOrder> orders = crash_counts_.dueOrders(now_ms, wall_ms);
+  std::vector<v1::QuarantineOrder> of_parts = part_crash_counts_.dueOrders(now_ms, wall_ms);
+  std::move(of_parts.begin(), of_parts.end(), std::back_inserter(orders));
+  if (part_crash_counts_.takeSuspectsChanged()) {
+    updates_.setSuspectedParts(part_crash_counts_.suspects());
+    pushOrders();
+  }
+  for (v1::QuarantineOrder& order : orders) {
     line_log::write("quarantine_ordered",
                     {{"identity", relay::textOf(relay::identityOf(order.request().request()))},
                      {"begin", order.begin()},
@@ -412,7 +430,7 @@
   // Recorded even if this replica is not the leader, since it may later send differences to this
   // configuration as the leader.
   updates_.recordConfiguration();
-  crash_counts_.setQuarantine(replica_.quarantine());
+  setQuarantine();
   if (!replica_.leads()) {
     return;
   }
--- a/src/daemon/group/lease_service.h
+++ b/src/daemon/group/lease_service.h
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "adapters/link/framed_link.h"
+#include "core/relay/part_crash_counts.h"
 #include "core/relay/relay_monitor.h"
 #include "core/relay/runner_crash_counts.h"
 #include "core/relay/silent_relays.h"
@@ -88,6 +89,7 @@
   void refreshRelayList();
   v1::RunnerLoads totalLoads();
   v1::TenantPositions tenantsOverShare() const;
+  void setQuarantine();
   void orderQuarantine();
   void stepRollouts();
   /// Pushes evacuations, quarantine and rollouts to all relays that lack them, without a bandwidth
@@ -109,6 +111,7 @@
   /// Crash reports of runners. Kept across terms of leadership, since each relay sends a report
   /// only once on a link.
   relay::RunnerCrashCounts crash_counts_;
+  relay::PartCrashCounts part_crash_counts_;
   /// Monotonic times from which the relay list and the load totals may be recomputed.
   int64_t refresh_due_ms_ = 0;
   int64_t load_totals_due_ms_ = 0;
--- a/src/daemon/group/lease_updates.cc
+++ b/src/daemon/group/lease_updates.cc
@@ -67,7 +67,8 @@
 bool LeaseUpdates::lacksOrders(const SentVersions& sent) const {
   return sent.evacuations != replica_.evacuations().version() ||
          sent.quarantine != replica_.quarantine().version() ||
-         sent.rollouts != replica_.rollouts().version();
+         sent.rollouts != replica_.rollouts().version() ||
+         sent.suspected_parts != suspected_parts_.version();
 }
 
 void LeaseUpdates::addOrders(SentVersions& sent, v1::LeaseReply& reply) const {
@@ -86,6 +87,10 @@
     *reply.mutable_rollouts() = rollouts;
     sent.rollouts = rollouts.version();
   }
+  if (suspected_parts_.version() != sent.suspected_parts) {
+    *reply.mutable_suspected_parts() = suspected_parts_;
+    sent.suspected_parts = suspected_parts_.version();
+  }
 }
 
 void LeaseUpdates::addMembers(SentVersions& sent, v1::LeaseReply& reply) const {
--- a/src/daemon/group/lease_updates.h
+++ b/src/daemon/group/lease_updates.h
@@ -29,6 +29,7 @@
   uint64_t evacuations = 0;
   uint64_t quarantine = 0;
   uint64_t rollouts = 0;
+  uint64_t suspected_parts = 0;
   std::vector<std::string> members;
   /// Monotonic time from which load totals may be sent again.
   int64_t load_totals_due_ms = 0;
@@ -67,6 +68,8 @@
   void setLoadTotals(v1::RunnerLoads totals) { load_totals_ = std::move(totals); }
   /// Replaces the list of tenants that exceed their share.
   void setOverShare(v1::TenantPositions over_share) { over_share_ = std::move(over_share); }
+  /// Replaces the parts of prompts that are suspected of crashing runners.
+  void setSuspectedParts(v1::SuspectedParts suspects) { suspected_parts_ = std::move(suspects); }
   /// Records the stored configuration, so that later ones can be sent as a difference to it.
   void recordConfiguration() { configurations_.add(replica_.stored()); }
 
@@ -74,7 +77,7 @@
   bool lacksConfiguration(const SentVersions& sent) const;
   /// @return whether the relay lacks the current configuration or runner list.
   bool lacksLargeData(const SentVersions& sent) const;
-  /// @return whether the relay lacks the current evacuations, quarantine or rollouts.
+  /// @return whether the relay lacks the current evacuations, quarantine, rollouts or suspects.
   bool lacksOrders(const SentVersions& sent) const;
 
   /// Each of these adds the data that the relay lacks to the reply and records it as sent.
@@ -105,6 +108,7 @@
   /// Requests in progress by runner, over all relays.
   v1::RunnerLoads load_totals_;
   v1::TenantPositions over_share_;
+  v1::SuspectedParts suspected_parts_;
 };
 
 } // namespace workshatch::daemon
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -104,6 +104,7 @@
   AttemptResult brokenBy(const http::CallError& error);
   relay::RequestEnd requestEnd(const AttemptResult& result) const;
   void recordForQuarantine(const relay::Runner& runner, const AttemptResult& result);
+  void recordAnsweredParts();
   std::vector<std::string> partTexts() const;
   void recordAttemptEnd(relay::Runner& runner, const AttemptResult& result);
   void releaseConnection(const std::string& address);
@@ -174,7 +175,9 @@
   bool interrupted() const {
     return caller_left_ || timed_out_ || quarantine_cancelled_ || reader_cut_;
   }
-  bool inQuarantine() const { return state_.quarantine.contains(request_.identity); }
+  bool inQuarantine() const {
+    return state_.quarantine.contains(request_.identity, request_.parts);
+  }
   /// @return whether the request depends on a lease that has expired, so that its key may have been
   /// revoked without the relay's knowledge.
   bool lostLease() const {
@@ -290,6 +293,10 @@
   /// Runner from which the current attempt's runner copies the prompt prefix; null if none.
   std::shared_ptr<relay::Runner> prefix_source_;
   std::string last_event_id_;
+  /// When the runner of the current attempt began to answer with success; zero: it has not.
+  int64_t answer_began_ms_ = 0;
+  /// The current attempt has shown that the parts of the prompt do not crash runners.
+  bool parts_answered_ = false;
   /// When the request was sent in the current attempt; zero if it was not.
   int64_t sent_ms_ = 0;
   int64_t first_event_ms_ = 0;
--- a/src/daemon/relay/active_request_answer.cc
+++ b/src/daemon/relay/active_request_answer.cc
@@ -125,6 +125,7 @@
     failure_ = std::move(response);
     co_return AttemptResult{.end = AttemptEnd::Broken, .outcome = relay::AttemptOutcome::Failed};
   }
+  answer_began_ms_ = isSuccess(status) ? sent_ms_ : 0;
   state_.stats.answer.add(state_.clock.monotonicMs() - request_.received_ms);
   // The runner has completed the request. The time for which a slow caller reads must not count as
   // its service time.
@@ -139,6 +140,11 @@
 http::awaitable<bool> ActiveRequest::relayEvent(const relay::CompleteEvent& event,
                                                 int64_t received_ms) {
   const int64_t now = state_.clock.monotonicMs();
+  if (answer_began_ms_ == 0) {
+    answer_began_ms_ = now;
+  } else if (!parts_answered_ && now - answer_began_ms_ >= relay::kAnswerProvenMs) {
+    recordAnsweredParts();
+  }
   const int64_t pause_ms = pauses_.recordEvent(received_ms);
   state_.stats.recordPause(request_.demand, pause_ms);
   if (!stream_started_) {
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -310,6 +310,8 @@
 ActiveRequest::attempt(const relay::RunnerChoice& choice) {
   relay::Runner& runner = *choice.runner;
   sent_ms_ = 0;
+  answer_began_ms_ = 0;
+  parts_answered_ = false;
   last_received_ms_ = 0;
   backoff_at_send_ms_ = 0;
   notice_ = {};
@@ -376,10 +378,25 @@
   if (!state_.crash_reporter) {
     return;
   }
+  const int64_t now_ms = state_.clock.monotonicMs();
   if (result.closed_by_runner) {
-    state_.crash_reporter->recordDisconnect(runner, request_.identity);
+    const bool proven =
+        answer_began_ms_ != 0 && now_ms - answer_began_ms_ >= relay::kAnswerProvenMs;
+    state_.crash_reporter->recordDisconnect(
+        runner, relay::RunnerCrashMonitor::PresentRequest{.request = request_.identity,
+                                                          .parts = proven ? std::vector<uint64_t>()
+                                                                          : request_.parts});
   } else if (result.outcome == relay::AttemptOutcome::Succeeded) {
     state_.crash_reporter->recordCompleted(request_.identity);
+    recordAnsweredParts();
+  }
+}
+
+/// Records that the runner has answered the prompt without crashing, if it has.
+void ActiveRequest::recordAnsweredParts() {
+  if (state_.crash_reporter && answer_began_ms_ != 0 && !request_.parts.empty()) {
+    state_.crash_reporter->recordAnswered(request_.parts, answer_began_ms_);
+    parts_answered_ = true;
   }
 }
 
--- a/src/daemon/relay/active_request_outcome.cc
+++ b/src/daemon/relay/active_request_outcome.cc
@@ -61,7 +61,7 @@
   if (pathLost()) {
     return retryWithoutPathMs();
   }
-  if (const uint64_t* since_ms = state_.quarantine.sinceMs(request_.identity)) {
+  if (const uint64_t* since_ms = state_.quarantine.sinceMs(request_.identity, request_.parts)) {
     return relay::quarantineLeftMs(*since_ms, state_.clock.wallMs());
   }
   const bool returns_later = runnersFull() || runnersBackingOff();
--- a/src/daemon/relay/relay_lease.cc
+++ b/src/daemon/relay/relay_lease.cc
@@ -61,6 +61,9 @@
   if (reply.has_quarantine() && settings_.policy.quarantine) {
     applyQuarantine(reply.quarantine());
   }
+  if (reply.has_suspected_parts() && settings_.policy.quarantine) {
+    crash_reporter_->setSuspects(reply.suspected_parts());
+  }
   // Applied before the list of runners, which may add runners of the version on trial.
   if (reply.has_rollouts()) {
     applyRollouts(reply.rollouts());
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -163,9 +163,12 @@
   }
   metrics::exposeGauges(out, "relay_rollouts", "the last rollouts of services, by phase", "phase",
                         rollouts);
-  metrics::exposeGauge(out, "relay_quarantined_requests",
-                       "requests that reach no runner since they ended some",
-                       static_cast<int64_t>(state_.quarantine.requests().size()));
+  metrics::exposeGauge(
+      out, "relay_quarantined_requests", "requests that reach no runner since they ended some",
+      static_cast<int64_t>(state_.quarantine.requests().size() - state_.quarantine.partCount()));
+  metrics::exposeGauge(out, "relay_quarantined_parts",
+                       "parts of prompts whose requests reach no runner since they ended some",
+                       static_cast<int64_t>(state_.quarantine.partCount()));
   metrics::LabelledCounts evacuated;
   for (const v1::EvacuatedZone& zone : evacuations_.zones()) {
     evacuated[zone.zone()] = zone.since_ms() / kMsPerSecond;
--- a/src/daemon/relay/runner_crash_reporter.cc
+++ b/src/daemon/relay/runner_crash_reporter.cc
@@ -19,11 +19,11 @@
 
 } // namespace
 
-void RunnerCrashReporter::recordDisconnect(const relay::Runner& runner,
-                                           const relay::RequestIdentity& request) {
+void RunnerCrashReporter::recordDisconnect(
+    const relay::Runner& runner, const relay::RunnerCrashMonitor::PresentRequest& present) {
   using AfterDisconnect = relay::RunnerCrashMonitor::AfterDisconnect;
   const AfterDisconnect next =
-      monitor_.recordDisconnect(runner.fingerprint, request, clock_.monotonicMs());
+      monitor_.recordDisconnect(runner.fingerprint, present, clock_.monotonicMs());
   if (next == AfterDisconnect::Report) {
     notifyLeader();
   }
@@ -76,8 +76,21 @@
   return monitor_.completedRecently(request, clock_.monotonicMs());
 }
 
+void RunnerCrashReporter::recordAnswered(const std::vector<uint64_t>& parts, int64_t began_ms) {
+  if (sound_parts_.record(parts, began_ms)) {
+    notify_leader_();
+  }
+}
+
+void RunnerCrashReporter::setSuspects(const v1::SuspectedParts& suspects) {
+  if (sound_parts_.setSuspects(suspects, clock_.monotonicMs())) {
+    notify_leader_();
+  }
+}
+
 void RunnerCrashReporter::fill(v1::LeaseRenewal& renewal, bool first_on_link) {
   monitor_.fill(renewal, first_on_link, clock_.monotonicMs());
+  sound_parts_.fill(renewal, first_on_link, clock_.monotonicMs());
 }
 
 } // namespace workshatch::daemon
--- a/src/daemon/relay/runner_crash_reporter.h
+++ b/src/daemon/relay/runner_crash_reporter.h
@@ -6,12 +6,14 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
 #include "adapters/http/http_types.h"
 #include "core/relay/runner.h"
 #include "core/relay/runner_crash_monitor.h"
+#include "core/relay/sound_parts.h"
 #include "daemon/relay/path_prober.h"
 #include "daemon/relay/runner_dialer.h"
 #include "ports/clock.h"
@@ -43,7 +45,8 @@
 
   /// Records that the runner closed the connection of a request in progress, and probes the runner
   /// if necessary.
-  void recordDisconnect(const relay::Runner& runner, const relay::RequestIdentity& request);
+  void recordDisconnect(const relay::Runner& runner,
+                        const relay::RunnerCrashMonitor::PresentRequest& present);
   /// Records that the runner's address refused a connection, and this relay's network path is not
   /// the cause. @param runner fingerprint of the runner
   void recordConnectionRefused(uint64_t runner);
@@ -54,6 +57,12 @@
   /// @return whether a runner completed the request recently.
   bool completedRecently(const relay::RequestIdentity& request);
 
+  /// Records that a runner answered a prompt with these parts without crashing. @param began_ms
+  /// when the answer began
+  void recordAnswered(const std::vector<uint64_t>& parts, int64_t began_ms);
+  /// Replaces the parts of prompts that the leader suspects of crashing runners.
+  void setSuspects(const v1::SuspectedParts& suspects);
+
   /// Adds the reports that the leader does not have yet to a renewal. @param first_on_link whether
   /// the renewal is the first on its link, so that the leader may have none of the reports
   void fill(v1::LeaseRenewal& renewal, bool first_on_link);
@@ -70,6 +79,7 @@
   const std::shared_ptr<PathProber> path_prober_;
   const std::function<void()> notify_leader_;
   relay::RunnerCrashMonitor monitor_;
+  relay::SoundParts sound_parts_;
   Counts counts_;
 };
 
--- a/tests/unit/core/relay/runner_crash_monitor_test.cc
+++ b/tests/unit/core/relay/runner_crash_monitor_test.cc
@@ -15,10 +15,14 @@
 
 constexpr uint64_t kRunner = 7;
 
-RequestIdentity request(uint64_t content) {
+RequestIdentity identity(uint64_t content) {
   return RequestIdentity{.caller = 1, .content = content};
 }
 
+RunnerCrashMonitor::PresentRequest request(uint64_t content) {
+  return RunnerCrashMonitor::PresentRequest{.request = identity(content)};
+}
+
 int reportsIn(RunnerCrashMonitor& monitor, bool first_on_link, int64_t now_ms) {
   v1::LeaseRenewal renewal;
   monitor.fill(renewal, first_on_link, now_ms);
@@ -82,7 +86,7 @@
 
 TEST_CASE("A request that completed recently is not reported") {
   RunnerCrashMonitor monitor;
-  monitor.recordCompleted(request(1), 1000);
+  monitor.recordCompleted(identity(1), 1000);
   CHECK(monitor.recordDisconnect(kRunner, request(1), 20'000) == AfterDisconnect::Nothing);
   monitor.recordConnectionRefused(kRunner, 20'001);
   CHECK(reportsIn(monitor, true, 20'002) == 0);
@@ -92,11 +96,11 @@
 TEST_CASE("The memory for completed requests and for reports is bounded") {
   RunnerCrashMonitor monitor;
   for (uint64_t content = 1; content <= 20'000; ++content) {
-    monitor.recordCompleted(request(content), 1000);
+    monitor.recordCompleted(identity(content), 1000);
     monitor.recordDisconnect(kRunner, request(1'000'000 + content), 1000);
   }
-  CHECK(monitor.completedRecently(request(20'000), 1000));
-  CHECK_FALSE(monitor.completedRecently(request(1), 1000));
+  CHECK(monitor.completedRecently(identity(20'000), 1000));
+  CHECK_FALSE(monitor.completedRecently(identity(1), 1000));
   monitor.recordConnectionRefused(kRunner, 1001);
   CHECK(reportsIn(monitor, true, 1002) <= 256);
 }
--- a/tests/unit/daemon/fleet/crashing_part_test.cc
+++ b/tests/unit/daemon/fleet/crashing_part_test.cc
@@ -163,4 +163,18 @@
                     {"bad-part-1", "bad-part-2"});
 }
 
+TEST_CASE("No part of a prompt is blamed for crashes that none causes") {
+  TestFleet fleet(fleetOf({}, 18900));
+  const auto sound = soundPrompts(fleet);
+  for (size_t wave = 0; wave < 5; ++wave) {
+    for (size_t i = 0; i < kRunners / 2; ++i) {
+      fleet.promptRunner((wave + 2 * i) % kRunners).crash();
+    }
+    std::this_thread::sleep_for(kRestartAfter / 2);
+  }
+  for (size_t relay = 0; relay < kRelays; ++relay) {
+    CHECK(fleet.metricsHave(relay, "workshatch_relay_quarantined_parts 0"));
+  }
+}
+
 } // namespace workshatch::test
