An answer that ends with its connection is no proof that its runner lives

Cause: the end of such an answer looks complete, so a crash was taken for a success and cleared the part; one that ended inside an event was not taken for a disconnect.

Change: both are disconnects, for which the runner is probed. If it accepts a connection, the answers count as completed, else as present at the crash.

--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -55,6 +55,10 @@
   /// Closes the connection. Operations in progress fail.
   void close();
 
+  /// @return whether the response was received completely, and only the end of the connection says
+  /// so: a process that crashes may end it in the same way.
+  bool endedByClose() const { return parser_ && parser_->is_done() && parser_->need_eof(); }
+
   /// @return whether another request may be sent: the last request was sent completely, its
   /// response was received completely and allows it, and no further bytes arrived.
   bool reusable() const;
--- a/src/core/relay/part_crash_counts.cc
+++ b/src/core/relay/part_crash_counts.cc
@@ -27,7 +27,7 @@
 constexpr int64_t kAnswersCompleteMs = 800;
 constexpr int64_t kMoreAnswersCompleteMs = 2000;
 /// Number of waves over which crashes must be spread that count less.
-constexpr size_t kWaves = 2;
+constexpr size_t kWaves = 3;
 /// What a wave counts at most.
 constexpr double kMaxOfWave = 2;
 /// Probability above which the presence of a part at its crashes may be chance; and if it was not
--- a/src/core/relay/runner_crash_monitor.cc
+++ b/src/core/relay/runner_crash_monitor.cc
@@ -28,9 +28,8 @@
     return AfterDisconnect::Nothing;
   }
   Suspect& suspect = suspects_[runner];
-  const Disconnect disconnect{.request = completed ? std::nullopt : std::optional(present.request),
-                              .parts = present.parts,
-                              .disconnected_ms = now_ms};
+  const Disconnect disconnect{
+      .present = present, .completed = completed, .disconnected_ms = now_ms};
   if (suspect.refused_ms) {
     report(runner, disconnect);
     return AfterDisconnect::Report;
@@ -55,19 +54,30 @@
   return any;
 }
 
-void RunnerCrashMonitor::recordListening(uint64_t runner) {
+std::vector<RunnerCrashMonitor::PresentRequest>
+RunnerCrashMonitor::recordListening(uint64_t runner) {
+  std::vector<PresentRequest> completed;
   const auto found = suspects_.find(runner);
-  if (found != suspects_.end()) {
-    found->second.disconnects.clear();
-    found->second.refused_ms.reset();
+  if (found == suspects_.end()) {
+    return completed;
   }
+  for (Disconnect& disconnect : found->second.disconnects) {
+    if (disconnect.present.answer_began_ms) {
+      completed.push_back(std::move(disconnect.present));
+    }
+  }
+  found->second.disconnects.clear();
+  found->second.refused_ms.reset();
+  return completed;
 }
 
 void RunnerCrashMonitor::report(uint64_t runner, const Disconnect& disconnect) {
-  reports_.push_back(Report{.request = disconnect.request,
-                            .parts = disconnect.parts,
-                            .runner = runner,
-                            .crashed_ms = disconnect.disconnected_ms});
+  const PresentRequest& present = disconnect.present;
+  reports_.push_back(
+      Report{.request = disconnect.completed ? std::nullopt : std::optional(present.request),
+             .parts = present.parts,
+             .runner = runner,
+             .crashed_ms = disconnect.disconnected_ms});
   ++unreported_;
   if (reports_.size() > kMaxReports) {
     reports_.pop_front();
--- a/src/core/relay/runner_crash_monitor.h
+++ b/src/core/relay/runner_crash_monitor.h
@@ -31,6 +31,9 @@
     /// Fingerprints of the shared parts of its prompt; empty if none of them can have crashed the
     /// runner, which had been answering the request for a while.
     std::vector<uint64_t> parts;
+    /// When the answer began, if it looks complete although the connection was closed; zero if it
+    /// was no success. The request has completed if the runner still listens.
+    std::optional<int64_t> answer_began_ms;
   };
 
   /// A request that was in progress at a runner whose process crashed.
@@ -60,7 +63,8 @@
   bool recordConnectionRefused(uint64_t runner, int64_t now_ms);
 
   /// Records that the runner's address accepted a connection: its process has not ended.
-  void recordListening(uint64_t runner);
+  /// @return the requests that have completed, since only the end of their connection was in doubt.
+  std::vector<PresentRequest> recordListening(uint64_t runner);
 
   void recordCompleted(const RequestIdentity& request, int64_t now_ms) {
     completed_.record(request, now_ms);
@@ -76,8 +80,9 @@
 
 private:
   struct Disconnect {
-    std::optional<RequestIdentity> request;
-    std::vector<uint64_t> parts;
+    PresentRequest present;
+    /// The request itself completed recently at another time.
+    bool completed = false;
     int64_t disconnected_ms = 0;
   };
   struct Suspect {
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -78,6 +78,8 @@
     relay::AttemptOutcome outcome = relay::AttemptOutcome::Unreachable;
     /// The runner closed the connection while the request was in progress.
     bool closed_by_runner = false;
+    /// The response looks complete, but nothing but the end of the connection says so.
+    bool ended_by_close = false;
     /// The attempt ended at a time limit.
     bool timed_out = false;
   };
--- a/src/daemon/relay/active_request_answer.cc
+++ b/src/daemon/relay/active_request_answer.cc
@@ -125,13 +125,16 @@
     failure_ = std::move(response);
     co_return AttemptResult{.end = AttemptEnd::Broken, .outcome = relay::AttemptOutcome::Failed};
   }
+  const bool ended_by_close = connection_->endedByClose();
   answer_began_ms_ = isSuccess(status) ? sent_ms_ : 0;
   state_.stats.answer.add(state_.clock.monotonicMs() - request_.received_ms);
   // The runner has completed the request. The time for which a slow caller reads must not count as
   // its service time.
   slot_.release(relay::RequestEnd::Completed);
   co_await exchange_.respond(std::move(response));
-  co_return AttemptResult{.end = AttemptEnd::Answered, .outcome = relay::AttemptOutcome::Succeeded};
+  co_return AttemptResult{.end = AttemptEnd::Answered,
+                          .outcome = relay::AttemptOutcome::Succeeded,
+                          .ended_by_close = ended_by_close};
 }
 
 /// Relays an event to the caller.
@@ -238,11 +241,16 @@
       }
     }
   }
+  const bool ended_by_close = connection_->endedByClose();
   if (splitter.hasPartialEvent() || !stream_started_) {
-    co_return broken("the stream ended before or within an event");
+    AttemptResult result = broken("the stream ended before or within an event");
+    result.closed_by_runner = ended_by_close;
+    co_return result;
   }
   co_await exchange_.finish();
-  co_return AttemptResult{.end = AttemptEnd::Answered, .outcome = relay::AttemptOutcome::Succeeded};
+  co_return AttemptResult{.end = AttemptEnd::Answered,
+                          .outcome = relay::AttemptOutcome::Succeeded,
+                          .ended_by_close = ended_by_close};
 }
 
 } // namespace workshatch::daemon
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -378,14 +378,15 @@
   if (!state_.crash_reporter) {
     return;
   }
-  const int64_t now_ms = state_.clock.monotonicMs();
-  if (result.closed_by_runner) {
-    const bool proven =
-        answer_began_ms_ != 0 && now_ms - answer_began_ms_ >= relay::kAnswerProvenMs;
+  if (result.closed_by_runner || result.ended_by_close) {
+    const bool proven = answer_began_ms_ != 0 &&
+                        state_.clock.monotonicMs() - answer_began_ms_ >= relay::kAnswerProvenMs;
     state_.crash_reporter->recordDisconnect(
-        runner, relay::RunnerCrashMonitor::PresentRequest{.request = request_.identity,
-                                                          .parts = proven ? std::vector<uint64_t>()
-                                                                          : request_.parts});
+        runner, relay::RunnerCrashMonitor::PresentRequest{
+                    .request = request_.identity,
+                    .parts = proven ? std::vector<uint64_t>() : request_.parts,
+                    .answer_began_ms =
+                        result.ended_by_close ? std::optional(answer_began_ms_) : std::nullopt});
   } else if (result.outcome == relay::AttemptOutcome::Succeeded) {
     state_.crash_reporter->recordCompleted(request_.identity);
     recordAnsweredParts();
--- a/src/daemon/relay/runner_crash_reporter.cc
+++ b/src/daemon/relay/runner_crash_reporter.cc
@@ -42,7 +42,7 @@
   const auto error = co_await dialer_.dial(connection, runner.entry.address(), kProbeTimeout);
   connection->close();
   if (!error) {
-    monitor_.recordListening(runner.fingerprint);
+    recordListening(runner);
     co_return;
   }
   counts_.refused += error->refused ? 1 : 0;
@@ -65,7 +65,12 @@
 }
 
 void RunnerCrashReporter::recordListening(const relay::Runner& runner) {
-  monitor_.recordListening(runner.fingerprint);
+  for (const auto& completed : monitor_.recordListening(runner.fingerprint)) {
+    recordCompleted(completed.request);
+    if (*completed.answer_began_ms != 0) {
+      recordAnswered(completed.parts, *completed.answer_began_ms);
+    }
+  }
 }
 
 void RunnerCrashReporter::recordCompleted(const relay::RequestIdentity& request) {
--- a/tests/unit/daemon/fleet/crashing_part_test.cc
+++ b/tests/unit/daemon/fleet/crashing_part_test.cc
@@ -163,6 +163,15 @@
                     {"bad-part-1", "bad-part-2"});
 }
 
+TEST_CASE("A part crashes few runners whose answers end with their connection") {
+  FleetOptions options = fleetOf({"bad-part"}, 18920);
+  options.prompt_framing = AnswerFraming::Unframed;
+  TestFleet fleet(options);
+  checkIsRecognized(fleet,
+                    [](size_t number) { return "common,bad-part," + otherPart(number) + ","; },
+                    {"bad-part"});
+}
+
 TEST_CASE("No part of a prompt is blamed for crashes that none causes") {
   TestFleet fleet(fleetOf({}, 18900));
   const auto sound = soundPrompts(fleet);
--- a/tests/unit/daemon/fleet/prompt_runner.h
+++ b/tests/unit/daemon/fleet/prompt_runner.h
@@ -91,12 +91,21 @@
   std::vector<Event> crashes_;
 };
 
+/// How a runner marks the end of its answers.
+enum class AnswerFraming {
+  Chunked,
+  /// The answer ends with its connection. The runner writes an event before it crashes.
+  Unframed,
+};
+
 /// Streams four events for each prompt. A crash closes all connections and the listener, which is
 /// back at the same address after some time. Runs on a thread of its own.
 class PromptRunner {
 public:
-  PromptRunner(CrashingParts& crashing_parts, std::chrono::milliseconds restart_after)
-      : crashing_parts_(crashing_parts), restart_after_(restart_after), acceptor_(context_) {
+  PromptRunner(CrashingParts& crashing_parts, std::chrono::milliseconds restart_after,
+               AnswerFraming framing)
+      : crashing_parts_(crashing_parts), restart_after_(restart_after), framing_(framing),
+        acceptor_(context_) {
     listen();
     address_ = "127.0.0.1:" + std::to_string(endpoint_.port());
     thread_ = std::thread([this] { context_.run(); });
@@ -166,19 +175,35 @@
     std::erase(sockets_, socket);
   }
 
+  std::string headOf(const std::string& request) const {
+    const std::string id = requestIdOf(request);
+    return framing_ == AnswerFraming::Chunked
+               ? streamHead(id)
+               : "HTTP/1.1 200 OK\r\nW-Request: " + id +
+                     "\r\nW-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n";
+  }
+  static std::string eventOf(int number) {
+    const std::string data = number == kEvents ? "whole" : "part";
+    return "id: " + std::to_string(number) + "\ndata: " + data + "\n\n";
+  }
+
   boost::asio::awaitable<void> answer(Tcp::socket& socket, const std::string& request) {
     const std::string crashing_part = crashing_parts_.recordArrival(request);
     co_await pause(kPrefill);
     if (!crashing_part.empty() && socket.is_open()) {
+      if (framing_ == AnswerFraming::Unframed) {
+        const std::string begun = headOf(request) + eventOf(1);
+        co_await boost::asio::async_write(socket, boost::asio::buffer(begun), kAwait);
+      }
       crashing_parts_.recordCrash(crashing_part);
       crashNow();
       co_return;
     }
-    std::string bytes = streamHead(requestIdOf(request));
+    const bool chunked = framing_ == AnswerFraming::Chunked;
+    std::string bytes = headOf(request);
     for (int event = 1; event <= kEvents; ++event) {
-      const std::string data = event == kEvents ? "whole" : "part";
-      bytes += chunk("id: " + std::to_string(event) + "\ndata: " + data + "\n\n");
-      bytes += event == kEvents ? kLastChunk : "";
+      bytes += chunked ? chunk(eventOf(event)) : eventOf(event);
+      bytes += chunked && event == kEvents ? kLastChunk : "";
       const auto [failure, written] =
           co_await boost::asio::async_write(socket, boost::asio::buffer(bytes), kAwait);
       if (failure) {
@@ -210,6 +235,7 @@
 
   CrashingParts& crashing_parts_;
   const std::chrono::milliseconds restart_after_;
+  const AnswerFraming framing_;
   boost::asio::io_context context_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{
       context_.get_executor()};
--- a/tests/unit/daemon/fleet/test_fleet.h
+++ b/tests/unit/daemon/fleet/test_fleet.h
@@ -216,6 +216,7 @@
   /// the others.
   size_t prompt_runners = 0;
   std::set<std::string> crashing_parts;
+  AnswerFraming prompt_framing = AnswerFraming::Chunked;
   /// The only route of the configuration.
   relay::Route route = testRoute(relay::RouteKind::RunOnce, 1);
   /// First of five consecutive ports that no other test may use.
@@ -250,8 +251,8 @@
           std::make_unique<StreamingRunner>(version, std::chrono::milliseconds(20)));
     }
     for (size_t i = 0; i < options.prompt_runners; ++i) {
-      prompt_runners_.push_back(
-          std::make_unique<PromptRunner>(crashing_parts_, options.runners_restart_after));
+      prompt_runners_.push_back(std::make_unique<PromptRunner>(
+          crashing_parts_, options.runners_restart_after, options.prompt_framing));
     }
     for (size_t i = 0; i < options.relays && !gatedRunnerAddresses().empty(); ++i) {
       gates_.push_back(std::make_unique<RunnerGates>(gatedRunnerAddresses()));
--- a/tests/unit/daemon/relay/active_request_test.cc
+++ b/tests/unit/daemon/relay/active_request_test.cc
@@ -474,6 +474,71 @@
   CHECK_FALSE(answer.ends_with(kLastChunk));
 }
 
+namespace {
+
+/// Head of a response whose end is the end of its connection.
+std::string unframedHead(const std::string& id, const std::string& type) {
+  return "HTTP/1.1 200 OK\r\nW-Request: " + id + "\r\nW-Signature: s\r\nContent-Type: " + type +
+         "\r\n\r\n";
+}
+
+} // namespace
+
+TEST_CASE("An answer that ends with its connection is relayed whole, and none that is reset") {
+  for (const bool reset : {false, true}) {
+    ScriptedRunner runner([reset](auto& socket, const auto& request) {
+      writeTo(socket, unframedHead(requestIdOf(request), "text/plain") + "all of it");
+      if (reset) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        socket.set_option(boost::asio::socket_base::linger(true, 0));
+        // The destructor would close the connection in the ordinary way.
+        socket.close();
+      }
+    });
+    TestRelay relay(testRoute(relay::RouteKind::RunOnce, 1));
+    relay.addRunner("runner-1", runner.address());
+    relay.start();
+    const std::string answer = relay.sendRequest("q1");
+    CHECK(answer.starts_with(reset ? "HTTP/1.1 502" : "HTTP/1.1 200"));
+    CHECK(answer.ends_with("all of it") == !reset);
+  }
+}
+
+TEST_CASE(
+    "A stream that ends with its connection is complete, but not if it ends inside an event") {
+  for (const std::string& end : {std::string("id: 2\ndata: b\n\n"), std::string("id: 2\nda")}) {
+    const bool whole = end.ends_with("\n\n");
+    ScriptedRunner runner([&end](auto& socket, const auto& request) {
+      writeTo(socket,
+              unframedHead(requestIdOf(request), "text/event-stream") + "id: 1\ndata: a\n\n" + end);
+    });
+    TestRelay relay(testRoute(relay::RouteKind::Streaming, 1));
+    relay.addRunner("runner-1", runner.address());
+    relay.start();
+    const std::string answer = relay.sendRequest("q1");
+    CHECK(answer.find("data: a") != std::string::npos);
+    CHECK(answer.ends_with(kLastChunk) == whole);
+  }
+}
+
+TEST_CASE("A stream that ends with its connection inside an event is resumed at another runner") {
+  const auto script = [](auto& socket, const std::string& request) {
+    const bool resumed = request.find("Last-Event-Id: 1") != std::string::npos;
+    writeTo(socket, unframedHead(requestIdOf(request), "text/event-stream") +
+                        (resumed ? "id: 2\ndata: b\n\n" : "id: 1\ndata: a\n\nid: 2\nda"));
+  };
+  ScriptedRunner first(script);
+  ScriptedRunner second(script);
+  TestRelay relay(testRoute(relay::RouteKind::Streaming, 2, true));
+  relay.addRunner("runner-1", first.address());
+  relay.addRunner("runner-2", second.address());
+  relay.start();
+  const std::string answer = relay.sendRequest("q1");
+  CHECK(answer.find("data: a") != std::string::npos);
+  CHECK(answer.find("data: b") != std::string::npos);
+  CHECK(answer.ends_with(kLastChunk));
+}
+
 TEST_CASE("A resumable stream continues at another runner after its last complete event") {
   ScriptedRunner breaking([](auto& socket, const auto& request) {
     if (request.find("Last-Event-Id: 1") != std::string::npos) {
