--- a/src/core/relay/part_crash_counts.cc
+++ b/src/core/relay/part_crash_counts.cc
@@ -354,6 +354,15 @@
 
 bool PartCrashCounts::takeSuspectsChanged() { return std::exchange(suspects_changed_, false); }
 
+/// @return whether a runner crashed under a prompt with the part at this time or later.
+bool PartCrashCounts::crashedSince(uint64_t part, int64_t since_ms) const {
+  return std::any_of(crashes_.begin(), crashes_.end(), [&](const Crash& crash) {
+    return crash.crashed_ms >= since_ms &&
+           std::any_of(crash.prompts.begin(), crash.prompts.end(),
+                       [&](const Prompt& prompt) { return contains(prompt, part); });
+  });
+}
+
 /// Adds orders to release parts that were answered without a crash after the crashes for which they
 /// are in quarantine began.
 void PartCrashCounts::addReleases(std::vector<v1::QuarantineOrder>& orders, int64_t now_ms) {
@@ -362,13 +371,7 @@
     if (sound == sound_ms_.end() || ordered_ms_.contains(part)) {
       continue;
     }
-    const bool crashed_since =
-        std::any_of(crashes_.begin(), crashes_.end(), [&](const Crash& crash) {
-          return crash.crashed_ms >= sound->second &&
-                 std::any_of(crash.prompts.begin(), crash.prompts.end(),
-                             [&](const Prompt& prompt) { return contains(prompt, part); });
-        });
-    if (crashed_since) {
+    if (crashedSince(part, sound->second)) {
       continue;
     }
     ordered_ms_[part] = now_ms;
--- a/src/core/relay/part_crash_counts.h
+++ b/src/core/relay/part_crash_counts.h
@@ -111,6 +111,7 @@
   static bool isBestExplanation(uint64_t part, const EvidenceByPart& evidence);
   bool mayBeJudged(uint64_t part, const Evidence& evidence, int64_t now_ms) const;
   void updateSuspects(const EvidenceByPart& evidence, int64_t now_ms);
+  bool crashedSince(uint64_t part, int64_t since_ms) const;
   void addReleases(std::vector<v1::QuarantineOrder>& orders, int64_t now_ms);
 
   /// Sorted by time.
--- a/tests/unit/core/relay/part_crash_simulation.h
+++ b/tests/unit/core/relay/part_crash_simulation.h
@@ -70,10 +70,10 @@
       if (crashes.size() <= kFifth) {
         continue;
       }
+      const int64_t bound_ms = crashes[kFifth] + kBoundMs;
       const auto& arrivals = arrivals_.at(part);
-      late += static_cast<size_t>(std::count_if(arrivals.begin(), arrivals.end(), [&](int64_t ms) {
-        return ms > crashes[kFifth] + kBoundMs;
-      }));
+      late += static_cast<size_t>(std::count_if(arrivals.begin(), arrivals.end(),
+                                                [bound_ms](int64_t ms) { return ms > bound_ms; }));
     }
     return late;
   }
