Events are relayed without a second coroutine; a choice looks its rollout up once

Each event of each stream awaited a coroutine that in a service of one version did nothing, and the choice of a runner searched the rollouts once for each candidate in place of once. A one-line method that only named another call is gone. Behaviour is the same.

--- a/src/core/relay/rollout_gate.cc
+++ b/src/core/relay/rollout_gate.cc
@@ -36,6 +36,12 @@
   }
 }
 
+bool admitsRequest(const v1::Rollout* rollout, const std::string& version, bool trial,
+                   bool resumes) {
+  return rollout == nullptr || (resumes && isInProgress(*rollout)) ||
+         admitsVersion(*rollout, version, trial);
+}
+
 void RolloutGate::setRollouts(const v1::RolloutList& rollouts, uint64_t draw) {
   rollouts_ = rollouts;
   std::map<std::string, TrialCredit> credit;
--- a/src/core/relay/rollout_gate.h
+++ b/src/core/relay/rollout_gate.h
@@ -65,4 +65,11 @@
 /// @param trial the request is one of those that the target version gets on trial
 bool admitsVersion(const v1::Rollout& rollout, const std::string& version, bool trial);
 
+/// As `admitsVersion`, also for a stream that is resumed: one that began before or during a rollout
+/// ends at its version, as long as the rollout is in progress.
+/// @param rollout null: the service has none
+/// @param resumes the request resumes a stream that a runner of this version began
+bool admitsRequest(const v1::Rollout* rollout, const std::string& version, bool trial,
+                   bool resumes);
+
 } // namespace workshatch::relay
--- a/src/core/relay/runner_choice.cc
+++ b/src/core/relay/runner_choice.cc
@@ -46,9 +46,12 @@
 
 /// @return whether the request may go to the runner by the orders of operators, the request's
 /// regions and its version.
-bool RunnerTable::mayServe(const RunnerRequest& request, const Runner& runner) const {
+/// @param rollout of the request's service; null: there is none
+bool RunnerTable::mayServe(const RunnerRequest& request, const Runner& runner,
+                           const v1::Rollout* rollout) const {
   return !runner.isLeaving() && !runner.evacuated && hasVersionFor(request, runner) &&
-         isAdmittedByRollout(runner, request.trial, request.version.has_value()) &&
+         admitsRequest(rollout, runner.entry.version(), request.trial,
+                       request.version.has_value()) &&
          isHome(request.home_regions, runner);
 }
 
@@ -60,12 +63,13 @@
   if (service == services_.end()) {
     return candidate_set;
   }
+  const v1::Rollout* rollout = rollouts_.findRollout(request.service);
   usable.reserve(service->second.runners.size());
   // A version on trial is not avoided because of its failures, which are what the trial is to show.
   const auto failing = request.trial ? std::vector<const Runner*>()
                                      : findFailingRunners(service->second.runners, request.now_ms);
   for (const auto& runner : service->second.runners) {
-    if (!mayServe(request, *runner) || isExcluded(request, *runner)) {
+    if (!mayServe(request, *runner, rollout) || isExcluded(request, *runner)) {
       continue;
     }
     // A runner that requested a backoff is not even a last resort: its request is explicit, unlike
@@ -126,11 +130,12 @@
   for (const auto& runner : candidates) {
     load += runner->load();
   }
+  const v1::Rollout* rollout = rollouts_.findRollout(request.service);
   for (const auto& runner : services_.at(request.service).runners) {
-    const bool gets_no_requests =
-        runner->evacuated || isBackingOff(*runner, request.now_ms) ||
-        !hasVersionFor(request, *runner) ||
-        !isAdmittedByRollout(*runner, request.trial, request.version.has_value());
+    const bool gets_no_requests = runner->evacuated || isBackingOff(*runner, request.now_ms) ||
+                                  !hasVersionFor(request, *runner) ||
+                                  !admitsRequest(rollout, runner->entry.version(), request.trial,
+                                                 request.version.has_value());
     load += gets_no_requests ? runner->load() : 0;
     counted += gets_no_requests ? 1 : 0;
   }
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -210,10 +210,8 @@
 }
 
 bool RunnerTable::isAdmittedByRollout(const Runner& runner, bool trial, bool resumes) const {
-  const v1::Rollout* rollout = rollouts_.findRollout(runner.entry.service());
-  // A stream that began before or during a rollout ends at its version, as long as that is served.
-  const bool stays = resumes && rollout != nullptr && isInProgress(*rollout);
-  return rollout == nullptr || stays || admitsVersion(*rollout, runner.entry.version(), trial);
+  return admitsRequest(rollouts_.findRollout(runner.entry.service()), runner.entry.version(), trial,
+                       resumes);
 }
 
 const VersionMix* RunnerTable::versionsOf(const std::string& service) const {
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -322,7 +322,8 @@
 
   void setPlainServices(const std::vector<Service>& services);
   void applyEntry(Runner& runner, const v1::RunnerEntry& entry, int64_t now_ms);
-  bool mayServe(const RunnerRequest& request, const Runner& runner) const;
+  bool mayServe(const RunnerRequest& request, const Runner& runner,
+                const v1::Rollout* rollout) const;
   std::shared_ptr<Runner> runnerFor(std::shared_ptr<Runner> known, const v1::RunnerEntry& entry,
                                     int64_t listed_since_ms) const;
   void delist(Runner& runner, int64_t now_ms);
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -141,8 +141,8 @@
   bool recordsOrigin() const;
   relay::StreamId streamId() const;
   http::awaitable<void> findOrigin();
+  bool originRecordDue() const;
   http::awaitable<void> recordOrigin();
-  std::optional<std::string> versionOfPeerAnswer() const;
 
   // Participation in a rollout (active_request_rollout.cc).
   void takeTrial();
--- a/src/daemon/relay/active_request_answer.cc
+++ b/src/daemon/relay/active_request_answer.cc
@@ -150,11 +150,17 @@
   }
   const int64_t pause_ms = pauses_.recordEvent(received_ms);
   state_.stats.recordPause(request_.demand, pause_ms);
-  if (!stream_started_) {
+  if (state_.stream_origins && !stream_version_) {
+    stream_version_ = attempt_version_;
+  }
+  // Called only when due: most events are relayed without another coroutine.
+  if (originRecordDue()) {
     co_await recordOrigin();
     if (interrupted()) {
       co_return false;
     }
+  }
+  if (!stream_started_) {
     stream_started_ = true;
     first_event_ms_ = now;
     slot_.recordFirstEvent();
@@ -170,7 +176,6 @@
     trackReader();
   } else {
     state_.stats.event_gap.add(now - last_event_ms_);
-    co_await recordOrigin();
   }
   last_event_ms_ = now;
   ++events_;
--- a/src/daemon/relay/active_request_forward.cc
+++ b/src/daemon/relay/active_request_forward.cc
@@ -137,7 +137,7 @@
     forward_outcome_ = "not_resumed";
     co_return broken("no stream to resume: status " + std::to_string(head.result_int())).end;
   }
-  attempt_version_ = versionOfPeerAnswer();
+  attempt_version_ = streamVersionOf(head);
   if (stream && stream_version_ && attempt_version_ != stream_version_) {
     forward_outcome_ = "other_version";
     co_return broken("another version goes on with the stream").end;
--- a/src/daemon/relay/active_request_version.cc
+++ b/src/daemon/relay/active_request_version.cc
@@ -69,7 +69,7 @@
 /// @return whether callers of this stream may resume it while runners of several versions serve. A
 /// stream is recorded by the relay that sends it to a runner.
 bool ActiveRequest::recordsOrigin() const {
-  if (!at_runner_ || !request_.repeatable()) {
+  if (!state_.stream_origins || !at_runner_ || !request_.repeatable()) {
     return false;
   }
   const relay::VersionMix* versions = state_.runners.versionsOf(request_.service);
@@ -77,22 +77,17 @@
          versions->wasMixedWithin(recordLifetimeMs(*request_.route), state_.clock.monotonicMs());
 }
 
-/// Notes the version of the runner that began the stream, and records it at other relays where and
-/// when that is due. To be called before an event is relayed.
+/// @return whether the origin of the stream is to be recorded before the next event is relayed.
+bool ActiveRequest::originRecordDue() const {
+  const bool due =
+      recorded_ms_ == 0 || state_.clock.monotonicMs() - recorded_ms_ >= kRecordPeriodMs;
+  return due && stream_version_ && recordsOrigin();
+}
+
+/// Records the version of the runner that began the stream at other relays.
 http::awaitable<void> ActiveRequest::recordOrigin() {
-  if (!state_.stream_origins) {
-    co_return;
-  }
   const bool begins = !stream_started_ && !resumesStream();
-  if (!stream_version_) {
-    stream_version_ = attempt_version_;
-  }
-  const int64_t now_ms = state_.clock.monotonicMs();
-  const bool due = recorded_ms_ == 0 || now_ms - recorded_ms_ >= kRecordPeriodMs;
-  if (!due || !stream_version_ || !recordsOrigin()) {
-    co_return;
-  }
-  recorded_ms_ = now_ms;
+  recorded_ms_ = state_.clock.monotonicMs();
   relay::StreamOrigin origin{.service = request_.service, .version = *stream_version_};
   const int64_t lifetime_ms = recordLifetimeMs(*request_.route);
   if (begins) {
@@ -102,10 +97,4 @@
   }
 }
 
-/// @return the version of the runner that the relay in this attempt used, as it told; nullopt: it
-/// did not.
-std::optional<std::string> ActiveRequest::versionOfPeerAnswer() const {
-  return streamVersionOf(connection_->head());
-}
-
 } // namespace workshatch::daemon
