--- a/review/standins.py
+++ b/review/standins.py
@@ -64,6 +64,9 @@
     daemon_threads = True
     request_queue_size = 128
 
+    def handle_error(self, request, client_address):
+        """Connections that the other end resets are ordinary here."""
+
 
 def _serve(handler, ip):
     server = _Server((ip, 0), handler)
@@ -92,8 +95,9 @@
 class Runner:
     """A runner of a plain service. It runs each request that is addressed to it, and notes it."""
 
-    def __init__(self, ip, service, zone, record):
+    def __init__(self, ip, service, zone, record, work_s=0.0):
         self.id = "i-%08x" % random.getrandbits(32)
+        self.work_s = work_s
         self.service = service
         self.zone = zone
         self.runs = []
@@ -117,6 +121,7 @@
                     return
                 runner.runs.append(request_id)
                 record.write("runner %s runs %s" % (runner.id, request_id))
+                time.sleep(runner.work_s)
                 self.send(200, b"ran " + request_id.encode(),
                           [("X-Request-Id", request_id), ("X-Server-Signature", "s." + request_id)])
 
