review: case 3, many permitted bodies end a relay

Seen: 72 clients at once, each with a body of maxBodyBytes, take a relay over memoryMb; it is killed and callers with unsafe requests at sound runners get no answer. Cause: bodies are read whole, with no limit for all of them together.

--- a/review/standins.py
+++ b/review/standins.py
@@ -303,6 +303,100 @@
         return status, version
 
 
+class Caller:
+    """Sends tickets on one kept connection, one after the other."""
+
+    def __init__(self, number, machine, record, key):
+        self.number = number
+        self.key = key
+        self.machine = machine
+        self.record = record
+        self.answered = 0
+        self.closed = []  # ids of requests whose kept connection was closed without an answer
+        self.ended = False
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        host, port = self.machine.front().split(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=5)
+        used = 0
+        sequence = 0
+        while not self.ended:
+            sequence += 1
+            request_id = "%02d%014x" % (self.number, sequence)
+            try:
+                connection.request("POST", "/ticket/1", body=b"ticket", headers={
+                    "Host": "desk.example", "X-Request-Id": request_id, "X-Deadline-Ms": "3000",
+                    "X-Api-Key": self.key})
+                response = connection.getresponse()
+                response.read()
+                used += 1
+                self.answered += 1
+                self.record.write("caller %d: %s: %d" % (self.number, request_id, response.status))
+            except (OSError, http.client.HTTPException) as failure:
+                if self.ended:
+                    return
+                self.record.write("caller %d: %s: no answer, %s on a connection used %d times" % (
+                    self.number, request_id, type(failure).__name__, used))
+                if used > 0:
+                    self.closed.append(request_id)
+                return
+
+
+def peak_mb(process):
+    """@return the process's peak of resident memory in MB; 0 once it has ended."""
+    try:
+        with open("/proc/%d/status" % process.pid, encoding="ascii") as status:
+            for line in status:
+                if line.startswith("VmHWM:"):
+                    return int(line.split()[1]) / 1024
+    except OSError:
+        pass
+    return 0
+
+
+class MemoryLimit:
+    """The platform: "A process that goes over memoryMb is killed"."""
+
+    def __init__(self, process, name, record, limit_mb):
+        self.process = process
+        self.limit_mb = limit_mb
+        self.peak = 0
+        self.killed = False
+        self.ended = False
+        self.name = name
+        self.record = record
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        while not self.ended and self.process.poll() is None:
+            self.peak = max(self.peak, peak_mb(self.process))
+            if self.peak > self.limit_mb:
+                self.killed = True
+                self.record.write("platform: the relay process of %s is over memoryMb (%.0f MB) "
+                                  "and is killed" % (self.name, self.peak))
+                self.process.send_signal(signal.SIGKILL)
+                return
+            time.sleep(0.01)
+
+
+def judge_closes(record, limit, callers, runners, allowed):
+    """Judges the rule LOST on kept connections. @return the exit code of the case"""
+    limit.ended = True
+    closed = [request for caller in callers for request in caller.closed]
+    for caller in callers:
+        caller.ended = True
+    runs = {request for runner in runners for request in runner.runs}
+    passed_on = [request for request in closed if request in runs]
+    record.write("peak memory of the relay process: %.0f MB of %d; killed: %s" % (
+        limit.peak, limit.limit_mb, limit.killed))
+    record.write("kept connections closed without an answer after their request was passed on to "
+                 "a sound runner: %d; allowed: %d" % (len(passed_on), allowed))
+    return BROKEN if len(passed_on) > allowed else HELD
+
+
 def run_case(main):
     """Runs main(record, trouble) -> exit code, and maps failures of the setup to 2."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
