--- a/review/kit-2/fleet.py
+++ b/review/kit-2/fleet.py
@@ -230,3 +230,14 @@
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
             writer.close()
+
+
+def run_case(main, record):
+    """Runs a case. An error of the script itself means that the case couldn't run."""
+    try:
+        result = asyncio.run(main())
+    except (Exception, KeyboardInterrupt) as error:
+        record("the case couldn't run:", repr(error))
+        result = NOT_RUN
+    record("result", result)
+    return result
