--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,7 +18,8 @@
 # Tries of a caller, and its first wait where an answer names none; each later wait is doubled.
 TRIES = 6
 RETRY_S = 0.3
-# The release of half of the runners: one at a time, the new one first; a leaving runner serves for drainMs and a little more.
+# The release of half of the runners: one at a time, the new one first; a leaving runner serves for
+# drainMs and a little more.
 RELEASE_GAP_S = 1.0
 DRAIN_S = 3.0 + 1.0
 # The kill comes so long after the last runner of the former version has ended.
