--- a/src/daemon/relay/active_request_version.cc
+++ b/src/daemon/relay/active_request_version.cc
@@ -3,6 +3,7 @@
 /// stream, and recorded at other relays for one that may.
 #include <utility>
 
+#include "adapters/logging/line_log.h"
 #include "core/relay/stream_resumption.h"
 #include "daemon/relay/active_request.h"
 
@@ -64,6 +65,17 @@
   version_unknown_ = !decision.known;
   others_do_not_know_ = lookup.answers > 0;
   stream_version_ = decision.version;
+  line_log::write("stream_resumed",
+                  {{"request", request_.id},
+                   {"resumes", request_.resumes},
+                   {"service", request_.service},
+                   {"known", decision.known},
+                   {"version", decision.version.value_or("")},
+                   {"recorded", lookup.origin.has_value()},
+                   {"relays_answered", lookup.answers},
+                   {"relays_complete", lookup.complete},
+                   {"mixed", lookup.versions_mixed || (versions != nullptr && versions->isMixed())},
+                   {"up_ms", now_ms - state_.started_ms}});
 }
 
 /// @return whether callers of this stream may resume it while runners of several versions serve. A
