An empty replica joins whoever leads: join requests are passed on to the leader

Cause: a replica with an empty disk asks the seeds only, and a replica that does not lead dropped the request. Change: it passes the request on to the leader that it knows, once.

--- a/src/daemon/group/group_membership.cc
+++ b/src/daemon/group/group_membership.cc
@@ -130,11 +130,28 @@
 }
 
 void GroupReplica::joinReceived(const v1::JoinRequest& request) {
-  if (node_->isLeader() && !unwritten_) {
-    join_requests_[request.address()] = request;
+  if (node_->isLeader()) {
+    if (!unwritten_) {
+      join_requests_[request.address()] = request;
+    }
+    return;
+  }
+  // A replica with an empty disk knows the seeds only, and the leader need not be one of them.
+  const std::string leader = leaderAddress();
+  if (!request.forwarded() && !leader.empty()) {
+    v1::JoinRequest forwarded = request;
+    forwarded.set_forwarded(true);
+    send_join_(leader, std::move(forwarded));
   }
 }
 
+/// @return whether the member has answered this leader since it was added, and within the last
+/// election timeout.
+bool GroupReplica::answers(uint64_t member) const {
+  return node_->matchIndex(member) != 0 &&
+         node_->ticksSinceReply(member) <= options_.election_ticks;
+}
+
 size_t GroupReplica::voterCount() const {
   const v1::RaftMembership membership = node_->membership();
   return static_cast<size_t>(
@@ -185,6 +202,10 @@
                     {{"step", step}, {"id", join.id()}, {"address", join.address()}});
     return node_->proposeMembership(membership).has_value();
   };
+  if (former != members->end() && answers(former->id())) {
+    // The replica at this address has its disk: the request is an old one.
+    return false;
+  }
   if (own == members->end()) {
     v1::RaftMember* learner = members->Add();
     learner->set_id(join.id());
@@ -192,7 +213,9 @@
     learner->set_learner(true);
     return change("learner_added");
   }
-  if (node_->matchIndex(join.id()) + kCaughtUpEntries < node_->commitIndex()) {
+  const bool caught_up =
+      answers(join.id()) && node_->matchIndex(join.id()) + kCaughtUpEntries >= node_->commitIndex();
+  if (!caught_up) {
     return false;
   }
   if (former != members->end()) {
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -173,6 +173,7 @@
   void formGroup();
   void makeNode(raft::RaftRecovery recovery);
   void advanceMembership();
+  bool answers(uint64_t member) const;
   bool advanceJoin(const v1::JoinRequest& join);
   bool replaceSilentVoter(v1::RaftMembership membership);
   std::string addressOf(uint64_t member) const;
--- a/tests/unit/daemon/group/group_replica_test.cc
+++ b/tests/unit/daemon/group/group_replica_test.cc
@@ -57,6 +57,58 @@
   CHECK(group.read() == "v3");
 }
 
+// Lost disks would add up until the quorum is gone: an empty replica asks the seeds only.
+TEST_CASE("Replicas that lost their disks one by one rejoin while the leader is no seed") {
+  Group group;
+  startFirst(group);
+  group.kill("c");
+  group.start("d", 44, false);
+  REQUIRE(group.runUntil([&] { return group.at("d").votes(); }));
+  group.start("c", 13, false);
+  REQUIRE(group.runUntil([&] { return group.members().contains("c"); }));
+  REQUIRE(group.runUntil([&] {
+    for (const char* address : {"a", "b"}) {
+      if (group.leaderAddress() == address) {
+        group.at(address).handOverLeadership();
+      }
+    }
+    return group.leaderAddress() == "d";
+  }));
+  uint64_t id = 200;
+  for (const char* address : {"a", "b", "c"}) {
+    group.kill(address);
+    group.wipe(address);
+    group.start(address, ++id, false);
+    REQUIRE(group.runUntil([&] { return group.at(address).stored().version() == 1; }));
+    REQUIRE(group.runUntil([&] {
+      // Other members may lead meanwhile.
+      if (group.leader() != nullptr && group.leaderAddress() != "d" && group.at("d").votes()) {
+        group.leader()->handOverLeadership();
+      }
+      return group.at("d").voterCount() == 3 && group.leaderAddress() == "d";
+    }));
+  }
+  CHECK(group.store(2));
+}
+
+TEST_CASE("An old join request takes no vote from a replica that answers") {
+  Group group;
+  startFirst(group);
+  REQUIRE(group.leader() != nullptr);
+  v1::JoinRequest old;
+  old.set_id(99);
+  old.set_address("b");
+  for (int i = 0; i < 10; ++i) {
+    for (const char* address : {"a", "b", "c"}) {
+      group.at(address).joinReceived(old);
+    }
+    REQUIRE(group.store(static_cast<uint64_t>(i) + 2));
+  }
+  CHECK(group.at("b").votes());
+  CHECK(group.leader()->voterCount() == 3);
+  CHECK(group.leader()->memberAddresses().size() == 3);
+}
+
 TEST_CASE("A replica at a new address replaces a failed voter") {
   Group group;
   startFirst(group);
