A replica's tick does not run after its destruction

Callers saw nothing: a process destroys its replica only as it ends. Cause: a timer that has expired cannot be cancelled any more, so that its handler ran with success and a dangling pointer after the kill. The class is that of docs/incidents/callbacks-after-their-owner.md; posted work was guarded before, this timer was not. Change: the handler holds the same guard.

--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -61,11 +61,13 @@
 
 void GroupReplica::scheduleTick() {
   tick_timer_.expires_after(std::chrono::milliseconds(options_.tick_ms));
-  tick_timer_.async_wait([this](boost::system::error_code failure) {
-    if (failure) {
-      return;
-    }
-    process();
+  // A timer that has expired cannot be cancelled: its handler may run after the destruction.
+  tick_timer_.async_wait(
+      [this, alive = std::weak_ptr<char>(alive_)](boost::system::error_code failure) {
+        if (failure || alive.expired()) {
+          return;
+        }
+        process();
     scheduleTick();
   });
 }
