Revert: a majority of the seeds founds the group

Cause: answers to the first hellos were lost while links were being opened; two founders, which then heard of a group that they had not seen come about, took random identities, and the third had made the former ones voters. By reasoning it was thought that both answers arrive; the unit tests lose none. Conclusion: an identity that may be a voter's must not be given up on hearsay.

--- a/src/daemon/group/group_membership.cc
+++ b/src/daemon/group/group_membership.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "adapters/logging/line_log.h"
-#include "daemon/group/founder_identity.h"
 #include "daemon/group/group_replica.h"
 
 namespace workshatch::daemon {
@@ -21,9 +20,6 @@
 /// Index and term of the snapshot that every replica of a new group starts from.
 constexpr uint64_t kFirstIndex = 1;
 constexpr uint64_t kFirstTerm = 1;
-/// Time after its start from which a founder forms the group with a majority of the seeds.
-/// Ordinarily all have started by then, so that none has to join later.
-constexpr int64_t kFoundersWaitMs = 1500;
 
 } // namespace
 
@@ -39,21 +35,13 @@
     return;
   }
   find_group_due_ms_ = now + kFindGroupPeriodMs;
-  if (ungrouped && isFounder()) {
+  if (ungrouped && !group_exists_ && options_.first_start && isSeed(options_.own_address)) {
     sendHellos();
-    formGroupIfDue();
     return;
   }
   sendJoins();
 }
 
-/// @return whether the replica may form the group: its disk was first used in the first start of
-/// the system, also if its process has been restarted since, and it knows of no group.
-bool GroupReplica::isFounder() const {
-  return !group_exists_ && isSeed(options_.own_address) &&
-         id_ == founderIdentity(options_.own_address);
-}
-
 void GroupReplica::sendHellos() {
   v1::ReplicaHello hello;
   hello.set_id(id_);
@@ -65,6 +53,9 @@
       send_hello_(seed, hello);
     }
   }
+  if (options_.seeds.size() == 1) {
+    formGroup();
+  }
 }
 
 void GroupReplica::sendJoins() {
@@ -89,86 +80,53 @@
     answer.set_id(id_);
     answer.set_address(options_.own_address);
     answer.set_grouped(grouped);
-    answer.set_founder(!grouped && isFounder());
+    answer.set_founder(!grouped && options_.first_start);
     send_hello_(hello.address(), answer);
   }
   if (grouped) {
     return;
   }
   if (hello.grouped()) {
-    if (isFounder() && founders_.contains(hello.address())) {
-      // The sender has formed the group since it was heard last, and this replica is a member.
-      formGroup();
-      return;
-    }
     // A group exists without this replica, which must not form another one. It waits until it is
     // added as a member.
-    if (undecided_) {
-      takeNewIdentity();
-    }
     group_exists_ = true;
     founders_.clear();
     return;
   }
-  if (hello.founder() && isSeed(hello.address()) && isFounder()) {
-    founders_.insert(hello.address());
-    formGroupIfDue();
+  if (!hello.founder() || !isSeed(hello.address())) {
+    return;
   }
-}
-
-/// Forms the group once all founders are known, or once a majority of the seeds is and the others
-/// had time to start.
-void GroupReplica::formGroupIfDue() {
-  const size_t known = founders_.size() + 1;
-  const bool waited = clock_.monotonicMs() - started_ms_ >= kFoundersWaitMs;
-  if (known == options_.seeds.size() || (waited && known > options_.seeds.size() / 2)) {
+  founders_[hello.address()] = hello.id();
+  if (options_.first_start && isSeed(options_.own_address) &&
+      founders_.size() + 1 == options_.seeds.size()) {
     formGroup();
   }
 }
 
-/// Makes the first membership, which is the same at all founders.
 void GroupReplica::formGroup() {
   raft::RaftReady first;
   first.snapshot.emplace();
   first.snapshot->set_index(kFirstIndex);
   first.snapshot->set_term(kFirstTerm);
   first.snapshot->set_state(state_.save());
+  first.hard_state.emplace();
+  first.hard_state->set_term(kFirstTerm);
   for (const std::string& address : options_.seeds) {
     v1::RaftMember* member = first.snapshot->mutable_membership()->add_members();
     member->set_address(address);
-    member->set_id(founderIdentity(address));
-  }
-  raft::RaftRecovery recovery;
-  recovery.hard_state = node_->hardState();
-  // A vote that was given before is kept.
-  if (recovery.hard_state.term() < kFirstTerm) {
-    recovery.hard_state.set_term(kFirstTerm);
+    member->set_id(address == options_.own_address ? id_ : founders_.at(address));
   }
-  first.hard_state = recovery.hard_state;
   if (isError(store_.write(first))) {
     return;
   }
+  raft::RaftRecovery recovery;
+  recovery.hard_state = *first.hard_state;
   recovery.log.restore(*first.snapshot);
   makeNode(std::move(recovery));
   applied_ = kFirstIndex;
   group_exists_ = true;
-  undecided_ = false;
   leader_last_known_ms_ = clock_.monotonicMs();
-  line_log::write("group_formed",
-                  {{"id", id_}, {"members", options_.seeds}, {"founders_heard", founders_.size()}});
-}
-
-/// Takes a random identity in place of that of a founder. The disk was lost, or the start was late:
-/// in a group that exists, the identity of the founder may have voted.
-void GroupReplica::takeNewIdentity() {
-  const uint64_t id = random_.next() | 1U;
-  if (isError(store_.storeIdentity(id))) {
-    return;
-  }
-  id_ = id;
-  undecided_ = false;
-  makeNode(raft::RaftRecovery());
-  line_log::write("identity_replaced", {{"id", id_}});
+  line_log::write("group_formed", {{"id", id_}, {"members", options_.seeds}});
 }
 
 void GroupReplica::joinReceived(const v1::JoinRequest& request) {
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -37,8 +37,6 @@
   }
   applied_ = snapshot.index();
   group_exists_ = !replica.recovery.log.latestMembership().members().empty();
-  undecided_ = options_.first_start && isFounder() && replica.recovery.hard_state.term() == 0;
-  started_ms_ = clock_.monotonicMs();
   makeNode(std::move(replica.recovery));
   next_tick_ms_ = clock_.monotonicMs() + options_.tick_ms;
   leader_last_known_ms_ = clock_.monotonicMs();
@@ -70,8 +68,8 @@
           return;
         }
         process();
-        scheduleTick();
-      });
+    scheduleTick();
+  });
 }
 
 void GroupReplica::catchUpTicks() {
@@ -368,7 +366,7 @@
 }
 
 void GroupReplica::deliver(const v1::RaftBatch& batch) {
-  if (unwritten_ || undecided_) {
+  if (unwritten_) {
     return;
   }
   catchUpTicks();
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -8,7 +8,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -32,8 +31,7 @@
   /// Addresses of some replicas. On the first start of the system, exactly the replicas that form
   /// the group.
   std::vector<std::string> seeds;
-  /// Whether the whole system starts for the first time, with empty disks. The store of a seed then
-  /// has the identity of a founder (`founderIdentity`).
+  /// Whether the whole system starts for the first time, with empty disks.
   bool first_start = false;
   /// Number of voters up to which joining replicas become voters without replacing one.
   size_t voters = 3;
@@ -172,10 +170,7 @@
   void findGroup();
   void sendHellos();
   void sendJoins();
-  bool isFounder() const;
-  void formGroupIfDue();
   void formGroup();
-  void takeNewIdentity();
   void makeNode(raft::RaftRecovery recovery);
   void advanceMembership();
   bool answers(uint64_t member) const;
@@ -220,12 +215,8 @@
   /// Callbacks of unconfirmed reads, by read context.
   std::map<uint64_t, ReplyCallback<const v1::StoredConfiguration*>> reads_;
   OpenCalls calls_;
-  /// Addresses of other founders that were heard and belonged to no group then.
-  std::set<std::string> founders_;
-  /// The replica is started as a founder with an empty disk, and it is not known yet whether a
-  /// group exists. It takes no part in any until it has formed one or has another identity.
-  bool undecided_ = false;
-  int64_t started_ms_ = 0;
+  /// Identities of the initial replicas that belong to no group yet, by address.
+  std::map<std::string, uint64_t> founders_;
   /// Whether a group is known to exist, with or without this replica.
   bool group_exists_ = false;
   /// Join requests by the address of the sender.
--- a/tests/unit/daemon/group/group_fixture.h
+++ b/tests/unit/daemon/group/group_fixture.h
@@ -17,7 +17,6 @@
 #include <doctest/doctest.h>
 
 #include "adapters/system_clock.h"
-#include "daemon/group/founder_identity.h"
 #include "daemon/group/group_replica.h"
 #include "ports/seeded_random.h"
 #include "unit/daemon/memory_store.h"
@@ -54,9 +53,7 @@
   void start(const std::string& address, uint64_t id, bool first_start) {
     Machine& machine = machines_[address];
     if (!machine.disk) {
-      const bool seed = address == "a" || address == "b" || address == "c";
-      machine.disk = std::make_unique<MemoryStore>(
-          first_start && seed ? daemon::founderIdentity(address) : id);
+      machine.disk = std::make_unique<MemoryStore>(id);
     }
     GroupOptions options;
     options.own_address = address;
--- a/tests/unit/daemon/memory_store.h
+++ b/tests/unit/daemon/memory_store.h
@@ -21,10 +21,6 @@
     stored.recovery.log = log_;
     return stored;
   }
-  Result<std::monostate> storeIdentity(uint64_t id) override {
-    id_ = id;
-    return std::monostate{};
-  }
   Result<std::monostate> write(const raft::RaftReady& ready) override {
     hanging.wait(true);
     if (full) {
