--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -68,8 +68,8 @@
           return;
         }
         process();
-    scheduleTick();
-  });
+        scheduleTick();
+      });
 }
 
 void GroupReplica::catchUpTicks() {
