--- a/src/core/relay/relay_acknowledgements.h
+++ b/src/core/relay/relay_acknowledgements.h
@@ -13,9 +13,9 @@
 /// Load pattern: one call of `record` for each renewal; `allHave` only while the leader waits.
 ///
 /// Guarantee: if `allHave` returns true and this leader has led for the length of a lease, then
-/// each relay whose lease holds has the version, or has a lease that was confirmed after it had it.
-/// A relay that disappeared counts as one that may still serve for the length of a lease, unless it
-/// renews again. Times are milliseconds of the monotonic clock. Not safe for concurrent use.
+/// each relay whose lease holds has the version. A relay that disappeared may go on serving by its
+/// lease, so `allHave` stays false for the length of a lease unless the relay renews again. Times
+/// are milliseconds of the monotonic clock. Not safe for concurrent use.
 class RelayAcknowledgements {
 public:
   /// @param lease_ms length of a lease, from the sending of the renewal
