A voter that is told to stop hands its vote to a learner

Cause: a replica that joins while there are as many voters as wanted stays a learner until a voter was silent for 3 s, and a voter that stops told nobody. Of three voters one had ended as planned and one had lost its identity. Change: a stopping voter asks the leader (LeaveRequest, every 50 ms); the leader makes a learner that has caught up a voter, then removes the leaving one, each by a committed change, and says so; without a learner that answers it says that at once, and the replica ends with its vote. The log line replica_left says which it was.

--- a/src/daemon/group/group_membership.cc
+++ b/src/daemon/group/group_membership.cc
@@ -159,24 +159,56 @@
                     [](const v1::RaftMember& member) { return !member.learner(); }));
 }
 
+/// @return whether the member answers and lags behind by a few entries at most.
+bool GroupReplica::hasCaughtUp(uint64_t member) const {
+  return answers(member) && node_->matchIndex(member) + kCaughtUpEntries >= node_->commitIndex();
+}
+
 void GroupReplica::advanceMembership() {
   const int64_t now = clock_.monotonicMs();
   if (!node_->isLeader()) {
     join_requests_.clear();
+    departures_.clear();
     return;
   }
-  if (now < membership_due_ms_ || join_requests_.empty() || !leads() ||
-      !node_->membershipCommitted()) {
+  const bool unchanged =
+      join_requests_.empty() && departures_.empty() && voterCount() <= options_.voters;
+  if (now < membership_due_ms_ || unchanged || !leads() || !node_->membershipCommitted()) {
     return;
   }
   membership_due_ms_ = now + kMembershipPeriodMs;
+  if (advanceOneStep()) {
+    scheduleProcess();
+  }
+}
+
+/// Takes the next step for one of the replicas that requested to join or to leave.
+/// @return whether a membership change was proposed.
+bool GroupReplica::advanceOneStep() {
+  for (const auto& [voter, valid_until_ms] : departures_) {
+    if (advanceDeparture(voter)) {
+      return true;
+    }
+  }
   for (const auto& [address, join] : join_requests_) {
     if (advanceJoin(join)) {
-      scheduleProcess();
-      return;
+      return true;
     }
   }
   join_requests_.clear();
+  const int64_t now = clock_.monotonicMs();
+  std::erase_if(departures_, [&](const auto& entry) { return now >= entry.second; });
+  // A voter that crashed while it was leaving is in nobody's way, but counts for the majority.
+  return voterCount() > options_.voters && replaceSilentVoter(node_->membership());
+}
+
+/// @return whether the change was proposed.
+bool GroupReplica::proposeStep(const char* step, const v1::RaftMember& member,
+                               const v1::RaftMembership& membership) {
+  ++stats_.membership_changes;
+  line_log::write("membership_change",
+                  {{"step", step}, {"id", member.id()}, {"address", member.address()}});
+  return node_->proposeMembership(membership).has_value();
 }
 
 /// Takes the next step for a replica that requested to join: adds it as a learner, waits until it
@@ -196,36 +228,29 @@
       std::find_if(members->begin(), members->end(), [&](const v1::RaftMember& member) {
         return member.address() == join.address() && member.id() != join.id();
       });
-  const auto change = [&](const char* step) {
-    ++stats_.membership_changes;
-    line_log::write("membership_change",
-                    {{"step", step}, {"id", join.id()}, {"address", join.address()}});
-    return node_->proposeMembership(membership).has_value();
-  };
+  v1::RaftMember joining;
+  joining.set_id(join.id());
+  joining.set_address(join.address());
   if (former != members->end() && answers(former->id())) {
     // The replica at this address has its disk: the request is an old one.
     return false;
   }
   if (own == members->end()) {
-    v1::RaftMember* learner = members->Add();
-    learner->set_id(join.id());
-    learner->set_address(join.address());
-    learner->set_learner(true);
-    return change("learner_added");
+    joining.set_learner(true);
+    *members->Add() = joining;
+    return proposeStep("learner_added", joining, membership);
   }
-  const bool caught_up =
-      answers(join.id()) && node_->matchIndex(join.id()) + kCaughtUpEntries >= node_->commitIndex();
-  if (!caught_up) {
+  if (!hasCaughtUp(join.id())) {
     return false;
   }
   if (former != members->end()) {
     // The replica at this address lost its disk and with it its former identity.
     members->erase(former);
-    return change("former_identity_removed");
+    return proposeStep("former_identity_removed", joining, membership);
   }
   if (voterCount() < options_.voters) {
     own->set_learner(false);
-    return change("voter_added");
+    return proposeStep("voter_added", joining, membership);
   }
   return replaceSilentVoter(std::move(membership));
 }
@@ -249,12 +274,9 @@
   if (silent == members->end()) {
     return false;
   }
-  ++stats_.membership_changes;
-  line_log::write(
-      "membership_change",
-      {{"step", "silent_voter_removed"}, {"id", silent->id()}, {"address", silent->address()}});
+  const v1::RaftMember removed = *silent;
   members->erase(silent);
-  return node_->proposeMembership(membership).has_value();
+  return proposeStep("silent_voter_removed", removed, membership);
 }
 
 } // namespace workshatch::daemon
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -114,7 +114,11 @@
   }
   updateLeadership();
   compactIfDue();
-  findGroup();
+  if (leaving_) {
+    requestLeave();
+  } else {
+    findGroup();
+  }
   advanceMembership();
 }
 
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -71,15 +71,19 @@
   using ReadCallback = CallCallback<const v1::StoredConfiguration*>;
   using HelloSender = std::function<void(const std::string& address, v1::ReplicaHello hello)>;
   using JoinSender = std::function<void(const std::string& address, v1::JoinRequest request)>;
+  using LeaveSender = std::function<void(const std::string& address, v1::LeaveRequest request)>;
+  using LeaveReplySender = std::function<void(const std::string& address, v1::LeaveReply reply)>;
 
   GroupReplica(boost::asio::io_context& context, GroupOptions options, LogStore& store,
                const Clock& clock, Random& random, ReplicaTransport& transport);
   GroupReplica(const GroupReplica&) = delete;
   GroupReplica& operator=(const GroupReplica&) = delete;
 
-  /// Both senders must be set before `start`.
+  /// All senders must be set before `start`.
   void setHelloSender(HelloSender sender) { send_hello_ = std::move(sender); }
   void setJoinSender(JoinSender sender) { send_join_ = std::move(sender); }
+  void setLeaveSender(LeaveSender sender) { send_leave_ = std::move(sender); }
+  void setLeaveReplySender(LeaveReplySender sender) { send_leave_reply_ = std::move(sender); }
   /// Sets a handler that runs after each change of the replicated state.
   void onChange(std::function<void()> handler) { on_change_ = std::move(handler); }
   /// Sets a handler that runs when a new leader becomes known. For this replica as the leader, it
@@ -90,6 +94,15 @@
   Result<std::monostate> start();
   /// Starts a transfer of leadership if this replica is the leader.
   void handOverLeadership();
+  /// Hands the leadership over, and the vote to a learner that has caught up, if there is one. The
+  /// replica takes part in the group until it is ended.
+  void leave();
+  /// @return whether the process can end without taking a vote from the group that a learner could
+  /// have: the vote was handed over, or no learner can take it. Valid after `leave`.
+  bool mayEnd() const;
+  /// @return whether this replica may count for a majority. False only once it is committed, as far
+  /// as this replica was told, that it does not.
+  bool hasVote() const;
   /// Refuses all open calls and all later ones.
   void end();
 
@@ -97,6 +110,8 @@
   void deliver(const v1::RaftBatch& batch);
   void helloReceived(const v1::ReplicaHello& hello);
   void joinReceived(const v1::JoinRequest& request);
+  void leaveReceived(const v1::LeaveRequest& request);
+  void leaveReplyReceived(const v1::LeaveReply& reply);
 
   /// Proposes a configuration. It takes effect only if, when it is applied, its version is above
   /// the stored one.
@@ -173,8 +188,16 @@
   void formGroup();
   void makeNode(raft::RaftRecovery recovery);
   void advanceMembership();
+  bool advanceOneStep();
   bool answers(uint64_t member) const;
+  bool hasCaughtUp(uint64_t member) const;
   bool advanceJoin(const v1::JoinRequest& join);
+  bool advanceDeparture(uint64_t voter);
+  bool hasSuccessor() const;
+  bool isVoter(uint64_t member) const { return raft::isVoterOf(node_->membership(), member); }
+  void requestLeave();
+  bool proposeStep(const char* step, const v1::RaftMember& member,
+                   const v1::RaftMembership& membership);
   bool replaceSilentVoter(v1::RaftMembership membership);
   std::string addressOf(uint64_t member) const;
   bool isSeed(const std::string& address) const;
@@ -188,6 +211,8 @@
   boost::asio::steady_timer tick_timer_;
   HelloSender send_hello_;
   JoinSender send_join_;
+  LeaveSender send_leave_;
+  LeaveReplySender send_leave_reply_;
   std::function<void()> on_change_;
   std::function<void()> on_leader_known_;
 
@@ -221,6 +246,13 @@
   bool group_exists_ = false;
   /// Join requests by the address of the sender.
   std::map<std::string, v1::JoinRequest> join_requests_;
+  /// Identities of voters that are being stopped, with the monotonic time in ms until which their
+  /// last request counts.
+  std::map<uint64_t, int64_t> departures_;
+  /// Whether this replica is being stopped.
+  bool leaving_ = false;
+  int64_t leave_request_due_ms_ = 0;
+  v1::LeaveReply leave_reply_;
   /// Addresses of senders of messages by identity, for replicas that are not members yet.
   std::map<uint64_t, std::string> sender_addresses_;
   /// Expires with the replica, so that posted work can detect its destruction.
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -34,6 +34,10 @@
 /// takes one round trip, and a configuration of 1 MB about 100 ms at 100 Mbit/s.
 constexpr std::chrono::milliseconds kAnswerTimeout{200};
 constexpr std::chrono::milliseconds kAnswerPoll{5};
+/// Maximum time to hand the vote over after the leadership; two membership changes take about half
+/// a second.
+constexpr std::chrono::milliseconds kLeaveTimeout{2000};
+constexpr std::chrono::milliseconds kLeavePoll{20};
 constexpr uint64_t kMsPerSecond = 1000;
 
 GroupOptions groupOptions(const settings::RelaySettings& settings, const std::string& own) {
@@ -85,6 +89,16 @@
     *frame.mutable_join() = std::move(request);
     links_.sendFrame(address, frame);
   });
+  replica_.setLeaveSender([this](const std::string& address, v1::LeaveRequest request) {
+    v1::Frame frame;
+    *frame.mutable_leave() = std::move(request);
+    links_.sendFrame(address, frame);
+  });
+  replica_.setLeaveReplySender([this](const std::string& address, v1::LeaveReply reply) {
+    v1::Frame frame;
+    *frame.mutable_leave_reply() = std::move(reply);
+    links_.sendFrame(address, frame);
+  });
   replica_.onChange([this] { lease_service_.stateChanged(); });
   replica_.onLeaderKnown([this] { lease_service_.leaderKnown(); });
   if (auto started = replica_.start(); isError(started)) {
@@ -150,6 +164,12 @@
   case v1::Frame::kJoin:
     replica_.joinReceived(frame.join());
     break;
+  case v1::Frame::kLeave:
+    replica_.leaveReceived(frame.leave());
+    break;
+  case v1::Frame::kLeaveReply:
+    replica_.leaveReplyReceived(frame.leave_reply());
+    break;
   case v1::Frame::kRenewal:
     lease_service_.handleRenewal(link, frame.renewal());
     break;
@@ -260,7 +280,7 @@
 
 void GroupRole::stop(std::function<void()> stopped) {
   operator_server_.stopAccepting();
-  replica_.handOverLeadership();
+  replica_.leave();
   asio::co_spawn(context_, finish(std::move(stopped)), asio::detached);
 }
 
@@ -274,7 +294,22 @@
     stop_timer_.expires_after(kAnswerPoll);
     co_await stop_timer_.async_wait(kAwait);
   }
+  co_await handVoteOver();
   stopped();
 }
 
+/// Waits until the replica may end, or until the limit.
+http::awaitable<void> GroupRole::handVoteOver() {
+  const int64_t begin_ms = clock_.monotonicMs();
+  const int64_t until_ms = begin_ms + kLeaveTimeout.count();
+  while (!replica_.mayEnd() && clock_.monotonicMs() < until_ms) {
+    stop_timer_.expires_after(kLeavePoll);
+    co_await stop_timer_.async_wait(kAwait);
+  }
+  line_log::write("replica_left", {{"id", replica_.id()},
+                                   {"keeps_vote", replica_.hasVote()},
+                                   {"in_time", replica_.mayEnd()},
+                                   {"waited_ms", clock_.monotonicMs() - begin_ms}});
+}
+
 } // namespace workshatch::daemon
--- a/src/daemon/group/group_role.h
+++ b/src/daemon/group/group_role.h
@@ -32,7 +32,8 @@
             RelayAdapters adapters);
 
   Result<std::monostate> start() override;
-  /// Transfers leadership, refuses the calls that are still open, then calls `stopped`.
+  /// Transfers leadership and the vote, refuses the calls that are still open, then calls
+  /// `stopped`.
   void stop(std::function<void()> stopped) override;
   void reload(const settings::RelaySettings& settings) override;
 
@@ -41,6 +42,7 @@
   void frameReceived(const std::shared_ptr<link::FramedLink>& link, const v1::Frame& frame);
   bool zoneExists(const std::string& zone) const;
   http::awaitable<void> finish(std::function<void()> stopped);
+  http::awaitable<void> handVoteOver();
   http::awaitable<void> readRunnerLists();
   http::awaitable<void> serveMetrics(http::Exchange& exchange);
 
--- a/tests/unit/daemon/group/group_fixture.h
+++ b/tests/unit/daemon/group/group_fixture.h
@@ -41,7 +41,9 @@
 class Group {
 public:
   /// @param voters number of voters up to which the group grows
-  explicit Group(size_t voters = 3) : voters_(voters) {}
+  /// @param silent_voter_limit_ms time without a reply after which a voter may be replaced
+  explicit Group(size_t voters = 3, int64_t silent_voter_limit_ms = 200)
+      : voters_(voters), silent_voter_limit_ms_(silent_voter_limit_ms) {}
 
   struct Machine {
     /// The machine's clock, which a test can advance as if the machine had been suspended.
@@ -61,7 +63,7 @@
     options.first_start = first_start;
     options.voters = voters_;
     options.tick_ms = 10;
-    options.silent_voter_limit_ms = 200;
+    options.silent_voter_limit_ms = silent_voter_limit_ms_;
     options.snapshot_entries = 4;
     machine.replica = std::make_unique<GroupReplica>(context_, options, *machine.disk,
                                                      machine.clock, random_, transportOf(address));
@@ -71,6 +73,12 @@
     machine.replica->setJoinSender([this](const std::string& to, const v1::JoinRequest& join) {
       deliver(to, [join](GroupReplica& replica) { replica.joinReceived(join); });
     });
+    machine.replica->setLeaveSender([this](const std::string& to, const v1::LeaveRequest& leave) {
+      deliver(to, [leave](GroupReplica& replica) { replica.leaveReceived(leave); });
+    });
+    machine.replica->setLeaveReplySender([this](const std::string& to, const v1::LeaveReply& left) {
+      deliver(to, [left](GroupReplica& replica) { replica.leaveReplyReceived(left); });
+    });
     REQUIRE_FALSE(isError(machine.replica->start()));
   }
   /// Simulates a suspension of the machine: its clock jumps ahead.
@@ -174,6 +182,10 @@
     });
     return document;
   }
+  bool isRunning(const std::string& address) const {
+    const auto found = machines_.find(address);
+    return found != machines_.end() && found->second.replica != nullptr;
+  }
   GroupReplica& at(const std::string& address) { return *machines_.at(address).replica; }
   boost::asio::io_context& context() { return context_; }
   const Clock& clock() const { return clock_; }
@@ -221,6 +233,7 @@
   }
 
   const size_t voters_;
+  const int64_t silent_voter_limit_ms_;
   boost::asio::io_context context_;
   const SystemClock clock_{};
   SeededRandom random_{7};
