A majority of the seeds founds the group, and no founder gives up an identity that is needed

Cause: the group was formed only when all seeds had heard each other as founders; a machine that returns is none, so that two of three waited for it. Change: the identity of a founder follows from its address, so that all make the same first membership, with all seeds or with a majority after 1.5 s; they count each other only if their seeds are the same. A founder that was killed and kept its disk is still one. GroupOptions::first_start is gone: the store has the identity.

--- a/src/adapters/disk/file_log_store.cc
+++ b/src/adapters/disk/file_log_store.cc
@@ -104,8 +104,8 @@
 
 } // namespace
 
-FileLogStore::FileLogStore(std::filesystem::path folder, Random& random)
-    : folder_(std::move(folder)), random_(random) {}
+FileLogStore::FileLogStore(std::filesystem::path folder, Random& random, uint64_t first_identity)
+    : folder_(std::move(folder)), random_(random), first_identity_(first_identity) {}
 
 FileLogStore::~FileLogStore() {
   if (log_file_ >= 0) {
@@ -164,13 +164,17 @@
   if (std::filesystem::exists(folder_ / kLogName)) {
     return Error{folder_.string() + " holds a log but no identity: this replica does not start"};
   }
-  const uint64_t id = random_.next() | 1U;
-  if (auto stored = replaceFile(kIdentityName, std::to_string(id) + "\n"); isError(stored)) {
+  const uint64_t id = first_identity_ != 0 ? first_identity_ : random_.next() | 1U;
+  if (auto stored = storeIdentity(id); isError(stored)) {
     return errorOf(stored);
   }
   return id;
 }
 
+Result<std::monostate> FileLogStore::storeIdentity(uint64_t id) {
+  return replaceFile(kIdentityName, std::to_string(id) + "\n");
+}
+
 Result<v1::RaftSnapshot> FileLogStore::loadSnapshot() {
   auto content = readFile(folder_ / kSnapshotName);
   if (isError(content)) {
--- a/src/adapters/disk/file_log_store.h
+++ b/src/adapters/disk/file_log_store.h
@@ -2,6 +2,7 @@
 /// Stores the Raft log, snapshot and identity of a replica as files in one data folder.
 #pragma once
 
+#include <cstdint>
 #include <filesystem>
 #include <string>
 
@@ -19,12 +20,14 @@
 class FileLogStore : public LogStore {
 public:
   /// @param random generates the identity of an empty folder; must outlive the store.
-  FileLogStore(std::filesystem::path folder, Random& random);
+  /// @param first_identity identity of an empty folder; zero: a random one
+  FileLogStore(std::filesystem::path folder, Random& random, uint64_t first_identity = 0);
   ~FileLogStore() override;
   FileLogStore(const FileLogStore&) = delete;
   FileLogStore& operator=(const FileLogStore&) = delete;
 
   Result<StoredReplica> load() override;
+  Result<std::monostate> storeIdentity(uint64_t id) override;
   Result<std::monostate> write(const raft::RaftReady& ready) override;
   Result<std::monostate> compact(const raft::RaftLog& log,
                                  const v1::RaftHardState& hard_state) override;
@@ -42,6 +45,7 @@
 
   const std::filesystem::path folder_;
   Random& random_;
+  const uint64_t first_identity_;
   int log_file_ = -1;
   int lock_file_ = -1;
   /// Length in bytes of the log file up to the end of the last synced record.
--- a/src/daemon/group/group_membership.cc
+++ b/src/daemon/group/group_membership.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "adapters/logging/line_log.h"
+#include "daemon/group/founder_identity.h"
 #include "daemon/group/group_replica.h"
 
 namespace workshatch::daemon {
@@ -20,6 +21,9 @@
 /// Index and term of the snapshot that every replica of a new group starts from.
 constexpr uint64_t kFirstIndex = 1;
 constexpr uint64_t kFirstTerm = 1;
+/// Time after its start from which a founder forms the group with a majority of the seeds.
+/// Ordinarily all have started by then, so that none has to join later.
+constexpr int64_t kFoundersWaitMs = 1500;
 
 } // namespace
 
@@ -29,33 +33,44 @@
 
 void GroupReplica::findGroup() {
   const int64_t now = clock_.monotonicMs();
-  const bool ungrouped = node_->membership().members_size() == 0;
   const bool leaderless = now - leader_last_known_ms_ > kLeaderlessLimitMs;
   if (now < find_group_due_ms_ || (votes() && !leaderless)) {
     return;
   }
   find_group_due_ms_ = now + kFindGroupPeriodMs;
-  if (ungrouped && !group_exists_ && options_.first_start && isSeed(options_.own_address)) {
+  if (undecided_) {
     sendHellos();
+    formGroupIfDue();
     return;
   }
   sendJoins();
 }
 
-void GroupReplica::sendHellos() {
+bool GroupReplica::grouped() const {
+  return group_exists_ || node_->membership().members_size() != 0;
+}
+
+v1::ReplicaHello GroupReplica::makeHello() const {
   v1::ReplicaHello hello;
   hello.set_id(id_);
   hello.set_address(options_.own_address);
-  hello.set_founder(true);
+  hello.set_grouped(grouped());
+  hello.set_founder(undecided_);
+  hello.set_established(state_.configuration().version() != 0 ||
+                        state_.evacuations().version() != 0);
+  const bool member = node_->membership().members_size() != 0;
+  hello.set_members_digest(membersDigest(member ? memberAddresses() : options_.seeds));
+  return hello;
+}
+
+void GroupReplica::sendHellos() {
+  v1::ReplicaHello hello = makeHello();
   hello.set_answer_wanted(true);
   for (const std::string& seed : options_.seeds) {
     if (seed != options_.own_address) {
       send_hello_(seed, hello);
     }
   }
-  if (options_.seeds.size() == 1) {
-    formGroup();
-  }
 }
 
 void GroupReplica::sendJoins() {
@@ -74,35 +89,54 @@
 }
 
 void GroupReplica::helloReceived(const v1::ReplicaHello& hello) {
-  const bool grouped = group_exists_ || node_->membership().members_size() != 0;
   if (hello.answer_wanted()) {
-    v1::ReplicaHello answer;
-    answer.set_id(id_);
-    answer.set_address(options_.own_address);
-    answer.set_grouped(grouped);
-    answer.set_founder(!grouped && options_.first_start);
-    send_hello_(hello.address(), answer);
+    send_hello_(hello.address(), makeHello());
   }
-  if (grouped) {
+  if (!undecided_) {
     return;
   }
+  const bool same_members = hello.members_digest() == membersDigest(options_.seeds);
   if (hello.grouped()) {
-    // A group exists without this replica, which must not form another one. It waits until it is
-    // added as a member.
-    group_exists_ = true;
-    founders_.clear();
+    groupFound(hello.established() || !same_members);
     return;
   }
-  if (!hello.founder() || !isSeed(hello.address())) {
+  if (hello.founder() && same_members) {
+    founders_.insert(hello.address());
+    formGroupIfDue();
+  }
+}
+
+/// Takes part in a group that other founders have formed.
+/// @param established whether this replica may be one of its members that has lost its disk, which
+/// may have voted and stored what was acknowledged since. It then joins under another identity. A
+/// group that has stored no order yet may need the vote of this founder for its first leader.
+void GroupReplica::groupFound(bool established) {
+  if (!established) {
+    formGroup();
+    return;
+  }
+  const uint64_t id = random_.next() | 1U;
+  if (isError(store_.storeIdentity(id))) {
     return;
   }
-  founders_[hello.address()] = hello.id();
-  if (options_.first_start && isSeed(options_.own_address) &&
-      founders_.size() + 1 == options_.seeds.size()) {
+  id_ = id;
+  undecided_ = false;
+  group_exists_ = true;
+  makeNode(raft::RaftRecovery());
+  line_log::write("identity_replaced", {{"id", id_}});
+}
+
+/// Forms the group once all founders are known, or once a majority of the seeds is and the others
+/// had time to start.
+void GroupReplica::formGroupIfDue() {
+  const size_t known = founders_.size() + 1;
+  const bool waited = clock_.monotonicMs() - started_ms_ >= kFoundersWaitMs;
+  if (known == options_.seeds.size() || (waited && known > options_.seeds.size() / 2)) {
     formGroup();
   }
 }
 
+/// Makes the first membership, which is the same at all founders.
 void GroupReplica::formGroup() {
   raft::RaftReady first;
   first.snapshot.emplace();
@@ -114,7 +148,7 @@
   for (const std::string& address : options_.seeds) {
     v1::RaftMember* member = first.snapshot->mutable_membership()->add_members();
     member->set_address(address);
-    member->set_id(address == options_.own_address ? id_ : founders_.at(address));
+    member->set_id(founderIdentity(address));
   }
   if (isError(store_.write(first))) {
     return;
@@ -125,8 +159,10 @@
   makeNode(std::move(recovery));
   applied_ = kFirstIndex;
   group_exists_ = true;
+  undecided_ = false;
   leader_last_known_ms_ = clock_.monotonicMs();
-  line_log::write("group_formed", {{"id", id_}, {"members", options_.seeds}});
+  line_log::write("group_formed",
+                  {{"id", id_}, {"members", options_.seeds}, {"founders_heard", founders_.size()}});
 }
 
 void GroupReplica::joinReceived(const v1::JoinRequest& request) {
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -9,6 +9,7 @@
 #include "adapters/logging/line_log.h"
 #include "core/check.h"
 #include "core/relay/served_versions.h"
+#include "daemon/group/founder_identity.h"
 
 namespace workshatch::daemon {
 
@@ -37,6 +38,9 @@
   }
   applied_ = snapshot.index();
   group_exists_ = !replica.recovery.log.latestMembership().members().empty();
+  undecided_ = !group_exists_ && replica.recovery.hard_state.term() == 0 &&
+               isSeed(options_.own_address) && id_ == founderIdentity(options_.own_address);
+  started_ms_ = clock_.monotonicMs();
   makeNode(std::move(replica.recovery));
   next_tick_ms_ = clock_.monotonicMs() + options_.tick_ms;
   leader_last_known_ms_ = clock_.monotonicMs();
@@ -369,8 +373,14 @@
       {{"taken", counts.accepted}, {"answered", counts.answered}, {"refused", counts.refused}});
 }
 
+void GroupReplica::setSeeds(std::vector<std::string> seeds) {
+  options_.seeds = std::move(seeds);
+  // They were counted for another group.
+  founders_.clear();
+}
+
 void GroupReplica::deliver(const v1::RaftBatch& batch) {
-  if (unwritten_) {
+  if (unwritten_ || undecided_) {
     return;
   }
   catchUpTicks();
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,10 +30,8 @@
   /// Address at which other replicas reach this one.
   std::string own_address;
   /// Addresses of some replicas. On the first start of the system, exactly the replicas that form
-  /// the group.
+  /// the group; their stores then have the identities of founders (`founderIdentity`).
   std::vector<std::string> seeds;
-  /// Whether the whole system starts for the first time, with empty disks.
-  bool first_start = false;
   /// Number of voters up to which joining replicas become voters without replacing one.
   size_t voters = 3;
   int64_t tick_ms = 30;
@@ -156,7 +155,7 @@
   /// @return time since this replica last knew a leader, in ms of the monotonic clock; zero if it
   /// knows one.
   int64_t leaderlessForMs() const;
-  void setSeeds(std::vector<std::string> seeds) { options_.seeds = std::move(seeds); }
+  void setSeeds(std::vector<std::string> seeds);
 
 private:
   /// A proposed command at its log index. Another leader may overwrite the index with another
@@ -183,8 +182,12 @@
   void updateLeadership();
   void reportLeader();
   void findGroup();
+  bool grouped() const;
+  v1::ReplicaHello makeHello() const;
   void sendHellos();
   void sendJoins();
+  void groupFound(bool established);
+  void formGroupIfDue();
   void formGroup();
   void makeNode(raft::RaftRecovery recovery);
   void advanceMembership();
@@ -240,8 +243,11 @@
   /// Callbacks of unconfirmed reads, by read context.
   std::map<uint64_t, ReplyCallback<const v1::StoredConfiguration*>> reads_;
   OpenCalls calls_;
-  /// Identities of the initial replicas that belong to no group yet, by address.
-  std::map<std::string, uint64_t> founders_;
+  /// Whether this replica is a founder that has not formed the group yet. It ignores Raft messages.
+  bool undecided_ = false;
+  /// Addresses of the other founders that have not formed the group when they were last heard.
+  std::set<std::string> founders_;
+  int64_t started_ms_ = 0;
   /// Whether a group is known to exist, with or without this replica.
   bool group_exists_ = false;
   /// Join requests by the address of the sender.
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -16,6 +16,7 @@
 #include "core/relay/list_period.h"
 #include "core/relay/served_versions.h"
 #include "core/relay/serving_lease.h"
+#include "daemon/group/founder_identity.h"
 #include "daemon/server_limits.h"
 
 namespace workshatch::daemon {
@@ -44,18 +45,26 @@
   GroupOptions options;
   options.own_address = own;
   options.seeds = settings.seedLinkAddresses();
-  options.first_start = settings.first_start;
   options.voters = std::max<size_t>(options.voters, 2 * size_t{settings.replica_losses} + 1);
   return options;
 }
 
+/// @return the identity of an empty data folder; zero: a random one.
+uint64_t firstIdentity(const settings::RelaySettings& settings, const std::string& own) {
+  const std::vector<std::string> seeds = settings.seedLinkAddresses();
+  const bool founder =
+      settings.first_start && std::find(seeds.begin(), seeds.end(), own) != seeds.end();
+  return founder ? founderIdentity(own) : 0;
+}
+
 } // namespace
 
 GroupRole::GroupRole(settings::RelaySettings settings, WorkerPool& workers, const Clock& clock,
                      RelayAdapters adapters)
     : settings_(std::move(settings)), clock_(clock), context_(workers.context(0)),
       adapters_(adapters), link_address_(settings_.ip + ":" + std::to_string(settings_.link_port)),
-      random_(SeededRandom::fromEntropy()), store_(settings_.data_folder, random_),
+      random_(SeededRandom::fromEntropy()),
+      store_(settings_.data_folder, random_, firstIdentity(settings_, link_address_)),
       links_(context_, clock, link_address_),
       replica_(context_, groupOptions(settings_, link_address_), store_, clock, random_, links_),
       lease_service_(
--- a/src/ports/log_store.h
+++ b/src/ports/log_store.h
@@ -26,6 +26,9 @@
   /// dropped.
   virtual Result<StoredReplica> load() = 0;
 
+  /// Replaces the identity, which no other replica has seen in use yet.
+  virtual Result<std::monostate> storeIdentity(uint64_t id) = 0;
+
   /// Makes the snapshot, truncation, entries and hard state of `ready` durable before it returns.
   /// @return an error when the data cannot be relied on to be stored, for example on a full disk.
   virtual Result<std::monostate> write(const raft::RaftReady& ready) = 0;
--- a/tests/unit/daemon/group/group_fixture.h
+++ b/tests/unit/daemon/group/group_fixture.h
@@ -17,6 +17,7 @@
 #include <doctest/doctest.h>
 
 #include "adapters/system_clock.h"
+#include "daemon/group/founder_identity.h"
 #include "daemon/group/group_replica.h"
 #include "ports/seeded_random.h"
 #include "unit/daemon/memory_store.h"
@@ -42,8 +43,9 @@
 public:
   /// @param voters number of voters up to which the group grows
   /// @param silent_voter_limit_ms time without a reply after which a voter may be replaced
-  explicit Group(size_t voters = 3, int64_t silent_voter_limit_ms = 200)
-      : voters_(voters), silent_voter_limit_ms_(silent_voter_limit_ms) {}
+  /// @param seed draws elections, identities and lost hellos
+  explicit Group(size_t voters = 3, int64_t silent_voter_limit_ms = 200, uint64_t seed = 7)
+      : voters_(voters), silent_voter_limit_ms_(silent_voter_limit_ms), random_(seed) {}
 
   struct Machine {
     /// The machine's clock, which a test can advance as if the machine had been suspended.
@@ -55,12 +57,12 @@
   void start(const std::string& address, uint64_t id, bool first_start) {
     Machine& machine = machines_[address];
     if (!machine.disk) {
-      machine.disk = std::make_unique<MemoryStore>(id);
+      const bool founder = first_start && kSeeds.contains(address);
+      machine.disk = std::make_unique<MemoryStore>(founder ? daemon::founderIdentity(address) : id);
     }
     GroupOptions options;
     options.own_address = address;
-    options.seeds = {"a", "b", "c"};
-    options.first_start = first_start;
+    options.seeds = {kSeeds.begin(), kSeeds.end()};
     options.voters = voters_;
     options.tick_ms = 10;
     options.silent_voter_limit_ms = silent_voter_limit_ms_;
@@ -68,6 +70,9 @@
     machine.replica = std::make_unique<GroupReplica>(context_, options, *machine.disk,
                                                      machine.clock, random_, transportOf(address));
     machine.replica->setHelloSender([this](const std::string& to, const v1::ReplicaHello& hello) {
+      if (random_.below(kPercent) < lost_hellos_percent_) {
+        return;
+      }
       deliver(to, [hello](GroupReplica& replica) { replica.helloReceived(hello); });
     });
     machine.replica->setJoinSender([this](const std::string& to, const v1::JoinRequest& join) {
@@ -87,6 +92,8 @@
   }
   /// Kills the replica's process, with its timers and the messages sent to it. The disk remains.
   void kill(const std::string& address) { machines_.at(address).replica.reset(); }
+  /// Drops this share of all later hellos, drawn by the seed of the group.
+  void loseHellos(uint64_t percent) { lost_hellos_percent_ = percent; }
   /// Drops Raft messages to and from a machine while `cut` is set.
   void cutOff(const std::string& address, bool cut) {
     if (cut) {
@@ -232,11 +239,15 @@
     });
   }
 
+  static constexpr uint64_t kPercent = 100;
+  static inline const std::set<std::string> kSeeds = {"a", "b", "c"};
+
   const size_t voters_;
   const int64_t silent_voter_limit_ms_;
   boost::asio::io_context context_;
   const SystemClock clock_{};
-  SeededRandom random_{7};
+  SeededRandom random_;
+  uint64_t lost_hellos_percent_ = 0;
   std::map<std::string, std::unique_ptr<Transport>> transports_;
   std::map<std::string, Machine> machines_;
   std::set<std::string> cut_off_;
--- a/tests/unit/daemon/memory_store.h
+++ b/tests/unit/daemon/memory_store.h
@@ -21,6 +21,10 @@
     stored.recovery.log = log_;
     return stored;
   }
+  Result<std::monostate> storeIdentity(uint64_t id) override {
+    id_ = id;
+    return std::monostate{};
+  }
   Result<std::monostate> write(const raft::RaftReady& ready) override {
     hanging.wait(true);
     if (full) {
