--- a/src/daemon/group/group_departure.cc
+++ b/src/daemon/group/group_departure.cc
@@ -76,7 +76,8 @@
 }
 
 void GroupReplica::leaveReplyReceived(const v1::LeaveReply& reply) {
-  if (leaving_ && reply.id() == id_) {
+  // Replies to earlier requests may arrive after the one that says that the vote is gone.
+  if (leaving_ && reply.id() == id_ && !leave_reply_.left()) {
     leave_reply_ = reply;
   }
 }
--- a/src/daemon/group/group_membership.cc
+++ b/src/daemon/group/group_membership.cc
@@ -221,6 +221,8 @@
 /// Takes the next step for one of the replicas that requested to join or to leave.
 /// @return whether a membership change was proposed.
 bool GroupReplica::advanceOneStep() {
+  const int64_t now = clock_.monotonicMs();
+  std::erase_if(departures_, [&](const auto& entry) { return now >= entry.second; });
   for (const auto& [voter, valid_until_ms] : departures_) {
     if (advanceDeparture(voter)) {
       return true;
@@ -232,9 +234,7 @@
     }
   }
   join_requests_.clear();
-  const int64_t now = clock_.monotonicMs();
-  std::erase_if(departures_, [&](const auto& entry) { return now >= entry.second; });
-  // A voter that crashed while it was leaving is in nobody's way, but counts for the majority.
+  // A voter that crashed while it was leaving still counts for the majority.
   return voterCount() > options_.voters && replaceSilentVoter(node_->membership());
 }
 
