--- a/tests/unit/daemon/group/group_fixture.h
+++ b/tests/unit/daemon/group/group_fixture.h
@@ -54,15 +54,27 @@
     std::unique_ptr<GroupReplica> replica;
   };
 
+  /// Sets the seeds of all running replicas and of those that are started later.
+  void setSeeds(std::set<std::string> seeds) {
+    seeds_ = std::move(seeds);
+    for (auto& [address, machine] : machines_) {
+      if (machine.replica) {
+        machine.replica->setSeeds({seeds_.begin(), seeds_.end()});
+      }
+    }
+  }
+  size_t voters() const { return voters_; }
+  const std::set<std::string>& seeds() const { return seeds_; }
+
   void start(const std::string& address, uint64_t id, bool first_start) {
     Machine& machine = machines_[address];
     if (!machine.disk) {
-      const bool founder = first_start && kSeeds.contains(address);
+      const bool founder = first_start && seeds_.contains(address);
       machine.disk = std::make_unique<MemoryStore>(founder ? daemon::founderIdentity(address) : id);
     }
     GroupOptions options;
     options.own_address = address;
-    options.seeds = {kSeeds.begin(), kSeeds.end()};
+    options.seeds = {seeds_.begin(), seeds_.end()};
     options.voters = voters_;
     options.tick_ms = 10;
     options.silent_voter_limit_ms = silent_voter_limit_ms_;
@@ -240,7 +252,6 @@
   }
 
   static constexpr uint64_t kPercent = 100;
-  static inline const std::set<std::string> kSeeds = {"a", "b", "c"};
 
   const size_t voters_;
   const int64_t silent_voter_limit_ms_;
@@ -251,6 +262,7 @@
   std::map<std::string, std::unique_ptr<Transport>> transports_;
   std::map<std::string, Machine> machines_;
   std::set<std::string> cut_off_;
+  std::set<std::string> seeds_ = {"a", "b", "c"};
 };
 
 /// Starts the initial replicas a, b and c and stores version 1.
