Group tests share the planned stop and the first start; the hand-over of votes states its load and limits

Two test files stopped a replica as planned by the same lines, and three cases started the founders by the same loop: both stand once now, with the same draws. The doc block of group_departure.cc says load, limit and failure cases (a comment; no product code changed).

--- a/src/daemon/group/group_departure.cc
+++ b/src/daemon/group/group_departure.cc
@@ -2,6 +2,13 @@
 /// How a voter that is being stopped hands its vote over to a learner, so that its end takes no
 /// vote from the group. The leader makes the successor a voter first and removes the leaving voter
 /// second: in between, a majority is three of four, which the end of one voter does not break.
+///
+/// Load: one small request from each stopping voter every 50 ms, for as long as it waits. Limit:
+/// two membership changes for each stop, one step at a time. Failure cases: without a learner that
+/// answers, the voter is told so and keeps its vote; if the leader does not answer or is not known,
+/// as when all machines stop at once, it waits until the time limit of its caller; if it crashes
+/// between the two changes, it is removed as a silent voter. An overloaded group may not commit
+/// both changes in time; the vote is then kept, as in a crash.
 #include <algorithm>
 
 #include "adapters/logging/line_log.h"
--- a/tests/unit/daemon/group/first_start_test.cc
+++ b/tests/unit/daemon/group/first_start_test.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr uint64_t kNewId = 90;
+const std::array<std::string, 3> kFounders = {"a", "b", "c"};
 
 /// Runs the group for some time of its machines.
 void runFor(Group& group, int64_t milliseconds) {
@@ -23,6 +24,14 @@
   group.runUntil([&] { return group.clock().monotonicMs() >= until_ms; });
 }
 
+/// Starts the founders one after the other, each less than `latest_ms` after the one before.
+void startFounders(Group& group, SeededRandom& random, uint64_t latest_ms) {
+  for (const std::string& address : kFounders) {
+    group.start(address, kNewId, true);
+    runFor(group, static_cast<int64_t>(random.below(latest_ms)));
+  }
+}
+
 /// Checks that the group serves, and goes on after the loss of one of its machines.
 void checkBearsALoss(Group& group, const std::string& lost, uint64_t version) {
   REQUIRE(group.store(version));
@@ -87,22 +96,18 @@
 TEST_CASE("Kills of all processes during the first start, in any order, leave one group") {
   constexpr uint64_t kSeeds = 6;
   constexpr uint64_t kLatestMs = 300;
-  const std::array<std::string, 3> seeds = {"a", "b", "c"};
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     CAPTURE(seed);
     SeededRandom random(seed);
     Group group;
-    for (const std::string& address : seeds) {
-      group.start(address, kNewId, true);
-      runFor(group, static_cast<int64_t>(random.below(kLatestMs)));
-    }
-    for (const std::string& address : seeds) {
+    startFounders(group, random, kLatestMs);
+    for (const std::string& address : kFounders) {
       group.kill(address);
     }
-    for (const std::string& address : seeds) {
+    for (const std::string& address : kFounders) {
       group.start(address, kNewId, false);
     }
-    checkBearsALoss(group, seeds[random.below(seeds.size())], 1);
+    checkBearsALoss(group, kFounders[random.below(kFounders.size())], 1);
   }
 }
 
@@ -115,14 +120,11 @@
     SeededRandom random(seed);
     Group group(3, 200, seed);
     group.loseHellos(20 + random.below(60));
-    for (const char* address : {"a", "b", "c"}) {
-      group.start(address, kNewId, true);
-      runFor(group, static_cast<int64_t>(random.below(kLatestMs)));
-    }
+    startFounders(group, random, kLatestMs);
     REQUIRE(group.runUntil([&] { return group.leader() != nullptr; }));
     REQUIRE(group.runUntil(
         [&] { return group.at("a").votes() && group.at("b").votes() && group.at("c").votes(); }));
-    for (const char* address : {"a", "b", "c"}) {
+    for (const std::string& address : kFounders) {
       CHECK(group.at(address).id() == daemon::founderIdentity(address));
     }
     checkBearsALoss(group, "b", 1);
@@ -132,18 +134,14 @@
 TEST_CASE("One machine that is struck at any moment of a first start leaves a group") {
   constexpr uint64_t kSeeds = 4;
   constexpr uint64_t kLatestMs = 600;
-  const std::array<std::string, 3> seeds = {"a", "b", "c"};
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     CAPTURE(seed);
     SeededRandom random(seed);
     Group group(3, 200, seed);
     group.loseHellos(random.below(50));
-    const std::string& struck = seeds[random.below(seeds.size())];
+    const std::string& struck = kFounders[random.below(kFounders.size())];
     const bool loses_disk = random.below(2) == 0;
-    for (const std::string& address : seeds) {
-      group.start(address, kNewId, true);
-      runFor(group, static_cast<int64_t>(random.below(100)));
-    }
+    startFounders(group, random, 100);
     runFor(group, static_cast<int64_t>(random.below(kLatestMs)));
     group.kill(struck);
     if (loses_disk) {
--- a/tests/unit/daemon/group/group_departure_test.cc
+++ b/tests/unit/daemon/group/group_departure_test.cc
@@ -17,20 +17,14 @@
 /// Longer than a test, so that no silent voter is replaced.
 constexpr int64_t kNeverSilentMs = 60'000;
 
-/// Waits until the replica is a member that has the stored configuration.
-void awaitLearner(Group& group, const std::string& address, uint64_t version) {
+/// Waits until the replica is a member that has this version of the configuration.
+void awaitVersion(Group& group, const std::string& address, uint64_t version) {
   REQUIRE(group.runUntil([&] {
     return group.members().contains(address) && group.at(address).stored().version() == version;
   }));
 }
 
-/// Stops a replica as planned: it runs until it may end.
-void stopAsPlanned(Group& group, const std::string& address) {
-  group.at(address).leave();
-  REQUIRE(group.runUntil([&] { return group.at(address).mayEnd(); }));
-}
-
-/// @return the voters, as their leader knows them, by address.
+/// @return the addresses of the running members that consider themselves voters.
 std::set<std::string> voters(Group& group) {
   std::set<std::string> addresses;
   for (const std::string& address : group.members()) {
@@ -50,13 +44,13 @@
     Group group(kVoters, kNeverSilentMs);
     startFirst(group);
     group.start("d", 44, false);
-    awaitLearner(group, "d", 1);
+    awaitVersion(group, "d", 1);
     std::vector<std::string> followers = {"a", "b", "c"};
     const std::string leader = group.leaderAddress();
     std::erase(followers, leader);
     const std::string leaving = leader_stops ? leader : followers[0];
     const std::string lost = followers[1];
-    stopAsPlanned(group, leaving);
+    group.stopAsPlanned(leaving);
     CHECK_FALSE(group.at(leaving).hasVote());
     group.kill(leaving);
 
@@ -73,14 +67,14 @@
   Group group(kVoters, kNeverSilentMs);
   startFirst(group);
   group.start("d", 44, false);
-  awaitLearner(group, "d", 1);
-  stopAsPlanned(group, "a");
+  awaitVersion(group, "d", 1);
+  group.stopAsPlanned("a");
   group.kill("a");
   REQUIRE(group.store(2));
   group.start("a", 11, false);
-  awaitLearner(group, "a", 2);
+  awaitVersion(group, "a", 2);
   // Now "a" is the one that can follow.
-  stopAsPlanned(group, "b");
+  group.stopAsPlanned("b");
   CHECK_FALSE(group.at("b").hasVote());
   group.kill("b");
   REQUIRE(group.runUntil([&] { return voters(group) == std::set<std::string>{"a", "c", "d"}; }));
@@ -91,7 +85,7 @@
 TEST_CASE("A voter without a successor keeps its vote and may end") {
   Group group(kVoters, kNeverSilentMs);
   startFirst(group);
-  stopAsPlanned(group, "a");
+  group.stopAsPlanned("a");
   CHECK(group.at("a").hasVote());
   group.kill("a");
   group.start("a", 11, false);
@@ -103,9 +97,9 @@
   Group group(kVoters, kNeverSilentMs);
   startFirst(group);
   group.start("d", 44, false);
-  awaitLearner(group, "d", 1);
+  awaitVersion(group, "d", 1);
   group.kill("d");
-  stopAsPlanned(group, "a");
+  group.stopAsPlanned("a");
   CHECK(group.at("a").hasVote());
   CHECK(group.at("a").votes());
 }
@@ -114,7 +108,7 @@
   Group group(kVoters, kNeverSilentMs);
   startFirst(group);
   group.start("d", 44, false);
-  awaitLearner(group, "d", 1);
+  awaitVersion(group, "d", 1);
   group.at("a").leave();
   group.at("b").leave();
   REQUIRE(group.runUntil([&] { return group.at("a").mayEnd() && group.at("b").mayEnd(); }));
@@ -129,7 +123,7 @@
   Group group(kVoters, 200);
   startFirst(group);
   group.start("d", 44, false);
-  awaitLearner(group, "d", 1);
+  awaitVersion(group, "d", 1);
   group.at("a").leave();
   REQUIRE(group.runUntil([&] { return group.at("d").votes(); }));
   group.kill("a");
@@ -155,10 +149,10 @@
     for (uint64_t step = 0; step < kSteps; ++step) {
       const std::string& machine = machines[random.below(machines.size())];
       for (const std::string& address : machines) {
-        awaitLearner(group, address, step + 1);
+        awaitVersion(group, address, step + 1);
       }
       if (random.below(2) == 0) {
-        stopAsPlanned(group, machine);
+        group.stopAsPlanned(machine);
         group.kill(machine);
       } else {
         group.kill(machine);
--- a/tests/unit/daemon/group/group_fixture.h
+++ b/tests/unit/daemon/group/group_fixture.h
@@ -104,6 +104,11 @@
   }
   /// Kills the replica's process, with its timers and the messages sent to it. The disk remains.
   void kill(const std::string& address) { machines_.at(address).replica.reset(); }
+  /// Stops a replica as planned: it runs on until it may end.
+  void stopAsPlanned(const std::string& address) {
+    at(address).leave();
+    REQUIRE(runUntil([&] { return at(address).mayEnd(); }));
+  }
   /// Drops this share of all later hellos, drawn by the seed of the group.
   void loseHellos(uint64_t percent) { lost_hellos_percent_ = percent; }
   /// Drops Raft messages to and from a machine while `cut` is set.
--- a/tests/unit/daemon/group/machine_losses_test.cc
+++ b/tests/unit/daemon/group/machine_losses_test.cc
@@ -99,12 +99,6 @@
     return group_.members().contains(machine) && group_.at(machine).stored().version() == version_;
   }
 
-  void stopAsPlanned(const std::string& machine) {
-    group_.at(machine).leave();
-    REQUIRE(group_.runUntil([&] { return group_.at(machine).mayEnd(); }));
-    group_.kill(machine);
-  }
-
   /// Starts a machine at a new address, and makes it a seed if the old one is.
   /// @return its address
   std::string replace(const std::string& old) {
@@ -122,13 +116,15 @@
   void replaceAsPlanned(const std::string& old) {
     const std::string successor = replace(old);
     REQUIRE(group_.runUntil([&] { return hasCaughtUp(successor); }));
-    stopAsPlanned(old);
+    group_.stopAsPlanned(old);
+    group_.kill(old);
   }
 
   void strike(const std::string& machine, Loss loss) {
     switch (loss) {
     case Loss::PlannedStop:
-      stopAsPlanned(machine);
+      group_.stopAsPlanned(machine);
+      group_.kill(machine);
       break;
     case Loss::PlannedReplacement:
       replaceAsPlanned(machine);
