An attempt's log line says which request its response names

Callers: none; sight for the incident of requests that ran twice. Cause: attempt_ended could not tell a refusal that names its request from one that names none. Change: status, says_not_run and response_of in attempt_ended; ownerOfResponse compares all request ids of a head byte for byte. No decision uses it yet.

--- a/src/adapters/http/http_types.h
+++ b/src/adapters/http/http_types.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -36,6 +37,19 @@
   return std::string(viewOf(found->value()));
 }
 
+/// @return the values of all header fields of this name that are not empty.
+template <typename Fields>
+std::vector<std::string> fieldsOf(const Fields& fields, std::string_view name) {
+  const auto [begin, end] = fields.equal_range(boost::beast::string_view(name.data(), name.size()));
+  std::vector<std::string> values;
+  for (auto field = begin; field != end; ++field) {
+    if (!field->value().empty()) {
+      values.emplace_back(viewOf(field->value()));
+    }
+  }
+  return values;
+}
+
 /// Sets a header field unless its name or value is invalid. All values from outside become header
 /// fields through this function, which prevents header injection: a value with a line break could
 /// end the field or begin another message.
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -18,6 +18,7 @@
 #include "adapters/http/http_server.h"
 #include "adapters/http/runner_connection.h"
 #include "core/relay/event_splitter.h"
+#include "core/relay/response_owner.h"
 #include "core/scheduling/event_pauses.h"
 #include "daemon/relay/relay_request.h"
 #include "daemon/relay/relay_state.h"
@@ -112,6 +113,7 @@
   void releaseConnection(const std::string& address);
   std::chrono::milliseconds silenceTimeout(bool streaming) const;
   void recordActivity(relay::Runner& runner);
+  void recordResponseHead();
   void applyNotice(relay::Runner& runner);
   void recordBackoffAtSend(const relay::Runner& runner);
 
@@ -289,6 +291,11 @@
   relay::ServiceEvidence evidence_;
   /// When the current attempt began.
   int64_t attempt_began_ms_ = 0;
+  /// Status of the response to the current attempt, whether it says that the request was not run,
+  /// and to which request it belongs; zero: there was no response.
+  unsigned response_status_ = 0;
+  bool response_says_not_run_ = false;
+  relay::ResponseOwner response_owner_ = relay::ResponseOwner::Unknown;
   /// What the current attempt's runner reported about itself in its response headers.
   relay::RunnerNotice notice_;
   /// Id of the last prefix source, for the log; empty if there was none.
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -46,6 +46,15 @@
   state_.runners.recordActivity(runner, last_received_ms_);
 }
 
+/// Records what the head of the response says about the request.
+void ActiveRequest::recordResponseHead() {
+  const HeaderNames& names = state_.dialect.headers();
+  const auto& head = connection_->head();
+  response_status_ = head.result_int();
+  response_says_not_run_ = http::fieldOf(head, names.not_run).has_value();
+  response_owner_ = relay::ownerOfResponse(http::fieldsOf(head, names.request_id), request_.id);
+}
+
 /// Applies the notice in the headers of a response: what the runner reports about its state and
 /// about further requests to it.
 void ActiveRequest::applyNotice(relay::Runner& runner) {
@@ -157,6 +166,9 @@
                                       {"outcome", nameOf(outcome)},
                                       {"error", last_error_},
                                       {"phase", sent_ms_ == 0 ? "connecting" : "sent"},
+                                      {"status", response_status_},
+                                      {"says_not_run", response_says_not_run_},
+                                      {"response_of", nameOf(response_owner_)},
                                       {"ms", now_ms - attempt_began_ms_},
                                       {"service_heard_ms", evidence.heard_ago_ms},
                                       {"runners_avoided", evidence.avoided_by_own},
@@ -302,6 +314,7 @@
     co_return brokenBy(*error);
   }
   recordActivity(runner);
+  recordResponseHead();
   applyNotice(runner);
   co_return co_await handleAnswer(runner);
 }
@@ -315,6 +328,9 @@
   last_received_ms_ = 0;
   backoff_at_send_ms_ = 0;
   notice_ = {};
+  response_status_ = 0;
+  response_says_not_run_ = false;
+  response_owner_ = relay::ResponseOwner::Unknown;
   attempt_began_ms_ = state_.clock.monotonicMs();
   state_.runners.beginAttempt(runner, attempt_began_ms_);
   if (request_.tenant != nullptr) {
