--- /dev/null
+++ b/tests/unit/daemon/relay/execution_test.cc
@@ -0,0 +1,197 @@
+/// @file
+/// Tests of what a relay concludes about the run of a request at a runner: that it has not run,
+/// that it has ended, or neither. Each is named after the failure that it guards against.
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "unit/daemon/relay/relay_fixture.h"
+
+namespace workshatch::test {
+
+using relay::RouteKind;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Longer than the silence after which a stream may move to another runner.
+constexpr milliseconds kLongerThanSilence{2200};
+
+/// Blocks until the other end of the connection has closed its side.
+void awaitEndOfRequests(ScriptedRunner::Socket& socket) {
+  std::string rest;
+  boost::system::error_code ended;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(rest), ended);
+}
+
+std::string eventOf(int number) { return chunk("id: " + std::to_string(number) + "\ndata: d\n\n"); }
+
+std::string streamFrom(int first, int last) {
+  std::string events;
+  for (int number = first; number <= last; ++number) {
+    events += eventOf(number);
+  }
+  return events + kLastChunk;
+}
+
+/// Two runners of one service, the first of which a test scripts; the second one answers whatever
+/// it receives.
+struct TwoRunners {
+  TwoRunners(const relay::Route& route, ScriptedRunner::Script first_script,
+             ScriptedRunner::Script second_script, const relay::Policy& policy = {})
+      : first(std::move(first_script)), second(std::move(second_script)), relay(route, policy) {
+    // The runner with the lower load is chosen.
+    relay.addRunner("runner-1", first.address());
+    relay.addRunner("runner-2", second.address());
+    relay.state().runners.runners()[indexOf("runner-2")]->in_progress = 1;
+    relay.start();
+  }
+
+  size_t indexOf(const std::string& id) {
+    const auto& runners = relay.state().runners.runners();
+    return runners[0]->entry.id() == id ? 0 : 1;
+  }
+
+  ScriptedRunner first;
+  ScriptedRunner second;
+  TestRelay relay;
+};
+
+/// A request that must run at most once, whose first runner gives the response.
+struct RefusedOnce : TwoRunners {
+  explicit RefusedOnce(std::string response)
+      : TwoRunners(
+            testRoute(RouteKind::RunOnce, 3),
+            [response = std::move(response)](auto& socket, const auto&) {
+              writeTo(socket, response);
+            },
+            [](auto& socket, const std::string& request) {
+              writeTo(socket, signedAnswer(requestIdOf(request), "second run"));
+            }) {}
+};
+
+relay::Route resumableRoute() {
+  relay::Route route = testRoute(RouteKind::Streaming, 2, true);
+  route.timeout_ms = 9000;
+  return route;
+}
+
+std::string askForStream(const TestRelay& relay) {
+  return answerTo(requestText(CallerRequest{.id = "q1", .timeout_ms = 9000}), relay.address());
+}
+
+} // namespace
+
+TEST_CASE("A refusal without a request id is believed, and the request runs twice") {
+  for (const std::string status : {"503 Full", "429 Later", "421 Misdirected Request"}) {
+    CAPTURE(status);
+    RefusedOnce fleet("HTTP/1.1 " + status + "\r\nW-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    CHECK(fleet.relay.sendRequest("q1").starts_with("HTTP/1.1 502"));
+    CHECK(fleet.first.requests() == 1);
+    CHECK(fleet.second.requests() == 0);
+  }
+}
+
+TEST_CASE("A refusal with two request ids is believed, and the request runs twice") {
+  RefusedOnce fleet("HTTP/1.1 503 Full\r\nW-Request: q1\r\nW-Request: q0\r\nW-Not-Run: 1\r\n"
+                    "Content-Length: 0\r\n\r\n");
+  CHECK(fleet.relay.sendRequest("q1").starts_with("HTTP/1.1 502"));
+  CHECK(fleet.second.requests() == 0);
+}
+
+TEST_CASE("A success that says it was not run is believed, and the request runs twice") {
+  RefusedOnce fleet("HTTP/1.1 200 OK\r\nW-Request: q1\r\nW-Signature: s\r\nW-Not-Run: 1\r\n"
+                    "Content-Length: 0\r\n\r\n");
+  CHECK(fleet.relay.sendRequest("q1").starts_with("HTTP/1.1 502"));
+  CHECK(fleet.second.requests() == 0);
+}
+
+TEST_CASE("A caller is told that a request has not run by the status of a runner that ran it") {
+  for (const std::string status : {"503 Busy", "429 Later", "408 Timeout"}) {
+    CAPTURE(status);
+    RefusedOnce fleet("HTTP/1.1 " + status +
+                      "\r\nW-Request: q1\r\nW-Signature: s\r\n"
+                      "Content-Length: 0\r\n\r\n");
+    const std::string answer = fleet.relay.sendRequest("q1");
+    CHECK(answer.starts_with("HTTP/1.1 502"));
+    CHECK(answer.find("W-Signature") == std::string::npos);
+    CHECK(fleet.second.requests() == 0);
+  }
+}
+
+TEST_CASE(
+    "An error response without a request id reaches a caller whose request it does not name") {
+  RefusedOnce fleet("HTTP/1.1 404 None\r\nW-Signature: s\r\nContent-Length: 5\r\n\r\nother");
+  const std::string answer = fleet.relay.sendRequest("q1");
+  CHECK(answer.starts_with("HTTP/1.1 502"));
+  CHECK(answer.find("other") == std::string::npos);
+}
+
+TEST_CASE("A stream goes on at a second runner while the first one stands still") {
+  std::atomic<bool> stands_still{true};
+  TwoRunners fleet(
+      resumableRoute(),
+      [&](auto& socket, const std::string&) {
+        writeTo(socket, streamHead("q1") + eventOf(1));
+        within(kTestTimeout, [&] { return !stands_still; });
+        awaitEndOfRequests(socket);
+      },
+      [](auto& socket, const std::string&) {
+        writeTo(socket, streamHead("q1") + streamFrom(2, 3));
+      });
+  auto answer = std::async(std::launch::async, [&] { return askForStream(fleet.relay); });
+  REQUIRE(within(kTestTimeout, [&] { return fleet.first.requests() == 1; }));
+  // A runner that stands still accepts connections and sees nothing of those that are closed.
+  CHECK_FALSE(within(kLongerThanSilence, [&] { return fleet.second.requests() > 0; }));
+  stands_still = false;
+  const std::string whole = answer.get();
+  CHECK(fleet.second.requests() == 1);
+  CHECK(whole.find("id: 3") != std::string::npos);
+  CHECK(whole.ends_with(kLastChunk));
+}
+
+TEST_CASE("A stream whose runner sends bytes that are no answer goes on while that run does") {
+  std::atomic<bool> runs{true};
+  TwoRunners fleet(
+      resumableRoute(),
+      [&](auto& socket, const std::string&) {
+        writeTo(socket, streamHead("q1") + eventOf(1) + "no chunk\r\n");
+        within(kTestTimeout, [&] { return !runs; });
+      },
+      [](auto& socket, const std::string&) {
+        writeTo(socket, streamHead("q1") + streamFrom(2, 3));
+      });
+  const std::string answer = askForStream(fleet.relay);
+  CHECK(fleet.second.requests() == 0);
+  CHECK(answer.find("id: 1") != std::string::npos);
+  CHECK_FALSE(answer.ends_with(kLastChunk));
+  runs = false;
+}
+
+TEST_CASE("A sound stream that is silent for a while is given up though none can replace it") {
+  relay::Policy without_retries;
+  without_retries.repeats = false;
+  TwoRunners fleet(
+      resumableRoute(),
+      [&](auto& socket, const std::string&) {
+        writeTo(socket, streamHead("q1") + eventOf(1));
+        // Goes on unless its caller has closed the connection meanwhile.
+        char byte = 0;
+        const bool closed = within(kLongerThanSilence, [&] {
+          return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+        });
+        if (!closed) {
+          writeTo(socket, streamFrom(2, 3));
+        }
+      },
+      [](auto&, const std::string&) {}, without_retries);
+  const std::string answer = askForStream(fleet.relay);
+  CHECK(answer.find("id: 3") != std::string::npos);
+  CHECK(answer.ends_with(kLastChunk));
+  CHECK(fleet.second.requests() == 0);
+}
+
+} // namespace workshatch::test
