Only a proof says that a request has not run: a refusal must name the request

Callers saw: requests that may run once ran at a second runner too, and 503 or 429 for requests that had run. Cause: a relay concluded "has not run" in several places from what a response suggests: a header without a request id, status 421, a status passed on as the runner gave it. Class: a conclusion without its proof. Change: NotRunProof is made in one place (nothing written; a runner's refusal that names this request alone; a relay's), RequestExecution counts each attempt without one as a run, and the 503 of a relay needs its RequestNotRun. Responses that do not name the request belong to nobody. A promise of a runner that ran a request that may not be repeated becomes 502. Relays name the request in their responses to forwarded ones; refusals of an older relay are not believed.

--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -43,7 +43,7 @@
 ActiveRequest::ActiveRequest(boost::asio::io_context& context, RelayState& state,
                              http::Exchange& exchange, RelayRequest request)
     : context_(context), state_(state), exchange_(exchange), request_(std::move(request)),
-      deadline_(context), wait_(context) {}
+      deadline_(context), wait_(context), execution_(request_.origin ? request_.origin->runs : 0) {}
 
 void ActiveRequest::interrupt() {
   wait_.cancel();
@@ -81,7 +81,7 @@
   }
   slot_.release();
   if (sent_ms_ == 0 ||
-      (request_.repeatable() && ran_attempts_ + 1 < request_.route->max_attempts)) {
+      (request_.repeatable() && execution_.possibleRuns() + 1 < request_.route->max_attempts)) {
     hung_ = true;
     connection_->close();
   }
@@ -111,8 +111,6 @@
       active_request->interrupt();
     }
   });
-  ran_attempts_ = request_.origin ? request_.origin->runs : 0;
-  may_have_run_ = ran_attempts_ > 0;
   if (!request_.origin) {
     state_.budget.recordRequest(request_.service, request_.received_ms);
   }
@@ -398,7 +396,8 @@
     return true;
   }
   const bool version_known = !stream_started_ || stream_version_ || !state_.stream_origins;
-  return version_known && request_.repeatable() && ran_attempts_ < request_.route->max_attempts;
+  return version_known && request_.repeatable() &&
+         execution_.possibleRuns() < request_.route->max_attempts;
 }
 
 } // namespace workshatch::daemon
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -18,7 +18,7 @@
 #include "adapters/http/http_server.h"
 #include "adapters/http/runner_connection.h"
 #include "core/relay/event_splitter.h"
-#include "core/relay/response_owner.h"
+#include "core/relay/request_execution.h"
 #include "core/scheduling/event_pauses.h"
 #include "daemon/relay/relay_request.h"
 #include "daemon/relay/relay_state.h"
@@ -31,7 +31,8 @@
 ///
 /// Guarantees:
 /// - After a runner may have run a request that is not repeatable, no other runner receives it.
-/// - A refusal with status 503 means that no runner has run the request.
+/// - A response with a status that promises that the request has not run is sent only with a proof
+///   (`relay::RequestNotRun`), or as the response of a runner to a repeatable request.
 /// - Only complete events reach the caller, and a stream is terminated properly only if its last
 ///   runner did so.
 class ActiveRequest : public std::enable_shared_from_this<ActiveRequest> {
@@ -75,8 +76,10 @@
 
   /// Result of an attempt for the request and for the state of the runner.
   struct AttemptResult {
-    AttemptEnd end = AttemptEnd::Unreachable;
-    relay::AttemptOutcome outcome = relay::AttemptOutcome::Unreachable;
+    AttemptEnd end = AttemptEnd::Broken;
+    relay::AttemptOutcome outcome = relay::AttemptOutcome::Failed;
+    /// Empty: the attempt may have run the request.
+    std::optional<relay::NotRunProof> not_run;
     /// The runner closed the connection while the request was in progress.
     bool closed_by_runner = false;
     /// The response looks complete, but nothing but the end of the connection says so.
@@ -103,6 +106,7 @@
   http::awaitable<std::shared_ptr<relay::Runner>>
   awaitPrefixSource(std::optional<PrefixClient::Lookup> lookup, const relay::RunnerChoice& choice);
   relay::PromptTarget promptTarget(const relay::Runner& runner) const;
+  AttemptResult notSent(AttemptEnd end, relay::AttemptOutcome outcome) const;
   AttemptResult broken(std::string error);
   AttemptResult brokenBy(const http::CallError& error);
   relay::RequestEnd requestEnd(const AttemptResult& result) const;
@@ -113,14 +117,15 @@
   void releaseConnection(const std::string& address);
   std::chrono::milliseconds silenceTimeout(bool streaming) const;
   void recordActivity(relay::Runner& runner);
-  void recordResponseHead();
+  relay::ResponseStatement statementOfResponse() const;
   void applyNotice(relay::Runner& runner);
   void recordBackoffAtSend(const relay::Runner& runner);
 
   // Handling of the runner's response to an attempt (active_request_answer.cc).
   http::awaitable<AttemptResult> handleAnswer(relay::Runner& runner);
-  http::awaitable<AttemptResult> handleRefusal(relay::AttemptOutcome outcome);
-  http::awaitable<AttemptResult> relayPlainAnswer();
+  http::awaitable<AttemptResult> handleRefusal(relay::NotRunProof proof);
+  /// @param not_run proof that the response is a refusal; empty: the request may have run
+  http::awaitable<AttemptResult> relayPlainAnswer(std::optional<relay::NotRunProof> not_run);
   /// @param runner null if another relay responds
   http::awaitable<AttemptResult> relayStream(relay::Runner* runner);
   http::awaitable<bool> relayEvent(const relay::CompleteEvent& event, int64_t received_ms);
@@ -132,8 +137,8 @@
   std::optional<std::string> nextPeer() const;
   http::awaitable<bool> forward(std::string peer);
   http::awaitable<AttemptEnd> forwardTo(const std::string& peer);
-  http::awaitable<AttemptEnd> callPeer(const std::string& peer);
-  http::awaitable<AttemptEnd> handlePeerAnswer();
+  http::awaitable<AttemptResult> callPeer(const std::string& peer);
+  http::awaitable<AttemptResult> handlePeerAnswer();
   bool pathLost() const {
     return state_.path_prober && state_.path_prober->isLost(request_.service);
   }
@@ -154,8 +159,10 @@
 
   // Final response and decision log (active_request_outcome.cc).
   http::awaitable<void> finish();
-  http::awaitable<void> refuse(http::Status status, std::string code, std::string detail);
-  http::awaitable<void> refuseNotRun();
+  http::awaitable<void> refuse(const relay::RequestNotRun& proof, std::string code,
+                               std::string detail);
+  http::awaitable<void> refuseForWantOfRunner(const relay::RequestNotRun& proof);
+  http::awaitable<void> fail(http::Status status, std::string code, std::string detail);
   std::optional<uint32_t> retryAfterMs() const;
   uint32_t retryWithoutPathMs() const;
   void learnOutput();
@@ -216,11 +223,9 @@
   relay::ReadAheadBudget::Reader reader_ = 0;
   /// The request was put into quarantine while an attempt was in progress.
   bool quarantine_cancelled_ = false;
-  /// A runner may have run the request.
-  bool may_have_run_ = false;
+  /// Whether a runner may have run the request.
+  relay::RequestExecution execution_;
   bool stream_started_ = false;
-  /// Attempts after which the runner may have run the request.
-  uint32_t ran_attempts_ = 0;
   /// Attempts in which the request was sent, and how many of them the runner declined.
   uint32_t sent_attempts_ = 0;
   uint32_t declines_ = 0;
@@ -291,11 +296,8 @@
   relay::ServiceEvidence evidence_;
   /// When the current attempt began.
   int64_t attempt_began_ms_ = 0;
-  /// Status of the response to the current attempt, whether it says that the request was not run,
-  /// and to which request it belongs; zero: there was no response.
-  unsigned response_status_ = 0;
-  bool response_says_not_run_ = false;
-  relay::ResponseOwner response_owner_ = relay::ResponseOwner::Unknown;
+  /// What the response to the current attempt says; status zero: there was none.
+  relay::ResponseStatement response_;
   /// What the current attempt's runner reported about itself in its response headers.
   relay::RunnerNotice notice_;
   /// Id of the last prefix source, for the log; empty if there was none.
--- a/src/daemon/relay/active_request_answer.cc
+++ b/src/daemon/relay/active_request_answer.cc
@@ -19,6 +19,20 @@
 constexpr size_t kMaxPlainBytes = size_t{16} * 1024 * 1024;
 constexpr unsigned kServerErrors = 500;
 
+/// @return the outcome of an attempt that was refused with this proof.
+relay::AttemptOutcome outcomeOf(const relay::NotRunProof& proof) {
+  switch (proof.basis()) {
+  case relay::NotRunProof::Basis::Declined:
+    return relay::AttemptOutcome::Refused;
+  case relay::NotRunProof::Basis::Misdirected:
+    return relay::AttemptOutcome::Misdirected;
+  case relay::NotRunProof::Basis::Unsent:
+  case relay::NotRunProof::Basis::RefusedByRelay:
+    return relay::AttemptOutcome::Withdrawn;
+  }
+  return relay::AttemptOutcome::Withdrawn;
+}
+
 bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
 
 /// @return whether the header concerns only the connection to the runner (hop-by-hop).
@@ -32,10 +46,10 @@
 
 } // namespace
 
-/// Handles a response which declares that the runner did not run the request. Reads the rest of it
+/// Handles a response which proves that the request was not run. Reads the rest of it
 /// only to keep the connection reusable.
 http::awaitable<ActiveRequest::AttemptResult>
-ActiveRequest::handleRefusal(relay::AttemptOutcome outcome) {
+ActiveRequest::handleRefusal(relay::NotRunProof proof) {
   last_error_ = "declined with " + std::to_string(connection_->head().result_int());
   std::string rest = "-";
   while (!rest.empty()) {
@@ -46,29 +60,29 @@
     }
     rest = std::get<std::string>(chunk);
   }
-  co_return AttemptResult{.end = AttemptEnd::NotRun, .outcome = outcome};
+  co_return AttemptResult{.end = AttemptEnd::NotRun, .outcome = outcomeOf(proof), .not_run = proof};
 }
 
 http::awaitable<ActiveRequest::AttemptResult> ActiveRequest::handleAnswer(relay::Runner& runner) {
-  const HeaderNames& names = state_.dialect.headers();
-  const auto& head = connection_->head();
-  const unsigned status = head.result_int();
-  const auto id = http::fieldOf(head, names.request_id);
-  const bool not_run = http::fieldOf(head, names.not_run).has_value();
-  if (id && *id != request_.id) {
-    // A late duplicate response to an earlier request. No later data on this connection can be
-    // attributed to a request reliably.
-    co_return broken("the response has the id of another request");
-  }
-  if (head.result() == http::Status::misdirected_request) {
-    co_return co_await handleRefusal(relay::AttemptOutcome::Misdirected);
+  if (response_.owner != relay::ResponseOwner::ThisRequest) {
+    // It may be a late duplicate response to an earlier request. No later data on this connection
+    // can be attributed to a request reliably.
+    co_return broken(response_.owner == relay::ResponseOwner::OtherRequest
+                         ? "the response has the id of another request"
+                         : "the response does not name the request");
   }
+  const auto not_run = relay::NotRunProof::ofRunner(response_);
+  const auto& head = connection_->head();
+  // A runner that can't read the request says so to its caller.
   if (not_run && head.result() != http::Status::bad_request) {
-    co_return co_await handleRefusal(relay::AttemptOutcome::Refused);
+    co_return co_await handleRefusal(*not_run);
+  }
+  const unsigned status = head.result_int();
+  if (isSuccess(status) && !http::fieldOf(head, state_.dialect.headers().signature)) {
+    co_return broken("successful response without a signature");
   }
-  const bool signed_answer = http::fieldOf(head, names.signature).has_value();
-  if (isSuccess(status) && (!signed_answer || !id)) {
-    co_return broken("successful response without a signature or a request id");
+  if (isSuccess(status) && response_.says_not_run) {
+    co_return broken("successful response that says that the request was not run");
   }
   const std::string_view type = http::viewOf(head[http::Field::content_type]);
   const bool streaming = request_.route->kind == relay::RouteKind::Streaming && isSuccess(status) &&
@@ -79,7 +93,7 @@
   if (stream_started_) {
     co_return broken("no stream to resume: status " + std::to_string(status));
   }
-  co_return co_await relayPlainAnswer();
+  co_return co_await relayPlainAnswer(not_run);
 }
 
 http::Response ActiveRequest::responseHead() const {
@@ -99,7 +113,8 @@
   return response;
 }
 
-http::awaitable<ActiveRequest::AttemptResult> ActiveRequest::relayPlainAnswer() {
+http::awaitable<ActiveRequest::AttemptResult>
+ActiveRequest::relayPlainAnswer(std::optional<relay::NotRunProof> not_run) {
   http::Response response = responseHead();
   std::string body;
   while (true) {
@@ -119,11 +134,17 @@
   response.body() = std::move(body);
   response.prepare_payload();
   const unsigned status = response.result_int();
+  if (relay::promisesNotRun(status) && !not_run && !request_.repeatable()) {
+    // A caller would take the runner's status for a promise and send the request again.
+    last_error_ = "status " + std::to_string(status) + " of a request that may have run";
+    co_return AttemptResult{.end = AttemptEnd::Broken, .outcome = relay::AttemptOutcome::Failed};
+  }
   if (status >= kServerErrors) {
     // The response is complete, so the connection stays open for reuse.
     last_error_ = "status " + std::to_string(status);
     failure_ = std::move(response);
-    co_return AttemptResult{.end = AttemptEnd::Broken, .outcome = relay::AttemptOutcome::Failed};
+    co_return AttemptResult{
+        .end = AttemptEnd::Broken, .outcome = relay::AttemptOutcome::Failed, .not_run = not_run};
   }
   const bool ended_by_close = connection_->endedByClose();
   answer_began_ms_ = isSuccess(status) ? sent_ms_ : 0;
@@ -134,6 +155,7 @@
   co_await exchange_.respond(std::move(response));
   co_return AttemptResult{.end = AttemptEnd::Answered,
                           .outcome = relay::AttemptOutcome::Succeeded,
+                          .not_run = not_run,
                           .ended_by_close = ended_by_close};
 }
 
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -46,13 +46,14 @@
   state_.runners.recordActivity(runner, last_received_ms_);
 }
 
-/// Records what the head of the response says about the request.
-void ActiveRequest::recordResponseHead() {
+/// @return what the head of a runner's response says about the run of the request.
+relay::ResponseStatement ActiveRequest::statementOfResponse() const {
   const HeaderNames& names = state_.dialect.headers();
   const auto& head = connection_->head();
-  response_status_ = head.result_int();
-  response_says_not_run_ = http::fieldOf(head, names.not_run).has_value();
-  response_owner_ = relay::ownerOfResponse(http::fieldsOf(head, names.request_id), request_.id);
+  return relay::ResponseStatement{
+      .status = head.result_int(),
+      .owner = relay::ownerOfResponse(http::fieldsOf(head, names.request_id), request_.id),
+      .says_not_run = http::fieldOf(head, names.not_run).has_value()};
 }
 
 /// Applies the notice in the headers of a response: what the runner reports about its state and
@@ -74,7 +75,7 @@
 
 std::chrono::milliseconds ActiveRequest::silenceTimeout(bool streaming) const {
   const bool another = state_.policy.silence_limits && request_.repeatable() &&
-                       ran_attempts_ + 1 < request_.route->max_attempts;
+                       execution_.possibleRuns() + 1 < request_.route->max_attempts;
   if (!another) {
     return std::chrono::milliseconds(0);
   }
@@ -136,10 +137,7 @@
 
 /// Records the result of the attempt in the runner's state, in the counters and in the log.
 void ActiveRequest::recordAttemptEnd(relay::Runner& runner, const AttemptResult& result) {
-  if (result.end == AttemptEnd::Broken || result.end == AttemptEnd::Answered) {
-    may_have_run_ = true;
-    ++ran_attempts_;
-  }
+  execution_.recordAttempt(result.not_run);
   declines_ += result.outcome == relay::AttemptOutcome::Refused ? 1 : 0;
   const bool abandoned = interrupted() && result.end != AttemptEnd::Answered;
   const relay::AttemptOutcome outcome =
@@ -166,9 +164,10 @@
                                       {"outcome", nameOf(outcome)},
                                       {"error", last_error_},
                                       {"phase", sent_ms_ == 0 ? "connecting" : "sent"},
-                                      {"status", response_status_},
-                                      {"says_not_run", response_says_not_run_},
-                                      {"response_of", nameOf(response_owner_)},
+                                      {"status", response_.status},
+                                      {"says_not_run", response_.says_not_run},
+                                      {"response_of", nameOf(response_.owner)},
+                                      {"not_run_proof", nameOf(result.not_run)},
                                       {"ms", now_ms - attempt_began_ms_},
                                       {"service_heard_ms", evidence.heard_ago_ms},
                                       {"runners_avoided", evidence.avoided_by_own},
@@ -296,16 +295,14 @@
   const ConnectOutcome connected = co_await connect(runner);
   if (connected != ConnectOutcome::Connected || interrupted()) {
     const bool gone = connected == ConnectOutcome::Refused;
-    co_return AttemptResult{.end = AttemptEnd::Unreachable,
-                            .outcome = gone ? relay::AttemptOutcome::ProcessGone
-                                            : relay::AttemptOutcome::Unreachable};
+    co_return notSent(AttemptEnd::Unreachable, gone ? relay::AttemptOutcome::ProcessGone
+                                                    : relay::AttemptOutcome::Unreachable);
   }
   prefix_source_ = co_await awaitPrefixSource(std::move(lookup), choice);
   prefix_source_id_ = prefix_source_ ? prefix_source_->entry.id() : "";
   // There must be no suspension point between this check and the send.
   if (!mayBeSent(runner)) {
-    co_return AttemptResult{.end = AttemptEnd::Withdrawn,
-                            .outcome = relay::AttemptOutcome::Withdrawn};
+    co_return notSent(AttemptEnd::Withdrawn, relay::AttemptOutcome::Withdrawn);
   }
   state_.runners.recordSent(runnerRequest(), choice);
   recordBackoffAtSend(runner);
@@ -314,7 +311,7 @@
     co_return brokenBy(*error);
   }
   recordActivity(runner);
-  recordResponseHead();
+  response_ = statementOfResponse();
   applyNotice(runner);
   co_return co_await handleAnswer(runner);
 }
@@ -328,9 +325,7 @@
   last_received_ms_ = 0;
   backoff_at_send_ms_ = 0;
   notice_ = {};
-  response_status_ = 0;
-  response_says_not_run_ = false;
-  response_owner_ = relay::ResponseOwner::Unknown;
+  response_ = {};
   attempt_began_ms_ = state_.clock.monotonicMs();
   state_.runners.beginAttempt(runner, attempt_began_ms_);
   if (request_.tenant != nullptr) {
@@ -354,6 +349,13 @@
   co_return result.end;
 }
 
+/// Ends an attempt in which nothing was sent.
+ActiveRequest::AttemptResult ActiveRequest::notSent(AttemptEnd end,
+                                                    relay::AttemptOutcome outcome) const {
+  return AttemptResult{
+      .end = end, .outcome = outcome, .not_run = relay::NotRunProof::ofUnsent(sent_ms_ != 0)};
+}
+
 /// Ends an attempt in which the runner may have run the request without a complete response. Closes
 /// the connection, which is not reusable.
 ActiveRequest::AttemptResult ActiveRequest::broken(std::string error) {
--- a/src/daemon/relay/active_request_forward.cc
+++ b/src/daemon/relay/active_request_forward.cc
@@ -54,7 +54,8 @@
   sent_ms_ = 0;
   attempt_began_ms_ = state_.clock.monotonicMs();
   state_.peer_relays.begin(peer);
-  const AttemptEnd end = co_await callPeer(peer);
+  AttemptResult result = co_await callPeer(peer);
+  const AttemptEnd end = result.end;
   state_.peer_relays.end(peer);
   releaseConnection(withPort(peer, state_.forward_port));
   const int64_t now_ms = state_.clock.monotonicMs();
@@ -62,10 +63,7 @@
   if (failed && !interrupted()) {
     state_.peer_relays.recordFailure(peer, now_ms);
   }
-  if (end == AttemptEnd::Broken) {
-    may_have_run_ = true;
-    ++ran_attempts_;
-  }
+  execution_.recordAttempt(result.not_run);
   ++state_.stats.forwards[forward_outcome_];
   if (end != AttemptEnd::Answered) {
     line_log::write("forward_ended", {{"request", request_.id},
@@ -79,7 +77,7 @@
 }
 
 /// Connects to the relay, sends it the request and relays its response.
-http::awaitable<ActiveRequest::AttemptEnd> ActiveRequest::callPeer(const std::string& peer) {
+http::awaitable<ActiveRequest::AttemptResult> ActiveRequest::callPeer(const std::string& peer) {
   forward_outcome_ = "unreachable";
   const std::string address = withPort(peer, state_.forward_port);
   connection_ = state_.connections.acquire(address);
@@ -87,19 +85,19 @@
     const auto endpoint = http::parseEndpoint(address);
     if (!endpoint) {
       last_error_ = "invalid address";
-      co_return AttemptEnd::Unreachable;
+      co_return notSent(AttemptEnd::Unreachable, relay::AttemptOutcome::Unreachable);
     }
     connection_ = std::make_shared<http::RunnerConnection>(context_);
     const auto error = co_await connection_->connect(*endpoint, kConnectTimeout);
     if (error) {
       last_error_ = error->message;
-      co_return AttemptEnd::Unreachable;
+      co_return notSent(AttemptEnd::Unreachable, relay::AttemptOutcome::Unreachable);
     }
   }
   checkDeadline();
   if (interrupted() || blocked()) {
     forward_outcome_ = "withdrawn";
-    co_return AttemptEnd::Withdrawn;
+    co_return notSent(AttemptEnd::Withdrawn, relay::AttemptOutcome::Withdrawn);
   }
   ++sent_attempts_;
   sent_ms_ = state_.clock.monotonicMs();
@@ -107,7 +105,7 @@
       formatForPeer(exchange_.request(), state_,
                     ForwardedAttempt{.origin = ForwardOrigin{.configuration_version =
                                                                  request_.configuration_version,
-                                                             .runs = ran_attempts_,
+                                                             .runs = execution_.possibleRuns(),
                                                              .stream_version = stream_version_},
                                      .remaining_ms = request_.deadline_ms - sent_ms_,
                                      .last_event_id = last_event_id_});
@@ -116,31 +114,37 @@
   const auto error = co_await connection_->exchange(std::move(bytes), limit);
   if (error) {
     forward_outcome_ = "broken";
-    co_return brokenBy(*error).end;
+    co_return brokenBy(*error);
   }
   co_return co_await handlePeerAnswer();
 }
 
-http::awaitable<ActiveRequest::AttemptEnd> ActiveRequest::handlePeerAnswer() {
+http::awaitable<ActiveRequest::AttemptResult> ActiveRequest::handlePeerAnswer() {
   const auto& head = connection_->head();
   const PeerRefusal refusal = peerRefusalOf(head);
-  if (refusal == PeerRefusal::ByPeer) {
+  response_ = statementOfResponse();
+  response_.says_not_run = refusal != PeerRefusal::None;
+  const auto not_run = relay::NotRunProof::ofRelay(response_);
+  if (not_run && refusal == PeerRefusal::ByPeer) {
     forward_outcome_ = "refused";
     // It was sent, but it is no first attempt at a runner.
     --sent_attempts_;
-    const AttemptResult read = co_await handleRefusal(relay::AttemptOutcome::Withdrawn);
-    co_return read.end;
+    co_return co_await handleRefusal(*not_run);
+  }
+  if (response_.owner != relay::ResponseOwner::ThisRequest) {
+    forward_outcome_ = "broken";
+    co_return broken("the response of the other relay does not name the request");
   }
   const std::string_view type = http::viewOf(head[http::Field::content_type]);
   const bool stream = type.starts_with("text/event-stream");
   if (stream_started_ && !stream) {
     forward_outcome_ = "not_resumed";
-    co_return broken("no stream to resume: status " + std::to_string(head.result_int())).end;
+    co_return broken("no stream to resume: status " + std::to_string(head.result_int()));
   }
   attempt_version_ = streamVersionOf(head);
   if (stream && stream_version_ && attempt_version_ != stream_version_) {
     forward_outcome_ = "other_version";
-    co_return broken("another version goes on with the stream").end;
+    co_return broken("another version goes on with the stream");
   }
   const bool refused = refusal == PeerRefusal::ByService;
   const bool failed = head.result_int() >= kServerErrors;
@@ -148,7 +152,7 @@
   if (stream) {
     result = co_await relayStream(nullptr);
   } else {
-    result = co_await relayPlainAnswer();
+    result = co_await relayPlainAnswer(not_run);
     if (failure_ && failed) {
       // The other relay has made all attempts that are allowed.
       co_await exchange_.respond(std::move(*failure_));
@@ -161,7 +165,7 @@
   if (answered && (refused || failed)) {
     answered_as_ = refused ? "forward_refused" : "forward_failed";
   }
-  co_return result.end;
+  co_return result;
 }
 
 } // namespace workshatch::daemon
--- a/src/daemon/relay/active_request_outcome.cc
+++ b/src/daemon/relay/active_request_outcome.cc
@@ -24,21 +24,36 @@
 
 } // namespace
 
-http::awaitable<void> ActiveRequest::refuse(http::Status status, std::string code,
+/// Refuses a request that has not run, and says so.
+http::awaitable<void> ActiveRequest::refuse(const relay::RequestNotRun&, std::string code,
                                             std::string detail) {
-  http::Problem problem{.status = status,
+  http::Problem problem{.status = http::Status::service_unavailable,
                         .code = std::move(code),
                         .detail = std::move(detail),
-                        .execution =
-                            may_have_run_ ? http::Execution::Unknown : http::Execution::NotRun,
+                        .execution = http::Execution::NotRun,
                         .request_id = request_.id};
   http::Response response = http::makeProblem(problem);
   const std::optional<uint32_t> retry_after_ms = retryAfterMs();
-  if (status == http::Status::service_unavailable && retry_after_ms) {
+  if (retry_after_ms) {
     response.set(http::Field::retry_after, state_.dialect.retryAfter(*retry_after_ms));
   }
-  if (request_.origin && status == http::Status::service_unavailable) {
+  if (request_.origin) {
     setPeerRefusal(response, problem.code);
+    http::setHeader(response, state_.dialect.headers().request_id, request_.id);
+  }
+  co_await exchange_.respond(std::move(response));
+}
+
+/// Ends a request that may have run without a response of its runner.
+http::awaitable<void> ActiveRequest::fail(http::Status status, std::string code,
+                                          std::string detail) {
+  http::Response response = http::makeProblem(http::Problem{.status = status,
+                                                            .code = std::move(code),
+                                                            .detail = std::move(detail),
+                                                            .execution = http::Execution::Unknown,
+                                                            .request_id = request_.id});
+  if (request_.origin) {
+    http::setHeader(response, state_.dialect.headers().request_id, request_.id);
   }
   co_await exchange_.respond(std::move(response));
 }
@@ -107,39 +122,37 @@
     co_await exchange_.respond(std::move(*failure_));
     co_return;
   }
-  if (!may_have_run_ && inQuarantine()) {
-    logOutcome("quarantined");
-    co_await refuse(http::Status::service_unavailable, "quarantined",
-                    "the runners that ran this request ended");
+  if (const auto not_run = execution_.notRun()) {
+    co_await refuseForWantOfRunner(*not_run);
     co_return;
   }
-  if (!may_have_run_ && !timed_out_ && lostLease()) {
-    logOutcome("lease_lost");
-    co_await refuse(http::Status::service_unavailable, "no_lease",
-                    "this relay has lost touch with the group");
+  if (timed_out_) {
+    logOutcome("timed_out");
+    co_await fail(http::Status::gateway_timeout, "timeout", "the time limit was reached");
     co_return;
   }
-  if (version_unknown_ && !timed_out_) {
-    logOutcome("stream_version_unknown");
-    co_await refuse(http::Status::service_unavailable, "stream_version_unknown",
-                    "no relay knows which version began this stream");
+  logOutcome("runner_broke_off");
+  co_await fail(http::Status::bad_gateway, "broken", "the runner gave no whole answer");
+}
+
+/// Refuses a request that no runner has run, and that none can take now or is allowed to.
+http::awaitable<void> ActiveRequest::refuseForWantOfRunner(const relay::RequestNotRun& proof) {
+  if (inQuarantine()) {
+    logOutcome("quarantined");
+    co_await refuse(proof, "quarantined", "the runners that ran this request ended");
     co_return;
   }
-  if (!may_have_run_) {
-    co_await refuseNotRun();
+  if (!timed_out_ && lostLease()) {
+    logOutcome("lease_lost");
+    co_await refuse(proof, "no_lease", "this relay has lost touch with the group");
     co_return;
   }
-  if (timed_out_) {
-    logOutcome("timed_out");
-    co_await refuse(http::Status::gateway_timeout, "timeout", "the time limit was reached");
+  if (!timed_out_ && version_unknown_) {
+    logOutcome("stream_version_unknown");
+    co_await refuse(proof, "stream_version_unknown",
+                    "no relay knows which version began this stream");
     co_return;
   }
-  logOutcome("runner_broke_off");
-  co_await refuse(http::Status::bad_gateway, "broken", "the runner gave no whole answer");
-}
-
-/// Refuses a request that no runner has run and none can take now.
-http::awaitable<void> ActiveRequest::refuseNotRun() {
   std::string code = "no_runner";
   std::string detail = "no runner could take the request";
   if (pathLost()) {
@@ -157,7 +170,7 @@
   }
   const std::string outcome = code == "no_runner" ? "not_run" : code;
   logOutcome(timed_out_ ? "not_run_timed_out" : outcome);
-  co_await refuse(http::Status::service_unavailable, std::move(code), std::move(detail));
+  co_await refuse(proof, std::move(code), std::move(detail));
 }
 
 /// Records the output of a completed stream for the estimates of later requests. The stream of a
--- a/src/daemon/relay/active_request_rollout.cc
+++ b/src/daemon/relay/active_request_rollout.cc
@@ -41,7 +41,7 @@
                                 .target = runner.entry.version() == rollout->target_version(),
                                 .failed = result.end != AttemptEnd::Answered};
   const int64_t now_ms = state_.clock.monotonicMs();
-  const bool completed_at_first_attempt = !outcome.failed && ran_attempts_ == 0;
+  const bool completed_at_first_attempt = !outcome.failed && execution_.possibleRuns() == 0;
   if (completed_at_first_attempt && stream_started_) {
     outcome.first_ms = static_cast<double>(first_event_ms_ - sent_ms_);
     if (events_ > 1) {
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -231,8 +231,11 @@
     if (retry_after_ms != 0) {
       response.set(http::Field::retry_after, adapters_.dialect.retryAfter(retry_after_ms));
     }
-    if (origin && problem->status == http::Status::service_unavailable) {
-      setPeerRefusal(response, problem->code);
+    if (origin) {
+      http::setHeader(response, adapters_.dialect.headers().request_id, problem->request_id);
+      if (problem->status == http::Status::service_unavailable) {
+        setPeerRefusal(response, problem->code);
+      }
     }
     co_await exchange.respond(std::move(response));
     co_return;
