Bytes without end: an event, and all answers that are not whole, are held within a bound

Cause: EventSplitter had no limit, and nothing counted what plain answers hold until they are whole (16 MB each). Class: what others send is held without a bound. Change: an event has 1 MiB at most; all answers of the process that have not arrived whole have 32 MiB, beyond which the one that holds most is cut (answer_cut), as a broken one: it counts as run.

--- a/src/core/relay/read_ahead_budget.h
+++ b/src/core/relay/read_ahead_budget.h
@@ -18,7 +18,8 @@
   size_t low_bytes = size_t{128} * 1024;
 };
 
-/// Counts the bytes that are buffered for callers that have not read them yet.
+/// Counts the bytes that are buffered for callers that have not read them yet; a second one counts
+/// those of responses that have not arrived completely.
 ///
 /// A runner cuts off a connection when its answer stays unread for some seconds, and keeps the
 /// answer in its own memory until then. Therefore a relay reads ahead of a caller that pauses, up
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -21,6 +21,7 @@
 #include "core/relay/request_execution.h"
 #include "core/relay/run_end.h"
 #include "core/scheduling/event_pauses.h"
+#include "daemon/relay/incomplete_answer.h"
 #include "daemon/relay/relay_request.h"
 #include "daemon/relay/relay_state.h"
 #include "daemon/relay/runner_dialer.h"
@@ -136,6 +137,8 @@
   http::awaitable<bool> relayEvent(const relay::CompleteEvent& event, int64_t received_ms);
   void trackReader();
   void abortSlowReader();
+  IncompleteAnswer countIncompleteAnswer();
+  void cutAnswer();
   http::Response responseHead() const;
 
   /// A runner at which the next attempt is certain to find a slot.
--- a/src/daemon/relay/active_request_answer.cc
+++ b/src/daemon/relay/active_request_answer.cc
@@ -17,6 +17,7 @@
 /// Timeout for reading the rest of a refusal, which allows the connection to be reused.
 constexpr std::chrono::milliseconds kRefusalReadTimeout{300};
 constexpr size_t kMaxPlainBytes = size_t{16} * 1024 * 1024;
+constexpr size_t kMaxEventBytes = size_t{1} * 1024 * 1024;
 constexpr unsigned kServerErrors = 500;
 
 /// @return the outcome of an attempt that was refused with this proof.
@@ -118,6 +119,7 @@
 http::awaitable<ActiveRequest::AttemptResult>
 ActiveRequest::relayPlainAnswer(relay::Runner* runner, std::optional<relay::NotRunProof> not_run) {
   http::Response response = responseHead();
+  IncompleteAnswer incomplete = countIncompleteAnswer();
   std::string body;
   while (true) {
     auto chunk = co_await readPart(runner);
@@ -132,6 +134,7 @@
     if (body.size() > kMaxPlainBytes) {
       co_return broken("the answer is too large");
     }
+    incomplete.update(body.size());
   }
   response.body() = std::move(body);
   response.prepare_payload();
@@ -245,8 +248,26 @@
   interrupt();
 }
 
+/// Starts the accounting of the bytes of the response that are held until it arrives completely.
+IncompleteAnswer ActiveRequest::countIncompleteAnswer() {
+  return IncompleteAnswer(state_.incomplete_answers, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->cutAnswer();
+    }
+  });
+}
+
+/// Ends the attempt to free the memory of its incomplete response.
+void ActiveRequest::cutAnswer() {
+  line_log::write("answer_cut", {{"request", request_.id},
+                                 {"all_held_bytes", state_.incomplete_answers.bufferedBytes()},
+                                 {"answers", state_.incomplete_answers.readers()}});
+  connection_->close();
+}
+
 http::awaitable<ActiveRequest::AttemptResult> ActiveRequest::relayStream(relay::Runner* runner) {
-  relay::EventSplitter splitter;
+  relay::EventSplitter splitter(kMaxEventBytes);
+  IncompleteAnswer incomplete = countIncompleteAnswer();
   while (true) {
     auto chunk = co_await readPart(runner);
     if (const auto* error = std::get_if<http::CallError>(&chunk)) {
@@ -271,6 +292,10 @@
         co_return broken(last_error_);
       }
     }
+    if (splitter.isTooLong()) {
+      co_return broken("an event is too long");
+    }
+    incomplete.update(splitter.partialBytes());
   }
   const bool ended_by_close = connection_->endedByClose();
   if (splitter.hasPartialEvent() || !stream_started_) {
--- /dev/null
+++ b/src/daemon/relay/incomplete_answer.h
@@ -0,0 +1,33 @@
+/// @file
+/// Accounting of one response that has not arrived completely.
+#pragma once
+
+#include <cstddef>
+#include <utility>
+
+#include "core/relay/read_ahead_budget.h"
+
+namespace workshatch::daemon {
+
+/// Counts the bytes of a response that are held until the rest of it, or of an event of it, has
+/// arrived. A runner may send bytes without end; together such responses must not take the memory
+/// of the responses to other callers. Lives on the relay's event loop; not safe for concurrent use.
+class IncompleteAnswer {
+public:
+  /// @param budget of all responses of the process; must outlive this object
+  /// @param cut called once if this response must be given up
+  IncompleteAnswer(relay::ReadAheadBudget& budget, relay::ReadAheadBudget::CancelCallback cut)
+      : budget_(budget), entry_(budget.open(std::move(cut))) {}
+  ~IncompleteAnswer() { budget_.close(entry_); }
+  IncompleteAnswer(const IncompleteAnswer&) = delete;
+  IncompleteAnswer& operator=(const IncompleteAnswer&) = delete;
+
+  /// Sets the bytes that are held. May cut this response or another one.
+  void update(size_t held_bytes) { budget_.update(entry_, held_bytes, 0); }
+
+private:
+  relay::ReadAheadBudget& budget_;
+  const relay::ReadAheadBudget::Reader entry_;
+};
+
+} // namespace workshatch::daemon
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -42,6 +42,10 @@
 /// requests, so there are fewer distinct requests than sends, and the share applies to requests.
 inline constexpr double kTrialFraction = 0.8;
 
+/// Maximum number of bytes of responses that have not arrived completely, over all requests of the
+/// process.
+inline constexpr size_t kIncompleteAnswersBytes = size_t{32} * 1024 * 1024;
+
 class ActiveRequest;
 
 /// Lives on the relay's event loop; not safe for concurrent use.
@@ -67,6 +71,7 @@
         peer_relays(settings.caller_address, settings.zone, settings.zones),
         forward_port(settings.forward_port),
         read_ahead(relay::ReadAheadLimits{.process_bytes = settings.read_ahead_bytes}),
+        incomplete_answers(relay::ReadAheadLimits{.process_bytes = kIncompleteAnswersBytes}),
         connections(time), started_ms(time.monotonicMs()) {}
 
   const Clock& clock;
@@ -101,6 +106,8 @@
   std::set<ActiveRequest*> active_requests;
   relay::RequestQueues queue{kMaxQueuedRequests};
   relay::ReadAheadBudget read_ahead;
+  /// Counts what is held of responses that have not arrived completely.
+  relay::ReadAheadBudget incomplete_answers;
   relay::RetryAfterScheduler retry_after_scheduler;
   relay::TenantUsage tenants;
   relay::DemandEstimates demand_estimates;
--- a/tests/unit/core/relay/lease_and_event_splitter_test.cc
+++ b/tests/unit/core/relay/lease_and_event_splitter_test.cc
@@ -46,7 +46,7 @@
 TEST_CASE("Events are returned complete and byte for byte, in whatever pieces the bytes arrive") {
   const std::string stream = "id: 1\ndata: a\n\nevent: x\r\nid:2\r\ndata: b\r\n\r\ndata: c\n\n";
   for (size_t step = 1; step <= stream.size(); ++step) {
-    relay::EventSplitter splitter;
+    relay::EventSplitter splitter(1024);
     std::string joined;
     std::vector<std::string> ids;
     for (size_t at = 0; at < stream.size(); at += step) {
@@ -63,11 +63,28 @@
 }
 
 TEST_CASE("An incomplete event is not returned") {
-  relay::EventSplitter splitter;
+  relay::EventSplitter splitter(1024);
   splitter.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n");
   CHECK(splitter.next());
   CHECK_FALSE(splitter.next());
   CHECK(splitter.hasPartialEvent());
 }
 
+TEST_CASE("An event without an end is too long once its limit is passed, however it arrives") {
+  for (const size_t step : {size_t{1}, size_t{100}, size_t{5000}}) {
+    CAPTURE(step);
+    relay::EventSplitter splitter(1024);
+    splitter.feed("id: 1\ndata: a\n\n");
+    size_t fed = 0;
+    while (!splitter.isTooLong()) {
+      splitter.feed(std::string(step, 'x'));
+      fed += step;
+      while (splitter.next()) {
+      }
+      REQUIRE(fed <= 1024 + step);
+    }
+    CHECK(splitter.partialBytes() <= 1024 + step);
+  }
+}
+
 } // namespace workshatch::test
