A silent attempt whose response arrives meanwhile stays; accounting of answers outlives the relay's state

Cause: (1) while a successor was being held, the response of the silent runner may arrive, and was given up all the same; (2) requests that are in progress when a process ends are destroyed after the relay's state, and IncompleteAnswer then closed its entry in a budget that was gone (SIGSEGV at the end of two tests of the suite); (3) a held successor could be passed over for a forward. Change: it is asked again whether the response is still awaited; the budget is shared; a held successor goes first.

--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -65,6 +65,8 @@
   /// time at most. No response can be read afterwards.
   /// @return the state of the connection; `Open` if the other end has not closed it.
   awaitable<ConnectionState> discardUntilClosed(std::chrono::milliseconds timeout);
+  /// @return whether a header or part of a body is awaited and has not arrived or failed yet.
+  bool isAwaitingResponse() const { return reading_; }
   /// Ends the wait for a response as if its time limit had passed.
   void endWait() { timer_.cancel(); }
   /// Prevents that the connection is reused, since what arrives belongs to no request for certain.
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -119,7 +119,7 @@
   }
   // A quarantined request would crash the next runner too, and fail all other requests there.
   while (!interrupted() && !blocked() && !version_unknown_) {
-    if (auto peer = nextPeer()) {
+    if (auto peer = successor_ ? std::nullopt : nextPeer()) {
       const bool go_on = co_await forward(*std::move(peer));
       if (!go_on) {
         break;
--- a/src/daemon/relay/active_request_answer.cc
+++ b/src/daemon/relay/active_request_answer.cc
@@ -260,8 +260,8 @@
 /// Ends the attempt to free the memory of its incomplete response.
 void ActiveRequest::cutAnswer() {
   line_log::write("answer_cut", {{"request", request_.id},
-                                 {"all_held_bytes", state_.incomplete_answers.bufferedBytes()},
-                                 {"answers", state_.incomplete_answers.readers()}});
+                                 {"all_held_bytes", state_.incomplete_answers->bufferedBytes()},
+                                 {"answers", state_.incomplete_answers->readers()}});
   connection_->close();
 }
 
--- a/src/daemon/relay/active_request_silence.cc
+++ b/src/daemon/relay/active_request_silence.cc
@@ -103,6 +103,11 @@
   if (!held || interrupted()) {
     co_return interrupted();
   }
+  if (!connection_->isAwaitingResponse()) {
+    // The runner has gone on meanwhile.
+    releaseSuccessor();
+    co_return false;
+  }
   const bool streaming = request_.route->kind == relay::RouteKind::Streaming;
   run_end_ = streaming ? co_await findRunEnd(*runner) : relay::RunEnd::Unknown;
   const bool gives_up = !streaming || run_end_ != relay::RunEnd::Unknown;
@@ -118,11 +123,12 @@
 /// @return whether it is held.
 http::awaitable<bool> ActiveRequest::holdSuccessor() {
   const int64_t left_ms = request_.deadline_ms - state_.clock.monotonicMs();
-  if (left_ms < request_.route->objective_ms || !holdRetry()) {
+  const bool no_way = pathLost() && !nextPeer();
+  if (left_ms < request_.route->objective_ms || no_way || !holdRetry()) {
     co_return false;
   }
   if (pathLost()) {
-    co_return nextPeer().has_value();
+    co_return true;
   }
   SlotGuard current = std::exchange(slot_, SlotGuard());
   const auto chosen = co_await findSlot();
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -147,7 +147,7 @@
                        static_cast<int64_t>(crashes.reports));
   metrics::exposeGauge(out, "relay_incomplete_answer_bytes",
                        "held of responses that have not arrived completely",
-                       static_cast<int64_t>(state_.incomplete_answers.bufferedBytes()));
+                       static_cast<int64_t>(state_.incomplete_answers->bufferedBytes()));
   metrics::exposeGauge(out, "relay_read_ahead_bytes", "held for callers that read slowly",
                        static_cast<int64_t>(state_.read_ahead.bufferedBytes()));
   metrics::exposeGauge(out, "relay_readers_cut", "callers cut since others needed the memory",
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -71,7 +71,6 @@
         peer_relays(settings.caller_address, settings.zone, settings.zones),
         forward_port(settings.forward_port),
         read_ahead(relay::ReadAheadLimits{.process_bytes = settings.read_ahead_bytes}),
-        incomplete_answers(relay::ReadAheadLimits{.process_bytes = kIncompleteAnswersBytes}),
         connections(time), started_ms(time.monotonicMs()) {}
 
   const Clock& clock;
@@ -107,7 +106,9 @@
   relay::RequestQueues queue{kMaxQueuedRequests};
   relay::ReadAheadBudget read_ahead;
   /// Counts what is held of responses that have not arrived completely.
-  relay::ReadAheadBudget incomplete_answers;
+  const std::shared_ptr<relay::ReadAheadBudget> incomplete_answers =
+      std::make_shared<relay::ReadAheadBudget>(
+          relay::ReadAheadLimits{.process_bytes = kIncompleteAnswersBytes});
   relay::RetryAfterScheduler retry_after_scheduler;
   relay::TenantUsage tenants;
   relay::DemandEstimates demand_estimates;
--- a/tests/unit/daemon/relay/endless_answer_test.cc
+++ b/tests/unit/daemon/relay/endless_answer_test.cc
@@ -92,7 +92,7 @@
   const auto allAnswered = [&] {
     std::promise<size_t> held;
     boost::asio::post(relay.context(),
-                      [&] { held.set_value(relay.state().incomplete_answers.bufferedBytes()); });
+                      [&] { held.set_value(relay.state().incomplete_answers->bufferedBytes()); });
     most_held = std::max(most_held, held.get_future().get());
     return std::all_of(answers.begin(), answers.end(), [](const auto& answer) {
       return answer.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
@@ -105,7 +105,7 @@
   // All of them together exceed the limit, so what is held must be counted and come close to it.
   CHECK(most_held > daemon::kIncompleteAnswersBytes / 2);
   CHECK(most_held <= daemon::kIncompleteAnswersBytes);
-  CHECK(relay.state().incomplete_answers.bufferedBytes() == 0);
+  CHECK(relay.state().incomplete_answers->bufferedBytes() == 0);
 }
 
 } // namespace workshatch::test
