A runner that takes no more connections is not out of reach: the system says what its machine acknowledges

Callers: a stream could still run twice where its runner's process is suspended for long and its queue of connections is full, so that new ones time out. Found by reading, before any landing. Evidence: 'A runner that stands still and takes no more connections ...' was red before (the stream went on at the second runner). Change: the relay asks the system whether the end of sending was acknowledged; a new connection is tried only where the system does not tell. A runner that was told to end a run has not crashed when it closes.

--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -21,6 +21,7 @@
 
 #include "adapters/http/http_client.h"
 #include "adapters/http/http_types.h"
+#include "adapters/tcp_options.h"
 #include "ports/clock.h"
 
 namespace workshatch::http {
@@ -58,6 +59,10 @@
   /// Tells the other end that nothing more will be sent. It may go on sending. The connection can't
   /// be reused.
   void endSending();
+  bool sendingEnded() const { return sending_ended_; }
+  /// @return whether the machine at the other end has acknowledged everything that was sent, also
+  /// the end of sending; nothing if the system does not tell.
+  std::optional<bool> allAcknowledged() { return tcp_options::allAcknowledged(socket_); }
   /// Waits until the header or part of the body that is being awaited has arrived or has failed.
   /// @return nothing if it is still awaited after the time; otherwise the state of the connection.
   awaitable<std::optional<ConnectionState>> awaitProgress(std::chrono::milliseconds timeout);
--- a/src/adapters/tcp_options.cc
+++ b/src/adapters/tcp_options.cc
@@ -30,6 +30,18 @@
   setPeerTimeout(socket, peer_timeout);
 }
 
+std::optional<bool> allAcknowledged(boost::asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t length = sizeof info;
+  const int failed = ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length);
+  if (failed != 0 || length == 0) {
+    return std::nullopt;
+  }
+  // The end of sending is acknowledged once the connection has left this state.
+  constexpr uint8_t kEndNotAcknowledged = TCP_FIN_WAIT1;
+  return info.tcpi_unacked == 0 && info.tcpi_state != kEndNotAcknowledged;
+}
+
 void setPeerTimeout(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds peer_timeout) {
   const int handle = socket.native_handle();
   // Linux applies the user timeout to probes too, whatever their number; the number gives the same
--- a/src/adapters/tcp_options.h
+++ b/src/adapters/tcp_options.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -19,6 +20,10 @@
 /// @param peer_timeout time without an acknowledgement; probes are sent each second
 void configure(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds peer_timeout);
 
+/// @return whether the other end has acknowledged everything that was sent, also the end of
+/// sending; nothing if the system does not tell.
+std::optional<bool> allAcknowledged(boost::asio::ip::tcp::socket& socket);
+
 /// Changes the time after which a configured connection fails.
 void setPeerTimeout(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds peer_timeout);
 
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -35,6 +35,10 @@
 /// - After a runner may have run a request that is not repeatable, no other runner receives it.
 /// - A response with a status that promises that the request has not run is sent only with a proof
 ///   (`relay::RequestNotRun`), or as the response of a runner to a repeatable request.
+/// - A stream goes on at another runner only if its run is known to have ended or to be out of
+/// reach
+///   (`relay::RunEnd`), and an attempt is given up for its silence only for a successor that is
+///   held.
 /// - Only complete events reach the caller, and a stream is terminated properly only if its last
 ///   runner did so.
 class ActiveRequest : public std::enable_shared_from_this<ActiveRequest> {
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -352,7 +352,9 @@
 
 /// Same as `broken`, for an error of the connection.
 ActiveRequest::AttemptResult ActiveRequest::brokenBy(const http::CallError& error) {
-  const bool by_runner = !error.timed_out && !interrupted() && !hung_;
+  // A runner that was told to end the run has not closed the connection by itself.
+  const bool by_runner =
+      !error.timed_out && !interrupted() && !hung_ && !connection_->sendingEnded();
   AttemptResult result = broken(error.timed_out ? "silent" : error.message);
   result.closed_by_runner = by_runner;
   result.timed_out = error.timed_out;
--- a/src/daemon/relay/active_request_silence.cc
+++ b/src/daemon/relay/active_request_silence.cc
@@ -30,8 +30,10 @@
 } // namespace
 
 /// Whether a runner's machine responds to a connection attempt; shared with the coroutine that
-/// makes it. A machine that refuses it responds: a process that has ended would have closed the
-/// connection of the request too.
+/// makes it. Used only where the system does not tell whether the machine acknowledges what is
+/// sent: one whose process stands still drops new connections after some time. A machine that
+/// refuses the attempt responds: a process that has ended would have closed the connection of the
+/// request too.
 struct ActiveRequest::ReachProbe {
   bool responded = false;
   std::shared_ptr<http::RunnerConnection> connection;
@@ -151,15 +153,19 @@
 }
 
 /// Tells a silent runner that its run is not wanted any more, and waits for a sign that it has
-/// ended. A runner that goes on with its response keeps the request.
+/// ended, or that the runner's machine is out of reach. A runner that goes on with its response
+/// keeps the request.
 http::awaitable<relay::RunEnd> ActiveRequest::findRunEnd(const relay::Runner& runner) {
   if (runner.gone) {
     co_return relay::RunEnd::ProcessEnded;
   }
-  const auto probe = probeReach(runner);
+  const bool system_tells = connection_->allAcknowledged().has_value();
+  const auto probe = system_tells ? nullptr : probeReach(runner);
   connection_->endSending();
   const auto state = co_await connection_->awaitProgress(kRunEndWait);
-  probe->connection->close();
+  if (probe) {
+    probe->connection->close();
+  }
   if (state == http::ConnectionState::ClosedByPeer) {
     co_return relay::RunEnd::ClosedByRunner;
   }
@@ -167,7 +173,8 @@
     co_return state == http::ConnectionState::PeerUnreachable ? relay::RunEnd::OutOfReach
                                                               : relay::RunEnd::Unknown;
   }
-  co_return probe->responded ? relay::RunEnd::Unknown : relay::RunEnd::OutOfReach;
+  const bool in_reach = probe ? probe->responded : connection_->allAcknowledged().value_or(true);
+  co_return in_reach ? relay::RunEnd::Unknown : relay::RunEnd::OutOfReach;
 }
 
 /// Begins to open a connection to the runner.
--- a/tests/unit/daemon/relay/execution_test.cc
+++ b/tests/unit/daemon/relay/execution_test.cc
@@ -5,7 +5,10 @@
 #include <chrono>
 #include <future>
 #include <string>
+#include <thread>
+#include <vector>
 
+#include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 
 #include "unit/daemon/relay/relay_fixture.h"
@@ -79,6 +82,17 @@
   return route;
 }
 
+/// Renews the lease of the relay, which may have expired while a runner stood still.
+void renewLease(TestRelay& relay) {
+  std::promise<void> renewed;
+  boost::asio::post(relay.context(), [&] {
+    auto& lease = relay.state().lease;
+    lease.confirmed(lease.renewalSent(relay.clock().monotonicMs()));
+    renewed.set_value();
+  });
+  renewed.get_future().get();
+}
+
 std::string askForStream(const TestRelay& relay) {
   return answerTo(requestText(CallerRequest{.id = "q1", .timeout_ms = 9000}), relay.address());
 }
@@ -146,6 +160,7 @@
   REQUIRE(within(kTestTimeout, [&] { return fleet.first.requests() == 1; }));
   // A runner that stands still accepts connections and sees nothing of those that are closed.
   CHECK_FALSE(within(kLongerThanSilence, [&] { return fleet.second.requests() > 0; }));
+  renewLease(fleet.relay);
   stands_still = false;
   const std::string whole = answer.get();
   CHECK(fleet.second.requests() == 1);
@@ -153,6 +168,55 @@
   CHECK(whole.ends_with(kLastChunk));
 }
 
+TEST_CASE("A runner that stands still and takes no more connections is thought out of reach") {
+  std::atomic<bool> stands_still{true};
+  std::atomic<bool> began{false};
+  // Accepts one connection, and as a suspended process none of those that queue up after it.
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor(context);
+  const boost::asio::ip::tcp::endpoint any(boost::asio::ip::make_address("127.0.0.1"), 0);
+  acceptor.open(any.protocol());
+  acceptor.bind(any);
+  acceptor.listen(1);
+  std::thread first([&] {
+    ScriptedRunner::Socket socket(context);
+    acceptor.accept(socket);
+    std::string request;
+    boost::system::error_code ignored;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", ignored);
+    began = true;
+    writeTo(socket, streamHead("q1") + eventOf(1));
+    within(kTestTimeout, [&] { return !stands_still; });
+    awaitEndOfRequests(socket);
+  });
+  ScriptedRunner second([](auto& socket, const std::string&) {
+    writeTo(socket, streamHead("q1") + streamFrom(2, 3));
+  });
+  TestRelay relay(resumableRoute());
+  relay.addRunner("runner-1", "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+  relay.start();
+  auto answer = std::async(std::launch::async, [&] { return askForStream(relay); });
+  REQUIRE(within(kTestTimeout, [&] { return began.load(); }));
+  boost::asio::post(relay.context(), [&] { relay.addRunner("runner-2", second.address()); });
+  // Fills the queue of connections that have not been accepted.
+  std::vector<ScriptedRunner::Socket> queued;
+  for (int i = 0; i < 3; ++i) {
+    queued.emplace_back(context);
+    queued.back().open(any.protocol());
+    queued.back().native_non_blocking(true);
+    const auto endpoint = acceptor.local_endpoint();
+    // Not by the socket's own operation, which waits for the result.
+    ::connect(queued.back().native_handle(), endpoint.data(),
+              static_cast<socklen_t>(endpoint.size()));
+  }
+  CHECK_FALSE(within(kLongerThanSilence, [&] { return second.requests() > 0; }));
+  renewLease(relay);
+  stands_still = false;
+  first.join();
+  CHECK(answer.get().ends_with(kLastChunk));
+  CHECK(second.requests() == 1);
+}
+
 TEST_CASE("A stream whose runner sends bytes that are no answer goes on while that run does") {
   std::atomic<bool> runs{true};
   TwoRunners fleet(
