--- a/tests/unit/daemon/relay/execution_test.cc
+++ b/tests/unit/daemon/relay/execution_test.cc
@@ -206,8 +206,8 @@
     queued.back().native_non_blocking(true);
     const auto endpoint = acceptor.local_endpoint();
     // Not by the socket's own operation, which waits for the result.
-    ::connect(queued.back().native_handle(), endpoint.data(),
-              static_cast<socklen_t>(endpoint.size()));
+    [[maybe_unused]] const int in_progress = ::connect(
+        queued.back().native_handle(), endpoint.data(), static_cast<socklen_t>(endpoint.size()));
   }
   CHECK_FALSE(within(kLongerThanSilence, [&] { return second.requests() > 0; }));
   renewLease(relay);
