An attempt's log line says the runner's address and whether its connection was kept

Two hypotheses about requests that ran twice could not be told apart by a relay's lines: a refusal that is believed may be the first response at that process or a second copy of an earlier one. With the address and kept_connection, two attempts at one address, the second one on a kept connection, show the second kind.

--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -279,6 +279,8 @@
   uint32_t unreached_ = 0;
   /// The current attempt is one at a runner.
   bool at_runner_ = false;
+  /// The current attempt uses a connection that has served other requests.
+  bool kept_connection_ = false;
   /// The current attempt was given up while the path to the runners was lost.
   bool hung_ = false;
   /// When the current attempt last received anything from its runner; zero: it has not.
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -69,7 +69,8 @@
 
 http::awaitable<ActiveRequest::ConnectOutcome> ActiveRequest::connect(relay::Runner& runner) {
   connection_ = state_.connections.acquire(runner.entry.address());
-  if (connection_) {
+  kept_connection_ = connection_ != nullptr;
+  if (kept_connection_) {
     co_return ConnectOutcome::Connected;
   }
   connection_ = std::make_shared<http::RunnerConnection>(context_);
@@ -141,6 +142,8 @@
                                       {"identity", relay::textOf(request_.identity)},
                                       {"parts", partTexts()},
                                       {"runner", runner.entry.id()},
+                                      {"address", runner.entry.address()},
+                                      {"kept_connection", kept_connection_},
                                       {"runner_load", runner.load()},
                                       {"outcome", nameOf(outcome)},
                                       {"error", last_error_},
