Failing test: a second copy of a refusal is taken for another refusal

A relay sends one request twice to one process that the list names under two ids, takes the copy of the first refusal for the refusal of the second arrival, and sends it to another runner: it runs twice.

--- a/tests/unit/daemon/relay/execution_test.cc
+++ b/tests/unit/daemon/relay/execution_test.cc
@@ -6,6 +6,7 @@
 #include <future>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/post.hpp>
@@ -136,6 +137,41 @@
   }
 }
 
+TEST_CASE("A second copy of a refusal is taken for another refusal, and the request runs twice") {
+  std::atomic<int> runs{0};
+  const std::string refusal =
+      "HTTP/1.1 421 Misdirected Request\r\nW-Request: q1\r\nContent-Length: 0\r\n\r\n";
+  // The process at the first address is the successor of `runner-1`, which is still listed.
+  ScriptedRunner first([&](auto& socket, const std::string&) {
+    writeTo(socket, refusal);
+    std::string next;
+    boost::system::error_code ended;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(next), "\r\n\r\n", ended);
+    if (!ended) {
+      ++runs;
+      writeTo(socket, refusal + signedAnswer("q1", "run"));
+    }
+  });
+  ScriptedRunner second([&](auto& socket, const std::string&) {
+    ++runs;
+    writeTo(socket, signedAnswer("q1", "run"));
+  });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  const std::vector<std::pair<std::string, std::string>> listed = {
+      {"runner-1", first.address()}, {"runner-2", first.address()}, {"runner-3", second.address()}};
+  uint32_t load = 0;
+  for (const auto& [id, address] : listed) {
+    relay.addRunner(id, address);
+    for (const auto& runner : relay.state().runners.runners()) {
+      runner->in_progress = runner->entry.id() == id ? load : runner->in_progress;
+    }
+    ++load;
+  }
+  relay.start();
+  CHECK(relay.sendRequest("q1").starts_with("HTTP/1.1 200"));
+  CHECK(runs == 1);
+}
+
 TEST_CASE(
     "An error response without a request id reaches a caller whose request it does not name") {
   RefusedOnce fleet("HTTP/1.1 404 None\r\nW-Signature: s\r\nContent-Length: 5\r\n\r\nother");
