A request is sent to an address once: a second copy of a refusal is no refusal of another arrival

What callers saw: requests that must run once ran twice, after a first arrival that was refused (the users' record); and a 503 that says "not run" for a request that ran.

Cause: after a runner crashed, the list names its process and its successor, two ids at one address. A relay sent the request to the first id, was refused with 421, and sent it to the second id: the same process, on the same kept connection, where it ran. The second copy of the 421, which a runner may send in the place of its next answer, named the request and was taken for the refusal of that second arrival. So the request went to another runner. Class: a response is taken for the response to this sending because it names the request; that holds only while the request is sent there once.

Change: the addresses at which runners have received the request are kept over all attempts, also from one relay to another and back with a refusal. A runner at such an address is not chosen, and the last check before the send says so too. The proof that a request has not run states this as its condition.

Ruled out: a fresh connection for the second arrival (a copy might come there too, and nothing is gained: the process at that address has just refused). A service whose only address has refused answers 503 at once, and the caller comes back.

--- a/src/core/relay/not_run_proof.h
+++ b/src/core/relay/not_run_proof.h
@@ -28,6 +28,9 @@
 /// - a response that names this request, and no other one, declares so: a runner's by its header or
 ///   by status 421, another relay's by its header. A success never declares so.
 ///
+/// Requires that the request is sent to each address once: otherwise a second copy of the refusal
+/// of an earlier arrival may stand in the place of the response to a later one.
+///
 /// Immutable. Performs no I/O.
 class NotRunProof {
 public:
--- a/src/core/relay/runner_choice.cc
+++ b/src/core/relay/runner_choice.cc
@@ -19,9 +19,13 @@
 /// Resolution of the random draw by which relays share the free slots of a runner.
 constexpr uint64_t kDrawSteps = 1024;
 
+bool contains(const std::vector<std::string>& texts, const std::string& text) {
+  return std::find(texts.begin(), texts.end(), text) != texts.end();
+}
+
 bool isExcluded(const RunnerRequest& request, const Runner& runner) {
-  return std::find(request.excluded.begin(), request.excluded.end(), runner.entry.id()) !=
-         request.excluded.end();
+  return contains(request.excluded, runner.entry.id()) ||
+         contains(request.excluded_addresses, runner.entry.address());
 }
 
 bool isUnsuitable(const RunnerRequest& request, const Runner& runner) {
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -61,6 +61,9 @@
   std::string zone;
   /// Ids of runners that were tried already.
   std::vector<std::string> excluded;
+  /// Addresses at which a runner has received the request. The list may name a process under two
+  /// ids.
+  std::vector<std::string> excluded_addresses;
   int64_t now_ms = 0;
   /// The runners of the service are model engines.
   bool engine = false;
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -43,7 +43,8 @@
 ActiveRequest::ActiveRequest(boost::asio::io_context& context, RelayState& state,
                              http::Exchange& exchange, RelayRequest request)
     : context_(context), state_(state), exchange_(exchange), request_(std::move(request)),
-      deadline_(context), wait_(context), execution_(request_.origin ? request_.origin->runs : 0) {}
+      deadline_(context), wait_(context), execution_(request_.origin ? request_.origin->runs : 0),
+      sent_to_(request_.origin ? request_.origin->sent_to : std::vector<std::string>()) {}
 
 void ActiveRequest::interrupt() {
   wait_.cancel();
@@ -175,6 +176,7 @@
                               .parent_key = request_.parent_key,
                               .zone = state_.zone,
                               .excluded = tried_,
+                              .excluded_addresses = sent_to_,
                               .now_ms = state_.clock.monotonicMs(),
                               .engine = request_.engine,
                               .home_regions = homeRegions(),
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -3,6 +3,7 @@
 /// response.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -33,6 +34,8 @@
 ///
 /// Guarantees:
 /// - After a runner may have run a request that is not repeatable, no other runner receives it.
+/// - A request is sent to an address once, by whichever relays: a response that names it is the
+///   response to that one arrival, and no second copy of an earlier one.
 /// - A response with a status that promises that the request has not run is sent only with a proof
 ///   (`relay::RequestNotRun`), or as the response of a runner to a repeatable request.
 /// - A stream goes on at another runner only if its run is known to have ended or to be out of
@@ -231,6 +234,9 @@
   }
   /// @return whether the request must not be sent to any runner.
   bool blocked() const { return inQuarantine() || lostLease(); }
+  bool wasSentTo(const std::string& address) const {
+    return std::find(sent_to_.begin(), sent_to_.end(), address) != sent_to_.end();
+  }
   bool mayBeSent(const relay::Runner& runner);
   bool mayTryAgain(AttemptEnd last) const;
   /// @return whether the request failed because runners are temporarily full.
@@ -265,6 +271,9 @@
   relay::RunEnd run_end_ = relay::RunEnd::Unknown;
   /// Whether a runner may have run the request.
   relay::RequestExecution execution_;
+  /// Addresses of the runners that have received the request, from this relay or the one that
+  /// forwarded it.
+  std::vector<std::string> sent_to_;
   bool stream_started_ = false;
   /// Attempts in which the request was sent, and how many of them the runner declined.
   uint32_t sent_attempts_ = 0;
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -192,6 +192,7 @@
                      .remaining_ms = remaining_ms,
                      .last_event_id = last_event_id_,
                      .fetch_from = prefix_source_ ? prefix_source_->entry.address() : ""});
+  sent_to_.push_back(choice.runner->entry.address());
   connection_->send(std::move(bytes));
 }
 
@@ -257,6 +258,10 @@
     last_error_ = "runner is no longer listed";
     return false;
   }
+  if (wasSentTo(runner.entry.address())) {
+    last_error_ = "its address has received the request";
+    return false;
+  }
   if (!state_.runners.isAdmittedByRollout(runner, trial_, stream_version_.has_value())) {
     last_error_ = "version not admitted by the rollout";
     return false;
--- a/src/daemon/relay/active_request_forward.cc
+++ b/src/daemon/relay/active_request_forward.cc
@@ -104,7 +104,8 @@
                     ForwardedAttempt{.origin = ForwardOrigin{.configuration_version =
                                                                  request_.configuration_version,
                                                              .runs = execution_.possibleRuns(),
-                                                             .stream_version = stream_version_},
+                                                             .stream_version = stream_version_,
+                                                             .sent_to = sent_to_},
                                      .remaining_ms = request_.deadline_ms - sent_ms_,
                                      .last_event_id = last_event_id_});
   connection_->send(std::move(bytes));
@@ -122,6 +123,9 @@
   response_ = statementOfResponse();
   response_.says_not_run = refusal != PeerRefusal::None;
   const auto not_run = relay::NotRunProof::ofRelay(response_);
+  for (std::string& address : sentToOf(head)) {
+    sent_to_.push_back(std::move(address));
+  }
   if (not_run && (refusal == PeerRefusal::ByPeer || stream_started_)) {
     forward_outcome_ = "refused";
     // It was sent, but it is no first attempt at a runner.
--- a/src/daemon/relay/active_request_outcome.cc
+++ b/src/daemon/relay/active_request_outcome.cc
@@ -38,7 +38,7 @@
     response.set(http::Field::retry_after, state_.dialect.retryAfter(*retry_after_ms));
   }
   if (request_.origin) {
-    setPeerRefusal(response, problem.code);
+    setPeerRefusal(response, problem.code, sent_to_);
     http::setHeader(response, state_.dialect.headers().request_id, request_.id);
   }
   co_await exchange_.respond(std::move(response));
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -234,7 +234,7 @@
     if (origin) {
       http::setHeader(response, adapters_.dialect.headers().request_id, problem->request_id);
       if (problem->status == http::Status::service_unavailable) {
-        setPeerRefusal(response, problem->code);
+        setPeerRefusal(response, problem->code, {});
       }
     }
     co_await exchange.respond(std::move(response));
--- a/src/daemon/relay/request_format.cc
+++ b/src/daemon/relay/request_format.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <sstream>
 
 #include <boost/beast/core/string.hpp>
 
@@ -19,6 +20,8 @@
 constexpr std::string_view kRunsHeader = "Workshatch-Runs";
 constexpr std::string_view kStreamVersionHeader = "Workshatch-Stream-Version";
 constexpr std::string_view kRefusalHeader = "Workshatch-Refusal";
+constexpr std::string_view kSentToHeader = "Workshatch-Sent-To";
+constexpr char kAddressSeparator = ',';
 /// Codes of refusals whose reason lies in the relay that refused; another one may serve the
 /// request.
 constexpr std::array<std::string_view, 9> kPeerCodes = {
@@ -118,6 +121,24 @@
   return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(number) : std::nullopt;
 }
 
+std::string joinAddresses(const std::vector<std::string>& addresses) {
+  std::string joined;
+  for (const std::string& address : addresses) {
+    joined.append(joined.empty() ? "" : std::string(1, kAddressSeparator)).append(address);
+  }
+  return joined;
+}
+
+/// @return the addresses in a header value; none if there is no header.
+std::vector<std::string> addressesIn(const std::optional<std::string>& value) {
+  std::vector<std::string> addresses;
+  std::istringstream rest(value.value_or(""));
+  for (std::string address; std::getline(rest, address, kAddressSeparator);) {
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
 } // namespace
 
 std::string formatForRunner(const http::Request& request, const RelayRequest& relayed,
@@ -150,6 +171,9 @@
   if (attempt.origin.stream_version) {
     appendHeader(out, kStreamVersionHeader, *attempt.origin.stream_version);
   }
+  if (!attempt.origin.sent_to.empty()) {
+    appendHeader(out, kSentToHeader, joinAddresses(attempt.origin.sent_to));
+  }
   appendBody(out, request);
   return out;
 }
@@ -162,7 +186,8 @@
   }
   return ForwardOrigin{.configuration_version = *version,
                        .runs = *runs,
-                       .stream_version = http::fieldOf(request, kStreamVersionHeader)};
+                       .stream_version = http::fieldOf(request, kStreamVersionHeader),
+                       .sent_to = addressesIn(http::fieldOf(request, kSentToHeader))};
 }
 
 void setStreamVersion(http::Response& response, const std::string& version) {
@@ -173,8 +198,16 @@
   return http::fieldOf(head, kStreamVersionHeader);
 }
 
-void setPeerRefusal(http::Response& response, const std::string& code) {
+void setPeerRefusal(http::Response& response, const std::string& code,
+                    const std::vector<std::string>& sent_to) {
   http::setHeader(response, kRefusalHeader, code);
+  if (!sent_to.empty()) {
+    http::setHeader(response, kSentToHeader, joinAddresses(sent_to));
+  }
+}
+
+std::vector<std::string> sentToOf(const boost::beast::http::response_header<>& head) {
+  return addressesIn(http::fieldOf(head, kSentToHeader));
 }
 
 PeerRefusal peerRefusalOf(const boost::beast::http::response_header<>& head) {
@@ -188,7 +221,8 @@
 
 bool isRelayHeader(std::string_view name) {
   return sameName(name, kConfigurationHeader) || sameName(name, kRunsHeader) ||
-         sameName(name, kRefusalHeader) || sameName(name, kStreamVersionHeader);
+         sameName(name, kRefusalHeader) || sameName(name, kStreamVersionHeader) ||
+         sameName(name, kSentToHeader);
 }
 
 } // namespace workshatch::daemon
--- a/src/daemon/relay/request_format.h
+++ b/src/daemon/relay/request_format.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "adapters/http/http_types.h"
 #include "daemon/relay/relay_state.h"
@@ -36,6 +37,8 @@
   uint32_t runs = 0;
   /// Version at which the stream may go on; empty: it has not begun.
   std::optional<std::string> stream_version;
+  /// Addresses of the runners that have received the request.
+  std::vector<std::string> sent_to;
 };
 
 /// A request on its way to another relay.
@@ -74,9 +77,15 @@
 /// @return the version that the other relay told; nullopt: none.
 std::optional<std::string> streamVersionOf(const boost::beast::http::response_header<>& head);
 
-/// Marks the response to a forwarded request as a refusal. @param code code of the problem
-void setPeerRefusal(http::Response& response, const std::string& code);
+/// Marks the response to a forwarded request as a refusal.
+/// @param code code of the problem
+/// @param sent_to addresses of the runners that have received the request and declined it
+void setPeerRefusal(http::Response& response, const std::string& code,
+                    const std::vector<std::string>& sent_to);
 PeerRefusal peerRefusalOf(const boost::beast::http::response_header<>& head);
+/// @return the addresses of the runners that have received the request, as the other relay tells in
+/// its refusal.
+std::vector<std::string> sentToOf(const boost::beast::http::response_header<>& head);
 
 /// @return whether the header has a meaning between relays only, so that it must not be forwarded
 /// from callers or to them.
--- a/tests/unit/core/relay/runner_table_test.cc
+++ b/tests/unit/core/relay/runner_table_test.cc
@@ -99,6 +99,9 @@
   CHECK(chosen(table, request)->runner->entry.id() == "r2");
   request.excluded = {"r1", "r2"};
   CHECK_FALSE(chosen(table, request));
+  request.excluded = {"r1"};
+  request.excluded_addresses = {chosen(table, request)->runner->entry.address()};
+  CHECK_FALSE(chosen(table, request));
 }
 
 TEST_CASE("A runner that can't be reached is avoided, but used as a last resort") {
--- a/tests/unit/daemon/relay/execution_test.cc
+++ b/tests/unit/daemon/relay/execution_test.cc
@@ -172,6 +172,22 @@
   CHECK(runs == 1);
 }
 
+TEST_CASE("A forwarded request is sent to a process that has refused it at the other relay") {
+  ScriptedRunner runner([](auto& socket, const std::string& request) {
+    writeTo(socket, signedAnswer(requestIdOf(request), "run"));
+  });
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", runner.address());
+  relay.onAdmitted([&](daemon::RelayRequest& request) {
+    request.origin = daemon::ForwardOrigin{.configuration_version = 1, .sent_to = {runner.address()}};
+  });
+  relay.start();
+  const std::string answer = relay.sendRequest("q1");
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(answer.find("Workshatch-Sent-To: " + runner.address()) != std::string::npos);
+  CHECK(runner.requests() == 0);
+}
+
 TEST_CASE(
     "An error response without a request id reaches a caller whose request it does not name") {
   RefusedOnce fleet("HTTP/1.1 404 None\r\nW-Signature: s\r\nContent-Length: 5\r\n\r\nother");
