Tests list each of their runners at an address of its own

Since a request is sent to an address once, the second id was no runner that a request could go to: one case failed (a resumed stream), two could no longer fail for their reason (a request that may have run, a head without an end). Each id has a stand-in of its own now; the claims are the same.

--- a/tests/unit/daemon/relay/active_request_test.cc
+++ b/tests/unit/daemon/relay/active_request_test.cc
@@ -142,13 +142,15 @@
 }
 
 TEST_CASE("A non-repeatable request is not sent again after it may have run") {
-  ScriptedRunner breaking([](auto& socket, const auto&) { socket.close(); });
+  const auto script = [](auto& socket, const auto&) { socket.close(); };
+  ScriptedRunner first(script);
+  ScriptedRunner second(script);
   TestRelay relay(testRoute(RouteKind::RunOnce, 3));
-  relay.addRunner("runner-1", breaking.address());
-  relay.addRunner("runner-2", breaking.address());
+  relay.addRunner("runner-1", first.address());
+  relay.addRunner("runner-2", second.address());
   relay.start();
   CHECK(relay.sendRequest("q1").starts_with("HTTP/1.1 502"));
-  CHECK(breaking.requests() == 1);
+  CHECK(first.requests() + second.requests() == 1);
 }
 
 TEST_CASE("A declined request is sent to another runner, and is refused if all runners decline") {
@@ -540,23 +542,26 @@
 }
 
 TEST_CASE("A resumable stream continues at another runner after its last complete event") {
-  ScriptedRunner breaking([](auto& socket, const auto& request) {
+  const auto script = [](auto& socket, const auto& request) {
     if (request.find("Last-Event-Id: 1") != std::string::npos) {
       writeTo(socket, streamHead("q1") + chunk("id: 2\ndata: b\n\n") + kLastChunk);
       return;
     }
     writeTo(socket, streamHead("q1") + chunk("id: 1\ndata: a\n\nid: 2\nda"));
     socket.close();
-  });
+  };
+  ScriptedRunner first(script);
+  ScriptedRunner second(script);
   TestRelay relay(testRoute(RouteKind::Streaming, 2, true));
-  relay.addRunner("runner-1", breaking.address());
-  relay.addRunner("runner-2", breaking.address());
+  relay.addRunner("runner-1", first.address());
+  relay.addRunner("runner-2", second.address());
   relay.start();
   const std::string answer = relay.sendRequest("q1");
   CHECK(answer.find("data: a\n\n") != std::string::npos);
   CHECK(answer.find("data: b\n\n") != std::string::npos);
   CHECK(answer.ends_with(kLastChunk));
-  CHECK(breaking.requests() == 2);
+  CHECK(first.requests() == 1);
+  CHECK(second.requests() == 1);
 }
 
 TEST_CASE("Another runner is tried if a runner can't be reached, without a failed request") {
--- a/tests/unit/daemon/relay/endless_answer_test.cc
+++ b/tests/unit/daemon/relay/endless_answer_test.cc
@@ -58,16 +58,18 @@
 }
 
 TEST_CASE("A head without an end leaves its request without a response, or lets it run twice") {
-  ScriptedRunner endless([](auto& socket, const std::string&) {
+  const auto script = [](auto& socket, const std::string&) {
     writeTo(socket, "HTTP/1.1 200 OK\r\nX-Filler: ");
     writeWithoutEnd(socket);
-  });
+  };
+  ScriptedRunner first(script);
+  ScriptedRunner second(script);
   TestRelay relay(testRoute(RouteKind::RunOnce, 3));
-  relay.addRunner("runner-1", endless.address());
-  relay.addRunner("runner-2", endless.address());
+  relay.addRunner("runner-1", first.address());
+  relay.addRunner("runner-2", second.address());
   relay.start();
   CHECK(relay.sendRequest("q1").starts_with("HTTP/1.1 502"));
-  CHECK(endless.requests() == 1);
+  CHECK(first.requests() + second.requests() == 1);
 }
 
 TEST_CASE("Bodies without an end together take the memory of the relay") {
