A stream goes on elsewhere only with a proof that its run has ended; a closed connection is none

Cause: the end of the connection was taken for the end of the run. Class: what one's own connection shows is taken for what the other end does.

Change: after a stream has lost its connection and could go on elsewhere, the relay asks its runner for its report, at once and again every 150 ms for 1 s. The stream goes on only if a report that describes a moment after the run began does not contain it (core/relay/run_report), if the address refuses and all of the relay's connections there are closed, not only half-closed, if another process is at the address, or if the runner left the list. Without a proof, also at runners that make no reports, the stream is broken off, and its caller resumes it. The decisions stand in a module without I/O, the call in another; what shows the end of a run has a file of its own.

Evidence: the soak has runners that close or half-close and go on for 2 s. The unit tests fail if a close by the runner counts as an end (both, for a close and a half-close).

Remains: a runner that closes all of a relay's connections, refuses new ones and goes on all the same is taken for ended.

--- a/src/adapters/http/runner_connection.cc
+++ b/src/adapters/http/runner_connection.cc
@@ -1,6 +1,9 @@
 #include "adapters/http/runner_connection.h"
 
 #include <sys/socket.h>
+
+#include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -204,6 +207,12 @@
 }
 
 awaitable<ConnectionState> RunnerConnection::discardUntilClosed(std::chrono::milliseconds timeout) {
+  if (!reading_ && stateAfter(read_error_) == ConnectionState::ClosedByPeer) {
+    constexpr std::string_view kEmptyLine = "\r\n";
+    // A failure is the reset itself.
+    [[maybe_unused]] const ssize_t sent = ::send(socket_.native_handle(), kEmptyLine.data(),
+                                                 kEmptyLine.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  }
   endSending();
   const auto end = std::chrono::steady_clock::now() + timeout;
   size_t discarded = 0;
@@ -227,6 +236,18 @@
   co_return stateAfter({});
 }
 
+bool RunnerConnection::closedWholly() {
+  reset_ = reset_ || read_error_ == asio::error::connection_reset ||
+           read_error_ == asio::error::broken_pipe || tcp_options::hasFailed(socket_);
+  return reset_;
+}
+
+bool RunnerConnection::isOpen() {
+  char byte = 0;
+  const ssize_t count = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return !closed_ && (count > 0 || (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)));
+}
+
 void RunnerConnection::setIdle(bool idle) {
   tcp_options::setPeerTimeout(socket_, idle ? tcp_options::kIdlePeerTimeout
                                             : tcp_options::kRequestPeerTimeout);
@@ -249,6 +270,13 @@
   return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool RunnerConnectionPool::hasOpen(const std::string& address) {
+  const auto found = idle_.find(address);
+  return found != idle_.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [](const Idle& idle) { return idle.connection->isOpen(); });
+}
+
 std::shared_ptr<RunnerConnection> RunnerConnectionPool::acquire(const std::string& address) {
   const auto found = idle_.find(address);
   if (found == idle_.end()) {
--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -67,9 +67,16 @@
   /// @return nothing if it is still awaited after the time; otherwise the state of the connection.
   awaitable<std::optional<ConnectionState>> awaitProgress(std::chrono::milliseconds timeout);
   /// Ends sending, and discards what arrives until the other end closes the connection, for this
-  /// time at most. No response can be read afterwards.
+  /// time at most. If the other end has ended sending before, an empty line is sent first, to which
+  /// one that has closed the connection responds with a reset. No response can be read afterwards.
   /// @return the state of the connection; `Open` if the other end has not closed it.
   awaitable<ConnectionState> discardUntilClosed(std::chrono::milliseconds timeout);
+  /// @return whether the other end is known to have closed the connection, and not only the side on
+  /// which it sends: it has reset the connection, at the latest when it got what
+  /// `discardUntilClosed` sends.
+  bool closedWholly();
+  /// @return whether the connection is open at both ends, as far as this one knows.
+  bool isOpen();
   /// @return whether a header or part of a body is awaited and has not arrived or failed yet.
   bool isAwaitingResponse() const { return reading_; }
   /// Ends the wait for a response as if its time limit had passed.
@@ -121,6 +128,8 @@
   bool sending_ended_ = false;
   bool reuse_prevented_ = false;
   bool closed_ = false;
+  /// The other end was found to have reset the connection.
+  bool reset_ = false;
   bool timed_out_ = false;
   uint64_t timeout_generation_ = 0;
 };
@@ -130,6 +139,8 @@
 public:
   explicit RunnerConnectionPool(const Clock& clock) : clock_(clock) {}
 
+  /// @return whether an idle connection to the address is open, so that its process lives.
+  bool hasOpen(const std::string& address);
   /// Removes a usable connection from the pool. @return null if there is none.
   std::shared_ptr<RunnerConnection> acquire(const std::string& address);
   /// Adds a reusable connection to the pool, for as long as the Keep-Alive header of the runner's
--- a/src/core/relay/run_end.cc
+++ b/src/core/relay/run_end.cc
@@ -8,10 +8,10 @@
     return "unknown";
   case RunEnd::Answered:
     return "answered";
-  case RunEnd::ClosedByRunner:
-    return "closed_by_runner";
   case RunEnd::ProcessEnded:
     return "process_ended";
+  case RunEnd::NotReported:
+    return "not_reported";
   case RunEnd::OutOfReach:
     return "out_of_reach";
   }
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -48,8 +48,10 @@
 
 void ActiveRequest::interrupt() {
   wait_.cancel();
-  if (connection_) {
-    connection_->close();
+  for (const auto& connection : {connection_, report_connection_}) {
+    if (connection) {
+      connection->close();
+    }
   }
 }
 
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -21,6 +21,7 @@
 #include "core/relay/event_splitter.h"
 #include "core/relay/request_execution.h"
 #include "core/relay/run_end.h"
+#include "core/relay/run_report.h"
 #include "core/scheduling/event_pauses.h"
 #include "daemon/relay/incomplete_answer.h"
 #include "daemon/relay/relay_request.h"
@@ -155,7 +156,7 @@
   };
   struct ReachProbe;
 
-  // Attempts that send nothing, and the end of runs (active_request_silence.cc).
+  // Attempts that send nothing (active_request_silence.cc).
   /// @return whether another attempt may follow one that may have run the request.
   bool mayMoveOn() const;
   std::chrono::milliseconds silenceLimit() const;
@@ -164,9 +165,15 @@
   http::awaitable<bool> mayGiveUp(relay::Runner* runner);
   http::awaitable<bool> holdSuccessor();
   void releaseSuccessor();
+
+  // The end of runs (active_request_run_end.cc).
   http::awaitable<relay::RunEnd> findRunEnd(const relay::Runner& runner);
   std::shared_ptr<ReachProbe> probeReach(const relay::Runner& runner) const;
-  http::awaitable<relay::RunEnd> awaitRunEnd();
+  http::awaitable<relay::RunEnd> awaitRunEnd(const relay::Runner& runner);
+  http::awaitable<relay::RunEnd> searchRunEnd(const relay::Runner& runner);
+  bool mayBeAlive(const relay::Runner& runner);
+  http::awaitable<std::optional<relay::RunEnd>> askForRunEnd(const relay::Runner& runner,
+                                                             relay::RunEndEvidence& evidence);
 
   // Forwarding to another relay (active_request_forward.cc).
   std::optional<std::string> nextPeer() const;
@@ -269,6 +276,10 @@
   bool retry_held_ = false;
   /// What shows that the run of the last attempt has ended.
   relay::RunEnd run_end_ = relay::RunEnd::Unknown;
+  /// The end of the current attempt's run was looked for; its connection is closed.
+  bool run_end_searched_ = false;
+  /// Connection on which the runner of the attempt is asked for its report; null: it was not asked.
+  std::shared_ptr<http::RunnerConnection> report_connection_;
   /// Whether a runner may have run the request.
   relay::RequestExecution execution_;
   /// Addresses of the runners that have received the request, from this relay or the one that
@@ -286,6 +297,8 @@
   int64_t waited_until_ms_ = 0;
   /// Attempts whose connection did not come up.
   uint32_t unreached_ = 0;
+  /// Address of the runner of the current attempt; empty: there is none.
+  std::string attempt_address_;
   /// The current attempt is one at a runner.
   bool at_runner_ = false;
   /// The current attempt uses a connection that has served other requests.
--- a/src/daemon/relay/active_request_answer.cc
+++ b/src/daemon/relay/active_request_answer.cc
@@ -301,7 +301,7 @@
   if (splitter.hasPartialEvent() || !stream_started_) {
     AttemptResult result = broken("the stream ended before or within an event");
     result.closed_by_runner = ended_by_close;
-    result.run_end = relay::RunEnd::Answered;
+    result.run_end = ended_by_close ? relay::RunEnd::Unknown : relay::RunEnd::Answered;
     co_return result;
   }
   co_await exchange_.finish();
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -322,15 +322,21 @@
     state_.tenants.begin(request_.tenant->name);
   }
   at_runner_ = true;
+  attempt_address_ = runner.entry.address();
   attempt_version_ = runner.entry.version();
   hung_ = false;
   run_end_ = relay::RunEnd::Unknown;
+  run_end_searched_ = false;
   AttemptResult result = co_await callRunner(choice);
+  // Before the search for the end of the run, which takes time: other requests may crash the next
+  // runner.
+  recordForQuarantine(runner, result);
   if (result.end == AttemptEnd::Broken && result.run_end == relay::RunEnd::Unknown) {
-    result.run_end = co_await awaitRunEnd();
+    result.run_end = co_await awaitRunEnd(runner);
   }
   run_end_ = result.run_end;
   at_runner_ = false;
+  attempt_address_.clear();
   unreached_ += result.end == AttemptEnd::Unreachable && !interrupted() ? 1 : 0;
   releaseConnection(runner.entry.address());
   slot_.release(requestEnd(result));
@@ -338,7 +344,6 @@
   if (!reached && request_.cache_key != 0 && state_.prefix_client) {
     state_.prefix_client->reportNotSent(promptTarget(runner));
   }
-  recordForQuarantine(runner, result);
   recordForRollout(runner, result);
   recordAttemptEnd(runner, result);
   co_return result.end;
@@ -370,16 +375,14 @@
   return result;
 }
 
-/// @return what the failure of the connection shows about the run.
+/// @return what the failure of the connection shows about the run. That the runner has closed it
+/// shows nothing: the run may go on.
 relay::RunEnd ActiveRequest::runEndAfter(const http::CallError& error) const {
   if (error.timed_out) {
     return run_end_;
   }
-  if (error.connection == http::ConnectionState::PeerUnreachable) {
-    return relay::RunEnd::OutOfReach;
-  }
-  return error.connection == http::ConnectionState::ClosedByPeer ? relay::RunEnd::ClosedByRunner
-                                                                 : relay::RunEnd::Unknown;
+  return error.connection == http::ConnectionState::PeerUnreachable ? relay::RunEnd::OutOfReach
+                                                                    : relay::RunEnd::Unknown;
 }
 
 /// @return how the request ended, for the measurement of a plain runner. An attempt is no evidence
--- a/src/daemon/relay/active_request_silence.cc
+++ b/src/daemon/relay/active_request_silence.cc
@@ -4,9 +4,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "daemon/relay/active_request.h"
 
 namespace workshatch::daemon {
@@ -23,24 +20,11 @@
 constexpr std::chrono::milliseconds kPeerSilence{3000};
 /// Time after which it is asked again whether a silent attempt may be given up.
 constexpr std::chrono::milliseconds kSilenceCheckPeriod{500};
-/// Longest wait for a runner to close the connection of a run that it is told to end, and for its
-/// machine to accept a connection. Both take a round trip unless the runner stands still.
-constexpr std::chrono::milliseconds kRunEndWait{300};
 
 } // namespace
 
-/// Whether a runner's machine responds to a connection attempt; shared with the coroutine that
-/// makes it. Used only where the system does not tell whether the machine acknowledges what is
-/// sent: one whose process stands still drops new connections after some time. A machine that
-/// refuses the attempt responds: a process that has ended would have closed the connection of the
-/// request too.
-struct ActiveRequest::ReachProbe {
-  bool responded = false;
-  std::shared_ptr<http::RunnerConnection> connection;
-};
-
 bool ActiveRequest::mayMoveOn() const {
-  return state_.policy.silence_limits && request_.repeatable() &&
+  return request_.repeatable() &&
          execution_.possibleRuns() + 1 < request_.route->max_attempts;
 }
 
@@ -49,7 +33,8 @@
 std::chrono::milliseconds ActiveRequest::silenceLimit() const {
   const bool streaming = request_.route->kind == relay::RouteKind::Streaming;
   // Nothing shows whether a run that another relay began has ended.
-  if (!mayMoveOn() || (!at_runner_ && streaming)) {
+  const bool limited = state_.policy.silence_limits && mayMoveOn();
+  if (!limited || (!at_runner_ && streaming)) {
     return std::chrono::milliseconds(0);
   }
   if (!at_runner_) {
@@ -112,7 +97,8 @@
   }
   const bool streaming = request_.route->kind == relay::RouteKind::Streaming;
   run_end_ = streaming ? co_await findRunEnd(*runner) : relay::RunEnd::Unknown;
-  const bool gives_up = !streaming || run_end_ != relay::RunEnd::Unknown;
+  const bool gives_up =
+      !streaming || run_end_ != relay::RunEnd::Unknown || run_end_searched_;
   if (!gives_up) {
     releaseSuccessor();
   }
@@ -152,66 +138,4 @@
   }
 }
 
-/// Tells a silent runner that its run is not wanted any more, and waits for a sign that it has
-/// ended, or that the runner's machine is out of reach. A runner that goes on with its response
-/// keeps the request.
-http::awaitable<relay::RunEnd> ActiveRequest::findRunEnd(const relay::Runner& runner) {
-  if (runner.gone) {
-    co_return relay::RunEnd::ProcessEnded;
-  }
-  const bool system_tells = connection_->allAcknowledged().has_value();
-  const auto probe = system_tells ? nullptr : probeReach(runner);
-  connection_->endSending();
-  const auto state = co_await connection_->awaitProgress(kRunEndWait);
-  if (probe) {
-    probe->connection->close();
-  }
-  if (state == http::ConnectionState::ClosedByPeer) {
-    co_return relay::RunEnd::ClosedByRunner;
-  }
-  if (state) {
-    co_return state == http::ConnectionState::PeerUnreachable ? relay::RunEnd::OutOfReach
-                                                              : relay::RunEnd::Unknown;
-  }
-  const bool in_reach = probe ? probe->responded : connection_->allAcknowledged().value_or(true);
-  co_return in_reach ? relay::RunEnd::Unknown : relay::RunEnd::OutOfReach;
-}
-
-/// Begins to open a connection to the runner.
-std::shared_ptr<ActiveRequest::ReachProbe>
-ActiveRequest::probeReach(const relay::Runner& runner) const {
-  auto probe = std::make_shared<ReachProbe>();
-  probe->connection = std::make_shared<http::RunnerConnection>(context_);
-  const RunnerDialer dialer(state_.runner_addresses);
-  boost::asio::co_spawn(
-      context_,
-      [probe, dialer, address = runner.entry.address()]() -> http::awaitable<void> {
-        const auto error = co_await dialer.dial(probe->connection, address, kRunEndWait);
-        probe->connection->close();
-        probe->responded = !error || error->refused;
-      },
-      boost::asio::detached);
-  return probe;
-}
-
-/// After an attempt that this relay has ended itself, waits for the runner to end its run too, if
-/// the stream may go on elsewhere then.
-http::awaitable<relay::RunEnd> ActiveRequest::awaitRunEnd() {
-  const bool streaming = request_.route->kind == relay::RouteKind::Streaming;
-  if (!streaming || !mayMoveOn() || interrupted()) {
-    co_return relay::RunEnd::Unknown;
-  }
-  const auto state = co_await connection_->discardUntilClosed(kRunEndWait);
-  switch (state) {
-  case http::ConnectionState::ClosedByPeer:
-    co_return relay::RunEnd::ClosedByRunner;
-  case http::ConnectionState::PeerUnreachable:
-    co_return relay::RunEnd::OutOfReach;
-  case http::ConnectionState::Open:
-  case http::ConnectionState::ClosedHere:
-    co_return relay::RunEnd::Unknown;
-  }
-  co_return relay::RunEnd::Unknown;
-}
-
 } // namespace workshatch::daemon
--- a/src/daemon/relay/relay_stats.cc
+++ b/src/daemon/relay/relay_stats.cc
@@ -48,6 +48,10 @@
                 repeats_refused);
   exposeCounter(out, "relay_resumed_streams_total", "streams that went on at another runner",
                 resumed_streams);
+  exposeCounter(out, "relay_runner_reports_total",
+                "reports of runners that were asked for to find the end of a run", runner_reports);
+  exposeCounters(out, "relay_run_ends_total", "ends of runs that were looked for by what was found",
+                 "run_end", run_ends);
   exposeCounter(out, "relay_backoffs_told_total",
                 "answers by which a runner asked for no requests for a time", backoffs_requested);
   exposeCounter(out, "relay_backoffs_rejected_total", "such answers whose time can't be read",
--- a/src/daemon/relay/relay_stats.h
+++ b/src/daemon/relay/relay_stats.h
@@ -24,6 +24,10 @@
   uint64_t repeats = 0;
   uint64_t repeats_refused = 0;
   uint64_t resumed_streams = 0;
+  /// Reports that runners were asked for to find the end of a run, and what was found, by the names
+  /// of `relay::RunEnd`.
+  uint64_t runner_reports = 0;
+  metrics::LabelledCounts run_ends;
   uint64_t events = 0;
   uint64_t renewals = 0;
   /// Work time factors reported by runners: plausible ones, and rejected ones.
--- a/src/ports/relay_dialect.h
+++ b/src/ports/relay_dialect.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/relay/run_report.h"
 #include "core/relay/runner_notice.h"
 #include "core/result.h"
 #include "core/scheduling/request_demand.h"
@@ -50,12 +51,14 @@
   std::vector<std::string> system_only;
 };
 
-/// Paths of the requests that the system answers itself.
+/// Paths of the requests that the system answers itself, or makes.
 struct CallPaths {
   std::string resolve;
   std::string ready;
   std::string put_configuration;
   std::string get_configuration;
+  /// At a runner: its report about its runs.
+  std::string runner_report;
 };
 
 /// Operator's request that begins or ends the evacuation of a zone.
@@ -129,6 +132,9 @@
   /// Parses the headers of a response that describe the runner.
   /// @return an empty notice if the response comes from a runner other than the addressed one.
   virtual relay::RunnerNotice parseRunnerNotice(const ResponseHead& head) const = 0;
+  /// Parses the body of a runner's report.
+  /// @return the report; nullopt if it is malformed or does not name the runs in progress.
+  virtual std::optional<relay::RunnerReport> parseRunnerReport(std::string_view body) const = 0;
   /// @return the body of the response that gives a caller the addresses to use.
   /// @param ttl_s time for which the addresses may be used, in seconds
   virtual std::string addresses(const std::vector<std::string>& addresses,
--- a/tests/unit/daemon/fleet/prompt_runner.h
+++ b/tests/unit/daemon/fleet/prompt_runner.h
@@ -166,7 +166,11 @@
     std::string request;
     const auto [failure, head_bytes] = co_await boost::asio::async_read_until(
         *socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", kAwait);
-    if (!failure) {
+    if (!failure && isReportCall(request)) {
+      // No run outlives its connection.
+      const std::string report = reportAnswer("");
+      co_await boost::asio::async_write(*socket, boost::asio::buffer(report), kAwait);
+    } else if (!failure) {
       co_await answer(*socket, request);
     }
     boost::system::error_code ignored;
--- a/tests/unit/daemon/fleet/streaming_runner.h
+++ b/tests/unit/daemon/fleet/streaming_runner.h
@@ -33,7 +33,9 @@
       : version_(std::move(version)), pause_(pause),
         server_(
             workers_, http::ServerLimits{},
-            [this](http::Exchange& exchange) { return stream(exchange); },
+            [this](http::Exchange& exchange) {
+              return exchange.request().target() == "/report" ? report(exchange) : stream(exchange);
+            },
             [](http::Status status, const std::string&) {
               return http::makeResponse(status, "text/plain", "");
             }) {
@@ -67,6 +69,12 @@
     return one_of != 0 && ++begun_ % one_of == 0;
   }
 
+  /// Reports that no request waits or runs: no run outlives its connection.
+  static http::awaitable<void> report(http::Exchange& exchange) {
+    http::Response response = http::makeResponse(http::Status::ok, "text/plain", "0");
+    co_await exchange.respond(std::move(response));
+  }
+
   http::awaitable<void> stream(http::Exchange& exchange) {
     ++requests_;
     const int last_received = lastEventOf(exchange.request());
--- a/tests/unit/daemon/relay/execution_test.cc
+++ b/tests/unit/daemon/relay/execution_test.cc
@@ -24,6 +24,9 @@
 /// Longer than the silence after which a stream may move to another runner.
 constexpr milliseconds kLongerThanSilence{2200};
 
+/// Within the time for which the end of a run is looked for.
+constexpr milliseconds kAfterClose{500};
+
 /// Blocks until the other end of the connection has closed its side.
 void awaitEndOfRequests(ScriptedRunner::Socket& socket) {
   std::string rest;
@@ -223,6 +226,7 @@
 TEST_CASE("A runner that stands still and takes no more connections is thought out of reach") {
   std::atomic<bool> stands_still{true};
   std::atomic<bool> began{false};
+  std::atomic<bool> second_asked{false};
   // Accepts one connection, and as a suspended process none of those that queue up after it.
   boost::asio::io_context context;
   boost::asio::ip::tcp::acceptor acceptor(context);
@@ -240,8 +244,21 @@
     writeTo(socket, streamHead("q1") + eventOf(1));
     within(kTestTimeout, [&] { return !stands_still; });
     awaitEndOfRequests(socket);
+    socket.close();
+    // It runs again: it takes the connections that have queued up, and reports no run.
+    for (bool reported = false; !reported && !second_asked;) {
+      ScriptedRunner::Socket next(context);
+      acceptor.accept(next);
+      std::string call;
+      boost::asio::read_until(next, boost::asio::dynamic_buffer(call), "\r\n\r\n", ignored);
+      reported = isReportCall(call);
+      if (reported) {
+        writeTo(next, reportAnswer(""));
+      }
+    }
   });
-  ScriptedRunner second([](auto& socket, const std::string&) {
+  ScriptedRunner second([&](auto& socket, const std::string&) {
+    second_asked = true;
     writeTo(socket, streamHead("q1") + streamFrom(2, 3));
   });
   TestRelay relay(resumableRoute());
@@ -263,12 +280,51 @@
   }
   CHECK_FALSE(within(kLongerThanSilence, [&] { return second.requests() > 0; }));
   renewLease(relay);
+  queued.clear();
   stands_still = false;
-  first.join();
   CHECK(answer.get().ends_with(kLastChunk));
+  first.join();
   CHECK(second.requests() == 1);
 }
 
+TEST_CASE("A stream goes on at a second runner while the first one, which has closed, is at work") {
+  using boost::asio::ip::tcp;
+  for (const bool half : {false, true}) {
+    CAPTURE(half);
+    TwoRunners fleet(
+        resumableRoute(),
+        [half](auto& socket, const std::string&) {
+          writeTo(socket, streamHead("q1") + eventOf(1));
+          boost::system::error_code ignored;
+          socket.shutdown(half ? tcp::socket::shutdown_send : tcp::socket::shutdown_both, ignored);
+        },
+        [](auto& socket, const std::string&) {
+          writeTo(socket, streamHead("q1") + streamFrom(2, 3));
+        });
+    fleet.first.reportRuns("q0 q1");
+    auto answer = std::async(std::launch::async, [&] { return askForStream(fleet.relay); });
+    REQUIRE(within(kTestTimeout, [&] { return fleet.first.requests() == 1; }));
+    CHECK_FALSE(within(kAfterClose, [&] { return fleet.second.requests() > 0; }));
+    fleet.first.reportRuns("q0");
+    CHECK(answer.get().ends_with(kLastChunk));
+    CHECK(fleet.second.requests() == 1);
+  }
+}
+
+TEST_CASE("A stream goes on elsewhere though nothing shows that its closed run has ended") {
+  TwoRunners fleet(
+      resumableRoute(),
+      [](auto& socket, const std::string&) { writeTo(socket, streamHead("q1") + eventOf(1)); },
+      [](auto& socket, const std::string&) {
+        writeTo(socket, streamHead("q1") + streamFrom(2, 3));
+      });
+  fleet.first.reportRuns("q1");
+  const std::string answer = askForStream(fleet.relay);
+  CHECK(answer.find("id: 1") != std::string::npos);
+  CHECK_FALSE(answer.ends_with(kLastChunk));
+  CHECK(fleet.second.requests() == 0);
+}
+
 TEST_CASE("A stream whose runner sends bytes that are no answer goes on while that run does") {
   std::atomic<bool> runs{true};
   TwoRunners fleet(
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -95,7 +96,8 @@
     static const CallPaths paths = {.resolve = "/where",
                                     .ready = "/ready",
                                     .put_configuration = "/put",
-                                    .get_configuration = "/get"};
+                                    .get_configuration = "/get",
+                                    .runner_report = "/report"};
     return paths;
   }
   std::optional<EvacuationCall> parseEvacuationCall(std::string_view path) const override {
@@ -171,6 +173,17 @@
                                .backoff_ms = timeOf("W-Backoff"),
                                .cold_ms = timeOf("W-Cold")};
   }
+  /// The body has the number of requests that wait and the ids of the runs in progress, as words.
+  std::optional<relay::RunnerReport> parseRunnerReport(std::string_view body) const override {
+    relay::RunnerReport report;
+    std::istringstream words{std::string(body)};
+    words >> report.queued;
+    for (std::string id; words >> id;) {
+      report.runs.push_back(id);
+    }
+    report.running = static_cast<uint32_t>(report.runs.size());
+    return report;
+  }
   std::string addresses(const std::vector<std::string>&, uint32_t) const override { return ""; }
   std::string hostParameter() const override { return "host"; }
   std::string zoneParameter() const override { return "zone"; }
@@ -195,6 +208,16 @@
   std::atomic<int64_t> suspended_ms_{0};
 };
 
+/// @return whether a runner was asked for its report.
+inline bool isReportCall(const std::string& request) { return request.starts_with("GET /report "); }
+
+/// @return the report of a runner in which no request waits. @param runs ids, separated by blanks
+inline std::string reportAnswer(const std::string& runs) {
+  const std::string body = "0 " + runs;
+  return "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 /// A runner that accepts one connection at a time, reads a request on it and runs the script.
 class ScriptedRunner {
 public:
@@ -221,7 +244,13 @@
   std::string address() const {
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
   }
+  /// Number of requests, without those for its report.
   int requests() const { return requests_; }
+  /// Sets the ids of the runs that the runner reports as in progress, separated by blanks.
+  void reportRuns(std::string ids) {
+    const std::lock_guard lock(report_mutex_);
+    reported_runs_ = std::move(ids);
+  }
   const std::string& lastRequest() const { return last_request_; }
 
 private:
@@ -238,12 +267,24 @@
       if (failure) {
         continue;
       }
+      if (isReportCall(request)) {
+        writeReport(socket);
+        continue;
+      }
       last_request_ = request;
       ++requests_;
       script_(socket, request);
     }
   }
 
+  void writeReport(Socket& socket) {
+    const std::lock_guard lock(report_mutex_);
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(reportAnswer(reported_runs_)), ignored);
+  }
+
+  std::mutex report_mutex_;
+  std::string reported_runs_;
   boost::asio::io_context context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   Script script_;
