A late copy of another request's response does not cost its caller the response that follows it

What callers saw: 502 for requests that their runner ran and answered: 57 of 57 where a copy of an earlier answer came first.

Change: on a connection that has served other requests, one whole response that names another request, with a marked end, is read and discarded within 0.3 s, and the next one is awaited, for which the request is due. A second one, one without a request id, one without a marked end, and one that goes on, end the attempt as before. The connection is not used again.

--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -52,6 +52,11 @@
   /// Header of the response; valid after a successful `awaitHead`.
   const boost::beast::http::response_header<>& head() const { return parser_->get().base(); }
 
+  /// @return whether the end of the response's body is marked, so that another response can follow.
+  bool hasMarkedEnd() const { return !parser_->need_eof(); }
+  /// Begins to read the header of another response, after the whole body of the last one was read.
+  void expectNextResponse() { beginReadingHead(); }
+
   /// @param timeout longest wait for the next bytes; zero means no limit
   /// @return the next part of the body; empty at the end of the body.
   awaitable<std::variant<std::string, CallError>> read(std::chrono::milliseconds timeout);
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -135,6 +135,8 @@
 
   // Handling of the runner's response to an attempt (active_request_answer.cc).
   http::awaitable<AttemptResult> handleAnswer(relay::Runner& runner);
+  http::awaitable<std::optional<http::CallError>> awaitOwnHead(relay::Runner& runner);
+  http::awaitable<std::optional<http::CallError>> discardLateCopy();
   http::awaitable<AttemptResult> handleRefusal(relay::NotRunProof proof);
   /// @param not_run proof that the response is a refusal; empty: the request may have run
   /// @param runner null if another relay responds
--- a/src/daemon/relay/active_request_answer.cc
+++ b/src/daemon/relay/active_request_answer.cc
@@ -16,6 +16,8 @@
 
 /// Timeout for reading the rest of a refusal, which allows the connection to be reused.
 constexpr std::chrono::milliseconds kRefusalReadTimeout{300};
+/// Longest time for which a late copy of a response is read.
+constexpr std::chrono::milliseconds kLateCopyTimeout{300};
 constexpr size_t kMaxPlainBytes = size_t{16} * 1024 * 1024;
 constexpr size_t kMaxEventBytes = size_t{1} * 1024 * 1024;
 constexpr unsigned kServerErrors = 500;
@@ -47,6 +49,58 @@
 
 } // namespace
 
+/// Waits for the header of the response to the current attempt. On a connection that has served
+/// other requests, one late copy of a response to another request may come first: it is discarded.
+http::awaitable<std::optional<http::CallError>> ActiveRequest::awaitOwnHead(relay::Runner& runner) {
+  auto error = co_await awaitHead(&runner);
+  const bool late_copy = !error && kept_connection_ && connection_->hasMarkedEnd() &&
+                         statementOfResponse().owner == relay::ResponseOwner::OtherRequest;
+  if (!late_copy) {
+    co_return error;
+  }
+  ++state_.stats.late_copies;
+  // What else may come late on this connection is not known.
+  connection_->preventReuse();
+  error = co_await discardLateCopy();
+  if (!error) {
+    connection_->expectNextResponse();
+    error = co_await awaitHead(&runner);
+  }
+  line_log::write("late_copy_discarded", {{"request", request_.id},
+                                          {"runner", runner.entry.id()},
+                                          {"error", error ? error->message : ""}});
+  co_return error;
+}
+
+/// Reads the rest of a response to another request. A late copy arrives whole; a response that goes
+/// on is none.
+/// @return an error if it has not ended in time or is too large.
+http::awaitable<std::optional<http::CallError>> ActiveRequest::discardLateCopy() {
+  const int64_t end_ms = state_.clock.monotonicMs() + kLateCopyTimeout.count();
+  size_t bytes = 0;
+  while (bytes <= kMaxPlainBytes) {
+    const auto left = std::chrono::milliseconds(end_ms - state_.clock.monotonicMs());
+    if (left.count() <= 0) {
+      break;
+    }
+    const auto part = co_await connection_->read(left);
+    if (const auto* error = std::get_if<http::CallError>(&part)) {
+      if (error->timed_out) {
+        break;
+      }
+      co_return *error;
+    }
+    const auto& text = std::get<std::string>(part);
+    if (text.empty()) {
+      co_return std::nullopt;
+    }
+    bytes += text.size();
+  }
+  co_return http::CallError{.phase = http::CallPhase::Sent,
+                            .message = "the response has the id of another request",
+                            .connection = http::ConnectionState::Open};
+}
+
 /// Handles a response which proves that the request was not run. Reads the rest of it
 /// only to keep the connection reusable.
 http::awaitable<ActiveRequest::AttemptResult>
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -296,7 +296,7 @@
   state_.runners.recordSent(runnerRequest(), choice);
   recordBackoffAtSend(runner);
   send(choice);
-  const auto error = co_await awaitHead(&runner);
+  const auto error = co_await awaitOwnHead(runner);
   if (error) {
     co_return brokenBy(*error);
   }
--- a/src/daemon/relay/active_request_run_end.cc
+++ b/src/daemon/relay/active_request_run_end.cc
@@ -101,8 +101,9 @@
 http::awaitable<relay::RunEnd> ActiveRequest::searchRunEnd(const relay::Runner& runner) {
   run_end_searched_ = true;
   const int64_t began_ms = state_.clock.monotonicMs();
-  relay::RunEndEvidence evidence(
-      request_.id, sent_ms_, answer_began_ms_ == 0 ? std::nullopt : std::optional(answer_began_ms_));
+  relay::RunEndEvidence evidence(request_.id, sent_ms_,
+                                 answer_began_ms_ == 0 ? std::nullopt
+                                                       : std::optional(answer_began_ms_));
   uint32_t reports = 0;
   std::optional<relay::RunEnd> end;
   while (!end) {
@@ -128,8 +129,8 @@
   co_return *end;
 }
 
-/// @return whether the process of a runner that refuses a connection may be alive: it has not closed
-/// all of its connections, as the end of a process does.
+/// @return whether the process of a runner that refuses a connection may be alive: it has not
+/// closed all of its connections, as the end of a process does.
 bool ActiveRequest::mayBeAlive(const relay::Runner& runner) {
   const auto servedThere = [&](ActiveRequest* other) {
     return other->attempt_address_ == runner.entry.address() && other->connection_ &&
--- a/src/daemon/relay/active_request_silence.cc
+++ b/src/daemon/relay/active_request_silence.cc
@@ -24,8 +24,7 @@
 } // namespace
 
 bool ActiveRequest::mayMoveOn() const {
-  return request_.repeatable() &&
-         execution_.possibleRuns() + 1 < request_.route->max_attempts;
+  return request_.repeatable() && execution_.possibleRuns() + 1 < request_.route->max_attempts;
 }
 
 /// @return how long the current attempt may send nothing before it is asked whether it may be given
@@ -97,8 +96,7 @@
   }
   const bool streaming = request_.route->kind == relay::RouteKind::Streaming;
   run_end_ = streaming ? co_await findRunEnd(*runner) : relay::RunEnd::Unknown;
-  const bool gives_up =
-      !streaming || run_end_ != relay::RunEnd::Unknown || run_end_searched_;
+  const bool gives_up = !streaming || run_end_ != relay::RunEnd::Unknown || run_end_searched_;
   if (!gives_up) {
     releaseSuccessor();
   }
--- a/src/daemon/relay/relay_stats.cc
+++ b/src/daemon/relay/relay_stats.cc
@@ -48,6 +48,8 @@
                 repeats_refused);
   exposeCounter(out, "relay_resumed_streams_total", "streams that went on at another runner",
                 resumed_streams);
+  exposeCounter(out, "relay_late_copies_total",
+                "late copies of responses to other requests that were discarded", late_copies);
   exposeCounter(out, "relay_runner_reports_total",
                 "reports of runners that were asked for to find the end of a run", runner_reports);
   exposeCounters(out, "relay_run_ends_total", "ends of runs that were looked for by what was found",
--- a/src/daemon/relay/relay_stats.h
+++ b/src/daemon/relay/relay_stats.h
@@ -28,6 +28,8 @@
   /// of `relay::RunEnd`.
   uint64_t runner_reports = 0;
   metrics::LabelledCounts run_ends;
+  /// Late copies of responses to other requests that were discarded.
+  uint64_t late_copies = 0;
   uint64_t events = 0;
   uint64_t renewals = 0;
   /// Work time factors reported by runners: plausible ones, and rejected ones.
--- a/tests/unit/daemon/relay/execution_test.cc
+++ b/tests/unit/daemon/relay/execution_test.cc
@@ -175,6 +175,42 @@
   CHECK(runs == 1);
 }
 
+TEST_CASE(
+    "A late copy of another request's response costs its caller the response that follows it") {
+  const std::string refusal_of_other = "HTTP/1.1 503 Full\r\nW-Request: q0\r\nW-Not-Run: 1\r\n"
+                                       "Content-Length: 0\r\n\r\n";
+  const auto answerOf = [](const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nW-Request: " + id +
+           "\r\nW-Signature: s\r\nContent-Length: 3\r\n\r\nrun";
+  };
+  for (const int copies : {1, 2}) {
+    CAPTURE(copies);
+    for (const auto& copy : {answerOf("q0"), refusal_of_other}) {
+      std::atomic<int> runs{0};
+      ScriptedRunner runner([&](auto& socket, const std::string&) {
+        writeTo(socket, answerOf("q0"));
+        std::string next;
+        boost::system::error_code ended;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(next), "\r\n\r\n", ended);
+        if (!ended) {
+          ++runs;
+          writeTo(socket, copy + (copies == 2 ? copy : "") + answerOf("q1"));
+          awaitEndOfRequests(socket);
+        }
+      });
+      TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+      relay.addRunner("runner-1", runner.address());
+      relay.start();
+      CHECK(relay.sendRequest("q0").starts_with("HTTP/1.1 200"));
+      const std::string answer = relay.sendRequest("q1");
+      // One copy may come late, so that a second one shows that the runner answers out of turn.
+      CHECK(answer.starts_with(copies == 1 ? "HTTP/1.1 200" : "HTTP/1.1 502"));
+      CHECK(answer.find("W-Request: q0") == std::string::npos);
+      CHECK(runs == 1);
+    }
+  }
+}
+
 TEST_CASE("A forwarded request is sent to a process that has refused it at the other relay") {
   ScriptedRunner runner([](auto& socket, const std::string& request) {
     writeTo(socket, signedAnswer(requestIdOf(request), "run"));
@@ -182,7 +218,8 @@
   TestRelay relay(testRoute(RouteKind::RunOnce, 1));
   relay.addRunner("runner-1", runner.address());
   relay.onAdmitted([&](daemon::RelayRequest& request) {
-    request.origin = daemon::ForwardOrigin{.configuration_version = 1, .sent_to = {runner.address()}};
+    request.origin =
+        daemon::ForwardOrigin{.configuration_version = 1, .sent_to = {runner.address()}};
   });
   relay.start();
   const std::string answer = relay.sendRequest("q1");
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -214,8 +214,8 @@
 /// @return the report of a runner in which no request waits. @param runs ids, separated by blanks
 inline std::string reportAnswer(const std::string& runs) {
   const std::string body = "0 " + runs;
-  return "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
+  return "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
 }
 
 /// A runner that accepts one connection at a time, reads a request on it and runs the script.
