A connection that a lost path has reset leaves its runner out of reach, not alive

Where the path to a runner is lost and connections are reset, no new connection comes up, and no report: the search for the end of the run ended without a proof after 1 s, and the stream was broken off, though its runner is out of reach. A connection attempt that is not accepted in time now counts as out of reach after a reset. After an orderly close it does not: the runner was in reach then, and one that stands still takes no connections either.

--- a/src/adapters/http/runner_connection.cc
+++ b/src/adapters/http/runner_connection.cc
@@ -138,6 +138,8 @@
   reading_ = false;
   read_error_ = error == beast::http::error::need_buffer ? error_code() : error;
   read_bytes_ = bytes;
+  read_reset_ =
+      read_reset_ || error == asio::error::connection_reset || error == asio::error::broken_pipe;
   timer_.cancel();
 }
 
@@ -237,9 +239,8 @@
 }
 
 bool RunnerConnection::closedWholly() {
-  reset_ = reset_ || read_error_ == asio::error::connection_reset ||
-           read_error_ == asio::error::broken_pipe || tcp_options::hasFailed(socket_);
-  return reset_;
+  found_reset_ = found_reset_ || tcp_options::hasFailed(socket_);
+  return read_reset_ || found_reset_;
 }
 
 bool RunnerConnection::isOpen() {
--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -76,6 +76,8 @@
   /// one that has closed the connection responds with a reset. No response can be read afterwards.
   /// @return the state of the connection; `Open` if the other end has not closed it.
   awaitable<ConnectionState> discardUntilClosed(std::chrono::milliseconds timeout);
+  /// @return whether a read has failed because the connection was reset.
+  bool wasReset() const { return read_reset_; }
   /// @return whether the other end is known to have closed the connection, and not only the side on
   /// which it sends: it has reset the connection, at the latest when it got what
   /// `discardUntilClosed` sends.
@@ -133,8 +135,9 @@
   bool sending_ended_ = false;
   bool reuse_prevented_ = false;
   bool closed_ = false;
-  /// The other end was found to have reset the connection.
-  bool reset_ = false;
+  /// A read has failed because of a reset, or a reset was found otherwise.
+  bool read_reset_ = false;
+  bool found_reset_ = false;
   bool timed_out_ = false;
   uint64_t timeout_generation_ = 0;
 };
--- a/src/daemon/relay/active_request_run_end.cc
+++ b/src/daemon/relay/active_request_run_end.cc
@@ -163,6 +163,10 @@
     }
     recordConnectFailed(runner, true, asked_ms);
     co_return relay::RunEnd::ProcessEnded;
+  case ReportFailure::Unreachable:
+    // A network path that is lost may reset connections. A runner that has closed the connection in
+    // order was in reach then.
+    co_return connection_->wasReset() ? std::optional(relay::RunEnd::OutOfReach) : std::nullopt;
   case ReportFailure::OtherProcess:
     co_return relay::RunEnd::ProcessEnded;
   case ReportFailure::NotSupported:
--- a/src/daemon/relay/runner_report_call.cc
+++ b/src/daemon/relay/runner_report_call.cc
@@ -54,7 +54,7 @@
   const std::string address = runner.entry.address();
   const auto error = co_await dialer_.dial(connection, address, kConnectTimeout);
   if (error) {
-    co_return error->refused ? ReportFailure::Refused : ReportFailure::NoResponse;
+    co_return error->refused ? ReportFailure::Refused : ReportFailure::Unreachable;
   }
   connection->send(requestText(dialect_, runner));
   const auto silence = co_await connection->awaitHead(kReadTimeout);
--- a/src/daemon/relay/runner_report_call.h
+++ b/src/daemon/relay/runner_report_call.h
@@ -17,6 +17,8 @@
 enum class ReportFailure {
   /// Nothing listens at the address.
   Refused,
+  /// The machine did not accept a connection in time.
+  Unreachable,
   /// Another process is at the address.
   OtherProcess,
   /// It makes no reports that name its runs.
