--- a/src/adapters/http/runner_connection.cc
+++ b/src/adapters/http/runner_connection.cc
@@ -197,6 +197,8 @@
 }
 
 void RunnerConnection::endSending() {
+  const bool peer_ended = !reading_ && stateAfter(read_error_) == ConnectionState::ClosedByPeer;
+  ended_sending_first_ = ended_sending_first_ || (!sending_ended_ && !peer_ended);
   sending_ended_ = true;
   error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -240,13 +242,19 @@
 
 bool RunnerConnection::closedWholly() {
   found_reset_ = found_reset_ || tcp_options::hasFailed(socket_);
-  return read_reset_ || found_reset_;
+  const bool ended_in_turn =
+      ended_sending_first_ && !reading_ && stateAfter(read_error_) == ConnectionState::ClosedByPeer;
+  return read_reset_ || found_reset_ || ended_in_turn;
 }
 
-bool RunnerConnection::isOpen() {
+RunnerConnection::Input RunnerConnection::peekInput() {
   char byte = 0;
   const ssize_t count = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return !closed_ && (count > 0 || (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)));
+  if (count > 0) {
+    return Input::Pending;
+  }
+  const bool none_yet = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return none_yet ? Input::None : Input::Ended;
 }
 
 void RunnerConnection::setIdle(bool idle) {
@@ -265,12 +273,6 @@
          parser_ && parser_->is_done() && parser_->get().keep_alive() && buffer_.size() == 0;
 }
 
-bool RunnerConnection::hasNoPendingInput() {
-  char byte = 0;
-  const ssize_t count = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 bool RunnerConnectionPool::hasOpen(const std::string& address) {
   const auto found = idle_.find(address);
   return found != idle_.end() &&
--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -80,10 +80,10 @@
   bool wasReset() const { return read_reset_; }
   /// @return whether the other end is known to have closed the connection, and not only the side on
   /// which it sends: it has reset the connection, at the latest when it got what
-  /// `discardUntilClosed` sends.
+  /// `discardUntilClosed` sends, or has ended its side after this one.
   bool closedWholly();
-  /// @return whether the connection is open at both ends, as far as this one knows.
-  bool isOpen();
+  /// @return whether the other end has not ended its side of the connection.
+  bool isOpen() { return !closed_ && peekInput() != Input::Ended; }
   /// @return whether a header or part of a body is awaited and has not arrived or failed yet.
   bool isAwaitingResponse() const { return reading_; }
   /// Ends the wait for a response as if its time limit had passed.
@@ -107,9 +107,13 @@
 
   /// @return whether the connection is open and has no unread input, as expected of an idle
   /// connection.
-  bool hasNoPendingInput();
+  bool hasNoPendingInput() { return peekInput() == Input::None; }
 
 private:
+  /// Input that has arrived and was not read.
+  enum class Input { None, Pending, Ended };
+
+  Input peekInput();
   /// Closes the connection after the given time unless the timer is restarted; zero stops the
   /// timer.
   void startTimer(std::chrono::milliseconds timeout);
@@ -135,9 +139,12 @@
   bool sending_ended_ = false;
   bool reuse_prevented_ = false;
   bool closed_ = false;
-  /// A read has failed because of a reset, or a reset was found otherwise.
+  /// A read has failed because of a reset.
   bool read_reset_ = false;
+  /// The system has told of a reset outside of a read.
   bool found_reset_ = false;
+  /// This end has ended sending before the other one.
+  bool ended_sending_first_ = false;
   bool timed_out_ = false;
   uint64_t timeout_generation_ = 0;
 };
--- a/src/core/relay/run_end.h
+++ b/src/core/relay/run_end.h
@@ -12,8 +12,8 @@
   Unknown,
   /// The runner has responded completely, or with a final error.
   Answered,
-  /// The process of the runner has ended: it has left the list of runners, or has closed the
-  /// connection of the request and refuses another one, or another process is at its address.
+  /// The process of the runner has ended: it has left the list of runners, or has closed all
+  /// connections and refuses another one, or another process is at its address.
   ProcessEnded,
   /// The runner's report does not contain the run any more (`RunEndEvidence`).
   NotReported,
