--- a/src/core/relay/run_report.h
+++ b/src/core/relay/run_report.h
@@ -29,6 +29,10 @@
 /// Load pattern: a runner closes the connection of a stream and goes on with its run, or has ended
 /// it; the stream must not go on at another runner in the first case.
 ///
+/// Limits: reports do not name requests that wait for their run, so that nothing is shown about a
+/// stream without events while any wait there. Failure cases: a runner that gives no report, or
+/// goes on listing the run, shows no end; the caller decides how long it asks.
+///
 /// Guarantee: an end is shown only by a report that describes a moment after the run began and does
 /// not contain it. The run began before that moment if an earlier report contained it, or if its
 /// first event arrived, or the request was sent while nothing waits and all runs are named, longer
--- a/src/daemon/relay/active_request_run_end.cc
+++ b/src/daemon/relay/active_request_run_end.cc
@@ -98,6 +98,10 @@
 /// Asks the runner for its runs until one of its reports shows that the run has ended, or until the
 /// time for it is over. The connection of the request, on which nothing more is sent, is closed
 /// afterwards.
+///
+/// Load: one call at once and one every `kReportPeriod` for each stream that has lost its
+/// connection, so that a runner that resets all of its streams and lives gets as many calls at
+/// a time as it had streams. A runner whose process has ended refuses the first one.
 http::awaitable<relay::RunEnd> ActiveRequest::searchRunEnd(const relay::Runner& runner) {
   run_end_searched_ = true;
   const int64_t began_ms = state_.clock.monotonicMs();
@@ -130,7 +134,7 @@
 }
 
 /// @return whether the process of a runner that refuses a connection may be alive: it has not
-/// closed all of its connections, as the end of a process does.
+/// closed all of the connections that this relay has to it, as the end of a process does.
 bool ActiveRequest::mayBeAlive(const relay::Runner& runner) {
   const auto servedThere = [&](ActiveRequest* other) {
     return other->attempt_address_ == runner.entry.address() && other->connection_ &&
