A runner that gives no report for the moment is asked again

What callers saw: a stream that had lost its connection was broken off at once where its runner answered the call for its report with 408 or 429, though it could have gone on a moment later.

Cause: only a 5xx counted as temporary; every other refusal said "makes no reports" (found by reading `failureOf`).

No change for runners without reports (404): broken off as before.

--- a/src/daemon/relay/runner_report_call.cc
+++ b/src/daemon/relay/runner_report_call.cc
@@ -13,7 +13,9 @@
 constexpr std::chrono::milliseconds kReadTimeout{300};
 constexpr size_t kMaxReportBytes = size_t{256} * 1024;
 constexpr unsigned kOk = 200;
+constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kMisdirected = 421;
+constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kServerErrors = 500;
 
 std::string requestText(const RelayDialect& dialect, const relay::Runner& runner) {
@@ -26,7 +28,9 @@
   if (status == kMisdirected) {
     return ReportFailure::OtherProcess;
   }
-  return status < kServerErrors ? ReportFailure::NotSupported : ReportFailure::NoResponse;
+  const bool temporary =
+      status == kRequestTimeout || status == kTooManyRequests || status >= kServerErrors;
+  return temporary ? ReportFailure::NoResponse : ReportFailure::NotSupported;
 }
 
 /// @return the whole body; nullopt if it did not come in time or is too long.
--- a/src/daemon/relay/runner_report_call.h
+++ b/src/daemon/relay/runner_report_call.h
@@ -23,7 +23,7 @@
   OtherProcess,
   /// It makes no reports that name its runs.
   NotSupported,
-  /// There was no whole response in time.
+  /// There was no whole response in time, or one that says that there may be a report later.
   NoResponse,
 };
 
--- a/tests/unit/daemon/relay/execution_test.cc
+++ b/tests/unit/daemon/relay/execution_test.cc
@@ -97,8 +97,8 @@
   renewed.get_future().get();
 }
 
-std::string askForStream(const TestRelay& relay) {
-  return answerTo(requestText(CallerRequest{.id = "q1", .timeout_ms = 9000}), relay.address());
+std::string askForStream(const TestRelay& relay, const std::string& id = "q1") {
+  return answerTo(requestText(CallerRequest{.id = id, .timeout_ms = 9000}), relay.address());
 }
 
 } // namespace
@@ -362,6 +362,21 @@
   CHECK(fleet.second.requests() == 0);
 }
 
+TEST_CASE("A runner that refuses one call for its report is taken for one that makes none") {
+  for (const std::string status : {"429 Too Many Requests", "408 Request Timeout"}) {
+    CAPTURE(status);
+    TwoRunners fleet(
+        resumableRoute(),
+        [](auto& socket, const std::string&) { writeTo(socket, streamHead("q1") + eventOf(1)); },
+        [](auto& socket, const std::string&) {
+          writeTo(socket, streamHead("q1") + streamFrom(2, 3));
+        });
+    fleet.first.refuseReports(2, status);
+    CHECK(askForStream(fleet.relay).ends_with(kLastChunk));
+    CHECK(fleet.first.reportCalls() >= 3);
+  }
+}
+
 TEST_CASE("A stream whose runner sends bytes that are no answer goes on while that run does") {
   std::atomic<bool> runs{true};
   TwoRunners fleet(
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -218,6 +218,11 @@
          "\r\n\r\n" + body;
 }
 
+/// @return the response of a runner that gives no report now. @param status code and reason
+inline std::string reportRefusal(const std::string& status) {
+  return "HTTP/1.1 " + status + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+}
+
 /// A runner that accepts one connection at a time, reads a request on it and runs the script.
 class ScriptedRunner {
 public:
@@ -246,11 +251,19 @@
   }
   /// Number of requests, without those for its report.
   int requests() const { return requests_; }
+  /// Number of requests for its report.
+  int reportCalls() const { return report_calls_; }
   /// Sets the ids of the runs that the runner reports as in progress, separated by blanks.
   void reportRuns(std::string ids) {
     const std::lock_guard lock(report_mutex_);
     reported_runs_ = std::move(ids);
   }
+  /// Sets how many of the next requests for its report the runner refuses, and with which status.
+  void refuseReports(int count, std::string status) {
+    const std::lock_guard lock(report_mutex_);
+    refused_reports_ = count;
+    report_refusal_ = std::move(status);
+  }
   const std::string& lastRequest() const { return last_request_; }
 
 private:
@@ -279,12 +292,21 @@
 
   void writeReport(Socket& socket) {
     const std::lock_guard lock(report_mutex_);
+    ++report_calls_;
+    const bool refused = refused_reports_ > 0;
+    refused_reports_ -= refused ? 1 : 0;
     boost::system::error_code ignored;
-    boost::asio::write(socket, boost::asio::buffer(reportAnswer(reported_runs_)), ignored);
+    boost::asio::write(socket,
+                       boost::asio::buffer(refused ? reportRefusal(report_refusal_)
+                                                   : reportAnswer(reported_runs_)),
+                       ignored);
   }
 
   std::mutex report_mutex_;
   std::string reported_runs_;
+  int refused_reports_ = 0;
+  std::string report_refusal_;
+  std::atomic<int> report_calls_{0};
   boost::asio::io_context context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   Script script_;
