Streams that lost their connections to one runner share the calls for its report

What callers saw: nothing yet. A runner that resets the connections of all its streams and lives got a call for its report from each of them at once, and again every 150 ms for 1 s: as many new connections as it had streams, at a runner that is in trouble, and that takes `maxConns` of them.

Cause: each stream looked for the end of its run by calls of its own.

Change: `RunnerReports` makes one call to a runner at a time, and a report is shared for 150 ms. A stream is told when the call was made, so that the evidence counts the moment that the report describes, as before. Failures are shared only with those who wait for them.

--- a/src/daemon/relay/active_request_run_end.cc
+++ b/src/daemon/relay/active_request_run_end.cc
@@ -11,7 +11,7 @@
 
 #include "adapters/logging/line_log.h"
 #include "daemon/relay/active_request.h"
-#include "daemon/relay/runner_report_call.h"
+#include "daemon/relay/runner_reports.h"
 
 namespace workshatch::daemon {
 
@@ -21,8 +21,6 @@
 /// Longest wait for a runner to close the connection of a run that it is told to end, and for its
 /// machine to accept a connection. Both take a round trip unless the runner stands still.
 constexpr std::chrono::milliseconds kRunEndWait{300};
-/// Time between two requests for the report of a runner.
-constexpr std::chrono::milliseconds kReportPeriod{150};
 /// Time for which the end of a run is looked for. Callers give a stream up after two seconds
 /// without an event, and its next runner needs some of that.
 constexpr int64_t kRunEndSearchMs = 1000;
@@ -99,9 +97,9 @@
 /// time for it is over. The connection of the request, on which nothing more is sent, is closed
 /// afterwards.
 ///
-/// Load: one call at once and one every `kReportPeriod` for each stream that has lost its
-/// connection, so that a runner that resets all of its streams and lives gets as many calls at
-/// a time as it had streams. A runner whose process has ended refuses the first one.
+/// Load: one report at once and one every `kReportPeriodMs` for each stream that has lost its
+/// connection; the streams of one runner share them (`RunnerReports`). A runner whose process has
+/// ended refuses the first call.
 http::awaitable<relay::RunEnd> ActiveRequest::searchRunEnd(const relay::Runner& runner) {
   run_end_searched_ = true;
   const int64_t began_ms = state_.clock.monotonicMs();
@@ -118,12 +116,11 @@
       end = relay::RunEnd::Unknown;
     }
     if (!end) {
-      wait_.expires_after(std::min(kReportPeriod, std::chrono::milliseconds(left_ms)));
+      wait_.expires_after(std::chrono::milliseconds(std::min(kReportPeriodMs, left_ms)));
       co_await wait_.async_wait(kAwait);
     }
   }
   connection_->close();
-  state_.stats.runner_reports += reports;
   ++state_.stats.run_ends[nameOf(*end)];
   line_log::write("run_end_searched", {{"request", request_.id},
                                        {"runner", runner.entry.id()},
@@ -151,21 +148,19 @@
   if (runner.gone) {
     co_return relay::RunEnd::ProcessEnded;
   }
-  const int64_t asked_ms = state_.clock.monotonicMs();
   report_connection_ = std::make_shared<http::RunnerConnection>(context_);
-  const RunnerReportCall call(state_.dialect, RunnerDialer(state_.runner_addresses));
-  const ReportResult result = co_await call.ask(report_connection_, runner);
+  const TimedReport reply = co_await state_.runner_reports.ask(report_connection_, wait_, runner);
   report_connection_->close();
-  if (const auto* report = std::get_if<relay::RunnerReport>(&result)) {
-    co_return evidence.showsEnd(*report, asked_ms) ? std::optional(relay::RunEnd::NotReported)
-                                                   : std::nullopt;
+  if (const auto* report = std::get_if<relay::RunnerReport>(&reply.result)) {
+    co_return evidence.showsEnd(*report, reply.asked_ms) ? std::optional(relay::RunEnd::NotReported)
+                                                         : std::nullopt;
   }
-  switch (std::get<ReportFailure>(result)) {
+  switch (std::get<ReportFailure>(reply.result)) {
   case ReportFailure::Refused:
     if (mayBeAlive(runner)) {
       co_return std::nullopt;
     }
-    recordConnectFailed(runner, true, asked_ms);
+    recordConnectFailed(runner, true, reply.asked_ms);
     co_return relay::RunEnd::ProcessEnded;
   case ReportFailure::Unreachable:
     // A network path that is lost may reset connections. A runner that has closed the connection in
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -17,6 +17,9 @@
 http::awaitable<void> RelayRole::handleMetrics(http::Exchange& exchange) {
   std::string text;
   state_.stats.expose(text);
+  metrics::exposeCounter(text, "relay_runner_reports_total",
+                         "reports of runners that were asked for to find the end of a run",
+                         state_.runner_reports.calls());
   exposeGauges(text);
   http::Response response =
       http::makeResponse(http::Status::ok, metrics::kContentType, std::move(text));
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -27,6 +27,7 @@
 #include "daemon/relay/prefix_client.h"
 #include "daemon/relay/relay_stats.h"
 #include "daemon/relay/runner_crash_reporter.h"
+#include "daemon/relay/runner_reports.h"
 #include "daemon/relay/slot_client.h"
 #include "daemon/relay/stream_origin_client.h"
 #include "ports/clock.h"
@@ -71,7 +72,8 @@
         peer_relays(settings.caller_address, settings.zone, settings.zones),
         forward_port(settings.forward_port),
         read_ahead(relay::ReadAheadLimits{.process_bytes = settings.read_ahead_bytes}),
-        connections(time), started_ms(time.monotonicMs()) {}
+        connections(time), runner_reports(names, RunnerDialer(runner_addresses), time),
+        started_ms(time.monotonicMs()) {}
 
   const Clock& clock;
   const RelayDialect& dialect;
@@ -114,6 +116,7 @@
   relay::DemandEstimates demand_estimates;
   relay::PriorityShares priority_shares;
   http::RunnerConnectionPool connections;
+  RunnerReports runner_reports;
   RelayStats stats;
   const int64_t started_ms;
   /// A planned stop is in progress.
--- a/src/daemon/relay/relay_stats.cc
+++ b/src/daemon/relay/relay_stats.cc
@@ -50,8 +50,6 @@
                 resumed_streams);
   exposeCounter(out, "relay_late_copies_total",
                 "late copies of responses to other requests that were discarded", late_copies);
-  exposeCounter(out, "relay_runner_reports_total",
-                "reports of runners that were asked for to find the end of a run", runner_reports);
   exposeCounters(out, "relay_run_ends_total", "ends of runs that were looked for by what was found",
                  "run_end", run_ends);
   exposeCounter(out, "relay_backoffs_told_total",
--- a/src/daemon/relay/relay_stats.h
+++ b/src/daemon/relay/relay_stats.h
@@ -24,9 +24,7 @@
   uint64_t repeats = 0;
   uint64_t repeats_refused = 0;
   uint64_t resumed_streams = 0;
-  /// Reports that runners were asked for to find the end of a run, and what was found, by the names
-  /// of `relay::RunEnd`.
-  uint64_t runner_reports = 0;
+  /// Searches for the end of a run by what was found, under the names of `relay::RunEnd`.
   metrics::LabelledCounts run_ends;
   /// Late copies of responses to other requests that were discarded.
   uint64_t late_copies = 0;
--- a/tests/unit/daemon/relay/execution_test.cc
+++ b/tests/unit/daemon/relay/execution_test.cc
@@ -27,6 +27,9 @@
 /// Within the time for which the end of a run is looked for.
 constexpr milliseconds kAfterClose{500};
 
+/// Shortest time between two calls for the report of a runner.
+constexpr milliseconds kReportPeriod{150};
+
 /// Blocks until the other end of the connection has closed its side.
 void awaitEndOfRequests(ScriptedRunner::Socket& socket) {
   std::string rest;
@@ -362,6 +365,38 @@
   CHECK(fleet.second.requests() == 0);
 }
 
+TEST_CASE("Each of the streams that their runner has closed asks for a report of its own") {
+  constexpr int kStreams = 8;
+  const std::string all_runs = "q0 q1 q2 q3 q4 q5 q6 q7";
+  TwoRunners fleet(
+      resumableRoute(),
+      [](auto& socket, const std::string& request) {
+        writeTo(socket, streamHead(requestIdOf(request)) + eventOf(1));
+      },
+      [](auto& socket, const std::string& request) {
+        writeTo(socket, streamHead(requestIdOf(request)) + streamFrom(2, 3));
+      });
+  fleet.relay.state().runners.runners()[fleet.indexOf("runner-2")]->in_progress = kStreams;
+  fleet.first.reportRuns(all_runs);
+  std::vector<std::future<std::string>> answers;
+  const auto began = std::chrono::steady_clock::now();
+  for (int i = 0; i < kStreams; ++i) {
+    answers.push_back(std::async(std::launch::async, [&fleet, i] {
+      return askForStream(fleet.relay, "q" + std::to_string(i));
+    }));
+  }
+  REQUIRE(within(kTestTimeout, [&] { return fleet.first.requests() == kStreams; }));
+  CHECK(fleet.second.requests() == 0);
+  fleet.first.reportRuns("");
+  for (auto& answer : answers) {
+    CHECK(answer.get().ends_with(kLastChunk));
+  }
+  CHECK(fleet.second.requests() == kStreams);
+  const auto took =
+      std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - began);
+  CHECK(fleet.first.reportCalls() <= 1 + took / kReportPeriod);
+}
+
 TEST_CASE("A runner that refuses one call for its report is taken for one that makes none") {
   for (const std::string status : {"429 Too Many Requests", "408 Request Timeout"}) {
     CAPTURE(status);
