A learner that answers late for a moment still takes the vote of a voter that is being stopped

Change: a learner counts as a successor until it has been silent for as long as makes a voter silent (3 s). A leaving voter then waits for it, 2 s at most, as before.

Evidence: unit test, a learner that is out of reach for some election timeouts when the voter is told to stop: failed before (the vote was kept, the voter could end at once), passes now. "A learner that does not answer takes no vote" states its time limit of silence, which decides now; its checks are the same.

--- a/src/daemon/group/group_departure.cc
+++ b/src/daemon/group/group_departure.cc
@@ -5,10 +5,11 @@
 ///
 /// Load: one small request from each stopping voter every 50 ms, for as long as it waits. Limit:
 /// two membership changes for each stop, one step at a time. Failure cases: without a learner that
-/// answers, the voter is told so and keeps its vote; if the leader does not answer or is not known,
-/// as when all machines stop at once, it waits until the time limit of its caller; if it crashes
-/// between the two changes, it is removed as a silent voter. An overloaded group may not commit
-/// both changes in time; the vote is then kept, as in a crash.
+/// answered within the time limit of silent voters, the voter is told so and keeps its vote; with
+/// one that is late, or if the leader does not answer or is not known, as when all machines stop at
+/// once, it waits until the time limit of its caller; if it crashes between the two changes, it is
+/// removed as a silent voter. An overloaded group may not commit both changes in time; the vote is
+/// then kept, as in a crash.
 #include <algorithm>
 
 #include "adapters/logging/line_log.h"
@@ -90,13 +91,14 @@
 }
 
 /// @return whether a learner may become a voter: it replied, was added or was met by this leader
-/// within the last election timeout.
+/// within the time after which a voter counts as silent. One that is late for a moment still
+/// counts, since the answer "no successor" ends the wait of the leaving voter.
 bool GroupReplica::hasSuccessor() const {
   const v1::RaftMembership membership = node_->membership();
   return std::any_of(membership.members().begin(), membership.members().end(),
                      [this](const v1::RaftMember& member) {
                        return member.learner() &&
-                              node_->ticksSinceReply(member.id()) <= options_.election_ticks;
+                              silentForMs(member.id()) < options_.silent_voter_limit_ms;
                      });
 }
 
--- a/src/daemon/group/group_membership.cc
+++ b/src/daemon/group/group_membership.cc
@@ -188,6 +188,11 @@
          node_->ticksSinceReply(member) <= options_.election_ticks;
 }
 
+/// @return time since the last reply of the member, by ticks; valid at the leader.
+int64_t GroupReplica::silentForMs(uint64_t member) const {
+  return static_cast<int64_t>(node_->ticksSinceReply(member)) * options_.tick_ms;
+}
+
 size_t GroupReplica::voterCount() const {
   const v1::RaftMembership membership = node_->membership();
   return static_cast<size_t>(
@@ -298,10 +303,8 @@
   auto* members = membership.mutable_members();
   auto silent = members->end();
   for (auto member = members->begin(); member != members->end(); ++member) {
-    const auto silent_ms =
-        static_cast<int64_t>(node_->ticksSinceReply(member->id())) * options_.tick_ms;
-    const bool candidate =
-        !member->learner() && member->id() != id_ && silent_ms >= options_.silent_voter_limit_ms;
+    const bool candidate = !member->learner() && member->id() != id_ &&
+                           silentForMs(member->id()) >= options_.silent_voter_limit_ms;
     if (candidate && (silent == members->end() || node_->ticksSinceReply(member->id()) >
                                                       node_->ticksSinceReply(silent->id()))) {
       silent = member;
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -194,6 +194,7 @@
   bool advanceOneStep();
   bool answers(uint64_t member) const;
   bool hasCaughtUp(uint64_t member) const;
+  int64_t silentForMs(uint64_t member) const;
   bool advanceJoin(const v1::JoinRequest& join);
   bool advanceDeparture(uint64_t voter);
   bool hasSuccessor() const;
--- a/tests/unit/daemon/group/group_departure_test.cc
+++ b/tests/unit/daemon/group/group_departure_test.cc
@@ -1,6 +1,7 @@
 /// @file
 /// Tests of planned stops: a voter that is being stopped hands its vote over to a learner. The
 /// tests are named after the failures that they guard against.
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -94,7 +95,8 @@
 }
 
 TEST_CASE("A learner that does not answer takes no vote") {
-  Group group(kVoters, kNeverSilentMs);
+  constexpr int64_t kSilentMs = 400;
+  Group group(kVoters, kSilentMs);
   startFirst(group);
   group.start("d", 44, false);
   awaitVersion(group, "d", 1);
@@ -104,6 +106,23 @@
   CHECK(group.at("a").votes());
 }
 
+TEST_CASE("A successor that answers late for a moment costs the group the vote of a planned stop") {
+  constexpr std::chrono::milliseconds kLate{300}; // some election timeouts
+  Group group(kVoters, kNeverSilentMs);
+  startFirst(group);
+  group.start("d", 44, false);
+  awaitVersion(group, "d", 1);
+  group.cutOff("d", true);
+  group.runFor(kLate);
+  group.at("a").leave();
+  group.runFor(kLate);
+  CHECK_FALSE(group.at("a").mayEnd());
+  group.cutOff("d", false);
+  REQUIRE(group.runUntil([&] { return group.at("a").mayEnd(); }));
+  CHECK_FALSE(group.at("a").hasVote());
+  CHECK(group.store(2));
+}
+
 TEST_CASE("Two voters that are stopped together hand over as many votes as there are successors") {
   Group group(kVoters, kNeverSilentMs);
   startFirst(group);
--- a/tests/unit/daemon/group/group_fixture.h
+++ b/tests/unit/daemon/group/group_fixture.h
@@ -129,6 +129,10 @@
     }
     return condition();
   }
+  void runFor(std::chrono::milliseconds duration) {
+    const auto end = std::chrono::steady_clock::now() + duration;
+    runUntil([end] { return std::chrono::steady_clock::now() >= end; });
+  }
   GroupReplica* leader() {
     const std::string address = leaderAddress();
     return address.empty() ? nullptr : machines_.at(address).replica.get();
