--- a/tests/unit/daemon/relay/slow_reader_test.cc
+++ b/tests/unit/daemon/relay/slow_reader_test.cc
@@ -179,6 +179,7 @@
   for (int i = 0; i < 20; ++i) {
     const auto sent_at = std::chrono::steady_clock::now();
     const std::string answer = relay.sendRequest("quick-" + std::to_string(i));
+    CAPTURE(answer);
     CHECK(answer.find("data: one") != std::string::npos);
     CHECK(std::chrono::steady_clock::now() - sent_at < std::chrono::seconds(1));
     sample();
