Tests of streams and versions crash relays once the streams are under way, not after 90 ms

Cause: the test counted on streams that begin within 90 ms. Those that had not begun were broken off without an event, and began anew at a relay that had just lost its path, all at once.

--- a/tests/unit/daemon/fleet/stream_version_test.cc
+++ b/tests/unit/daemon/fleet/stream_version_test.cc
@@ -96,14 +96,25 @@
   }
 }
 
-/// Begins streams at relay `first`, and crashes it and the next ones in the middle of the streams.
-std::vector<Stream> beginAndCrash(TestFleet& fleet, size_t first, size_t crashing) {
+/// @return the number of streams that began at the fleet's runners and are under way, or were.
+size_t streamsUnderWay(TestFleet& fleet) {
+  size_t streams = 0;
+  for (size_t i = 0; i < fleet.streamingRunnerCount(); ++i) {
+    streams += fleet.streamingRunner(i).streamsUnderWay();
+  }
+  return streams;
+}
+
+/// Begins streams at `relays` relays from `first` on, and makes their connections break off by
+/// `crash` once they are under way.
+template <typename Crash>
+std::vector<Stream> beginAndBreak(TestFleet& fleet, size_t first, size_t relays, Crash crash) {
   std::vector<Stream> streams(kStreams, Stream(fleet));
-  attemptAll(streams, first, 1, [&] {
-    std::this_thread::sleep_for(std::chrono::milliseconds(90));
-    for (size_t relay = first; relay < first + crashing; ++relay) {
-      fleet.crashRelay(relay);
-    }
+  const size_t before = streamsUnderWay(fleet);
+  attemptAll(streams, first, relays, [&] {
+    within(kTestTimeout,
+           [&] { return streamsUnderWay(fleet) - before >= kStreams - kMayBeRefused; });
+    crash();
   });
   const size_t begun =
       countOf(streams, [](const Stream& stream) { return stream.received().last_event > 0; });
@@ -111,6 +122,15 @@
   return streams;
 }
 
+/// Begins streams at relay `first`, and crashes it and the next ones in the middle of the streams.
+std::vector<Stream> beginAndCrash(TestFleet& fleet, size_t first, size_t crashing) {
+  return beginAndBreak(fleet, first, 1, [&] {
+    for (size_t relay = first; relay < first + crashing; ++relay) {
+      fleet.crashRelay(relay);
+    }
+  });
+}
+
 /// Waits until a relay that was restarted serves requests.
 void awaitServing(TestFleet& fleet, size_t relay) {
   REQUIRE(within(kTestTimeout, [&] {
@@ -133,19 +153,6 @@
   }
 }
 
-/// Begins streams at all relays, and makes their connections break off by `crash`.
-template <typename Crash> std::vector<Stream> beginAndBreak(TestFleet& fleet, Crash crash) {
-  std::vector<Stream> streams(kStreams, Stream(fleet));
-  attemptAll(streams, 0, kRelays, [&] {
-    std::this_thread::sleep_for(std::chrono::milliseconds(90));
-    crash();
-  });
-  const size_t begun =
-      countOf(streams, [](const Stream& stream) { return stream.received().last_event > 0; });
-  CHECK(begun >= kStreams - kMayBeRefused);
-  return streams;
-}
-
 /// Checks that a stream which was broken off is refused at once and not run.
 void checkRefusedOrWhole(std::vector<Stream>& streams) {
   for (size_t i = 0; i < streams.size(); ++i) {
@@ -261,7 +268,7 @@
 TEST_CASE(
     "All processes that crash after a release, twice, do not resume streams at the new version") {
   TestFleet fleet(fleetOf({"v1", "v1", "v2", "v2"}, 18860));
-  std::vector<Stream> streams = beginAndBreak(fleet, [&] {
+  std::vector<Stream> streams = beginAndBreak(fleet, 0, kRelays, [&] {
     restartAll(fleet, [&] {
       fleet.streamingRunner(0).setListed(false);
       fleet.streamingRunner(1).setListed(false);
@@ -277,7 +284,7 @@
   FleetOptions options = fleetOf({"v1", "v1", "v2", "v2"}, 18880);
   options.unlisted_streaming_runners = 2;
   TestFleet fleet(options);
-  std::vector<Stream> streams = beginAndBreak(fleet, [&] {
+  std::vector<Stream> streams = beginAndBreak(fleet, 0, kRelays, [&] {
     restartAll(fleet, [&] {
       for (size_t i = 0; i < fleet.streamingRunnerCount(); ++i) {
         fleet.streamingRunner(i).setListed(i >= 2);
@@ -289,7 +296,7 @@
 
 TEST_CASE("Streams of a service of one version go on after all processes crash, without messages") {
   TestFleet fleet(fleetOf({"v1", "v1", "v1"}, 18900));
-  std::vector<Stream> streams = beginAndBreak(fleet, [&] { restartAll(fleet, [] {}); });
+  std::vector<Stream> streams = beginAndBreak(fleet, 0, kRelays, [&] { restartAll(fleet, [] {}); });
   attemptAll(streams, 0, kRelays, [] {});
   CHECK(incompleteOf(streams) <= kMayBeRefused);
   for (size_t relay = 0; relay < kRelays; ++relay) {
