A signal during the start does not end a process, nor does a file size limit

What callers saw: a relay or a group replica that was sent SIGHUP or SIGTERM while it started ended by that signal, without a line and without a planned stop; a process whose file size limit stood for a full disk was ended by SIGXFSZ at its next write.

Cause: signal handlers were installed after the start of the role, in which the disk is read; SIGXFSZ kept its default action, while SIGPIPE was ignored.

Change: SIGTERM, SIGINT and SIGHUP are blocked before the program's initializers run, handled by the event loop, and delivered once the handlers are installed, before the role starts. A SIGTERM during the start leads to a planned stop, a SIGHUP to a reload after it. SIGXFSZ is ignored, so that the write fails. workshatchd does the same; SIGHUP, which it has no use for, has no effect on it.

Test: start_soak.py (in scripts/test.sh), signals 0 to 5 ms after a process has begun to ignore SIGPIPE, 2 starts each, and a limit of 0 bytes in operation.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -67,16 +67,24 @@
   fi
 done
 
+# Adds the counts in the last line of a report, "N passed, N failed".
+add_counts() { # REPORT
+  local counts
+  counts=$(tail -n 1 "$1")
+  if [[ "$counts" =~ ^([0-9]+)\ passed,\ ([0-9]+)\ failed$ ]]; then
+    passed=$((passed + BASH_REMATCH[1]))
+    failed=$((failed + BASH_REMATCH[2]))
+  else
+    echo "$1: the soak did not end"
+    failed=$((failed + 1))
+  fi
+}
+
 # The deployed program under troubles of runners and signals; the long run is started by hand.
-soak_report=run/soak-report.txt
-python3 platform/tests/soak/run_once_soak.py --seeds 2,3 --seconds 15 2>&1 | tee "$soak_report"
-soak_counts=$(tail -n 1 "$soak_report")
-if [[ "$soak_counts" =~ ^([0-9]+)\ passed,\ ([0-9]+)\ failed$ ]]; then
-  passed=$((passed + BASH_REMATCH[1]))
-  failed=$((failed + BASH_REMATCH[2]))
-else
-  echo "the soak did not end"
-  failed=$((failed + 1))
-fi
+python3 platform/tests/soak/run_once_soak.py --seeds 2,3 --seconds 15 2>&1 | tee run/soak-report.txt
+add_counts run/soak-report.txt
+# The deployed program under signals and full disks at its start.
+python3 platform/tests/soak/start_soak.py 2>&1 | tee run/start-soak-report.txt
+add_counts run/start-soak-report.txt
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/src/adapters/program.cc
+++ b/src/adapters/program.cc
@@ -8,6 +8,8 @@
 
 #include <gflags/gflags.h>
 
+#include "adapters/process_signals.h"
+
 namespace workshatch {
 
 namespace {
@@ -44,20 +46,8 @@
   gflags::ParseCommandLineNonHelpFlags(argc, argv, true);
 }
 
-void blockStopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-}
-
 void awaitStopSignal() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
+  const sigset_t signals = stopSignals();
   int received = 0;
   sigwait(&signals, &received);
 }
--- a/src/adapters/program.h
+++ b/src/adapters/program.h
@@ -1,5 +1,5 @@
 /// @file
-/// Command line flags, exit codes and stop signals, shared by all programs.
+/// Command line flags, exit codes and the wait for a stop signal, shared by all programs.
 #pragma once
 
 #include <string>
@@ -28,9 +28,8 @@
 void parseProgramFlags(int* argc, char*** argv, const std::string& usage,
                        const std::string& main_file);
 
-/// Blocks SIGTERM and SIGINT in this thread and in threads that it starts later. Ignores SIGPIPE.
-void blockStopSignals();
-/// Waits for SIGTERM or SIGINT, which must be blocked.
+/// Waits for SIGTERM or SIGINT, which must be blocked (see process_signals.h). SIGHUP stays
+/// blocked, and thereby has no effect on programs that call this.
 void awaitStopSignal();
 
 } // namespace workshatch
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "adapters/logging/json_log.h"
+#include "adapters/process_signals.h"
 #include "adapters/program.h"
 #include "adapters/settings/settings_file.h"
 #include "adapters/system_clock.h"
@@ -88,7 +89,7 @@
 
 int main(int argc, char** argv) {
   // Blocked before anything else, so that a signal during startup also leads to a planned stop.
-  blockStopSignals();
+  blockHandledSignals();
   parseProgramFlags(&argc, &argv, kUsage, "daemon/main.cc");
   const std::string path = FLAGS_check_config.empty() ? FLAGS_config : FLAGS_check_config;
   if (path.empty() || argc != 1) {
--- a/src/standin/main.cc
+++ b/src/standin/main.cc
@@ -12,6 +12,7 @@
 #include "adapters/http/http_server.h"
 #include "adapters/http/problem.h"
 #include "adapters/logging/json_log.h"
+#include "adapters/process_signals.h"
 #include "adapters/program.h"
 #include "standin/model_runner.h"
 #include "standin/plain_service.h"
@@ -87,7 +88,7 @@
                          "--listen; see --help\n");
     return kExitUsage;
   }
-  blockStopSignals();
+  blockHandledSignals();
   logging::initialize(FLAGS_name);
   WorkerPool workers(1);
   http::ServerLimits limits;
