A message with trailers above 64 KiB no longer ends the process

What callers saw: one request with a chunked body and a trailer field of 70,000 bytes, from anyone who reaches a port (callers, readiness, addresses, operators), ended the relay or the group replica with SIGABRT and without a line of its log; every request in progress there lost its connection. A runner whose response has such a trailer ends each relay that reads it.

Cause (class: an exception out of a library's callback, on input of another process): Beast's header limit does not apply to trailers, the buffer had no bound, and beast::http::fields throws std::length_error for a field whose size does not fit into 16 bits. It is thrown in the composed read, so that it leaves io_context::run and not the coroutine.

Change: the unparsed part of a message is bounded by 65,535 bytes (kMaxUnparsedBytes) in the server and in all clients; a request above it gets 431, a response fails as incomplete. Trailers of 40,000 bytes are read as before. A head of more than 65,535 bytes, where the configuration allows one, is now 431 too: a field of that size could never be read.

--- a/src/adapters/http/blocking_client.cc
+++ b/src/adapters/http/blocking_client.cc
@@ -8,6 +8,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "adapters/http/read_limits.h"
+
 namespace workshatch::http {
 
 namespace beast = boost::beast;
@@ -49,7 +51,7 @@
   if (!failure) {
     failure = runStep(context, [&](auto done) { beast::http::async_write(stream, request, done); });
   }
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxUnparsedBytes);
   Response response;
   if (!failure) {
     failure = runStep(context,
--- a/src/adapters/http/http_client.h
+++ b/src/adapters/http/http_client.h
@@ -14,6 +14,7 @@
 
 #include "adapters/http/http_types.h"
 #include "adapters/http/idle_stream_pool.h"
+#include "adapters/http/read_limits.h"
 #include "ports/clock.h"
 
 namespace workshatch::http {
@@ -85,7 +86,7 @@
   Client& client_;
   std::string address_;
   std::unique_ptr<boost::beast::tcp_stream> stream_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
   boost::beast::http::response_parser<boost::beast::http::buffer_body> parser_;
   std::chrono::milliseconds read_timeout_{0};
   bool cancelled_ = false;
--- a/src/adapters/http/http_server.cc
+++ b/src/adapters/http/http_server.cc
@@ -18,6 +18,8 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "adapters/http/read_limits.h"
+
 namespace workshatch::http {
 
 namespace asio = boost::asio;
@@ -88,7 +90,8 @@
   if (failure == beast::http::error::body_limit) {
     return Status::payload_too_large;
   }
-  if (failure == beast::http::error::header_limit) {
+  if (failure == beast::http::error::header_limit ||
+      failure == beast::http::error::buffer_overflow) {
     return Status::request_header_fields_too_large;
   }
   if (failure == beast::error::timeout) {
@@ -102,7 +105,7 @@
   case Status::payload_too_large:
     return "the body is larger than max_body_bytes";
   case Status::request_header_fields_too_large:
-    return "the header is larger than max_header_bytes";
+    return "the header is larger than max_header_bytes, or the trailers are too large";
   case Status::request_timeout:
     return "the request did not arrive within read_timeout_ms";
   default:
@@ -394,7 +397,7 @@
 }
 
 awaitable<void> Server::serveRequests(beast::tcp_stream& stream) {
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxUnparsedBytes);
   while (true) {
     if (buffer.size() == 0) {
       buffer.clear();
--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -21,6 +21,7 @@
 
 #include "adapters/http/http_client.h"
 #include "adapters/http/http_types.h"
+#include "adapters/http/read_limits.h"
 #include "adapters/tcp_options.h"
 #include "ports/clock.h"
 
@@ -126,7 +127,7 @@
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
   std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser_;
   std::string request_;
   bool request_sent_ = false;
