A stated size in a frame does not decide how much is allocated

What callers saw: nothing yet; a frame with a wrong size (of a compressed message or of a configuration's patch) ended the process that received it, relay or replica, with all requests in progress.

Cause (class: an exception out of a callback of the event loop, on what another process sends): `inflate` allocated the stated size and `applyPatch` reserved it: std::length_error or std::bad_alloc, which nobody catches; a size that could be had took that memory.

Evidence before, in a child process of a small driver on the sources of: inflate("x", 2^64-1): std::length_error, SIGABRT; applyPatch with 2^62 target bytes: std::bad_alloc, SIGABRT.

Change: a size above what zlib can expand to (1032:1) is an error, and so are pieces of a patch that do not add up to its target.

--- a/src/core/compression/deflate.cc
+++ b/src/core/compression/deflate.cc
@@ -9,6 +9,9 @@
 /// A fast level: the routes of a configuration are similar, so a higher level would save little.
 constexpr int kCompressionLevel = 2;
 
+/// No zlib stream expands more than this.
+constexpr size_t kMaxExpansion = 1032;
+
 const Bytef* bytesOf(std::string_view text) { return reinterpret_cast<const Bytef*>(text.data()); }
 
 Bytef* bytesOf(std::string& text) { return reinterpret_cast<Bytef*>(text.data()); }
@@ -28,6 +31,10 @@
 }
 
 Result<std::string> inflate(std::string_view bytes, size_t uncompressed_size) {
+  // The size comes from another process: it must not decide how much memory is allocated.
+  if (uncompressed_size / kMaxExpansion > bytes.size()) {
+    return Error{"data cannot expand to the expected size"};
+  }
   std::string out(uncompressed_size, '\0');
   uLongf size = uncompressed_size;
   const int outcome = uncompress(bytesOf(out), &size, bytesOf(bytes), bytes.size());
--- a/src/core/relay/text_patch.cc
+++ b/src/core/relay/text_patch.cc
@@ -74,8 +74,14 @@
 }
 
 Result<std::string> applyPatch(std::string_view base, const TextPatch& patch) {
+  uint64_t pieces_bytes = 0;
+  for (const v1::TextPiece& piece : patch.pieces.pieces()) {
+    pieces_bytes += uint64_t{piece.copy_bytes()} + piece.literal_bytes();
+  }
+  if (pieces_bytes != patch.pieces.target_bytes()) {
+    return Error{"the pieces of the patch do not add up to the size of its target"};
+  }
   std::string target;
-  target.reserve(patch.pieces.target_bytes());
   size_t literals_used = 0;
   for (const v1::TextPiece& piece : patch.pieces.pieces()) {
     const bool in_bounds = uint64_t{piece.copy_from()} + piece.copy_bytes() <= base.size() &&
--- a/tests/unit/core/relay/text_patch_test.cc
+++ b/tests/unit/core/relay/text_patch_test.cc
@@ -71,4 +71,11 @@
   }
 }
 
+// The exception of the allocation ended the relay that had received the frame.
+TEST_CASE("A patch whose stated size is not that of its pieces is an error without an allocation") {
+  relay::TextPatch patch = relay::makePatch("a\n", "b\n");
+  patch.pieces.set_target_bytes(uint64_t{1} << 62U);
+  CHECK(isError(relay::applyPatch("a\n", patch)));
+}
+
 } // namespace workshatch::test
