A planned stop waits for requests that are still arriving

Callers whose body arrived while a relay was about to end lost their connection without an answer. The server counted a request only once it had been read whole, so a stop that saw no request in progress ended the process under those of which a part had arrived. A machine without a disk did not wait at all: its process ended as soon as the stop began.

A request now counts from its first bytes until its response is written, within the server's limit for reading and the stop's own. The counter is shared with the connections, which the workers may destroy after the server. The redirect role waits up to 200 ms like the replica's operator server.

--- a/src/adapters/http/http_server.cc
+++ b/src/adapters/http/http_server.cc
@@ -86,6 +86,21 @@
   asio::steady_timer timer_;
 };
 
+/// Adds one to a counter while it exists.
+class CountedScope {
+public:
+  explicit CountedScope(std::shared_ptr<std::atomic<size_t>> counter)
+      : counter_(std::move(counter)) {
+    ++*counter_;
+  }
+  ~CountedScope() { --*counter_; }
+  CountedScope(const CountedScope&) = delete;
+  CountedScope& operator=(const CountedScope&) = delete;
+
+private:
+  std::shared_ptr<std::atomic<size_t>> counter_;
+};
+
 Status statusOfReadFailure(beast::error_code failure) {
   if (failure == beast::http::error::body_limit) {
     return Status::payload_too_large;
@@ -407,6 +422,7 @@
         co_return;
       }
     }
+    const CountedScope in_progress(in_progress_);
     const ServerLimits limits = limits_();
     beast::http::request_parser<beast::http::string_body> parser;
     parser.header_limit(limits.header_bytes);
@@ -440,10 +456,8 @@
     Exchange exchange(stream, parser.release(), limits.read_timeout, keep_alive);
     auto monitor = std::make_shared<DisconnectMonitor>(&exchange);
     monitor->start(stream.socket());
-    ++in_progress_;
     co_await handler_(exchange);
     co_await exchange.awaitWrites();
-    --in_progress_;
     monitor->detach();
     if (!exchange.keepAlive() || !exchange.responseStarted()) {
       co_return;
--- a/src/adapters/http/http_server.h
+++ b/src/adapters/http/http_server.h
@@ -154,8 +154,8 @@
   /// From now on connections are closed after the response to their next request.
   void closeConnections() { closing_ = true; }
 
-  /// Number of requests whose handler is running.
-  size_t requestsInProgress() const { return in_progress_.load(); }
+  /// Number of requests of which bytes have arrived and whose response is not written yet.
+  size_t requestsInProgress() const { return in_progress_->load(); }
   const ServerStats& stats() const { return stats_; }
 
 private:
@@ -171,7 +171,9 @@
   const ErrorResponder error_responder_;
   std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
   std::atomic<bool> closing_{false};
-  std::atomic<size_t> in_progress_{0};
+  /// Shared with the connections, which the workers may destroy after this server.
+  const std::shared_ptr<std::atomic<size_t>> in_progress_ =
+      std::make_shared<std::atomic<size_t>>(0);
   ServerStats stats_;
   std::mutex idle_mutex_;
   /// Connections between requests; guarded by idle_mutex_.
--- a/src/daemon/group/redirect_role.cc
+++ b/src/daemon/group/redirect_role.cc
@@ -1,21 +1,33 @@
 #include "daemon/group/redirect_role.h"
 
+#include <chrono>
 #include <utility>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "adapters/http/problem.h"
 #include "adapters/logging/line_log.h"
 #include "daemon/server_limits.h"
 
 namespace workshatch::daemon {
 
+namespace asio = boost::asio;
+
 namespace {
 
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr uint32_t kRetryAfterMs = 200;
+/// Maximum time to finish responses when the process stops.
+constexpr std::chrono::milliseconds kAnswerTimeout{200};
+constexpr std::chrono::milliseconds kAnswerPoll{5};
 
 } // namespace
 
 RedirectRole::RedirectRole(settings::RelaySettings settings, WorkerPool& workers)
-    : settings_(std::move(settings)),
+    : settings_(std::move(settings)), context_(workers.context(0)), stop_timer_(context_),
       operator_server_(
           workers, operatorLimits(), [this](http::Exchange& exchange) { return handle(exchange); },
           refuseBadRequest),
@@ -64,6 +76,16 @@
 
 void RedirectRole::stop(std::function<void()> stopped) {
   operator_server_.stopAccepting();
+  asio::co_spawn(context_, finish(std::move(stopped)), asio::detached);
+}
+
+/// Waits until the calls that have arrived are answered, or until the limit.
+http::awaitable<void> RedirectRole::finish(std::function<void()> stopped) {
+  const auto until = std::chrono::steady_clock::now() + kAnswerTimeout;
+  do {
+    stop_timer_.expires_after(kAnswerPoll);
+    co_await stop_timer_.async_wait(kAwait);
+  } while (operator_server_.requestsInProgress() > 0 && std::chrono::steady_clock::now() < until);
   stopped();
 }
 
--- a/src/daemon/group/redirect_role.h
+++ b/src/daemon/group/redirect_role.h
@@ -7,6 +7,9 @@
 #include <string>
 #include <vector>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include "adapters/http/http_server.h"
 #include "adapters/logging/log_flusher.h"
 #include "adapters/settings/relay_settings.h"
@@ -27,11 +30,14 @@
 
 private:
   http::awaitable<void> handle(http::Exchange& exchange);
+  http::awaitable<void> finish(std::function<void()> stopped);
   /// @return the next seed in rotation that is not this machine; empty if there is none.
   std::string nextSeed();
 
   settings::RelaySettings settings_;
   size_t next_seed_ = 0;
+  boost::asio::io_context& context_;
+  boost::asio::steady_timer stop_timer_;
   http::Server operator_server_;
   LogFlusher log_flusher_;
 };
--- a/tests/unit/daemon/group/redirect_role_test.cc
+++ b/tests/unit/daemon/group/redirect_role_test.cc
@@ -1,9 +1,13 @@
 /// @file
 /// Tests of the redirect role on a machine without a disk.
+#include <atomic>
+#include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include <boost/asio/connect.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -30,6 +34,12 @@
   RunningRole(const RunningRole&) = delete;
   RunningRole& operator=(const RunningRole&) = delete;
 
+  /// Begins a planned stop. `stopped` becomes true when the process would end.
+  void stop(std::atomic<bool>& stopped) {
+    boost::asio::post(workers_.context(0),
+                      [this, &stopped] { role_.stop([&stopped] { stopped = true; }); });
+  }
+
   static std::string sendCall() {
     boost::asio::io_context context;
     boost::asio::ip::tcp::socket socket(context);
@@ -70,4 +80,24 @@
   CHECK(contains(answer, "Retry-After:"));
 }
 
+TEST_CASE("A machine without a disk that stops answers a call whose body is still arriving") {
+  std::atomic<bool> stopped{false};
+  RunningRole role({"10.0.0.1:90"});
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket(context);
+  socket.connect(*http::parseEndpoint(kOwnAddress));
+  const std::string head = "POST /put HTTP/1.1\r\nHost: h.example\r\nContent-Length: 2\r\n\r\na";
+  boost::asio::write(socket, boost::asio::buffer(head));
+  std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  role.stop(stopped);
+  std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  CHECK_FALSE(stopped);
+  boost::asio::write(socket, boost::asio::buffer(std::string("b")));
+  std::string answer;
+  boost::system::error_code failure;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), failure);
+  CHECK(contains(answer, "HTTP/1.1 307"));
+  CHECK(contains(answer, "Connection: close"));
+}
+
 } // namespace workshatch::test
