A stopping server answers what has arrived on a connection before it closes it

Whether a connection stays open was decided when its request began. It is decided as the response begins now: after the stop has begun the connection closes, unless bytes of another request have arrived; that one is answered, with a refusal late in the stop. A response that becomes ready after the stop began says so too. Idle connections were closed once, so that one that became idle later stayed open until the process ended under its next request; they are closed whenever they become idle now, and bytes that have arrived by then are read. Operators' idle connections are closed as well.

Failed before: "a response that becomes ready after the stop began says that its connection closes" (said keep-alive), "a pipelined request that arrives before the last response of a stop is answered" (1 of 2 answers), "a connection that becomes idle after the idle ones were closed is closed too" (open for 5 s, the idle limit).

--- a/src/adapters/http/http_server.cc
+++ b/src/adapters/http/http_server.cc
@@ -101,6 +101,13 @@
   std::shared_ptr<std::atomic<size_t>> counter_;
 };
 
+/// Whether bytes that have arrived were not read yet.
+bool hasUnreadBytes(beast::tcp_stream& stream) {
+  beast::error_code failure;
+  const size_t bytes = stream.socket().available(failure);
+  return !failure && bytes > 0;
+}
+
 Status statusOfReadFailure(beast::error_code failure) {
   if (failure == beast::http::error::body_limit) {
     return Status::payload_too_large;
@@ -131,8 +138,9 @@
 } // namespace
 
 Exchange::Exchange(beast::tcp_stream& stream, Request request, std::chrono::milliseconds timeout,
-                   bool keep_alive)
-    : stream_(stream), request_(std::move(request)), timeout_(timeout), keep_alive_(keep_alive),
+                   std::function<bool()> keep_alive)
+    : stream_(stream), request_(std::move(request)), timeout_(timeout),
+      may_keep_alive_(std::move(keep_alive)),
       buffered_bytes_timer_(stream.get_executor(), asio::steady_timer::time_point::max()) {}
 
 std::string Exchange::peer() const {
@@ -141,9 +149,14 @@
   return failure ? "" : endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
-awaitable<bool> Exchange::respond(Response response) {
+bool Exchange::beginResponse() {
   response_started_ = true;
-  response.keep_alive(keep_alive_);
+  keep_alive_ = !close_after_response_ && may_keep_alive_();
+  return keep_alive_;
+}
+
+awaitable<bool> Exchange::respond(Response response) {
+  response.keep_alive(beginResponse());
   stream_.expires_after(timeout_);
   const auto [failure, bytes] = co_await beast::http::async_write(stream_, response, kAwait);
   stream_.expires_never();
@@ -152,13 +165,12 @@
 }
 
 awaitable<bool> Exchange::startStream(Response head) {
-  response_started_ = true;
   beast::http::response<beast::http::empty_body> message(head.result(), 11);
   for (const auto& field : head) {
     message.insert(field.name(), field.name_string(), field.value());
   }
   message.erase(Field::content_length);
-  message.keep_alive(keep_alive_);
+  message.keep_alive(beginResponse());
   message.chunked(true);
   beast::http::response_serializer<beast::http::empty_body> serializer(message);
   stream_.expires_after(timeout_);
@@ -329,6 +341,7 @@
 }
 
 void Server::closeIdle() {
+  closing_idle_ = true;
   const std::lock_guard lock(idle_mutex_);
   for (beast::tcp_stream* idle : idle_) {
     asio::post(idle->get_executor(), [this, idle] {
@@ -393,22 +406,31 @@
   }
 }
 
-/// Waits for the first bytes of a request. @return false if the connection was closed, failed or
-/// was idle for too long.
+/// Waits for the first bytes of a request. Once idle connections are closed, only bytes that have
+/// arrived are read. @return false if the connection was closed, failed or was idle for too long.
 awaitable<bool> Server::awaitRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
   constexpr size_t kFirstRead = 4096;
-  {
-    const std::lock_guard lock(idle_mutex_);
-    idle_.insert(&stream);
-  }
-  stream.expires_after(limits_().idle_timeout);
-  const auto [failure, bytes] = co_await stream.async_read_some(buffer.prepare(kFirstRead), kAwait);
-  {
-    const std::lock_guard lock(idle_mutex_);
-    idle_.erase(&stream);
+  while (!closing_idle_ || hasUnreadBytes(stream)) {
+    {
+      const std::lock_guard lock(idle_mutex_);
+      idle_.insert(&stream);
+    }
+    stream.expires_after(limits_().idle_timeout);
+    const auto [failure, bytes] =
+        co_await stream.async_read_some(buffer.prepare(kFirstRead), kAwait);
+    {
+      const std::lock_guard lock(idle_mutex_);
+      idle_.erase(&stream);
+    }
+    buffer.commit(bytes);
+    if (!failure) {
+      co_return true;
+    }
+    if (failure != asio::error::operation_aborted) {
+      co_return false;
+    }
   }
-  buffer.commit(bytes);
-  co_return !failure;
+  co_return false;
 }
 
 awaitable<void> Server::serveRequests(beast::tcp_stream& stream) {
@@ -452,7 +474,9 @@
       co_await reject(stream, Status::bad_request, "the Host header is missing");
       co_return;
     }
-    const bool keep_alive = parser.get().keep_alive() && !closing_;
+    const auto keep_alive = [this, &stream, &buffer, wanted = parser.get().keep_alive()] {
+      return wanted && (!closing_ || buffer.size() > 0 || hasUnreadBytes(stream));
+    };
     Exchange exchange(stream, parser.release(), limits.read_timeout, keep_alive);
     auto monitor = std::make_shared<DisconnectMonitor>(&exchange);
     monitor->start(stream.socket());
--- a/src/adapters/http/http_server.h
+++ b/src/adapters/http/http_server.h
@@ -37,8 +37,9 @@
 /// One request and its response. Used only on the worker of its connection.
 class Exchange {
 public:
+  /// @param keep_alive called when the response begins: whether the connection stays open after it.
   Exchange(boost::beast::tcp_stream& stream, Request request, std::chrono::milliseconds timeout,
-           bool keep_alive);
+           std::function<bool()> keep_alive);
 
   const Request& request() const { return request_; }
   std::string_view target() const { return viewOf(request_.target()); }
@@ -77,9 +78,10 @@
   bool isWritable() const { return !broken_; }
   /// Whether a response was started, or is no longer possible since the connection was closed.
   bool responseStarted() const { return response_started_; }
+  /// Whether the connection stays open. Valid once the response has begun.
   bool keepAlive() const { return keep_alive_ && !broken_; }
   /// Closes the connection after this response.
-  void closeAfterResponse() { keep_alive_ = false; }
+  void closeAfterResponse() { close_after_response_ = true; }
   /// Resets the connection (RST) at once. Bytes that the client has not received may be lost.
   void abort();
   /// Stops a streamed response. The connection is closed when the handler returns, without the end
@@ -99,12 +101,16 @@
   boost::beast::tcp_stream& stream_;
   Request request_;
   std::chrono::milliseconds timeout_;
-  bool keep_alive_;
+  std::function<bool()> may_keep_alive_;
+  bool close_after_response_ = false;
+  bool keep_alive_ = false;
   bool response_started_ = false;
   bool broken_ = false;
   bool client_disconnected_ = false;
   std::function<void()> disconnect_hook_;
 
+  /// Decides whether the connection stays open after the response that begins.
+  bool beginResponse();
   awaitable<void> writeBacklog();
   void notifyBufferedBytesChange();
 
@@ -146,12 +152,12 @@
   /// chooses the port.
   Result<std::string> listen(const std::string& address);
 
-  /// Stops accepting connections. Requests in progress continue. Open connections are closed after
-  /// the response to their next request.
+  /// Stops accepting connections. Requests in progress continue.
+  /// Open connections are closed as after `closeConnections`.
   void stopAccepting();
-  /// Closes idle connections.
+  /// Closes idle connections, from now on also those that become idle.
   void closeIdle();
-  /// From now on connections are closed after the response to their next request.
+  /// From now on connections are closed after a response, unless their next request has arrived.
   void closeConnections() { closing_ = true; }
 
   /// Number of requests of which bytes have arrived and whose response is not written yet.
@@ -171,6 +177,7 @@
   const ErrorResponder error_responder_;
   std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
   std::atomic<bool> closing_{false};
+  std::atomic<bool> closing_idle_{false};
   /// Shared with the connections, which the workers may destroy after this server.
   const std::shared_ptr<std::atomic<size_t>> in_progress_ =
       std::make_shared<std::atomic<size_t>>(0);
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -298,6 +298,7 @@
   co_await stop_timer_.async_wait(kAwait);
   // Operators whose calls are refused retry at another replica immediately.
   replica_.end();
+  operator_server_.closeIdle();
   const int64_t until_ms = clock_.monotonicMs() + kAnswerTimeout.count();
   while (operator_server_.requestsInProgress() > 0 && clock_.monotonicMs() < until_ms) {
     stop_timer_.expires_after(kAnswerPoll);
--- a/src/daemon/group/redirect_role.cc
+++ b/src/daemon/group/redirect_role.cc
@@ -76,6 +76,7 @@
 
 void RedirectRole::stop(std::function<void()> stopped) {
   operator_server_.stopAccepting();
+  operator_server_.closeIdle();
   asio::co_spawn(context_, finish(std::move(stopped)), asio::detached);
 }
 
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -208,9 +208,6 @@
 
 http::awaitable<void> RelayRole::serve(http::Exchange& exchange,
                                        std::optional<ForwardOrigin> origin) {
-  if (state_.stopping) {
-    exchange.closeAfterResponse();
-  }
   const int64_t received_ms = clock_.monotonicMs();
   const int64_t wait_ms = leaseWaitMs(exchange.request(), state_, received_ms);
   if (wait_ms > 0) {
--- a/tests/unit/adapters/http_server_stop_test.cc
+++ b/tests/unit/adapters/http_server_stop_test.cc
@@ -137,4 +137,43 @@
   CHECK(soon([&] { return holding.server().requestsInProgress() == 0; }));
 }
 
+TEST_CASE("a response that becomes ready after the stop began says that its connection closes") {
+  HoldingServer holding;
+  auto socket = holding.connect();
+  send(socket, kHeld);
+  REQUIRE(soon([&] { return holding.server().requestsInProgress() == 1; }));
+  std::this_thread::sleep_for(milliseconds(20));
+  holding.server().closeConnections();
+  holding.release();
+  CHECK(countOf(readAll(socket), "Connection: close") == 1);
+}
+
+TEST_CASE("a pipelined request that arrives before the last response of a stop is answered") {
+  HoldingServer holding;
+  auto socket = holding.connect();
+  holding.server().closeConnections();
+  send(socket, kHeld + kGet);
+  REQUIRE(soon([&] { return holding.server().requestsInProgress() == 1; }));
+  std::this_thread::sleep_for(milliseconds(20));
+  holding.release();
+  const std::string received = readAll(socket);
+  CHECK(countOf(received, "200 OK") == 2);
+  CHECK(countOf(received, "Connection: close") == 1);
+}
+
+TEST_CASE("a connection that becomes idle after the idle ones were closed is closed too") {
+  HoldingServer holding;
+  auto socket = holding.connect();
+  send(socket, "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n");
+  std::string head;
+  asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n");
+  holding.server().stopAccepting();
+  holding.server().closeIdle();
+  std::this_thread::sleep_for(milliseconds(20));
+  const auto begin = std::chrono::steady_clock::now();
+  holding.release();
+  readAll(socket);
+  CHECK(std::chrono::steady_clock::now() - begin < milliseconds(2000));
+}
+
 } // namespace workshatch::test
