A server that stops accepting first accepts what waits in its backlog

Callers who had connected and sent a whole request, and whom the server had not accepted yet, saw a reset: closing the listening socket resets the connections in its backlog. An accepted connection was dropped too if the socket had been closed meanwhile.

The same server serves operators and forwarded requests.

--- a/src/adapters/http/http_server.cc
+++ b/src/adapters/http/http_server.cc
@@ -303,7 +303,14 @@
     : Server(
           workers, [limits] { return limits; }, std::move(handler), std::move(error_responder)) {}
 
-Server::~Server() { stopAccepting(); }
+Server::~Server() {
+  if (acceptor_) {
+    asio::post(workers_.context(0), [acceptor = acceptor_] {
+      beast::error_code ignored;
+      acceptor->close(ignored);
+    });
+  }
+}
 
 Result<std::string> Server::listen(const std::string& address) {
   const auto endpoint = parseEndpoint(address);
@@ -333,9 +340,19 @@
 void Server::stopAccepting() {
   closing_ = true;
   if (acceptor_) {
-    asio::post(workers_.context(0), [acceptor = acceptor_] {
-      beast::error_code ignored;
-      acceptor->close(ignored);
+    asio::post(workers_.context(0), [this, acceptor = acceptor_] {
+      beast::error_code failure;
+      acceptor->non_blocking(true, failure);
+      while (!failure) {
+        asio::io_context& worker = workers_.context(workers_.next());
+        tcp::socket socket(worker);
+        acceptor->accept(socket, failure);
+        if (!failure) {
+          ++stats_.connections;
+          asio::co_spawn(worker, serve(std::move(socket)), asio::detached);
+        }
+      }
+      acceptor->close(failure);
     });
   }
 }
@@ -358,7 +375,7 @@
   while (acceptor->is_open()) {
     asio::io_context& worker = workers_.context(workers_.next());
     auto [failure, socket] = co_await acceptor->async_accept(worker, kAwait);
-    if (failure == asio::error::operation_aborted || !acceptor->is_open()) {
+    if (failure == asio::error::operation_aborted) {
       co_return;
     }
     if (!failure) {
--- a/src/adapters/http/http_server.h
+++ b/src/adapters/http/http_server.h
@@ -152,7 +152,7 @@
   /// chooses the port.
   Result<std::string> listen(const std::string& address);
 
-  /// Stops accepting connections. Requests in progress continue.
+  /// Accepts the connections that wait in the backlog, then no more. Requests in progress continue.
   /// Open connections are closed as after `closeConnections`.
   void stopAccepting();
   /// Closes idle connections, from now on also those that become idle.
--- a/tests/unit/adapters/http_server_stop_test.cc
+++ b/tests/unit/adapters/http_server_stop_test.cc
@@ -176,4 +176,20 @@
   CHECK(std::chrono::steady_clock::now() - begin < milliseconds(2000));
 }
 
+TEST_CASE("connections that wait in the backlog are served when the server stops accepting") {
+  HoldingServer holding;
+  std::promise<void> go_on;
+  asio::post(holding.workers().context(0), [held = go_on.get_future().share()] { held.wait(); });
+  std::vector<asio::ip::tcp::socket> sockets;
+  for (int i = 0; i < 5; ++i) {
+    sockets.push_back(holding.connect());
+    send(sockets.back(), kGet);
+  }
+  holding.server().stopAccepting();
+  go_on.set_value();
+  for (auto& socket : sockets) {
+    CHECK(countOf(readAll(socket), "200 OK") == 1);
+  }
+}
+
 } // namespace workshatch::test
