A response is not lost to bytes that its client sent behind the request

Closing a socket with unread bytes resets the connection, and so does the end of the process.

The server now closes as it did after a refusal: it ends its sending side and reads up to 1 MB for at most 1 s, until the client has closed its side. Such connections are counted, and relays, replicas and the redirect role wait for them before their process ends, within the limits of their stop.

--- a/src/adapters/http/http_server.cc
+++ b/src/adapters/http/http_server.cc
@@ -396,7 +396,7 @@
   } else {
     co_await serveRequests(stream);
   }
-  stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+  co_await closeGracefully(stream);
   --stats_.open_connections;
 }
 
@@ -405,9 +405,15 @@
   response.keep_alive(false);
   stream.expires_after(limits_().read_timeout);
   co_await beast::http::async_write(stream, response, kAwait);
-  // Closing a socket with unread input resets the connection, and the client may lose the response.
-  // So the input is read and discarded, up to a limit in bytes and time.
+}
+
+/// Closes the sending side, then reads until the client has closed its own, up to a limit in bytes
+/// and time. Closing a socket with unread input resets the connection, and the client may lose the
+/// response.
+awaitable<void> Server::closeGracefully(beast::tcp_stream& stream) {
+  const CountedScope closing(connections_closing_);
   beast::error_code ignored;
+  stream.socket().cancel(ignored);
   stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
   constexpr size_t kMaxDiscardedBytes = 1U << 20U;
   char discarded[4096];
--- a/src/adapters/http/http_server.h
+++ b/src/adapters/http/http_server.h
@@ -162,6 +162,9 @@
 
   /// Number of requests of which bytes have arrived and whose response is not written yet.
   size_t requestsInProgress() const { return in_progress_->load(); }
+  /// Number of connections whose last response is written and whose client has not closed its side
+  /// yet. Limited in time for each connection.
+  size_t connectionsClosing() const { return connections_closing_->load(); }
   const ServerStats& stats() const { return stats_; }
 
 private:
@@ -170,6 +173,7 @@
   awaitable<void> serveRequests(boost::beast::tcp_stream& stream);
   awaitable<bool> awaitRequest(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer);
   awaitable<void> reject(boost::beast::tcp_stream& stream, Status status, std::string reason);
+  awaitable<void> closeGracefully(boost::beast::tcp_stream& stream);
 
   WorkerPool& workers_;
   const LimitsSource limits_;
@@ -181,6 +185,8 @@
   /// Shared with the connections, which the workers may destroy after this server.
   const std::shared_ptr<std::atomic<size_t>> in_progress_ =
       std::make_shared<std::atomic<size_t>>(0);
+  const std::shared_ptr<std::atomic<size_t>> connections_closing_ =
+      std::make_shared<std::atomic<size_t>>(0);
   ServerStats stats_;
   std::mutex idle_mutex_;
   /// Connections between requests; guarded by idle_mutex_.
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -300,7 +300,8 @@
   replica_.end();
   operator_server_.closeIdle();
   const int64_t until_ms = clock_.monotonicMs() + kAnswerTimeout.count();
-  while (operator_server_.requestsInProgress() > 0 && clock_.monotonicMs() < until_ms) {
+  while (operator_server_.requestsInProgress() + operator_server_.connectionsClosing() > 0 &&
+         clock_.monotonicMs() < until_ms) {
     stop_timer_.expires_after(kAnswerPoll);
     co_await stop_timer_.async_wait(kAwait);
   }
--- a/src/daemon/group/redirect_role.cc
+++ b/src/daemon/group/redirect_role.cc
@@ -86,7 +86,8 @@
   do {
     stop_timer_.expires_after(kAnswerPoll);
     co_await stop_timer_.async_wait(kAwait);
-  } while (operator_server_.requestsInProgress() > 0 && std::chrono::steady_clock::now() < until);
+  } while (operator_server_.requestsInProgress() + operator_server_.connectionsClosing() > 0 &&
+           std::chrono::steady_clock::now() < until);
   stopped();
 }
 
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -392,12 +392,15 @@
   const auto requestsInProgress = [this] {
     return caller_server_.requestsInProgress() + forward_server_.requestsInProgress();
   };
+  const auto connectionsClosing = [this] {
+    return caller_server_.connectionsClosing() + forward_server_.connectionsClosing();
+  };
   // The servers first accept what waits in their backlogs.
   timer.expires_after(kHousekeepingPeriod);
   co_await timer.async_wait(kAwait);
   const auto last =
       begin + static_cast<int64_t>(kStopFraction * static_cast<double>(settings_.bounds.stop_ms));
-  while (requestsInProgress() > 0 && clock_.monotonicMs() < last) {
+  while (requestsInProgress() + connectionsClosing() > 0 && clock_.monotonicMs() < last) {
     timer.expires_after(kHousekeepingPeriod);
     co_await timer.async_wait(kAwait);
   }
--- a/tests/unit/adapters/http_server_stop_test.cc
+++ b/tests/unit/adapters/http_server_stop_test.cc
@@ -192,4 +192,20 @@
   }
 }
 
+TEST_CASE("the end of a response is not lost to bytes that the client sent behind its request") {
+  HoldingServer holding;
+  auto socket = holding.connect();
+  send(socket, "GET /large HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" +
+                   std::string(size_t{256} * 1024, 'x'));
+  std::string received(kLargeBytes / 4, ' ');
+  asio::read(socket, asio::buffer(received));
+  // The rest is in the buffers of both sides, so that the server has written all.
+  asio::socket_base::receive_buffer_size size(static_cast<int>(kLargeBytes));
+  socket.set_option(size);
+  std::this_thread::sleep_for(milliseconds(200));
+  received += readAll(socket);
+  CHECK(countOf(received.substr(0, 200), "200 OK") == 1);
+  CHECK(received.size() > kLargeBytes);
+}
+
 } // namespace workshatch::test
