The bodies of requests have one budget of memory for the process; what exceeds it is refused at its head

What callers saw: a relay that many large bodies reach at once takes several times the memory that its process may have. A process that is killed for memory ends each request that it had read without an answer.

Cause: each body was bounded (maxBodyBytes) and each server's connections were, their product was not; and a body is held twice while the request is sent on. Class: a limit for each caller without one for all.

While it is used up, a request is refused at its head with 503 no_memory and Retry-After (it has not run; a relay that forwarded it tries another one). The rest of its body is read and discarded, up to the time that a body may take, so that the answer is not reset away; one buffer for each worker serves all of them. Line bodies_refused (at most once a second) and gauges relay_body_bytes, relay_body_peak_bytes and relay_bodies_refused.

Tests: "bodies that exceed the memory of the process are refused at the head, small ones served" and "a chunked body that grows past the memory of the process is refused" fail without the limit (40 of 40 served; 200 instead of 503).

--- a/src/adapters/http/http_server.cc
+++ b/src/adapters/http/http_server.cc
@@ -1,7 +1,10 @@
 #include "adapters/http/http_server.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 #include <iterator>
+#include <optional>
 #include <sys/socket.h>
 #include <utility>
 
@@ -70,6 +73,8 @@
     });
   }
 
+  bool expired() const { return state_->expired; }
+
   /// Stops the timer. @return whether the deadline had expired.
   bool finish() {
     state_->finished = true;
@@ -108,6 +113,83 @@
   return !failure && bytes > 0;
 }
 
+using RequestParser = beast::http::request_parser<beast::http::string_body>;
+
+enum class ReadResult { Complete, Failed, NoMemory };
+
+/// Reads one request, and reserves the memory for its body before it is read: twice the capacity of
+/// the body, since the body is held a second time while the request is sent on.
+class RequestRead {
+public:
+  /// @param reservation null: the memory is not limited
+  RequestRead(beast::tcp_stream& stream, beast::flat_buffer& buffer, RequestParser& parser,
+              limits::BodyBudget::Reservation* reservation)
+      : stream_(stream), buffer_(buffer), parser_(parser), reservation_(reservation) {}
+
+  /// @param deadline after it has expired nothing more is read
+  awaitable<ReadResult> run(const ReadDeadline& deadline) {
+    const auto [header_failure, header_bytes] =
+        co_await beast::http::async_read_header(stream_, buffer_, parser_, kAwait);
+    failure_ = header_failure;
+    if (!failure_ && reservation_ != nullptr && parser_.chunked()) {
+      co_return co_await readChunked(deadline);
+    }
+    if (!failure_ && !reserve(parser_.content_length().value_or(0))) {
+      co_return ReadResult::NoMemory;
+    }
+    if (!failure_ && !parser_.is_done()) {
+      const auto [body_failure, body_bytes] =
+          co_await beast::http::async_read(stream_, buffer_, parser_, kAwait);
+      failure_ = body_failure;
+    }
+    co_return failure_ ? ReadResult::Failed : ReadResult::Complete;
+  }
+
+  /// Valid after the result `Failed`.
+  beast::error_code failure() const { return failure_; }
+
+private:
+  bool reserve(uint64_t capacity) {
+    constexpr uint64_t kCopies = 2;
+    return reservation_ == nullptr || reservation_->growTo(kCopies * capacity);
+  }
+
+  awaitable<ReadResult> readChunked(const ReadDeadline& deadline) {
+    parser_.eager(true);
+    while (!failure_ && !parser_.is_done() && !deadline.expired()) {
+      if (!makeRoom()) {
+        co_return ReadResult::NoMemory;
+      }
+      const auto [failure, bytes] =
+          co_await beast::http::async_read_some(stream_, buffer_, parser_, kAwait);
+      failure_ = failure;
+    }
+    co_return failure_ || !parser_.is_done() ? ReadResult::Failed : ReadResult::Complete;
+  }
+
+  /// Doubles the capacity of the body if the next read could exceed it.
+  /// @return false if there is no memory for that.
+  bool makeRoom() {
+    constexpr size_t kReadBytes = size_t{16} * 1024;
+    std::string& body = parser_.get().body();
+    if (body.capacity() - body.size() >= kReadBytes) {
+      return true;
+    }
+    const size_t capacity = std::max(2 * body.capacity(), body.size() + kReadBytes);
+    if (!reserve(capacity)) {
+      return false;
+    }
+    body.reserve(capacity);
+    return true;
+  }
+
+  beast::tcp_stream& stream_;
+  beast::flat_buffer& buffer_;
+  RequestParser& parser_;
+  limits::BodyBudget::Reservation* reservation_;
+  beast::error_code failure_;
+};
+
 Status statusOfReadFailure(beast::error_code failure) {
   if (failure == beast::http::error::body_limit) {
     return Status::payload_too_large;
@@ -390,18 +472,23 @@
   socket.set_option(tcp::no_delay(true), ignored);
   beast::tcp_stream stream(std::move(socket));
   const size_t open = stats_.open_connections.fetch_add(1) + 1;
+  DiscardLimits discard = kDiscardAfterResponse;
   if (open > limits_().connections) {
     ++stats_.refused_connections;
     co_await reject(stream, Status::service_unavailable, "max_connections is reached");
   } else {
-    co_await serveRequests(stream);
+    discard = co_await serveRequests(stream);
   }
-  co_await closeGracefully(stream);
+  co_await closeGracefully(stream, discard);
   --stats_.open_connections;
 }
 
 awaitable<void> Server::reject(beast::tcp_stream& stream, Status status, std::string reason) {
   Response response = error_responder_(status, reason);
+  co_await rejectWith(stream, std::move(response));
+}
+
+awaitable<void> Server::rejectWith(beast::tcp_stream& stream, Response response) {
   response.keep_alive(false);
   stream.expires_after(limits_().read_timeout);
   co_await beast::http::async_write(stream, response, kAwait);
@@ -410,17 +497,17 @@
 /// Closes the sending side, then reads until the client has closed its own, up to a limit in bytes
 /// and time. Closing a socket with unread input resets the connection, and the client may lose the
 /// response.
-awaitable<void> Server::closeGracefully(beast::tcp_stream& stream) {
+awaitable<void> Server::closeGracefully(beast::tcp_stream& stream, DiscardLimits discard) {
   const CountedScope closing(connections_closing_);
   beast::error_code ignored;
   stream.socket().cancel(ignored);
   stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  constexpr size_t kMaxDiscardedBytes = 1U << 20U;
-  char discarded[4096];
-  size_t total = 0;
-  constexpr std::chrono::seconds kLinger{1};
-  stream.expires_after(kLinger);
-  while (total < kMaxDiscardedBytes) {
+  // One buffer for all connections of the worker: nobody reads it, and many connections may be
+  // discarding at once.
+  static thread_local std::array<char, size_t{64} * 1024> discarded;
+  uint64_t total = 0;
+  stream.expires_after(discard.time);
+  while (total < discard.bytes) {
     const auto [failure, bytes] = co_await stream.async_read_some(asio::buffer(discarded), kAwait);
     if (failure) {
       co_return;
@@ -456,7 +543,9 @@
   co_return false;
 }
 
-awaitable<void> Server::serveRequests(beast::tcp_stream& stream) {
+/// Serves requests until the connection is to be closed.
+/// @return the limits of the input to discard before that.
+awaitable<Server::DiscardLimits> Server::serveRequests(beast::tcp_stream& stream) {
   beast::flat_buffer buffer(kMaxUnparsedBytes);
   while (true) {
     if (buffer.size() == 0) {
@@ -464,21 +553,37 @@
       buffer.shrink_to_fit();
       const bool arrived = co_await awaitRequest(stream, buffer);
       if (!arrived) {
-        co_return;
+        co_return kDiscardAfterResponse;
       }
     }
     const CountedScope in_progress(in_progress_);
     const ServerLimits limits = limits_();
-    beast::http::request_parser<beast::http::string_body> parser;
+    RequestParser parser;
     parser.header_limit(limits.header_bytes);
     parser.body_limit(limits.body_bytes);
     stream.expires_never();
     // The timeout of the stream itself would close it, and the client would get no 408 response.
     ReadDeadline deadline(stream, limits.read_timeout);
-    auto [failure, bytes] = co_await beast::http::async_read(stream, buffer, parser, kAwait);
-    if (deadline.finish()) {
+    std::optional<limits::BodyBudget::Reservation> reservation;
+    if (bodies_.budget) {
+      reservation.emplace(bodies_.budget);
+    }
+    RequestRead read(stream, buffer, parser, reservation ? &*reservation : nullptr);
+    const ReadResult result = co_await read.run(deadline);
+    beast::error_code failure = read.failure();
+    if (deadline.finish() && result != ReadResult::NoMemory) {
       failure = beast::error::timeout;
     }
+    if (result == ReadResult::NoMemory) {
+      Response refusal = bodies_.refuse(parser.get());
+      // What has arrived of the body is released before the wait for the rest of it.
+      std::string().swap(parser.get().body());
+      reservation->release();
+      // A client that sends its whole body before it reads must not lose the response.
+      const DiscardLimits discard{.bytes = 2 * limits.body_bytes, .time = limits.read_timeout};
+      co_await rejectWith(stream, std::move(refusal));
+      co_return discard;
+    }
     if (failure) {
       ++stats_.bad_requests;
       const bool gone = failure == beast::http::error::end_of_stream ||
@@ -488,14 +593,14 @@
         const Status status = statusOfReadFailure(failure);
         co_await reject(stream, status, reasonOfReadFailure(status));
       }
-      co_return;
+      co_return kDiscardAfterResponse;
     }
     stream.expires_never();
     const bool host_missing = parser.get().version() >= 11 && parser.get()[Field::host].empty();
     if (host_missing) {
       ++stats_.bad_requests;
       co_await reject(stream, Status::bad_request, "the Host header is missing");
-      co_return;
+      co_return kDiscardAfterResponse;
     }
     const auto keep_alive = [this, &stream, &buffer, wanted = parser.get().keep_alive()] {
       return wanted && (!closing_ || buffer.size() > 0 || hasUnreadBytes(stream));
@@ -507,7 +612,7 @@
     co_await exchange.awaitWrites();
     monitor->detach();
     if (!exchange.keepAlive() || !exchange.responseStarted()) {
-      co_return;
+      co_return kDiscardAfterResponse;
     }
     beast::error_code ignored;
     stream.socket().cancel(ignored);
--- a/src/adapters/http/http_server.h
+++ b/src/adapters/http/http_server.h
@@ -18,6 +18,7 @@
 
 #include "adapters/http/http_types.h"
 #include "adapters/worker_pool.h"
+#include "core/limits/body_budget.h"
 #include "core/result.h"
 
 namespace workshatch::http {
@@ -126,6 +127,14 @@
   boost::asio::steady_timer buffered_bytes_timer_;
 };
 
+/// The memory that bodies may take, and the response to a request for whose body none is left.
+struct BodyAdmission {
+  /// May be shared by several servers. Null: the bodies are not limited in total.
+  std::shared_ptr<limits::BodyBudget> budget;
+  /// Builds the response to a request that has not run, from its head.
+  std::function<Response(const Request& head)> refuse;
+};
+
 /// Counters of one server. Safe for concurrent use.
 struct ServerStats {
   std::atomic<uint64_t> connections{0};
@@ -148,6 +157,9 @@
   Server(WorkerPool& workers, ServerLimits limits, Handler handler, ErrorResponder error_responder);
   ~Server();
 
+  /// Limits the memory that bodies take. Must be called before `listen`.
+  void limitBodies(BodyAdmission admission) { bodies_ = std::move(admission); }
+
   /// Starts to accept connections. @return the bound address; with port zero the operating system
   /// chooses the port.
   Result<std::string> listen(const std::string& address);
@@ -168,17 +180,28 @@
   const ServerStats& stats() const { return stats_; }
 
 private:
+  /// Limits of the input that is discarded after the last response, before the connection is
+  /// closed.
+  struct DiscardLimits {
+    uint64_t bytes = 0;
+    std::chrono::milliseconds time{0};
+  };
+  static constexpr DiscardLimits kDiscardAfterResponse{.bytes = uint64_t{1} << 20U,
+                                                       .time = std::chrono::seconds(1)};
+
   awaitable<void> accept();
   awaitable<void> serve(boost::asio::ip::tcp::socket socket);
-  awaitable<void> serveRequests(boost::beast::tcp_stream& stream);
+  awaitable<DiscardLimits> serveRequests(boost::beast::tcp_stream& stream);
   awaitable<bool> awaitRequest(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer);
   awaitable<void> reject(boost::beast::tcp_stream& stream, Status status, std::string reason);
-  awaitable<void> closeGracefully(boost::beast::tcp_stream& stream);
+  awaitable<void> rejectWith(boost::beast::tcp_stream& stream, Response response);
+  awaitable<void> closeGracefully(boost::beast::tcp_stream& stream, DiscardLimits discard);
 
   WorkerPool& workers_;
   const LimitsSource limits_;
   const Handler handler_;
   const ErrorResponder error_responder_;
+  BodyAdmission bodies_;
   std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
   std::atomic<bool> closing_{false};
   std::atomic<bool> closing_idle_{false};
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -151,6 +151,12 @@
   metrics::exposeGauge(out, "relay_incomplete_answer_bytes",
                        "held of responses that have not arrived completely",
                        static_cast<int64_t>(state_.incomplete_answers->bufferedBytes()));
+  metrics::exposeGauge(out, "relay_body_bytes", "reserved for the bodies of requests",
+                       static_cast<int64_t>(state_.bodies->heldBytes()));
+  metrics::exposeGauge(out, "relay_body_peak_bytes", "most bytes reserved at once",
+                       static_cast<int64_t>(state_.bodies->peakBytes()));
+  metrics::exposeGauge(out, "relay_bodies_refused", "reservations that the budget refused",
+                       static_cast<int64_t>(state_.bodies->refusals()));
   metrics::exposeGauge(out, "relay_read_ahead_bytes", "held for callers that read slowly",
                        static_cast<int64_t>(state_.read_ahead.bufferedBytes()));
   metrics::exposeGauge(out, "relay_readers_cut", "callers cut since others needed the memory",
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -43,6 +43,11 @@
 /// Fraction of the time limit of a planned stop after which requests in progress are abandoned.
 constexpr double kStopFraction = 0.93;
 
+/// Delay after which a caller may repeat a request that was refused for lack of memory: about the
+/// time in which large bodies that are being served are sent on.
+constexpr uint32_t kRetryWithoutMemoryMs = 1000;
+constexpr int64_t kBodyRefusalLogPeriodMs = 1000;
+
 /// @return a random number in [0, 1).
 double randomFraction(Random& random) {
   constexpr uint64_t kSteps = uint64_t{1} << 20U;
@@ -97,7 +102,16 @@
       metrics_server_(
           workers, smallLimits(),
           [this](http::Exchange& exchange) { return handleMetrics(exchange); }, refuseBadRequest),
-      lease_wait_(context_), housekeeping_(context_), log_flusher_(context_) {}
+      lease_wait_(context_), housekeeping_(context_), log_flusher_(context_) {
+  const auto admissionOf = [this](bool forwarded) {
+    return http::BodyAdmission{.budget = state_.bodies,
+                               .refuse = [this, forwarded](const http::Request& head) {
+                                 return refuseBody(head, forwarded);
+                               }};
+  };
+  caller_server_.limitBodies(admissionOf(false));
+  forward_server_.limitBodies(admissionOf(true));
+}
 
 Result<std::monostate> RelayRole::start() {
   struct Listener {
@@ -162,6 +176,39 @@
   return limits;
 }
 
+/// @return the refusal of a request for whose body there is no memory left. It has not run.
+http::Response RelayRole::refuseBody(const http::Request& head, bool forwarded) {
+  const std::string& id_header = adapters_.dialect.headers().request_id;
+  const std::string id = http::fieldOf(head, id_header).value_or("");
+  ++state_.stats.outcomes[std::string(kNoMemoryCode)];
+  http::Response response = http::makeProblem(
+      http::Problem{.status = http::Status::service_unavailable,
+                    .code = std::string(kNoMemoryCode),
+                    .detail = "this relay has no memory left for the body of the request",
+                    .request_id = id});
+  response.set(http::Field::retry_after, adapters_.dialect.retryAfter(kRetryWithoutMemoryMs));
+  if (forwarded) {
+    http::setHeader(response, id_header, id);
+    setPeerRefusal(response, std::string(kNoMemoryCode), {});
+  }
+  return response;
+}
+
+/// Logs the bodies that were refused since the last line, at most once in each period.
+void RelayRole::logBodyRefusals() {
+  const uint64_t refusals = state_.bodies->refusals();
+  const int64_t now_ms = clock_.monotonicMs();
+  if (refusals == logged_body_refusals_ ||
+      now_ms - body_refusals_logged_ms_ < kBodyRefusalLogPeriodMs) {
+    return;
+  }
+  line_log::write("bodies_refused", {{"refused", refusals - logged_body_refusals_},
+                                     {"held_bytes", state_.bodies->heldBytes()},
+                                     {"peak_bytes", state_.bodies->peakBytes()}});
+  logged_body_refusals_ = refusals;
+  body_refusals_logged_ms_ = now_ms;
+}
+
 std::string RelayRole::forwardAddress() const {
   return settings_.policy.peer_forwarding
              ? withPort(settings_.caller_address, settings_.forward_port)
@@ -345,6 +392,7 @@
 
 void RelayRole::housekeep() {
   checkForSuspension();
+  logBodyRefusals();
   state_.connections.dropExpired();
   if (state_.path_prober) {
     const int64_t now_ms = clock_.monotonicMs();
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -47,6 +47,8 @@
   http::awaitable<void> handle(http::Exchange& exchange);
   http::awaitable<void> handleForwarded(http::Exchange& exchange);
   http::awaitable<void> serve(http::Exchange& exchange, std::optional<ForwardOrigin> origin);
+  http::Response refuseBody(const http::Request& head, bool forwarded);
+  void logBodyRefusals();
   void onPathChange(const std::string& service, bool lost);
   void onRunnerEnded(uint64_t runner);
   std::string forwardAddress() const;
@@ -106,6 +108,9 @@
   int64_t last_housekeeping_ms_ = 0;
   /// When this relay last read the list of runners from the platform itself.
   int64_t own_list_read_ms_ = 0;
+  /// Refusals of bodies that stood in the log, and when they were logged last.
+  uint64_t logged_body_refusals_ = 0;
+  int64_t body_refusals_logged_ms_ = 0;
   http::Server caller_server_;
   /// Takes the requests that other relays forward.
   http::Server forward_server_;
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -10,6 +10,7 @@
 #include "adapters/address_overrides.h"
 #include "adapters/http/runner_connection.h"
 #include "adapters/settings/relay_settings.h"
+#include "core/limits/body_budget.h"
 #include "core/relay/peer_relays.h"
 #include "core/relay/quarantine.h"
 #include "core/relay/read_ahead_budget.h"
@@ -107,6 +108,9 @@
   std::set<ActiveRequest*> active_requests;
   relay::RequestQueues queue{kMaxQueuedRequests};
   relay::ReadAheadBudget read_ahead;
+  /// The memory for the bodies of callers' and of forwarded requests.
+  const std::shared_ptr<limits::BodyBudget> bodies =
+      std::make_shared<limits::BodyBudget>(limits::BodyBudgetLimits{});
   /// Counts what is held of responses that have not arrived completely.
   const std::shared_ptr<relay::ReadAheadBudget> incomplete_answers =
       std::make_shared<relay::ReadAheadBudget>(
--- a/src/daemon/relay/request_format.cc
+++ b/src/daemon/relay/request_format.cc
@@ -24,10 +24,10 @@
 constexpr char kAddressSeparator = ',';
 /// Codes of refusals whose reason lies in the relay that refused; another one may serve the
 /// request.
-constexpr std::array<std::string_view, 9> kPeerCodes = {
-    "stopping",        "no_lease",  "no_configuration",     "older_configuration",
-    "all_backing_off", "no_runner", "no_runner_of_version", "stream_version_unknown",
-    kNoPathCode};
+constexpr std::array<std::string_view, 10> kPeerCodes = {
+    "stopping",        "no_lease",   "no_configuration",     "older_configuration",
+    "all_backing_off", "no_runner",  "no_runner_of_version", "stream_version_unknown",
+    kNoPathCode,       kNoMemoryCode};
 
 bool sameName(std::string_view left, std::string_view right) {
   return boost::beast::iequals(boost::beast::string_view(left.data(), left.size()),
--- a/src/daemon/relay/request_format.h
+++ b/src/daemon/relay/request_format.h
@@ -17,6 +17,8 @@
 
 /// Code of refusals of a relay that has no network path to the runners of a service.
 inline constexpr std::string_view kNoPathCode = "no_path";
+/// Code of refusals of a relay that has no memory left for the body of the request.
+inline constexpr std::string_view kNoMemoryCode = "no_memory";
 
 /// Header values that differ between the attempts of one request.
 struct AttemptHeaders {
--- a/tests/unit/adapters/http_server_test.cc
+++ b/tests/unit/adapters/http_server_test.cc
@@ -13,6 +13,7 @@
 #include "adapters/http/http_server.h"
 #include "adapters/http/problem.h"
 #include "adapters/system_clock.h"
+#include "unit/wait_until.h"
 
 namespace workshatch::test {
 
@@ -20,6 +21,29 @@
 
 namespace asio = boost::asio;
 
+http::awaitable<void> answerOk(http::Exchange& exchange) {
+  exchange.closeAfterResponse();
+  http::Response response = http::makeResponse(http::Status::ok, "text/plain", "ok");
+  co_await exchange.respond(std::move(response));
+}
+
+http::Response refuse(http::Status status, const std::string& reason) {
+  return http::makeProblem(
+      http::Problem{.status = status, .code = "bad-request", .detail = reason});
+}
+
+/// Sends raw bytes. @return the status line of the response.
+std::string statusLineOf(const std::string& address, const std::string& bytes) {
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.connect(*http::parseEndpoint(address));
+  boost::system::error_code failure;
+  asio::write(socket, asio::buffer(bytes), failure);
+  std::string response;
+  asio::read(socket, asio::dynamic_buffer(response), failure);
+  return response.substr(0, response.find("\r\n"));
+}
+
 /// A server with small limits that answers "ok".
 class SmallServer {
 public:
@@ -33,17 +57,7 @@
 
   const std::string& address() const { return address_; }
 
-  /// Sends raw bytes and returns the status line of the response.
-  std::string send(const std::string& bytes) const {
-    asio::io_context context;
-    asio::ip::tcp::socket socket(context);
-    socket.connect(*http::parseEndpoint(address_));
-    boost::system::error_code failure;
-    asio::write(socket, asio::buffer(bytes), failure);
-    std::string response;
-    asio::read(socket, asio::dynamic_buffer(response), failure);
-    return response.substr(0, response.find("\r\n"));
-  }
+  std::string send(const std::string& bytes) const { return statusLineOf(address_, bytes); }
 
 private:
   static http::ServerLimits limits() {
@@ -53,21 +67,80 @@
     limits.read_timeout = std::chrono::milliseconds(150);
     return limits;
   }
-  static http::awaitable<void> answerOk(http::Exchange& exchange) {
-    exchange.closeAfterResponse();
-    http::Response response = http::makeResponse(http::Status::ok, "text/plain", "ok");
-    co_await exchange.respond(std::move(response));
+
+  WorkerPool workers_{1};
+  http::Server server_;
+  std::string address_;
+};
+
+/// A server that answers "ok" and has a limit on the memory that bodies take.
+class BudgetServer {
+public:
+  /// Enough for three bodies of 1 MiB and for small ones beside them.
+  static constexpr limits::BodyBudgetLimits kLimits{.process_bytes = size_t{8} << 20U,
+                                                    .reserved_bytes = size_t{1} << 20U,
+                                                    .small_bytes = size_t{64} << 10U};
+
+  BudgetServer() : server_(workers_, serverLimits(), &answerOk, &refuse) {
+    server_.limitBodies({.budget = budget_, .refuse = [](const http::Request& head) {
+                           CHECK(head[http::Field::host] == "a");
+                           return http::makeProblem(
+                               http::Problem{.status = http::Status::service_unavailable,
+                                             .code = "no_memory",
+                                             .retry_after_ms = 1000});
+                         }});
+    address_ = std::get<std::string>(server_.listen("127.0.0.1:0"));
+    workers_.start();
   }
-  static http::Response refuse(http::Status status, const std::string& reason) {
-    return http::makeProblem(
-        http::Problem{.status = status, .code = "bad-request", .detail = reason});
+  ~BudgetServer() { workers_.stop(); }
+  BudgetServer(const BudgetServer&) = delete;
+  BudgetServer& operator=(const BudgetServer&) = delete;
+
+  const std::string& address() const { return address_; }
+  const limits::BodyBudget& budget() const { return *budget_; }
+  std::string send(const std::string& bytes) const { return statusLineOf(address_, bytes); }
+
+private:
+  static http::ServerLimits serverLimits() {
+    http::ServerLimits limits;
+    limits.body_bytes = size_t{16} << 20U;
+    return limits;
   }
 
+  const std::shared_ptr<limits::BodyBudget> budget_ = std::make_shared<limits::BodyBudget>(kLimits);
   WorkerPool workers_{1};
   http::Server server_;
   std::string address_;
 };
 
+/// A request whose head and first half of the body were sent.
+class HalfSent {
+public:
+  HalfSent(const std::string& address, size_t body_bytes) : rest_(body_bytes / 2, 'x') {
+    socket_.connect(*http::parseEndpoint(address));
+    const std::string head =
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(2 * rest_.size()) +
+        "\r\n\r\n";
+    asio::write(socket_, asio::buffer(head + rest_));
+  }
+
+  /// Sends the rest of the body. @return the response; without its end if the connection was reset.
+  std::string finish() {
+    boost::system::error_code failure;
+    asio::write(socket_, asio::buffer(rest_), failure);
+    CHECK(!failure);
+    std::string response;
+    asio::read(socket_, asio::dynamic_buffer(response), failure);
+    CHECK(failure == asio::error::eof);
+    return response;
+  }
+
+private:
+  const std::string rest_;
+  asio::io_context context_;
+  asio::ip::tcp::socket socket_{context_};
+};
+
 } // namespace
 
 TEST_CASE("requests that are too large, too slow or malformed get a 4xx while others are served") {
@@ -137,6 +210,50 @@
   CHECK(errors[0].phase == http::CallPhase::Sent);
 }
 
+TEST_CASE(
+    "bodies that exceed the memory of the process are refused at the head, small ones served") {
+  constexpr size_t kBody = size_t{1} << 20U;
+  constexpr size_t kRequests = 40;
+  BudgetServer server;
+  std::vector<std::unique_ptr<HalfSent>> large;
+  for (size_t i = 0; i < kRequests; ++i) {
+    large.push_back(std::make_unique<HalfSent>(server.address(), kBody));
+  }
+  const bool refused_in_time =
+      waitUntil([&server] { return server.budget().refusals() == kRequests - 3; });
+  CHECK(refused_in_time);
+  CHECK(server.budget().peakBytes() <= BudgetServer::kLimits.process_bytes);
+  CHECK(server.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc") ==
+        "HTTP/1.1 200 OK");
+  size_t served = 0;
+  for (const auto& request : large) {
+    const std::string response = request->finish();
+    const bool refused = response.starts_with("HTTP/1.1 503");
+    CHECK((refused || response.starts_with("HTTP/1.1 200")));
+    CHECK(refused == (response.find("Retry-After: 1") != std::string::npos));
+    served += refused ? 0 : 1;
+  }
+  CHECK(served == 3);
+  CHECK(waitUntil([&server] { return server.budget().heldBytes() == 0; }));
+}
+
+TEST_CASE("a chunked body that grows past the memory of the process is refused") {
+  BudgetServer server;
+  const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const auto chunked = [&head](size_t chunks) {
+    std::string bytes = head;
+    for (size_t i = 0; i < chunks; ++i) {
+      bytes += "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+    }
+    return bytes + "0\r\n\r\n";
+  };
+  CHECK(server.send(chunked(0)) == "HTTP/1.1 200 OK");
+  CHECK(server.send(chunked(16)) == "HTTP/1.1 200 OK");
+  CHECK(server.send(chunked(70)) == "HTTP/1.1 503 Service Unavailable");
+  CHECK(server.budget().peakBytes() <= BudgetServer::kLimits.process_bytes);
+  CHECK(waitUntil([&server] { return server.budget().heldBytes() == 0; }));
+}
+
 TEST_CASE("an error response states whether the request was executed and when to retry") {
   const http::Response response =
       http::makeProblem(http::Problem{.status = http::Status::service_unavailable,
