--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -67,10 +67,13 @@
   fi
 done
 
-# Adds the counts in the last line of a report, "N passed, N failed".
-add_counts() { # REPORT
+# The deployed program under troubles of runners and signals, around planned work, and under signals
+# and full disks at its start; the long runs are started by hand.
+run_soak() { # NAME [ARGUMENTS]
+  local report=run/$1-report.txt
+  python3 "platform/tests/soak/$1.py" "${@:2}" 2>&1 | tee "$report"
   local counts
-  counts=$(tail -n 1 "$1")
+  counts=$(tail -n 1 "$report")
   if [[ "$counts" =~ ^([0-9]+)\ passed,\ ([0-9]+)\ failed$ ]]; then
     passed=$((passed + BASH_REMATCH[1]))
     failed=$((failed + BASH_REMATCH[2]))
@@ -79,12 +82,8 @@
     failed=$((failed + 1))
   fi
 }
-
-# The deployed program under troubles of runners and signals; the long run is started by hand.
-python3 platform/tests/soak/run_once_soak.py --seeds 2,3 --seconds 15 2>&1 | tee run/soak-report.txt
-add_counts run/soak-report.txt
-# The deployed program under signals and full disks at its start.
-python3 platform/tests/soak/start_soak.py 2>&1 | tee run/start-soak-report.txt
-add_counts run/start-soak-report.txt
+run_soak run_once_soak --seeds 2,3 --seconds 15
+run_soak planned_work_soak --seeds 2,7 --seconds 8
+run_soak start_soak
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
