Raft messages that contradict the log are ignored and logged, and no longer end the replica

What callers saw: nothing yet that is known.

Cause (class: an invariant of the process tested on what another process sends).

Evidence before, each in a child process of a small driver on the sources of: reply with the leader's last index + 5, append with a gap, append with an entry at a committed index: SIGABRT, three of three, with the lines above.

Line raft_message_ignored, the first from a replica in a term. A leader whose majority is ahead of it no longer hears from a quorum and steps down.

--- a/src/core/raft/raft_node.cc
+++ b/src/core/raft/raft_node.cc
@@ -38,9 +38,12 @@
   }
 }
 
-void RaftNode::step(const v1::RaftMessage& message) {
+bool RaftNode::step(const v1::RaftMessage& message) {
   if (message.to() != id_) {
-    return;
+    return true;
+  }
+  if (contradictsLog(message)) {
+    return false;
   }
   const bool pre_vote = message.type() == v1::RAFT_PRE_VOTE ||
                         (message.type() == v1::RAFT_PRE_VOTE_REPLY && !message.reject());
@@ -75,6 +78,7 @@
   default:
     break;
   }
+  return true;
 }
 
 std::optional<uint64_t> RaftNode::propose(std::string command) {
--- a/src/core/raft/raft_node.h
+++ b/src/core/raft/raft_node.h
@@ -95,7 +95,9 @@
   /// Advances the node's time by one tick.
   void tick();
   /// Processes a message from another replica.
-  void step(const v1::RaftMessage& message);
+  /// @return false if the message contradicts itself or this replica's log, so that its content was
+  /// ignored. A sender that lost a part of its log can send such a message.
+  bool step(const v1::RaftMessage& message);
 
   /// Appends a command if this replica is the leader.
   /// @return the index of the command, or nothing when the replica is not the leader or is
@@ -200,6 +202,7 @@
   /// @return the index up to which the log may match the leader's, after an append at `index` did
   /// not fit.
   uint64_t conflictHint(uint64_t index) const;
+  bool contradictsLog(const v1::RaftMessage& message) const;
   void advanceCommit();
   void commitTo(uint64_t index);
   void startHeartbeatRound();
--- a/src/core/raft/raft_replication.cc
+++ b/src/core/raft/raft_replication.cc
@@ -86,6 +86,25 @@
   send(std::move(message));
 }
 
+/// Whether the entries of an append do not follow the entry that it refers to, or a follower claims
+/// to match entries that this leader does not have.
+bool RaftNode::contradictsLog(const v1::RaftMessage& message) const {
+  if (message.type() == v1::RAFT_APPEND_REPLY) {
+    const bool to_this_leader = role_ == RaftRole::Leader && message.term() == term();
+    return to_this_leader && !message.reject() && message.match_index() > log_.lastIndex();
+  }
+  if (message.type() != v1::RAFT_APPEND) {
+    return false;
+  }
+  uint64_t expected_index = message.log_index();
+  for (const v1::RaftEntry& entry : message.entries()) {
+    if (entry.index() != ++expected_index) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void RaftNode::handleAppend(const v1::RaftMessage& message) {
   v1::RaftMessage reply;
   reply.set_type(v1::RAFT_APPEND_REPLY);
--- a/src/daemon/control/control_calls.cc
+++ b/src/daemon/control/control_calls.cc
@@ -23,7 +23,12 @@
   post([this, batch = std::move(batch)] {
     for (const v1::RaftMessage& message : batch.messages()) {
       sender_addresses_[message.from()] = batch.sender_address();
-      node_->step(message);
+      if (!node_->step(message)) {
+        logging::write(logging::Severity::Error, "raft_message_ignored",
+                       {{"from", message.from()},
+                        {"type", v1::RaftMessageType_Name(message.type())},
+                        {"term", message.term()}});
+      }
     }
   });
 }
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -379,6 +379,26 @@
   founders_.clear();
 }
 
+/// @return false for a snapshot that cannot be restored: it must not replace the state on the disk.
+bool GroupReplica::isReadable(const v1::RaftMessage& message) {
+  return message.type() != v1::RAFT_INSTALL_SNAPSHOT ||
+         relay::GroupState().restore(message.snapshot().state());
+}
+
+/// Logs the first of successive messages from a replica in a term that contradict this one's log.
+void GroupReplica::recordContradiction(const v1::RaftMessage& message) {
+  uint64_t& logged_term = contradictions_[message.from()];
+  if (logged_term == message.term()) {
+    return;
+  }
+  logged_term = message.term();
+  line_log::write("raft_message_ignored", {{"from", message.from()},
+                                           {"type", v1::RaftMessageType_Name(message.type())},
+                                           {"term", message.term()},
+                                           {"match_index", message.match_index()},
+                                           {"last_index", node_->log().lastIndex()}});
+}
+
 void GroupReplica::deliver(const v1::RaftBatch& batch) {
   if (unwritten_ || undecided_) {
     return;
@@ -386,7 +406,9 @@
   catchUpTicks();
   for (const v1::RaftMessage& message : batch.messages()) {
     sender_addresses_[message.from()] = batch.sender_address();
-    node_->step(message);
+    if (!isReadable(message) || !node_->step(message)) {
+      recordContradiction(message);
+    }
   }
   scheduleProcess();
 }
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -204,6 +204,8 @@
                    const v1::RaftMembership& membership);
   bool replaceSilentVoter(v1::RaftMembership membership);
   std::string addressOf(uint64_t member) const;
+  static bool isReadable(const v1::RaftMessage& message);
+  void recordContradiction(const v1::RaftMessage& message);
   bool isSeed(const std::string& address) const;
 
   boost::asio::io_context& context_;
@@ -262,6 +264,8 @@
   v1::LeaveReply leave_reply_;
   /// Addresses of senders of messages by identity, for replicas that are not members yet.
   std::map<uint64_t, std::string> sender_addresses_;
+  /// Last logged term of each replica whose messages contradicted the log.
+  std::map<uint64_t, uint64_t> contradictions_;
   /// Expires with the replica, so that posted work can detect its destruction.
   const std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
--- a/tests/unit/core/raft/raft_replication_test.cc
+++ b/tests/unit/core/raft/raft_replication_test.cc
@@ -172,4 +172,44 @@
   }
 }
 
+// A leader whose disk lost acknowledged entries ended itself at each reply of a sound follower.
+TEST_CASE("a leader goes on when a follower holds committed entries that the leader has lost") {
+  ThreeNodes group;
+  raft::RaftNode& leader = group.elect();
+  v1::RaftMessage reply;
+  reply.set_type(v1::RAFT_APPEND_REPLY);
+  reply.set_from(leader.id() == 1 ? 2 : 1);
+  reply.set_to(leader.id());
+  reply.set_term(leader.term());
+  reply.set_match_index(leader.log().lastIndex() + 5);
+  CHECK_FALSE(leader.step(reply));
+  REQUIRE(leader.propose("after it"));
+  group.deliverAll();
+  CHECK(leader.commitIndex() == leader.log().lastIndex());
+}
+
+// A frame from another process with entries out of order ended the replica.
+TEST_CASE("an append whose entries do not follow one another is ignored") {
+  ThreeNodes group;
+  raft::RaftNode& leader = group.elect();
+  raft::RaftNode& follower = group.at(leader.id() == 1 ? 2 : 1);
+  const uint64_t last = follower.log().lastIndex();
+  v1::RaftMessage append;
+  append.set_type(v1::RAFT_APPEND);
+  append.set_from(leader.id());
+  append.set_to(follower.id());
+  append.set_term(leader.term());
+  append.set_log_index(last);
+  append.set_log_term(follower.log().termAt(last));
+  v1::RaftEntry* entry = append.add_entries();
+  entry->set_term(leader.term());
+  SUBCASE("an entry is missing") { entry->set_index(last + 2); }
+  SUBCASE("it would replace a committed entry") { entry->set_index(1); }
+  CHECK_FALSE(follower.step(append));
+  CHECK(follower.log().lastIndex() == last);
+  REQUIRE(leader.propose("after it"));
+  group.deliverAll();
+  CHECK(follower.log().lastIndex() == last + 1);
+}
+
 } // namespace workshatch::test
--- a/tests/unit/daemon/group/group_replica_test.cc
+++ b/tests/unit/daemon/group/group_replica_test.cc
@@ -293,4 +293,25 @@
   CHECK(counts.accepted == counts.answered + counts.refused);
 }
 
+// The replica ended itself with the unreadable snapshot on its disk, and at each start after that.
+TEST_CASE("A snapshot that cannot be restored is neither stored nor ends the replica") {
+  Group group;
+  startFirst(group);
+  const std::string leader = group.leaderAddress();
+  const std::string follower = leader == "a" ? "b" : "a";
+  v1::RaftBatch batch;
+  batch.set_sender_address(leader);
+  v1::RaftMessage* message = batch.add_messages();
+  message->set_type(v1::RAFT_INSTALL_SNAPSHOT);
+  message->set_from(group.at(leader).id());
+  message->set_to(group.at(follower).id());
+  message->set_term(group.at(leader).term());
+  message->mutable_snapshot()->set_index(1000);
+  message->mutable_snapshot()->set_term(group.at(leader).term());
+  message->mutable_snapshot()->set_state("\xff\xff no message");
+  group.at(follower).deliver(batch);
+  REQUIRE(group.store(2));
+  CHECK(group.runUntil([&] { return group.at(follower).stored().version() == 2; }));
+}
+
 } // namespace workshatch::test
