An exception in a request or a background task is logged, and what follows it is stated

What callers saw: an exception in the coroutine of a request closed its connection without an answer and without a line; `in_progress_` and `open_connections` stayed too high, so that a planned stop waited for its whole limit. The readers of runner lists and the accept loop would have ended for good, unseen. An exception out of a callback ended the process without a line. Accepting spun without a pause while no descriptor was free.

Cause (class: co_spawn with asio::detached drops the exception; WorkerPool has no handler).

Change: adapters/detached_task runs coroutines that nobody awaits and writes task_failed. The HTTP accept loop pauses for 20 ms after a failure, and writes accept_failed once a series.

--- a/src/adapters/http/http_server.cc
+++ b/src/adapters/http/http_server.cc
@@ -3,14 +3,13 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <exception>
 #include <iterator>
 #include <optional>
 #include <sys/socket.h>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -21,6 +20,8 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "adapters/accept_failures.h"
+#include "adapters/detached_task.h"
 #include "adapters/http/read_limits.h"
 
 namespace workshatch::http {
@@ -284,7 +285,7 @@
   backlog_.append(std::begin(size), end).append("\r\n").append(data).append("\r\n");
   notifyBufferedBytesChange();
   if (!std::exchange(writing_, true)) {
-    asio::co_spawn(stream_.get_executor(), writeBacklog(), asio::detached);
+    detached_task::spawn(stream_.get_executor(), "write_response", writeBacklog());
   }
 }
 
@@ -415,7 +416,7 @@
     return Error{"cannot listen on " + address + ": " + failure.message()};
   }
   const auto local = acceptor_->local_endpoint();
-  asio::co_spawn(workers_.context(0), accept(), asio::detached);
+  detached_task::spawnEssential(workers_.context(0).get_executor(), "accept", accept());
   return local.address().to_string() + ":" + std::to_string(local.port());
 }
 
@@ -431,7 +432,7 @@
         acceptor->accept(socket, failure);
         if (!failure) {
           ++stats_.connections;
-          asio::co_spawn(worker, serve(std::move(socket)), asio::detached);
+          detached_task::spawn(worker.get_executor(), "connection", serve(std::move(socket)));
         }
       }
       acceptor->close(failure);
@@ -454,16 +455,22 @@
 
 awaitable<void> Server::accept() {
   const std::shared_ptr<tcp::acceptor> acceptor = acceptor_;
+  AcceptFailures failures("http");
+  asio::steady_timer pause(workers_.context(0));
   while (acceptor->is_open()) {
     asio::io_context& worker = workers_.context(workers_.next());
     auto [failure, socket] = co_await acceptor->async_accept(worker, kAwait);
     if (failure == asio::error::operation_aborted) {
       co_return;
     }
-    if (!failure) {
-      ++stats_.connections;
-      asio::co_spawn(worker, serve(std::move(socket)), asio::detached);
+    if (failure) {
+      pause.expires_after(failures.record(failure));
+      co_await pause.async_wait(kAwait);
+      continue;
     }
+    failures.end();
+    ++stats_.connections;
+    detached_task::spawn(worker.get_executor(), "connection", serve(std::move(socket)));
   }
 }
 
@@ -473,11 +480,20 @@
   beast::tcp_stream stream(std::move(socket));
   const size_t open = stats_.open_connections.fetch_add(1) + 1;
   DiscardLimits discard = kDiscardAfterResponse;
-  if (open > limits_().connections) {
-    ++stats_.refused_connections;
-    co_await reject(stream, Status::service_unavailable, "max_connections is reached");
-  } else {
-    discard = co_await serveRequests(stream);
+  std::exception_ptr failed;
+  try {
+    if (open > limits_().connections) {
+      ++stats_.refused_connections;
+      co_await reject(stream, Status::service_unavailable, "max_connections is reached");
+    } else {
+      discard = co_await serveRequests(stream);
+    }
+  } catch (...) {
+    failed = std::current_exception();
+  }
+  if (failed) {
+    forgetIdle(stream);
+    detached_task::logFailure("connection", failed);
   }
   co_await closeGracefully(stream, discard);
   --stats_.open_connections;
@@ -516,6 +532,11 @@
   }
 }
 
+void Server::forgetIdle(beast::tcp_stream& stream) {
+  const std::lock_guard lock(idle_mutex_);
+  idle_.erase(&stream);
+}
+
 /// Waits for the first bytes of a request. Once idle connections are closed, only bytes that have
 /// arrived are read. @return false if the connection was closed, failed or was idle for too long.
 awaitable<bool> Server::awaitRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
@@ -528,10 +549,7 @@
     stream.expires_after(limits_().idle_timeout);
     const auto [failure, bytes] =
         co_await stream.async_read_some(buffer.prepare(kFirstRead), kAwait);
-    {
-      const std::lock_guard lock(idle_mutex_);
-      idle_.erase(&stream);
-    }
+    forgetIdle(stream);
     buffer.commit(bytes);
     if (!failure) {
       co_return true;
@@ -543,6 +561,29 @@
   co_return false;
 }
 
+/// Runs the handler. If it fails, the client gets 500, or sees that the response is incomplete.
+awaitable<void> Server::runHandler(Exchange& exchange) {
+  std::exception_ptr failure;
+  try {
+    co_await handler_(exchange);
+  } catch (...) {
+    failure = std::current_exception();
+  }
+  if (failure) {
+    detached_task::logFailure("request", failure);
+    exchange.onDisconnect(nullptr);
+    exchange.onBufferedBytesChange(nullptr);
+    exchange.closeAfterResponse();
+    if (exchange.responseStarted()) {
+      exchange.closeIncomplete();
+    } else {
+      Response response = error_responder_(Status::internal_server_error, "internal error");
+      co_await exchange.respond(std::move(response));
+    }
+  }
+  co_await exchange.awaitWrites();
+}
+
 /// Serves requests until the connection is to be closed.
 /// @return the limits of the input to discard before that.
 awaitable<Server::DiscardLimits> Server::serveRequests(beast::tcp_stream& stream) {
@@ -608,8 +649,7 @@
     Exchange exchange(stream, parser.release(), limits.read_timeout, keep_alive);
     auto monitor = std::make_shared<DisconnectMonitor>(&exchange);
     monitor->start(stream.socket());
-    co_await handler_(exchange);
-    co_await exchange.awaitWrites();
+    co_await runHandler(exchange);
     monitor->detach();
     if (!exchange.keepAlive() || !exchange.responseStarted()) {
       co_return kDiscardAfterResponse;
--- a/src/adapters/http/http_server.h
+++ b/src/adapters/http/http_server.h
@@ -192,6 +192,8 @@
   awaitable<void> accept();
   awaitable<void> serve(boost::asio::ip::tcp::socket socket);
   awaitable<DiscardLimits> serveRequests(boost::beast::tcp_stream& stream);
+  awaitable<void> runHandler(Exchange& exchange);
+  void forgetIdle(boost::beast::tcp_stream& stream);
   awaitable<bool> awaitRequest(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer);
   awaitable<void> reject(boost::beast::tcp_stream& stream, Status status, std::string reason);
   awaitable<void> rejectWith(boost::beast::tcp_stream& stream, Response response);
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -5,10 +5,9 @@
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "adapters/detached_task.h"
 #include "adapters/http/problem.h"
 #include "adapters/logging/line_log.h"
 #include "adapters/metrics/text_format.h"
@@ -127,7 +126,8 @@
       return errorOf(metrics_serving);
     }
   }
-  asio::co_spawn(context_, readRunnerLists(), asio::detached);
+  detached_task::spawnLoop(context_.get_executor(), "read_runner_lists",
+                           [this] { return readRunnerLists(); });
   log_flusher_.start();
   return std::monostate{};
 }
@@ -290,7 +290,7 @@
 void GroupRole::stop(std::function<void()> stopped) {
   operator_server_.stopAccepting();
   replica_.leave();
-  asio::co_spawn(context_, finish(std::move(stopped)), asio::detached);
+  detached_task::spawnEssential(context_.get_executor(), "stop", finish(std::move(stopped)));
 }
 
 http::awaitable<void> GroupRole::finish(std::function<void()> stopped) {
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -5,10 +5,9 @@
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "adapters/detached_task.h"
 #include "adapters/http/problem.h"
 #include "adapters/logging/line_log.h"
 #include "core/address_text.h"
@@ -160,7 +159,8 @@
   control_.start();
   log_flusher_.start();
   housekeep();
-  asio::co_spawn(context_, readRunnersWithoutGroup(), asio::detached);
+  detached_task::spawnLoop(context_.get_executor(), "read_runners_without_group",
+                           [this] { return readRunnersWithoutGroup(); });
   return std::monostate{};
 }
 
@@ -422,7 +422,7 @@
 void RelayRole::stop(std::function<void()> stopped) {
   state_.stopping = true;
   control_.renewNow();
-  asio::co_spawn(context_, drain(std::move(stopped)), asio::detached);
+  detached_task::spawnEssential(context_.get_executor(), "stop", drain(std::move(stopped)));
 }
 
 http::awaitable<void> RelayRole::drain(std::function<void()> stopped) {
