--- a/src/adapters/link/framed_link.cc
+++ b/src/adapters/link/framed_link.cc
@@ -182,18 +182,31 @@
     if (failure == asio::error::operation_aborted) {
       return;
     }
-    if (!failure) {
-      on_link_(std::make_shared<FramedLink>(std::move(socket)));
+    if (failure) {
+      retryAccept(failure);
+      return;
     }
+    failures_.end();
+    on_link_(std::make_shared<FramedLink>(std::move(socket)));
     if (acceptor_.is_open()) {
       accept();
     }
   });
 }
 
+void LinkListener::retryAccept(error_code failure) {
+  pause_.expires_after(failures_.record(failure));
+  pause_.async_wait([this](error_code cancelled) {
+    if (!cancelled && acceptor_.is_open()) {
+      accept();
+    }
+  });
+}
+
 void LinkListener::close() {
   error_code ignored;
   acceptor_.close(ignored);
+  pause_.cancel();
 }
 
 struct LinkDialer::Attempt {
--- a/src/adapters/link/framed_link.h
+++ b/src/adapters/link/framed_link.h
@@ -15,6 +15,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "adapters/accept_failures.h"
 #include "core/result.h"
 #include "workshatch/v1/relay.pb.h"
 
@@ -72,7 +73,7 @@
 public:
   using LinkHandler = std::function<void(std::shared_ptr<FramedLink>)>;
 
-  explicit LinkListener(boost::asio::io_context& context) : acceptor_(context) {}
+  explicit LinkListener(boost::asio::io_context& context) : acceptor_(context), pause_(context) {}
 
   /// Starts to accept links.
   /// @param address local address, "ip:port"
@@ -81,8 +82,11 @@
 
 private:
   void accept();
+  void retryAccept(boost::system::error_code failure);
 
   boost::asio::ip::tcp::acceptor acceptor_;
+  AcceptFailures failures_{"link"};
+  boost::asio::steady_timer pause_;
   LinkHandler on_link_;
 };
 
