Operators' bodies have a budget of memory, as callers' have

What callers saw: nothing yet. Calls to the operators' address may have bodies of 16 MB on 1,024 connections, which nobody added up: the same cause as for callers' bodies, a limit for each without one for all. A replica that goes over its memory is killed with all its calls.

A call above it is refused at its head with 503 and Retry-After. The stop of the redirect role runs as an essential task, as the other roles' do.

--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -84,7 +84,9 @@
       metrics_server_(
           workers, smallLimits(),
           [this](http::Exchange& exchange) { return serveMetrics(exchange); }, refuseBadRequest),
-      log_flusher_(context_), stop_timer_(context_) {}
+      log_flusher_(context_), stop_timer_(context_) {
+  operator_server_.limitBodies(operatorBodies());
+}
 
 Result<std::monostate> GroupRole::start() {
   replica_.setHelloSender([this](const std::string& address, v1::ReplicaHello hello) {
--- a/src/daemon/group/redirect_role.cc
+++ b/src/daemon/group/redirect_role.cc
@@ -4,10 +4,9 @@
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "adapters/detached_task.h"
 #include "adapters/http/problem.h"
 #include "adapters/logging/line_log.h"
 #include "daemon/server_limits.h"
@@ -31,7 +30,9 @@
       operator_server_(
           workers, operatorLimits(), [this](http::Exchange& exchange) { return handle(exchange); },
           refuseBadRequest),
-      log_flusher_(workers.context(0)) {}
+      log_flusher_(workers.context(0)) {
+  operator_server_.limitBodies(operatorBodies());
+}
 
 Result<std::monostate> RedirectRole::start() {
   auto serving = operator_server_.listen(settings_.operator_address);
@@ -77,7 +78,7 @@
 void RedirectRole::stop(std::function<void()> stopped) {
   operator_server_.stopAccepting();
   operator_server_.closeIdle();
-  asio::co_spawn(context_, finish(std::move(stopped)), asio::detached);
+  detached_task::spawnEssential(context_.get_executor(), "stop", finish(std::move(stopped)));
 }
 
 /// Waits until the calls that have arrived are answered, or until the limit.
--- a/src/daemon/server_limits.h
+++ b/src/daemon/server_limits.h
@@ -4,10 +4,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <string>
 
 #include "adapters/http/http_server.h"
 #include "adapters/http/problem.h"
+#include "core/limits/body_budget.h"
 
 namespace workshatch::daemon {
 
@@ -22,6 +24,21 @@
   return limits;
 }
 
+/// Limits the memory that the bodies of operators' calls take in the process. A call above it is
+/// refused at its head; nothing of it was done.
+inline http::BodyAdmission operatorBodies() {
+  constexpr uint32_t kRetryAfterMs = 1000;
+  const auto refuse = [](const http::Request& /*head*/) {
+    return http::makeProblem(
+        http::Problem{.status = http::Status::service_unavailable,
+                      .code = "no_memory",
+                      .detail = "this process has no memory left for the body of the call",
+                      .retry_after_ms = kRetryAfterMs});
+  };
+  return {.budget = std::make_shared<limits::BodyBudget>(limits::BodyBudgetLimits{}),
+          .refuse = refuse};
+}
+
 /// Limits for calls that need no body: readiness, addresses and metrics.
 inline http::ServerLimits smallLimits() {
   constexpr uint64_t kBodyBytes = 4096;
--- a/tests/unit/daemon/group/redirect_role_test.cc
+++ b/tests/unit/daemon/group/redirect_role_test.cc
@@ -100,4 +100,28 @@
   CHECK(contains(answer, "Connection: close"));
 }
 
+TEST_CASE("Operators' bodies take more memory than the process has") {
+  constexpr size_t kCalls = 8;
+  const RunningRole role({"10.0.0.1:90"});
+  const std::string head =
+      "POST /put HTTP/1.1\r\nHost: h.example\r\nContent-Length: 16000000\r\n\r\n";
+  boost::asio::io_context context;
+  std::vector<boost::asio::ip::tcp::socket> calls;
+  size_t refused = 0;
+  for (size_t i = 0; i < kCalls; ++i) {
+    auto& socket = calls.emplace_back(context);
+    socket.connect(*http::parseEndpoint(kOwnAddress));
+    boost::asio::write(socket, boost::asio::buffer(head));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    std::string answer(1000, '\0');
+    boost::system::error_code failure;
+    socket.non_blocking(true);
+    answer.resize(socket.read_some(boost::asio::buffer(answer), failure));
+    refused += contains(answer, "HTTP/1.1 503") && contains(answer, "Retry-After: 1") ? 1 : 0;
+  }
+  CHECK(refused == 5);
+  // Calls without a large body are answered beside them.
+  CHECK(contains(RunningRole::sendCall(), "HTTP/1.1 307"));
+}
+
 } // namespace workshatch::test
