The growth of a process's memory is in its log and its metrics

Change: relays and replicas write memory_grew each time their peak of resident memory passes another 32 MiB, checked once a second, and give the peak as a gauge. Source: getrusage.

--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -84,7 +84,7 @@
       metrics_server_(
           workers, smallLimits(),
           [this](http::Exchange& exchange) { return serveMetrics(exchange); }, refuseBadRequest),
-      log_flusher_(context_), stop_timer_(context_) {
+      log_flusher_(context_), memory_watch_(context_), stop_timer_(context_) {
   operator_server_.limitBodies(operatorBodies());
 }
 
@@ -131,6 +131,7 @@
   detached_task::spawnLoop(context_.get_executor(), "read_runner_lists",
                            [this] { return readRunnerLists(); });
   log_flusher_.start();
+  memory_watch_.start();
   return std::monostate{};
 }
 
@@ -226,6 +227,7 @@
 
 http::awaitable<void> GroupRole::serveMetrics(http::Exchange& exchange) {
   std::string text;
+  metrics::exposePeakMemory(text);
   replica_.stats().expose(text);
   metrics::exposeGauge(text, "group_term", "term of the replicated log",
                        static_cast<int64_t>(replica_.term()));
--- a/src/daemon/group/group_role.h
+++ b/src/daemon/group/group_role.h
@@ -13,6 +13,7 @@
 #include "adapters/link/framed_link.h"
 #include "adapters/link/link_pool.h"
 #include "adapters/logging/log_flusher.h"
+#include "adapters/metrics/process_memory.h"
 #include "adapters/settings/relay_settings.h"
 #include "adapters/worker_pool.h"
 #include "daemon/group/group_replica.h"
@@ -64,6 +65,7 @@
   http::Server operator_server_;
   http::Server metrics_server_;
   LogFlusher log_flusher_;
+  metrics::MemoryWatch memory_watch_;
   boost::asio::steady_timer stop_timer_;
 };
 
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -2,6 +2,7 @@
 /// The metrics endpoint of the relay role: its counters, and gauges of its components.
 #include <cmath>
 
+#include "adapters/metrics/process_memory.h"
 #include "adapters/metrics/text_format.h"
 #include "core/relay/group_state.h"
 #include "daemon/relay/relay_role.h"
@@ -74,6 +75,7 @@
 
 void RelayRole::exposeGauges(std::string& out) const {
   const int64_t now = clock_.monotonicMs();
+  metrics::exposePeakMemory(out);
   metrics::exposeGauge(out, "relay_requests_in_progress", "requests that are being served",
                        static_cast<int64_t>(caller_server_.requestsInProgress()));
   metrics::exposeGauge(out, "relay_lease_age_ms", "time since the confirmed renewal was sent",
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -101,7 +101,8 @@
       metrics_server_(
           workers, smallLimits(),
           [this](http::Exchange& exchange) { return handleMetrics(exchange); }, refuseBadRequest),
-      lease_wait_(context_), housekeeping_(context_), log_flusher_(context_) {
+      lease_wait_(context_), housekeeping_(context_), log_flusher_(context_),
+      memory_watch_(context_) {
   const auto admissionOf = [this](bool forwarded) {
     return http::BodyAdmission{.budget = state_.bodies,
                                .refuse = [this, forwarded](const http::Request& head) {
@@ -158,6 +159,7 @@
   last_housekeeping_ms_ = clock_.monotonicMs();
   control_.start();
   log_flusher_.start();
+  memory_watch_.start();
   housekeep();
   detached_task::spawnLoop(context_.get_executor(), "read_runners_without_group",
                            [this] { return readRunnersWithoutGroup(); });
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -16,6 +16,7 @@
 
 #include "adapters/http/http_server.h"
 #include "adapters/logging/log_flusher.h"
+#include "adapters/metrics/process_memory.h"
 #include "adapters/settings/relay_settings.h"
 #include "adapters/worker_pool.h"
 #include "daemon/configuration_transfer.h"
@@ -120,6 +121,7 @@
   LeaseWait lease_wait_;
   boost::asio::steady_timer housekeeping_;
   LogFlusher log_flusher_;
+  metrics::MemoryWatch memory_watch_;
 };
 
 } // namespace workshatch::daemon
