An exception ends its request alone, and its answer does not say that it has not run

The body of a request takes memory as it arrives, not what its head states: twelve callers that stated 4 MB and sent nothing could have all other large bodies refused. Also by review.

Tests: "callers that state a large body and send none of it take the memory of others" (fails with a reservation at the head); the test of the budget says now how many halves of bodies may be held. The exceptions have no test yet.

--- a/src/adapters/http/http_server.cc
+++ b/src/adapters/http/http_server.cc
@@ -22,6 +22,7 @@
 
 #include "adapters/accept_failures.h"
 #include "adapters/detached_task.h"
+#include "adapters/http/problem.h"
 #include "adapters/http/read_limits.h"
 
 namespace workshatch::http {
@@ -118,8 +119,8 @@
 
 enum class ReadResult { Complete, Failed, NoMemory };
 
-/// Reads one request, and reserves the memory for its body before it is read: twice the capacity of
-/// the body, since the body is held a second time while the request is sent on.
+/// Reads one request, and reserves the memory for its body as it arrives: twice its size, since the
+/// body is held a second time while the request is sent on.
 class RequestRead {
 public:
   /// @param reservation null: the memory is not limited
@@ -132,11 +133,8 @@
     const auto [header_failure, header_bytes] =
         co_await beast::http::async_read_header(stream_, buffer_, parser_, kAwait);
     failure_ = header_failure;
-    if (!failure_ && reservation_ != nullptr && parser_.chunked()) {
-      co_return co_await readChunked(deadline);
-    }
-    if (!failure_ && !reserve(parser_.content_length().value_or(0))) {
-      co_return ReadResult::NoMemory;
+    if (!failure_ && reservation_ != nullptr && !parser_.is_done()) {
+      co_return co_await readInParts(deadline);
     }
     if (!failure_ && !parser_.is_done()) {
       const auto [body_failure, body_bytes] =
@@ -155,7 +153,9 @@
     return reservation_ == nullptr || reservation_->growTo(kCopies * capacity);
   }
 
-  awaitable<ReadResult> readChunked(const ReadDeadline& deadline) {
+  /// Reserves memory as the body arrives, not what its head states: a client that stalls after a
+  /// large length takes nothing from others.
+  awaitable<ReadResult> readInParts(const ReadDeadline& deadline) {
     parser_.eager(true);
     while (!failure_ && !parser_.is_done() && !deadline.expired()) {
       if (!makeRoom()) {
@@ -168,15 +168,19 @@
     co_return failure_ || !parser_.is_done() ? ReadResult::Failed : ReadResult::Complete;
   }
 
-  /// Doubles the capacity of the body if the next read could exceed it.
-  /// @return false if there is no memory for that.
+  /// Reserves the memory that the body takes after the next read.
+  /// @return false if there is none.
   bool makeRoom() {
-    constexpr size_t kReadBytes = size_t{16} * 1024;
     std::string& body = parser_.get().body();
-    if (body.capacity() - body.size() >= kReadBytes) {
-      return true;
+    const size_t next_bytes = body.size() + kMaxUnparsedBytes;
+    const auto length = parser_.content_length();
+    if (length) {
+      return reserve(std::min<uint64_t>(*length, next_bytes));
+    }
+    if (next_bytes <= body.capacity()) {
+      return reserve(body.capacity());
     }
-    const size_t capacity = std::max(2 * body.capacity(), body.size() + kReadBytes);
+    const size_t capacity = std::max(2 * body.capacity(), next_bytes);
     if (!reserve(capacity)) {
       return false;
     }
@@ -285,7 +289,21 @@
   backlog_.append(std::begin(size), end).append("\r\n").append(data).append("\r\n");
   notifyBufferedBytesChange();
   if (!std::exchange(writing_, true)) {
-    detached_task::spawn(stream_.get_executor(), "write_response", writeBacklog());
+    detached_task::spawn(stream_.get_executor(), "write_response", writeBacklogOrBreak());
+  }
+}
+
+/// Writes the backlog. After an exception the response is broken, so that nobody waits for the
+/// rest.
+awaitable<void> Exchange::writeBacklogOrBreak() {
+  try {
+    co_await writeBacklog();
+  } catch (...) {
+    broken_ = true;
+    writing_ = false;
+    writing_bytes_ = 0;
+    buffered_bytes_timer_.cancel();
+    throw;
   }
 }
 
@@ -426,7 +444,9 @@
     asio::post(workers_.context(0), [this, acceptor = acceptor_] {
       beast::error_code failure;
       acceptor->non_blocking(true, failure);
-      while (!failure) {
+      // Otherwise the accept of a connection that its client has aborted waits for the next one.
+      acceptor->set_option(asio::socket_base::enable_connection_aborted(true), failure);
+      while (!failure || failure == asio::error::connection_aborted) {
         asio::io_context& worker = workers_.context(workers_.next());
         tcp::socket socket(worker);
         acceptor->accept(socket, failure);
@@ -577,7 +597,10 @@
     if (exchange.responseStarted()) {
       exchange.closeIncomplete();
     } else {
-      Response response = error_responder_(Status::internal_server_error, "internal error");
+      Response response = makeProblem(Problem{.status = Status::internal_server_error,
+                                              .code = "internal_error",
+                                              .detail = "the request failed in this process",
+                                              .execution = Execution::Unknown});
       co_await exchange.respond(std::move(response));
     }
   }
--- a/src/adapters/http/http_server.h
+++ b/src/adapters/http/http_server.h
@@ -112,6 +112,7 @@
 
   /// Decides whether the connection stays open after the response that begins.
   bool beginResponse();
+  awaitable<void> writeBacklogOrBreak();
   awaitable<void> writeBacklog();
   void notifyBufferedBytesChange();
 
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -1,6 +1,7 @@
 #include "daemon/relay/active_request.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -117,6 +118,35 @@
   if (!request_.origin) {
     state_.budget.recordRequest(request_.service, request_.received_ms);
   }
+  // The state of the relay must not refer to this request after an exception either.
+  std::exception_ptr failure;
+  try {
+    co_await tryRunners();
+  } catch (...) {
+    failure = std::current_exception();
+  }
+  state_.active_requests.erase(this);
+  slot_.release();
+  releaseSuccessor();
+  returnUnusedTrial();
+  deadline_.cancel();
+  exchange_.onDisconnect(nullptr);
+  try {
+    if (!failure) {
+      co_await finish();
+    }
+  } catch (...) {
+    failure = std::current_exception();
+  }
+  exchange_.onBufferedBytesChange(nullptr);
+  state_.read_ahead.close(reader_);
+  if (failure) {
+    std::rethrow_exception(failure);
+  }
+}
+
+/// Tries runners and other relays until the request is answered or may not be tried again.
+http::awaitable<void> ActiveRequest::tryRunners() {
   if (resumesStream()) {
     co_await findOrigin();
   }
@@ -155,15 +185,6 @@
       break;
     }
   }
-  state_.active_requests.erase(this);
-  slot_.release();
-  releaseSuccessor();
-  returnUnusedTrial();
-  deadline_.cancel();
-  exchange_.onDisconnect(nullptr);
-  co_await finish();
-  exchange_.onBufferedBytesChange(nullptr);
-  state_.read_ahead.close(reader_);
 }
 
 relay::HomeRegions ActiveRequest::homeRegions() const {
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -109,6 +109,7 @@
   };
 
   // One attempt (active_request_attempt.cc).
+  http::awaitable<void> tryRunners();
   http::awaitable<AttemptEnd> attempt(const relay::RunnerChoice& choice);
   http::awaitable<AttemptResult> callRunner(const relay::RunnerChoice& choice);
   http::awaitable<ConnectOutcome> connect(relay::Runner& runner);
@@ -127,6 +128,7 @@
   void recordAnsweredParts();
   std::vector<std::string> partTexts() const;
   void recordAttemptEnd(relay::Runner& runner, const AttemptResult& result);
+  void endFailedAttempt(relay::Runner& runner);
   void releaseConnection(const std::string& address);
   void recordActivity(relay::Runner& runner);
   relay::ResponseStatement statementOfResponse() const;
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -327,7 +327,13 @@
   hung_ = false;
   run_end_ = relay::RunEnd::Unknown;
   run_end_searched_ = false;
-  AttemptResult result = co_await callRunner(choice);
+  AttemptResult result;
+  try {
+    result = co_await callRunner(choice);
+  } catch (...) {
+    endFailedAttempt(runner);
+    throw;
+  }
   // Before the search for the end of the run, which takes time: other requests may crash the next
   // runner.
   recordForQuarantine(runner, result);
@@ -349,6 +355,22 @@
   co_return result.end;
 }
 
+/// Releases what an attempt holds that an exception has ended.
+void ActiveRequest::endFailedAttempt(relay::Runner& runner) {
+  at_runner_ = false;
+  attempt_address_.clear();
+  if (connection_) {
+    connection_->preventReuse();
+  }
+  releaseConnection(runner.entry.address());
+  slot_.release();
+  state_.runners.endAttempt(runner, relay::AttemptOutcome::Abandoned, state_.clock.monotonicMs());
+  if (request_.tenant != nullptr) {
+    state_.tenants.end(request_.tenant->name);
+  }
+  state_.queue.wakeNext(request_.service);
+}
+
 /// Ends an attempt in which nothing was sent.
 ActiveRequest::AttemptResult ActiveRequest::notSent(AttemptEnd end,
                                                     relay::AttemptOutcome outcome) const {
