What a replica acknowledges is in the log file that its next start reads

What callers saw: a configuration that had been acknowledged was gone after a restart, with disk_failed or snapshot_failed before it.

Cause: after the new log had been renamed over the old one, a refused sync of the folder was returned as an error while the store kept the replaced, unlinked file open: later entries were acknowledged from there.

Change: the descriptor of the new log is opened before the rename and kept. After any rename the store goes on with the file that the log's name denotes. Before it writes again it completes what a failure left undone (sync of the folder, truncation, identity), and acknowledges nothing until that succeeds. Calls that change files are behind FileOperations, so that tests can refuse them.

Durability: nothing is acknowledged earlier than before; a log whose rename may be undone by a crash takes no entry until the folder is synced.

--- a/src/adapters/disk/file_log_store.cc
+++ b/src/adapters/disk/file_log_store.cc
@@ -4,8 +4,10 @@
 #include <cstring>
 #include <fcntl.h>
 #include <fstream>
+#include <optional>
 #include <sstream>
 #include <sys/file.h>
+#include <sys/stat.h>
 #include <unistd.h>
 #include <utility>
 
@@ -20,6 +22,8 @@
 constexpr const char* kSnapshotName = "raft.snapshot";
 constexpr const char* kIdentityName = "identity";
 constexpr const char* kLockName = "lock";
+/// Added to the name of a file that is to replace the file of that name.
+constexpr const char* kReplacementSuffix = ".new";
 
 Error systemError(const std::string& what, const std::filesystem::path& path) {
   return Error{what + " " + path.string() + ": " + std::strerror(errno)};
@@ -43,6 +47,8 @@
   return encodeRecord(record);
 }
 
+std::string identityText(uint64_t id) { return std::to_string(id) + "\n"; }
+
 Result<std::string> readFile(const std::filesystem::path& path) {
   if (!std::filesystem::exists(path)) {
     return std::string();
@@ -56,29 +62,24 @@
   return content.str();
 }
 
-bool writeAll(int file, const std::string& bytes) {
-  size_t done = 0;
-  while (done < bytes.size()) {
-    const ssize_t count = ::write(file, bytes.data() + done, bytes.size() - done);
-    if (count < 0 && errno == EINTR) {
-      continue;
-    }
-    if (count <= 0) {
-      return false;
-    }
-    done += static_cast<size_t>(count);
+/// @return whether `path` names the file that is open as `file`; nothing if that can't be told.
+std::optional<bool> namesFile(const std::filesystem::path& path, int file) {
+  struct stat named {};
+  struct stat opened {};
+  if (::fstat(file, &opened) != 0) {
+    return std::nullopt;
   }
-  return true;
+  if (::stat(path.c_str(), &named) != 0) {
+    return errno == ENOENT ? std::optional<bool>(false) : std::nullopt;
+  }
+  return named.st_dev == opened.st_dev && named.st_ino == opened.st_ino;
 }
 
-bool syncFolder(const std::filesystem::path& folder) {
-  const int file = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (file < 0) {
-    return false;
+void closeFile(int& file) {
+  if (file >= 0) {
+    ::close(file);
   }
-  const bool synced = ::fsync(file) == 0;
-  ::close(file);
-  return synced;
+  file = -1;
 }
 
 /// Applies one record of the log file to the entries and the hard state read so far. The first
@@ -104,16 +105,14 @@
 
 } // namespace
 
-FileLogStore::FileLogStore(std::filesystem::path folder, Random& random, uint64_t first_identity)
-    : folder_(std::move(folder)), random_(random), first_identity_(first_identity) {}
+FileLogStore::FileLogStore(std::filesystem::path folder, Random& random, uint64_t first_identity,
+                           FileOperations& files)
+    : folder_(std::move(folder)), random_(random), first_identity_(first_identity), files_(files) {}
 
 FileLogStore::~FileLogStore() {
-  if (log_file_ >= 0) {
-    ::close(log_file_);
-  }
-  if (lock_file_ >= 0) {
-    ::close(lock_file_);
-  }
+  closeFile(log_.file);
+  closeFile(replacement_.file);
+  closeFile(lock_file_);
 }
 
 Result<StoredReplica> FileLogStore::load() {
@@ -159,6 +158,7 @@
     if (id == 0) {
       return Error{(folder_ / kIdentityName).string() + ": not a number above zero"};
     }
+    identity_ = id;
     return id;
   }
   if (std::filesystem::exists(folder_ / kLogName)) {
@@ -172,7 +172,14 @@
 }
 
 Result<std::monostate> FileLogStore::storeIdentity(uint64_t id) {
-  return replaceFile(kIdentityName, std::to_string(id) + "\n");
+  // If this fails, the file may already contain the new identity, while the replica keeps its own.
+  identity_unsure_ = true;
+  if (auto stored = replaceFile(kIdentityName, identityText(id)); isError(stored)) {
+    return stored;
+  }
+  identity_ = id;
+  identity_unsure_ = false;
+  return std::monostate{};
 }
 
 Result<v1::RaftSnapshot> FileLogStore::loadSnapshot() {
@@ -231,22 +238,33 @@
 }
 
 Result<std::monostate> FileLogStore::write(const raft::RaftReady& ready) {
-  if (ready.hard_state) {
-    hard_state_ = *ready.hard_state;
+  if (auto settled = settle(); isError(settled)) {
+    return settled;
   }
-  if (ready.snapshot) {
-    std::string content;
-    appendRecord(content, ready.snapshot->SerializeAsString());
-    if (auto stored = replaceFile(kSnapshotName, content); isError(stored)) {
-      return stored;
-    }
-    v1::RaftEntry base;
-    base.set_index(ready.snapshot->index());
-    base.set_term(ready.snapshot->term());
-    std::vector<v1::RaftEntry> entries{base};
-    entries.insert(entries.end(), ready.entries.begin(), ready.entries.end());
-    return rewriteLog(entries, hard_state_);
+  const v1::RaftHardState& hard_state = ready.hard_state ? *ready.hard_state : hard_state_;
+  auto written = ready.snapshot ? writeSnapshot(ready, hard_state) : writeRecords(ready);
+  if (!isError(written)) {
+    hard_state_ = v1::RaftHardState(hard_state);
   }
+  return written;
+}
+
+Result<std::monostate> FileLogStore::writeSnapshot(const raft::RaftReady& ready,
+                                                   const v1::RaftHardState& hard_state) {
+  std::string content;
+  appendRecord(content, ready.snapshot->SerializeAsString());
+  if (auto stored = replaceFile(kSnapshotName, content); isError(stored)) {
+    return stored;
+  }
+  v1::RaftEntry base;
+  base.set_index(ready.snapshot->index());
+  base.set_term(ready.snapshot->term());
+  std::vector<v1::RaftEntry> entries{base};
+  entries.insert(entries.end(), ready.entries.begin(), ready.entries.end());
+  return rewriteLog(entries, hard_state);
+}
+
+Result<std::monostate> FileLogStore::writeRecords(const raft::RaftReady& ready) {
   std::string bytes;
   if (ready.hard_state) {
     bytes += hardStateRecord(*ready.hard_state);
@@ -264,13 +282,19 @@
 
 Result<std::monostate> FileLogStore::compact(const raft::RaftLog& log,
                                              const v1::RaftHardState& hard_state) {
+  if (auto settled = settle(); isError(settled)) {
+    return settled;
+  }
   std::string content;
   appendRecord(content, log.snapshot().SerializeAsString());
   if (auto stored = replaceFile(kSnapshotName, content); isError(stored)) {
     return stored;
   }
-  hard_state_ = hard_state;
-  return rewriteLog(log.entriesWithBase(), hard_state);
+  auto rewritten = rewriteLog(log.entriesWithBase(), hard_state);
+  if (!isError(rewritten)) {
+    hard_state_ = hard_state;
+  }
+  return rewritten;
 }
 
 Result<std::monostate> FileLogStore::rewriteLog(const std::vector<v1::RaftEntry>& entries,
@@ -280,21 +304,48 @@
     content += entryRecord(entry);
   }
   content += hardStateRecord(hard_state);
-  if (auto stored = replaceFile(kLogName, content); isError(stored)) {
-    return stored;
+  auto created = createReplacement(kLogName, content);
+  if (isError(created)) {
+    return errorOf(created);
+  }
+  replacement_ = LogFile{.file = std::get<int>(created), .size = content.size()};
+  const auto renamed = renameReplacement(kLogName);
+  const auto settled = settle();
+  return isError(renamed) ? renamed : settled;
+}
+
+Result<std::monostate> FileLogStore::settle() {
+  if (auto adopted = adoptReplacement(); isError(adopted)) {
+    return adopted;
+  }
+  if (folder_unsynced_) {
+    if (!files_.syncFolder(folder_)) {
+      return systemError("cannot sync", folder_);
+    }
+    folder_unsynced_ = false;
+  }
+  if (log_torn_) {
+    if (!files_.truncate(log_.file, log_.size)) {
+      return systemError("cannot truncate the partially written record of", folder_ / kLogName);
+    }
+    log_torn_ = false;
   }
-  log_size_ = content.size();
-  return openLog();
+  return identity_unsure_ && identity_ != 0 ? storeIdentity(identity_) : std::monostate{};
 }
 
-Result<std::monostate> FileLogStore::openLog() {
-  if (log_file_ >= 0) {
-    ::close(log_file_);
+Result<std::monostate> FileLogStore::adoptReplacement() {
+  if (replacement_.file < 0) {
+    return std::monostate{};
+  }
+  const std::optional<bool> replaced = namesFile(folder_ / kLogName, replacement_.file);
+  if (!replaced) {
+    return systemError("cannot examine", folder_ / kLogName);
   }
-  log_file_ = ::open((folder_ / kLogName).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
-  if (log_file_ < 0) {
-    return systemError("cannot open", folder_ / kLogName);
+  if (*replaced) {
+    std::swap(log_, replacement_);
+    log_torn_ = false;
   }
+  closeFile(replacement_.file);
   return std::monostate{};
 }
 
@@ -302,37 +353,60 @@
   if (bytes.empty()) {
     return std::monostate{};
   }
-  if (!writeAll(log_file_, bytes) || ::fdatasync(log_file_) != 0) {
-    const Error error = systemError("cannot write", folder_ / kLogName);
+  if (!files_.write(log_.file, bytes) || !files_.syncData(log_.file)) {
+    Error error = systemError("cannot write", folder_ / kLogName);
     // Removes a partially written record. A later record behind it would turn it from a torn tail
     // into damage in the middle of the log, with which the replica refuses to start.
-    if (::ftruncate(log_file_, static_cast<off_t>(log_size_)) != 0) {
-      return Error{error.message + "; cannot truncate the partially written record"};
+    log_torn_ = true;
+    if (const auto settled = settle(); isError(settled)) {
+      error.message += "; " + errorOf(settled).message;
     }
     return error;
   }
-  log_size_ += bytes.size();
+  log_.size += bytes.size();
   return std::monostate{};
 }
 
-Result<std::monostate> FileLogStore::replaceFile(const std::string& name,
-                                                 const std::string& content) {
-  const std::filesystem::path target = folder_ / name;
-  const std::filesystem::path temporary = folder_ / (name + ".new");
-  const int file = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
+Result<int> FileLogStore::createReplacement(const std::string& name, const std::string& content) {
+  const std::filesystem::path temporary = folder_ / (name + kReplacementSuffix);
+  int file =
+      ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, kFileMode);
   if (file < 0) {
     return systemError("cannot create", temporary);
   }
-  const bool written = writeAll(file, content) && ::fsync(file) == 0;
-  const Error error = systemError("cannot write", temporary);
-  ::close(file);
-  if (!written) {
+  if (!files_.write(file, content) || !files_.sync(file)) {
+    const Error error = systemError("cannot write", temporary);
+    closeFile(file);
     return error;
   }
-  if (::rename(temporary.c_str(), target.c_str()) != 0 || !syncFolder(folder_)) {
+  return file;
+}
+
+Result<std::monostate> FileLogStore::renameReplacement(const std::string& name) {
+  const std::filesystem::path target = folder_ / name;
+  // Even a rename that reports an error may have been done.
+  folder_unsynced_ = true;
+  if (!files_.rename(folder_ / (name + kReplacementSuffix), target)) {
     return systemError("cannot replace", target);
   }
   return std::monostate{};
 }
 
+Result<std::monostate> FileLogStore::replaceFile(const std::string& name,
+                                                 const std::string& content) {
+  auto created = createReplacement(name, content);
+  if (isError(created)) {
+    return errorOf(created);
+  }
+  closeFile(std::get<int>(created));
+  if (auto renamed = renameReplacement(name); isError(renamed)) {
+    return renamed;
+  }
+  if (!files_.syncFolder(folder_)) {
+    return systemError("cannot sync", folder_);
+  }
+  folder_unsynced_ = false;
+  return std::monostate{};
+}
+
 } // namespace workshatch::disk
