An interim response is never taken for the final one, nor the response after it for the next request's

What callers saw: a runner that sends a 102 or 103 before its response (and, to the product's router, a 100) got its interim head relayed as the response, with an empty body, framed as whole. The router's client then kept the connection, and the next call on it was given the response of the call before (MIXED). A response whose transfer coding is not "chunked" alone ("gzip", also beside a length; "chunked, gzip"), and a 101, were relayed as complete with the coding taken off the head.

Cause: the parser takes each 1xx as a complete message. RunnerConnection skipped 100 only, the HTTP client none. Neither looked at the transfer codings. Class: what a head says of where its response ends was judged at two places, in part.

Change: adapters/http/response_framing says whether a head is interim and whether the end of the body is certain; both clients ask it, before anything else sees the head. blocking_client, which only calls processes of this system, is as it was.

Ruled out by the same tests, before and after: a head without 1xx, or behind a 100 at the relay, cut at any byte by FIN, half-close, reset or FIN after a pause, on a new or a kept connection, with a length, in chunks with a trailer or up to the end of the connection; lengths that differ; a length and chunks.

No check of an existing test is changed.

--- a/src/adapters/http/http_client.cc
+++ b/src/adapters/http/http_client.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "adapters/http/keep_alive.h"
+#include "adapters/http/response_framing.h"
 #include "core/backoff.h"
 
 namespace workshatch::http {
@@ -58,8 +59,22 @@
 }
 
 ClientResponse::ClientResponse(Client& client, std::string address)
-    : client_(client), address_(std::move(address)) {
-  parser_.body_limit(boost::none);
+    : client_(client), address_(std::move(address)) {}
+
+awaitable<std::optional<CallError>> ClientResponse::readHead() {
+  do {
+    parser_.emplace();
+    parser_->body_limit(boost::none);
+    const auto [failure, bytes] =
+        co_await beast::http::async_read_header(*stream_, buffer_, *parser_, kAwait);
+    if (failure) {
+      co_return errorOf(CallPhase::Sent, failure);
+    }
+  } while (isInterim(parser_->get().base()));
+  if (auto framing_error = framingErrorOf(parser_->get().base())) {
+    co_return CallError{.phase = CallPhase::Sent, .message = *std::move(framing_error)};
+  }
+  co_return std::nullopt;
 }
 
 void ClientResponse::cancel() {
@@ -71,28 +86,28 @@
 
 awaitable<std::variant<std::string, CallError>> ClientResponse::read() {
   std::string part(kReadSize, '\0');
-  while (!parser_.is_done()) {
-    parser_.get().body().data = part.data();
-    parser_.get().body().size = part.size();
-    parser_.get().body().more = true;
+  while (!parser_->is_done()) {
+    parser_->get().body().data = part.data();
+    parser_->get().body().size = part.size();
+    parser_->get().body().more = true;
     stream_->expires_after(read_timeout_);
     auto [failure, bytes] =
-        co_await beast::http::async_read_some(*stream_, buffer_, parser_, kAwait);
+        co_await beast::http::async_read_some(*stream_, buffer_, *parser_, kAwait);
     if (failure == beast::http::error::need_buffer) {
       failure = {};
     }
     if (failure || cancelled_) {
       co_return errorOf(CallPhase::Sent, failure);
     }
-    const size_t filled = part.size() - parser_.get().body().size;
+    const size_t filled = part.size() - parser_->get().body().size;
     if (filled > 0) {
       part.resize(filled);
       co_return part;
     }
   }
-  if (stream_ && parser_.get().keep_alive() && buffer_.size() == 0) {
+  if (stream_ && parser_->get().keep_alive() && buffer_.size() == 0) {
     stream_->expires_never();
-    const int64_t keep_alive_ms = keepAliveMsOf(parser_.get().base());
+    const int64_t keep_alive_ms = keepAliveMsOf(parser_->get().base());
     client_.idle_.release(address_, std::move(stream_), keep_alive_ms);
   }
   co_return std::string();
@@ -153,10 +168,9 @@
   if (write_failure) {
     co_return errorOf(CallPhase::Sent, write_failure);
   }
-  const auto [read_failure, bytes] = co_await beast::http::async_read_header(
-      *response->stream_, response->buffer_, response->parser_, kAwait);
-  if (read_failure) {
-    co_return errorOf(CallPhase::Sent, read_failure);
+  auto error = co_await response->readHead();
+  if (error) {
+    co_return *std::move(error);
   }
   co_return std::move(response);
 }
--- a/src/adapters/http/http_client.h
+++ b/src/adapters/http/http_client.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -66,9 +67,9 @@
 public:
   ClientResponse(Client& client, std::string address);
 
-  Status status() const { return parser_.get().result(); }
+  Status status() const { return parser_->get().result(); }
   std::optional<std::string> header(std::string_view name) const {
-    return fieldOf(parser_.get(), name);
+    return fieldOf(parser_->get(), name);
   }
 
   /// @return the next part of the body; empty at the end of the body.
@@ -83,11 +84,16 @@
 
 private:
   friend class Client;
+
+  /// Reads the header of the final response. Interim responses are discarded; a response whose end
+  /// is not certain is an error.
+  awaitable<std::optional<CallError>> readHead();
+
   Client& client_;
   std::string address_;
   std::unique_ptr<boost::beast::tcp_stream> stream_;
   boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
-  boost::beast::http::response_parser<boost::beast::http::buffer_body> parser_;
+  std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser_;
   std::chrono::milliseconds read_timeout_{0};
   bool cancelled_ = false;
 };
--- a/src/adapters/http/runner_connection.cc
+++ b/src/adapters/http/runner_connection.cc
@@ -12,6 +12,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include "adapters/http/keep_alive.h"
+#include "adapters/http/response_framing.h"
 #include "adapters/tcp_options.h"
 
 namespace workshatch::http {
@@ -167,10 +168,16 @@
     if (read_error_ || closed_) {
       co_return makeError(CallPhase::Sent, read_error_);
     }
-    if (parser_->get().result_int() != static_cast<unsigned>(Status::continue_)) {
-      co_return std::nullopt;
+    if (isInterim(head())) {
+      beginReadingHead();
+      continue;
     }
-    beginReadingHead();
+    if (auto framing_error = framingErrorOf(head())) {
+      co_return CallError{.phase = CallPhase::Sent,
+                          .message = *std::move(framing_error),
+                          .connection = ConnectionState::Open};
+    }
+    co_return std::nullopt;
   }
 }
 
--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -45,7 +45,8 @@
   /// @param request serialized head and body
   void send(std::string request);
 
-  /// Waits for the header of the response to the request that was sent.
+  /// Waits for the header of the final response to the request that was sent. Interim responses are
+  /// discarded; a response whose end is not certain is an error.
   /// @param timeout longest wait; zero means no limit
   /// @return an error, or nothing on success.
   awaitable<std::optional<CallError>> awaitHead(std::chrono::milliseconds timeout);
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -358,8 +358,9 @@
 class TestRelay {
 public:
   explicit TestRelay(const relay::Route& route, const relay::Policy& policy = {},
-                     size_t read_ahead_bytes = size_t{16} * 1024 * 1024)
+                     size_t read_ahead_bytes = size_t{16} * 1024 * 1024, uint16_t forward_port = 0)
       : state_(settings::RelaySettings{.zone = "z",
+                                       .forward_port = forward_port,
                                        .read_ahead_bytes = read_ahead_bytes,
                                        .policy = policy},
                clock_, dialect_),
