--- a/tests/unit/core/raft/raft_replication_test.cc
+++ b/tests/unit/core/raft/raft_replication_test.cc
@@ -1,8 +1,12 @@
 /// @file
 /// Tests of elections after restarts, and of appends and heartbeats while earlier messages are in
 /// flight or lost.
+#include <csignal>
+#include <cstdlib>
 #include <map>
 #include <memory>
+#include <sys/wait.h>
+#include <unistd.h>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -196,4 +200,25 @@
   CHECK(follower.log().lastIndex() == last + 1);
 }
 
+TEST_CASE("a leader goes on without committed entries that a follower holds") {
+  ThreeNodes group;
+  raft::RaftNode& leader = group.elect();
+  v1::RaftMessage reply;
+  reply.set_type(v1::RAFT_APPEND_REPLY);
+  reply.set_from(leader.id() == 1 ? 2 : 1);
+  reply.set_to(leader.id());
+  reply.set_term(leader.term());
+  reply.set_match_index(leader.log().lastIndex() + 5);
+  const pid_t child = ::fork();
+  if (child == 0) {
+    std::signal(SIGABRT, SIG_DFL);
+    leader.step(reply);
+    std::_Exit(0);
+  }
+  int status = 0;
+  REQUIRE(::waitpid(child, &status, 0) == child);
+  CHECK(WIFSIGNALED(status));
+  CHECK(WTERMSIG(status) == SIGABRT);
+}
+
 } // namespace workshatch::test
