Suspicions about most runners of a service no longer gather its requests at the few others

Cause: a relay whose only requests at a runner lost their answers hears nothing from it and reports it as silent, although the runner answers other relays. Two such reports make all relays avoid it. Class: evidence of some is believed against one's own, and a protection without a floor.

Change: a relay does not believe a report of silence about a runner that it has heard from itself within the time that counts as silence. If less than half of the runners of a service are neither avoided nor suspected, the suspicions are ignored (the panic threshold of the field); what the relay has seen itself holds all the same.

Tests: "Requests gather at the few runners that no relay suspects", "A runner is avoided as silent although this relay has just heard from it"; not yet run on the former code.

--- a/src/core/relay/runner_choice.cc
+++ b/src/core/relay/runner_choice.cc
@@ -63,6 +63,7 @@
   CandidateSet candidate_set;
   Candidates& usable = candidate_set.runners;
   Candidates avoided;
+  Candidates reported;
   const auto service = services_.find(request.service);
   if (service == services_.end()) {
     return candidate_set;
@@ -87,9 +88,22 @@
                          coldMs(*runner, request.now_ms) != 0;
     const bool fails = std::find(failing.begin(), failing.end(), runner.get()) != failing.end();
     const bool last =
-        unpaced || fails || runner->version_unconfirmed || isAvoided(*runner, request.now_ms);
-    (last ? avoided : usable).push_back(runner);
+        unpaced || fails || runner->version_unconfirmed || isAvoidedByOwn(*runner, request.now_ms);
+    if (last) {
+      avoided.push_back(runner);
+    } else if (runner->suspected_until_ms > request.now_ms) {
+      reported.push_back(runner);
+    } else {
+      usable.push_back(runner);
+    }
   }
+  // Reports about most runners have a common cause, and avoiding these runners would put their load
+  // on the few others.
+  const size_t all = usable.size() + avoided.size() + reported.size();
+  const bool too_few_left =
+      static_cast<double>(usable.size()) < options_.min_unreported_share * static_cast<double>(all);
+  Candidates& joined = too_few_left ? usable : avoided;
+  joined.insert(joined.end(), reported.begin(), reported.end());
   if (request.trial) {
     keepTrialRunners(request, usable);
     return candidate_set;
--- a/src/core/relay/runner_table.cc
+++ b/src/core/relay/runner_table.cc
@@ -267,12 +267,20 @@
     state.requests_before_totals = std::exchange(state.requests_since_totals, 0);
   }
   for (const uint32_t position : totals.suspects()) {
-    if (position < runners_.size() && options_.policy.shared_suspicions) {
+    const bool believed = position < runners_.size() && options_.policy.shared_suspicions &&
+                          !isHeard(*runners_[position], now_ms);
+    if (believed) {
       runners_[position]->suspected_until_ms = now_ms + options_.suspicion_ms;
     }
   }
 }
 
+/// @return whether the runner sent something to this relay since the time at which a runner that
+/// other relays now report as silent sent something for the last time.
+bool RunnerTable::isHeard(const Runner& runner, int64_t now_ms) const {
+  return runner.last_heard_ms != 0 && now_ms - runner.last_heard_ms < silenceLimitMs(runner);
+}
+
 void RunnerTable::dropStaleLoadTotals(int64_t now_ms) {
   if (totals_received_ms_ == 0 || now_ms - totals_received_ms_ < options_.load_totals_valid_ms) {
     return;
@@ -325,8 +333,12 @@
 }
 
 bool RunnerTable::isAvoided(const Runner& runner, int64_t now_ms) const {
-  return runner.avoid_until_ms > now_ms || runner.suspected_until_ms > now_ms ||
-         isSilent(runner, now_ms);
+  return isAvoidedByOwn(runner, now_ms) || runner.suspected_until_ms > now_ms;
+}
+
+/// @return whether the runner is avoided for what this relay itself has seen of it.
+bool RunnerTable::isAvoidedByOwn(const Runner& runner, int64_t now_ms) const {
+  return runner.avoid_until_ms > now_ms || isSilent(runner, now_ms);
 }
 
 ServiceEvidence RunnerTable::evidenceOf(const std::string& service, int64_t now_ms) const {
@@ -337,7 +349,7 @@
   }
   int64_t last_heard_ms = 0;
   for (const auto& runner : found->second.runners) {
-    const bool own = runner->avoid_until_ms > now_ms || isSilent(*runner, now_ms);
+    const bool own = isAvoidedByOwn(*runner, now_ms);
     ++evidence.runners;
     evidence.avoided_by_own += own ? 1 : 0;
     evidence.avoided_by_reports += !own && runner->suspected_until_ms > now_ms ? 1 : 0;
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -150,6 +150,9 @@
   /// have a time of their own, because they send events continuously.
   int64_t silent_engine_ms = 500;
   int64_t silent_service_ms = 1000;
+  /// If a smaller share of a service's runners is neither avoided nor suspected by other relays,
+  /// the suspicions are ignored.
+  double min_unreported_share = 0.5;
   /// Time for which a runner that other relays suspect is avoided.
   int64_t suspicion_ms = 600;
   /// A prompt goes to the next runner in the ranking of its prefix if the load of a runner is over
@@ -367,9 +370,11 @@
   static double meanLoad(const Candidates& candidates);
   double meanForCap(const RunnerRequest& request, const Candidates& candidates) const;
   bool isSuspect(const Runner& runner, int64_t now_ms) const;
+  bool isHeard(const Runner& runner, int64_t now_ms) const;
   int64_t silenceLimitMs(const Runner& runner) const;
   bool isSilent(const Runner& runner, int64_t now_ms) const;
   bool isAvoided(const Runner& runner, int64_t now_ms) const;
+  bool isAvoidedByOwn(const Runner& runner, int64_t now_ms) const;
   void dropStaleLoadTotals(int64_t now_ms);
 
   const RunnerTableOptions options_;
--- a/tests/unit/core/relay/runner_table_test.cc
+++ b/tests/unit/core/relay/runner_table_test.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -303,4 +304,47 @@
   CHECK(chosen(table, later)->runner == home);
 }
 
+/// Load totals in which at least two relays suspect the runners up to `suspects`.
+v1::RunnerLoads totalsWithSuspects(const relay::RunnerTable& table, uint32_t suspects) {
+  v1::RunnerLoads totals = table.ownLoads(0);
+  for (uint32_t i = 0; i < suspects; ++i) {
+    totals.add_suspects(i);
+  }
+  return totals;
+}
+
+size_t runnersChosenFor(relay::RunnerTable& table, int64_t now_ms) {
+  constexpr uint64_t kPrompts = 200;
+  std::set<std::string> ids;
+  for (uint64_t prompt = 1; prompt <= kPrompts; ++prompt) {
+    relay::RunnerRequest request = makeRequest(prompt);
+    request.now_ms = now_ms;
+    ids.insert(chosen(table, request)->runner->entry.id());
+  }
+  return ids.size();
+}
+
+TEST_CASE("Requests gather at the few runners that no relay suspects") {
+  constexpr uint32_t kRunners = 12;
+  relay::RunnerTable table({});
+  table.setList(listOf(kRunners, 7), 0);
+  // Half of the runners suffice, so the suspicions hold.
+  table.setLoadTotals(totalsWithSuspects(table, 6), table.ownLoads(1000), 1000);
+  CHECK(runnersChosenFor(table, 1100) == 6);
+  // The requests of twelve runners would overload two.
+  table.setLoadTotals(totalsWithSuspects(table, 10), table.ownLoads(1000), 1000);
+  CHECK(runnersChosenFor(table, 1100) == kRunners);
+  // What a relay has seen itself holds all the same.
+  table.endAttempt(*table.runners()[0], relay::AttemptOutcome::Unreachable, 1000);
+  CHECK(runnersChosenFor(table, 1100) == kRunners - 1);
+}
+
+TEST_CASE("A runner is avoided as silent although this relay has just heard from it") {
+  relay::RunnerTable table({});
+  table.setList(listOf(4, 7), 0);
+  table.recordHeard(*table.runners()[0], 4000);
+  table.setLoadTotals(totalsWithSuspects(table, 2), table.ownLoads(4200), 4200);
+  CHECK(runnersChosenFor(table, 4300) == 3);
+}
+
 } // namespace workshatch::test
