--- a/src/adapters/datagram/udp_socket.cc
+++ b/src/adapters/datagram/udp_socket.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include "adapters/bind_wait.h"
 #include "adapters/http/http_types.h"
 
 namespace workshatch::datagram {
@@ -32,7 +33,11 @@
   const Endpoint local = udpEndpoint(*endpoint);
   socket_.open(local.protocol(), failure);
   if (!failure) {
-    socket_.bind(local, failure);
+    failure = bindWhenFree(address, [this, &local] {
+      boost::system::error_code bind_failure;
+      socket_.bind(local, bind_failure);
+      return bind_failure;
+    });
   }
   if (!failure) {
     socket_.non_blocking(true, failure);
--- a/src/adapters/disk/file_log_store.cc
+++ b/src/adapters/disk/file_log_store.cc
@@ -1,6 +1,7 @@
 #include "adapters/disk/file_log_store.h"
 
 #include <cerrno>
+#include <chrono>
 #include <cstring>
 #include <fcntl.h>
 #include <fstream>
@@ -8,9 +9,11 @@
 #include <sstream>
 #include <sys/file.h>
 #include <sys/stat.h>
+#include <thread>
 #include <unistd.h>
 #include <utility>
 
+#include "adapters/bind_wait.h"
 #include "adapters/disk/record_file.h"
 
 namespace workshatch::disk {
@@ -141,8 +144,13 @@
   if (lock_file_ < 0) {
     return systemError("cannot open", folder_ / kLockName);
   }
-  if (::flock(lock_file_, LOCK_EX | LOCK_NB) != 0) {
-    return Error{"data folder " + folder_.string() + " is in use by another process"};
+  // A predecessor that has been told to end may still hold the lock.
+  const auto until = std::chrono::steady_clock::now() + kMaxHeldWait;
+  while (::flock(lock_file_, LOCK_EX | LOCK_NB) != 0) {
+    if (std::chrono::steady_clock::now() >= until) {
+      return Error{"data folder " + folder_.string() + " is in use by another process"};
+    }
+    std::this_thread::sleep_for(kHeldPoll);
   }
   return std::monostate{};
 }
--- a/src/adapters/http/http_server.cc
+++ b/src/adapters/http/http_server.cc
@@ -21,6 +21,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "adapters/accept_failures.h"
+#include "adapters/bind_wait.h"
 #include "adapters/detached_task.h"
 #include "adapters/http/problem.h"
 #include "adapters/http/read_limits.h"
@@ -425,7 +426,11 @@
     acceptor_->set_option(asio::socket_base::reuse_address(true), failure);
   }
   if (!failure) {
-    acceptor_->bind(*endpoint, failure);
+    failure = bindWhenFree(address, [this, &endpoint] {
+      beast::error_code bind_failure;
+      acceptor_->bind(*endpoint, bind_failure);
+      return bind_failure;
+    });
   }
   if (!failure) {
     acceptor_->listen(asio::socket_base::max_listen_connections, failure);
@@ -433,7 +438,10 @@
   if (failure) {
     return Error{"cannot listen on " + address + ": " + failure.message()};
   }
-  const auto local = acceptor_->local_endpoint();
+  const auto local = acceptor_->local_endpoint(failure);
+  if (failure) {
+    return Error{"cannot listen on " + address + ": " + failure.message()};
+  }
   detached_task::spawnEssential(workers_.context(0).get_executor(), "accept", accept());
   return local.address().to_string() + ":" + std::to_string(local.port());
 }
--- a/src/adapters/link/framed_link.cc
+++ b/src/adapters/link/framed_link.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
+#include "adapters/bind_wait.h"
 #include "adapters/http/http_types.h"
 #include "adapters/tcp_options.h"
 
@@ -164,7 +165,13 @@
   acceptor_.open(endpoint->protocol(), failure);
   if (!failure) {
     acceptor_.set_option(asio::socket_base::reuse_address(true), failure);
-    acceptor_.bind(*endpoint, failure);
+  }
+  if (!failure) {
+    failure = bindWhenFree(address, [this, &endpoint] {
+      error_code bind_failure;
+      acceptor_.bind(*endpoint, bind_failure);
+      return bind_failure;
+    });
   }
   if (!failure) {
     acceptor_.listen(asio::socket_base::max_listen_connections, failure);
