A stream is resumed only at a version that serves, also by its record

Callers saw: a stream that began at one version broke off, was taken up at a relay that had been cut off, and a later resumption went on at a runner of another version.

Cause (class: protocol, a condition that only new streams were held to): a record, or the sole version of the list, let a stream go on at a stopped version if a runner of it was listed. A relay without the group reads the platform's list itself, and resumes by its lease. An attempt that began there late in the wait of a stopped version outlived the retirement, and the next resumption took the version that was left for the stream's.

Change: an attempt that resumes a stream goes, like a first attempt, only to a runner whose version serves by the relay's list. It is checked when the runner is chosen, so also after a wait for a lease. An attempt that has brought its first event goes on as before. Cost: callers get no_runner_of_version (503, Retry-After) for a stopped version that is listed again, until it serves.

"A stream that has a record is not resumed at a version that was stopped" failed before: the stopped version's runner was chosen.

--- a/src/core/relay/runner_choice.cc
+++ b/src/core/relay/runner_choice.cc
@@ -38,8 +38,11 @@
 
 /// @return whether the runner has the version that the request needs, as far as is known.
 bool hasVersionFor(const RunnerRequest& request, const Runner& runner) {
+  if (request.begins_resumable_stream && runner.begins_no_streams) {
+    return false;
+  }
   if (!request.version) {
-    return !request.begins_resumable_stream || !runner.begins_no_streams;
+    return true;
   }
   const bool replaced =
       runner.process_ended_ms != 0 && request.now_ms - runner.process_ended_ms < kListAgeMs;
--- a/src/core/relay/runner_table.h
+++ b/src/core/relay/runner_table.h
@@ -89,8 +89,8 @@
   /// Version of the runner that began the stream which the request resumes: other runners must not
   /// go on with it. Empty: any version.
   std::optional<std::string> version;
-  /// The request may begin a stream that callers can resume, so that the runner's version must
-  /// serve.
+  /// The request may begin an attempt of a stream that callers can resume, the first or a later
+  /// one, so that the runner's version must serve.
   bool begins_resumable_stream = false;
   /// Limit of the expected time of a plain request in milliseconds, as in `PlacementQuery`.
   uint32_t start_within_ms = 0;
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -219,7 +219,8 @@
 }
 
 bool ActiveRequest::beginsResumableStream() const {
-  return state_.stream_origins && !stream_version_ && request_.repeatable() &&
+  const bool begins = !stream_version_ || (resumesStream() && !stream_started_);
+  return state_.stream_origins && begins && request_.repeatable() &&
          request_.route->kind == relay::RouteKind::Streaming;
 }
 
--- a/tests/unit/core/relay/stream_origin_test.cc
+++ b/tests/unit/core/relay/stream_origin_test.cc
@@ -192,6 +192,35 @@
   CHECK(table.runnersOf("s").size() == 2);
 }
 
+// Guards against an attempt that outlives the retirement of its version.
+TEST_CASE("A stream that has a record is not resumed at a version that was stopped") {
+  v1::ServedVersionList served;
+  REQUIRE(relay::applyVersionOrders(served, orderOf(v1::VERSION_STEP_ANNOUNCE, "v1")));
+  REQUIRE(relay::applyVersionOrders(served, orderOf(v1::VERSION_STEP_ANNOUNCE, "v2")));
+  REQUIRE(relay::applyVersionOrders(served, orderOf(v1::VERSION_STEP_SERVE, "v2")));
+  served.set_version(1);
+  relay::RunnerTable table(relay::RunnerTableOptions{});
+  table.setList(listOf(1, {entryOf("1", "v1"), entryOf("2", "v2")}), 1000);
+  relay::RunnerRequest resumption{
+      .service = "s", .now_ms = 1000, .version = "v1", .begins_resumable_stream = true};
+  // A leader of an earlier program sends no list of versions.
+  CHECK(std::holds_alternative<relay::RunnerChoice>(table.choose(resumption)));
+  table.setServedVersions(served);
+  CHECK(std::holds_alternative<relay::RunnerChoice>(table.choose(resumption)));
+
+  REQUIRE(relay::applyVersionOrders(served, orderOf(v1::VERSION_STEP_STOP, "v1")));
+  table.setServedVersions(served);
+  CHECK(std::holds_alternative<relay::NoRunner>(table.choose(resumption)));
+  // An attempt that has begun goes on within its time limit.
+  resumption.begins_resumable_stream = false;
+  CHECK(std::holds_alternative<relay::RunnerChoice>(table.choose(resumption)));
+
+  REQUIRE(relay::applyVersionOrders(served, orderOf(v1::VERSION_STEP_SERVE, "v1")));
+  table.setServedVersions(served);
+  resumption.begins_resumable_stream = true;
+  CHECK(std::holds_alternative<relay::RunnerChoice>(table.choose(resumption)));
+}
+
 TEST_CASE("Cached prefixes are copied between runners of one version only") {
   relay::RunnerTable table(relay::RunnerTableOptions{});
   table.setList(listOf(1, {entryOf("1", "v1"), entryOf("2", "v2"), entryOf("3", "v1")}), 1000);
