--- a/tests/unit/core/raft/raft_replication_test.cc
+++ b/tests/unit/core/raft/raft_replication_test.cc
@@ -213,6 +213,8 @@
   if (child == 0) {
     std::signal(SIGABRT, SIG_DFL);
     leader.step(reply);
+    leader.propose("in place of a committed entry");
+    leader.tick();
     std::_Exit(0);
   }
   int status = 0;
