The log store trusts a rename that succeeded

Where two ways to ask for a file's inode do not agree, as on the platform's machines and on layered file systems, the store took the renamed log for another file, closed it and had none.

Now only a rename that reported a failure is looked into.

--- a/src/adapters/disk/file_log_store.cc
+++ b/src/adapters/disk/file_log_store.cc
@@ -318,10 +318,19 @@
   }
   replacement_ = LogFile{.file = std::get<int>(created), .size = content.size()};
   const auto renamed = renameReplacement(kLogName);
+  if (!isError(renamed)) {
+    takeReplacement();
+  }
   const auto settled = settle();
   return isError(renamed) ? renamed : settled;
 }
 
+void FileLogStore::takeReplacement() {
+  std::swap(log_, replacement_);
+  log_torn_ = false;
+  closeFile(replacement_.file);
+}
+
 Result<std::monostate> FileLogStore::settle() {
   if (auto adopted = adoptReplacement(); isError(adopted)) {
     return adopted;
@@ -350,10 +359,10 @@
     return systemError("cannot examine", folder_ / kLogName);
   }
   if (*replaced) {
-    std::swap(log_, replacement_);
-    log_torn_ = false;
+    takeReplacement();
+  } else {
+    closeFile(replacement_.file);
   }
-  closeFile(replacement_.file);
   return std::monostate{};
 }
 
--- a/src/adapters/disk/file_log_store.h
+++ b/src/adapters/disk/file_log_store.h
@@ -49,7 +49,9 @@
   /// Completes what an earlier failure left undone, so that what is written next is read by the
   /// next start: nothing is written to the log until this succeeds.
   Result<std::monostate> settle();
-  /// Goes on with the file that the log's name denotes, whichever it is after a rename.
+  /// Goes on with the renamed file.
+  void takeReplacement();
+  /// After a rename that reported a failure: goes on with the file that the log's name denotes.
   Result<std::monostate> adoptReplacement();
   Result<std::monostate> replaceFile(const std::string& name, const std::string& content);
   /// Writes and syncs the file that is to replace the file of that name. Returns it opened.
