--- a/src/core/limits/body_budget.h
+++ b/src/core/limits/body_budget.h
@@ -19,8 +19,8 @@
   size_t small_bytes = size_t{128} * 1024;
 };
 
-/// Counts the bytes that are held for the bodies of requests, from the head of each request until
-/// it is released, and refuses more than the process may hold.
+/// Counts the bytes that are held for the bodies of requests, as they arrive and until each request
+/// is released, and refuses more than the process may hold.
 ///
 /// Load pattern: many requests with small or no bodies, and occasionally a burst of large ones.
 /// Guarantee: the reservations never exceed `process_bytes`, and those of large requests never
