Replicas tell how they stand in the group: outside, without a leader, losses left

The lines are made by MembershipReport, a class without I/O; GroupReplica gives it a view. No logic of membership changes: sendJoins, deliver and joinReceived are untouched, the addresses asked are taken where the frames are handed to the links.

Not in here: a relay's search for the leader (a hook in control_link.cc).

--- a/src/adapters/link/link_pool.cc
+++ b/src/adapters/link/link_pool.cc
@@ -54,6 +54,11 @@
   });
 }
 
+bool LinkPool::isOpen(const std::string& address) const {
+  const auto peer = peers_.find(address);
+  return peer != peers_.end() && peer->second->link && peer->second->link->isOpen();
+}
+
 void LinkPool::close() {
   for (auto& [address, peer] : peers_) {
     peer->dialer.cancel();
--- a/src/adapters/link/link_pool.h
+++ b/src/adapters/link/link_pool.h
@@ -27,6 +27,8 @@
   /// Sends a frame, or opens the link and sends the frame afterwards. While the link is opening
   /// only the newest frame is kept.
   void sendFrame(const std::string& address, const v1::Frame& frame);
+  /// @return whether a link to the address is open.
+  bool isOpen(const std::string& address) const;
   /// Closes all links and cancels all attempts to open one.
   void close();
 
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -117,6 +117,7 @@
     }
   }
   updateLeadership();
+  recordStanding();
   compactIfDue();
   if (leaving_) {
     requestLeave();
@@ -154,6 +155,9 @@
                      "cannot restore the snapshot received from the leader");
     applied_ = ready.snapshot->index();
     group_exists_ = true;
+    line_log::write("snapshot_restored", {{"index", applied_},
+                                          {"version", state_.configuration().version()},
+                                          {"bytes", ready.snapshot->state().size()}});
     if (on_change_) {
       on_change_();
     }
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -18,6 +18,7 @@
 #include "core/raft/raft_node.h"
 #include "core/relay/group_state.h"
 #include "daemon/group/group_stats.h"
+#include "daemon/group/membership_report.h"
 #include "daemon/open_calls.h"
 #include "ports/clock.h"
 #include "ports/log_store.h"
@@ -147,6 +148,8 @@
   bool votes() const { return raft::isVoterOf(node_->membership(), id_); }
   uint64_t term() const { return node_->term(); }
   size_t voterCount() const;
+  /// @return how this replica stands in its group now.
+  MembershipView membershipView() const;
   const GroupStats& stats() const { return stats_; }
   CallCounts callCounts() const { return calls_.counts(); }
   /// @return time since this replica became the leader, in ms of the monotonic clock; zero if it is
@@ -205,6 +208,9 @@
   bool replaceSilentVoter(v1::RaftMembership membership);
   std::string addressOf(uint64_t member) const;
   static bool isReadable(const v1::RaftMessage& message);
+  Standing standing() const;
+  LeaderView leaderView() const;
+  void recordStanding();
   void recordContradiction(const v1::RaftMessage& message);
   bool isSeed(const std::string& address) const;
 
@@ -266,6 +272,8 @@
   std::map<uint64_t, std::string> sender_addresses_;
   /// Last logged term of each replica whose messages contradicted the log.
   std::map<uint64_t, uint64_t> contradictions_;
+  /// Place in the group that was last logged.
+  Standing standing_ = Standing::Outside;
   /// Expires with the replica, so that posted work can detect its destruction.
   const std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -38,6 +38,8 @@
 /// a second.
 constexpr std::chrono::milliseconds kLeaveTimeout{2000};
 constexpr std::chrono::milliseconds kLeavePoll{20};
+/// Interval at which the replica checks whether a log line about its membership is due.
+constexpr std::chrono::milliseconds kMembershipReportPeriod{250};
 constexpr uint64_t kMsPerSecond = 1000;
 
 GroupOptions groupOptions(const settings::RelaySettings& settings, const std::string& own) {
@@ -48,6 +50,22 @@
   return options;
 }
 
+/// @return the kind of a frame in log lines.
+const char* kindOf(const v1::Frame& frame) {
+  switch (frame.body_case()) {
+  case v1::Frame::kRaft:
+    return "raft";
+  case v1::Frame::kHello:
+    return "hello";
+  case v1::Frame::kJoin:
+    return "join";
+  case v1::Frame::kRenewal:
+    return "renewal";
+  default:
+    return "other";
+  }
+}
+
 /// @return the identity of an empty data folder; zero: a random one.
 uint64_t firstIdentity(const settings::RelaySettings& settings, const std::string& own) {
   const std::vector<std::string> seeds = settings.seedLinkAddresses();
@@ -66,6 +84,8 @@
       store_(settings_.data_folder, random_, firstIdentity(settings_, link_address_)),
       links_(context_, clock, link_address_),
       replica_(context_, groupOptions(settings_, link_address_), store_, clock, random_, links_),
+      membership_report_(line_log::write,
+                         [this](const std::string& address) { return links_.isOpen(address); }),
       lease_service_(
           context_, replica_, clock, settings_.link_mbps, adapters.configurations,
           ServedVersionOptions{.enabled = settings_.policy.stream_versions,
@@ -92,11 +112,13 @@
   replica_.setHelloSender([this](const std::string& address, v1::ReplicaHello hello) {
     v1::Frame frame;
     *frame.mutable_hello() = std::move(hello);
+    membership_report_.asked(address);
     links_.sendFrame(address, frame);
   });
   replica_.setJoinSender([this](const std::string& address, v1::JoinRequest request) {
     v1::Frame frame;
     *frame.mutable_join() = std::move(request);
+    membership_report_.asked(address);
     links_.sendFrame(address, frame);
   });
   replica_.setLeaveSender([this](const std::string& address, v1::LeaveRequest request) {
@@ -130,6 +152,8 @@
   }
   detached_task::spawnLoop(context_.get_executor(), "read_runner_lists",
                            [this] { return readRunnerLists(); });
+  detached_task::spawnLoop(context_.get_executor(), "report_membership",
+                           [this] { return reportMembership(); });
   log_flusher_.start();
   memory_watch_.start();
   return std::monostate{};
@@ -166,6 +190,7 @@
 
 void GroupRole::frameReceived(const std::shared_ptr<link::FramedLink>& link,
                               const v1::Frame& frame) {
+  membership_report_.frameReceived(kindOf(frame));
   switch (frame.body_case()) {
   case v1::Frame::kRaft:
     replica_.deliver(frame.raft());
@@ -225,10 +250,20 @@
   }
 }
 
+http::awaitable<void> GroupRole::reportMembership() {
+  asio::steady_timer timer(context_);
+  while (true) {
+    membership_report_.update(clock_.monotonicMs(), replica_.membershipView());
+    timer.expires_after(kMembershipReportPeriod);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
 http::awaitable<void> GroupRole::serveMetrics(http::Exchange& exchange) {
   std::string text;
   metrics::exposePeakMemory(text);
   replica_.stats().expose(text);
+  membership_report_.expose(text);
   metrics::exposeGauge(text, "group_term", "term of the replicated log",
                        static_cast<int64_t>(replica_.term()));
   metrics::exposeGauge(text, "group_leads", "1 while this replica leads with a lease",
--- a/src/daemon/group/group_role.h
+++ b/src/daemon/group/group_role.h
@@ -45,6 +45,7 @@
   http::awaitable<void> finish(std::function<void()> stopped);
   http::awaitable<void> handVoteOver();
   http::awaitable<void> readRunnerLists();
+  http::awaitable<void> reportMembership();
   http::awaitable<void> serveMetrics(http::Exchange& exchange);
 
   const settings::RelaySettings settings_;
@@ -56,6 +57,7 @@
   disk::FileLogStore store_;
   link::LinkPool links_;
   GroupReplica replica_;
+  MembershipReport membership_report_;
   LeaseService lease_service_;
   OperatorApi operator_api_;
   RunnerListReader reader_;
