A voter that is gone loses its vote to a learner also while leaders change

What callers would see: with leaders that change every 2 to 3 s, a voter that is gone keeps its vote although its successor has caught up, so that two further lost disks, which the deployment bears, end the group.

Cause: the silence of a voter was counted from the election of the present leader (RaftNode::becomeLeader clears the progress of all members), and silent_voter_limit_ms is 3 s.

Change: while the group has a learner, voters tell each other every 250 ms that they are there, by the existing ReplicaHello, and each remembers when it heard whom (VoterPresence). A leader takes the longer of its own count and this one for a voter that has not answered it, once it had two election timeouts to do so. Without a learner nothing is sent: nobody could take the vote. The limit stays 3 s, from the moment at which a learner is there; one change at a time and the majority as before. The group_health line shows the same silence.

--- a/src/daemon/group/group_membership.cc
+++ b/src/daemon/group/group_membership.cc
@@ -13,6 +13,8 @@
 
 constexpr int64_t kFindGroupPeriodMs = 300;
 constexpr int64_t kMembershipPeriodMs = 200;
+/// Interval at which voters tell each other that they are there, while the group has a learner.
+constexpr int64_t kPresencePeriodMs = 250;
 /// After this time without a leader, a voter sends join requests, since it may have been removed
 /// from the group.
 constexpr int64_t kLeaderlessLimitMs = 2500;
@@ -89,6 +91,7 @@
 }
 
 void GroupReplica::helloReceived(const v1::ReplicaHello& hello) {
+  presence_.heard(hello.id(), clock_.monotonicMs());
   if (hello.answer_wanted()) {
     send_hello_(hello.address(), makeHello());
   }
@@ -193,6 +196,42 @@
   return static_cast<int64_t>(node_->ticksSinceReply(member)) * options_.tick_ms;
 }
 
+/// @return time since this process last heard the voter, also while others led; valid at the
+/// leader. A voter that has not answered this leader gets two election timeouts to do so.
+int64_t GroupReplica::voterSilentForMs(uint64_t voter) const {
+  const int64_t under_this_leader_ms = silentForMs(voter);
+  const bool answered = node_->matchIndex(voter) != 0;
+  const bool had_time = node_->ticksSinceReply(voter) >= uint64_t{2} * options_.election_ticks;
+  if (answered || !had_time) {
+    return under_this_leader_ms;
+  }
+  return std::max(under_this_leader_ms, presence_.silentForMs(voter, clock_.monotonicMs()));
+}
+
+/// Tells the other voters that this one is there, while a learner could take the vote of one that
+/// is gone.
+void GroupReplica::tellPresence() {
+  const int64_t now = clock_.monotonicMs();
+  if (now < presence_due_ms_) {
+    return;
+  }
+  presence_due_ms_ = now + kPresencePeriodMs;
+  const v1::RaftMembership membership = node_->membership();
+  const bool has_learner =
+      std::any_of(membership.members().begin(), membership.members().end(),
+                  [](const v1::RaftMember& member) { return member.learner(); });
+  if (!has_learner || !votes()) {
+    presence_.stop();
+    return;
+  }
+  presence_.listen(now);
+  for (const v1::RaftMember& member : membership.members()) {
+    if (!member.learner() && member.id() != id_) {
+      send_hello_(member.address(), makeHello());
+    }
+  }
+}
+
 size_t GroupReplica::voterCount() const {
   const v1::RaftMembership membership = node_->membership();
   return static_cast<size_t>(
@@ -304,9 +343,9 @@
   auto silent = members->end();
   for (auto member = members->begin(); member != members->end(); ++member) {
     const bool candidate = !member->learner() && member->id() != id_ &&
-                           silentForMs(member->id()) >= options_.silent_voter_limit_ms;
-    if (candidate && (silent == members->end() || node_->ticksSinceReply(member->id()) >
-                                                      node_->ticksSinceReply(silent->id()))) {
+                           voterSilentForMs(member->id()) >= options_.silent_voter_limit_ms;
+    if (candidate && (silent == members->end() ||
+                      voterSilentForMs(member->id()) > voterSilentForMs(silent->id()))) {
       silent = member;
     }
   }
--- a/src/daemon/group/group_membership_view.cc
+++ b/src/daemon/group/group_membership_view.cc
@@ -51,7 +51,7 @@
     }
     ++view.voters;
     view.answering += member.id() == id_ || answers(member.id()) ? 1 : 0;
-    const int64_t silent_ms = member.id() == id_ ? 0 : silentForMs(member.id());
+    const int64_t silent_ms = member.id() == id_ ? 0 : voterSilentForMs(member.id());
     if (silent_ms >= kSilentReportMs) {
       view.silent.push_back(SilentVoter{.address = member.address(), .silent_ms = silent_ms});
     }
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -124,6 +124,7 @@
   } else {
     findGroup();
   }
+  tellPresence();
   advanceMembership();
 }
 
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -19,6 +19,7 @@
 #include "core/relay/group_state.h"
 #include "daemon/group/group_stats.h"
 #include "daemon/group/membership_report.h"
+#include "daemon/group/voter_presence.h"
 #include "daemon/open_calls.h"
 #include "ports/clock.h"
 #include "ports/log_store.h"
@@ -198,6 +199,8 @@
   bool answers(uint64_t member) const;
   bool hasCaughtUp(uint64_t member) const;
   int64_t silentForMs(uint64_t member) const;
+  int64_t voterSilentForMs(uint64_t voter) const;
+  void tellPresence();
   bool advanceJoin(const v1::JoinRequest& join);
   bool advanceDeparture(uint64_t voter);
   bool hasSuccessor() const;
@@ -272,6 +275,8 @@
   std::map<uint64_t, std::string> sender_addresses_;
   /// Last logged term of each replica whose messages contradicted the log.
   std::map<uint64_t, uint64_t> contradictions_;
+  VoterPresence presence_;
+  int64_t presence_due_ms_ = 0;
   /// Place in the group that was last logged.
   Standing standing_ = Standing::Outside;
   /// Expires with the replica, so that posted work can detect its destruction.
--- a/src/daemon/group/membership_report.h
+++ b/src/daemon/group/membership_report.h
@@ -26,7 +26,7 @@
 /// A voter without a recent reply, as its leader sees it.
 struct SilentVoter {
   std::string address;
-  /// Time since its last reply to this leader, or since the leader was elected, in ms.
+  /// Time since it was last heard, in ms.
   int64_t silent_ms = 0;
 };
 
