A learner whose leader is gone forgets it

What callers saw: a replica that does not vote named a leader that was gone, for as long as no other leader sent it a message: relays and operators were sent there. Cause: only a voter's election timeout cleared the leader; a learner starts no election, so that its first contact decided for good. Evidence: "A learner whose leader is gone names no leader" failed before, on: the learner still knew the leader 20 s after all others had been killed. Change: past its election deadline a learner forgets the leader and starts nothing.

--- a/src/core/raft/raft_node.cc
+++ b/src/core/raft/raft_node.cc
@@ -33,8 +33,14 @@
     }
     return;
   }
-  if (now_ >= election_deadline_ && isVoter(id_)) {
+  if (now_ < election_deadline_) {
+    return;
+  }
+  if (isVoter(id_)) {
     becomePreCandidate();
+  } else {
+    // A learner starts no election; it only forgets a leader that may be gone.
+    leader_ = 0;
   }
 }
 
