A replica belongs to one group

What callers could see: a replica that two groups took in ended its process. Nothing told one group's Raft messages from another's, so that the replica mixed both logs. Change: the first membership carries the digest of the founders' addresses, each later one keeps it, messages carry it; a replica ignores (and logs) those of another group than its own or, before it has a membership, than the first that sent it one. A group formed by an earlier program has no digest and admits all, as before. Weighed: a random identity (founders form the group without agreeing on one); one in the settings (the platform gives none).

--- a/src/daemon/group/group_membership.cc
+++ b/src/daemon/group/group_membership.cc
@@ -143,6 +143,7 @@
   first.snapshot->set_index(kFirstIndex);
   first.snapshot->set_term(kFirstTerm);
   first.snapshot->set_state(state_.save());
+  first.snapshot->mutable_membership()->set_group(membersDigest(options_.seeds));
   first.hard_state.emplace();
   first.hard_state->set_term(kFirstTerm);
   for (const std::string& address : options_.seeds) {
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -162,6 +162,7 @@
   for (v1::RaftMessage& message : ready.messages) {
     const std::string address = addressOf(message.to());
     if (!address.empty()) {
+      message.set_group(groupIdentity());
       transport_.send(address, std::move(message));
     }
   }
@@ -385,7 +386,25 @@
          relay::GroupState().restore(message.snapshot().state());
 }
 
-/// Logs the first of successive messages from a replica in a term that contradict this one's log.
+uint64_t GroupReplica::groupIdentity() const {
+  const uint64_t group = node_->membership().group();
+  return group != 0 ? group : first_group_;
+}
+
+bool GroupReplica::admits(const v1::RaftMessage& message) {
+  const uint64_t own = groupIdentity();
+  if (own != 0 && message.group() != 0 && message.group() != own) {
+    recordContradiction(message);
+    return false;
+  }
+  if (own == 0 && message.to() == id_) {
+    first_group_ = message.group();
+  }
+  return true;
+}
+
+/// Logs the first of successive messages from a replica in a term that contradict this one's log or
+/// come from another group.
 void GroupReplica::recordContradiction(const v1::RaftMessage& message) {
   uint64_t& logged_term = contradictions_[message.from()];
   if (logged_term == message.term()) {
@@ -395,6 +414,7 @@
   line_log::write("raft_message_ignored", {{"from", message.from()},
                                            {"type", v1::RaftMessageType_Name(message.type())},
                                            {"term", message.term()},
+                                           {"group", message.group()},
                                            {"match_index", message.match_index()},
                                            {"last_index", node_->log().lastIndex()}});
 }
@@ -405,6 +425,9 @@
   }
   catchUpTicks();
   for (const v1::RaftMessage& message : batch.messages()) {
+    if (!admits(message)) {
+      continue;
+    }
     sender_addresses_[message.from()] = batch.sender_address();
     if (!isReadable(message) || !node_->step(message)) {
       recordContradiction(message);
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -205,6 +205,11 @@
   bool replaceSilentVoter(v1::RaftMembership membership);
   std::string addressOf(uint64_t member) const;
   static bool isReadable(const v1::RaftMessage& message);
+  /// @return the identity of the group that this replica belongs to or, before it has a membership,
+  /// of the first one that sent it a message; zero: not known.
+  uint64_t groupIdentity() const;
+  /// @return false for a message of another group, which must not reach the node.
+  bool admits(const v1::RaftMessage& message);
   void recordContradiction(const v1::RaftMessage& message);
   bool isSeed(const std::string& address) const;
 
@@ -251,6 +256,8 @@
   /// Addresses of the other founders that have not formed the group when they were last heard.
   std::set<std::string> founders_;
   int64_t started_ms_ = 0;
+  /// Identity of the group that first sent a message to this identity of the replica.
+  uint64_t first_group_ = 0;
   /// Whether a group is known to exist, with or without this replica.
   bool group_exists_ = false;
   /// Join requests by the address of the sender.
