Replicas, relays and operators find the group whatever the seeds name

What callers saw: a replica that came later, or that had lost its disk, stayed outside the group for ever ("grouped": false) where its seeds were machines without a disk, or wiped ones and a machine that was gone; the voter in its place stayed, and two more losses left no quorum. Relays with such seeds never got a lease. Operators that a machine without a disk redirected came to another one like it. Cause: what the first contact told decided for good; a process asked only those that its settings named, and who knew better did not speak up. Machines without a disk listened on no link. Evidence, on: "A replica whose seeds hold no replica joins" and "Two replicas that lost their disks rejoin though their seeds are themselves and a machine that is gone" failed: no vote within 20 s. (The machines without a replica that the first one starts did not exist as something that answers; there nothing listened.)

Change: - MemberDirectory: one bounded, ranked list of addresses: the leader (for 2 s after a member named it; the age is passed on with it), members, contacts, seeds, former ones. Steps of a join, votes and the formation of a group are as before; only a first start forms one. A replica that lost its disk does not answer for its former identity (there was no test: "... does not vote under its former identity"; it passed before too).

Weighed: the leader alone telling its seeds (its settings may be other than theirs: each member does); forwarding joins over several hops (the joiner asks directly instead, so that no loop can form); believing everybody about members (an old list would replace a newer one: others only add contacts).

--- a/src/adapters/settings/relay_settings.h
+++ b/src/adapters/settings/relay_settings.h
@@ -78,6 +78,8 @@
   RelayBounds bounds;
   relay::Policy policy;
 
+  /// @return the address for frames of a replica on this machine.
+  std::string linkAddress() const { return ip + ":" + std::to_string(link_port); }
   /// @return the addresses for frames of the replicas in `seeds`.
   std::vector<std::string> seedLinkAddresses() const;
 };
--- a/src/daemon/group/group_membership.cc
+++ b/src/daemon/group/group_membership.cc
@@ -73,21 +73,6 @@
   }
 }
 
-void GroupReplica::sendJoins() {
-  v1::JoinRequest request;
-  request.set_id(id_);
-  request.set_address(options_.own_address);
-  std::vector<std::string> targets = memberAddresses();
-  targets.insert(targets.end(), options_.seeds.begin(), options_.seeds.end());
-  std::sort(targets.begin(), targets.end());
-  targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
-  for (const std::string& target : targets) {
-    if (target != options_.own_address) {
-      send_join_(target, request);
-    }
-  }
-}
-
 void GroupReplica::helloReceived(const v1::ReplicaHello& hello) {
   if (hello.answer_wanted()) {
     send_hello_(hello.address(), makeHello());
@@ -166,22 +151,6 @@
                   {{"id", id_}, {"members", options_.seeds}, {"founders_heard", founders_.size()}});
 }
 
-void GroupReplica::joinReceived(const v1::JoinRequest& request) {
-  if (node_->isLeader()) {
-    if (!unwritten_) {
-      join_requests_[request.address()] = request;
-    }
-    return;
-  }
-  // A replica with an empty disk knows the seeds only, and the leader need not be one of them.
-  const std::string leader = leaderAddress();
-  if (!request.forwarded() && !leader.empty()) {
-    v1::JoinRequest forwarded = request;
-    forwarded.set_forwarded(true);
-    send_join_(leader, std::move(forwarded));
-  }
-}
-
 /// @return whether the member has answered this leader since it was added, and within the last
 /// election timeout.
 bool GroupReplica::answers(uint64_t member) const {
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -23,7 +23,8 @@
 GroupReplica::GroupReplica(boost::asio::io_context& context, GroupOptions options, LogStore& store,
                            const Clock& clock, Random& random, ReplicaTransport& transport)
     : context_(context), options_(std::move(options)), store_(store), clock_(clock),
-      random_(random), transport_(transport), tick_timer_(context) {}
+      random_(random), transport_(transport), tick_timer_(context),
+      directory_(options_.own_address, options_.seeds) {}
 
 Result<std::monostate> GroupReplica::start() {
   auto loaded = store_.load();
@@ -42,6 +43,7 @@
                isSeed(options_.own_address) && id_ == founderIdentity(options_.own_address);
   started_ms_ = clock_.monotonicMs();
   makeNode(std::move(replica.recovery));
+  directory_.setMembers(memberAddresses());
   next_tick_ms_ = clock_.monotonicMs() + options_.tick_ms;
   leader_last_known_ms_ = clock_.monotonicMs();
   line_log::write("replica_started", {{"id", id_},
@@ -124,6 +126,7 @@
     findGroup();
   }
   advanceMembership();
+  announceMembers();
 }
 
 /// Makes `unwritten_` durable, then sends its messages and applies its entries. Messages must not
@@ -333,7 +336,11 @@
   const bool usable = !node_->isLeader() || node_->committedInTerm();
   const uint64_t leader = usable ? node_->leader() : 0;
   const bool changed = std::exchange(reported_leader_, leader) != leader && leader != 0;
-  if (changed && on_leader_known_) {
+  if (!changed) {
+    return;
+  }
+  announcement_due_ms_ = 0;
+  if (on_leader_known_) {
     on_leader_known_();
   }
 }
@@ -376,6 +383,7 @@
 
 void GroupReplica::setSeeds(std::vector<std::string> seeds) {
   options_.seeds = std::move(seeds);
+  directory_.setSeeds(options_.seeds);
   // They were counted for another group.
   founders_.clear();
 }
@@ -424,6 +432,8 @@
     return;
   }
   catchUpTicks();
+  // A member that does not know of a lost disk keeps sending to the former identity here.
+  contactsTold({batch.sender_address()});
   for (const v1::RaftMessage& message : batch.messages()) {
     if (!admits(message)) {
       continue;
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -17,6 +17,7 @@
 
 #include "core/raft/raft_node.h"
 #include "core/relay/group_state.h"
+#include "core/relay/member_directory.h"
 #include "daemon/group/group_stats.h"
 #include "daemon/open_calls.h"
 #include "ports/clock.h"
@@ -70,6 +71,7 @@
   using ReadCallback = CallCallback<const v1::StoredConfiguration*>;
   using HelloSender = std::function<void(const std::string& address, v1::ReplicaHello hello)>;
   using JoinSender = std::function<void(const std::string& address, v1::JoinRequest request)>;
+  using NoticeSender = std::function<void(const std::string& address, v1::MembersNotice notice)>;
   using LeaveSender = std::function<void(const std::string& address, v1::LeaveRequest request)>;
   using LeaveReplySender = std::function<void(const std::string& address, v1::LeaveReply reply)>;
 
@@ -81,6 +83,7 @@
   /// All senders must be set before `start`.
   void setHelloSender(HelloSender sender) { send_hello_ = std::move(sender); }
   void setJoinSender(JoinSender sender) { send_join_ = std::move(sender); }
+  void setNoticeSender(NoticeSender sender) { send_notice_ = std::move(sender); }
   void setLeaveSender(LeaveSender sender) { send_leave_ = std::move(sender); }
   void setLeaveReplySender(LeaveReplySender sender) { send_leave_reply_ = std::move(sender); }
   /// Sets a handler that runs after each change of the replicated state.
@@ -109,6 +112,9 @@
   void deliver(const v1::RaftBatch& batch);
   void helloReceived(const v1::ReplicaHello& hello);
   void joinReceived(const v1::JoinRequest& request);
+  void noticeReceived(const v1::MembersNotice& notice);
+  /// Records addresses that a relay knew as members, for a replica outside the group.
+  void contactsTold(const std::vector<std::string>& addresses);
   void leaveReceived(const v1::LeaveRequest& request);
   void leaveReplyReceived(const v1::LeaveReply& reply);
 
@@ -132,7 +138,12 @@
   const std::string& ownAddress() const { return options_.own_address; }
   /// @return the leader's address; empty if the leader is unknown or is this replica.
   std::string leaderAddress() const;
+  /// @return the leader's address as the group or, outside the group, another process named it
+  /// recently; empty if the leader is unknown or is this replica.
+  std::string hintedLeaderAddress() const;
   std::vector<std::string> memberAddresses() const;
+  /// @return where members and the leader are, as far as this replica knows.
+  v1::MembersNotice makeNotice() const;
   const v1::StoredConfiguration& stored() const { return state_.configuration(); }
   const v1::EvacuationList& evacuations() const { return state_.evacuations(); }
   const v1::QuarantineList& quarantine() const { return state_.quarantine(); }
@@ -186,6 +197,12 @@
   v1::ReplicaHello makeHello() const;
   void sendHellos();
   void sendJoins();
+  /// @return whether this replica is a member, as far as it was told.
+  bool isMember() const { return isMember(id_); }
+  bool isMember(uint64_t id) const;
+  /// Takes a step towards the group at once, if this replica is outside it.
+  void seekGroupNow();
+  void announceMembers();
   void groupFound(bool established);
   void formGroupIfDue();
   void formGroup();
@@ -222,6 +239,7 @@
   boost::asio::steady_timer tick_timer_;
   HelloSender send_hello_;
   JoinSender send_join_;
+  NoticeSender send_notice_;
   LeaveSender send_leave_;
   LeaveReplySender send_leave_reply_;
   std::function<void()> on_change_;
@@ -231,6 +249,8 @@
   std::unique_ptr<raft::RaftNode> node_;
   relay::GroupState state_;
   GroupStats stats_;
+  /// Where to find the group; of use while this replica is outside it or knows no leader.
+  relay::MemberDirectory directory_;
   int64_t next_tick_ms_ = 0;
   bool process_scheduled_ = false;
   /// Raft output that is not durable yet. Remains set while disk writes fail.
@@ -245,6 +265,7 @@
   int64_t leading_since_ms_ = 0;
   int64_t leader_last_known_ms_ = 0;
   int64_t find_group_due_ms_ = 0;
+  int64_t announcement_due_ms_ = 0;
   int64_t membership_due_ms_ = 0;
   uint64_t next_context_ = 1;
   std::vector<Proposal> proposals_;
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -61,7 +61,7 @@
 GroupRole::GroupRole(settings::RelaySettings settings, WorkerPool& workers, const Clock& clock,
                      RelayAdapters adapters)
     : settings_(std::move(settings)), clock_(clock), context_(workers.context(0)),
-      adapters_(adapters), link_address_(settings_.ip + ":" + std::to_string(settings_.link_port)),
+      adapters_(adapters), link_address_(settings_.linkAddress()),
       random_(SeededRandom::fromEntropy()),
       store_(settings_.data_folder, random_, firstIdentity(settings_, link_address_)),
       links_(context_, clock, link_address_),
@@ -99,6 +99,11 @@
     *frame.mutable_join() = std::move(request);
     links_.sendFrame(address, frame);
   });
+  replica_.setNoticeSender([this](const std::string& address, v1::MembersNotice notice) {
+    v1::Frame frame;
+    *frame.mutable_members_notice() = std::move(notice);
+    links_.sendFrame(address, frame);
+  });
   replica_.setLeaveSender([this](const std::string& address, v1::LeaveRequest request) {
     v1::Frame frame;
     *frame.mutable_leave() = std::move(request);
@@ -176,6 +181,9 @@
   case v1::Frame::kJoin:
     replica_.joinReceived(frame.join());
     break;
+  case v1::Frame::kMembersNotice:
+    replica_.noticeReceived(frame.members_notice());
+    break;
   case v1::Frame::kLeave:
     replica_.leaveReceived(frame.leave());
     break;
--- a/src/daemon/group/leader_calls.cc
+++ b/src/daemon/group/leader_calls.cc
@@ -80,7 +80,7 @@
 }
 
 http::Response LeaderCalls::redirectToLeader(const http::Exchange& exchange) const {
-  const std::string leader = replica_.leaderAddress();
+  const std::string leader = replica_.hintedLeaderAddress();
   const size_t colon = leader.rfind(':');
   if (colon == std::string::npos) {
     return makeRefusal(http::Status::service_unavailable, "no_leader", "no leader is known");
--- a/src/daemon/group/lease_service.cc
+++ b/src/daemon/group/lease_service.cc
@@ -7,6 +7,7 @@
 
 #include "adapters/logging/line_log.h"
 #include "core/relay/load_totals.h"
+#include "core/relay/member_directory.h"
 #include "core/relay/renewal_period.h"
 #include "core/relay/request_identity.h"
 #include "core/scheduling/tenant_shares.h"
@@ -78,6 +79,7 @@
   crash_counts_.addReport(renewal, clock_.monotonicMs());
   part_crash_counts_.addReport(renewal, clock_.monotonicMs());
   if (!replica_.isLeader()) {
+    replica_.contactsTold({renewal.known_members().begin(), renewal.known_members().end()});
     sendLeaderAddress(link, renewal.sequence());
     if (!replica_.knowsLeader()) {
       addLeaderlessLink(link);
@@ -105,12 +107,7 @@
 void LeaseService::sendLeaderAddress(const std::shared_ptr<link::FramedLink>& link,
                                      uint64_t sequence) const {
   v1::Frame frame;
-  v1::LeaseReply& reply = *frame.mutable_lease();
-  reply.set_sequence(sequence);
-  for (const std::string& member : replica_.memberAddresses()) {
-    reply.add_members(member);
-  }
-  reply.set_leader_address(replica_.isLeader() ? replica_.ownAddress() : replica_.leaderAddress());
+  *frame.mutable_lease() = relay::makeLeaderReply(replica_.makeNotice(), sequence);
   link->send(frame);
 }
 
@@ -140,9 +137,10 @@
   rollout_controller_.addReport(renewal);
   served_versions_.recordRenewal(renewal.name(), renewal.served_version_list_version());
   relay.renewal = renewal;
-  // The crash reports have been counted by `handleRenewal`.
+  // `handleRenewal` has counted the crash reports; the leader knows its members.
   relay.renewal.clear_runner_ends();
   relay.renewal.clear_sound_parts();
+  relay.renewal.clear_known_members();
   relay_monitor_.recordRenewal(renewal.name(), clock_.monotonicMs());
   requestEarlyRenewals(renewal);
   silent_relays_.recordRenewal(renewal.name());
--- /dev/null
+++ b/src/daemon/group/member_search.cc
@@ -0,0 +1,59 @@
+#include "daemon/group/member_search.h"
+
+#include "adapters/logging/line_log.h"
+
+namespace workshatch::daemon {
+
+namespace {
+
+/// Interval of the questions while no leader is known.
+constexpr int64_t kSearchPeriodMs = 300;
+/// Interval of the questions that keep the leader known.
+constexpr int64_t kRefreshPeriodMs = relay::kLeaderKnownMs / 2;
+
+} // namespace
+
+void MemberSearch::poll() {
+  const int64_t now = clock_.monotonicMs();
+  if (now < question_due_ms_) {
+    return;
+  }
+  const bool leader_known = !directory_.leader(now).empty();
+  question_due_ms_ = now + (leader_known ? kRefreshPeriodMs : kSearchPeriodMs);
+  v1::MembersNotice question = makeNotice();
+  question.set_answer_wanted(true);
+  const std::vector<std::string> all = directory_.candidates(now);
+  for (const std::string& address : leader_known ? directory_.members() : all) {
+    send_(address, question);
+  }
+}
+
+void MemberSearch::noticeReceived(const v1::MembersNotice& notice) {
+  const bool learned = directory_.apply(notice, clock_.monotonicMs());
+  if (notice.answer_wanted()) {
+    send_(notice.sender_address(), makeNotice());
+  }
+  if (!learned) {
+    return;
+  }
+  line_log::write(
+      "group_contacts_learned",
+      {{"leader", leader()}, {"candidates", directory_.candidates(clock_.monotonicMs())}});
+  if (leader().empty()) {
+    question_due_ms_ = 0;
+  }
+}
+
+void MemberSearch::joinReceived(const v1::JoinRequest& request) {
+  send_(request.address(), makeNotice());
+}
+
+v1::LeaseReply MemberSearch::renewalReceived(const v1::LeaseRenewal& renewal) {
+  if (directory_.addContacts({renewal.known_members().begin(), renewal.known_members().end()},
+                             clock_.monotonicMs())) {
+    question_due_ms_ = 0;
+  }
+  return relay::makeLeaderReply(makeNotice(), renewal.sequence());
+}
+
+} // namespace workshatch::daemon
--- a/src/daemon/role_factory.cc
+++ b/src/daemon/role_factory.cc
@@ -16,7 +16,7 @@
     return nullptr;
   }
   if (settings.data_folder.empty()) {
-    return std::make_unique<RedirectRole>(settings, workers);
+    return std::make_unique<RedirectRole>(settings, workers, clock);
   }
   return std::make_unique<GroupRole>(settings, workers, clock, adapters);
 }
--- a/tests/unit/daemon/group/group_discovery_test.cc
+++ b/tests/unit/daemon/group/group_discovery_test.cc
@@ -1,6 +1,8 @@
 /// @file
-/// Tests of how replicas find the group, and of what they hold of its leader.
+/// Tests of how replicas, relays and machines without a replica find the group, whatever their
+/// settings name as seeds.
 #include <chrono>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -10,6 +12,111 @@
 
 namespace workshatch::test {
 
+namespace {
+
+/// Time after its start within which a machine must take part.
+constexpr int64_t kCatchUpMs = 6000;
+
+/// Three machines without a replica, which are the only seeds.
+void seedMachinesWithoutReplica(Group& group) {
+  group.setSeeds({"r1", "r2", "r3"});
+  for (const char* address : {"r1", "r2", "r3"}) {
+    group.startWithoutReplica(address);
+  }
+}
+
+/// @return where the machine without a replica sends a relay that renews; empty if it knows none.
+std::string leaderToldBy(Group& group, const std::string& address) {
+  return group.searchAt(address).renewalReceived(v1::LeaseRenewal()).leader_address();
+}
+
+} // namespace
+
+TEST_CASE("A replica whose seeds hold no replica joins") {
+  Group group;
+  startFirst(group);
+  seedMachinesWithoutReplica(group);
+  group.kill("c");
+  const int64_t started_ms = group.clock().monotonicMs();
+  group.start("d", 44, false);
+  REQUIRE(group.runUntil([&] { return group.at("d").votes(); }));
+  CHECK(group.clock().monotonicMs() - started_ms <= kCatchUpMs);
+  CHECK(group.store(2));
+}
+
+TEST_CASE("Relays find the group after all processes were killed and their seeds hold no replica") {
+  Group group;
+  startFirst(group);
+  for (const char* address : {"a", "b", "c"}) {
+    group.kill(address);
+  }
+  seedMachinesWithoutReplica(group);
+  const int64_t started_ms = group.clock().monotonicMs();
+  startFirst(group);
+  for (const char* address : {"r1", "r2", "r3"}) {
+    CHECK(group.runUntil([&] {
+      const std::string told = leaderToldBy(group, address);
+      return !told.empty() && told == group.leaderAddress();
+    }));
+  }
+  CHECK(group.clock().monotonicMs() - started_ms <= kCatchUpMs);
+}
+
+TEST_CASE("Two replicas that lost their disks rejoin though their seeds are themselves and a "
+          "machine that is gone") {
+  Group group(5);
+  startFirst(group);
+  group.start("d", 44, false);
+  group.start("e", 55, false);
+  REQUIRE(group.runUntil([&] { return group.at("d").votes() && group.at("e").votes(); }));
+  REQUIRE(group.store(2));
+  for (const char* address : {"a", "d"}) {
+    group.kill(address);
+    group.wipe(address);
+  }
+  group.setSeeds({"a", "d", "gone"});
+  const int64_t started_ms = group.clock().monotonicMs();
+  group.start("a", 101, false);
+  group.start("d", 104, false);
+  REQUIRE(group.runUntil([&] { return group.at("a").votes() && group.at("d").votes(); }));
+  CHECK(group.clock().monotonicMs() - started_ms <= kCatchUpMs);
+  CHECK(group.store(3));
+}
+
+TEST_CASE("A replica outside the group joins by what a relay knew, and tells relays the leader") {
+  Group group;
+  startFirst(group);
+  group.setSeeds({"gone"});
+  group.start("d", 44, false);
+  group.runFor(std::chrono::milliseconds(100));
+  CHECK(group.at("d").makeNotice().members().empty());
+  group.at("d").contactsTold({"gone-too", "a"});
+  REQUIRE(group.runUntil([&] { return group.members().contains("d"); }));
+  CHECK(group.runUntil([&] {
+    const std::string leader = group.leaderAddress();
+    return !leader.empty() && group.at("d").makeNotice().leader_address() == leader;
+  }));
+}
+
+TEST_CASE("A replica that lost its disk does not vote under its former identity") {
+  Group group;
+  startFirst(group);
+  for (const char* address : {"a", "b", "c"}) {
+    group.kill(address);
+  }
+  group.wipe("b");
+  group.wipe("c");
+  group.start("a", 11, false);
+  group.start("b", 102, false);
+  group.start("c", 103, false);
+  group.runFor(std::chrono::milliseconds(1500));
+  CHECK(group.leader() == nullptr);
+  for (const char* address : {"b", "c"}) {
+    CHECK(group.at(address).term() == 0);
+    CHECK_FALSE(group.at(address).votes());
+  }
+}
+
 TEST_CASE("A replica that is told of two groups belongs to one and disturbs neither") {
   Group group;
   startFirst(group);
@@ -49,6 +156,7 @@
     group.kill(address);
   }
   CHECK(group.runUntil([&] { return !group.at("d").knowsLeader(); }));
+  CHECK(group.runUntil([&] { return group.at("d").makeNotice().leader_address().empty(); }));
 }
 
 } // namespace workshatch::test
--- a/tests/unit/daemon/group/group_fixture.h
+++ b/tests/unit/daemon/group/group_fixture.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <type_traits>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -19,6 +20,7 @@
 #include "adapters/system_clock.h"
 #include "daemon/group/founder_identity.h"
 #include "daemon/group/group_replica.h"
+#include "daemon/group/member_search.h"
 #include "ports/seeded_random.h"
 #include "unit/daemon/memory_store.h"
 #include "unit/daemon/relay/relay_fixture.h"
@@ -88,8 +90,9 @@
       deliver(to, [hello](GroupReplica& replica) { replica.helloReceived(hello); });
     });
     machine.replica->setJoinSender([this](const std::string& to, const v1::JoinRequest& join) {
-      deliver(to, [join](GroupReplica& replica) { replica.joinReceived(join); });
+      deliver(to, [join](auto& receiver) { receiver.joinReceived(join); });
     });
+    machine.replica->setNoticeSender(noticeSender());
     machine.replica->setLeaveSender([this](const std::string& to, const v1::LeaveRequest& leave) {
       deliver(to, [leave](GroupReplica& replica) { replica.leaveReceived(leave); });
     });
@@ -98,6 +101,12 @@
     });
     REQUIRE_FALSE(isError(machine.replica->start()));
   }
+  /// Starts a machine that holds no replica, or starts its process again.
+  void startWithoutReplica(const std::string& address) {
+    searches_[address] = std::make_unique<daemon::MemberSearch>(
+        clock_, address, std::vector<std::string>(seeds_.begin(), seeds_.end()), noticeSender());
+  }
+  daemon::MemberSearch& searchAt(const std::string& address) { return *searches_.at(address); }
   /// Simulates a suspension of the machine: its clock jumps ahead.
   void sleep(const std::string& address, int64_t milliseconds) {
     machines_.at(address).clock.sleepFor(milliseconds);
@@ -126,6 +135,9 @@
     const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
     bool met = condition();
     while (!met && std::chrono::steady_clock::now() < limit) {
+      for (auto& [address, search] : searches_) {
+        search->poll();
+      }
       context_.run_one_for(std::chrono::milliseconds(20));
       met = condition();
     }
@@ -253,14 +265,26 @@
     }
     return *transport;
   }
-  void deliver(const std::string& to, std::function<void(GroupReplica&)> call) {
+  /// @param call takes a replica, and a machine without one if such frames reach it too
+  template <typename Call> void deliver(const std::string& to, Call call) {
     boost::asio::post(context_, [this, to, call = std::move(call)] {
       const auto found = machines_.find(to);
       if (found != machines_.end() && found->second.replica) {
         call(*found->second.replica);
       }
+      if constexpr (std::is_invocable_v<Call, daemon::MemberSearch&>) {
+        const auto search = searches_.find(to);
+        if (search != searches_.end()) {
+          call(*search->second);
+        }
+      }
     });
   }
+  GroupReplica::NoticeSender noticeSender() {
+    return [this](const std::string& to, const v1::MembersNotice& notice) {
+      deliver(to, [notice](auto& receiver) { receiver.noticeReceived(notice); });
+    };
+  }
 
   static constexpr uint64_t kPercent = 100;
 
@@ -272,6 +296,8 @@
   uint64_t lost_hellos_percent_ = 0;
   std::map<std::string, std::unique_ptr<Transport>> transports_;
   std::map<std::string, Machine> machines_;
+  /// Machines without a replica.
+  std::map<std::string, std::unique_ptr<daemon::MemberSearch>> searches_;
   std::set<std::string> cut_off_;
   std::set<std::string> seeds_ = {"a", "b", "c"};
 };
--- a/tests/unit/daemon/group/redirect_role_test.cc
+++ b/tests/unit/daemon/group/redirect_role_test.cc
@@ -13,6 +13,8 @@
 #include <doctest/doctest.h>
 
 #include "adapters/http/http_types.h"
+#include "adapters/link/framed_link.h"
+#include "adapters/system_clock.h"
 #include "daemon/group/redirect_role.h"
 #include "unit/wait_until.h"
 
@@ -21,13 +23,18 @@
 namespace {
 
 constexpr const char* kOwnAddress = "127.0.0.1:18261";
+constexpr uint16_t kLinkPort = 18263;
+constexpr const char* kLinkAddress = "127.0.0.1:18263";
 
 /// Runs the role and sends operator calls to it.
 class RunningRole {
 public:
   explicit RunningRole(std::vector<std::string> seeds)
-      : role_(settings::RelaySettings{.operator_address = kOwnAddress, .seeds = std::move(seeds)},
-              workers_) {
+      : role_(settings::RelaySettings{.ip = "127.0.0.1",
+                                      .operator_address = kOwnAddress,
+                                      .link_port = kLinkPort,
+                                      .seeds = std::move(seeds)},
+              workers_, clock_) {
     REQUIRE_FALSE(isError(role_.start()));
     workers_.start();
   }
@@ -55,10 +62,37 @@
   }
 
 private:
+  const SystemClock clock_;
   WorkerPool workers_{1};
   daemon::RedirectRole role_;
 };
 
+/// Sends a frame to the role, and then a relay's renewal. @return the reply to the renewal.
+v1::LeaseReply exchangeFrames(const v1::Frame& frame) {
+  boost::asio::io_context context;
+  link::LinkDialer dialer(context);
+  std::shared_ptr<link::FramedLink> sender;
+  v1::LeaseReply reply;
+  dialer.dial(kLinkAddress, std::chrono::seconds(5), [&](std::shared_ptr<link::FramedLink> link) {
+    REQUIRE(link != nullptr);
+    sender = std::move(link);
+    sender->start(
+        [&](const v1::Frame& answer) {
+          reply = answer.lease();
+          context.stop();
+        },
+        [] {});
+    sender->send(frame);
+    v1::Frame renewal;
+    renewal.mutable_renewal()->set_sequence(1);
+    sender->send(renewal);
+  });
+  context.run_for(std::chrono::seconds(5));
+  CHECK(reply.sequence() == 1);
+  sender->close();
+  return reply;
+}
+
 bool contains(const std::string& text, const std::string& part) {
   return text.find(part) != std::string::npos;
 }
@@ -74,6 +108,34 @@
   CHECK(contains(RunningRole::sendCall(), "Location: http://10.0.0.1:90/get?x=1\r\n"));
 }
 
+TEST_CASE("An operator reaches the leader in one redirect") {
+  const RunningRole role({"10.0.0.1:90"});
+  v1::Frame notice;
+  notice.mutable_members_notice()->set_sender_is_member(true);
+  notice.mutable_members_notice()->add_members("10.0.0.7:91");
+  notice.mutable_members_notice()->add_members("10.0.0.8:91");
+  exchangeFrames(notice);
+  const std::string to_member = RunningRole::sendCall();
+  CHECK(contains(to_member, "Location: http://10.0.0.7:18261/get?x=1\r\n"));
+  notice.mutable_members_notice()->set_leader_address("10.0.0.8:91");
+  exchangeFrames(notice);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(contains(RunningRole::sendCall(), "Location: http://10.0.0.8:18261/get?x=1\r\n"));
+  }
+}
+
+TEST_CASE("A machine without a disk tells relays the members and the leader") {
+  const RunningRole role({"10.0.0.1:90"});
+  v1::Frame notice;
+  notice.mutable_members_notice()->set_sender_is_member(true);
+  notice.mutable_members_notice()->add_members("10.0.0.8:91");
+  notice.mutable_members_notice()->set_leader_address("10.0.0.8:91");
+  const v1::LeaseReply reply = exchangeFrames(notice);
+  CHECK_FALSE(reply.confirmed());
+  CHECK(reply.members_size() == 1);
+  CHECK(reply.leader_address() == "10.0.0.8:91");
+}
+
 TEST_CASE("A machine without a disk that knows no replica answers 503 with Retry-After") {
   const RunningRole role({kOwnAddress});
   const std::string answer = RunningRole::sendCall();
