Relays ask former seeds and members, and their own machine

What callers saw: after the settings had changed, relays asked their new seeds and the members last told only; where all of these were gone, they had no lease. Evidence: "A relay goes on asking members and seeds that it was told before" failed on: its former seed was not asked in 6 s. Change: ControlLink searches along the MemberDirectory, with the replica's address on its own machine last, and names the members that it knows in its first renewal on a link, so that a replica outside the group learns of them.

--- a/src/daemon/relay/control_link.cc
+++ b/src/daemon/relay/control_link.cc
@@ -25,11 +25,11 @@
 } // namespace
 
 ControlLink::ControlLink(boost::asio::io_context& context, const Clock& clock,
-                         std::vector<std::string> seeds, RenewalSource make_renewal,
-                         ReplyHandler on_reply)
-    : context_(context), clock_(clock), seeds_(std::move(seeds)),
-      make_renewal_(std::move(make_renewal)), on_reply_(std::move(on_reply)), timer_(context),
-      dialer_(context) {}
+                         std::string own_machine, std::vector<std::string> seeds,
+                         RenewalSource make_renewal, ReplyHandler on_reply)
+    : context_(context), clock_(clock), own_machine_(std::move(own_machine)),
+      directory_("", std::move(seeds)), make_renewal_(std::move(make_renewal)),
+      on_reply_(std::move(on_reply)), timer_(context), dialer_(context) {}
 
 void ControlLink::start() {
   step();
@@ -107,7 +107,13 @@
 
 void ControlLink::renew() {
   v1::Frame frame;
-  *frame.mutable_renewal() = make_renewal_(std::exchange(first_on_link_, false));
+  const bool first = std::exchange(first_on_link_, false);
+  *frame.mutable_renewal() = make_renewal_(first);
+  if (first) {
+    for (const std::string& member : directory_.members()) {
+      frame.mutable_renewal()->add_known_members(member);
+    }
+  }
   link_->send(frame);
 }
 
@@ -115,11 +121,11 @@
   if (!hinted_leader_.empty()) {
     return std::exchange(hinted_leader_, {});
   }
-  std::vector<std::string> candidates = members_;
-  for (const std::string& seed : seeds_) {
-    if (std::find(candidates.begin(), candidates.end(), seed) == candidates.end()) {
-      candidates.push_back(seed);
-    }
+  std::vector<std::string> candidates = directory_.candidates(clock_.monotonicMs());
+  const bool listed =
+      std::find(candidates.begin(), candidates.end(), own_machine_) != candidates.end();
+  if (!listed && !own_machine_.empty()) {
+    candidates.push_back(own_machine_);
   }
   return candidates.empty() ? "" : candidates[candidate_++ % candidates.size()];
 }
@@ -184,9 +190,7 @@
     return;
   }
   const v1::LeaseReply& reply = frame.lease();
-  if (reply.members_size() != 0) {
-    members_.assign(reply.members().begin(), reply.members().end());
-  }
+  directory_.setMembers({reply.members().begin(), reply.members().end()});
   if (reply.sequence() == 0 && !reply.leader_address().empty()) {
     onLeaderAnnounced(reply.leader_address());
     return;
--- a/src/daemon/relay/control_link.h
+++ b/src/daemon/relay/control_link.h
@@ -13,12 +13,13 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "adapters/link/framed_link.h"
+#include "core/relay/member_directory.h"
 #include "ports/clock.h"
 
 namespace workshatch::daemon {
 
-/// Finds the leader among the group's members, keeps one link to it and sends lease renewals on it
-/// periodically. Lives on one event loop; not safe for concurrent use.
+/// Finds the leader among the addresses where replicas may be, keeps one link to it and sends lease
+/// renewals on it periodically. Lives on one event loop; not safe for concurrent use.
 class ControlLink {
 public:
   /// Builds the next renewal, including its sequence number. @param first_on_link whether this is
@@ -26,11 +27,12 @@
   using RenewalSource = std::function<v1::LeaseRenewal(bool first_on_link)>;
   using ReplyHandler = std::function<void(const v1::LeaseReply&)>;
 
-  /// @param seeds link addresses of some replicas, tried until the group's members are known
+  /// @param own_machine address at which a replica on this machine would take frames; tried last
+  /// @param seeds link addresses of some replicas, tried after the members that are known
   /// @param make_renewal called for each renewal
   /// @param on_reply called with each reply of the leader
-  ControlLink(boost::asio::io_context& context, const Clock& clock, std::vector<std::string> seeds,
-              RenewalSource make_renewal, ReplyHandler on_reply);
+  ControlLink(boost::asio::io_context& context, const Clock& clock, std::string own_machine,
+              std::vector<std::string> seeds, RenewalSource make_renewal, ReplyHandler on_reply);
 
   void start();
   void stop();
@@ -38,7 +40,7 @@
   void renewNow();
   /// Closes the current link; the search for the leader starts again with the next step.
   void reconnect();
-  void setSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+  void setSeeds(std::vector<std::string> seeds) { directory_.setSeeds(std::move(seeds)); }
 
   /// Bytes of frames exchanged with leaders, on all links since the start.
   struct Traffic {
@@ -61,8 +63,8 @@
 
   boost::asio::io_context& context_;
   const Clock& clock_;
-  std::vector<std::string> seeds_;
-  std::vector<std::string> members_;
+  const std::string own_machine_;
+  relay::MemberDirectory directory_;
   const RenewalSource make_renewal_;
   const ReplyHandler on_reply_;
   boost::asio::steady_timer timer_;
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -61,7 +61,7 @@
       adapters_(adapters), random_(SeededRandom::fromEntropy()), incarnation_(random_.next()),
       state_(settings_, clock, adapters.dialect, randomFraction(random_)),
       control_(
-          context_, clock, settings_.seedLinkAddresses(),
+          context_, clock, settings_.linkAddress(), settings_.seedLinkAddresses(),
           [this](bool first_on_link) { return makeRenewal(first_on_link); },
           [this](const v1::LeaseReply& reply) { onLeaseReply(reply); }),
       reader_(context_, clock_, settings_.runner_list_address, adapters.runner_lists),
--- a/tests/unit/daemon/relay/control_link_test.cc
+++ b/tests/unit/daemon/relay/control_link_test.cc
@@ -43,7 +43,7 @@
     made.set_sequence(1);
     return made;
   };
-  daemon::ControlLink control(context, clock, {"127.0.0.1:18251"}, renewal,
+  daemon::ControlLink control(context, clock, "", {"127.0.0.1:18251"}, renewal,
                               [](const v1::LeaseReply&) {});
   control.start();
   // Ten steps of 80 ms with three connection attempts each.
@@ -81,7 +81,7 @@
     made.set_sequence(1);
     return made;
   };
-  daemon::ControlLink control(context, clock, {"127.0.0.1:18253"}, renewal,
+  daemon::ControlLink control(context, clock, "", {"127.0.0.1:18253"}, renewal,
                               [](const v1::LeaseReply&) {});
   control.start();
   const auto first_second = std::chrono::milliseconds(1000);
@@ -96,4 +96,71 @@
   control.stop();
 }
 
+TEST_CASE(
+    "A relay whose seeds are gone is served through its own machine, and tells it the members") {
+  boost::asio::io_context context;
+  const SystemClock clock;
+  std::vector<std::shared_ptr<link::FramedLink>> links;
+  bool confirmed = false;
+  v1::LeaseRenewal told;
+  // A process that belongs to no group and knows a member that is gone.
+  link::LinkListener own_machine(context);
+  const auto answer = [&](std::shared_ptr<link::FramedLink> link) {
+    links.push_back(link);
+    link->start(
+        [&, weak = std::weak_ptr(link)](const v1::Frame& frame) {
+          told = frame.renewal().known_members_size() != 0 ? frame.renewal() : told;
+          v1::Frame reply;
+          reply.mutable_lease()->set_sequence(frame.renewal().sequence());
+          reply.mutable_lease()->add_members("127.0.0.1:18256");
+          reply.mutable_lease()->set_confirmed(told.known_members_size() != 0);
+          if (const auto from = weak.lock()) {
+            from->send(reply);
+          }
+        },
+        [] {});
+  };
+  REQUIRE_FALSE(isError(own_machine.listen("127.0.0.1:18254", answer)));
+  const auto renewal = [](bool) {
+    v1::LeaseRenewal made;
+    made.set_sequence(1);
+    return made;
+  };
+  daemon::ControlLink control(context, clock, "127.0.0.1:18254", {"127.0.0.1:18255"}, renewal,
+                              [&](const v1::LeaseReply&) { confirmed = true; });
+  control.start();
+  const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(6);
+  while (!confirmed && std::chrono::steady_clock::now() < limit) {
+    context.run_one_for(std::chrono::milliseconds(50));
+  }
+  CHECK(confirmed);
+  REQUIRE(told.known_members_size() == 1);
+  CHECK(told.known_members(0) == "127.0.0.1:18256");
+  control.stop();
+}
+
+TEST_CASE("A relay goes on asking members and seeds that it was told before") {
+  boost::asio::io_context context;
+  const SystemClock clock;
+  std::vector<std::shared_ptr<link::FramedLink>> links;
+  int asked = 0;
+  link::LinkListener former(context);
+  const auto count = [&](std::shared_ptr<link::FramedLink> link) {
+    links.push_back(link);
+    link->start([&](const v1::Frame&) { ++asked; }, [] {});
+  };
+  REQUIRE_FALSE(isError(former.listen("127.0.0.1:18257", count)));
+  const auto renewal = [](bool) { return v1::LeaseRenewal(); };
+  daemon::ControlLink control(context, clock, "", {"127.0.0.1:18257"}, renewal,
+                              [](const v1::LeaseReply&) {});
+  control.setSeeds({"127.0.0.1:18258"});
+  control.start();
+  const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(6);
+  while (asked == 0 && std::chrono::steady_clock::now() < limit) {
+    context.run_one_for(std::chrono::milliseconds(50));
+  }
+  CHECK(asked > 0);
+  control.stop();
+}
+
 } // namespace workshatch::test
