--- a/src/daemon/group/group_membership.cc
+++ b/src/daemon/group/group_membership.cc
@@ -75,21 +75,6 @@
   }
 }
 
-void GroupReplica::sendJoins() {
-  v1::JoinRequest request;
-  request.set_id(id_);
-  request.set_address(options_.own_address);
-  std::vector<std::string> targets = memberAddresses();
-  targets.insert(targets.end(), options_.seeds.begin(), options_.seeds.end());
-  std::sort(targets.begin(), targets.end());
-  targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
-  for (const std::string& target : targets) {
-    if (target != options_.own_address) {
-      send_join_(target, request);
-    }
-  }
-}
-
 void GroupReplica::helloReceived(const v1::ReplicaHello& hello) {
   presence_.heard(hello.id(), clock_.monotonicMs());
   if (hello.answer_wanted()) {
@@ -146,6 +131,7 @@
   first.snapshot->set_index(kFirstIndex);
   first.snapshot->set_term(kFirstTerm);
   first.snapshot->set_state(state_.save());
+  first.snapshot->mutable_membership()->set_group(membersDigest(options_.seeds));
   first.hard_state.emplace();
   first.hard_state->set_term(kFirstTerm);
   for (const std::string& address : options_.seeds) {
@@ -168,22 +154,6 @@
                   {{"id", id_}, {"members", options_.seeds}, {"founders_heard", founders_.size()}});
 }
 
-void GroupReplica::joinReceived(const v1::JoinRequest& request) {
-  if (node_->isLeader()) {
-    if (!unwritten_) {
-      join_requests_[request.address()] = request;
-    }
-    return;
-  }
-  // A replica with an empty disk knows the seeds only, and the leader need not be one of them.
-  const std::string leader = leaderAddress();
-  if (!request.forwarded() && !leader.empty()) {
-    v1::JoinRequest forwarded = request;
-    forwarded.set_forwarded(true);
-    send_join_(leader, std::move(forwarded));
-  }
-}
-
 /// @return whether the member has answered this leader since it was added, and within the last
 /// election timeout.
 bool GroupReplica::answers(uint64_t member) const {
