Silence of voters counts only while this process hears a majority itself

What callers could see: a voter loses its vote 0.6 s after it was last there, where a process that stood still or was cut off becomes the leader: all that it did not hear meanwhile counted as their silence. So did the time before a replica became a voter: since the group had a learner. Cause: VoterPresence counted from the beginning of listening for a voter that it had never heard, and knew nothing of pauses of its own. Change: the silence counts from when a voter was heard or became one, and anew after a pause of this process or while it hears no majority.

--- a/src/core/raft/raft_node.cc
+++ b/src/core/raft/raft_node.cc
@@ -245,6 +245,11 @@
                      });
 }
 
+bool hasLearner(const v1::RaftMembership& membership) {
+  return std::any_of(membership.members().begin(), membership.members().end(),
+                     [](const v1::RaftMember& member) { return member.learner(); });
+}
+
 size_t RaftNode::voterCount() const {
   return static_cast<size_t>(
       std::count_if(membership_.members().begin(), membership_.members().end(),
--- a/src/core/raft/raft_node.h
+++ b/src/core/raft/raft_node.h
@@ -79,6 +79,9 @@
 /// @return whether `member` is a voter of `membership`.
 bool isVoterOf(const v1::RaftMembership& membership, uint64_t member);
 
+/// @return whether `membership` has a learner.
+bool hasLearner(const v1::RaftMembership& membership);
+
 enum class RaftRole { Follower, PreCandidate, Candidate, Leader };
 
 /// One Raft replica. Its inputs are ticks, messages, proposals and calls of `persisted`; its output
--- a/src/daemon/group/group_departure.cc
+++ b/src/daemon/group/group_departure.cc
@@ -25,11 +25,6 @@
 /// must not lose its vote for a request from before.
 constexpr int64_t kLeaveRequestValidMs = 500;
 
-bool hasLearner(const v1::RaftMembership& membership) {
-  return std::any_of(membership.members().begin(), membership.members().end(),
-                     [](const v1::RaftMember& member) { return member.learner(); });
-}
-
 } // namespace
 
 void GroupReplica::leave() {
@@ -43,7 +38,7 @@
 }
 
 bool GroupReplica::mayEnd() const {
-  const bool nobody_to_ask = leaderAddress().empty() && !hasLearner(node_->membership());
+  const bool nobody_to_ask = leaderAddress().empty() && !raft::hasLearner(node_->membership());
   return !hasVote() || leave_reply_.no_successor() || nobody_to_ask;
 }
 
--- a/src/daemon/group/group_membership.cc
+++ b/src/daemon/group/group_membership.cc
@@ -1,6 +1,7 @@
 /// @file
 /// How a replica finds, forms or joins its group, and how the leader changes the membership.
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "adapters/logging/line_log.h"
@@ -14,7 +15,7 @@
 constexpr int64_t kFindGroupPeriodMs = 300;
 constexpr int64_t kMembershipPeriodMs = 200;
 /// Interval at which voters tell each other that they are there, while the group has a learner.
-constexpr int64_t kPresencePeriodMs = 250;
+constexpr int64_t kPresencePeriodMs = VoterPresence::kMaxPauseMs / 2;
 /// After this time without a leader, a voter sends join requests, since it may have been removed
 /// from the group.
 constexpr int64_t kLeaderlessLimitMs = 2500;
@@ -187,19 +188,18 @@
   }
   presence_due_ms_ = now + kPresencePeriodMs;
   const v1::RaftMembership membership = node_->membership();
-  const bool has_learner =
-      std::any_of(membership.members().begin(), membership.members().end(),
-                  [](const v1::RaftMember& member) { return member.learner(); });
-  if (!has_learner || !votes()) {
+  if (!raft::hasLearner(membership) || !votes()) {
     presence_.stop();
     return;
   }
-  presence_.listen(now);
+  std::set<uint64_t> others;
   for (const v1::RaftMember& member : membership.members()) {
     if (!member.learner() && member.id() != id_) {
+      others.insert(member.id());
       send_hello_(member.address(), makeHello());
     }
   }
+  presence_.listen(others, now);
 }
 
 size_t GroupReplica::voterCount() const {
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -444,6 +444,7 @@
       continue;
     }
     sender_addresses_[message.from()] = batch.sender_address();
+    presence_.heard(message.from(), clock_.monotonicMs());
     if (!isReadable(message) || !node_->step(message)) {
       recordContradiction(message);
     }
--- a/src/daemon/group/voter_presence.h
+++ b/src/daemon/group/voter_presence.h
@@ -6,26 +6,37 @@
 /// each other that they are there, and a new leader knows for how long it has not heard a voter.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 
 namespace workshatch::daemon {
 
-/// Times are monotonic, in ms. Not safe for concurrent use.
+/// The silence of each voter counts from when it was last heard, became a voter, or this process
+/// began to listen. It counts anew for all voters once this process may itself be the cause: after
+/// a pause of its own, or while it hears no majority. Bounded by the number of voters. Times are
+/// monotonic, in ms. Not safe for concurrent use.
 class VoterPresence {
 public:
-  /// Listens from now on, unless it does already.
-  void listen(int64_t now_ms);
+  /// Listens to these voters from now on, and forgets all others. Must be called at least every
+  /// `kMaxPauseMs`, or it counts as a pause of this process.
+  /// @param voters identities of the other voters of the group
+  void listen(const std::set<uint64_t>& voters, int64_t now_ms);
+  static constexpr int64_t kMaxPauseMs = 500;
   /// Forgets all that was heard: nothing is told any more.
   void stop();
+  /// Records a message of a voter; one of any other process is ignored.
   void heard(uint64_t voter, int64_t now_ms);
-  /// @return time since the voter was last heard, or since this process began to listen; zero while
-  /// it does not listen.
+  /// @return time for which the voter has been silent; zero for a process that is not listened to.
   int64_t silentForMs(uint64_t voter, int64_t now_ms) const;
 
 private:
-  bool listening_ = false;
-  int64_t listening_since_ms_ = 0;
+  bool hearsMajority(int64_t now_ms) const;
+  void countAnew(int64_t now_ms);
+
+  /// When this process last listened; negative: it does not.
+  int64_t listened_ms_ = -1;
   std::map<uint64_t, int64_t> last_heard_ms_;
 };
 
