A stopping relay takes only requests that end in time, and answers those it must end

What callers saw: in a planned stop of a relay, in calm, streams that came 1.5 to 2.8 s after SIGTERM were taken, passed on, and cut at 7.45 s (0.93 of the time to stop) while their runners were at work, among them such that may not be repeated. Plain requests, too, ended without an answer where they outlasted the stop.

Cause: nobody compared the time that a late request may take with the time that was left. Requests were taken for 2.8 s whatever their limits; at the cut the process exited under them.

Change: the times of a stop stand in one place (core/relay/planned_stop.h), all from bounds.stop_s. A stopping relay takes a request (a caller's or a forwarded one; a body that is still arriving counts from its end) only if the smaller of its own and its route's time limit ends before the cut, or if requests of that route have shown to take less: 1.5 times the longest of at least 20, seen for as long as the limit, requests in progress included. All others are refused at once: 503 "stopping", not run, Retry-After 50 ms, Connection: close; a relay that forwarded one goes on to another relay. The cut comes at 0.95 of the time instead of 0.93 and ends requests instead of the process: unsent ones get 503 (not run), others 504, streams their complete events; responses have until 0.98. A stopping relay leaves itself out of the addresses that it gives.

The second of two pipelined requests may wait for the first.

--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -75,6 +75,19 @@
   }
 }
 
+void ActiveRequest::endForStop() {
+  if (!interrupted()) {
+    ended_for_stop_ = true;
+    interrupt();
+  }
+}
+
+void ActiveRequest::recordDurationInProgress() {
+  const int64_t now_ms = state_.clock.monotonicMs();
+  state_.request_durations.recordInProgress(request_.route->name, now_ms - request_.received_ms,
+                                            now_ms);
+}
+
 void ActiveRequest::onPathLost(const std::string& service) {
   if (!at_runner_ || request_.service != service || interrupted()) {
     return;
@@ -134,6 +147,7 @@
   try {
     if (!failure) {
       co_await finish();
+      recordDuration();
     }
   } catch (...) {
     failure = std::current_exception();
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -57,6 +57,13 @@
   /// not advance while the machine is suspended.
   void checkDeadline();
 
+  /// Ends the request because the process is about to exit: its caller gets a final response, or
+  /// the complete events of its stream.
+  void endForStop();
+
+  /// Records how long the request has lasted so far.
+  void recordDurationInProgress();
+
   /// Interrupts the attempt in progress if the request is in quarantine and no part of a stream has
   /// been relayed: the request may still be queued at the runner, which would crash when it starts
   /// the request.
@@ -212,6 +219,7 @@
   std::optional<uint32_t> retryAfterMs() const;
   uint32_t retryWithoutPathMs() const;
   void learnOutput();
+  void recordDuration();
   void logOutcome(const std::string& outcome);
 
   // Main loop, choice of runners and waiting for slots (active_request.cc).
@@ -233,7 +241,7 @@
   void recordChoice(const relay::RunnerChoice& choice);
 
   bool interrupted() const {
-    return caller_left_ || timed_out_ || quarantine_cancelled_ || reader_cut_;
+    return caller_left_ || timed_out_ || quarantine_cancelled_ || reader_cut_ || ended_for_stop_;
   }
   bool inQuarantine() const {
     return state_.quarantine.contains(request_.identity, request_.parts);
@@ -274,6 +282,8 @@
   relay::ReadAheadBudget::Reader reader_ = 0;
   /// The request was put into quarantine while an attempt was in progress.
   bool quarantine_cancelled_ = false;
+  /// The request was ended because the process is about to exit.
+  bool ended_for_stop_ = false;
   /// Held for the next attempt while the current one is still in progress.
   std::optional<Successor> successor_;
   /// A retry was taken from the budget for an attempt that has not been made yet.
--- a/src/daemon/relay/active_request_outcome.cc
+++ b/src/daemon/relay/active_request_outcome.cc
@@ -70,6 +70,9 @@
 
 /// @return the retry delay; nullopt if there is no use in coming back.
 std::optional<uint32_t> ActiveRequest::retryAfterMs() const {
+  if (ended_for_stop_) {
+    return relay::kRetryWhileStoppingMs;
+  }
   if (version_unknown_) {
     return others_do_not_know_ ? std::nullopt : std::optional(kRetryWithoutRunnerMs);
   }
@@ -113,7 +116,9 @@
   if (stream_started_) {
     // The caller gets all complete events before the connection is aborted.
     co_await exchange_.drainTo(0);
-    logOutcome(timed_out_ ? "stream_timed_out" : "stream_broken");
+    logOutcome(timed_out_        ? "stream_timed_out"
+               : ended_for_stop_ ? "stream_ended_for_stop"
+                                 : "stream_broken");
     exchange_.closeIncomplete();
     co_return;
   }
@@ -131,12 +136,23 @@
     co_await fail(http::Status::gateway_timeout, "timeout", "the time limit was reached");
     co_return;
   }
+  if (ended_for_stop_) {
+    logOutcome("ended_for_stop");
+    co_await fail(http::Status::gateway_timeout, "stopping",
+                  "this relay had to end before the runner answered");
+    co_return;
+  }
   logOutcome("runner_broke_off");
   co_await fail(http::Status::bad_gateway, "broken", "the runner gave no whole answer");
 }
 
 /// Refuses a request that no runner has run, and that none can take now or is allowed to.
 http::awaitable<void> ActiveRequest::refuseForWantOfRunner(const relay::RequestNotRun& proof) {
+  if (ended_for_stop_) {
+    logOutcome("not_run_before_stop");
+    co_await refuse(proof, "stopping", "this relay is about to end");
+    co_return;
+  }
   if (inQuarantine()) {
     logOutcome("quarantined");
     co_await refuse(proof, "quarantined", "the runners that ran this request ended");
@@ -182,6 +198,20 @@
   }
 }
 
+/// Records how long the request lasted, unless no runner may have run it.
+void ActiveRequest::recordDuration() {
+  if (execution_.notRun()) {
+    return;
+  }
+  if (caller_left_ || ended_for_stop_) {
+    // It would have lasted longer.
+    recordDurationInProgress();
+    return;
+  }
+  const int64_t now_ms = state_.clock.monotonicMs();
+  state_.request_durations.recordEnded(request_.route->name, now_ms - request_.received_ms, now_ms);
+}
+
 void ActiveRequest::logOutcome(const std::string& outcome) {
   ++state_.stats.outcomes[outcome];
   const int64_t now = state_.clock.monotonicMs();
--- a/src/daemon/relay/active_request_rollout.cc
+++ b/src/daemon/relay/active_request_rollout.cc
@@ -30,7 +30,7 @@
 /// caller disconnected, the request was quarantined, or the path to the runners was lost.
 void ActiveRequest::recordForRollout(const relay::Runner& runner, const AttemptResult& result) {
   const v1::Rollout* rollout = state_.runners.rollouts().findRollout(request_.service);
-  const bool withdrawn = caller_left_ || quarantine_cancelled_ || hung_;
+  const bool withdrawn = caller_left_ || quarantine_cancelled_ || hung_ || ended_for_stop_;
   const bool conclusive =
       result.end == AttemptEnd::Answered || (result.end == AttemptEnd::Broken && !withdrawn);
   if (rollout == nullptr || !relay::isInProgress(*rollout) || sent_ms_ == 0 || !conclusive) {
--- a/src/daemon/relay/relay_lease.cc
+++ b/src/daemon/relay/relay_lease.cc
@@ -21,7 +21,7 @@
   renewal.set_incarnation(incarnation_);
   renewal.set_address(settings_.caller_address);
   renewal.set_zone(settings_.zone);
-  renewal.set_ready(!state_.stopping);
+  renewal.set_ready(!state_.stop);
   renewal.set_configuration_version(received_.version());
   renewal.set_runner_list_version(state_.runners.listVersion());
   renewal.set_runner_list_fingerprint(state_.runners.listFingerprint());
--- a/src/daemon/relay/relay_request.cc
+++ b/src/daemon/relay/relay_request.cc
@@ -17,7 +17,6 @@
 /// duration is unknown.
 constexpr int64_t kMinRetryWithoutLeaseMs = 200;
 constexpr int64_t kMaxRetryWithoutLeaseMs = 1000;
-constexpr uint32_t kRetryWhileStoppingMs = 50;
 constexpr uint32_t kMaxPriority = relay::kPriorities - 1;
 /// Distance between the priorities of tenants, which leaves room for the priorities of routes.
 constexpr uint32_t kTenantPriorityStep = 3;
@@ -45,6 +44,25 @@
                  retryWithoutLeaseMs(state, relayed.received_ms));
 }
 
+http::Problem stoppingRefusal(const std::string& id) {
+  return refusal(http::Status::service_unavailable, "stopping", "this relay is about to end", id,
+                 relay::kRetryWhileStoppingMs);
+}
+
+/// @return whether the request is certain, or as far as the route's requests show expected, to end
+/// before a stopping relay ends those in progress. One that runs then can't be served elsewhere,
+/// while a refused one can.
+bool endsBeforeCut(const RelayRequest& relayed, RelayState& state, int64_t now_ms) {
+  const int64_t left_ms = state.stop->cut_ms - now_ms;
+  const int64_t limit_ms = relayed.deadline_ms - now_ms;
+  if (limit_ms <= left_ms) {
+    return true;
+  }
+  const auto expected_ms =
+      state.request_durations.expectedLongestMs(relayed.route->name, limit_ms, now_ms);
+  return expected_ms && *expected_ms <= left_ms;
+}
+
 /// @return the caller's timeout in milliseconds; nullopt if its header is missing or can't be
 /// parsed.
 std::optional<int64_t> callerTimeoutMs(const http::Request& request, const HeaderNames& names) {
@@ -131,9 +149,8 @@
   relayed.origin = origin;
   relayed.id = http::fieldOf(request, names.request_id).value_or("");
   const std::string& id = relayed.id;
-  if (state.refusing) {
-    return refusal(http::Status::service_unavailable, "stopping", "this relay is about to end", id,
-                   kRetryWhileStoppingMs);
+  if (state.stop && now_ms >= state.stop->refuse_ms) {
+    return stoppingRefusal(id);
   }
   if (!state.routes) {
     return refusal(http::Status::service_unavailable, "no_configuration",
@@ -142,7 +159,7 @@
   if (origin && origin->configuration_version > state.routes->version()) {
     return refusal(http::Status::service_unavailable, "older_configuration",
                    "the relay that forwarded the request has a newer configuration", id,
-                   kRetryWhileStoppingMs);
+                   relay::kRetryWhileStoppingMs);
   }
   if (id.empty()) {
     return refusal(http::Status::bad_request, "no_request_id", names.request_id + " is missing",
@@ -190,6 +207,9 @@
   const int64_t allowed_ms = relayed.route->timeout_ms;
   const int64_t caller_timeout_ms = callerTimeoutMs(request, names).value_or(allowed_ms);
   relayed.deadline_ms = relayed.received_ms + std::min(caller_timeout_ms, allowed_ms);
+  if (state.stop && !endsBeforeCut(relayed, state, now_ms)) {
+    return stoppingRefusal(id);
+  }
   const uint64_t listed_prompt_tokens = readPrompt(request, state.dialect, relayed);
   const relay::Service* service = state.routes->findService(relayed.service);
   relayed.engine = service != nullptr && service->model_engine;
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -37,10 +37,6 @@
 /// Maximum of the random delay by which relays that read the list at the same time spread their
 /// calls.
 constexpr uint64_t kOwnListJitterMs = 400;
-/// Time after the start of a planned stop during which new requests are still accepted.
-constexpr std::chrono::milliseconds kAcceptWhileStopping{2800};
-/// Fraction of the time limit of a planned stop after which requests in progress are abandoned.
-constexpr double kStopFraction = 0.93;
 
 /// Delay after which a caller may repeat a request that was refused for lack of memory: about the
 /// time in which large bodies that are being served are sent on.
@@ -292,7 +288,7 @@
 }
 
 bool RelayRole::ready() const {
-  return !state_.stopping && state_.routes && state_.lease.holds(clock_.monotonicMs());
+  return !state_.stop && state_.routes && state_.lease.holds(clock_.monotonicMs());
 }
 
 http::awaitable<void> RelayRole::handleReady(http::Exchange& exchange) {
@@ -317,7 +313,7 @@
           .region = http::queryParameter(exchange.target(), adapters_.dialect.regionParameter())
                         .value_or(""),
           .own_address = settings_.caller_address,
-          .confirmed_recently = state_.lease.isFresh(clock_.monotonicMs()),
+          .confirmed_recently = !state_.stop && state_.lease.isFresh(clock_.monotonicMs()),
           .services = servicesOfHost(exchange.target()),
           .draw = random_.next()});
   http::Response response =
@@ -403,6 +399,11 @@
     }
     state_.path_prober->tick();
   }
+  if (state_.stop) {
+    for (ActiveRequest* active_request : state_.active_requests) {
+      active_request->recordDurationInProgress();
+    }
+  }
   slot_client_->tick();
   prefix_client_->tick();
   stream_origins_->tick();
@@ -422,42 +423,54 @@
 }
 
 void RelayRole::stop(std::function<void()> stopped) {
-  state_.stopping = true;
+  state_.stop = relay::plannedStop(clock_.monotonicMs(), settings_.bounds.stop_ms);
   control_.renewNow();
   detached_task::spawnEssential(context_.get_executor(), "stop", drain(std::move(stopped)));
 }
 
 http::awaitable<void> RelayRole::drain(std::function<void()> stopped) {
-  const int64_t begin = clock_.monotonicMs();
+  const int64_t begin_ms = clock_.monotonicMs();
+  const relay::PlannedStop stop = *state_.stop;
   asio::steady_timer timer(context_);
   caller_server_.closeConnections();
   forward_server_.closeConnections();
-  timer.expires_after(kAcceptWhileStopping);
+  timer.expires_after(std::chrono::milliseconds(stop.refuse_ms - begin_ms));
   co_await timer.async_wait(kAwait);
-  state_.refusing = true;
   caller_server_.stopAccepting();
   caller_server_.closeIdle();
   forward_server_.stopAccepting();
   forward_server_.closeIdle();
-  const auto requestsInProgress = [this] {
-    return caller_server_.requestsInProgress() + forward_server_.requestsInProgress();
-  };
-  const auto connectionsClosing = [this] {
-    return caller_server_.connectionsClosing() + forward_server_.connectionsClosing();
-  };
   // The servers first accept what waits in their backlogs.
   timer.expires_after(kHousekeepingPeriod);
   co_await timer.async_wait(kAwait);
-  const auto last =
-      begin + static_cast<int64_t>(kStopFraction * static_cast<double>(settings_.bounds.stop_ms));
-  while (requestsInProgress() + connectionsClosing() > 0 && clock_.monotonicMs() < last) {
-    timer.expires_after(kHousekeepingPeriod);
-    co_await timer.async_wait(kAwait);
+  co_await awaitCallers(stop.cut_ms);
+  const size_t ended = state_.active_requests.size();
+  for (ActiveRequest* active_request : state_.active_requests) {
+    active_request->endForStop();
   }
+  co_await awaitCallers(stop.end_ms);
   control_.stop();
-  line_log::write("drained",
-                  {{"left", requestsInProgress()}, {"ms", clock_.monotonicMs() - begin}});
+  line_log::write(
+      "drained",
+      {{"ended", ended}, {"left", requestsInProgress()}, {"ms", clock_.monotonicMs() - begin_ms}});
   stopped();
 }
 
+size_t RelayRole::requestsInProgress() const {
+  return caller_server_.requestsInProgress() + forward_server_.requestsInProgress();
+}
+
+/// Waits until all callers have their responses and have closed their connections, or until the
+/// given time.
+http::awaitable<void> RelayRole::awaitCallers(int64_t until_ms) {
+  asio::steady_timer timer(context_);
+  const auto connectionsClosing = [this] {
+    return caller_server_.connectionsClosing() + forward_server_.connectionsClosing();
+  };
+  while (requestsInProgress() + connectionsClosing() > 0 && clock_.monotonicMs() < until_ms) {
+    timer.expires_after(kHousekeepingPeriod);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
 } // namespace workshatch::daemon
--- a/src/daemon/relay/relay_role.h
+++ b/src/daemon/relay/relay_role.h
@@ -40,7 +40,8 @@
 
   Result<std::monostate> start() override;
   /// Begins a planned stop: stops accepting once callers have had time to see that the relay is
-  /// draining, finishes the requests in progress, then calls `stopped`.
+  /// draining, finishes the requests in progress, then calls `stopped`. Refuses new requests that
+  /// might not end in time; ends those in progress shortly before the limit.
   void stop(std::function<void()> stopped) override;
   void reload(const settings::RelaySettings& settings) override;
 
@@ -58,6 +59,8 @@
   http::awaitable<void> handleMetrics(http::Exchange& exchange);
   http::awaitable<void> readRunnersWithoutGroup();
   http::awaitable<void> drain(std::function<void()> stopped);
+  http::awaitable<void> awaitCallers(int64_t until_ms);
+  size_t requestsInProgress() const;
   v1::LeaseRenewal makeRenewal(bool first_on_link);
   void onLeaseReply(const v1::LeaseReply& reply);
   /// @return false if the update does not apply to the current list.
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -12,8 +13,10 @@
 #include "adapters/settings/relay_settings.h"
 #include "core/limits/body_budget.h"
 #include "core/relay/peer_relays.h"
+#include "core/relay/planned_stop.h"
 #include "core/relay/quarantine.h"
 #include "core/relay/read_ahead_budget.h"
+#include "core/relay/request_durations.h"
 #include "core/relay/retry_budget.h"
 #include "core/relay/rollout_outcomes.h"
 #include "core/relay/route_table.h"
@@ -123,10 +126,10 @@
   RunnerReports runner_reports;
   RelayStats stats;
   const int64_t started_ms;
-  /// A planned stop is in progress.
-  bool stopping = false;
-  /// New requests are refused because the process is about to exit.
-  bool refusing = false;
+  /// How long requests of each route last; used by a planned stop.
+  relay::RequestDurations request_durations;
+  /// Set while a planned stop is in progress.
+  std::optional<relay::PlannedStop> stop;
 };
 
 } // namespace workshatch::daemon
--- a/tests/unit/daemon/relay/relay_role_test.cc
+++ b/tests/unit/daemon/relay/relay_role_test.cc
@@ -2,75 +2,102 @@
 /// Tests of the relay role with a fake leader: readiness and a planned stop.
 #include <atomic>
 #include <chrono>
-#include <memory>
+#include <deque>
+#include <string>
 #include <thread>
 
-#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
-#include "adapters/http/blocking_client.h"
-#include "adapters/link/framed_link.h"
-#include "daemon/relay/relay_role.h"
-#include "unit/daemon/relay/relay_fixture.h"
+#include "unit/daemon/relay/relay_role_fixture.h"
 
 namespace workshatch::test {
 
 namespace {
 
-class NoListCodec : public RunnerListCodec {
+using std::chrono::milliseconds;
+
+settings::RelaySettings stopWithin(int64_t stop_ms) {
+  settings::RelaySettings settings = RunningRelay::defaultSettings();
+  settings.bounds.stop_ms = stop_ms;
+  settings.policy.peer_forwarding = true;
+  return settings;
+}
+
+/// A runner that accepts requests and does not finish them before it is destroyed.
+class BusyRunner {
 public:
-  std::string target(const std::string&) const override { return "/list"; }
-  Result<RunnerPage> decode(std::string_view) const override { return Error{"no list"}; }
+  /// @param begin sent as the beginning of each response
+  explicit BusyRunner(std::string begin = "")
+      : runner_([this, begin](auto& socket, const auto&) {
+          writeTo(socket, begin);
+          while (!ended_) {
+            std::this_thread::sleep_for(milliseconds(1));
+          }
+        }) {}
+  ~BusyRunner() { ended_ = true; }
+  BusyRunner(const BusyRunner&) = delete;
+  BusyRunner& operator=(const BusyRunner&) = delete;
+
+  std::string address() const { return runner_.address(); }
+  bool hasRequest() const { return runner_.requests() > 0; }
+
+private:
+  std::atomic<bool> ended_{false};
+  ScriptedRunner runner_;
 };
 
-/// A leader that confirms each renewal and distributes a configuration and a list of one runner.
-class FakeLeader {
+bool isRefusal(const std::string& answer) {
+  return answer.starts_with("HTTP/1.1 503") &&
+         answer.find("Connection: close") != std::string::npos &&
+         answer.find("Retry-After: ") != std::string::npos &&
+         answer.find("stopping") != std::string::npos;
+}
+
+std::string lateRequest(int64_t timeout_ms) {
+  return requestText(CallerRequest{.id = "late", .timeout_ms = timeout_ms});
+}
+
+/// A caller whose connection was made before the stop. Its request ends where the relay's process
+/// would: nothing counts that comes after `stopped`.
+class KeptCaller {
 public:
-  FakeLeader(const std::string& address, std::string runner_address)
-      : listener_(workers_.context(0)), runner_address_(std::move(runner_address)) {
-    const auto listening =
-        listener_.listen(address, [this](std::shared_ptr<link::FramedLink> link) {
-          links_.push_back(link);
-          link->start(
-              [this, weak = std::weak_ptr(link)](const v1::Frame& frame) {
-                if (const auto from = weak.lock()) {
-                  answer(*from, frame.renewal());
-                }
-              },
-              [] {});
-        });
-    REQUIRE_FALSE(isError(listening));
-    workers_.start();
+  explicit KeptCaller(const RunningRelay& relay) : relay_(relay) {
+    socket_.connect(*http::parseEndpoint(relay.settings().caller_address));
   }
-  ~FakeLeader() { workers_.stop(); }
-  FakeLeader(const FakeLeader&) = delete;
-  FakeLeader& operator=(const FakeLeader&) = delete;
-
-  bool relayIsReady() const { return relay_ready_; }
 
-private:
-  void answer(link::FramedLink& link, const v1::LeaseRenewal& renewal) {
-    relay_ready_ = renewal.ready();
-    v1::Frame frame;
-    v1::LeaseReply& reply = *frame.mutable_lease();
-    reply.set_sequence(renewal.sequence());
-    reply.set_confirmed(true);
-    configurations_.add(daemon::packConfiguration(1, "any"));
-    *reply.mutable_configuration() = configurations_.updateFrom(renewal.configuration_version());
-    reply.mutable_runners()->set_version(1);
-    v1::RunnerEntry* runner = reply.mutable_runners()->add_changed();
-    runner->set_id("runner-1");
-    runner->set_service("s");
-    runner->set_address(runner_address_);
-    link.send(frame);
+  void sendAfter(milliseconds delay, const std::string& request) {
+    thread_ = std::thread([this, delay, request] {
+      std::this_thread::sleep_for(delay);
+      boost::system::error_code failure;
+      char byte = 0;
+      socket_.non_blocking(true);
+      socket_.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek,
+                      failure);
+      socket_.non_blocking(false);
+      closed_ = failure == boost::asio::error::eof;
+      boost::asio::write(socket_, boost::asio::buffer(request), failure);
+      boost::asio::read(socket_, boost::asio::dynamic_buffer(answer_), failure);
+      in_time_ = !relay_.stopped();
+      socket_.close(failure);
+    });
   }
+  void join() { thread_.join(); }
+
+  /// @return whether the relay had closed the connection before the request was sent.
+  bool closed() const { return closed_; }
+  bool inTime() const { return in_time_; }
+  const std::string& answer() const { return answer_; }
 
-  WorkerPool workers_{1};
-  link::LinkListener listener_;
-  const std::string runner_address_;
-  daemon::ConfigurationUpdateBuilder configurations_;
-  std::vector<std::shared_ptr<link::FramedLink>> links_;
-  std::atomic<bool> relay_ready_{false};
+private:
+  const RunningRelay& relay_;
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::socket socket_{context_};
+  std::thread thread_;
+  bool closed_ = false;
+  bool in_time_ = false;
+  std::string answer_;
 };
 
 } // namespace
@@ -85,45 +112,100 @@
     }
     writeTo(socket, signedAnswer("q1", "done"));
   });
-  const FakeLeader leader("127.0.0.1:18241", runner.address());
-  settings::RelaySettings settings;
-  settings.name = "relay-1";
-  settings.zone = "z";
-  settings.caller_address = "127.0.0.1:18242";
-  settings.ready_address = "127.0.0.1:18243";
-  settings.resolve_address = "127.0.0.1:18244";
-  settings.runner_list_address = "127.0.0.1:1";
-  settings.seeds = {"127.0.0.1:1"};
-  settings.link_port = 18241;
-  const SystemClock clock;
-  const TestDialect dialect;
-  const OneRouteCodec configurations;
-  const NoListCodec runner_lists;
-  WorkerPool workers(1);
-  daemon::RelayRole role(settings, workers, clock,
-                         daemon::RelayAdapters{.dialect = dialect,
-                                               .configurations = configurations,
-                                               .runner_lists = runner_lists});
-  REQUIRE_FALSE(isError(role.start()));
-  workers.start();
-  const auto ready = [&] { return !isError(http::blockingGet(settings.ready_address, "/ready")); };
-  REQUIRE(within(kTestTimeout, ready));
-
+  RunningRelay relay(runner.address());
   std::string answer;
-  std::thread caller(
-      [&] { answer = answerTo(TestRelay::requestText("q1"), settings.caller_address); });
+  std::thread caller([&] { answer = relay.send(TestRelay::requestText("q1")); });
   REQUIRE(within(kTestTimeout, [&] { return runner_has_request.load(); }));
-  std::atomic<bool> stopped{false};
-  boost::asio::post(workers.context(0), [&] { role.stop([&] { stopped = true; }); });
-  CHECK(within(kTestTimeout, [&] { return !leader.relayIsReady(); }));
-  CHECK_FALSE(ready());
-  CHECK_FALSE(stopped);
+  relay.stop();
+  CHECK(within(kTestTimeout, [&] { return !relay.leader().relayIsReady(); }));
+  CHECK_FALSE(relay.ready());
+  CHECK_FALSE(relay.stopped());
   runner_may_answer = true;
   caller.join();
   CHECK(answer.starts_with("HTTP/1.1 200"));
   CHECK(answer.ends_with("done"));
-  CHECK(within(kTestTimeout, [&] { return stopped.load(); }));
-  workers.stop();
+  CHECK(within(kTestTimeout, [&] { return relay.stopped(); }));
+}
+
+TEST_CASE("Requests that came late in a planned stop were cut without an answer at its end") {
+  BusyRunner runner;
+  RunningRelay relay(runner.address(), stopWithin(4000));
+  std::deque<KeptCaller> callers;
+  for (int i = 0; i < 12; ++i) {
+    callers.emplace_back(relay);
+  }
+  relay.stop();
+  milliseconds delay{0};
+  for (KeptCaller& caller : callers) {
+    caller.sendAfter(delay, lateRequest(2000));
+    delay += milliseconds(225);
+  }
+  for (KeptCaller& caller : callers) {
+    caller.join();
+    INFO(caller.answer());
+    const bool timed_out = caller.answer().starts_with("HTTP/1.1 504");
+    CHECK((caller.closed() || (caller.inTime() && (timed_out || isRefusal(caller.answer())))));
+  }
+  CHECK(callers.front().answer().starts_with("HTTP/1.1 504"));
+  CHECK(within(milliseconds(2000), [&] { return relay.stopped(); }));
+}
+
+TEST_CASE("A request that might not end before a planned stop does is refused without a run") {
+  BusyRunner runner;
+  RunningRelay relay(runner.address(), stopWithin(2000));
+  relay.stop();
+  REQUIRE(within(kTestTimeout, [&] { return !relay.leader().relayIsReady(); }));
+  CHECK(isRefusal(relay.send(lateRequest(3000))));
+  const std::string forwarded = requestText(
+      CallerRequest{.id = "late",
+                    .timeout_ms = 3000,
+                    .more_headers = "Workshatch-Configuration: 1\r\nWorkshatch-Runs: 0\r\n"});
+  const std::string refusal = answerTo(forwarded, "127.0.0.1:18245");
+  CHECK(isRefusal(refusal));
+  CHECK(refusal.find("Workshatch-Refusal: ") != std::string::npos);
+  CHECK_FALSE(runner.hasRequest());
+  CHECK(relay.send(lateRequest(500)).starts_with("HTTP/1.1 504"));
+  CHECK(runner.hasRequest());
+}
+
+TEST_CASE("A request whose body arrives after a stopping relay takes none is refused") {
+  BusyRunner runner;
+  RunningRelay relay(runner.address(), stopWithin(2000));
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket(context);
+  socket.connect(*http::parseEndpoint(relay.settings().caller_address));
+  const std::string request = lateRequest(100);
+  boost::asio::write(socket, boost::asio::buffer(request.substr(0, request.size() - 1)));
+  relay.stop();
+  std::this_thread::sleep_for(milliseconds(900));
+  boost::asio::write(socket, boost::asio::buffer(request.substr(request.size() - 1)));
+  std::string answer;
+  boost::system::error_code ignored;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ignored);
+  CHECK(isRefusal(answer));
+  CHECK_FALSE(runner.hasRequest());
+}
+
+TEST_CASE(
+    "Requests at work at the end of a planned stop get a response, and streams their events") {
+  const std::string event = chunk("id: 1\ndata: a\n\n");
+  bool stream = false;
+  SUBCASE("plain") {}
+  SUBCASE("stream") { stream = true; }
+  BusyRunner runner(stream ? streamHead("late") + event : "");
+  relay::Route route =
+      testRoute(stream ? relay::RouteKind::Streaming : relay::RouteKind::RunOnce, 1);
+  route.timeout_ms = 10'000;
+  RunningRelay relay(runner.address(), stopWithin(1000), route);
+  KeptCaller caller(relay);
+  caller.sendAfter(milliseconds(0), lateRequest(10'000));
+  REQUIRE(within(kTestTimeout, [&] { return runner.hasRequest(); }));
+  relay.stop();
+  caller.join();
+  CHECK(caller.inTime());
+  CHECK(caller.answer().starts_with(stream ? "HTTP/1.1 200" : "HTTP/1.1 504"));
+  CHECK(caller.answer().ends_with(event) == stream);
+  CHECK(within(milliseconds(2000), [&] { return relay.stopped(); }));
 }
 
 } // namespace workshatch::test
