A replica starts while its disk refuses writes

Cause: FileLogStore::load stored a new identity and rewrote the log, also where nothing was torn, and a refusal there was an error of the start. One that comes later only makes the replica inactive.

Change: `load` reads and decides what is valid; `LogStore::settle` makes it durable: takes a lock that could not be created, stores a new identity, rewrites the log. The group replica starts as one whose write is outstanding (`unwritten_`) until `settle` succeeds, which is retried on the tick. Until then it ignores Raft messages, sends nothing, votes for nobody, joins nowhere, does not count as a founder, and refuses changes and reads. The product's control replica settles at the start of its loop, with the same retries as for any write. `disk_failed` is written once as the disk begins to refuse, and `disk_recovered` as it ceases to; new gauge `group_disk_failing`. A write refused while the group is formed is counted and logged too.

Durability: as before, nothing is told before the log that was read is written anew and synced, and its folder. Weighed: taking part at once where nothing is torn. The rewrite stays.

Elsewhere, same cause: a lock file that cannot be created is no error while the disk refuses (ENOSPC, EDQUOT, EFBIG, EIO, EROFS); `settle` takes the lock and fails if another process has used the folder meanwhile. std::filesystem::exists threw without a line. A file that could be read only in part (EIO) counted as a torn log, whose rest would have been dropped: an error now.

--- a/src/adapters/disk/file_log_store.cc
+++ b/src/adapters/disk/file_log_store.cc
@@ -1,12 +1,11 @@
 #include "adapters/disk/file_log_store.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <cstring>
 #include <fcntl.h>
-#include <fstream>
 #include <optional>
-#include <sstream>
 #include <sys/file.h>
 #include <sys/stat.h>
 #include <thread>
@@ -20,7 +19,7 @@
 
 namespace {
 
-constexpr int kFileMode = 0600;
+constexpr size_t kReadBytes = size_t{64} * 1024;
 constexpr const char* kLogName = "raft.log";
 constexpr const char* kSnapshotName = "raft.snapshot";
 constexpr const char* kIdentityName = "identity";
@@ -52,17 +51,38 @@
 
 std::string identityText(uint64_t id) { return std::to_string(id) + "\n"; }
 
-Result<std::string> readFile(const std::filesystem::path& path) {
-  if (!std::filesystem::exists(path)) {
-    return std::string();
+/// @return whether the error is a state of the disk, which may pass: it is full, fails or is
+/// mounted read-only.
+bool isRefusal(int error) {
+  return error == ENOSPC || error == EDQUOT || error == EFBIG || error == EIO || error == EROFS;
+}
+
+void closeFile(int& file) {
+  if (file >= 0) {
+    ::close(file);
   }
-  std::ifstream in(path, std::ios::binary);
-  std::ostringstream content;
-  content << in.rdbuf();
-  if (!in) {
-    return systemError("cannot read", path);
+  file = -1;
+}
+
+/// @return the content of the file; empty if it does not exist.
+Result<std::string> readFile(const std::filesystem::path& path) {
+  int file = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (file < 0) {
+    return errno == ENOENT ? Result<std::string>(std::string()) : systemError("cannot open", path);
   }
-  return content.str();
+  std::string content;
+  std::string block(kReadBytes, '\0');
+  ssize_t count = 0;
+  while ((count = ::read(file, block.data(), block.size())) > 0 || (count < 0 && errno == EINTR)) {
+    content.append(block, 0, static_cast<size_t>(std::max<ssize_t>(count, 0)));
+  }
+  // A part of the file must not be taken for a torn log.
+  Result<std::string> result = std::move(content);
+  if (count < 0) {
+    result = systemError("cannot read", path);
+  }
+  closeFile(file);
+  return result;
 }
 
 /// @return whether `path` names the file that is open as `file`; nothing if that can't be told.
@@ -78,13 +98,6 @@
   return named.st_dev == opened.st_dev && named.st_ino == opened.st_ino;
 }
 
-void closeFile(int& file) {
-  if (file >= 0) {
-    ::close(file);
-  }
-  file = -1;
-}
-
 /// Applies one record of the log file to the entries and the hard state read so far. The first
 /// entry is the base of the log; a truncation never removes it.
 void replay(const v1::RaftLogRecord& record, std::vector<v1::RaftEntry>& entries,
@@ -119,33 +132,43 @@
 }
 
 Result<StoredReplica> FileLogStore::load() {
-  std::error_code failure;
-  std::filesystem::create_directories(folder_, failure);
-  if (failure) {
-    return Error{"cannot create " + folder_.string() + ": " + failure.message()};
-  }
-  if (auto locked = lockFolder(); isError(locked)) {
-    return errorOf(locked);
+  const auto opened = openLock();
+  if (isError(opened)) {
+    return errorOf(opened);
+  }
+  if (std::get<bool>(opened)) {
+    // A predecessor that has been told to end may still hold the lock.
+    if (auto locked = lockFolder(kMaxHeldWait); isError(locked)) {
+      return errorOf(locked);
+    }
   }
-  auto identity = loadIdentity();
-  if (isError(identity)) {
+  if (auto identity = loadIdentity(); isError(identity)) {
     return errorOf(identity);
   }
   auto recovery = loadLog();
   if (isError(recovery)) {
     return errorOf(recovery);
   }
-  return StoredReplica{.id = std::get<uint64_t>(identity),
+  return StoredReplica{.id = identity_,
                        .recovery = std::move(std::get<raft::RaftRecovery>(recovery))};
 }
 
-Result<std::monostate> FileLogStore::lockFolder() {
-  lock_file_ = ::open((folder_ / kLockName).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
-  if (lock_file_ < 0) {
-    return systemError("cannot open", folder_ / kLockName);
+Result<bool> FileLogStore::openLock() {
+  const std::filesystem::path path = folder_ / kLockName;
+  if (files_.createFolders(folder_)) {
+    lock_file_ = files_.create(path, O_RDWR);
+  }
+  if (lock_file_ < 0 && isRefusal(errno)) {
+    lock_file_ = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+    if (lock_file_ < 0 && errno == ENOENT) {
+      return false;
+    }
   }
-  // A predecessor that has been told to end may still hold the lock.
-  const auto until = std::chrono::steady_clock::now() + kMaxHeldWait;
+  return lock_file_ < 0 ? Result<bool>(systemError("cannot open", path)) : true;
+}
+
+Result<std::monostate> FileLogStore::lockFolder(std::chrono::milliseconds limit) {
+  const auto until = std::chrono::steady_clock::now() + limit;
   while (::flock(lock_file_, LOCK_EX | LOCK_NB) != 0) {
     if (std::chrono::steady_clock::now() >= until) {
       return Error{"data folder " + folder_.string() + " is in use by another process"};
@@ -155,31 +178,61 @@
   return std::monostate{};
 }
 
-Result<uint64_t> FileLogStore::loadIdentity() {
+Result<std::monostate> FileLogStore::lockLate() {
+  if (lock_file_ >= 0) {
+    return std::monostate{};
+  }
+  const auto opened = openLock();
+  if (isError(opened)) {
+    return errorOf(opened);
+  }
+  if (!std::get<bool>(opened)) {
+    return Error{"cannot create " + (folder_ / kLockName).string() + ": the disk refuses"};
+  }
+  auto locked = lockFolder(std::chrono::milliseconds(0));
+  const auto identity = readFile(folder_ / kIdentityName);
+  if (!isError(locked) &&
+      (isError(identity) || std::get<std::string>(identity) != loaded_identity_)) {
+    locked = Error{"data folder " + folder_.string() + " was used by another process meanwhile"};
+  }
+  if (isError(locked)) {
+    closeFile(lock_file_);
+  }
+  return locked;
+}
+
+Result<std::monostate> FileLogStore::loadIdentity() {
   auto content = readFile(folder_ / kIdentityName);
   if (isError(content)) {
     return errorOf(content);
   }
-  const std::string& text = std::get<std::string>(content);
-  if (!text.empty()) {
-    const uint64_t id = std::strtoull(text.c_str(), nullptr, 10);
-    if (id == 0) {
+  loaded_identity_ = std::get<std::string>(content);
+  if (!loaded_identity_.empty()) {
+    identity_ = std::strtoull(loaded_identity_.c_str(), nullptr, 10);
+    if (identity_ == 0) {
       return Error{(folder_ / kIdentityName).string() + ": not a number above zero"};
     }
-    identity_ = id;
-    return id;
+    return std::monostate{};
   }
-  if (std::filesystem::exists(folder_ / kLogName)) {
-    return Error{folder_.string() + " holds a log but no identity: this replica does not start"};
+  std::error_code failure;
+  const bool has_log = std::filesystem::exists(folder_ / kLogName, failure);
+  if (failure) {
+    return Error{"cannot examine " + (folder_ / kLogName).string() + ": " + failure.message()};
   }
-  const uint64_t id = first_identity_ != 0 ? first_identity_ : random_.next() | 1U;
-  if (auto stored = storeIdentity(id); isError(stored)) {
-    return errorOf(stored);
+  if (has_log) {
+    return Error{folder_.string() + " holds a log but no identity: this replica does not start"};
   }
-  return id;
+  identity_ = first_identity_ != 0 ? first_identity_ : random_.next() | 1U;
+  identity_unsure_ = true;
+  return std::monostate{};
 }
 
 Result<std::monostate> FileLogStore::storeIdentity(uint64_t id) {
+  auto settled = settle();
+  return isError(settled) ? settled : writeIdentity(id);
+}
+
+Result<std::monostate> FileLogStore::writeIdentity(uint64_t id) {
   // If this fails, the file may already contain the new identity, while the replica keeps its own.
   identity_unsure_ = true;
   if (auto stored = replaceFile(kIdentityName, identityText(id)); isError(stored)) {
@@ -238,10 +291,7 @@
     replay(record, entries, hard_state_);
   }
   raft::RaftLog log(std::move(std::get<v1::RaftSnapshot>(snapshot)), std::move(entries));
-  // Rewriting the file removes a torn tail and entries that later records truncated.
-  if (auto rewritten = rewriteLog(log.entriesWithBase(), hard_state_); isError(rewritten)) {
-    return errorOf(rewritten);
-  }
+  loaded_entries_ = log.entriesWithBase();
   return raft::RaftRecovery{.hard_state = hard_state_, .log = std::move(log)};
 }
 
@@ -321,8 +371,8 @@
   if (!isError(renamed)) {
     takeReplacement();
   }
-  const auto settled = settle();
-  return isError(renamed) ? renamed : settled;
+  const auto completed = completeWrites();
+  return isError(renamed) ? renamed : completed;
 }
 
 void FileLogStore::takeReplacement() {
@@ -332,6 +382,22 @@
 }
 
 Result<std::monostate> FileLogStore::settle() {
+  if (auto locked = lockLate(); isError(locked)) {
+    return locked;
+  }
+  if (auto completed = completeWrites(); isError(completed) || loaded_entries_.empty()) {
+    return completed;
+  }
+  // Rewriting the file removes a torn tail and entries that later records truncated.
+  auto rewritten = rewriteLog(loaded_entries_, hard_state_);
+  if (!isError(rewritten)) {
+    loaded_entries_.clear();
+    loaded_entries_.shrink_to_fit();
+  }
+  return rewritten;
+}
+
+Result<std::monostate> FileLogStore::completeWrites() {
   if (auto adopted = adoptReplacement(); isError(adopted)) {
     return adopted;
   }
@@ -347,7 +413,7 @@
     }
     log_torn_ = false;
   }
-  return identity_unsure_ && identity_ != 0 ? storeIdentity(identity_) : std::monostate{};
+  return identity_unsure_ ? writeIdentity(identity_) : std::monostate{};
 }
 
 Result<std::monostate> FileLogStore::adoptReplacement() {
@@ -375,8 +441,8 @@
     // Removes a partially written record. A later record behind it would turn it from a torn tail
     // into damage in the middle of the log, with which the replica refuses to start.
     log_torn_ = true;
-    if (const auto settled = settle(); isError(settled)) {
-      error.message += "; " + errorOf(settled).message;
+    if (const auto completed = completeWrites(); isError(completed)) {
+      error.message += "; " + errorOf(completed).message;
     }
     return error;
   }
@@ -386,8 +452,7 @@
 
 Result<int> FileLogStore::createReplacement(const std::string& name, const std::string& content) {
   const std::filesystem::path temporary = folder_ / (name + kReplacementSuffix);
-  int file =
-      ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, kFileMode);
+  int file = files_.create(temporary, O_WRONLY | O_TRUNC | O_APPEND);
   if (file < 0) {
     return systemError("cannot create", temporary);
   }
--- a/src/adapters/disk/file_log_store.h
+++ b/src/adapters/disk/file_log_store.h
@@ -2,9 +2,11 @@
 /// Stores the Raft log, snapshot and identity of a replica as files in one data folder.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <filesystem>
 #include <string>
+#include <vector>
 
 #include "adapters/disk/file_operations.h"
 #include "ports/log_store.h"
@@ -18,7 +20,8 @@
 /// A record consists of a magic number, the payload length and a CRC-32C, each 32 bits
 /// little-endian, followed by the payload. Each call syncs its writes to disk before it returns.
 /// After a failure at any step, nothing is acknowledged before what was left undone is completed.
-/// Not safe for concurrent use.
+/// After a start, that is to rewrite the log, which removes a torn tail and syncs what the
+/// predecessor may have left unsynced. Not safe for concurrent use.
 class FileLogStore : public LogStore {
 public:
   /// @param random generates the identity of an empty folder; must outlive the store.
@@ -31,16 +34,22 @@
   FileLogStore& operator=(const FileLogStore&) = delete;
 
   Result<StoredReplica> load() override;
+  Result<std::monostate> settle() override;
   Result<std::monostate> storeIdentity(uint64_t id) override;
   Result<std::monostate> write(const raft::RaftReady& ready) override;
   Result<std::monostate> compact(const raft::RaftLog& log,
                                  const v1::RaftHardState& hard_state) override;
 
 private:
-  Result<uint64_t> loadIdentity();
+  Result<std::monostate> loadIdentity();
   Result<raft::RaftRecovery> loadLog();
   Result<v1::RaftSnapshot> loadSnapshot();
-  Result<std::monostate> lockFolder();
+  /// Opens the lock file, which it creates in a new folder.
+  /// @return whether it is open: false if there is none and the disk refuses to create it.
+  Result<bool> openLock();
+  Result<std::monostate> lockFolder(std::chrono::milliseconds limit);
+  /// Takes a lock that could not be taken at the start.
+  Result<std::monostate> lockLate();
   Result<std::monostate> writeSnapshot(const raft::RaftReady& ready,
                                        const v1::RaftHardState& hard_state);
   Result<std::monostate> writeRecords(const raft::RaftReady& ready);
@@ -48,7 +57,8 @@
                                     const v1::RaftHardState& hard_state);
   /// Completes what an earlier failure left undone, so that what is written next is read by the
   /// next start: nothing is written to the log until this succeeds.
-  Result<std::monostate> settle();
+  Result<std::monostate> completeWrites();
+  Result<std::monostate> writeIdentity(uint64_t id);
   /// Goes on with the renamed file.
   void takeReplacement();
   /// After a rename that reported a failure: goes on with the file that the log's name denotes.
@@ -75,6 +85,10 @@
   /// there is no moment at which the renamed file could not be opened.
   LogFile replacement_;
   int lock_file_ = -1;
+  /// Content of the identity file at the start.
+  std::string loaded_identity_;
+  /// The log as it was read, base entry first, until it is rewritten.
+  std::vector<v1::RaftEntry> loaded_entries_;
   /// A name in the folder changed, which a crash may undo until the folder is synced.
   bool folder_unsynced_ = false;
   /// Behind the last synced record, the log may contain a part of another one.
--- a/src/adapters/disk/file_operations.cc
+++ b/src/adapters/disk/file_operations.cc
@@ -6,6 +6,23 @@
 
 namespace workshatch::disk {
 
+namespace {
+
+constexpr int kFileMode = 0600;
+
+} // namespace
+
+bool FileOperations::createFolders(const std::filesystem::path& folder) {
+  std::error_code failure;
+  std::filesystem::create_directories(folder, failure);
+  errno = failure.value();
+  return !failure;
+}
+
+int FileOperations::create(const std::filesystem::path& path, int flags) {
+  return ::open(path.c_str(), flags | O_CREAT | O_CLOEXEC, kFileMode);
+}
+
 bool FileOperations::write(int file, const std::string& bytes) {
   size_t done = 0;
   while (done < bytes.size()) {
--- a/src/adapters/disk/file_operations.h
+++ b/src/adapters/disk/file_operations.h
@@ -13,6 +13,12 @@
 public:
   virtual ~FileOperations() = default;
 
+  /// Creates the folder and those above it, where they are missing.
+  virtual bool createFolders(const std::filesystem::path& folder);
+  /// Opens a file for writing; creates it, readable by its owner only, if it is missing.
+  /// @param flags further flags of `open`
+  /// @return its descriptor; negative if the call failed.
+  virtual int create(const std::filesystem::path& path, int flags);
   /// Writes all bytes. After a failure, a part of them may be in the file.
   virtual bool write(int file, const std::string& bytes);
   virtual bool sync(int file);
--- a/src/daemon/control/control_loop.cc
+++ b/src/daemon/control/control_loop.cc
@@ -81,6 +81,12 @@
 }
 
 void ControlReplica::run() {
+  // Until what was read at the start is durable, nothing of it may be told.
+  const bool settled = writeUntilDone([this] { return store_.settle(); });
+  next_tick_ms_ = clock_.monotonicMs() + options_.heartbeat_ms;
+  if (settled && options_.initial_addresses.size() == 1) {
+    formGroup();
+  }
   std::unique_lock lock(mutex_);
   while (!stopping_) {
     const int64_t wait_ms = std::max<int64_t>(next_tick_ms_ - clock_.monotonicMs(), 0);
@@ -123,11 +129,16 @@
 }
 
 bool ControlReplica::writeReady(const raft::RaftReady& ready) {
+  return writeUntilDone([this, &ready] { return store_.write(ready); });
+}
+
+/// @return false if the replica has to stop before the write succeeds.
+bool ControlReplica::writeUntilDone(const std::function<Result<std::monostate>()>& write) {
   // Messages must not be sent and entries must not be applied before the write is durable, so the
   // loop blocks until it succeeds.
   while (true) {
     const int64_t begin_ms = clock_.monotonicMs();
-    const auto written = store_.write(ready);
+    const auto written = write();
     logSlowWrite(clock_.monotonicMs() - begin_ms);
     if (!isError(written)) {
       handleDiskSuccess();
--- a/src/daemon/control/control_replica.cc
+++ b/src/daemon/control/control_replica.cc
@@ -42,11 +42,7 @@
   applied_ = snapshot.index();
   ungrouped_ = replica.recovery.log.latestMembership().members().empty();
   makeNode(std::move(replica.recovery));
-  next_tick_ms_ = clock_.monotonicMs() + options_.heartbeat_ms;
   thread_ = std::thread([this] { run(); });
-  if (ungrouped_ && options_.initial_addresses.size() == 1) {
-    post([this] { formGroup(); });
-  }
   return std::monostate{};
 }
 
--- a/src/daemon/control/control_replica.h
+++ b/src/daemon/control/control_replica.h
@@ -71,7 +71,8 @@
   ControlReplica(const ControlReplica&) = delete;
   ControlReplica& operator=(const ControlReplica&) = delete;
 
-  /// Loads the stored state and starts the loop. Fails if the stored state cannot be read.
+  /// Loads the stored state and starts the loop. Fails if the stored state cannot be read, but not
+  /// if the disk refuses writes.
   Result<std::monostate> start();
   /// Transfers leadership if this replica is the leader, refuses all calls and stops the loop.
   /// Takes at most an election timeout plus kLoopEndLimit of control_loop.cc.
@@ -125,6 +126,7 @@
   void runTicks();
   void processReady();
   bool writeReady(const raft::RaftReady& ready);
+  bool writeUntilDone(const std::function<Result<std::monostate>()>& write);
   void logSlowWrite(int64_t took_ms) const;
   void handleDiskSuccess();
   void handleDiskFailure(const Error& error);
--- a/src/daemon/group/group_membership.cc
+++ b/src/daemon/group/group_membership.cc
@@ -89,6 +89,10 @@
 }
 
 void GroupReplica::helloReceived(const v1::ReplicaHello& hello) {
+  // A founder whose identity is not durable yet takes no part in the first start.
+  if (undecided_ && unwritten_) {
+    return;
+  }
   if (hello.answer_wanted()) {
     send_hello_(hello.address(), makeHello());
   }
@@ -116,7 +120,7 @@
     return;
   }
   const uint64_t id = random_.next() | 1U;
-  if (isError(store_.storeIdentity(id))) {
+  if (!recordWrite(store_.storeIdentity(id))) {
     return;
   }
   id_ = id;
@@ -150,7 +154,7 @@
     member->set_address(address);
     member->set_id(founderIdentity(address));
   }
-  if (isError(store_.write(first))) {
+  if (!recordWrite(store_.write(first))) {
     return;
   }
   raft::RaftRecovery recovery;
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -40,18 +40,26 @@
   group_exists_ = !replica.recovery.log.latestMembership().members().empty();
   undecided_ = !group_exists_ && replica.recovery.hard_state.term() == 0 &&
                isSeed(options_.own_address) && id_ == founderIdentity(options_.own_address);
-  started_ms_ = clock_.monotonicMs();
   makeNode(std::move(replica.recovery));
-  next_tick_ms_ = clock_.monotonicMs() + options_.tick_ms;
-  leader_last_known_ms_ = clock_.monotonicMs();
+  beginTime();
   line_log::write("replica_started", {{"id", id_},
                                       {"grouped", group_exists_},
                                       {"version", state_.configuration().version()},
                                       {"term", node_->term()}});
+  // Nothing of what was read may be told before it is durable.
+  unwritten_.emplace();
+  writeReady();
   scheduleTick();
   return std::monostate{};
 }
 
+/// The replica takes part from now on.
+void GroupReplica::beginTime() {
+  started_ms_ = clock_.monotonicMs();
+  next_tick_ms_ = started_ms_ + options_.tick_ms;
+  leader_last_known_ms_ = started_ms_;
+}
+
 void GroupReplica::makeNode(raft::RaftRecovery recovery) {
   raft::RaftOptions raft_options;
   raft_options.election_ticks = options_.election_ticks;
@@ -127,25 +135,41 @@
 }
 
 /// Makes `unwritten_` durable, then sends its messages and applies its entries. Messages must not
-/// be sent and entries must not be applied before the write is durable.
+/// be sent and entries must not be applied before the write is durable. At first, makes durable
+/// what was read at the start.
 /// @return false if the disk write failed.
 bool GroupReplica::writeReady() {
-  if (unwritten_->needsSync()) {
+  if (!settled_ || unwritten_->needsSync()) {
     const int64_t begin_ms = clock_.monotonicMs();
-    const auto written = store_.write(*unwritten_);
+    const auto written = settled_ ? store_.write(*unwritten_) : store_.settle();
     stats_.disk_write.add(clock_.monotonicMs() - begin_ms);
-    if (isError(written)) {
-      ++stats_.disk_failures;
-      line_log::write("disk_failed", {{"error", errorOf(written).message}});
+    if (!recordWrite(written)) {
       // Callers that wait for a change or a read retry at another replica.
       failPending();
       return false;
     }
   }
+  if (!std::exchange(settled_, true)) {
+    beginTime();
+  }
   finishReady();
   return true;
 }
 
+/// Counts a refused write, and logs when the disk begins and ceases to refuse.
+/// @return whether the write succeeded.
+bool GroupReplica::recordWrite(const Result<std::monostate>& written) {
+  const bool failed = isError(written);
+  stats_.disk_failures += failed ? 1 : 0;
+  const bool changed = std::exchange(stats_.disk_failing, failed) != failed;
+  if (changed && failed) {
+    line_log::write("disk_failed", {{"error", errorOf(written).message}});
+  } else if (changed) {
+    line_log::write("disk_recovered", {{"id", id_}});
+  }
+  return !failed;
+}
+
 void GroupReplica::finishReady() {
   raft::RaftReady ready = std::move(*unwritten_);
   unwritten_.reset();
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -61,8 +61,9 @@
 };
 
 /// One replica of the group. Runs on its event loop; not safe for concurrent use. While disk writes
-/// fail, the replica ignores Raft messages and answers changes and reads as if it were not the
-/// leader. Each call gets exactly one outcome, which is Unavailable after `end` was called.
+/// fail, also from the start on, the replica ignores Raft messages and answers changes and reads as
+/// if it were not the leader. Each call gets exactly one outcome, which is Unavailable after `end`
+/// was called.
 class GroupReplica {
 public:
   using StoreCallback = CallCallback<StoreOutcome>;
@@ -89,7 +90,8 @@
   /// runs once reads can be confirmed.
   void onLeaderKnown(std::function<void()> handler) { on_leader_known_ = std::move(handler); }
 
-  /// Loads the stored state and starts the tick timer. Fails if the stored state cannot be read.
+  /// Loads the stored state and starts the tick timer. Fails if the stored state cannot be read,
+  /// but not if the disk refuses writes.
   Result<std::monostate> start();
   /// Starts a transfer of leadership if this replica is the leader.
   void handOverLeadership();
@@ -171,7 +173,9 @@
   /// Schedules one run of `process` for all events that arrive before it runs.
   void scheduleProcess();
   void process();
+  void beginTime();
   bool writeReady();
+  bool recordWrite(const Result<std::monostate>& written);
   void finishReady();
   void applyEntry(const v1::RaftEntry& entry);
   void logChange(relay::GroupState::Change change) const;
@@ -230,6 +234,8 @@
   bool process_scheduled_ = false;
   /// Raft output that is not durable yet. Remains set while disk writes fail.
   std::optional<raft::RaftReady> unwritten_;
+  /// Whether what was read at the start is durable. Until then, `unwritten_` is set.
+  bool settled_ = false;
   /// Index of the last applied log entry.
   uint64_t applied_ = 0;
   uint64_t bytes_since_snapshot_ = 0;
--- a/src/daemon/group/group_stats.cc
+++ b/src/daemon/group/group_stats.cc
@@ -14,6 +14,8 @@
   exposeCounter(out, "group_membership_changes_total", "changes of members that it proposed",
                 membership_changes);
   exposeCounter(out, "group_disk_failures_total", "writes that the disk refused", disk_failures);
+  metrics::exposeGauge(out, "group_disk_failing", "1 while the disk refuses writes",
+                       disk_failing ? 1 : 0);
   exposeCounter(out, "group_dropped_log_lines_total", "log lines dropped",
                 line_log::droppedLines());
   disk_write.expose(out, "group_disk_write_ms", "time until a write was durable");
--- a/src/daemon/group/group_stats.h
+++ b/src/daemon/group/group_stats.h
@@ -15,6 +15,8 @@
   uint64_t leaderships_lost = 0;
   uint64_t membership_changes = 0;
   uint64_t disk_failures = 0;
+  /// Whether the last write was refused.
+  bool disk_failing = false;
   /// Duration of writes that had to be durable before messages were sent or entries applied.
   metrics::DurationHistogram disk_write;
 
--- a/src/ports/log_store.h
+++ b/src/ports/log_store.h
@@ -21,11 +21,16 @@
 public:
   virtual ~LogStore() = default;
 
-  /// Reads the stored state; creates a new identity in an empty folder. A damaged record in the
-  /// middle of the log is an error that names file and offset; an incomplete record at the end is
-  /// dropped.
+  /// Reads the stored state, and writes none: a replica can start while its disk refuses writes.
+  /// For an empty folder, chooses an identity. A damaged record in the middle of the log is an
+  /// error that names file and offset; an incomplete record at the end is left out.
   virtual Result<StoredReplica> load() = 0;
 
+  /// Makes durable what `load` returned; to be repeated until it succeeds. What a predecessor wrote
+  /// and did not sync may be lost until then, so that a replica must not tell others anything that
+  /// follows from it, its identity included.
+  virtual Result<std::monostate> settle() = 0;
+
   /// Replaces the identity, which no other replica has seen in use yet.
   virtual Result<std::monostate> storeIdentity(uint64_t id) = 0;
 
--- a/tests/unit/adapters/file_log_store_test.cc
+++ b/tests/unit/adapters/file_log_store_test.cc
@@ -1,7 +1,12 @@
 /// @file
-/// Tests of the log store of a replica on a disk that refuses single calls.
+/// Tests of the log store of a replica on a disk that refuses single calls, or all that write.
+#include <cerrno>
 #include <doctest/doctest.h>
 #include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <string>
 #include <unistd.h>
 
 #include "adapters/disk/file_log_store.h"
@@ -14,28 +19,42 @@
 /// The calls of the system, of which those that a test names are refused.
 class RefusingFiles : public disk::FileOperations {
 public:
+  bool createFolders(const std::filesystem::path& folder) override {
+    const bool exists = std::filesystem::exists(folder);
+    return exists || (takesWrites() && disk::FileOperations::createFolders(folder));
+  }
+  int create(const std::filesystem::path& path, int flags) override {
+    return takesWrites() ? disk::FileOperations::create(path, flags) : -1;
+  }
   bool write(int file, const std::string& bytes) override {
     if (writes_partially) {
       disk::FileOperations::write(file, bytes.substr(0, bytes.size() / 2));
       return false;
     }
-    return disk::FileOperations::write(file, bytes);
+    return takesWrites() && disk::FileOperations::write(file, bytes);
   }
+  bool sync(int file) override {
+    return !refuses_syncs && takesWrites() && disk::FileOperations::sync(file);
+  }
+  bool syncData(int file) override { return takesWrites() && disk::FileOperations::syncData(file); }
   bool truncate(int file, uint64_t size) override {
-    return !refuses_truncation && disk::FileOperations::truncate(file, size);
+    return !refuses_truncation && takesWrites() && disk::FileOperations::truncate(file, size);
   }
   bool rename(const std::filesystem::path& from, const std::filesystem::path& target) override {
     const bool misreported = reports_log_rename_failed && target.filename() == "raft.log";
-    return disk::FileOperations::rename(from, target) && !misreported;
+    return takesWrites() && disk::FileOperations::rename(from, target) && !misreported;
   }
   bool syncFolder(const std::filesystem::path& folder) override {
-    if (folder_syncs_left == 0) {
+    if (folder_syncs_left == 0 || !takesWrites()) {
       return false;
     }
     --folder_syncs_left;
     return disk::FileOperations::syncFolder(folder);
   }
 
+  /// The disk is full: each call that writes is refused.
+  bool full = false;
+  bool refuses_syncs = false;
   bool writes_partially = false;
   bool refuses_truncation = false;
   bool reports_log_rename_failed = false;
@@ -43,6 +62,12 @@
   int folder_syncs_left = kUnlimited;
 
   static constexpr int kUnlimited = 1000;
+
+private:
+  bool takesWrites() const {
+    errno = full ? ENOSPC : errno;
+    return !full;
+  }
 };
 
 /// A replica's folder, and the store of the process that uses it.
@@ -69,6 +94,19 @@
     return std::get<StoredReplica>(std::move(loaded));
   }
   disk::FileLogStore& store() { return *store_; }
+  const std::filesystem::path& folder() const { return folder_; }
+  void append(const std::string& name, const std::string& bytes) const {
+    std::ofstream(folder_ / name, std::ios::app | std::ios::binary) << bytes;
+  }
+  /// @return the content of each file of the folder, by name.
+  std::map<std::string, std::string> content() const {
+    std::map<std::string, std::string> files;
+    for (const auto& entry : std::filesystem::directory_iterator(folder_)) {
+      std::ifstream in(entry.path(), std::ios::binary);
+      files[entry.path().filename()] = std::string(std::istreambuf_iterator<char>(in), {});
+    }
+    return files;
+  }
 
   RefusingFiles files;
 
@@ -121,6 +159,75 @@
 
 } // namespace
 
+// Guards against a replica that ends at each start while its disk is full.
+TEST_CASE("a full disk ends no start, and nothing in the folder changes until it takes writes") {
+  StoreOnRefusingDisk disk;
+  const uint64_t id = disk.restart().id;
+  REQUIRE_FALSE(isError(disk.store().write(entriesFrom(1, 3))));
+  SUBCASE("a sound folder") {}
+  SUBCASE("a torn record at the end of the log") { disk.append("raft.log", "1LSW torn"); }
+  SUBCASE("a file that was to replace another one") { disk.append("raft.log.new", "a part"); }
+  const auto before = disk.content();
+
+  disk.files.full = true;
+  const StoredReplica loaded = disk.restart();
+  CHECK(loaded.id == id);
+  CHECK(loaded.recovery.log.lastIndex() == 3);
+  CHECK(isError(disk.store().settle()));
+  CHECK(isError(disk.store().write(entriesFrom(4, 4))));
+  CHECK(disk.content() == before);
+
+  disk.files.full = false;
+  REQUIRE_FALSE(isError(disk.store().settle()));
+  REQUIRE_FALSE(isError(disk.store().write(entriesFrom(4, 5))));
+  const StoredReplica restarted = disk.restart();
+  CHECK(restarted.id == id);
+  CHECK(restarted.recovery.log.lastIndex() == 5);
+}
+
+TEST_CASE("a new replica on a full disk has no stored identity until the disk takes writes") {
+  StoreOnRefusingDisk disk;
+  std::filesystem::remove(disk.folder() / "lock");
+  SUBCASE("an empty folder") {}
+  SUBCASE("no folder") { std::filesystem::remove(disk.folder()); }
+  disk.files.full = true;
+  const uint64_t id = disk.restart().id;
+  CHECK(id != 0);
+  CHECK(isError(disk.store().settle()));
+  disk.files.full = false;
+  REQUIRE_FALSE(isError(disk.store().settle()));
+  CHECK(disk.restart().id == id);
+}
+
+// Guards against an entry that a predecessor wrote without a sync, is acknowledged after a restart
+// and lost with the power.
+TEST_CASE("a replica does not settle before what its predecessor left is synced") {
+  StoreOnRefusingDisk disk;
+  REQUIRE_FALSE(isError(disk.store().write(entriesFrom(1, 3))));
+  disk.restart();
+  disk.files.refuses_syncs = true;
+  CHECK(isError(disk.store().settle()));
+  disk.files.refuses_syncs = false;
+  CHECK_FALSE(isError(disk.store().settle()));
+}
+
+TEST_CASE("a folder that could not be locked is not written if another process uses it meanwhile") {
+  StoreOnRefusingDisk disk;
+  std::filesystem::remove(disk.folder() / "lock");
+  disk.files.full = true;
+  disk.restart();
+  disk.files.full = false;
+  SeededRandom random(2);
+  std::optional<disk::FileLogStore> other(std::in_place, disk.folder(), random);
+  REQUIRE_FALSE(isError(other->load()));
+  CHECK(errorOf(disk.store().settle()).message.find("in use") != std::string::npos);
+  REQUIRE_FALSE(isError(other->write(entriesFrom(1, 1))));
+  other.reset();
+  CHECK(errorOf(disk.store().settle()).message.find("was used") != std::string::npos);
+  CHECK(isError(disk.store().write(entriesFrom(1, 9))));
+  CHECK(disk.restart().recovery.log.lastIndex() == 1);
+}
+
 TEST_CASE("entries acknowledged after a compaction whose folder sync failed outlast a restart") {
   StoreOnRefusingDisk disk;
   REQUIRE_FALSE(isError(disk.store().write(entriesFrom(1, 3))));
--- a/tests/unit/daemon/control/control_stop_test.cc
+++ b/tests/unit/daemon/control/control_stop_test.cc
@@ -152,6 +152,23 @@
   machine->stop();
 }
 
+// Guards against a process that ends at each start while its disk is full.
+TEST_CASE("A control replica that starts on a full disk refuses calls and serves them afterwards") {
+  const auto machine = std::make_shared<ControlMachine>();
+  machine->disk.full = true;
+  machine->start();
+  CHECK(TestOperator().apply(kStopLimit).error_code() == grpc::StatusCode::UNAVAILABLE);
+  SUBCASE("the disk takes writes") {
+    machine->disk.full = false;
+    TestOperator caller;
+    CHECK(waitUntil([&] { return caller.isServed(); }));
+    machine->stop();
+  }
+  SUBCASE("it is stopped before") {
+    CHECK(endsInTime([machine] { machine->stop(); }));
+  }
+}
+
 TEST_CASE("The stop of a control replica whose disk hangs returns DiskHangs in time") {
   const auto machine = std::make_shared<ControlMachine>();
   machine->start();
--- a/tests/unit/daemon/group/first_start_test.cc
+++ b/tests/unit/daemon/group/first_start_test.cc
@@ -72,6 +72,19 @@
   checkBearsALoss(group, "b", 1);
 }
 
+TEST_CASE(
+    "A disk that is full during the first start leaves a group that its founder joins later") {
+  Group group;
+  group.start("a", kNewId, true);
+  group.start("b", kNewId, true);
+  group.start("c", kNewId, true, true);
+  REQUIRE(group.store(1));
+  CHECK(group.at("c").stored().version() == 0);
+  group.diskOf("c").full = false;
+  REQUIRE(group.runUntil([&] { return group.at("c").stored().version() == 1; }));
+  checkBearsALoss(group, "a", 2);
+}
+
 TEST_CASE("A machine that is replaced at another address during the first start leaves a group") {
   Group group;
   group.start("b", kNewId, true);
--- a/tests/unit/daemon/group/group_fixture.h
+++ b/tests/unit/daemon/group/group_fixture.h
@@ -66,12 +66,13 @@
   size_t voters() const { return voters_; }
   const std::set<std::string>& seeds() const { return seeds_; }
 
-  void start(const std::string& address, uint64_t id, bool first_start) {
+  void start(const std::string& address, uint64_t id, bool first_start, bool full_disk = false) {
     Machine& machine = machines_[address];
     if (!machine.disk) {
       const bool founder = first_start && seeds_.contains(address);
       machine.disk = std::make_unique<MemoryStore>(founder ? daemon::founderIdentity(address) : id);
     }
+    machine.disk->full = machine.disk->full || full_disk;
     GroupOptions options;
     options.own_address = address;
     options.seeds = {seeds_.begin(), seeds_.end()};
--- a/tests/unit/daemon/group/group_replica_test.cc
+++ b/tests/unit/daemon/group/group_replica_test.cc
@@ -178,6 +178,57 @@
   REQUIRE(group.runUntil([&] { return group.at(full).stored().version() == 2; }));
 }
 
+TEST_CASE("A replica that starts on a full disk disturbs nobody, and catches up afterwards") {
+  Group group;
+  startFirst(group);
+  const std::string leader = group.leaderAddress();
+  const std::string full = leader == "a" ? "b" : "a";
+  const uint64_t term = group.at(leader).term();
+  group.kill(full);
+  group.start(full, 11, false, true);
+  REQUIRE(group.store(2));
+  // More than an election timeout.
+  group.runFor(std::chrono::milliseconds(400));
+  CHECK(group.at(full).stored().version() < 2);
+  CHECK_FALSE(group.at(full).leads());
+  CHECK(group.at(full).stats().disk_failing);
+  CHECK(group.leaderAddress() == leader);
+  CHECK(group.at(leader).term() == term);
+  group.diskOf(full).full = false;
+  REQUIRE(group.runUntil([&] { return group.at(full).stored().version() == 2; }));
+  CHECK_FALSE(group.at(full).stats().disk_failing);
+}
+
+TEST_CASE("Replicas that start on full disks vote for nobody") {
+  Group group;
+  startFirst(group);
+  for (const char* address : {"a", "b", "c"}) {
+    group.kill(address);
+  }
+  group.start("a", 11, false, true);
+  group.start("b", 12, false, true);
+  group.start("c", 13, false);
+  group.runFor(std::chrono::milliseconds(600));
+  CHECK(group.leaderAddress().empty());
+  group.diskOf("a").full = false;
+  CHECK(group.read() == "v1");
+  CHECK(group.store(2));
+}
+
+TEST_CASE("A replica that lost its disk does not join while the new one is full") {
+  Group group;
+  startFirst(group);
+  group.kill("b");
+  group.wipe("b");
+  REQUIRE(group.store(2));
+  group.start("b", 99, false, true);
+  group.runFor(std::chrono::milliseconds(600));
+  REQUIRE(group.leader() != nullptr);
+  CHECK(group.leader()->stats().membership_changes == 0);
+  group.diskOf("b").full = false;
+  CHECK(group.runUntil([&] { return group.at("b").votes(); }));
+}
+
 TEST_CASE("Evacuations survive a restart of all replicas and a lost disk") {
   using Zones = std::vector<std::string>;
   Group group;
--- a/tests/unit/daemon/memory_store.h
+++ b/tests/unit/daemon/memory_store.h
@@ -21,6 +21,10 @@
     stored.recovery.log = log_;
     return stored;
   }
+  Result<std::monostate> settle() override {
+    hanging.wait(true);
+    return full ? Result<std::monostate>(Error{"no space left"}) : std::monostate{};
+  }
   Result<std::monostate> storeIdentity(uint64_t id) override {
     id_ = id;
     return std::monostate{};
