A replica whose disk refuses writes names the leader that it hears

What was seen: while its disk refuses writes, a group replica ignores Raft messages and so never learned who leads: after a start operators got 503 `no_leader` from it and relays only the members; a leader whose disk filled up went on as the last leader it knew, itself, with the same answers.

Change: messages to it are still ignored, but the sender of an append of its term or a later one is remembered as the leader until writes succeed; `leaderAddress` and `knowsLeader` give it. It is a hint to callers, as before: nothing of the log follows from it.

Evidence: two unit tests in group_replica_test ask for the address; both fail without the change ("" against "a"; not met in 20 s).

--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -173,6 +173,7 @@
 void GroupReplica::finishReady() {
   raft::RaftReady ready = std::move(*unwritten_);
   unwritten_.reset();
+  heard_leader_.clear();
   if (ready.snapshot) {
     WORKSHATCH_CHECK(state_.restore(ready.snapshot->state()),
                      "cannot restore the snapshot received from the leader");
@@ -424,7 +425,11 @@
 }
 
 void GroupReplica::deliver(const v1::RaftBatch& batch) {
-  if (unwritten_ || undecided_) {
+  if (unwritten_) {
+    noteLeader(batch);
+    return;
+  }
+  if (undecided_) {
     return;
   }
   catchUpTicks();
@@ -437,6 +442,24 @@
   scheduleProcess();
 }
 
+/// Remembers who leads while this replica ignores Raft messages, so that callers are sent there.
+void GroupReplica::noteLeader(const v1::RaftBatch& batch) {
+  const auto& messages = batch.messages();
+  const bool leads =
+      std::any_of(messages.begin(), messages.end(), [this](const v1::RaftMessage& message) {
+        return message.type() == v1::RAFT_APPEND && message.term() >= node_->term();
+      });
+  if (!leads) {
+    return;
+  }
+  leader_last_known_ms_ = clock_.monotonicMs();
+  const bool changed = heard_leader_ != batch.sender_address();
+  heard_leader_ = batch.sender_address();
+  if (changed && on_leader_known_) {
+    on_leader_known_();
+  }
+}
+
 std::string GroupReplica::addressOf(uint64_t member) const {
   const v1::RaftMembership membership = node_->membership();
   for (const v1::RaftMember& candidate : membership.members()) {
@@ -448,7 +471,14 @@
   return sender == sender_addresses_.end() ? "" : sender->second;
 }
 
+bool GroupReplica::knowsLeader() const {
+  return node_->leader() != 0 || (unwritten_ && !heard_leader_.empty());
+}
+
 std::string GroupReplica::leaderAddress() const {
+  if (unwritten_ && !heard_leader_.empty()) {
+    return heard_leader_;
+  }
   return node_->leader() == 0 || node_->leader() == id_ ? "" : addressOf(node_->leader());
 }
 
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -124,7 +124,7 @@
   void read(ReadCallback done);
 
   /// @return whether a leader is known, which may be this replica.
-  bool knowsLeader() const { return node_->leader() != 0; }
+  bool knowsLeader() const;
   /// @return whether this replica is the leader and a majority answered it within the last election
   /// timeout. Another replica may have been elected since; use `read` where certainty is required.
   bool leads();
@@ -209,6 +209,7 @@
   bool replaceSilentVoter(v1::RaftMembership membership);
   std::string addressOf(uint64_t member) const;
   static bool isReadable(const v1::RaftMessage& message);
+  void noteLeader(const v1::RaftBatch& batch);
   void recordContradiction(const v1::RaftMessage& message);
   bool isSeed(const std::string& address) const;
 
@@ -234,6 +235,8 @@
   bool process_scheduled_ = false;
   /// Raft output that is not durable yet. Remains set while disk writes fail.
   std::optional<raft::RaftReady> unwritten_;
+  /// Address of the leader that was heard last since disk writes fail; empty: none.
+  std::string heard_leader_;
   /// Whether what was read at the start is durable. Until then, `unwritten_` is set.
   bool settled_ = false;
   /// Index of the last applied log entry.
--- a/tests/unit/daemon/group/group_replica_test.cc
+++ b/tests/unit/daemon/group/group_replica_test.cc
@@ -174,6 +174,8 @@
   group.diskOf(full).full = true;
   REQUIRE(group.store(2));
   CHECK_FALSE(group.at(full).leads());
+  const std::string leader = group.leaderAddress();
+  CHECK(group.runUntil([&] { return group.at(full).leaderAddress() == leader; }));
   group.diskOf(full).full = false;
   REQUIRE(group.runUntil([&] { return group.at(full).stored().version() == 2; }));
 }
@@ -192,6 +194,8 @@
   CHECK(group.at(full).stored().version() < 2);
   CHECK_FALSE(group.at(full).leads());
   CHECK(group.at(full).stats().disk_failing);
+  // Callers are referred to the leader all the same.
+  CHECK(group.at(full).leaderAddress() == leader);
   CHECK(group.leaderAddress() == leader);
   CHECK(group.at(leader).term() == term);
   group.diskOf(full).full = false;
