A damaged identity is found at the start

Cause: the file holds a decimal number, of which the leading digits were read.

Change: the number is followed by its CRC-32C, and the whole file is compared.

--- a/src/adapters/disk/file_log_store.cc
+++ b/src/adapters/disk/file_log_store.cc
@@ -49,7 +49,13 @@
   return encodeRecord(record);
 }
 
-std::string identityText(uint64_t id) { return std::to_string(id) + "\n"; }
+/// @return the identity as it was stored before it had a checksum.
+std::string uncheckedIdentityText(uint64_t id) { return std::to_string(id) + "\n"; }
+
+std::string identityText(uint64_t id) {
+  const std::string digits = std::to_string(id);
+  return digits + " " + std::to_string(checksumOf(digits)) + "\n";
+}
 
 /// @return whether the error is a state of the disk, which may pass: it is full, fails or is
 /// mounted read-only.
@@ -209,8 +215,12 @@
   loaded_identity_ = std::get<std::string>(content);
   if (!loaded_identity_.empty()) {
     identity_ = std::strtoull(loaded_identity_.c_str(), nullptr, 10);
-    if (identity_ == 0) {
-      return Error{(folder_ / kIdentityName).string() + ": not a number above zero"};
+    // Stored anew with its checksum: a damaged number would be the identity of another replica.
+    identity_unsure_ = loaded_identity_ == uncheckedIdentityText(identity_);
+    const bool sound = identity_unsure_ || loaded_identity_ == identityText(identity_);
+    if (identity_ == 0 || !sound) {
+      return Error{"damaged identity " + (folder_ / kIdentityName).string() +
+                   ": this replica does not start; replace it from the others"};
     }
     return std::monostate{};
   }
--- a/src/adapters/disk/file_log_store.h
+++ b/src/adapters/disk/file_log_store.h
@@ -14,8 +14,8 @@
 
 namespace workshatch::disk {
 
-/// Files: `identity` (decimal number), `raft.log` (framed records), `raft.snapshot` (one record),
-/// `lock` (locked while the process runs, so that no second process uses the folder).
+/// Files: `identity` (decimal number and its CRC-32C), `raft.log` (framed records), `raft.snapshot`
+/// (one record), `lock` (locked while the process runs, so that no second process uses the folder).
 ///
 /// A record consists of a magic number, the payload length and a CRC-32C, each 32 bits
 /// little-endian, followed by the payload. Each call syncs its writes to disk before it returns.
--- a/src/adapters/disk/record_file.cc
+++ b/src/adapters/disk/record_file.cc
@@ -29,12 +29,6 @@
   out.append(bytes, sizeof(number));
 }
 
-uint32_t checksumOf(std::string_view payload) {
-  Crc32c crc;
-  crc.process_bytes(payload.data(), payload.size());
-  return crc.checksum();
-}
-
 /// @return whether a complete record with a correct checksum starts at `offset`.
 bool hasValidRecordAt(const std::string& content, size_t offset) {
   if (content.size() - offset < kHeaderSize || readNumber(content, offset) != kMagic) {
@@ -60,6 +54,12 @@
 
 } // namespace
 
+uint32_t checksumOf(std::string_view bytes) {
+  Crc32c crc;
+  crc.process_bytes(bytes.data(), bytes.size());
+  return crc.checksum();
+}
+
 void appendRecord(std::string& out, std::string_view payload) {
   appendNumber(out, kMagic);
   appendNumber(out, static_cast<uint32_t>(payload.size()));
--- a/src/adapters/disk/record_file.h
+++ b/src/adapters/disk/record_file.h
@@ -11,6 +11,9 @@
 
 namespace workshatch::disk {
 
+/// @return the CRC-32C of `bytes`.
+uint32_t checksumOf(std::string_view bytes);
+
 /// Appends one framed record to `out`.
 void appendRecord(std::string& out, std::string_view payload);
 
--- a/tests/unit/adapters/files_test.cc
+++ b/tests/unit/adapters/files_test.cc
@@ -113,6 +113,34 @@
   CHECK(errorOf(loaded).message.find("raft.log at offset") != std::string::npos);
 }
 
+// Guards against a replica that starts as another one, which may vote twice in a term.
+TEST_CASE("a damaged identity is rejected") {
+  for (const char* text : {"12x45\n", "1234", "0\n", "1234 1"}) {
+    const TemporaryFolder folder;
+    writeText(folder / "identity", text);
+    SeededRandom random(1);
+    disk::FileLogStore store(folder.path(), random);
+    CHECK(errorOf(store.load()).message.find("damaged identity") != std::string::npos);
+  }
+}
+
+TEST_CASE("a turned bit in an identity is found, also in one that was stored without a checksum") {
+  const TemporaryFolder folder;
+  SeededRandom random(1);
+  writeText(folder / "identity", "1234\n");
+  {
+    disk::FileLogStore store(folder.path(), random);
+    CHECK(std::get<StoredReplica>(store.load()).id == 1234);
+    REQUIRE_FALSE(isError(store.settle()));
+  }
+  {
+    std::fstream identity(folder / "identity", std::ios::in | std::ios::out | std::ios::binary);
+    identity.put('3');
+  }
+  disk::FileLogStore store(folder.path(), random);
+  CHECK(errorOf(store.load()).message.find("damaged identity") != std::string::npos);
+}
+
 TEST_CASE("a data folder in use, or one with a log but no identity, is rejected") {
   const TemporaryFolder folder;
   SeededRandom random(1);
