--- a/src/adapters/disk/file_log_store.cc
+++ b/src/adapters/disk/file_log_store.cc
@@ -300,7 +300,13 @@
     }
     replay(record, entries, hard_state_);
   }
-  raft::RaftLog log(std::move(std::get<v1::RaftSnapshot>(snapshot)), std::move(entries));
+  v1::RaftSnapshot& state = std::get<v1::RaftSnapshot>(snapshot);
+  if (!entries.empty() && entries.front().index() > state.index()) {
+    return Error{name + " begins at " + std::to_string(entries.front().index()) +
+                 ", above the snapshot at " + std::to_string(state.index()) +
+                 ": this replica does not start; replace it from the others"};
+  }
+  raft::RaftLog log(std::move(state), std::move(entries));
   loaded_entries_ = log.entriesWithBase();
   return raft::RaftRecovery{.hard_state = hard_state_, .log = std::move(log)};
 }
--- a/tests/unit/adapters/files_test.cc
+++ b/tests/unit/adapters/files_test.cc
@@ -141,6 +141,24 @@
   CHECK(errorOf(store.load()).message.find("damaged identity") != std::string::npos);
 }
 
+// Guards against a replica that starts without the entries that it has acknowledged.
+TEST_CASE("a log that was compacted is rejected without its snapshot") {
+  const TemporaryFolder folder;
+  SeededRandom random(1);
+  {
+    disk::FileLogStore store(folder.path(), random);
+    (void)store.load();
+    raft::RaftReady ready = readyWith(8, 9, 2);
+    ready.snapshot.emplace();
+    ready.snapshot->set_index(7);
+    ready.snapshot->set_term(2);
+    REQUIRE_FALSE(isError(store.write(ready)));
+  }
+  std::filesystem::remove(folder / "raft.snapshot");
+  disk::FileLogStore store(folder.path(), random);
+  CHECK(errorOf(store.load()).message.find("above the snapshot") != std::string::npos);
+}
+
 TEST_CASE("a data folder in use, or one with a log but no identity, is rejected") {
   const TemporaryFolder folder;
   SeededRandom random(1);
