A stored configuration that cannot be read ends no replica

A committed configuration whose document does not inflate broke an invariant at the leader as it made the update for relays, so that one leader after the other ended, at each start.

Cause: what was stored by another process, or by another version of the program, is input and no invariant.

Evidence: a unit test in configuration_transfer_test, which fails without the change (SIGABRT). What relays get was not run with such a document in a fleet.

--- a/src/daemon/configuration_transfer.h
+++ b/src/daemon/configuration_transfer.h
@@ -25,7 +25,8 @@
 /// that has one of them receives only the difference. Not safe for concurrent use.
 class ConfigurationUpdateBuilder {
 public:
-  /// Adds a configuration; ignored unless its version is higher than that of all earlier ones.
+  /// Adds a configuration; ignored unless its version is higher than that of all earlier ones. One
+  /// that cannot be read is logged and left out: relays keep the one that they have.
   void add(const v1::StoredConfiguration& stored);
 
   /// Builds the update to the newest configuration, once per base version.
@@ -44,6 +45,8 @@
   const Document* find(uint64_t version) const;
   void dropOldest();
 
+  /// Highest version that was added, readable or not.
+  uint64_t newest_seen_ = 0;
   /// In ascending order of version.
   std::deque<Document> documents_;
   size_t bytes_ = 0;
--- a/src/daemon/group/lease_updates.cc
+++ b/src/daemon/group/lease_updates.cc
@@ -60,7 +60,10 @@
     return;
   }
   configurations_.add(replica_.stored());
-  *reply.mutable_configuration() = configurations_.updateFrom(sent.configuration);
+  const v1::ConfigurationUpdate& update = configurations_.updateFrom(sent.configuration);
+  if (update.version() > sent.configuration) {
+    *reply.mutable_configuration() = update;
+  }
   sent.configuration = replica_.stored().version();
 }
 
--- a/tests/unit/daemon/configuration_transfer_test.cc
+++ b/tests/unit/daemon/configuration_transfer_test.cc
@@ -49,6 +49,19 @@
   CHECK(receiver.document() == documentAt(8, 1001));
 }
 
+// Guards against a stored document that ends each replica at each start.
+TEST_CASE("A stored configuration that cannot be read is left out, and later ones are sent") {
+  daemon::ConfigurationUpdateBuilder sender;
+  sender.add(storedAt(3, 10));
+  v1::StoredConfiguration damaged = storedAt(4, 10);
+  damaged.mutable_compressed_document()->pop_back();
+  sender.add(damaged);
+  CHECK(sender.updateFrom(0).version() == 3);
+  sender.add(storedAt(5, 10));
+  CHECK(sender.updateFrom(3).version() == 5);
+  CHECK(sender.updateFrom(3).base_version() == 3);
+}
+
 TEST_CASE("A receiver with an unknown version gets the whole document") {
   daemon::ConfigurationUpdateBuilder sender;
   sender.add(storedAt(9, 10));
