--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -41,19 +41,27 @@
   group_exists_ = !replica.recovery.log.latestMembership().members().empty();
   undecided_ = !group_exists_ && replica.recovery.hard_state.term() == 0 &&
                isSeed(options_.own_address) && id_ == founderIdentity(options_.own_address);
-  started_ms_ = clock_.monotonicMs();
   makeNode(std::move(replica.recovery));
   directory_.setMembers(memberAddresses());
-  next_tick_ms_ = clock_.monotonicMs() + options_.tick_ms;
-  leader_last_known_ms_ = clock_.monotonicMs();
+  beginTime();
   line_log::write("replica_started", {{"id", id_},
                                       {"grouped", group_exists_},
                                       {"version", state_.configuration().version()},
                                       {"term", node_->term()}});
+  // Nothing of what was read may be told before it is durable.
+  unwritten_.emplace();
+  writeReady();
   scheduleTick();
   return std::monostate{};
 }
 
+/// The replica takes part from now on.
+void GroupReplica::beginTime() {
+  started_ms_ = clock_.monotonicMs();
+  next_tick_ms_ = started_ms_ + options_.tick_ms;
+  leader_last_known_ms_ = started_ms_;
+}
+
 void GroupReplica::makeNode(raft::RaftRecovery recovery) {
   raft::RaftOptions raft_options;
   raft_options.election_ticks = options_.election_ticks;
@@ -132,28 +140,45 @@
 }
 
 /// Makes `unwritten_` durable, then sends its messages and applies its entries. Messages must not
-/// be sent and entries must not be applied before the write is durable.
+/// be sent and entries must not be applied before the write is durable. At first, makes durable
+/// what was read at the start.
 /// @return false if the disk write failed.
 bool GroupReplica::writeReady() {
-  if (unwritten_->needsSync()) {
+  if (!settled_ || unwritten_->needsSync()) {
     const int64_t begin_ms = clock_.monotonicMs();
-    const auto written = store_.write(*unwritten_);
+    const auto written = settled_ ? store_.write(*unwritten_) : store_.settle();
     stats_.disk_write.add(clock_.monotonicMs() - begin_ms);
-    if (isError(written)) {
-      ++stats_.disk_failures;
-      line_log::write("disk_failed", {{"error", errorOf(written).message}});
+    if (!recordWrite(written)) {
       // Callers that wait for a change or a read retry at another replica.
       failPending();
       return false;
     }
   }
+  if (!std::exchange(settled_, true)) {
+    beginTime();
+  }
   finishReady();
   return true;
 }
 
+/// Counts a refused write, and logs when the disk begins and ceases to refuse.
+/// @return whether the write succeeded.
+bool GroupReplica::recordWrite(const Result<std::monostate>& written) {
+  const bool failed = isError(written);
+  stats_.disk_failures += failed ? 1 : 0;
+  const bool changed = std::exchange(stats_.disk_failing, failed) != failed;
+  if (changed && failed) {
+    line_log::write("disk_failed", {{"error", errorOf(written).message}});
+  } else if (changed) {
+    line_log::write("disk_recovered", {{"id", id_}});
+  }
+  return !failed;
+}
+
 void GroupReplica::finishReady() {
   raft::RaftReady ready = std::move(*unwritten_);
   unwritten_.reset();
+  heard_leader_.clear();
   if (ready.snapshot) {
     WORKSHATCH_CHECK(state_.restore(ready.snapshot->state()),
                      "cannot restore the snapshot received from the leader");
@@ -433,7 +458,11 @@
 }
 
 void GroupReplica::deliver(const v1::RaftBatch& batch) {
-  if (unwritten_ || undecided_) {
+  if (unwritten_) {
+    noteLeader(batch);
+    return;
+  }
+  if (undecided_) {
     return;
   }
   catchUpTicks();
@@ -452,6 +481,24 @@
   scheduleProcess();
 }
 
+/// Remembers who leads while this replica ignores Raft messages, so that callers are sent there.
+void GroupReplica::noteLeader(const v1::RaftBatch& batch) {
+  const auto& messages = batch.messages();
+  const bool leads =
+      std::any_of(messages.begin(), messages.end(), [this](const v1::RaftMessage& message) {
+        return message.type() == v1::RAFT_APPEND && message.term() >= node_->term();
+      });
+  if (!leads) {
+    return;
+  }
+  leader_last_known_ms_ = clock_.monotonicMs();
+  const bool changed = heard_leader_ != batch.sender_address();
+  heard_leader_ = batch.sender_address();
+  if (changed && on_leader_known_) {
+    on_leader_known_();
+  }
+}
+
 std::string GroupReplica::addressOf(uint64_t member) const {
   const v1::RaftMembership membership = node_->membership();
   for (const v1::RaftMember& candidate : membership.members()) {
@@ -463,7 +510,14 @@
   return sender == sender_addresses_.end() ? "" : sender->second;
 }
 
+bool GroupReplica::knowsLeader() const {
+  return node_->leader() != 0 || (unwritten_ && !heard_leader_.empty());
+}
+
 std::string GroupReplica::leaderAddress() const {
+  if (unwritten_ && !heard_leader_.empty()) {
+    return heard_leader_;
+  }
   return node_->leader() == 0 || node_->leader() == id_ ? "" : addressOf(node_->leader());
 }
 
