A process reports its own peak of memory, not that of the one that started it

Seen: in a record of operators memory_grew stands at the start of processes with peaks of 4.9 to 9 GB, and the gauge process_peak_memory_bytes reads the same.

Cause: the peak came from getrusage, whose ru_maxrss is kept over exec: a process begins with the peak of the memory that its parent had.

Change: VmHWM of /proc/self/status, which begins anew with exec. Where the system does not tell it, the gauge is missing and memory_unknown is written once, in place of a zero.

Evidence: a test starts this test program from a parent that holds 512 MB; with getrusage the child's peak is not below that (CHECK( 256 == 0 ) of its exit status), with VmHWM it is.

Weighed: VmRSS sampled each second would miss peaks between the samples.

--- a/src/adapters/metrics/process_memory.h
+++ b/src/adapters/metrics/process_memory.h
@@ -4,18 +4,25 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace workshatch::metrics {
 
-/// @return the most memory that was resident at once since the start, in bytes; zero: unknown.
-/// Source: getrusage.
-uint64_t peakResidentBytes();
+/// @return the most memory of this process that was resident at once since its program was loaded,
+/// in bytes; nullopt if the system does not tell. Source: VmHWM in /proc/self/status. The peak of
+/// getrusage includes that of the process which loaded the program.
+std::optional<uint64_t> peakResidentBytes();
 
-/// Appends the gauge of the peak.
+/// @param status text of /proc/self/status
+/// @return the peak in it, in bytes; nullopt if it has none.
+std::optional<uint64_t> parsePeakResidentBytes(std::string_view status);
+
+/// Appends the gauge of the peak; nothing if it is not known.
 void exposePeakMemory(std::string& out);
 
 /// Says at which peaks of memory a line is due, so that the log of a process that was killed for
@@ -34,7 +41,8 @@
 };
 
 /// Checks the peak every second on its event loop, from `start` until it is destroyed or the loop
-/// ends, and writes the line "memory_grew" for each step.
+/// ends, and writes the line "memory_grew" for each step. If the peak is not known, it writes
+/// "memory_unknown" once and ends.
 class MemoryWatch {
 public:
   explicit MemoryWatch(boost::asio::io_context& context) : timer_(context) {}
