Bodies of runners that never end are refused as they are stated, and counted as they are held

Seen by an operator: a faulty runner sent bytes without end; the machine that had called it kept them and ran out of memory, and other clients' requests ended with it.

Cause: a body under a length of 100 GB, or one chunk of 4 GB, was read until 16 MiB had arrived. What was counted was the size and not the buffer, which doubles beyond the limit; what had been given up stayed until its attempt ran on; a whole response was held without a count once a slow caller's had been cut, and an error response kept for the end of the attempts was never counted. A refusal was read without any end.

Change: RunnerConnection::limitBody, for plain responses, refusals (64 KiB) and reports: a longer length is refused at the head, a longer chunk at its size. The request counts as run: a failed attempt, 502. AnswerBody grows to the stated length or the limit, EventSplitter gives a large empty buffer back; both are counted by capacity and freed at the moment they are cut. Whole plain and error responses are counted until their caller has them; if one is the largest when the limit is reached, its caller is cut (answer_cut with whole).

--- a/src/adapters/http/runner_connection.cc
+++ b/src/adapters/http/runner_connection.cc
@@ -181,6 +181,16 @@
   }
 }
 
+std::optional<uint64_t> RunnerConnection::statedBodyBytes() const {
+  const auto length = parser_->content_length();
+  return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
+bool RunnerConnection::limitBody(uint64_t max_bytes) {
+  parser_->body_limit(max_bytes);
+  return parser_->is_done() || statedBodyBytes().value_or(0) <= max_bytes;
+}
+
 awaitable<std::variant<std::string, CallError>>
 RunnerConnection::read(std::chrono::milliseconds timeout) {
   while (reading_ || !parser_->is_done()) {
--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -56,6 +56,12 @@
 
   /// @return whether the end of the response's body is marked, so that another response can follow.
   bool hasMarkedEnd() const { return !parser_->need_eof(); }
+  /// @return the length of the body that the header states; nullopt if it states none.
+  std::optional<uint64_t> statedBodyBytes() const;
+  /// Limits the rest of the body of the response whose header has arrived. A read fails once more
+  /// arrives, or as soon as a chunk states that more will.
+  /// @return false if the header states a longer body.
+  bool limitBody(uint64_t max_bytes);
   /// Begins to read the header of another response, after the whole body of the last one was read.
   void expectNextResponse() { beginReadingHead(); }
 
--- a/src/core/relay/event_splitter.cc
+++ b/src/core/relay/event_splitter.cc
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// An empty buffer with more capacity than this is freed, so that one long event does not take
+/// memory for as long as its stream lasts.
+constexpr size_t kMaxIdleCapacity = size_t{16} * 1024;
+
 /// @return the length of the line terminator at `at` (LF or CR LF); 0 if there is none.
 size_t lineEndAt(std::string_view text, size_t at) {
   if (at < text.size() && text[at] == '\n') {
@@ -41,6 +45,11 @@
 
 } // namespace
 
+void EventSplitter::drop() {
+  std::string().swap(buffer_);
+  searched_ = 0;
+}
+
 std::optional<CompleteEvent> EventSplitter::next() {
   while (true) {
     const size_t line_end = buffer_.find('\n', searched_);
@@ -64,6 +73,9 @@
     event.bytes = buffer_.substr(0, length);
     event.id = idOf(event.bytes);
     buffer_.erase(0, length);
+    if (buffer_.empty() && buffer_.capacity() > kMaxIdleCapacity) {
+      drop();
+    }
     searched_ = 0;
     return event;
   }
--- a/src/core/relay/event_splitter.h
+++ b/src/core/relay/event_splitter.h
@@ -34,6 +34,10 @@
   /// @return whether bytes of an incomplete event are buffered.
   bool hasPartialEvent() const { return !buffer_.empty(); }
   size_t partialBytes() const { return buffer_.size(); }
+  /// Frees the memory of a stream that is given up.
+  void drop();
+  /// @return the memory that the buffer takes.
+  size_t heldBytes() const { return buffer_.capacity(); }
   /// @return whether the incomplete event is longer than an event may be.
   bool isTooLong() const { return buffer_.size() > max_event_bytes_; }
 
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -149,8 +150,12 @@
   http::awaitable<bool> relayEvent(const relay::CompleteEvent& event, int64_t received_ms);
   void trackReader();
   void abortSlowReader();
-  IncompleteAnswer countIncompleteAnswer();
+  IncompleteAnswer countIncompleteAnswer(std::function<void()> drop);
   void cutAnswer();
+  void logAnswerCut(bool whole);
+  void holdFailure(http::Response response);
+  http::awaitable<void> respondFailure();
+  void cutFailure();
   http::Response responseHead() const;
 
   /// A runner at which the next attempt is certain to find a slot.
@@ -385,6 +390,8 @@
   relay::EventPauses pauses_;
   /// The last error response of a runner, relayed to the caller if no other attempt succeeds.
   std::optional<http::Response> failure_;
+  /// Counts the body of `failure_`; null: there is none.
+  std::unique_ptr<IncompleteAnswer> failure_memory_;
   std::string last_error_;
   AttemptEnd last_end_ = AttemptEnd::Unreachable;
 };
--- a/src/daemon/relay/active_request_answer.cc
+++ b/src/daemon/relay/active_request_answer.cc
@@ -9,6 +9,7 @@
 #include "adapters/logging/line_log.h"
 #include "core/header_text.h"
 #include "daemon/relay/active_request.h"
+#include "daemon/relay/answer_body.h"
 
 namespace workshatch::daemon {
 
@@ -19,6 +20,8 @@
 /// Longest time for which a late copy of a response is read.
 constexpr std::chrono::milliseconds kLateCopyTimeout{300};
 constexpr size_t kMaxPlainBytes = size_t{16} * 1024 * 1024;
+/// Limit of the rest of a refusal, which is read for the connection's sake only.
+constexpr size_t kMaxRefusalBytes = size_t{64} * 1024;
 constexpr size_t kMaxEventBytes = size_t{1} * 1024 * 1024;
 constexpr unsigned kServerErrors = 500;
 
@@ -106,8 +109,9 @@
 http::awaitable<ActiveRequest::AttemptResult>
 ActiveRequest::handleRefusal(relay::NotRunProof proof) {
   last_error_ = "declined with " + std::to_string(connection_->head().result_int());
+  const bool short_enough = connection_->limitBody(kMaxRefusalBytes);
   std::string rest = "-";
-  while (!rest.empty()) {
+  while (short_enough && !rest.empty()) {
     auto chunk = co_await connection_->read(kRefusalReadTimeout);
     if (std::holds_alternative<http::CallError>(chunk)) {
       connection_->close();
@@ -115,6 +119,9 @@
     }
     rest = std::get<std::string>(chunk);
   }
+  if (!short_enough) {
+    connection_->close();
+  }
   co_return AttemptResult{.end = AttemptEnd::NotRun, .outcome = outcomeOf(proof), .not_run = proof};
 }
 
@@ -172,9 +179,12 @@
 
 http::awaitable<ActiveRequest::AttemptResult>
 ActiveRequest::relayPlainAnswer(relay::Runner* runner, std::optional<relay::NotRunProof> not_run) {
+  if (!connection_->limitBody(kMaxPlainBytes)) {
+    co_return broken("the answer is too large");
+  }
   http::Response response = responseHead();
-  IncompleteAnswer incomplete = countIncompleteAnswer();
-  std::string body;
+  AnswerBody body(connection_->statedBodyBytes().value_or(kMaxPlainBytes));
+  IncompleteAnswer incomplete = countIncompleteAnswer([&body] { body.drop(); });
   while (true) {
     auto chunk = co_await readPart(runner);
     if (const auto* error = std::get_if<http::CallError>(&chunk)) {
@@ -184,13 +194,10 @@
     if (text.empty()) {
       break;
     }
-    body += text;
-    if (body.size() > kMaxPlainBytes) {
-      co_return broken("the answer is too large");
-    }
-    incomplete.update(body.size());
+    body.append(text);
+    incomplete.update(body.heldBytes());
   }
-  response.body() = std::move(body);
+  response.body() = body.take();
   response.prepare_payload();
   const unsigned status = response.result_int();
   if (relay::promisesNotRun(status) && !not_run && !request_.repeatable()) {
@@ -201,7 +208,8 @@
   if (status >= kServerErrors) {
     // The response is complete, so the connection stays open for reuse.
     last_error_ = "status " + std::to_string(status);
-    failure_ = std::move(response);
+    incomplete.update(0);
+    holdFailure(std::move(response));
     co_return AttemptResult{.end = AttemptEnd::Broken,
                             .outcome = relay::AttemptOutcome::Failed,
                             .not_run = not_run,
@@ -302,26 +310,71 @@
   interrupt();
 }
 
-/// Starts the accounting of the bytes of the response that are held until it arrives completely.
-IncompleteAnswer ActiveRequest::countIncompleteAnswer() {
-  return IncompleteAnswer(state_.incomplete_answers, [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) {
-      self->cutAnswer();
-    }
-  });
+/// Starts the accounting of the bytes of the response that are held until it arrives completely,
+/// and if it is a plain one until the caller has it.
+/// @param drop frees them at once, since the attempt that holds them ends only later
+IncompleteAnswer ActiveRequest::countIncompleteAnswer(std::function<void()> drop) {
+  return IncompleteAnswer(state_.incomplete_answers,
+                          [weak = weak_from_this(), drop = std::move(drop)] {
+                            drop();
+                            if (const auto self = weak.lock()) {
+                              self->cutAnswer();
+                            }
+                          });
 }
 
-/// Ends the attempt to free the memory of its incomplete response.
+/// Ends the attempt to free the memory of its response, or the caller's connection if the caller is
+/// reading the whole response.
 void ActiveRequest::cutAnswer() {
+  const bool whole = exchange_.responseStarted() && !stream_started_;
+  logAnswerCut(whole);
+  if (whole) {
+    answered_as_ = "reader_cut";
+    exchange_.abort();
+  } else {
+    connection_->close();
+  }
+}
+
+void ActiveRequest::logAnswerCut(bool whole) {
   line_log::write("answer_cut", {{"request", request_.id},
+                                 {"whole", whole},
                                  {"all_held_bytes", state_.incomplete_answers->bufferedBytes()},
                                  {"answers", state_.incomplete_answers->readers()}});
-  connection_->close();
+}
+
+/// Keeps an error response for the case that no other attempt succeeds.
+void ActiveRequest::holdFailure(http::Response response) {
+  const size_t bytes = response.body().capacity();
+  failure_ = std::move(response);
+  failure_memory_ =
+      std::make_unique<IncompleteAnswer>(state_.incomplete_answers, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->cutFailure();
+        }
+      });
+  failure_memory_->update(bytes);
+}
+
+/// Sends the error response that was kept.
+http::awaitable<void> ActiveRequest::respondFailure() {
+  http::Response response = *std::exchange(failure_, std::nullopt);
+  co_await exchange_.respond(std::move(response));
+}
+
+/// Drops the error response, or ends the caller's connection if the caller is reading it.
+void ActiveRequest::cutFailure() {
+  const bool reading = !failure_;
+  logAnswerCut(reading);
+  failure_.reset();
+  if (reading) {
+    exchange_.abort();
+  }
 }
 
 http::awaitable<ActiveRequest::AttemptResult> ActiveRequest::relayStream(relay::Runner* runner) {
   relay::EventSplitter splitter(kMaxEventBytes);
-  IncompleteAnswer incomplete = countIncompleteAnswer();
+  IncompleteAnswer incomplete = countIncompleteAnswer([&splitter] { splitter.drop(); });
   while (true) {
     auto chunk = co_await readPart(runner);
     if (const auto* error = std::get_if<http::CallError>(&chunk)) {
@@ -349,7 +402,7 @@
     if (splitter.isTooLong()) {
       co_return broken("an event is too long");
     }
-    incomplete.update(splitter.partialBytes());
+    incomplete.update(splitter.heldBytes());
   }
   const bool ended_by_close = connection_->endedByClose();
   if (splitter.hasPartialEvent() || !stream_started_) {
--- a/src/daemon/relay/active_request_forward.cc
+++ b/src/daemon/relay/active_request_forward.cc
@@ -156,8 +156,7 @@
     result = co_await relayPlainAnswer(nullptr, not_run);
     if (failure_ && failed) {
       // The other relay has made all attempts that are allowed.
-      co_await exchange_.respond(std::move(*failure_));
-      failure_.reset();
+      co_await respondFailure();
       result.end = AttemptEnd::Answered;
     }
   }
--- a/src/daemon/relay/active_request_outcome.cc
+++ b/src/daemon/relay/active_request_outcome.cc
@@ -119,7 +119,7 @@
   }
   if (failure_ && !timed_out_) {
     logOutcome("runner_failure");
-    co_await exchange_.respond(std::move(*failure_));
+    co_await respondFailure();
     co_return;
   }
   if (const auto not_run = execution_.notRun()) {
--- a/src/daemon/relay/incomplete_answer.h
+++ b/src/daemon/relay/incomplete_answer.h
@@ -1,5 +1,5 @@
 /// @file
-/// Accounting of one response that has not arrived completely.
+/// Accounting of one response of a runner or relay that is held.
 #pragma once
 
 #include <cstddef>
@@ -11,8 +11,9 @@
 namespace workshatch::daemon {
 
 /// Counts the bytes of a response that are held until the rest of it, or of an event of it, has
-/// arrived. A runner may send bytes without end; together such responses must not take the memory
-/// of the responses to other callers. Lives on the relay's event loop; not safe for concurrent use.
+/// arrived, and of a whole one until its caller has it. A runner may send bytes without end, and a
+/// caller may not read; together such responses must not take the memory of the responses to other
+/// callers. Lives on the relay's event loop; not safe for concurrent use.
 class IncompleteAnswer {
 public:
   /// @param budget of all responses of the process; shared, since a request that is in progress
--- a/src/daemon/relay/runner_report_call.cc
+++ b/src/daemon/relay/runner_report_call.cc
@@ -35,8 +35,11 @@
 
 /// @return the whole body; nullopt if it did not come in time or is too long.
 http::awaitable<std::optional<std::string>> readBody(http::RunnerConnection& connection) {
+  if (!connection.limitBody(kMaxReportBytes)) {
+    co_return std::nullopt;
+  }
   std::string body;
-  while (body.size() <= kMaxReportBytes) {
+  while (true) {
     auto part = co_await connection.read(kReadTimeout);
     const auto* text = std::get_if<std::string>(&part);
     if (text == nullptr) {
@@ -47,7 +50,6 @@
     }
     body += *text;
   }
-  co_return std::nullopt;
 }
 
 } // namespace
--- a/tests/unit/allocation_peak.cc
+++ b/tests/unit/allocation_peak.cc
@@ -15,6 +15,8 @@
 /// others allocated.
 thread_local int64_t allocated_bytes = 0;
 thread_local int64_t peak_bytes = 0;
+/// Bytes that were allocated when the measurement began.
+thread_local int64_t began_bytes = 0;
 
 } // namespace
 
@@ -37,24 +39,33 @@
 
 namespace workshatch::test {
 
-size_t peakAllocatedBytes(const std::function<void()>& code) {
-  const int64_t before = allocated_bytes;
-  peak_bytes = before;
-  code();
-  return static_cast<size_t>(peak_bytes - before);
+void beginAllocationPeak() {
+  began_bytes = allocated_bytes;
+  peak_bytes = allocated_bytes;
 }
 
+size_t allocationPeak() { return static_cast<size_t>(peak_bytes - began_bytes); }
+
 } // namespace workshatch::test
 
 #else
 
 namespace workshatch::test {
 
+void beginAllocationPeak() {}
+
+size_t allocationPeak() { return 0; }
+
+} // namespace workshatch::test
+
+#endif
+
+namespace workshatch::test {
+
 size_t peakAllocatedBytes(const std::function<void()>& code) {
+  beginAllocationPeak();
   code();
-  return 0;
+  return allocationPeak();
 }
 
 } // namespace workshatch::test
-
-#endif
