Engines that never end an event, and lists that never end, are given up

Seen: by trying what a faulty runner does to the relay at the product's router and at the readers of the platform's list.

Cause: EventStreamParser buffered an event without a limit, and searched it anew with each piece: an engine that sent an event without an end kept its worker busy beyond 30 s, and the caller got no response. ChatRun held 256 events of any size that came before a missing one, and a completion of any size. RunnerListReader read 1,000 pages of up to 4 MiB each. ClientResponse::readAll waited for a body whose stated length it would never take.

Change: an event of more than 1 MiB ends the attempt, events out of order are held up to 1 MiB, the text of a completion up to 4 MiB (it is not kept for a caller that streams); the list is given up above 16 MiB of decoded entries; readAll refuses a longer body at its head or its chunk's size.

The case of readAll was not run on the old code.

--- a/src/adapters/http/event_stream.h
+++ b/src/adapters/http/event_stream.h
@@ -2,6 +2,7 @@
 /// Parser and formatter for server-sent events (text/event-stream).
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,6 +16,9 @@
 
 /// Incremental parser: accepts the bytes of a stream in pieces of any size and returns complete
 /// events. Events without data are skipped.
+///
+/// Guarantee: it buffers at most the limit of an event and one more piece, if all complete events
+/// are taken out after each piece and a stream with a longer event is given up.
 class EventStreamParser {
 public:
   void feed(std::string_view bytes) { buffer_.append(bytes); }
@@ -22,7 +26,12 @@
   /// @return the next complete event, or nothing until more bytes are fed.
   std::optional<ServerSentEvent> next();
 
+  /// @return whether the incomplete event is longer than an event may be.
+  bool isTooLong() const { return buffer_.size() > kMaxEventBytes; }
+
 private:
+  static constexpr size_t kMaxEventBytes = size_t{1} * 1024 * 1024;
+
   std::string buffer_;
 };
 
--- a/src/adapters/http/http_client.cc
+++ b/src/adapters/http/http_client.cc
@@ -114,6 +114,11 @@
 }
 
 awaitable<std::variant<std::string, CallError>> ClientResponse::readAll(size_t limit) {
+  parser_->body_limit(limit);
+  const auto stated = parser_->content_length_remaining();
+  if (!parser_->is_done() && stated && *stated > limit) {
+    co_return CallError{.phase = CallPhase::Sent, .message = "the answer is too large"};
+  }
   std::string body;
   while (true) {
     auto part = co_await read();
@@ -125,9 +130,6 @@
       co_return body;
     }
     body += text;
-    if (body.size() > limit) {
-      co_return CallError{.phase = CallPhase::Sent, .message = "the answer is too large"};
-    }
   }
 }
 
--- a/src/adapters/http/http_client.h
+++ b/src/adapters/http/http_client.h
@@ -74,7 +74,8 @@
 
   /// @return the next part of the body; empty at the end of the body.
   awaitable<std::variant<std::string, CallError>> read();
-  /// @return the rest of the body, or an error if it has more than `limit` bytes.
+  /// @return the rest of the body, or an error if it has more than `limit` bytes: as soon as the
+  /// header or a chunk states so.
   awaitable<std::variant<std::string, CallError>> readAll(size_t limit);
 
   void setReadTimeout(std::chrono::milliseconds timeout) { read_timeout_ = timeout; }
--- a/src/daemon/router/chat_run.cc
+++ b/src/daemon/router/chat_run.cc
@@ -15,6 +15,9 @@
 
 /// Limit on the events buffered while an event with a lower number is missing.
 constexpr size_t kMaxOutOfOrderEvents = 256;
+constexpr size_t kMaxOutOfOrderBytes = size_t{1} * 1024 * 1024;
+/// Limit on the text of a completion that is sent whole.
+constexpr size_t kMaxCompletionBytes = size_t{4} * 1024 * 1024;
 constexpr int kMaxAttempts = 6;
 /// A stream that delivers nothing for this long is treated as broken and resumed.
 constexpr std::chrono::milliseconds kStallTimeout{3000};
@@ -173,6 +176,7 @@
   exchange_.onDisconnect([&response] { response.cancel(); });
   http::EventStreamParser parser;
   out_of_order_events_.clear();
+  out_of_order_bytes_ = 0;
   while (!complete_) {
     auto chunk = co_await response.read();
     const auto* text = std::get_if<std::string>(&chunk);
@@ -189,6 +193,9 @@
         co_return AttemptResult::CallerGone;
       }
     }
+    if (parser.isTooLong() || completion_text_.size() > kMaxCompletionBytes) {
+      break;
+    }
   }
   exchange_.onDisconnect(nullptr);
   if (!complete_) {
@@ -213,14 +220,20 @@
 http::awaitable<bool> ChatRun::acceptEvent(const http::ServerSentEvent& event,
                                            const Placement& placement) {
   const uint64_t number = parseEventNumber(event.id);
-  if (number <= last_delivered_ || out_of_order_events_.size() >= kMaxOutOfOrderEvents) {
+  const bool full = out_of_order_events_.size() >= kMaxOutOfOrderEvents ||
+                    out_of_order_bytes_ > kMaxOutOfOrderBytes;
+  if (number <= last_delivered_ || full) {
     co_return true;
   }
-  out_of_order_events_[number] = event.data;
+  std::string& held = out_of_order_events_[number];
+  out_of_order_bytes_ += event.data.size();
+  out_of_order_bytes_ -= held.size();
+  held = event.data;
   while (!out_of_order_events_.empty() &&
          out_of_order_events_.begin()->first == last_delivered_ + 1 && !complete_) {
     const std::string data = out_of_order_events_.begin()->second;
     out_of_order_events_.erase(out_of_order_events_.begin());
+    out_of_order_bytes_ -= data.size();
     if (!co_await deliver(data, placement)) {
       co_return false;
     }
@@ -238,7 +251,7 @@
     }
     recordUsage(event);
     const json choices = event.value("choices", json::array());
-    if (!choices.empty() && choices[0].contains("delta")) {
+    if (!request_.stream && !choices.empty() && choices[0].contains("delta")) {
       completion_text_ += choices[0]["delta"].value("content", "");
     }
   }
--- a/src/daemon/router/chat_run.h
+++ b/src/daemon/router/chat_run.h
@@ -82,6 +82,8 @@
   uint64_t last_delivered_ = 0;
   /// Events received before an event with a lower number, by number.
   std::map<uint64_t, std::string> out_of_order_events_;
+  /// Bytes of their data.
+  size_t out_of_order_bytes_ = 0;
   bool response_started_ = false;
   bool complete_ = false;
   std::string completion_text_;
--- a/src/daemon/runner_list_reader.cc
+++ b/src/daemon/runner_list_reader.cc
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds kReadTimeout{700};
 constexpr size_t kMaxPageBytes = size_t{4} * 1024 * 1024;
 constexpr size_t kMaxPages = 1000;
+/// Limit on the decoded entries of all pages.
+constexpr size_t kMaxListBytes = size_t{16} * 1024 * 1024;
 /// Bounds a requested backoff, so that a wrong value can't leave the fleet without a list for long.
 constexpr uint32_t kMaxBackoffMs = 30'000;
 
@@ -69,6 +71,7 @@
   v1::RunnerList list;
   RejectedEntries rejected;
   std::string page;
+  size_t list_bytes = 0;
   if (backoff_.isActive(clock_.monotonicMs())) {
     co_return Error{"the backoff that the platform requested is still in effect"};
   }
@@ -78,6 +81,10 @@
       co_return errorOf(read);
     }
     RunnerPage& decoded = std::get<RunnerPage>(read);
+    list_bytes += decoded.runners.ByteSizeLong();
+    if (list_bytes > kMaxListBytes) {
+      co_return Error{"the list is too large"};
+    }
     list.mutable_runners()->MergeFrom(decoded.runners.runners());
     rejected += decoded.rejected;
     page = decoded.next_page;
--- a/src/daemon/runner_list_reader.h
+++ b/src/daemon/runner_list_reader.h
@@ -26,7 +26,7 @@
 
   /// Reads all pages. Makes no call during a backoff that the platform requested.
   /// @return the complete list, without a version. An error if a backoff is in effect, a call
-  /// fails, a page can't be decoded or there are too many pages.
+  /// fails, a page can't be decoded, or there are too many or too large pages.
   http::awaitable<Result<v1::RunnerList>> read();
 
   /// Number of calls that the last complete read needed; 1 before the first one.
--- a/tests/unit/daemon/runner_list_reader_test.cc
+++ b/tests/unit/daemon/runner_list_reader_test.cc
@@ -56,8 +56,42 @@
   daemon::RunnerListReader reader_;
 };
 
+/// Decodes every body as a large page that another one follows.
+class EndlessListCodec : public EmptyListCodec {
+public:
+  static constexpr size_t kPageBytes = size_t{1} * 1024 * 1024;
+
+  Result<RunnerPage> decode(std::string_view) const override {
+    RunnerPage page;
+    page.runners.add_runners()->set_id(std::string(kPageBytes, 'x'));
+    page.next_page = "more";
+    return page;
+  }
+};
+
 } // namespace
 
+TEST_CASE("A list without an end is held until the last page that is read") {
+  ScriptedRunner platform([](auto& socket, const auto&) {
+    writeTo(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+  });
+  const EndlessListCodec codec;
+  const SuspendableClock clock;
+  boost::asio::io_context context;
+  daemon::RunnerListReader reader(context, clock, platform.address(), codec);
+  bool failed = false;
+  boost::asio::co_spawn(
+      context,
+      [&]() -> http::awaitable<void> {
+        const Result<v1::RunnerList> list = co_await reader.read();
+        failed = isError(list);
+      },
+      boost::asio::detached);
+  context.run();
+  CHECK(failed);
+  CHECK(platform.requests() <= 20);
+}
+
 TEST_CASE("The platform is called during the backoff that it requested") {
   for (const char* status : {"429 Too Many", "503 Unavailable"}) {
     CAPTURE(status);
