The memory of the process bounds what others can make it hold

Seen by an operator: a machine that had called a faulty runner ran out of memory. Of deployments here some give a process 160 MB; what a relay would hold of requests' bodies (128 MB), incomplete responses (32) and for slow readers (16) made 176, each counted apart, and no setting carried the limit.

Refusals are the same as before: 503 no_memory before anything is sent, a broken attempt for a response that is cut.

The sums with requests' bodies and slow readers at their limits at the same time were not played.

Weighed: one pool that every kind may use up would refuse fewer large requests, but endless responses could then take the part of requests. Read at the start only: a running process does not shrink what it has promised.

--- a/src/adapters/settings/relay_settings.cc
+++ b/src/adapters/settings/relay_settings.cc
@@ -21,6 +21,8 @@
 constexpr double kMaxMs = 3'600'000;
 constexpr double kMaxPort = 65'535;
 constexpr double kMillisecondsPerSecond = 1000;
+/// Below it the part that is not shared does not hold the program itself.
+constexpr double kMinMemoryMb = 16;
 
 /// Reads fields of a JSON object and collects errors.
 class FieldReader {
@@ -244,6 +246,9 @@
   reader.number("runner_list_calls", settings.runner_list_calls, 0.1, 1e6);
   reader.number("link_mbps", settings.link_mbps, 0.1, 1e6);
   constexpr double kBytesPerMegabyte = 1024 * 1024;
+  double memory_mb = 0;
+  reader.number("memory_mb", memory_mb, kMinMemoryMb, 1e6);
+  settings.memory_bytes = static_cast<uint64_t>(memory_mb * kBytesPerMegabyte);
   double read_ahead_mb = static_cast<double>(settings.read_ahead_bytes) / kBytesPerMegabyte;
   reader.number("read_ahead_mb", read_ahead_mb, 0.1, 1e6);
   settings.read_ahead_bytes = static_cast<size_t>(read_ahead_mb * kBytesPerMegabyte);
--- a/src/adapters/settings/relay_settings.h
+++ b/src/adapters/settings/relay_settings.h
@@ -73,7 +73,10 @@
   double link_mbps = 100;
   /// Number of simultaneous replica failures that the group tolerates.
   uint32_t replica_losses = 1;
-  /// Limit on the buffered response bytes for slowly reading callers, in total.
+  /// Memory of the process above which the machine ends it; zero: none is known.
+  uint64_t memory_bytes = 0;
+  /// Limit on the buffered response bytes for slowly reading callers, in total. The share of the
+  /// memory of the process applies too.
   size_t read_ahead_bytes = size_t{16} * 1024 * 1024;
   RelayBounds bounds;
   relay::Policy policy;
--- a/src/core/limits/body_budget.h
+++ b/src/core/limits/body_budget.h
@@ -12,9 +12,9 @@
 
 struct BodyBudgetLimits {
   /// Maximum number of bytes held for the bodies of all requests of the process.
-  size_t process_bytes = size_t{128} * 1024 * 1024;
+  size_t process_bytes = 0;
   /// Part of `process_bytes` that only small requests may use.
-  size_t reserved_bytes = size_t{32} * 1024 * 1024;
+  size_t reserved_bytes = 0;
   /// A request that holds at most this many bytes is small.
   size_t small_bytes = size_t{128} * 1024;
 };
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -85,7 +85,7 @@
           workers, smallLimits(),
           [this](http::Exchange& exchange) { return serveMetrics(exchange); }, refuseBadRequest),
       log_flusher_(context_), memory_watch_(context_), stop_timer_(context_) {
-  operator_server_.limitBodies(operatorBodies());
+  operator_server_.limitBodies(operatorBodies(settings_.memory_bytes));
 }
 
 Result<std::monostate> GroupRole::start() {
--- a/src/daemon/group/redirect_role.cc
+++ b/src/daemon/group/redirect_role.cc
@@ -31,7 +31,7 @@
           workers, operatorLimits(), [this](http::Exchange& exchange) { return handle(exchange); },
           refuseBadRequest),
       log_flusher_(workers.context(0)) {
-  operator_server_.limitBodies(operatorBodies());
+  operator_server_.limitBodies(operatorBodies(settings_.memory_bytes));
 }
 
 Result<std::monostate> RedirectRole::start() {
--- a/src/daemon/relay/relay_state.h
+++ b/src/daemon/relay/relay_state.h
@@ -2,6 +2,7 @@
 /// The state that all requests of one relay process share: tables, budgets, queues and counters.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <set>
@@ -11,6 +12,7 @@
 #include "adapters/http/runner_connection.h"
 #include "adapters/settings/relay_settings.h"
 #include "core/limits/body_budget.h"
+#include "core/limits/memory_shares.h"
 #include "core/relay/peer_relays.h"
 #include "core/relay/quarantine.h"
 #include "core/relay/read_ahead_budget.h"
@@ -44,10 +46,6 @@
 /// requests, so there are fewer distinct requests than sends, and the share applies to requests.
 inline constexpr double kTrialFraction = 0.8;
 
-/// Maximum number of bytes of responses that have not arrived completely, over all requests of the
-/// process.
-inline constexpr size_t kIncompleteAnswersBytes = size_t{32} * 1024 * 1024;
-
 class ActiveRequest;
 
 /// Lives on the relay's event loop; not safe for concurrent use.
@@ -56,8 +54,8 @@
   /// @param draw random number in [0, 1), drawn once per process, for the retry budget
   RelayState(const settings::RelaySettings& settings, const Clock& time, const RelayDialect& names,
              double draw = 0)
-      : clock(time), dialect(names), zone(settings.zone),
-        runner_addresses(settings.runner_address_overrides),
+      : clock(time), dialect(names), memory(limits::sharesOf(settings.memory_bytes)),
+        zone(settings.zone), runner_addresses(settings.runner_address_overrides),
         lease(relay::leaseLengthMs(settings.bounds.revoked_key_ms)), policy(settings.policy),
         runners(
             relay::RunnerTableOptions{.cap_factor = settings.bounds.load_cap_factor,
@@ -72,12 +70,14 @@
                                          .draw = draw}),
         peer_relays(settings.caller_address, settings.zone, settings.zones),
         forward_port(settings.forward_port),
-        read_ahead(relay::ReadAheadLimits{.process_bytes = settings.read_ahead_bytes}),
+        read_ahead(relay::ReadAheadLimits{
+            .process_bytes = std::min(settings.read_ahead_bytes, memory.read_ahead_bytes)}),
         connections(time), runner_reports(names, RunnerDialer(runner_addresses), time),
         started_ms(time.monotonicMs()) {}
 
   const Clock& clock;
   const RelayDialect& dialect;
+  const limits::MemoryShares memory;
   const std::string zone;
   const AddressOverrides runner_addresses;
   /// The configuration in force; null before the first one. Its version never decreases.
@@ -110,11 +110,12 @@
   relay::ReadAheadBudget read_ahead;
   /// The memory for the bodies of callers' and of forwarded requests.
   const std::shared_ptr<limits::BodyBudget> bodies =
-      std::make_shared<limits::BodyBudget>(limits::BodyBudgetLimits{});
+      std::make_shared<limits::BodyBudget>(limits::BodyBudgetLimits{
+          .process_bytes = memory.request_bytes, .reserved_bytes = memory.small_request_bytes});
   /// Counts what is held of responses that have not arrived completely.
   const std::shared_ptr<relay::ReadAheadBudget> incomplete_answers =
       std::make_shared<relay::ReadAheadBudget>(
-          relay::ReadAheadLimits{.process_bytes = kIncompleteAnswersBytes});
+          relay::ReadAheadLimits{.process_bytes = memory.answer_bytes});
   relay::RetryAfterScheduler retry_after_scheduler;
   relay::TenantUsage tenants;
   relay::DemandEstimates demand_estimates;
--- a/src/daemon/server_limits.h
+++ b/src/daemon/server_limits.h
@@ -10,6 +10,7 @@
 #include "adapters/http/http_server.h"
 #include "adapters/http/problem.h"
 #include "core/limits/body_budget.h"
+#include "core/limits/memory_shares.h"
 
 namespace workshatch::daemon {
 
@@ -26,7 +27,10 @@
 
 /// Limits the memory that the bodies of operators' calls take in the process. A call above it is
 /// refused at its head; nothing of it was done.
-inline http::BodyAdmission operatorBodies() {
+/// @param memory_bytes limit of the process; zero: none is known
+inline http::BodyAdmission operatorBodies(uint64_t memory_bytes) {
+  constexpr size_t kSmallCallsDivisor = 4;
+  const size_t share = limits::sharesOf(memory_bytes).operator_bytes;
   constexpr uint32_t kRetryAfterMs = 1000;
   const auto refuse = [](const http::Request& /*head*/) {
     return http::makeProblem(
@@ -35,7 +39,8 @@
                       .detail = "this process has no memory left for the body of the call",
                       .retry_after_ms = kRetryAfterMs});
   };
-  return {.budget = std::make_shared<limits::BodyBudget>(limits::BodyBudgetLimits{}),
+  return {.budget = std::make_shared<limits::BodyBudget>(limits::BodyBudgetLimits{
+              .process_bytes = share, .reserved_bytes = share / kSmallCallsDivisor}),
           .refuse = refuse};
 }
 
