A body that never fits into the memory of the process gets 413, not 503

Cause: a body of which both copies exceed what one request may get is refused with 503 no_memory and Retry-After, for ever.

Change: the limit of a caller's body is the smaller of the configured one and what fits when nothing else is held. The request has not run either way.

Evidence: relay_memory_test, memory of 16 MB and a body of 3 MB: answer other than 413 before, 413 after.

Open: a body in chunks, whose length is not stated, may need up to twice as much and be refused as before (docs/FINDINGS.md).

--- a/src/adapters/http/http_server.cc
+++ b/src/adapters/http/http_server.cc
@@ -120,8 +120,7 @@
 
 enum class ReadResult { Complete, Failed, NoMemory };
 
-/// Reads one request, and reserves the memory for its body as it arrives: twice its size, since the
-/// body is held a second time while the request is sent on.
+/// Reads one request, and reserves the memory for all copies of its body as it arrives.
 class RequestRead {
 public:
   /// @param reservation null: the memory is not limited
@@ -150,8 +149,7 @@
 
 private:
   bool reserve(uint64_t capacity) {
-    constexpr uint64_t kCopies = 2;
-    return reservation_ == nullptr || reservation_->growTo(kCopies * capacity);
+    return reservation_ == nullptr || reservation_->growTo(kBodyCopies * capacity);
   }
 
   /// Reserves memory as the body arrives, not what its head states: a client that stalls after a
--- a/src/adapters/http/http_server.h
+++ b/src/adapters/http/http_server.h
@@ -128,6 +128,9 @@
   boost::asio::steady_timer buffered_bytes_timer_;
 };
 
+/// How often the body of a request is held: as it arrived, and as it is sent on.
+inline constexpr uint64_t kBodyCopies = 2;
+
 /// The memory that bodies may take, and the response to a request for whose body none is left.
 struct BodyAdmission {
   /// May be shared by several servers. Null: the bodies are not limited in total.
--- a/src/core/limits/body_budget.h
+++ b/src/core/limits/body_budget.h
@@ -51,6 +51,8 @@
 
   explicit BodyBudget(BodyBudgetLimits limits) : limits_(limits) {}
 
+  /// @return the largest reservation that a single request can get; more is refused for good.
+  size_t largestBytes() const { return limits_.process_bytes - limits_.reserved_bytes; }
   size_t heldBytes() const;
   /// @return the largest number of bytes that were held at once.
   size_t peakBytes() const;
--- a/src/daemon/relay/relay_role.cc
+++ b/src/daemon/relay/relay_role.cc
@@ -175,6 +175,9 @@
     limits.read_timeout = std::chrono::milliseconds(configured.header_timeout_ms);
     limits.idle_timeout = std::chrono::milliseconds(configured.idle_timeout_ms);
   }
+  // A body that never fits must not be refused as if it did later.
+  limits.body_bytes =
+      std::min<uint64_t>(limits.body_bytes, state_.bodies->largestBytes() / http::kBodyCopies);
   return limits;
 }
 
