--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -23,7 +23,8 @@
 GroupReplica::GroupReplica(boost::asio::io_context& context, GroupOptions options, LogStore& store,
                            const Clock& clock, Random& random, ReplicaTransport& transport)
     : context_(context), options_(std::move(options)), store_(store), clock_(clock),
-      random_(random), transport_(transport), tick_timer_(context) {}
+      random_(random), transport_(transport), tick_timer_(context),
+      directory_(options_.own_address, options_.seeds) {}
 
 Result<std::monostate> GroupReplica::start() {
   auto loaded = store_.load();
@@ -42,6 +43,7 @@
                isSeed(options_.own_address) && id_ == founderIdentity(options_.own_address);
   started_ms_ = clock_.monotonicMs();
   makeNode(std::move(replica.recovery));
+  directory_.setMembers(memberAddresses());
   next_tick_ms_ = clock_.monotonicMs() + options_.tick_ms;
   leader_last_known_ms_ = clock_.monotonicMs();
   line_log::write("replica_started", {{"id", id_},
@@ -126,6 +128,7 @@
   }
   tellPresence();
   advanceMembership();
+  announceMembers();
 }
 
 /// Makes `unwritten_` durable, then sends its messages and applies its entries. Messages must not
@@ -167,6 +170,7 @@
   for (v1::RaftMessage& message : ready.messages) {
     const std::string address = addressOf(message.to());
     if (!address.empty()) {
+      message.set_group(groupIdentity());
       transport_.send(address, std::move(message));
     }
   }
@@ -337,7 +341,11 @@
   const bool usable = !node_->isLeader() || node_->committedInTerm();
   const uint64_t leader = usable ? node_->leader() : 0;
   const bool changed = std::exchange(reported_leader_, leader) != leader && leader != 0;
-  if (changed && on_leader_known_) {
+  if (!changed) {
+    return;
+  }
+  announcement_due_ms_ = 0;
+  if (on_leader_known_) {
     on_leader_known_();
   }
 }
@@ -380,6 +388,7 @@
 
 void GroupReplica::setSeeds(std::vector<std::string> seeds) {
   options_.seeds = std::move(seeds);
+  directory_.setSeeds(options_.seeds);
   // They were counted for another group.
   founders_.clear();
 }
@@ -390,7 +399,25 @@
          relay::GroupState().restore(message.snapshot().state());
 }
 
-/// Logs the first of successive messages from a replica in a term that contradict this one's log.
+uint64_t GroupReplica::groupIdentity() const {
+  const uint64_t group = node_->membership().group();
+  return group != 0 ? group : first_group_;
+}
+
+bool GroupReplica::admits(const v1::RaftMessage& message) {
+  const uint64_t own = groupIdentity();
+  if (own != 0 && message.group() != 0 && message.group() != own) {
+    recordContradiction(message);
+    return false;
+  }
+  if (own == 0 && message.to() == id_) {
+    first_group_ = message.group();
+  }
+  return true;
+}
+
+/// Logs the first of successive messages from a replica in a term that contradict this one's log or
+/// come from another group.
 void GroupReplica::recordContradiction(const v1::RaftMessage& message) {
   uint64_t& logged_term = contradictions_[message.from()];
   if (logged_term == message.term()) {
@@ -400,6 +427,7 @@
   line_log::write("raft_message_ignored", {{"from", message.from()},
                                            {"type", v1::RaftMessageType_Name(message.type())},
                                            {"term", message.term()},
+                                           {"group", message.group()},
                                            {"match_index", message.match_index()},
                                            {"last_index", node_->log().lastIndex()}});
 }
@@ -409,7 +437,12 @@
     return;
   }
   catchUpTicks();
+  // A member that does not know of a lost disk keeps sending to the former identity here.
+  contactsTold({batch.sender_address()});
   for (const v1::RaftMessage& message : batch.messages()) {
+    if (!admits(message)) {
+      continue;
+    }
     sender_addresses_[message.from()] = batch.sender_address();
     if (!isReadable(message) || !node_->step(message)) {
       recordContradiction(message);
