--- a/src/daemon/relay/control_link.cc
+++ b/src/daemon/relay/control_link.cc
@@ -28,8 +28,9 @@
                          std::string own_machine, std::vector<std::string> seeds,
                          RenewalSource make_renewal, ReplyHandler on_reply)
     : context_(context), clock_(clock), own_machine_(std::move(own_machine)),
-      directory_("", std::move(seeds)), make_renewal_(std::move(make_renewal)),
-      on_reply_(std::move(on_reply)), timer_(context), dialer_(context) {}
+      directory_("", std::move(seeds)), search_(line_log::write),
+      make_renewal_(std::move(make_renewal)), on_reply_(std::move(on_reply)), timer_(context),
+      dialer_(context) {}
 
 void ControlLink::start() {
   step();
@@ -58,6 +59,9 @@
 
 void ControlLink::step() {
   dials_left_ = kDialsPerStep;
+  if (!confirmed_) {
+    search_.searching(clock_.monotonicMs());
+  }
   if (!link_) {
     if (!dialing_) {
       dialNext();
@@ -149,6 +153,7 @@
                [this, address](std::shared_ptr<link::FramedLink> link) {
                  dialing_ = false;
                  if (!link) {
+                   search_.tried(address, "unreachable");
                    dialNext();
                    return;
                  }
@@ -167,6 +172,7 @@
 void ControlLink::drop(const char* reason) {
   confirmed_ = false;
   line_log::write("control_link_lost", {{"address", link_address_}, {"reason", reason}});
+  search_.tried(link_address_, reason);
   earlier_traffic_ = traffic();
   if (link_) {
     const auto link = std::exchange(link_, nullptr);
@@ -202,6 +208,7 @@
   if (reply.sequence() == 0 || reply.confirmed()) {
     unconfirmed_ = 0;
     confirmed_ = true;
+    search_.found(link_address_, clock_.monotonicMs());
     if (reply.renew_period_ms() != 0) {
       const int64_t requested_ms = reply.renew_period_ms();
       renew_period_ = std::chrono::milliseconds(std::min(requested_ms, relay::kMaxRenewalPeriodMs));
--- a/src/daemon/relay/control_link.h
+++ b/src/daemon/relay/control_link.h
@@ -14,6 +14,7 @@
 
 #include "adapters/link/framed_link.h"
 #include "core/relay/member_directory.h"
+#include "daemon/relay/leader_search_report.h"
 #include "ports/clock.h"
 
 namespace workshatch::daemon {
@@ -48,6 +49,8 @@
     uint64_t received = 0;
   };
   Traffic traffic() const;
+  /// @return time since the search for the leader began, in ms; zero while the leader is known.
+  int64_t searchingForMs() const { return search_.searchingForMs(clock_.monotonicMs()); }
 
 private:
   void schedule();
@@ -65,6 +68,7 @@
   const Clock& clock_;
   const std::string own_machine_;
   relay::MemberDirectory directory_;
+  LeaderSearchReport search_;
   const RenewalSource make_renewal_;
   const ReplyHandler on_reply_;
   boost::asio::steady_timer timer_;
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -87,6 +87,10 @@
                        static_cast<int64_t>(state_.runners.listVersion()));
   metrics::exposeGauge(out, "relay_relays", "relays that callers are told",
                        static_cast<int64_t>(relays_.relays_size()));
+  metrics::exposeGauge(
+      out, "relay_leader_search_ms",
+      "time for which this relay has looked for the leader; 0: it has a link to it",
+      control_.searchingForMs());
   const ControlLink::Traffic traffic = control_.traffic();
   metrics::exposeGauge(out, "relay_control_sent_bytes", "frames to the group's leaders",
                        static_cast<int64_t>(traffic.sent));
