--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -67,8 +67,8 @@
   fi
 done
 
-# The deployed program under troubles of runners and signals, around planned work, and under signals
-# and full disks at its start; the long runs are started by hand.
+# The deployed program under troubles of runners and signals, around planned work, under signals and
+# full disks at its start, and under losses of its core; the long runs are started by hand.
 run_soak() { # NAME [ARGUMENTS]
   local report=run/$1-report.txt
   python3 "platform/tests/soak/$1.py" "${@:2}" 2>&1 | tee "$report"
@@ -85,5 +85,6 @@
 run_soak run_once_soak --seeds 2,3 --seconds 15
 run_soak planned_work_soak --seeds 2,7 --seconds 8
 run_soak start_soak
+run_soak core_soak --seeds 3,4 --seconds 8
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
