Members tell only what they know of the leader and of themselves

Cause: makeNotice and hintedLeaderAddress took the Raft node's view and the directory's without asking whether this replica may speak for the group. Change: a replica claims membership only while its disk takes writes and it knows a leader or did within the limit for leaderless voters; in that state it never passes on others' word about the leader. Whoever hears a member name none forgets the leader. joinReceived treats a leader that cannot write as no leader.

--- a/src/core/relay/member_directory.cc
+++ b/src/core/relay/member_directory.cc
@@ -72,6 +72,11 @@
   leader_named_ms_ = named_ms;
 }
 
+void MemberDirectory::forgetLeader(int64_t now_ms) {
+  leader_.clear();
+  leader_named_ms_ = now_ms;
+}
+
 bool MemberDirectory::apply(const v1::MembersNotice& notice, int64_t now_ms) {
   const std::vector<std::string> before = candidates(now_ms);
   const std::string leader_before = leader(now_ms);
@@ -81,6 +86,9 @@
   } else {
     addContacts(members, now_ms);
   }
+  if (notice.sender_is_member() && notice.leader_address().empty()) {
+    forgetLeader(now_ms);
+  }
   setLeader(notice.leader_address(), now_ms - int64_t{notice.leader_age_ms()});
   return leader(now_ms) != leader_before || hasNew(before, candidates(now_ms));
 }
--- a/src/core/relay/member_directory.h
+++ b/src/core/relay/member_directory.h
@@ -53,7 +53,10 @@
   void addContact(const std::string& address);
   /// Records the leader that a member named at a time, unless a later statement is known.
   void setLeader(const std::string& address, int64_t named_ms);
-  /// Records what another process knows. Only a member replaces the list of members.
+  /// Forgets the leader, and ignores what was said of it before.
+  void forgetLeader(int64_t now_ms);
+  /// Records what another process knows. Only a member replaces the list of members. A member that
+  /// names no leader makes the leader unknown here too.
   /// @return whether this brought a new candidate or another leader.
   bool apply(const v1::MembersNotice& notice, int64_t now_ms);
   /// Records addresses that a relay knew as members.
--- a/src/daemon/group/group_discovery.cc
+++ b/src/daemon/group/group_discovery.cc
@@ -36,10 +36,8 @@
 }
 
 void GroupReplica::joinReceived(const v1::JoinRequest& request) {
-  if (node_->isLeader()) {
-    if (!unwritten_) {
-      join_requests_[request.address()] = request;
-    }
+  if (isLeader()) {
+    join_requests_[request.address()] = request;
     return;
   }
   if (request.forwarded()) {
@@ -83,20 +81,26 @@
   scheduleProcess();
 }
 
+bool GroupReplica::speaksForGroup() const {
+  const int64_t leaderless_ms = clock_.monotonicMs() - leader_last_known_ms_;
+  return isMember() && !unwritten_ && leader_was_known_ && leaderless_ms <= kLeaderlessLimitMs;
+}
+
 std::string GroupReplica::hintedLeaderAddress() const {
-  return knowsLeader() ? leaderAddress() : directory_.leader(clock_.monotonicMs());
+  const bool leader_known = knowsLeader() && !unwritten_;
+  return leader_known || speaksForGroup() ? leaderAddress()
+                                          : directory_.leader(clock_.monotonicMs());
 }
 
 v1::MembersNotice GroupReplica::makeNotice() const {
   v1::MembersNotice notice = directory_.makeNotice(clock_.monotonicMs());
   if (isMember()) {
-    notice.set_sender_is_member(true);
-    notice.clear_members();
-    for (const std::string& member : memberAddresses()) {
-      notice.add_members(member);
-    }
+    const std::vector<std::string> members = memberAddresses();
+    notice.mutable_members()->Assign(members.begin(), members.end());
   }
-  if (knowsLeader()) {
+  notice.set_sender_is_member(speaksForGroup());
+  const bool leader_known = knowsLeader() && !unwritten_;
+  if (leader_known || notice.sender_is_member()) {
     notice.set_leader_address(isLeader() ? options_.own_address : leaderAddress());
     notice.clear_leader_age_ms();
   }
--- a/src/daemon/group/group_membership.cc
+++ b/src/daemon/group/group_membership.cc
@@ -15,9 +15,6 @@
 constexpr int64_t kMembershipPeriodMs = 200;
 /// Interval at which voters tell each other that they are there, while the group has a learner.
 constexpr int64_t kPresencePeriodMs = 250;
-/// After this time without a leader, a voter sends join requests, since it may have been removed
-/// from the group.
-constexpr int64_t kLeaderlessLimitMs = 2500;
 /// A learner that lags behind the commit index by at most this many entries counts as caught up.
 constexpr uint64_t kCaughtUpEntries = 4;
 /// Index and term of the snapshot that every replica of a new group starts from.
--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -319,6 +319,7 @@
 void GroupReplica::updateLeadership() {
   if (node_->leader() != 0) {
     leader_last_known_ms_ = clock_.monotonicMs();
+    leader_was_known_ = true;
   }
   const bool leader = node_->isLeader();
   const bool new_term = leader && leader_term_ != node_->term();
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -140,8 +140,9 @@
   const std::string& ownAddress() const { return options_.own_address; }
   /// @return the leader's address; empty if the leader is unknown or is this replica.
   std::string leaderAddress() const;
-  /// @return the leader's address as the group or, outside the group, another process named it
-  /// recently; empty if the leader is unknown or is this replica.
+  /// @return the leader's address; if this replica is outside the group, has known no leader for
+  /// some time or cannot write its disk, as another process named it recently. Empty if the leader
+  /// is unknown or is this replica.
   std::string hintedLeaderAddress() const;
   std::vector<std::string> memberAddresses() const;
   /// @return where members and the leader are, as far as this replica knows.
@@ -173,6 +174,10 @@
   void setSeeds(std::vector<std::string> seeds);
 
 private:
+  /// After this time without a leader, a voter sends join requests, since it may have been removed
+  /// from the group.
+  static constexpr int64_t kLeaderlessLimitMs = 2500;
+
   /// A proposed command at its log index. Another leader may overwrite the index with another
   /// entry.
   struct Proposal {
@@ -204,6 +209,10 @@
   /// @return whether this replica is a member, as far as it was told.
   bool isMember() const { return isMember(id_); }
   bool isMember(uint64_t id) const;
+  /// @return whether others may believe what this replica says of the members and the leader: it is
+  /// a member, its disk takes writes, and it knew a leader recently, which a replica that was
+  /// removed while it was down does not.
+  bool speaksForGroup() const;
   /// Takes a step towards the group at once, if this replica is outside it.
   void seekGroupNow();
   void announceMembers();
@@ -273,6 +282,8 @@
   uint64_t leader_term_ = 0;
   int64_t leading_since_ms_ = 0;
   int64_t leader_last_known_ms_ = 0;
+  /// Whether a leader was known since the start.
+  bool leader_was_known_ = false;
   int64_t find_group_due_ms_ = 0;
   int64_t announcement_due_ms_ = 0;
   int64_t membership_due_ms_ = 0;
--- a/tests/unit/core/relay/member_directory_test.cc
+++ b/tests/unit/core/relay/member_directory_test.cc
@@ -72,4 +72,20 @@
   CHECK(directory.candidates(kNowMs).size() == 2 + 2 * MemberDirectory::kMaxHints);
 }
 
+TEST_CASE("A leader is forgotten when a member names none, and older statements do not bring it "
+          "back") {
+  MemberDirectory directory("own", {});
+  directory.apply(noticeOf(true, {"m1", "m2"}, "m1"), kNowMs);
+  directory.apply(noticeOf(false, {}, ""), kNowMs + 100);
+  CHECK(directory.leader(kNowMs + 100) == "m1");
+  directory.apply(noticeOf(true, {"m1", "m2"}, ""), kNowMs + 200);
+  CHECK(directory.leader(kNowMs + 200).empty());
+  v1::MembersNotice older = noticeOf(false, {}, "m1");
+  older.set_leader_age_ms(300);
+  directory.apply(older, kNowMs + 300);
+  CHECK(directory.leader(kNowMs + 300).empty());
+  directory.apply(noticeOf(true, {"m1", "m2"}, "m2"), kNowMs + 400);
+  CHECK(directory.leader(kNowMs + 400) == "m2");
+}
+
 } // namespace workshatch::test
--- a/tests/unit/daemon/group/group_discovery_test.cc
+++ b/tests/unit/daemon/group/group_discovery_test.cc
@@ -159,4 +159,45 @@
   CHECK(group.runUntil([&] { return group.at("d").makeNotice().leader_address().empty(); }));
 }
 
+TEST_CASE("A member whose disk refuses writes claims no membership and names no leader") {
+  Group group;
+  startFirst(group);
+  const std::string follower = group.leaderAddress() == "a" ? "b" : "a";
+  group.diskOf(follower).full = true;
+  REQUIRE(group.store(2));
+  group.runFor(std::chrono::milliseconds(100));
+  const v1::MembersNotice told = group.at(follower).makeNotice();
+  CHECK_FALSE(told.sender_is_member());
+  CHECK(told.leader_address().empty());
+  CHECK(told.members_size() == 3);
+  CHECK(group.at(follower).hintedLeaderAddress().empty());
+}
+
+TEST_CASE("A voter during an election names no leader that others told it") {
+  Group group;
+  startFirst(group);
+  group.kill("b");
+  group.kill("c");
+  REQUIRE(group.runUntil([&] { return !group.at("a").knowsLeader(); }));
+  v1::MembersNotice notice;
+  notice.set_leader_address("b");
+  group.at("a").noticeReceived(notice);
+  CHECK(group.at("a").hintedLeaderAddress().empty());
+  CHECK(group.at("a").makeNotice().leader_address().empty());
+  CHECK(group.at("a").makeNotice().sender_is_member());
+}
+
+TEST_CASE("A removed replica that is back with its old disk does not speak for the group") {
+  Group group;
+  startFirst(group);
+  group.kill("c");
+  group.start("d", 44, false);
+  REQUIRE(group.runUntil([&] { return group.at("d").votes(); }));
+  group.setSeeds({"gone"});
+  group.cutOff("c", true);
+  group.start("c", 13, false);
+  CHECK_FALSE(group.at("c").makeNotice().sender_is_member());
+  CHECK(group.at("c").makeNotice().members_size() == 3);
+}
+
 } // namespace workshatch::test
