The search for the group has a minimum interval, and its log lines too

The list of contacts is bounded, so that an evicted address counts as new: two replicas outside any group with different full lists swapped them at the speed of round trips. Change: a new candidate is asked after 100 ms (before: at once), also by machines without a disk; one log line a second. Weighed: a minimum interval since the last request, which asks a first new candidate sooner by up to 100 ms and needs one more state.

--- a/src/daemon/group/group_discovery.cc
+++ b/src/daemon/group/group_discovery.cc
@@ -1,10 +1,11 @@
 /// @file
 /// How a replica outside the group finds it, and how members make themselves found.
 ///
-/// Load: outside the group, a join request to each candidate every 300 ms; in it, one notice a
-/// second to each seed that is no member. Failure cases: the seeds may be gone, hold no replica, or
-/// hold one that is outside the group too; a lost disk leaves a replica that knows the seeds only.
-/// Whoever is asked therefore answers with what it knows, and members tell the seeds unasked.
+/// Load: outside the group, a join request to each candidate every 300 ms, or 100 ms after a new
+/// one was learned; in it, one notice a second to each seed that is no member. Failure cases: the
+/// seeds may be gone, hold no replica, or hold one that is outside the group too; a lost disk
+/// leaves a replica that knows the seeds only. Whoever is asked therefore answers with what it
+/// knows, and members tell the seeds unasked.
 #include <algorithm>
 
 #include "adapters/logging/line_log.h"
@@ -17,6 +18,10 @@
 /// Interval of the notices of members to processes outside the group; half the time for which a
 /// leader counts as known.
 constexpr int64_t kAnnouncementPeriodMs = relay::kLeaderKnownMs / 2;
+/// Delay of the join requests after a new candidate was learned; the minimum interval between them.
+constexpr int64_t kSeekDelayMs = 100;
+/// Minimum interval of log lines about new candidates.
+constexpr int64_t kContactsLogPeriodMs = 1000;
 
 } // namespace
 
@@ -74,11 +79,13 @@
   if (isMember() || undecided_) {
     return;
   }
-  line_log::write("group_contacts_learned",
-                  {{"leader", hintedLeaderAddress()},
-                   {"candidates", directory_.candidates(clock_.monotonicMs())}});
-  find_group_due_ms_ = 0;
-  scheduleProcess();
+  const int64_t now = clock_.monotonicMs();
+  find_group_due_ms_ = std::min(find_group_due_ms_, now + kSeekDelayMs);
+  if (now >= contacts_log_due_ms_) {
+    contacts_log_due_ms_ = now + kContactsLogPeriodMs;
+    line_log::write("group_contacts_learned", {{"leader", hintedLeaderAddress()},
+                                               {"candidates", directory_.candidates(now)}});
+  }
 }
 
 bool GroupReplica::speaksForGroup() const {
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -213,7 +213,7 @@
   /// a member, its disk takes writes, and it knew a leader recently, which a replica that was
   /// removed while it was down does not.
   bool speaksForGroup() const;
-  /// Takes a step towards the group at once, if this replica is outside it.
+  /// Takes a step towards the group soon, if this replica is outside it.
   void seekGroupNow();
   void announceMembers();
   void groupFound(bool established);
@@ -286,6 +286,7 @@
   bool leader_was_known_ = false;
   int64_t find_group_due_ms_ = 0;
   int64_t announcement_due_ms_ = 0;
+  int64_t contacts_log_due_ms_ = 0;
   int64_t membership_due_ms_ = 0;
   uint64_t next_context_ = 1;
   std::vector<Proposal> proposals_;
--- a/src/daemon/group/member_search.cc
+++ b/src/daemon/group/member_search.cc
@@ -1,5 +1,7 @@
 #include "daemon/group/member_search.h"
 
+#include <algorithm>
+
 #include "adapters/logging/line_log.h"
 
 namespace workshatch::daemon {
@@ -10,6 +12,10 @@
 constexpr int64_t kSearchPeriodMs = 300;
 /// Interval of the questions that keep the leader known.
 constexpr int64_t kRefreshPeriodMs = relay::kLeaderKnownMs / 2;
+/// Delay of the questions after a new candidate was learned; the minimum interval between them.
+constexpr int64_t kSeekDelayMs = 100;
+/// Minimum interval of log lines about new candidates.
+constexpr int64_t kContactsLogPeriodMs = 1000;
 
 } // namespace
 
@@ -36,14 +42,21 @@
   if (!learned) {
     return;
   }
-  line_log::write(
-      "group_contacts_learned",
-      {{"leader", leader()}, {"candidates", directory_.candidates(clock_.monotonicMs())}});
+  const int64_t now = clock_.monotonicMs();
   if (leader().empty()) {
-    question_due_ms_ = 0;
+    askSoon();
+  }
+  if (now >= log_due_ms_) {
+    log_due_ms_ = now + kContactsLogPeriodMs;
+    line_log::write("group_contacts_learned",
+                    {{"leader", leader()}, {"candidates", directory_.candidates(now)}});
   }
 }
 
+void MemberSearch::askSoon() {
+  question_due_ms_ = std::min(question_due_ms_, clock_.monotonicMs() + kSeekDelayMs);
+}
+
 void MemberSearch::joinReceived(const v1::JoinRequest& request) {
   send_(request.address(), makeNotice());
 }
@@ -51,7 +64,7 @@
 v1::LeaseReply MemberSearch::renewalReceived(const v1::LeaseRenewal& renewal) {
   if (directory_.addContacts({renewal.known_members().begin(), renewal.known_members().end()},
                              clock_.monotonicMs())) {
-    question_due_ms_ = 0;
+    askSoon();
   }
   return relay::makeLeaderReply(makeNotice(), renewal.sequence());
 }
--- a/src/daemon/group/member_search.h
+++ b/src/daemon/group/member_search.h
@@ -43,12 +43,14 @@
   const std::vector<std::string>& members() const { return directory_.members(); }
 
 private:
+  void askSoon();
   v1::MembersNotice makeNotice() const { return directory_.makeNotice(clock_.monotonicMs()); }
 
   const Clock& clock_;
   relay::MemberDirectory directory_;
   const NoticeSender send_;
   int64_t question_due_ms_ = 0;
+  int64_t log_due_ms_ = 0;
 };
 
 } // namespace workshatch::daemon
--- a/tests/unit/daemon/group/group_discovery_test.cc
+++ b/tests/unit/daemon/group/group_discovery_test.cc
@@ -30,6 +30,12 @@
   return group.searchAt(address).renewalReceived(v1::LeaseRenewal()).leader_address();
 }
 
+/// Sends nothing.
+class NoTransport : public ReplicaTransport {
+public:
+  void send(const std::string&, v1::RaftMessage) override {}
+};
+
 } // namespace
 
 TEST_CASE("A replica whose seeds hold no replica joins") {
@@ -200,4 +206,45 @@
   CHECK(group.at("c").makeNotice().members_size() == 3);
 }
 
+TEST_CASE("Two replicas outside any group that tell each other many addresses ask at a bounded "
+          "rate") {
+  boost::asio::io_context context;
+  const SystemClock clock;
+  SeededRandom random(7);
+  NoTransport transport;
+  std::map<std::string, int> asked;
+  std::map<std::string, std::unique_ptr<MemoryStore>> disks;
+  std::map<std::string, std::unique_ptr<GroupReplica>> replicas;
+  for (const std::string own : {"x", "y"}) {
+    GroupOptions options;
+    options.own_address = own;
+    options.seeds = {own == "x" ? "y" : "x"};
+    disks[own] = std::make_unique<MemoryStore>(own == "x" ? 1 : 2);
+    replicas[own] =
+        std::make_unique<GroupReplica>(context, options, *disks[own], clock, random, transport);
+    replicas[own]->setJoinSender([&](const std::string& to, const v1::JoinRequest& join) {
+      ++asked[to];
+      boost::asio::post(context, [&replicas, to, join] {
+        if (replicas.contains(to)) {
+          replicas[to]->joinReceived(join);
+        }
+      });
+    });
+    replicas[own]->setNoticeSender([&](const std::string& to, const v1::MembersNotice& notice) {
+      boost::asio::post(context, [&replicas, to, notice] { replicas[to]->noticeReceived(notice); });
+    });
+    REQUIRE_FALSE(isError(replicas[own]->start()));
+    std::vector<std::string> told;
+    for (int i = 0; i < 8; ++i) {
+      told.push_back(own + std::to_string(i));
+    }
+    replicas[own]->contactsTold(told);
+  }
+  context.run_for(std::chrono::seconds(1));
+  for (const auto& [address, joins] : asked) {
+    // Both ask the other addresses.
+    CHECK_MESSAGE(joins <= 22, address);
+  }
+}
+
 } // namespace workshatch::test
