Relays believe only a confirmed leader about who the members are

After a confirmed link was lost, the search went on in the middle of the candidates. Change: lists in confirmed replies replace the members; others are contacts. Lists of members that do not lead are contacts too, which rank right behind members. Evidence: "A replica that confirms nothing does not replace the members that the leader told" and "A list above the limit keeps its first addresses ..." failed before, pass now.

--- a/src/core/relay/member_directory.cc
+++ b/src/core/relay/member_directory.cc
@@ -23,9 +23,10 @@
 /// Replaces `current` and keeps those of it that are not in the new list as hints.
 void replace(std::vector<std::string>& current, std::vector<std::string> next,
              std::vector<std::string>& former) {
-  for (const std::string& address : current) {
-    if (!contains(next, address)) {
-      putFirst(former, address);
+  // From the end, so that the first addresses rank first and outlast the limit.
+  for (auto address = current.rbegin(); address != current.rend(); ++address) {
+    if (!contains(next, *address)) {
+      putFirst(former, *address);
     }
   }
   current = std::move(next);
--- a/src/daemon/relay/control_link.cc
+++ b/src/daemon/relay/control_link.cc
@@ -165,7 +165,10 @@
 }
 
 void ControlLink::drop(const char* reason) {
-  confirmed_ = false;
+  if (std::exchange(confirmed_, false)) {
+    // The most likely candidates come first again.
+    candidate_ = 0;
+  }
   line_log::write("control_link_lost", {{"address", link_address_}, {"reason", reason}});
   earlier_traffic_ = traffic();
   if (link_) {
@@ -190,7 +193,13 @@
     return;
   }
   const v1::LeaseReply& reply = frame.lease();
-  directory_.setMembers({reply.members().begin(), reply.members().end()});
+  const std::vector<std::string> members(reply.members().begin(), reply.members().end());
+  // Only a majority proves that the sender belongs to the group.
+  if (reply.confirmed()) {
+    directory_.setMembers(members);
+  } else {
+    directory_.addContacts(members, clock_.monotonicMs());
+  }
   if (reply.sequence() == 0 && !reply.leader_address().empty()) {
     onLeaderAnnounced(reply.leader_address());
     return;
--- a/tests/unit/core/relay/member_directory_test.cc
+++ b/tests/unit/core/relay/member_directory_test.cc
@@ -88,4 +88,16 @@
   CHECK(directory.leader(kNowMs + 400) == "m2");
 }
 
+TEST_CASE("A list above the limit keeps its first addresses as hints when it is replaced") {
+  MemberDirectory directory("own", {});
+  Addresses many;
+  for (int i = 0; i < 20; ++i) {
+    many.push_back("m" + std::to_string(i));
+  }
+  directory.setMembers(many);
+  directory.setMembers({"new"});
+  CHECK(directory.candidates(kNowMs) ==
+        Addresses{"new", "m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7"});
+}
+
 } // namespace workshatch::test
--- a/tests/unit/daemon/relay/control_link_test.cc
+++ b/tests/unit/daemon/relay/control_link_test.cc
@@ -163,4 +163,49 @@
   control.stop();
 }
 
+TEST_CASE("A replica that confirms nothing does not replace the members that the leader told") {
+  boost::asio::io_context context;
+  const SystemClock clock;
+  std::vector<std::shared_ptr<link::FramedLink>> links;
+  std::vector<std::string> known;
+  int renewals = 0;
+  link::LinkListener replica(context);
+  // The leader at first; on the second link, a process that belongs to no group.
+  const auto answer = [&](std::shared_ptr<link::FramedLink> link) {
+    links.push_back(link);
+    link->start(
+        [&, weak = std::weak_ptr(link), leads = links.size() == 1](const v1::Frame& frame) {
+          ++renewals;
+          if (links.size() == 3 && known.empty()) {
+            known.assign(frame.renewal().known_members().begin(),
+                         frame.renewal().known_members().end());
+          }
+          v1::Frame reply;
+          reply.mutable_lease()->set_sequence(1);
+          reply.mutable_lease()->add_members(leads ? "127.0.0.1:18260" : "127.0.0.1:18262");
+          reply.mutable_lease()->set_confirmed(leads);
+          if (const auto from = weak.lock()) {
+            from->send(reply);
+          }
+        },
+        [] {});
+  };
+  REQUIRE_FALSE(isError(replica.listen("127.0.0.1:18259", answer)));
+  const auto renewal = [](bool) { return v1::LeaseRenewal(); };
+  daemon::ControlLink control(context, clock, "", {"127.0.0.1:18259"}, renewal,
+                              [](const v1::LeaseReply&) {});
+  control.start();
+  const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(6);
+  bool left = false;
+  while (known.empty() && std::chrono::steady_clock::now() < limit) {
+    context.run_one_for(std::chrono::milliseconds(20));
+    if (!left && renewals > 1) {
+      left = true;
+      control.reconnect();
+    }
+  }
+  CHECK(known == std::vector<std::string>{"127.0.0.1:18260"});
+  control.stop();
+}
+
 } // namespace workshatch::test
