--- a/src/core/relay/member_directory.cc
+++ b/src/core/relay/member_directory.cc
@@ -23,9 +23,10 @@
 /// Replaces `current` and keeps those of it that are not in the new list as hints.
 void replace(std::vector<std::string>& current, std::vector<std::string> next,
              std::vector<std::string>& former) {
-  for (const std::string& address : current) {
-    if (!contains(next, address)) {
-      putFirst(former, address);
+  // From the end, so that the first addresses rank first and outlast the limit.
+  for (auto address = current.rbegin(); address != current.rend(); ++address) {
+    if (!contains(next, *address)) {
+      putFirst(former, *address);
     }
   }
   current = std::move(next);
@@ -72,6 +73,11 @@
   leader_named_ms_ = named_ms;
 }
 
+void MemberDirectory::forgetLeader(int64_t now_ms) {
+  leader_.clear();
+  leader_named_ms_ = now_ms;
+}
+
 bool MemberDirectory::apply(const v1::MembersNotice& notice, int64_t now_ms) {
   const std::vector<std::string> before = candidates(now_ms);
   const std::string leader_before = leader(now_ms);
@@ -81,6 +87,9 @@
   } else {
     addContacts(members, now_ms);
   }
+  if (notice.sender_is_member() && notice.leader_address().empty()) {
+    forgetLeader(now_ms);
+  }
   setLeader(notice.leader_address(), now_ms - int64_t{notice.leader_age_ms()});
   return leader(now_ms) != leader_before || hasNew(before, candidates(now_ms));
 }
--- a/tests/unit/daemon/group/group_discovery_test.cc
+++ b/tests/unit/daemon/group/group_discovery_test.cc
@@ -30,6 +30,12 @@
   return group.searchAt(address).renewalReceived(v1::LeaseRenewal()).leader_address();
 }
 
+/// Sends nothing.
+class NoTransport : public ReplicaTransport {
+public:
+  void send(const std::string&, v1::RaftMessage) override {}
+};
+
 } // namespace
 
 TEST_CASE("A replica whose seeds hold no replica joins") {
@@ -159,4 +165,86 @@
   CHECK(group.runUntil([&] { return group.at("d").makeNotice().leader_address().empty(); }));
 }
 
+TEST_CASE("A member whose disk refuses writes claims no membership and names no leader") {
+  Group group;
+  startFirst(group);
+  const std::string follower = group.leaderAddress() == "a" ? "b" : "a";
+  group.diskOf(follower).full = true;
+  REQUIRE(group.store(2));
+  group.runFor(std::chrono::milliseconds(100));
+  const v1::MembersNotice told = group.at(follower).makeNotice();
+  CHECK_FALSE(told.sender_is_member());
+  CHECK(told.leader_address().empty());
+  CHECK(told.members_size() == 3);
+  CHECK(group.at(follower).hintedLeaderAddress().empty());
+}
+
+TEST_CASE("A voter during an election names no leader that others told it") {
+  Group group;
+  startFirst(group);
+  group.kill("b");
+  group.kill("c");
+  REQUIRE(group.runUntil([&] { return !group.at("a").knowsLeader(); }));
+  v1::MembersNotice notice;
+  notice.set_leader_address("b");
+  group.at("a").noticeReceived(notice);
+  CHECK(group.at("a").hintedLeaderAddress().empty());
+  CHECK(group.at("a").makeNotice().leader_address().empty());
+  CHECK(group.at("a").makeNotice().sender_is_member());
+}
+
+TEST_CASE("A removed replica that is back with its old disk does not speak for the group") {
+  Group group;
+  startFirst(group);
+  group.kill("c");
+  group.start("d", 44, false);
+  REQUIRE(group.runUntil([&] { return group.at("d").votes(); }));
+  group.setSeeds({"gone"});
+  group.cutOff("c", true);
+  group.start("c", 13, false);
+  CHECK_FALSE(group.at("c").makeNotice().sender_is_member());
+  CHECK(group.at("c").makeNotice().members_size() == 3);
+}
+
+TEST_CASE("Two replicas outside any group that tell each other many addresses ask at a bounded "
+          "rate") {
+  boost::asio::io_context context;
+  const SystemClock clock;
+  SeededRandom random(7);
+  NoTransport transport;
+  std::map<std::string, int> asked;
+  std::map<std::string, std::unique_ptr<MemoryStore>> disks;
+  std::map<std::string, std::unique_ptr<GroupReplica>> replicas;
+  for (const std::string own : {"x", "y"}) {
+    GroupOptions options;
+    options.own_address = own;
+    options.seeds = {own == "x" ? "y" : "x"};
+    disks[own] = std::make_unique<MemoryStore>(own == "x" ? 1 : 2);
+    replicas[own] =
+        std::make_unique<GroupReplica>(context, options, *disks[own], clock, random, transport);
+    replicas[own]->setJoinSender([&](const std::string& to, const v1::JoinRequest& join) {
+      ++asked[to];
+      boost::asio::post(context, [&replicas, to, join] {
+        if (replicas.contains(to)) {
+          replicas[to]->joinReceived(join);
+        }
+      });
+    });
+    replicas[own]->setNoticeSender([&](const std::string& to, const v1::MembersNotice& notice) {
+      boost::asio::post(context, [&replicas, to, notice] { replicas[to]->noticeReceived(notice); });
+    });
+    REQUIRE_FALSE(isError(replicas[own]->start()));
+    std::vector<std::string> told;
+    for (int i = 0; i < 8; ++i) {
+      told.push_back(own + std::to_string(i));
+    }
+    replicas[own]->contactsTold(told);
+  }
+  context.run_for(std::chrono::seconds(1));
+  for (const auto& [address, joins] : asked) {
+    // Both ask the other addresses.
+    CHECK_MESSAGE(joins <= 22, address);
+  }
+}
+
 } // namespace workshatch::test
