Test: a stopping relay uses what it knows of how long a route's requests take

With nothing known, a request whose limit outlasts the stop is refused; with 20 that took 0.1 s it is taken.

--- a/tests/unit/daemon/relay/relay_role_test.cc
+++ b/tests/unit/daemon/relay/relay_role_test.cc
@@ -208,4 +208,22 @@
   CHECK(within(milliseconds(2000), [&] { return relay.stopped(); }));
 }
 
+TEST_CASE("A stopping relay takes a request whose route has shown to take less than its limit") {
+  ScriptedRunner runner(
+      [](auto& socket, const auto&) { writeTo(socket, signedAnswer("q", "done")); });
+  TestRelay relay(testRoute(relay::RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", runner.address());
+  const int64_t now_ms = relay.clock().monotonicMs();
+  bool known = false;
+  SUBCASE("not known") {}
+  SUBCASE("known") { known = true; }
+  for (uint32_t i = 0; known && i < relay::RequestDurations::kMinRequests; ++i) {
+    relay.state().request_durations.recordEnded("r", 100, now_ms - 3000 + i);
+  }
+  relay.state().stop = relay::plannedStop(now_ms, 1000);
+  relay.start();
+  CHECK(relay.sendRequest("q").starts_with(known ? "HTTP/1.1 200" : "HTTP/1.1 503"));
+  CHECK(runner.requests() == (known ? 1 : 0));
+}
+
 } // namespace workshatch::test
