--- a/tests/unit/daemon/relay/endless_answer_test.cc
+++ b/tests/unit/daemon/relay/endless_answer_test.cc
@@ -40,14 +40,14 @@
 /// Runners that answer alike, without an end, and a relay that asks all of them at once.
 class EndlessRunners {
 public:
-  /// @param beginOf the beginning of the response to a request
+  /// @param begin_of the beginning of the response to a request
   EndlessRunners(size_t count, RouteKind kind,
-                 std::function<std::string(const std::string& id)> beginOf)
+                 std::function<std::string(const std::string& id)> begin_of)
       : relay_(testRoute(kind, 1)) {
     for (size_t i = 0; i < count; ++i) {
       runners_.push_back(
-          std::make_unique<ScriptedRunner>([beginOf](auto& socket, const std::string& request) {
-            writeTo(socket, beginOf(requestIdOf(request)));
+          std::make_unique<ScriptedRunner>([begin_of](auto& socket, const std::string& request) {
+            writeTo(socket, begin_of(requestIdOf(request)));
             writeWithoutEnd(socket);
           }));
       relay_.addRunner("runner-" + std::to_string(i), runners_.back()->address());
