Machines without a replica ask one member a second, not all of them

What operators could see: control traffic above its budget at replicas. Each machine that holds no replica asked every member each second, and every candidate each 300 ms while no leader was known, and each question carried all that it knew. By arithmetic of the review: 4.4 KB/s at a member with 22 such machines and 14.7 KB/s without a leader. Change: one member a second in rotation, three candidates each 300 ms without a leader, and questions without lists (at most 32 bytes, which the test checks).

--- a/src/daemon/group/member_search.cc
+++ b/src/daemon/group/member_search.cc
@@ -12,6 +12,8 @@
 constexpr int64_t kSearchPeriodMs = 300;
 /// Interval of the questions that keep the leader known.
 constexpr int64_t kRefreshPeriodMs = relay::kLeaderKnownMs / 2;
+/// Number of candidates that are asked at once while no leader is known.
+constexpr size_t kSearchedAtOnce = 3;
 /// Delay of the questions after a new candidate was learned; the minimum interval between them.
 constexpr int64_t kSeekDelayMs = 100;
 /// Minimum interval of log lines about new candidates.
@@ -26,11 +28,20 @@
   }
   const bool leader_known = !directory_.leader(now).empty();
   question_due_ms_ = now + (leader_known ? kRefreshPeriodMs : kSearchPeriodMs);
-  v1::MembersNotice question = makeNotice();
+  if (leader_known) {
+    askNextOf(directory_.members(), 1);
+  } else {
+    askNextOf(directory_.candidates(now), kSearchedAtOnce);
+  }
+}
+
+/// Sends a question without any list to the next addresses in rotation.
+void MemberSearch::askNextOf(const std::vector<std::string>& addresses, size_t count) {
+  v1::MembersNotice question;
+  question.set_sender_address(own_address_);
   question.set_answer_wanted(true);
-  const std::vector<std::string> all = directory_.candidates(now);
-  for (const std::string& address : leader_known ? directory_.members() : all) {
-    send_(address, question);
+  for (size_t asked = 0; asked < std::min(count, addresses.size()); ++asked) {
+    send_(addresses[rotation_++ % addresses.size()], question);
   }
 }
 
--- a/tests/unit/daemon/group/group_discovery_test.cc
+++ b/tests/unit/daemon/group/group_discovery_test.cc
@@ -247,4 +247,29 @@
   }
 }
 
+TEST_CASE("A machine without a replica asks all members each second") {
+  constexpr int64_t kSeconds = 10;
+  constexpr size_t kMaxQuestionBytes = 32;
+  SuspendableClock clock;
+  std::vector<std::string> asked;
+  daemon::MemberSearch search(clock, "10.0.0.9:7000", {"a", "b", "c"},
+                              [&](const std::string& address, const v1::MembersNotice& question) {
+                                asked.push_back(address);
+                                CHECK(question.ByteSizeLong() <= kMaxQuestionBytes);
+                              });
+  for (int64_t ms = 0; ms < kSeconds * 1000; ms += daemon::MemberSearch::kPollPeriodMs) {
+    v1::MembersNotice notice;
+    notice.set_sender_is_member(true);
+    notice.set_leader_address("a");
+    for (const char* member : {"a", "b", "c", "d", "e"}) {
+      notice.add_members(member);
+    }
+    search.noticeReceived(notice);
+    search.poll();
+    clock.sleepFor(daemon::MemberSearch::kPollPeriodMs);
+  }
+  CHECK(asked.size() <= kSeconds + 1);
+  CHECK(std::set<std::string>(asked.begin(), asked.end()).size() == 5);
+}
+
 } // namespace workshatch::test
