--- a/src/daemon/group/group_replica.cc
+++ b/src/daemon/group/group_replica.cc
@@ -195,7 +195,9 @@
   for (v1::RaftMessage& message : ready.messages) {
     const std::string address = addressOf(message.to());
     if (!address.empty()) {
-      message.set_group(groupIdentity());
+      if (needsGroup(message)) {
+        message.set_group(groupIdentity());
+      }
       transport_.send(address, std::move(message));
     }
   }
@@ -425,6 +427,15 @@
          relay::GroupState().restore(message.snapshot().state());
 }
 
+/// @return whether the receiver may not belong to this group yet. A member that has stored entries
+/// of this leader does, and replies go to one whose group was compared.
+bool GroupReplica::needsGroup(const v1::RaftMessage& message) const {
+  if (message.type() == v1::RAFT_APPEND) {
+    return node_->matchIndex(message.to()) == 0;
+  }
+  return message.type() != v1::RAFT_APPEND_REPLY;
+}
+
 uint64_t GroupReplica::groupIdentity() const {
   const uint64_t group = node_->membership().group();
   return group != 0 ? group : first_group_;
@@ -467,12 +478,12 @@
     return;
   }
   catchUpTicks();
-  // A member that does not know of a lost disk keeps sending to the former identity here.
-  contactsTold({batch.sender_address()});
   for (const v1::RaftMessage& message : batch.messages()) {
     if (!admits(message)) {
       continue;
     }
+    // A member that does not know of a lost disk keeps sending to the former identity here.
+    contactsTold({batch.sender_address()});
     sender_addresses_[message.from()] = batch.sender_address();
     presence_.heard(message.from(), clock_.monotonicMs());
     if (!isReadable(message) || !node_->step(message)) {
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -247,6 +247,7 @@
   /// @return the identity of the group that this replica belongs to or, before it has a membership,
   /// of the first one that sent it a message; zero: not known.
   uint64_t groupIdentity() const;
+  bool needsGroup(const v1::RaftMessage& message) const;
   /// @return false for a message of another group, which must not reach the node.
   bool admits(const v1::RaftMessage& message);
   void noteLeader(const v1::RaftBatch& batch);
--- a/src/daemon/group/group_role.cc
+++ b/src/daemon/group/group_role.cc
@@ -59,6 +59,8 @@
     return "hello";
   case v1::Frame::kJoin:
     return "join";
+  case v1::Frame::kMembersNotice:
+    return "members_notice";
   case v1::Frame::kRenewal:
     return "renewal";
   default:
