A replica whose disk refuses writes names the leader that it hears, and no other

"Members tell only what they know ..." left out the leader that is heard while writes fail. Evidence: the new check in "A replica that starts on a full disk ..." failed before (empty, 1 of 1).

--- a/src/daemon/group/group_discovery.cc
+++ b/src/daemon/group/group_discovery.cc
@@ -93,10 +93,19 @@
   return isMember() && !unwritten_ && leader_was_known_ && leaderless_ms <= kLeaderlessLimitMs;
 }
 
+/// @return whether the leader that this replica knows may be named to others. While disk writes
+/// fail, its node is told nothing, and only what was heard lately counts.
+bool GroupReplica::namesLeader() const {
+  if (!unwritten_) {
+    return knowsLeader();
+  }
+  return !heard_leader_.empty() &&
+         clock_.monotonicMs() - leader_last_known_ms_ <= kLeaderlessLimitMs;
+}
+
 std::string GroupReplica::hintedLeaderAddress() const {
-  const bool leader_known = knowsLeader() && !unwritten_;
-  return leader_known || speaksForGroup() ? leaderAddress()
-                                          : directory_.leader(clock_.monotonicMs());
+  return namesLeader() || speaksForGroup() ? leaderAddress()
+                                           : directory_.leader(clock_.monotonicMs());
 }
 
 v1::MembersNotice GroupReplica::makeNotice() const {
@@ -106,10 +115,10 @@
     notice.mutable_members()->Assign(members.begin(), members.end());
   }
   notice.set_sender_is_member(speaksForGroup());
-  const bool leader_known = knowsLeader() && !unwritten_;
-  if (leader_known || notice.sender_is_member()) {
+  if (namesLeader() || notice.sender_is_member()) {
+    const int64_t age_ms = unwritten_ ? clock_.monotonicMs() - leader_last_known_ms_ : 0;
     notice.set_leader_address(isLeader() ? options_.own_address : leaderAddress());
-    notice.clear_leader_age_ms();
+    notice.set_leader_age_ms(static_cast<uint32_t>(age_ms));
   }
   return notice;
 }
--- a/src/daemon/group/group_replica.h
+++ b/src/daemon/group/group_replica.h
@@ -217,6 +217,7 @@
   /// a member, its disk takes writes, and it knew a leader recently, which a replica that was
   /// removed while it was down does not.
   bool speaksForGroup() const;
+  bool namesLeader() const;
   /// Takes a step towards the group soon, if this replica is outside it.
   void seekGroupNow();
   void announceMembers();
--- a/tests/unit/daemon/group/group_replica_test.cc
+++ b/tests/unit/daemon/group/group_replica_test.cc
@@ -196,6 +196,7 @@
   CHECK(group.at(full).stats().disk_failing);
   // Callers are referred to the leader all the same.
   CHECK(group.at(full).leaderAddress() == leader);
+  CHECK(group.at(full).hintedLeaderAddress() == leader);
   CHECK(group.leaderAddress() == leader);
   CHECK(group.at(leader).term() == term);
   group.diskOf(full).full = false;
