--- a/src/daemon/group/group_membership_view.cc
+++ b/src/daemon/group/group_membership_view.cc
@@ -1,7 +1,5 @@
 /// @file
 /// What a replica tells of its place in the group, for log lines and metrics.
-#include <algorithm>
-
 #include "adapters/logging/line_log.h"
 #include "daemon/group/group_replica.h"
 
@@ -16,14 +14,10 @@
 } // namespace
 
 Standing GroupReplica::standing() const {
-  const v1::RaftMembership membership = node_->membership();
-  const auto own =
-      std::find_if(membership.members().begin(), membership.members().end(),
-                   [this](const v1::RaftMember& member) { return member.id() == id_; });
-  if (own == membership.members().end()) {
+  if (!isMember()) {
     return Standing::Outside;
   }
-  return own->learner() ? Standing::Learner : Standing::Voter;
+  return votes() ? Standing::Voter : Standing::Learner;
 }
 
 /// Logs when this replica joins or leaves the membership, or gets or loses its vote.
