--- a/tests/unit/daemon/relay/cut_response_test.cc
+++ b/tests/unit/daemon/relay/cut_response_test.cc
@@ -8,9 +8,8 @@
 #include <boost/asio/read_until.hpp>
 #include <doctest/doctest.h>
 
-#include "ports/seeded_random.h"
 #include "unit/cut_response.h"
-#include "unit/daemon/relay/relay_fixture.h"
+#include "unit/daemon/relay/forwarding_relay.h"
 
 namespace workshatch::test {
 
@@ -18,10 +17,6 @@
 
 namespace {
 
-std::string signedFields(const std::string& id) {
-  return "W-Request: " + id + "\r\nW-Signature: s\r\n";
-}
-
 /// A response that leaves its connection open.
 std::string keptAnswer(const std::string& id) {
   return "HTTP/1.1 200 OK\r\n" + signedFields(id) + "Content-Length: 5\r\n\r\nfirst";
@@ -43,30 +38,6 @@
   };
 }
 
-/// A relay whose own runners refuse connections, so that it forwards requests.
-struct ForwardingRelay {
-  explicit ForwardingRelay(const std::string& peer)
-      : relay(testRoute(RouteKind::RunOnce, 1), relay::Policy{}, size_t{1024} * 1024,
-              http::parseEndpoint(peer)->port()) {
-    relay.addRunner("runner-1", "127.0.0.1:1");
-    daemon::RelayState& state = relay.state();
-    state.path_prober = std::make_shared<daemon::PathProber>(
-        relay.context(), state.clock, random, daemon::RunnerDialer(state.runner_addresses),
-        state.runners,
-        daemon::PathProber::Observer{[](const std::string&, bool) {}, [](uint64_t) {}});
-    v1::RelayList relays;
-    relays.set_version(1);
-    v1::RelayEntry* entry = relays.add_relays();
-    entry->set_address(peer);
-    entry->set_zone("z");
-    state.peer_relays.setList(relays);
-    relay.start();
-  }
-
-  SeededRandom random{1};
-  TestRelay relay;
-};
-
 /// @return the caller's answer if the only runner runs the script.
 std::string answerWith(const ScriptedRunner::Script& script, bool kept) {
   ScriptedRunner runner(script);
@@ -81,15 +52,6 @@
   return answer;
 }
 
-/// @return the caller's answer if the relay forwards the request to one that runs the script.
-std::string forwardedAnswerWith(const ScriptedRunner::Script& script) {
-  ScriptedRunner peer(script);
-  ForwardingRelay forwarding(peer.address());
-  std::string answer = forwarding.relay.sendRequest("q1");
-  CHECK(peer.requests() == 1);
-  return answer;
-}
-
 /// @return the caller's answer if the relay forwards the request to one whose runner runs the
 /// script.
 std::string answerBehindPeerWith(const ScriptedRunner::Script& script) {
--- a/tests/unit/daemon/router/cut_answer_test.cc
+++ b/tests/unit/daemon/router/cut_answer_test.cc
@@ -13,55 +13,10 @@
 #include "unit/cut_response.h"
 #include "unit/daemon/relay/relay_fixture.h"
 #include "unit/daemon/router/router_fixture.h"
+#include "unit/loop_client.h"
 
 namespace workshatch::test {
 
-namespace {
-
-struct ClientAnswer {
-  http::Status status{};
-  std::string body;
-};
-
-/// A client on an event loop of its own.
-class LoopClient {
-public:
-  /// @return the response; nothing if it is not complete.
-  std::optional<ClientAnswer> call(const std::string& address) {
-    std::optional<ClientAnswer> answer;
-    boost::asio::co_spawn(
-        context_,
-        [&]() -> http::awaitable<void> {
-          http::Request request(http::Verb::get, "/", 11);
-          http::CallResult result = co_await client_.call(address, std::move(request), {});
-          if (auto* response = std::get_if<std::unique_ptr<http::ClientResponse>>(&result)) {
-            auto body = co_await (*response)->readAll(kMaxRouterBodyBytes);
-            if (auto* text = std::get_if<std::string>(&body)) {
-              answer = ClientAnswer{.status = (*response)->status(), .body = *text};
-            }
-          }
-        },
-        boost::asio::detached);
-    context_.restart();
-    context_.run();
-    return answer;
-  }
-
-private:
-  SystemClock clock_;
-  boost::asio::io_context context_;
-  http::Client client_{context_, clock_};
-};
-
-http::Request serviceRequest() {
-  http::Request request(http::Verb::get, "/v1/services/assistant/work", 11);
-  request.set("X-Request-Id", "q1");
-  request.set("X-Tenant", "acampar");
-  return request;
-}
-
-} // namespace
-
 TEST_CASE("A response that is cut at any byte is complete for the router's client") {
   for (const WholeResponse& response : wholeResponses("X-Other: 1\r\n")) {
     CAPTURE(response.name);
--- a/tests/unit/daemon/router/router_fixture.h
+++ b/tests/unit/daemon/router/router_fixture.h
@@ -180,4 +180,13 @@
   return request;
 }
 
+/// @return a request to the service that `TestRouter::serveTenant` configures, if it is a plain
+/// one.
+inline http::Request serviceRequest() {
+  http::Request request(http::Verb::get, "/v1/services/assistant/work", 11);
+  request.set("X-Request-Id", "q1");
+  request.set("X-Tenant", "acampar");
+  return request;
+}
+
 } // namespace workshatch::test
