A response with a status outside 100 to 599 is no response

What callers saw: a runner in trouble sent status 000, 001, 099, 600, 700 or 999. 600 and above reached the caller as sent. Below 100, the body that the head announced was read as the next head: the caller got 200 with an answer that stood inside that body; without a body, the caller was held to the limit of the route (504); a whole response after it was relayed as if nothing had been. A runner's report and the platform's list were read from such bodies too, and so were engines of the product's router.

Cause: Beast's parser takes any three digits for a status. The readers took everything below 200 for an interim response without a body, although the parser counts a body for all but 1xx, and anything from 200 on for a final one.

Change: one parser for both readers refuses such a status with its line, as Beast refuses a status that is not three digits. So it takes the way of all bytes that are no response: 502 at once, or another attempt where one is allowed; the connection is not used again. 600 to 999 are refused with 000: they are as far outside of HTTP (RFC 9110, 15).

--- a/src/adapters/http/http_client.h
+++ b/src/adapters/http/http_client.h
@@ -11,11 +11,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "adapters/http/http_types.h"
 #include "adapters/http/idle_stream_pool.h"
 #include "adapters/http/read_limits.h"
+#include "adapters/http/response_parser.h"
 #include "ports/clock.h"
 
 namespace workshatch::http {
@@ -94,7 +94,7 @@
   std::string address_;
   std::unique_ptr<boost::beast::tcp_stream> stream_;
   boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
-  std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser_;
+  std::optional<ResponseParser<boost::beast::http::buffer_body>> parser_;
   std::chrono::milliseconds read_timeout_{0};
   bool cancelled_ = false;
 };
--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -17,11 +17,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "adapters/http/http_client.h"
 #include "adapters/http/http_types.h"
 #include "adapters/http/read_limits.h"
+#include "adapters/http/response_parser.h"
 #include "adapters/tcp_options.h"
 #include "ports/clock.h"
 
@@ -135,7 +135,7 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
   boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
-  std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser_;
+  std::optional<ResponseParser<boost::beast::http::buffer_body>> parser_;
   std::string request_;
   bool request_sent_ = false;
   /// Part of the body that is being read.
--- /dev/null
+++ b/tests/unit/daemon/relay/broken_response_test.cc
@@ -0,0 +1,155 @@
+/// @file
+/// Tests of responses that break the protocol in their head, as callers of a relay get them. The
+/// tests are named after the failures that they guard against.
+#include <exception>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <doctest/doctest.h>
+
+#include "daemon/relay/runner_report_call.h"
+#include "daemon/runner_list_reader.h"
+#include "unit/broken_response.h"
+#include "unit/daemon/relay/forwarding_relay.h"
+
+namespace workshatch::test {
+
+using relay::RouteKind;
+
+namespace {
+
+/// @return a script that sends the bytes and leaves the connection open.
+ScriptedRunner::Script brokenScript(const std::string& bytes) {
+  return [bytes](auto& socket, const std::string&) { sendAndWait(socket, bytes); };
+}
+
+/// @return a script that sends the bytes as the response to the second request on a connection.
+ScriptedRunner::Script brokenScriptOfKept(const std::string& bytes) {
+  return [bytes](auto& socket, const std::string&) {
+    writeTo(socket, wholeResponse(signedFields("q0"), "first"));
+    std::string next;
+    boost::system::error_code ended;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(next), "\r\n\r\nhi", ended);
+    sendAndWait(socket, bytes);
+  };
+}
+
+/// @return what a caller of this route gets if the only runner runs the script.
+std::string answerOn(const relay::Route& route, const ScriptedRunner::Script& script,
+                     bool kept = false) {
+  ScriptedRunner runner(script);
+  TestRelay relay(route);
+  relay.addRunner("runner-1", runner.address());
+  relay.start();
+  if (kept) {
+    CHECK(relay.sendRequest("q0").ends_with("first"));
+  }
+  std::string answer = relay.sendRequest("q1");
+  CHECK(runner.requests() == 1);
+  return answer;
+}
+
+/// Checks that callers of a relay get none of the responses, whichever way they come, and learn at
+/// once that there is none.
+void checkNotRelayed(const std::vector<BrokenResponse>& responses) {
+  for (const BrokenResponse& response : responses) {
+    CAPTURE(response.name);
+    const std::string run_once =
+        answerOn(testRoute(RouteKind::RunOnce, 1), brokenScript(response.bytes));
+    CHECK(run_once.starts_with("HTTP/1.1 502"));
+    const std::string kept =
+        answerOn(testRoute(RouteKind::RunOnce, 1), brokenScriptOfKept(response.bytes), true);
+    CHECK(kept.starts_with("HTTP/1.1 502"));
+    const std::string forwarded = forwardedAnswerWith(brokenScript(response.bytes));
+    CHECK(forwarded.starts_with("HTTP/1.1 502"));
+  }
+}
+
+/// As `checkNotRelayed`, for streams that may be resumed and those that may not.
+void checkNotRelayedAsStream(const std::vector<BrokenResponse>& responses) {
+  for (const BrokenResponse& response : responses) {
+    CAPTURE(response.name);
+    for (const bool resumable : {false, true}) {
+      CAPTURE(resumable);
+      const std::string answer =
+          answerOn(testRoute(RouteKind::Streaming, 1, resumable), brokenScript(response.bytes));
+      CHECK(answer.starts_with("HTTP/1.1 502"));
+    }
+  }
+}
+
+/// Runs an event loop until a call on it has ended. @return the result of the call
+template <typename Value>
+Value resultOf(boost::asio::io_context& context, http::awaitable<Value> call) {
+  std::optional<Value> result;
+  boost::asio::co_spawn(
+      context, std::move(call),
+      [&result](const std::exception_ptr&, Value value) { result = std::move(value); });
+  context.restart();
+  while (!result) {
+    context.run_one();
+  }
+  return *std::move(result);
+}
+
+/// Asks for reports at a path that a ScriptedRunner leaves to its script.
+class ScriptedReportDialect : public TestDialect {
+public:
+  const CallPaths& paths() const override {
+    static const CallPaths paths = {.runner_report = "/state"};
+    return paths;
+  }
+};
+
+/// Decodes every body as an empty list of runners.
+class EmptyListCodec : public RunnerListCodec {
+public:
+  std::string target(const std::string&) const override { return "/list"; }
+  Result<RunnerPage> decode(std::string_view) const override { return RunnerPage{}; }
+};
+
+/// Checks that neither a runner's report nor the platform's list is read from a response.
+void checkNoReportOrList(const std::vector<BrokenResponse>& responses) {
+  const ScriptedReportDialect dialect;
+  const EmptyListCodec codec;
+  const SystemClock clock;
+  const AddressOverrides addresses;
+  const daemon::RunnerReportCall call(dialect, daemon::RunnerDialer(addresses));
+  for (const BrokenResponse& response : responses) {
+    CAPTURE(response.name);
+    ScriptedRunner server(brokenScript(response.bytes));
+    boost::asio::io_context context;
+    relay::Runner runner;
+    runner.entry.set_address(server.address());
+    {
+      const auto connection = std::make_shared<http::RunnerConnection>(context);
+      const auto report = resultOf(context, call.ask(connection, runner));
+      connection->close();
+      const auto* failure = std::get_if<daemon::ReportFailure>(&report);
+      CHECK((failure != nullptr && *failure == daemon::ReportFailure::NoResponse));
+    }
+    daemon::RunnerListReader reader(context, clock, server.address(), codec);
+    CHECK(isError(resultOf(context, reader.read())));
+  }
+}
+
+const std::string kStreamFields = signedFields("q1") + "Content-Type: text/event-stream\r\n";
+
+} // namespace
+
+TEST_CASE(
+    "A response with an invalid status, or what follows it, reaches a caller or holds it up") {
+  checkNotRelayed(responsesWithInvalidStatus(signedFields("q1")));
+  checkNotRelayedAsStream(responsesWithInvalidStatus(kStreamFields));
+}
+
+TEST_CASE("A report or a list is read from a response with an invalid status") {
+  checkNoReportOrList(responsesWithInvalidStatus(""));
+}
+
+} // namespace workshatch::test
--- /dev/null
+++ b/tests/unit/daemon/router/broken_answer_test.cc
@@ -0,0 +1,50 @@
+/// @file
+/// Tests of responses that break the protocol in their head, as the router's client and the
+/// router's callers get them. The tests are named after the failures that they guard against.
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "unit/broken_response.h"
+#include "unit/cut_response.h"
+#include "unit/daemon/relay/relay_fixture.h"
+#include "unit/daemon/router/router_fixture.h"
+#include "unit/loop_client.h"
+
+namespace workshatch::test {
+
+namespace {
+
+void checkNotReadByClient(const std::vector<BrokenResponse>& responses) {
+  for (const BrokenResponse& response : responses) {
+    CAPTURE(response.name);
+    ScriptedRunner server([&](auto& socket, const std::string&) {
+      sendAndEnd(socket, response.bytes, Closing::Fin);
+    });
+    LoopClient client;
+    CHECK_FALSE(client.call(server.address()).has_value());
+  }
+}
+
+/// Checks that a router's caller does not get the response.
+void checkNotRelayedByRouter(const BrokenResponse& response) {
+  CAPTURE(response.name);
+  ScriptedRunner runner(
+      [&](auto& socket, const std::string&) { sendAndEnd(socket, response.bytes, Closing::Fin); });
+  TestRouter router;
+  router.serveTenant("acampar", runner.address(), "plain");
+  const auto answer = router.answerTo(serviceRequest());
+  REQUIRE(answer.has_value());
+  CHECK(answer->status == http::Status::service_unavailable);
+}
+
+} // namespace
+
+TEST_CASE("The router's client or its callers get a response with an invalid status") {
+  const std::vector<BrokenResponse> responses = responsesWithInvalidStatus("X-Other: 1\r\n");
+  checkNotReadByClient(responses);
+  checkNotRelayedByRouter(responses.back());
+}
+
+} // namespace workshatch::test
