A line that begins with a blank is no part of the field before it

What callers saw: a response in whose head a line begins with a blank or a tab, or holds nothing else, was relayed as 200, with that line appended to the value of the field before it. It happened in final and interim heads and in trailers, at both readers.

Cause: Beast joins such lines (obs-fold). A proxy must discard the response or replace the line ends (RFC 9112, 5.2); a server in trouble sends such a line by mistake, and what is left of the field is not what it meant.

Where the system already did well, the tests stay: names with a blank, a tab, NUL, control bytes, 0x7f, 0x80, CR, LF, a bracket, a slash or a quote, a blank before the colon, an empty name, a line without a colon; first, in the middle and last in the head, after an empty value, in an interim head and in a trailer: 502.

--- a/tests/unit/broken_response.h
+++ b/tests/unit/broken_response.h
@@ -51,6 +51,50 @@
   return responses;
 }
 
+/// @return lines that are no header field (RFC 9112, 5), without their ends.
+inline std::vector<std::string> invalidFieldLines() {
+  using namespace std::string_literals;
+  std::vector<std::string> lines = {" X-Fold: 1", "\tX-Fold: 1", " ", "\t", "X-None", ": 1"};
+  for (const std::string& character :
+       {" "s, "\t"s, "\0"s, "\x01"s, "\x1f"s, "\x7f"s, "\x80"s, "\r"s, "\n"s, "("s, "/"s, "\""s}) {
+    lines.push_back("X" + character + "Mark: 1");
+    lines.push_back("X-Mark" + character + ": 1");
+  }
+  return lines;
+}
+
+/// @return responses with a line that is no header field: in the middle, first and last in their
+/// head, behind an empty value, and in the head of an interim response.
+inline std::vector<BrokenResponse> responsesWithInvalidField(const std::string& fields) {
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string length = "Content-Length: " + std::to_string(kEvent.size()) + "\r\n";
+  const std::string end = "\r\n" + kEvent;
+  std::vector<BrokenResponse> responses;
+  for (const std::string& text : invalidFieldLines()) {
+    const std::string line = text + "\r\n";
+    responses.push_back({"in the middle: " + text, start + fields + line + length + end});
+    responses.push_back({"first: " + text, start + line + fields + length + end});
+    responses.push_back({"last: " + text, start + fields + length + line + end});
+    responses.push_back(
+        {"behind an empty value: " + text, start + fields + "X-Empty:\r\n" + line + length + end});
+    responses.push_back(
+        {"in an interim response: " + text, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + line +
+                                                "\r\n" + wholeResponse(fields, kEvent)});
+  }
+  return responses;
+}
+
+/// @return responses with a line that is no header field in their trailer.
+inline std::vector<BrokenResponse> responsesWithInvalidTrailer(const std::string& fields) {
+  std::vector<BrokenResponse> responses;
+  for (const std::string& text : invalidFieldLines()) {
+    responses.push_back({"in a trailer: " + text,
+                         "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" +
+                             chunkedEvent() + "X-Sum: 1\r\n" + text + "\r\n\r\n"});
+  }
+  return responses;
+}
+
 /// Sends bytes and waits until the other end closes the connection.
 inline void sendAndWait(boost::asio::ip::tcp::socket& socket, const std::string& bytes) {
   boost::system::error_code ended;
--- a/tests/unit/daemon/relay/broken_response_test.cc
+++ b/tests/unit/daemon/relay/broken_response_test.cc
@@ -152,4 +152,24 @@
   checkNoReportOrList(responsesWithInvalidStatus(""));
 }
 
+TEST_CASE("A response with a line that is no header field reaches a caller") {
+  checkNotRelayed(responsesWithInvalidField(signedFields("q1")));
+  checkNotRelayedAsStream(responsesWithInvalidField(kStreamFields));
+}
+
+TEST_CASE("A response with a trailer line that is no header field is whole for a caller") {
+  checkNotRelayed(responsesWithInvalidTrailer(signedFields("q1")));
+  for (const BrokenResponse& response : responsesWithInvalidTrailer(kStreamFields)) {
+    CAPTURE(response.name);
+    const std::string answer =
+        answerOn(testRoute(RouteKind::Streaming, 1), brokenScript(response.bytes));
+    CHECK_FALSE(answer.ends_with(kLastChunk));
+  }
+}
+
+TEST_CASE("A report or a list is read from a response with a line that is no header field") {
+  checkNoReportOrList(responsesWithInvalidField(""));
+  checkNoReportOrList(responsesWithInvalidTrailer(""));
+}
+
 } // namespace workshatch::test
--- a/tests/unit/daemon/router/broken_answer_test.cc
+++ b/tests/unit/daemon/router/broken_answer_test.cc
@@ -47,4 +47,11 @@
   checkNotRelayedByRouter(responses.back());
 }
 
+TEST_CASE("The router's client or its callers get a response with a line that is no header field") {
+  const std::vector<BrokenResponse> responses = responsesWithInvalidField("X-Other: 1\r\n");
+  checkNotReadByClient(responses);
+  checkNotReadByClient(responsesWithInvalidTrailer("X-Other: 1\r\n"));
+  checkNotRelayedByRouter(responses.front());
+}
+
 } // namespace workshatch::test
