An interim response that states a body is no response

What callers saw: after a 1xx with a Content-Length or chunks, the caller got 200 with the answer that stood inside of that body.

Cause: the readers read on behind the head of an interim response, whatever it announces. None has a body (RFC 9112, 6.3), but a server that states one (which it must not: RFC 9110, 8.6; RFC 9112, 6.1) may also send it, so it is not certain where the final response begins. A proxy that guesses may give a caller a body that the runner did not mean as its answer. We refuse it: 502, or another attempt. A stated length of zero is let through: nothing can be misread.

--- a/src/adapters/http/http_client.cc
+++ b/src/adapters/http/http_client.cc
@@ -62,7 +62,7 @@
     : client_(client), address_(std::move(address)) {}
 
 awaitable<std::optional<CallError>> ClientResponse::readHead() {
-  do {
+  while (true) {
     parser_.emplace();
     parser_->body_limit(boost::none);
     const auto [failure, bytes] =
@@ -70,11 +70,13 @@
     if (failure) {
       co_return errorOf(CallPhase::Sent, failure);
     }
-  } while (isInterim(parser_->get().base()));
-  if (auto framing_error = framingErrorOf(parser_->get().base())) {
-    co_return CallError{.phase = CallPhase::Sent, .message = *std::move(framing_error)};
+    if (auto framing_error = framingErrorOf(parser_->get().base())) {
+      co_return CallError{.phase = CallPhase::Sent, .message = *std::move(framing_error)};
+    }
+    if (!isInterim(parser_->get().base())) {
+      co_return std::nullopt;
+    }
   }
-  co_return std::nullopt;
 }
 
 void ClientResponse::cancel() {
--- a/src/adapters/http/response_framing.cc
+++ b/src/adapters/http/response_framing.cc
@@ -13,16 +13,28 @@
 
 constexpr unsigned kFirstFinalStatus = 200;
 
+bool statesBody(const boost::beast::http::response_header<>& head) {
+  const std::vector<std::string> lengths = fieldsOf(head, "Content-Length");
+  const bool length_stated =
+      std::any_of(lengths.begin(), lengths.end(), [](const std::string& length) {
+        return length.find_first_not_of('0') != std::string::npos;
+      });
+  return length_stated || head.count(Field::transfer_encoding) > 0;
+}
+
 } // namespace
 
 bool isInterim(const boost::beast::http::response_header<>& head) {
-  return head.result_int() < kFirstFinalStatus && head.result() != Status::switching_protocols;
+  return head.result_int() < kFirstFinalStatus;
 }
 
 std::optional<std::string> framingErrorOf(const boost::beast::http::response_header<>& head) {
   if (head.result() == Status::switching_protocols) {
     return "the connection changes to another protocol";
   }
+  if (isInterim(head) && statesBody(head)) {
+    return "an interim response states a body";
+  }
   const std::vector<std::string> codings = fieldsOf(head, "Transfer-Encoding");
   const bool chunked_only =
       codings.empty() || (codings.size() == 1 && boost::beast::iequals(codings.front(), "chunked"));
--- a/src/adapters/http/response_framing.h
+++ b/src/adapters/http/response_framing.h
@@ -10,13 +10,14 @@
 
 namespace workshatch::http {
 
-/// @return whether the response is an interim one, which has no body and which the head of the
-/// final response follows.
+/// @return whether the response is an interim one, which has no body and which the head of another
+/// response follows.
 bool isInterim(const boost::beast::http::response_header<>& head);
 
-/// @return why the response can't be relayed as complete wherever its body ends; nullopt if it can:
-/// the connection changes to another protocol, or the body has a transfer coding that is not
-/// supported.
+/// @return why the response can't be relayed as complete wherever its body ends, or, if it is an
+/// interim one, why it is not certain where the next one begins; nullopt if there is no such
+/// reason: the connection changes to another protocol, the body has a transfer coding that is not
+/// supported, or an interim response states a body.
 std::optional<std::string> framingErrorOf(const boost::beast::http::response_header<>& head);
 
 } // namespace workshatch::http
--- a/src/adapters/http/runner_connection.cc
+++ b/src/adapters/http/runner_connection.cc
@@ -168,16 +168,15 @@
     if (read_error_ || closed_) {
       co_return makeError(CallPhase::Sent, read_error_);
     }
-    if (isInterim(head())) {
-      beginReadingHead();
-      continue;
-    }
     if (auto framing_error = framingErrorOf(head())) {
       co_return CallError{.phase = CallPhase::Sent,
                           .message = *std::move(framing_error),
                           .connection = ConnectionState::Open};
     }
-    co_return std::nullopt;
+    if (!isInterim(head())) {
+      co_return std::nullopt;
+    }
+    beginReadingHead();
   }
 }
 
--- a/tests/unit/broken_response.h
+++ b/tests/unit/broken_response.h
@@ -95,6 +95,22 @@
   return responses;
 }
 
+/// @return interim responses that state a body, which none has (RFC 9110, 8.6; RFC 9112, 6.1). What
+/// follows their head may be that body or the final response.
+inline std::vector<BrokenResponse> interimResponsesWithBody(const std::string& fields) {
+  const std::string inner = wholeResponse(fields, kEvent);
+  std::vector<BrokenResponse> responses;
+  for (const std::string status : {"100 Continue", "102 Processing", "103 Early Hints"}) {
+    const std::string start = "HTTP/1.1 " + status + "\r\n";
+    responses.push_back({status + " with a length", start + statedBody(inner)});
+    responses.push_back({status + " with a length, before the final response",
+                         start + statedBody(inner) + wholeResponse(fields, kEvent)});
+    responses.push_back(
+        {status + " in chunks", start + "Transfer-Encoding: chunked\r\n\r\n" + inner});
+  }
+  return responses;
+}
+
 /// Sends bytes and waits until the other end closes the connection.
 inline void sendAndWait(boost::asio::ip::tcp::socket& socket, const std::string& bytes) {
   boost::system::error_code ended;
--- a/tests/unit/daemon/relay/broken_response_test.cc
+++ b/tests/unit/daemon/relay/broken_response_test.cc
@@ -172,4 +172,21 @@
   checkNoReportOrList(responsesWithInvalidTrailer(""));
 }
 
+TEST_CASE("A caller gets the body of an interim response") {
+  checkNotRelayed(interimResponsesWithBody(signedFields("q1")));
+  checkNotRelayedAsStream(interimResponsesWithBody(kStreamFields));
+}
+
+TEST_CASE("An interim response that states a length of zero loses the final one") {
+  const std::string bytes = "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n" +
+                            wholeResponse(signedFields("q1"), "done");
+  const std::string answer = answerOn(testRoute(RouteKind::RunOnce, 1), brokenScript(bytes));
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  CHECK(answer.ends_with("\r\n\r\ndone"));
+}
+
+TEST_CASE("A report or a list is read from the body of an interim response") {
+  checkNoReportOrList(interimResponsesWithBody(""));
+}
+
 } // namespace workshatch::test
--- a/tests/unit/daemon/router/broken_answer_test.cc
+++ b/tests/unit/daemon/router/broken_answer_test.cc
@@ -54,4 +54,10 @@
   checkNotRelayedByRouter(responses.front());
 }
 
+TEST_CASE("The router's client or its callers get the body of an interim response") {
+  const std::vector<BrokenResponse> responses = interimResponsesWithBody("X-Other: 1\r\n");
+  checkNotReadByClient(responses);
+  checkNotRelayedByRouter(responses.front());
+}
+
 } // namespace workshatch::test
