A connection whose 204 states a body is not used again

What callers saw: a runner answers 204 and states a length. The caller gets its 204. If the body comes late, the next caller on that connection gets it as its response.

Cause: a 204 ends with its head, so the connection counted as idle while the stated body was still under way.

Change: neither pool takes such a connection back. The 204 is delivered as before; a 304 may state the length of what it stands for, and a 205 is read by its stated length, so both stay as they are.

After: a new connection, and the server's own response.

--- a/src/adapters/http/http_client.cc
+++ b/src/adapters/http/http_client.cc
@@ -107,7 +107,8 @@
       co_return part;
     }
   }
-  if (stream_ && parser_->get().keep_alive() && buffer_.size() == 0) {
+  if (stream_ && parser_->get().keep_alive() && buffer_.size() == 0 &&
+      !statesForbiddenBody(parser_->get().base())) {
     stream_->expires_never();
     const int64_t keep_alive_ms = keepAliveMsOf(parser_->get().base());
     client_.idle_.release(address_, std::move(stream_), keep_alive_ms);
--- a/src/adapters/http/response_framing.cc
+++ b/src/adapters/http/response_framing.cc
@@ -28,11 +28,16 @@
   return head.result_int() < kFirstFinalStatus;
 }
 
+bool statesForbiddenBody(const boost::beast::http::response_header<>& head) {
+  const bool never_has_body = isInterim(head) || head.result() == Status::no_content;
+  return never_has_body && statesBody(head);
+}
+
 std::optional<std::string> framingErrorOf(const boost::beast::http::response_header<>& head) {
   if (head.result() == Status::switching_protocols) {
     return "the connection changes to another protocol";
   }
-  if (isInterim(head) && statesBody(head)) {
+  if (isInterim(head) && statesForbiddenBody(head)) {
     return "an interim response states a body";
   }
   const std::vector<std::string> codings = fieldsOf(head, "Transfer-Encoding");
--- a/src/adapters/http/response_framing.h
+++ b/src/adapters/http/response_framing.h
@@ -14,6 +14,10 @@
 /// response follows.
 bool isInterim(const boost::beast::http::response_header<>& head);
 
+/// @return whether the head states a body that a response with its status never has (RFC 9110,
+/// 8.6; RFC 9112, 6.1), so that bytes after the head may be that body or the next response.
+bool statesForbiddenBody(const boost::beast::http::response_header<>& head);
+
 /// @return why the response can't be relayed as complete wherever its body ends, or, if it is an
 /// interim one, why it is not certain where the next one begins; nullopt if there is no such
 /// reason: the connection changes to another protocol, the body has a transfer coding that is not
--- a/src/adapters/http/runner_connection.cc
+++ b/src/adapters/http/runner_connection.cc
@@ -286,7 +286,8 @@
 
 bool RunnerConnection::reusable() const {
   return !closed_ && !reading_ && !sending_ended_ && !reuse_prevented_ && request_sent_ &&
-         parser_ && parser_->is_done() && parser_->get().keep_alive() && buffer_.size() == 0;
+         parser_ && parser_->is_done() && parser_->get().keep_alive() && buffer_.size() == 0 &&
+         !statesForbiddenBody(head());
 }
 
 bool RunnerConnectionPool::hasOpen(const std::string& address) {
--- a/tests/unit/broken_response.h
+++ b/tests/unit/broken_response.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 namespace workshatch::test {
@@ -119,4 +121,25 @@
   boost::asio::read(socket, boost::asio::dynamic_buffer(rest), ended);
 }
 
+/// @return a script of a server that answers its first request with 204 and states a body. It sends
+/// that body, a whole response, as soon as another request comes on the connection. It answers
+/// requests on other connections with the body "own".
+/// @param fields of all responses, each with its line end
+inline auto lateBodyScript(const std::string& fields) {
+  return [fields, first = true](boost::asio::ip::tcp::socket& socket, const std::string&) mutable {
+    boost::system::error_code ended;
+    if (!std::exchange(first, false)) {
+      boost::asio::write(socket, boost::asio::buffer(wholeResponse(fields, "own")), ended);
+      return;
+    }
+    const std::string body = wholeResponse(fields, "late");
+    const std::string head = "HTTP/1.1 204 No Content\r\n" + fields +
+                             "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(head), ended);
+    std::string next;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(next), "\r\n\r\n", ended);
+    boost::asio::write(socket, boost::asio::buffer(body), ended);
+  };
+}
+
 } // namespace workshatch::test
--- a/tests/unit/daemon/relay/broken_response_test.cc
+++ b/tests/unit/daemon/relay/broken_response_test.cc
@@ -189,4 +189,13 @@
   checkNoReportOrList(interimResponsesWithBody(""));
 }
 
+TEST_CASE("The body that a response without one states reaches the next caller") {
+  ScriptedRunner runner(lateBodyScript(signedFields("q1")));
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", runner.address());
+  relay.start();
+  CHECK(relay.sendRequest("q1").starts_with("HTTP/1.1 204"));
+  CHECK(relay.sendRequest("q1").ends_with("own"));
+}
+
 } // namespace workshatch::test
--- a/tests/unit/daemon/router/broken_answer_test.cc
+++ b/tests/unit/daemon/router/broken_answer_test.cc
@@ -60,4 +60,15 @@
   checkNotRelayedByRouter(responses.front());
 }
 
+TEST_CASE("The body that a response without one states is the response to the client's next call") {
+  ScriptedRunner server(lateBodyScript(""));
+  LoopClient client;
+  const auto first = client.call(server.address());
+  REQUIRE(first.has_value());
+  CHECK(first->status == http::Status::no_content);
+  const auto second = client.call(server.address());
+  REQUIRE(second.has_value());
+  CHECK(second->body == "own");
+}
+
 } // namespace workshatch::test
