The product's router sends a status without a registered name unchanged

What callers saw: a service that answers 299, 499, 520 or 599 made the router send a status line with status 0, by which the caller's client was held for its whole 30 s.

Cause: the router's client took the status from Beast's list of names, which gives zero for a code that is not listed.

Change: it takes the number.

Evidence, on the code as it was: no response within 30 s for 299, the first of four. After: four of four with their status and body.

--- a/src/adapters/http/http_client.h
+++ b/src/adapters/http/http_client.h
@@ -67,7 +67,8 @@
 public:
   ClientResponse(Client& client, std::string address);
 
-  Status status() const { return parser_->get().result(); }
+  /// The status code; also one that has no name in `Status`, for which Beast's `result` is zero.
+  Status status() const { return static_cast<Status>(parser_->get().result_int()); }
   std::optional<std::string> header(std::string_view name) const {
     return fieldOf(parser_->get(), name);
   }
--- a/tests/unit/daemon/router/broken_answer_test.cc
+++ b/tests/unit/daemon/router/broken_answer_test.cc
@@ -60,6 +60,23 @@
   checkNotRelayedByRouter(responses.front());
 }
 
+TEST_CASE("A status without a registered name is lost on its way to the caller of a router") {
+  for (const unsigned status : {299U, 499U, 520U, 599U}) {
+    CAPTURE(status);
+    ScriptedRunner runner([&](auto& socket, const std::string&) {
+      sendAndEnd(socket,
+                 "HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: 4\r\n\r\ndone",
+                 Closing::Fin);
+    });
+    TestRouter router;
+    router.serveTenant("acampar", runner.address(), "plain");
+    const auto answer = router.answerTo(serviceRequest());
+    REQUIRE(answer.has_value());
+    CHECK(static_cast<unsigned>(answer->status) == status);
+    CHECK(answer->body == "done");
+  }
+}
+
 TEST_CASE("The body that a response without one states is the response to the client's next call") {
   ScriptedRunner server(lateBodyScript(""));
   LoopClient client;
