The command line reads responses as the other clients do

What operators saw: the command line took a 100, 102 or 103 for the final response, and responses with status 000 or 600, with folded lines or with an interim head that states a body for sound ones.

Cause: the blocking client had a reader of its own, without the test of what an interim response is.

Change: it uses the parser and the tests of framing of the other two.

--- a/src/adapters/http/blocking_client.cc
+++ b/src/adapters/http/blocking_client.cc
@@ -1,6 +1,8 @@
 #include "adapters/http/blocking_client.h"
 
 #include <chrono>
+#include <optional>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -9,6 +11,8 @@
 #include <boost/beast/http/write.hpp>
 
 #include "adapters/http/read_limits.h"
+#include "adapters/http/response_framing.h"
+#include "adapters/http/response_parser.h"
 
 namespace workshatch::http {
 
@@ -28,6 +32,30 @@
   return result;
 }
 
+/// Reads the final response. Interim responses are discarded; a response whose end is not certain
+/// is an error.
+Result<Response> readResponse(boost::asio::io_context& context, beast::tcp_stream& stream) {
+  beast::flat_buffer buffer(kMaxUnparsedBytes);
+  std::optional<ResponseParser<beast::http::string_body>> parser;
+  do {
+    parser.emplace();
+    const beast::error_code failure = runStep(
+        context, [&](auto done) { beast::http::async_read_header(stream, buffer, *parser, done); });
+    if (failure) {
+      return Error{failure.message()};
+    }
+    if (auto framing_error = framingErrorOf(parser->get().base())) {
+      return Error{*std::move(framing_error)};
+    }
+  } while (isInterim(parser->get().base()));
+  const beast::error_code failure =
+      runStep(context, [&](auto done) { beast::http::async_read(stream, buffer, *parser, done); });
+  if (failure) {
+    return Error{failure.message()};
+  }
+  return parser->release();
+}
+
 } // namespace
 
 Result<Response> blockingCall(const std::string& address, Verb method, const std::string& target,
@@ -51,15 +79,13 @@
   if (!failure) {
     failure = runStep(context, [&](auto done) { beast::http::async_write(stream, request, done); });
   }
-  beast::flat_buffer buffer(kMaxUnparsedBytes);
-  Response response;
-  if (!failure) {
-    failure = runStep(context,
-                      [&](auto done) { beast::http::async_read(stream, buffer, response, done); });
-  }
   if (failure) {
     return Error{address + ": " + failure.message()};
   }
+  Result<Response> response = readResponse(context, stream);
+  if (isError(response)) {
+    return Error{address + ": " + errorOf(response).message};
+  }
   return response;
 }
 
