Tests: cut and broken responses use the same caller and the same first answer

The tests of broken responses had written again what the tests of cut ones had: a relay with one scripted runner, and the answer to a first request that leaves the connection open. Both files now call answerOn and answerFirstRequest of forwarding_relay.h. No check or literal changed.

--- a/tests/unit/daemon/relay/broken_response_test.cc
+++ b/tests/unit/daemon/relay/broken_response_test.cc
@@ -31,29 +31,11 @@
 /// @return a script that sends the bytes as the response to the second request on a connection.
 ScriptedRunner::Script brokenScriptOfKept(const std::string& bytes) {
   return [bytes](auto& socket, const std::string&) {
-    writeTo(socket, wholeResponse(signedFields("q0"), "first"));
-    std::string next;
-    boost::system::error_code ended;
-    boost::asio::read_until(socket, boost::asio::dynamic_buffer(next), "\r\n\r\nhi", ended);
+    answerFirstRequest(socket);
     sendAndWait(socket, bytes);
   };
 }
 
-/// @return what a caller of this route gets if the only runner runs the script.
-std::string answerOn(const relay::Route& route, const ScriptedRunner::Script& script,
-                     bool kept = false) {
-  ScriptedRunner runner(script);
-  TestRelay relay(route);
-  relay.addRunner("runner-1", runner.address());
-  relay.start();
-  if (kept) {
-    CHECK(relay.sendRequest("q0").ends_with("first"));
-  }
-  std::string answer = relay.sendRequest("q1");
-  CHECK(runner.requests() == 1);
-  return answer;
-}
-
 /// Checks that callers of a relay get none of the responses, whichever way they come, and learn at
 /// once that there is none.
 void checkNotRelayed(const std::vector<BrokenResponse>& responses) {
--- a/tests/unit/daemon/relay/cut_response_test.cc
+++ b/tests/unit/daemon/relay/cut_response_test.cc
@@ -5,7 +5,6 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/read_until.hpp>
 #include <doctest/doctest.h>
 
 #include "unit/cut_response.h"
@@ -17,11 +16,6 @@
 
 namespace {
 
-/// A response that leaves its connection open.
-std::string keptAnswer(const std::string& id) {
-  return "HTTP/1.1 200 OK\r\n" + signedFields(id) + "Content-Length: 5\r\n\r\nfirst";
-}
-
 /// @return a script that ends the connection after the first bytes of a response.
 ScriptedRunner::Script cutScript(const std::string& bytes, Closing closing) {
   return [=](auto& socket, const std::string&) { sendAndEnd(socket, bytes, closing); };
@@ -30,26 +24,14 @@
 /// @return a script that does so at the second request on a connection.
 ScriptedRunner::Script cutScriptOfKept(const std::string& bytes, Closing closing) {
   return [=](auto& socket, const std::string&) {
-    writeTo(socket, keptAnswer("q0"));
-    std::string next;
-    boost::system::error_code ended;
-    boost::asio::read_until(socket, boost::asio::dynamic_buffer(next), "\r\n\r\nhi", ended);
+    answerFirstRequest(socket);
     sendAndEnd(socket, bytes, closing);
   };
 }
 
 /// @return the caller's answer if the only runner runs the script.
 std::string answerWith(const ScriptedRunner::Script& script, bool kept) {
-  ScriptedRunner runner(script);
-  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
-  relay.addRunner("runner-1", runner.address());
-  relay.start();
-  if (kept) {
-    CHECK(relay.sendRequest("q0").ends_with("first"));
-  }
-  std::string answer = relay.sendRequest("q1");
-  CHECK(runner.requests() == 1);
-  return answer;
+  return answerOn(testRoute(RouteKind::RunOnce, 1), script, kept);
 }
 
 /// @return the caller's answer if the relay forwards the request to one whose runner runs the
--- a/tests/unit/daemon/relay/forwarding_relay.h
+++ b/tests/unit/daemon/relay/forwarding_relay.h
@@ -1,10 +1,11 @@
 /// @file
-/// A relay that forwards requests to another one, and the callers' view of scripted responses.
+/// What callers of a relay get if its runner, or the relay that it forwards to, runs a script.
 #pragma once
 
 #include <memory>
 #include <string>
 
+#include <boost/asio/read_until.hpp>
 #include <doctest/doctest.h>
 
 #include "ports/seeded_random.h"
@@ -17,6 +18,31 @@
   return "W-Request: " + id + "\r\nW-Signature: s\r\n";
 }
 
+/// Answers the request `q0`, leaves the connection open and waits for the next request on it.
+inline void answerFirstRequest(ScriptedRunner::Socket& socket) {
+  writeTo(socket, "HTTP/1.1 200 OK\r\n" + signedFields("q0") + "Content-Length: 5\r\n\r\nfirst");
+  std::string next;
+  boost::system::error_code ended;
+  boost::asio::read_until(socket, boost::asio::dynamic_buffer(next), "\r\n\r\nhi", ended);
+}
+
+/// @param kept whether the script begins with `answerFirstRequest`, so that the request is the
+/// second one on its connection
+/// @return what a caller of this route gets if the only runner runs the script.
+inline std::string answerOn(const relay::Route& route, const ScriptedRunner::Script& script,
+                            bool kept = false) {
+  ScriptedRunner runner(script);
+  TestRelay relay(route);
+  relay.addRunner("runner-1", runner.address());
+  relay.start();
+  if (kept) {
+    CHECK(relay.sendRequest("q0").ends_with("first"));
+  }
+  std::string answer = relay.sendRequest("q1");
+  CHECK(runner.requests() == 1);
+  return answer;
+}
+
 /// A relay whose own runners refuse connections, so that it forwards requests.
 struct ForwardingRelay {
   explicit ForwardingRelay(const std::string& peer)
