Logs and metrics tell which sends were charged to the retry budget

The logs could not tell the hypotheses of docs/incidents/retries-beyond-the-budget.md apart: whether an attempt was charged, at which runners a request was before another relay refused it, and from how many relays a relay computes its share.

--- a/src/core/relay/retry_budget.h
+++ b/src/core/relay/retry_budget.h
@@ -54,6 +54,9 @@
   /// Gives back a retry that was taken and not made.
   void returnRetry(const std::string& service);
 
+  /// @return the number of relays that share the slack; 0: it is not known yet.
+  size_t relays() const { return relays_; }
+
 private:
   struct Spending {
     /// Times of first attempts within one window, and of the retries that are charged to them;
--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -425,6 +425,7 @@
 /// Takes a retry from the retry budget if the request has been sent before.
 /// @return whether the attempt is allowed.
 bool ActiveRequest::takeRetryFromBudget() {
+  attempt_charged_ = false;
   if (sent_attempts_ == 0) {
     return true;
   }
@@ -433,6 +434,8 @@
     return false;
   }
   retry_held_ = false;
+  attempt_charged_ = true;
+  ++retries_charged_;
   ++state_.stats.repeats;
   state_.stats.resumed_streams += stream_started_ ? 1 : 0;
   return true;
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -293,6 +293,9 @@
   std::optional<Successor> successor_;
   /// A retry was taken from the budget for an attempt that has not been made yet.
   bool retry_held_ = false;
+  /// Whether the current attempt has used a retry of the budget, and how many of them have.
+  bool attempt_charged_ = false;
+  uint32_t retries_charged_ = 0;
   /// What shows that the run of the last attempt has ended.
   relay::RunEnd run_end_ = relay::RunEnd::Unknown;
   /// The end of the current attempt's run was looked for; its connection is closed.
@@ -330,6 +333,9 @@
   /// responded.
   std::vector<std::string> peers_tried_;
   std::string forward_outcome_;
+  /// Addresses of the runners to which the other relay of the current attempt has sent the request,
+  /// as far as it has told them.
+  std::vector<std::string> reached_by_peer_;
   /// Outcome of an answered request in the log.
   std::string answered_as_ = "answered";
   /// Version of the runner that began the stream; no other version may go on with it. Empty while
--- a/src/daemon/relay/active_request_attempt.cc
+++ b/src/daemon/relay/active_request_attempt.cc
@@ -148,6 +148,7 @@
                                       {"outcome", nameOf(outcome)},
                                       {"error", last_error_},
                                       {"phase", sent_ms_ == 0 ? "connecting" : "sent"},
+                                      {"retry_charged", attempt_charged_},
                                       {"status", response_.status},
                                       {"says_not_run", response_.says_not_run},
                                       {"response_of", nameOf(response_.owner)},
@@ -179,6 +180,7 @@
 }
 
 void ActiveRequest::send(const relay::RunnerChoice& choice) {
+  state_.stats.repeated_sends += sent_attempts_ > 0 || !sent_to_.empty() ? 1 : 0;
   if (sent_attempts_++ == 0) {
     state_.runners.rollouts().recordSent(request_.service);
   }
--- a/src/daemon/relay/active_request_forward.cc
+++ b/src/daemon/relay/active_request_forward.cc
@@ -50,6 +50,7 @@
 http::awaitable<ActiveRequest::AttemptEnd> ActiveRequest::forwardTo(const std::string& peer) {
   sent_ms_ = 0;
   run_end_ = relay::RunEnd::Unknown;
+  reached_by_peer_.clear();
   attempt_began_ms_ = state_.clock.monotonicMs();
   state_.peer_relays.begin(peer);
   AttemptResult result = co_await callPeer(peer);
@@ -68,6 +69,8 @@
                                       {"relay", peer},
                                       {"outcome", forward_outcome_},
                                       {"error", last_error_},
+                                      {"retry_charged", attempt_charged_},
+                                      {"reached", reached_by_peer_},
                                       {"ms", now_ms - attempt_began_ms_},
                                       {"path_lost", pathLost()}});
   }
@@ -124,7 +127,10 @@
   response_.says_not_run = refusal != PeerRefusal::None;
   const auto not_run = relay::NotRunProof::ofRelay(response_);
   for (std::string& address : sentToOf(head)) {
-    sent_to_.push_back(std::move(address));
+    if (!wasSentTo(address)) {
+      reached_by_peer_.push_back(address);
+      sent_to_.push_back(std::move(address));
+    }
   }
   if (not_run && (refusal == PeerRefusal::ByPeer || stream_started_)) {
     forward_outcome_ = "refused";
--- a/src/daemon/relay/relay_metrics.cc
+++ b/src/daemon/relay/relay_metrics.cc
@@ -91,6 +91,9 @@
       out, "relay_leader_search_ms",
       "time for which this relay has looked for the leader; 0: it has a link to it",
       control_.searchingForMs());
+  metrics::exposeGauge(out, "relay_budget_relays",
+                       "relays among which the slack of the retry budget is shared",
+                       static_cast<int64_t>(state_.budget.relays()));
   const ControlLink::Traffic traffic = control_.traffic();
   metrics::exposeGauge(out, "relay_control_sent_bytes", "frames to the group's leaders",
                        static_cast<int64_t>(traffic.sent));
--- a/src/daemon/relay/relay_stats.cc
+++ b/src/daemon/relay/relay_stats.cc
@@ -46,6 +46,8 @@
   exposeCounter(out, "relay_repeats_total", "attempts beyond the first of a request", repeats);
   exposeCounter(out, "relay_repeats_refused_total", "repeats that the budget did not allow",
                 repeats_refused);
+  exposeCounter(out, "relay_repeated_sends_total",
+                "sends to a runner of requests that had been sent before", repeated_sends);
   exposeCounter(out, "relay_resumed_streams_total", "streams that went on at another runner",
                 resumed_streams);
   exposeCounter(out, "relay_late_copies_total",
--- a/src/daemon/relay/relay_stats.h
+++ b/src/daemon/relay/relay_stats.h
@@ -23,6 +23,9 @@
   uint64_t forwards_received = 0;
   uint64_t repeats = 0;
   uint64_t repeats_refused = 0;
+  /// Sends to a runner of requests that this relay, or as far as it knows another one, had sent
+  /// before. Over all relays, not more than `repeats`.
+  uint64_t repeated_sends = 0;
   uint64_t resumed_streams = 0;
   /// Searches for the end of a run by what was found, under the names of `relay::RunEnd`.
   metrics::LabelledCounts run_ends;
