A request that another relay has sent is charged to the retry budget when it is sent again

Cause: a relay that has lost its paths lets other relays send. When one of them refused, the first relay took the request for one that was never sent (it counted its send back), though the refusal named the runners that had received and declined it. The next relay or runner then got it without a retry of the budget. Class: a charge that depends on what one process has done itself, where several act for one request.

Change: the send is counted back only if the refusal names no new runner.

--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -308,7 +308,8 @@
   /// forwarded it.
   std::vector<std::string> sent_to_;
   bool stream_started_ = false;
-  /// Attempts in which the request was sent, and how many of them the runner declined.
+  /// Attempts in which the request may have reached a runner, from here or from the relay that it
+  /// was forwarded to, and how many of them the runner declined here.
   uint32_t sent_attempts_ = 0;
   uint32_t declines_ = 0;
   /// Why the last search found no runner; nullopt if it found one.
--- a/src/daemon/relay/active_request_forward.cc
+++ b/src/daemon/relay/active_request_forward.cc
@@ -134,8 +134,9 @@
   }
   if (not_run && (refusal == PeerRefusal::ByPeer || stream_started_)) {
     forward_outcome_ = "refused";
-    // It was sent, but it is no first attempt at a runner.
-    --sent_attempts_;
+    if (reached_by_peer_.empty()) {
+      --sent_attempts_;
+    }
     co_return co_await handleRefusal(*not_run);
   }
   if (response_.owner != relay::ResponseOwner::ThisRequest) {
--- a/tests/unit/daemon/relay/forwarding_relay.h
+++ b/tests/unit/daemon/relay/forwarding_relay.h
@@ -2,8 +2,10 @@
 /// What callers of a relay get if its runner, or the relay that it forwards to, runs a script.
 #pragma once
 
+#include <atomic>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/read_until.hpp>
 #include <doctest/doctest.h>
@@ -46,8 +48,11 @@
 /// A relay whose own runners refuse connections, so that it forwards requests.
 struct ForwardingRelay {
   explicit ForwardingRelay(const std::string& peer)
-      : relay(testRoute(relay::RouteKind::RunOnce, 1), relay::Policy{}, size_t{1024} * 1024,
-              http::parseEndpoint(peer)->port()) {
+      : ForwardingRelay({peer}, testRoute(relay::RouteKind::RunOnce, 1)) {}
+  /// @param peers addresses of the other relays, which have one port
+  ForwardingRelay(const std::vector<std::string>& peers, const relay::Route& route)
+      : relay(route, relay::Policy{}, size_t{1024} * 1024,
+              http::parseEndpoint(peers.front())->port()) {
     relay.addRunner("runner-1", "127.0.0.1:1");
     daemon::RelayState& state = relay.state();
     state.path_prober = std::make_shared<daemon::PathProber>(
@@ -56,9 +61,11 @@
         daemon::PathProber::Observer{[](const std::string&, bool) {}, [](uint64_t) {}});
     v1::RelayList relays;
     relays.set_version(1);
-    v1::RelayEntry* entry = relays.add_relays();
-    entry->set_address(peer);
-    entry->set_zone("z");
+    for (const std::string& peer : peers) {
+      v1::RelayEntry* entry = relays.add_relays();
+      entry->set_address(peer);
+      entry->set_zone("z");
+    }
     state.peer_relays.setList(relays);
     relay.start();
   }
@@ -67,6 +74,31 @@
   TestRelay relay;
 };
 
+/// Two relays, which have one port. Whichever gets the first request runs the first script, and the
+/// other one the second.
+class PeerPair {
+public:
+  PeerPair(ScriptedRunner::Script first, ScriptedRunner::Script second)
+      : scripts_{std::move(first), std::move(second)},
+        one_([this](auto& socket, const std::string& request) { run(socket, request); }),
+        other_([this](auto& socket, const std::string& request) { run(socket, request); },
+               {boost::asio::ip::make_address("127.0.0.2"),
+                http::parseEndpoint(one_.address())->port()}) {}
+
+  std::vector<std::string> addresses() const { return {one_.address(), other_.address()}; }
+  size_t requests() const { return requests_; }
+
+private:
+  void run(ScriptedRunner::Socket& socket, const std::string& request) {
+    scripts_.at(requests_++)(socket, request);
+  }
+
+  std::vector<ScriptedRunner::Script> scripts_;
+  std::atomic<size_t> requests_{0};
+  ScriptedRunner one_;
+  ScriptedRunner other_;
+};
+
 /// @return the caller's answer if the relay forwards the request to one that runs the script.
 inline std::string forwardedAnswerWith(const ScriptedRunner::Script& script) {
   ScriptedRunner peer(script);
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -233,9 +233,9 @@
   /// was received with it.
   using Script = std::function<void(Socket&, const std::string& request)>;
 
-  explicit ScriptedRunner(Script script)
-      : acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-        script_(std::move(script)), thread_([this] { serve(); }) {}
+  explicit ScriptedRunner(Script script, const boost::asio::ip::tcp::endpoint& endpoint =
+                                             {boost::asio::ip::make_address("127.0.0.1"), 0})
+      : acceptor_(context_, endpoint), script_(std::move(script)), thread_([this] { serve(); }) {}
   ~ScriptedRunner() {
     stopping_ = true;
     // Unblocks the accept call.
@@ -249,7 +249,8 @@
   ScriptedRunner& operator=(const ScriptedRunner&) = delete;
 
   std::string address() const {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    const auto endpoint = acceptor_.local_endpoint();
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
   }
   /// Number of requests, without those for its report.
   int requests() const { return requests_; }
