A relay out of touch does not spend a share of the retry budget that others have taken over

Cause: relays that the leader no longer counts keep their share of the slack for ever, while the others take it over a window after they hear of it. Class: a share that is given without a lease.

Change: a relay spends of the slack only until a window after the renewal that the leader last confirmed, which is before any other relay takes the share over; its bucket starts empty when it is confirmed again. What its own requests earn it is not touched. Cost: while no leader confirms anything for longer than a window, retries come from the ratio alone.

Tests of the budget tell it that it is in touch where they advance by more than a window; their bounds are unchanged.

--- a/src/core/relay/retry_budget.cc
+++ b/src/core/relay/retry_budget.cc
@@ -45,6 +45,23 @@
   fewer_relays_ = 0;
 }
 
+void RetryBudget::recordConfirmed(int64_t sent_ms) {
+  const bool lapsed = confirmed_ms_ && sent_ms - *confirmed_ms_ > options_.window_ms;
+  confirmed_ms_ = sent_ms;
+  if (!lapsed) {
+    return;
+  }
+  known_since_ms_ = sent_ms;
+  for (auto& [service, spending] : services_) {
+    spending.tokens = 0;
+  }
+}
+
+/// @return whether this relay still has its share of the slack.
+bool RetryBudget::sharesSlack(int64_t now_ms) const {
+  return relays_ != 0 && confirmed_ms_ && now_ms - *confirmed_ms_ <= options_.window_ms;
+}
+
 double RetryBudget::bucketCapacity() const {
   if (relays_ == 0) {
     return 0;
@@ -76,8 +93,8 @@
 bool RetryBudget::takeByDraw(Spending& spending, int64_t now_ms) const {
   const double known_fraction =
       static_cast<double>(now_ms - known_since_ms_) / static_cast<double>(options_.window_ms);
-  const double share =
-      options_.slack / static_cast<double>(relays_) * std::clamp(known_fraction, 0.0, 1.0);
+  const double slack = sharesSlack(now_ms) ? options_.slack : 0;
+  const double share = slack / static_cast<double>(relays_) * std::clamp(known_fraction, 0.0, 1.0);
   const double earned = options_.ratio * static_cast<double>(spending.requests.size());
   const double allowed = kSpentFraction * (share + earned) + options_.draw;
   if (static_cast<double>(spending.retries.size()) + 1 > allowed) {
@@ -101,7 +118,7 @@
     spending.retries.push_back(now_ms);
     return true;
   }
-  if (spending.tokens < 1) {
+  if (!sharesSlack(now_ms) || spending.tokens < 1) {
     return false;
   }
   spending.tokens -= 1;
--- a/src/core/relay/retry_budget.h
+++ b/src/core/relay/retry_budget.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace workshatch::relay {
@@ -33,7 +34,9 @@
 /// Guarantee: while each relay knows how many relays there are, all relays together stay within the
 /// ratio and the slack in every sliding window, also when processes restart and join: a bucket
 /// starts empty, so a process that replaces another spends only what accrues in its own lifetime. A
-/// relay that does not know the number of relays yet spends none of the slack.
+/// relay that does not know the number of relays yet spends none of the slack, nor does one whose
+/// last confirmation by the leader is older than a window: from then on the others may have taken
+/// its share over. Its bucket starts empty again when it is confirmed.
 /// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class RetryBudget {
 public:
@@ -44,6 +47,10 @@
   /// one.
   void setRelays(size_t relays, int64_t now_ms);
 
+  /// Records that the leader counts this relay among the relays that share the slack.
+  /// @param sent_ms when the renewal was sent that the leader has confirmed
+  void recordConfirmed(int64_t sent_ms);
+
   /// Records the first attempt of a request.
   void recordRequest(const std::string& service, int64_t now_ms);
 
@@ -72,6 +79,7 @@
   void refill(Spending& spending, int64_t now_ms) const;
   void adoptFewerRelays(int64_t now_ms);
   double bucketCapacity() const;
+  bool sharesSlack(int64_t now_ms) const;
   bool takeByDraw(Spending& spending, int64_t now_ms) const;
 
   const RetryBudgetOptions options_;
@@ -80,8 +88,11 @@
   /// since which they have been lower; 0 if the last reported number was not lower.
   size_t fewer_relays_ = 0;
   int64_t fewer_since_ms_ = 0;
-  /// The slack accrues from this time on; the number of relays was not known before.
+  /// The slack accrues from this time on; before, the number of relays was not known, or this relay
+  /// was not counted among them.
   int64_t known_since_ms_ = 0;
+  /// As in `recordConfirmed`; nullopt: there was no confirmation.
+  std::optional<int64_t> confirmed_ms_;
   std::map<std::string, Spending> services_;
 };
 
--- a/src/daemon/relay/relay_lease.cc
+++ b/src/daemon/relay/relay_lease.cc
@@ -94,6 +94,8 @@
       line_log::write("lease_won", {{"sequence", reply.sequence()}});
     }
     state_.lease.confirmed(reply.sequence());
+    const int64_t now_ms = clock_.monotonicMs();
+    state_.budget.recordConfirmed(now_ms - state_.lease.ageMs(now_ms));
     lease_wait_.wakeAll();
   }
 }
--- a/tests/unit/core/relay/retry_budget_test.cc
+++ b/tests/unit/core/relay/retry_budget_test.cc
@@ -21,8 +21,10 @@
   return relay::RetryBudgetOptions{.ratio = kRatio, .window_ms = kWindowMs, .slack = slack};
 }
 
+/// Takes all retries that a relay may make which is in touch with the leader.
 int takeAll(relay::RetryBudget& budget, int64_t now_ms) {
   int taken = 0;
+  budget.recordConfirmed(now_ms);
   while (budget.takeRetry("s", now_ms)) {
     ++taken;
   }
@@ -106,6 +108,9 @@
   CHECK(takeAll(budget, 1000) == 3);
   CHECK_FALSE(budget.takeRetry("s", 1100));
   CHECK(budget.takeRetry("other", 1100));
+  for (int64_t now_ms = 2000; now_ms < 9000; now_ms += kWindowMs) {
+    budget.recordConfirmed(now_ms);
+  }
   // No more than this is saved up.
   CHECK(takeAll(budget, 9000) == 3);
 }
@@ -114,10 +119,54 @@
   relay::RetryBudget budget(optionsWithSlack(1000));
   CHECK_FALSE(budget.takeRetry("s", 50'000));
   budget.setRelays(1, 50'000);
+  budget.recordConfirmed(50'000);
   CHECK_FALSE(budget.takeRetry("s", 50'000));
   CHECK(budget.takeRetry("s", 50'100));
 }
 
+TEST_CASE("A relay that comes into touch again spends a share of the slack at once") {
+  relay::RetryBudget budget(optionsWithSlack(20));
+  budget.setRelays(2, 0);
+  CHECK(takeAll(budget, 1000) == 3);
+  // Confirmed at 1000 for the last time.
+  CHECK(budget.takeRetry("s", 1900));
+  CHECK_FALSE(budget.takeRetry("s", 2500));
+  budget.recordConfirmed(2500);
+  CHECK_FALSE(budget.takeRetry("s", 2500));
+  CHECK(budget.takeRetry("s", 2900));
+}
+
+TEST_CASE("Relays that are out of touch spend shares of the slack that others have taken over") {
+  // From `kCutMs` on, the first relays get nothing from the leader, which counts the others alone.
+  // From `kFailMs` on, all requests fail.
+  constexpr double kSlack = 60;
+  constexpr size_t kRelays = 9;
+  constexpr int64_t kStepMs = 10;
+  constexpr int64_t kCutMs = 3 * kWindowMs;
+  constexpr int64_t kFailMs = kCutMs + 3 * kWindowMs;
+  for (const size_t cut : {size_t{2}, size_t{6}, size_t{8}}) {
+    CAPTURE(cut);
+    std::vector<relay::RetryBudget> relays(kRelays, relay::RetryBudget(optionsWithSlack(kSlack)));
+    std::vector<int64_t> retries;
+    for (int64_t now_ms = 0; now_ms < kFailMs + 2 * kWindowMs; now_ms += kStepMs) {
+      const size_t first_in_touch = now_ms < kCutMs ? 0 : cut;
+      for (size_t i = 0; i < kRelays; ++i) {
+        if (i >= first_in_touch) {
+          relays[i].setRelays(kRelays - first_in_touch, now_ms);
+          relays[i].recordConfirmed(now_ms);
+        }
+        while (now_ms >= kFailMs && relays[i].takeRetry("s", now_ms)) {
+          retries.push_back(now_ms);
+        }
+      }
+    }
+    const auto window = std::count_if(retries.begin(), retries.end(),
+                                      [](int64_t at_ms) { return at_ms < kFailMs + kWindowMs; });
+    CHECK(window > 0);
+    CHECK(static_cast<double>(window) <= kSlack);
+  }
+}
+
 TEST_CASE("The share of relays that left is available to the others a window later") {
   relay::RetryBudget budget(optionsWithSlack(200));
   budget.setRelays(10, 0);
@@ -143,6 +192,7 @@
     relays.emplace_back(relay::RetryBudgetOptions{
         .ratio = kRatio, .window_ms = kLongWindowMs, .slack = 1040, .draw = uniform(random)});
     relays.back().setRelays(kRelays, 0);
+    relays.back().recordConfirmed(kLastMs);
   }
   size_t needed = 0;
   size_t allowed = 0;
@@ -179,6 +229,7 @@
         relay::RetryBudget budget(relay::RetryBudgetOptions{
             .ratio = kRatio, .window_ms = kLongWindowMs, .slack = kSlack, .draw = uniform(random)});
         budget.setRelays(static_cast<size_t>(reported_relays), 0);
+        budget.recordConfirmed(2 * kLongWindowMs);
         for (int64_t now_ms = kLongWindowMs; now_ms < 2 * kLongWindowMs; now_ms += 100) {
           if (uniform(random) < 0.025) {
             budget.recordRequest("s", now_ms);
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -381,6 +381,7 @@
     constexpr int64_t kLongAgoMs = 60'000;
     state_.budget.setRelays(1, clock_.monotonicMs() - kLongAgoMs);
     state_.lease.confirmed(state_.lease.renewalSent(clock_.monotonicMs()));
+    state_.budget.recordConfirmed(clock_.monotonicMs());
     address_ = std::get<std::string>(server_.listen("127.0.0.1:0"));
   }
   ~TestRelay() { workers_.stop(); }
