Runners that declined a request at other relays count towards the limit of declines

A request that three runners have declined is refused, since the service is full then; where relays forwarded it, each relay counted its own three, and a caller waited for up to twelve declines.

Change: the runners that a refusal, or the relay that forwarded the request, names as reached and that have not run it count as declines.

Evidence: the tests fail before: a second relay is asked after three declines at the first one (2 requests, expected 1), and a relay sends a request to two further runners after two declines elsewhere (2, expected 1).

--- a/src/daemon/relay/active_request.cc
+++ b/src/daemon/relay/active_request.cc
@@ -20,7 +20,8 @@
 /// After this time without any bytes from a runner an attempt may hang because the path to the
 /// runners is lost.
 constexpr int64_t kHungMs = 400;
-/// Number of declined attempts after which the whole service is considered full.
+/// Number of runners that decline a request, at this relay and at others, after which the whole
+/// service is considered full.
 constexpr uint32_t kMaxDeclines = 3;
 
 /// @return the name of the reason in the log line `request_ended`.
@@ -39,13 +40,20 @@
   }
 }
 
+/// @return the number of runners that declined the request at the relay that forwarded it.
+size_t declinesBefore(const std::optional<ForwardOrigin>& origin) {
+  return origin ? origin->sent_to.size() - std::min<size_t>(origin->runs, origin->sent_to.size())
+                : 0;
+}
+
 } // namespace
 
 ActiveRequest::ActiveRequest(boost::asio::io_context& context, RelayState& state,
                              http::Exchange& exchange, RelayRequest request)
     : context_(context), state_(state), exchange_(exchange), request_(std::move(request)),
       deadline_(context), wait_(context), execution_(request_.origin ? request_.origin->runs : 0),
-      sent_to_(request_.origin ? request_.origin->sent_to : std::vector<std::string>()) {}
+      sent_to_(request_.origin ? request_.origin->sent_to : std::vector<std::string>()),
+      declines_elsewhere_(declinesBefore(request_.origin)) {}
 
 void ActiveRequest::interrupt() {
   wait_.cancel();
@@ -454,7 +462,7 @@
 }
 
 bool ActiveRequest::mayTryAgain(AttemptEnd last) const {
-  if (last == AttemptEnd::NotRun && declines_ >= kMaxDeclines) {
+  if (last == AttemptEnd::NotRun && declines_ + declines_elsewhere_ >= kMaxDeclines) {
     return false;
   }
   if (last != AttemptEnd::Broken) {
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -318,6 +318,8 @@
   /// was forwarded to, and how many of them the runner declined here.
   uint32_t sent_attempts_ = 0;
   uint32_t declines_ = 0;
+  /// Number of runners that declined the request at other relays, as far as they told.
+  size_t declines_elsewhere_ = 0;
   /// Why the last search found no runner; nullopt if it found one.
   std::optional<relay::NoRunner> no_runner_;
   /// Position in the queue; its number is zero until the request waits for the first time.
--- a/src/daemon/relay/active_request_forward.cc
+++ b/src/daemon/relay/active_request_forward.cc
@@ -155,6 +155,7 @@
     if (reached_by_peer_.empty()) {
       --sent_attempts_;
     }
+    declines_elsewhere_ += reached_by_peer_.size();
     co_return co_await handleRefusal(*not_run);
   }
   if (response_.owner != relay::ResponseOwner::ThisRequest) {
--- a/tests/unit/daemon/relay/forwarded_retry_test.cc
+++ b/tests/unit/daemon/relay/forwarded_retry_test.cc
@@ -58,6 +58,42 @@
   }
 }
 
+TEST_CASE("A request that three runners have declined is sent on because they did so elsewhere") {
+  for (const size_t declines : {2, 3}) {
+    CAPTURE(declines);
+    const std::string reached = declines == 3 ? "127.0.0.1:2,127.0.0.1:3,127.0.0.1:4" //
+                                              : "127.0.0.1:2,127.0.0.1:3";
+    PeerPair peers(
+        [&](auto& socket, const std::string&) {
+          writeTo(socket, peerRefusal("Workshatch-Sent-To: " + reached + "\r\n"));
+        },
+        answerDone);
+    ForwardingRelay forwarding(peers.addresses(), testRoute(RouteKind::RunOnce, 1));
+    const std::string answer = forwarding.relay.sendRequest("q1");
+    CHECK(answer.starts_with(declines == 3 ? "HTTP/1.1 503" : "HTTP/1.1 200"));
+    CHECK(peers.requests() == (declines == 3 ? 1 : 2));
+  }
+}
+
+TEST_CASE("A relay does not count the runners that declined a request before it was forwarded") {
+  const auto decline = [](auto& socket, const std::string& request) {
+    writeTo(socket, "HTTP/1.1 503 Full\r\nW-Request: " + requestIdOf(request) +
+                        "\r\nW-Not-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+  };
+  ScriptedRunner one(decline);
+  ScriptedRunner other(decline);
+  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
+  relay.addRunner("runner-1", one.address());
+  relay.addRunner("runner-2", other.address());
+  relay.onAdmitted([](daemon::RelayRequest& request) {
+    request.origin = daemon::ForwardOrigin{.configuration_version = 1,
+                                           .sent_to = {"127.0.0.1:2", "127.0.0.1:3"}};
+  });
+  relay.start();
+  CHECK(relay.sendRequest("q1").starts_with("HTTP/1.1 503"));
+  CHECK(one.requests() + other.requests() == 1);
+}
+
 TEST_CASE("A request runs on more runners than its route allows if relays go away with it") {
   for (const uint32_t max_attempts : {2, 3}) {
     CAPTURE(max_attempts);
