--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -68,7 +68,8 @@
 done
 
 # The deployed program under troubles of runners and signals, around planned work, under signals and
-# full disks at its start, and under losses of its core; the long runs are started by hand.
+# full disks at its start, under losses of its core, and its retries; the long runs are started by
+# hand.
 run_soak() { # NAME [ARGUMENTS]
   local report=run/$1-report.txt
   python3 "platform/tests/soak/$1.py" "${@:2}" 2>&1 | tee "$report"
@@ -86,5 +87,6 @@
 run_soak planned_work_soak --seeds 2,7 --seconds 8
 run_soak start_soak
 run_soak core_soak --seeds 3,4 --seconds 8
+run_soak retry_soak --seeds 1,2 --seconds 10
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
