--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -36,6 +36,7 @@
 ///
 /// Guarantees:
 /// - After a runner may have run a request that is not repeatable, no other runner receives it.
+/// - A request may have run on at most `RelayRequest::maxRuns` runners, through whichever relays.
 /// - A request is sent to an address once, by whichever relays: a response that names it is the
 ///   response to that one arrival, and no second copy of an earlier one.
 /// - A response with a status that promises that the request has not run is sent only with a proof
@@ -296,7 +297,7 @@
   std::optional<Successor> successor_;
   /// A retry was taken from the budget for an attempt that has not been made yet.
   bool retry_held_ = false;
-  /// Whether the current attempt has used a retry of the budget, and how many of them have.
+  /// Whether the current attempt has used a retry of the budget, and how many attempts have.
   bool attempt_charged_ = false;
   uint32_t retries_charged_ = 0;
   /// What shows that the run of the last attempt has ended.
--- a/src/daemon/relay/active_request_forward.cc
+++ b/src/daemon/relay/active_request_forward.cc
@@ -153,6 +153,7 @@
   if (not_run && (refusal == PeerRefusal::ByPeer || stream_started_)) {
     forward_outcome_ = "refused";
     if (reached_by_peer_.empty()) {
+      // It has reached no runner in this attempt.
       --sent_attempts_;
     }
     declines_elsewhere_ += reached_by_peer_.size();
@@ -197,7 +198,8 @@
       result.end == AttemptEnd::Answered || result.run_end == relay::RunEnd::Answered;
   forward_outcome_ = !whole ? "broken" : refused ? "all_full" : failed ? "failed" : "answered";
   const bool streaming = request_.route->kind == relay::RouteKind::Streaming;
-  if (failure_ && failed && whole && (refused || streaming || !mayMoveOn())) {
+  const bool last_attempt = refused || streaming || !mayMoveOn();
+  if (failure_ && failed && whole && last_attempt) {
     co_await respondFailure();
     result.end = AttemptEnd::Answered;
   }
