Tests share the decoders of an empty and of no list of runners

Nothing that callers see. EmptyListCodec stood in four test files with two meanings, and NoListCodec was the same as two of them. list_codecs.h has both; the tests check what they did before.

--- a/tests/unit/daemon/group/group_role_test.cc
+++ b/tests/unit/daemon/group/group_role_test.cc
@@ -15,6 +15,7 @@
 #include "adapters/system_clock.h"
 #include "daemon/group/group_role.h"
 #include "ports/seeded_random.h"
+#include "unit/daemon/list_codecs.h"
 #include "unit/daemon/relay/relay_fixture.h"
 #include "unit/stop_count.h"
 #include "unit/wait_until.h"
@@ -33,12 +34,6 @@
   }
 };
 
-class EmptyListCodec : public RunnerListCodec {
-public:
-  std::string target(const std::string&) const override { return "/list"; }
-  Result<RunnerPage> decode(std::string_view) const override { return Error{"no list"}; }
-};
-
 /// A group of one replica with its own data folder.
 class OneReplica {
 public:
@@ -104,7 +99,7 @@
   const SystemClock clock_{};
   const TestDialect dialect_{};
   const NoConfigurationCodec configurations_{};
-  const EmptyListCodec lists_{};
+  const NoListCodec lists_{};
   WorkerPool workers_{1};
   std::unique_ptr<daemon::GroupRole> role_;
 };
--- a/tests/unit/daemon/relay/broken_response_test.cc
+++ b/tests/unit/daemon/relay/broken_response_test.cc
@@ -15,6 +15,7 @@
 #include "daemon/relay/runner_report_call.h"
 #include "daemon/runner_list_reader.h"
 #include "unit/broken_response.h"
+#include "unit/daemon/list_codecs.h"
 #include "unit/daemon/relay/forwarding_relay.h"
 
 namespace workshatch::test {
@@ -88,13 +89,6 @@
   }
 };
 
-/// Decodes every body as an empty list of runners.
-class EmptyListCodec : public RunnerListCodec {
-public:
-  std::string target(const std::string&) const override { return "/list"; }
-  Result<RunnerPage> decode(std::string_view) const override { return RunnerPage{}; }
-};
-
 /// Checks that neither a runner's report nor the platform's list is read from a response.
 void checkNoReportOrList(const std::vector<BrokenResponse>& responses) {
   const ScriptedReportDialect dialect;
--- a/tests/unit/daemon/relay/relay_memory_test.cc
+++ b/tests/unit/daemon/relay/relay_memory_test.cc
@@ -6,20 +6,11 @@
 #include <doctest/doctest.h>
 
 #include "daemon/relay/relay_role.h"
+#include "unit/daemon/list_codecs.h"
 #include "unit/daemon/relay/relay_fixture.h"
 
 namespace workshatch::test {
 
-namespace {
-
-class EmptyListCodec : public RunnerListCodec {
-public:
-  std::string target(const std::string&) const override { return "/list"; }
-  Result<RunnerPage> decode(std::string_view) const override { return Error{"no list"}; }
-};
-
-} // namespace
-
 TEST_CASE("A body that never fits into the memory of the process is refused as if it did later") {
   constexpr uint64_t kMemoryBytes = uint64_t{16} * 1024 * 1024;
   constexpr size_t kBodyBytes = 3'000'000;
@@ -34,7 +25,7 @@
   const SystemClock clock;
   const TestDialect dialect;
   const OneRouteCodec configurations;
-  const EmptyListCodec runner_lists;
+  const NoListCodec runner_lists;
   WorkerPool workers(1);
   daemon::RelayRole role(settings, workers, clock,
                          daemon::RelayAdapters{.dialect = dialect,
--- a/tests/unit/daemon/relay/relay_role_fixture.h
+++ b/tests/unit/daemon/relay/relay_role_fixture.h
@@ -14,16 +14,11 @@
 #include "adapters/http/blocking_client.h"
 #include "adapters/link/framed_link.h"
 #include "daemon/relay/relay_role.h"
+#include "unit/daemon/list_codecs.h"
 #include "unit/daemon/relay/relay_fixture.h"
 
 namespace workshatch::test {
 
-class NoListCodec : public RunnerListCodec {
-public:
-  std::string target(const std::string&) const override { return "/list"; }
-  Result<RunnerPage> decode(std::string_view) const override { return Error{"no list"}; }
-};
-
 /// A leader that confirms each renewal and distributes a configuration and a list of one runner.
 class FakeLeader {
 public:
--- a/tests/unit/daemon/runner_list_reader_test.cc
+++ b/tests/unit/daemon/runner_list_reader_test.cc
@@ -8,19 +8,13 @@
 #include <doctest/doctest.h>
 
 #include "daemon/runner_list_reader.h"
+#include "unit/daemon/list_codecs.h"
 #include "unit/daemon/relay/relay_fixture.h"
 
 namespace workshatch::test {
 
 namespace {
 
-/// Decodes every body as an empty list of runners.
-class EmptyListCodec : public RunnerListCodec {
-public:
-  std::string target(const std::string&) const override { return "/list"; }
-  Result<RunnerPage> decode(std::string_view) const override { return RunnerPage{}; }
-};
-
 /// A platform that gives the same response to all calls, and a reader of its list.
 class RefusingPlatform {
 public:
