The proof of a refusal is found once; limits of giving up a relay and of the slack in the doc blocks

Nothing that callers see; behaviour is unchanged. The doc blocks of the retry budget and of mayGiveUp lacked their limits: no slack while no leader confirms, and no slot held at another relay when a silent one is given up.

--- a/src/core/relay/retry_budget.h
+++ b/src/core/relay/retry_budget.h
@@ -37,6 +37,10 @@
 /// relay that does not know the number of relays yet spends none of the slack, nor does one whose
 /// last confirmation by the leader is older than a window: from then on the others may have taken
 /// its share over. Its bucket starts empty again when it is confirmed.
+///
+/// Limit: a relay can't tell whether it alone is out of touch or there is no leader. While no
+/// leader confirms any relay for longer than a window, retries come from the ratio alone.
+///
 /// Times are milliseconds of the monotonic clock. Not safe for concurrent use.
 class RetryBudget {
 public:
--- a/src/daemon/relay/active_request.h
+++ b/src/daemon/relay/active_request.h
@@ -199,7 +199,9 @@
   http::awaitable<AttemptEnd> forwardTo(const std::string& peer);
   http::awaitable<AttemptResult> callPeer(const std::string& peer);
   http::awaitable<AttemptResult> handlePeerAnswer();
-  http::awaitable<AttemptResult> relayPeerAnswer(PeerRefusal refusal);
+  /// @param not_run proof that the response is a refusal; empty: the request may have run
+  http::awaitable<AttemptResult> relayPeerAnswer(PeerRefusal refusal,
+                                                 std::optional<relay::NotRunProof> not_run);
   void tellForwarder(http::Response& response) const;
   bool pathLost() const {
     return state_.path_prober && state_.path_prober->isLost(request_.service);
--- a/src/daemon/relay/active_request_forward.cc
+++ b/src/daemon/relay/active_request_forward.cc
@@ -179,12 +179,13 @@
     forward_outcome_ = result.end == AttemptEnd::Answered ? "answered" : "broken";
     co_return result;
   }
-  co_return co_await relayPeerAnswer(refusal);
+  co_return co_await relayPeerAnswer(refusal, not_run);
 }
 
 /// Relays a response of the other relay that is no stream. A failure is kept while another attempt
 /// may follow.
-http::awaitable<ActiveRequest::AttemptResult> ActiveRequest::relayPeerAnswer(PeerRefusal refusal) {
+http::awaitable<ActiveRequest::AttemptResult>
+ActiveRequest::relayPeerAnswer(PeerRefusal refusal, std::optional<relay::NotRunProof> not_run) {
   const auto& head = connection_->head();
   const bool refused = refusal == PeerRefusal::ByService;
   const bool failed = head.result_int() >= kServerErrors;
@@ -193,7 +194,7 @@
     const uint32_t runs = runsOf(head).value_or(request_.maxRuns());
     attempt_runs_ = runs - std::min(runs, execution_.possibleRuns());
   }
-  AttemptResult result = co_await relayPlainAnswer(nullptr, relay::NotRunProof::ofRelay(response_));
+  AttemptResult result = co_await relayPlainAnswer(nullptr, not_run);
   const bool whole =
       result.end == AttemptEnd::Answered || result.run_end == relay::RunEnd::Answered;
   forward_outcome_ = !whole ? "broken" : refused ? "all_full" : failed ? "failed" : "answered";
--- a/src/daemon/relay/active_request_silence.cc
+++ b/src/daemon/relay/active_request_silence.cc
@@ -80,6 +80,8 @@
 
 /// Decides whether the current attempt, which is silent, may be given up. A sound answer must not
 /// be given up for another one that can't be had, and a stream must not go on while its run does.
+/// Limit: no slot is held at another relay, so the next one may find its runners full; the retry
+/// budget bounds how many requests are given up so while all runners are slow.
 /// @param runner null if another relay responds
 http::awaitable<bool> ActiveRequest::mayGiveUp(relay::Runner* runner) {
   if (runner == nullptr) {
