Tests of forwarded requests share a relay of two runners

Nothing that callers see. Cause: two test cases built the same relay with two runners by hand (found by duplicates). RelayOfTwoRunners builds it; the checks are the same.

--- a/tests/unit/daemon/relay/forwarded_retry_test.cc
+++ b/tests/unit/daemon/relay/forwarded_retry_test.cc
@@ -37,6 +37,24 @@
          more_headers + "Content-Length: 6\r\n\r\nfailed";
 }
 
+/// A relay to which another one forwards requests, with two runners that run one script.
+struct RelayOfTwoRunners {
+  /// @param origin what the relay that forwards tells
+  RelayOfTwoRunners(const relay::Route& route, const ScriptedRunner::Script& script,
+                    const daemon::ForwardOrigin& origin)
+      : one(script), other(script), relay(route) {
+    relay.addRunner("runner-1", one.address());
+    relay.addRunner("runner-2", other.address());
+    relay.onAdmitted([origin](daemon::RelayRequest& request) { request.origin = origin; });
+    relay.start();
+  }
+  int requests() const { return one.requests() + other.requests(); }
+
+  ScriptedRunner one;
+  ScriptedRunner other;
+  TestRelay relay;
+};
+
 void answerDone(ScriptedRunner::Socket& socket, const std::string&) {
   writeTo(socket, signedAnswer("q1", "done"));
 }
@@ -61,8 +79,8 @@
 TEST_CASE("A request that three runners have declined is sent on because they did so elsewhere") {
   for (const size_t declines : {2, 3}) {
     CAPTURE(declines);
-    const std::string reached = declines == 3 ? "127.0.0.1:2,127.0.0.1:3,127.0.0.1:4" //
-                                              : "127.0.0.1:2,127.0.0.1:3";
+    const std::string third = declines == 3 ? ",127.0.0.1:4" : "";
+    const std::string reached = "127.0.0.1:2,127.0.0.1:3" + third;
     PeerPair peers(
         [&](auto& socket, const std::string&) {
           writeTo(socket, peerRefusal("Workshatch-Sent-To: " + reached + "\r\n"));
@@ -80,18 +98,11 @@
     writeTo(socket, "HTTP/1.1 503 Full\r\nW-Request: " + requestIdOf(request) +
                         "\r\nW-Not-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
   };
-  ScriptedRunner one(decline);
-  ScriptedRunner other(decline);
-  TestRelay relay(testRoute(RouteKind::RunOnce, 1));
-  relay.addRunner("runner-1", one.address());
-  relay.addRunner("runner-2", other.address());
-  relay.onAdmitted([](daemon::RelayRequest& request) {
-    request.origin = daemon::ForwardOrigin{.configuration_version = 1,
-                                           .sent_to = {"127.0.0.1:2", "127.0.0.1:3"}};
-  });
-  relay.start();
-  CHECK(relay.sendRequest("q1").starts_with("HTTP/1.1 503"));
-  CHECK(one.requests() + other.requests() == 1);
+  RelayOfTwoRunners other_relay(
+      testRoute(RouteKind::RunOnce, 1), decline,
+      daemon::ForwardOrigin{.configuration_version = 1, .sent_to = {"127.0.0.1:2", "127.0.0.1:3"}});
+  CHECK(other_relay.relay.sendRequest("q1").starts_with("HTTP/1.1 503"));
+  CHECK(other_relay.requests() == 1);
 }
 
 TEST_CASE("A request runs on more runners than its route allows if relays go away with it") {
@@ -114,21 +125,15 @@
   const auto fail = [](auto& socket, const std::string& request) {
     writeTo(socket, signedAnswer(requestIdOf(request), "failed", "500 Internal Server Error"));
   };
-  ScriptedRunner one(fail);
-  ScriptedRunner other(fail);
-  TestRelay relay(testRoute(RouteKind::Repeatable, 3));
-  relay.addRunner("runner-1", one.address());
-  relay.addRunner("runner-2", other.address());
-  relay.onAdmitted([](daemon::RelayRequest& request) {
-    request.origin = daemon::ForwardOrigin{.configuration_version = 1, .max_runs = 1};
-  });
-  relay.start();
-  const std::string answer = relay.sendRequest("q1");
-  CHECK(one.requests() + other.requests() == 1);
+  RelayOfTwoRunners other_relay(testRoute(RouteKind::Repeatable, 3), fail,
+                                daemon::ForwardOrigin{.configuration_version = 1, .max_runs = 1});
+  const std::string answer = other_relay.relay.sendRequest("q1");
+  CHECK(other_relay.requests() == 1);
   CHECK(answer.starts_with("HTTP/1.1 500"));
   // What the relay that forwarded it needs for the next attempt.
   CHECK(answer.find("Workshatch-Runs: 1\r\n") != std::string::npos);
-  const std::string& reached = one.requests() == 1 ? one.address() : other.address();
+  const bool at_first = other_relay.one.requests() == 1;
+  const std::string reached = (at_first ? other_relay.one : other_relay.other).address();
   CHECK(answer.find("Workshatch-Sent-To: " + reached) != std::string::npos);
 }
 
