--- a/tests/unit/daemon/relay/broken_response_test.cc
+++ b/tests/unit/daemon/relay/broken_response_test.cc
@@ -1,15 +1,12 @@
 /// @file
 /// Tests of responses that break the protocol in their head, as callers of a relay get them. The
 /// tests are named after the failures that they guard against.
-#include <exception>
 #include <memory>
-#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
 #include <vector>
 
-#include <boost/asio/co_spawn.hpp>
 #include <doctest/doctest.h>
 
 #include "daemon/relay/runner_report_call.h"
@@ -17,6 +14,7 @@
 #include "unit/broken_response.h"
 #include "unit/daemon/list_codecs.h"
 #include "unit/daemon/relay/forwarding_relay.h"
+#include "unit/result_of.h"
 
 namespace workshatch::test {
 
@@ -66,20 +64,6 @@
   }
 }
 
-/// Runs an event loop until a call on it has ended. @return the result of the call
-template <typename Value>
-Value resultOf(boost::asio::io_context& context, http::awaitable<Value> call) {
-  std::optional<Value> result;
-  boost::asio::co_spawn(
-      context, std::move(call),
-      [&result](const std::exception_ptr&, Value value) { result = std::move(value); });
-  context.restart();
-  while (!result) {
-    context.run_one();
-  }
-  return *std::move(result);
-}
-
 /// Asks for reports at a path that a ScriptedRunner leaves to its script.
 class ScriptedReportDialect : public TestDialect {
 public:
