A reset that a write is told of ends no answer: the connection keeps its failure for all operations

What callers saw: a runner answers a long upload at once with a 200 that has no length, sends part of its body and resets the connection while the upload is still being written. The caller got that part as a whole answer, with a length that the relay computed (MIXED); a stream ended as if whole.

Cause: the system tells a connection's error to one call on the socket only, whichever comes first, and later reads find the end of the input, as after an end in order. A relay writes and reads at the same time, and the loop serves the write first: the write took the reset and kept no more of it than "not sent". A look at the input (isOpen, also by another request that searches for the end of its run) and the question for the error (closedWholly) take it as well. Responses with a length failed all the same, but a reset then counted as an end in order in the search for the end of a run.

Change: ConnectionFailure keeps the first error that any call on the socket is told; a read that finds the end asks it whether the end is one in order. The request is sent by calls whose result is known within them, 64 KB at a time, since the handler of an asynchronous write runs after its call, and a read might find the end between. So no order of handlers is relied on. A timeout that a write is told of is kept in the same way.

Chosen: an answer whose runner has ended its side in order (FIN) is whole, also where the upload was not sent completely and also if a reset follows: servers end early answers so (RFC 9112, 9.6), and a process that ends with unread bytes resets instead. Which came first does not depend on what was read when: the write is told EPIPE in place of ECONNRESET after a FIN.

--- a/src/adapters/http/runner_connection.cc
+++ b/src/adapters/http/runner_connection.cc
@@ -3,12 +3,12 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <string_view>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include "adapters/http/keep_alive.h"
@@ -25,6 +25,8 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr size_t kReadSize = 4096;
+/// Longest part of a request that is sent before others get their turn on the event loop.
+constexpr size_t kMaxSendBytes = size_t{64} * 1024;
 /// Size limit of the header of a response.
 constexpr uint32_t kHeaderBytes = 32U * 1024;
 constexpr size_t kMaxIdlePerAddress = 8;
@@ -87,31 +89,62 @@
                           std::chrono::milliseconds timeout) {
   const auto self = shared_from_this();
   startTimer(timeout);
-  const auto [error] = co_await socket_.async_connect(endpoint, kAwait);
+  auto [error] = co_await socket_.async_connect(endpoint, kAwait);
   startTimer({});
+  if (!error && !closed_) {
+    tcp_options::configure(socket_, tcp_options::kRequestPeerTimeout);
+    // Sending must not hold up the event loop.
+    socket_.non_blocking(true, error);
+  }
   if (error || closed_) {
     close();
     co_return makeError(CallPhase::NotSent, error);
   }
-  tcp_options::configure(socket_, tcp_options::kRequestPeerTimeout);
   co_return std::nullopt;
 }
 
 void RunnerConnection::send(std::string request) {
   request_ = std::move(request);
+  sent_bytes_ = 0;
   request_sent_ = false;
   if (closed_) {
     finishReading(asio::error::operation_aborted, 0);
     return;
   }
-  asio::async_write(socket_, asio::buffer(request_),
-                    [self = shared_from_this()](error_code error, size_t) {
-                      self->request_sent_ = !error;
-                      std::string().swap(self->request_);
-                    });
+  continueSending();
   beginReadingHead();
 }
 
+/// Sends the next part of the request. Not by an asynchronous write, which would be told of a
+/// failure some time before its handler could record that, and a read might find the end between.
+void RunnerConnection::continueSending() {
+  error_code error;
+  const auto left = asio::buffer(request_) + sent_bytes_;
+  sent_bytes_ += socket_.write_some(asio::buffer(left, kMaxSendBytes), error);
+  failure_.record(error);
+  request_sent_ = sent_bytes_ == request_.size();
+  if (request_sent_ || (error && error != asio::error::would_block)) {
+    endRequest();
+  } else {
+    awaitSending();
+  }
+}
+
+/// Goes on with the request when the system takes more of it.
+void RunnerConnection::awaitSending() {
+  socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                     [self = shared_from_this()](error_code cancelled) {
+                       if (cancelled || self->sending_ended_) {
+                         self->endRequest();
+                       } else {
+                         self->continueSending();
+                       }
+                     });
+}
+
+/// Frees the memory of the request.
+void RunnerConnection::endRequest() { std::string().swap(request_); }
+
 void RunnerConnection::beginReadingHead() {
   parser_.emplace();
   parser_->header_limit(kHeaderBytes);
@@ -137,13 +170,23 @@
 
 void RunnerConnection::finishReading(error_code error, size_t bytes) {
   reading_ = false;
-  read_error_ = error == beast::http::error::need_buffer ? error_code() : error;
   read_bytes_ = bytes;
-  read_reset_ =
-      read_reset_ || error == asio::error::connection_reset || error == asio::error::broken_pipe;
+  failure_.record(error);
+  read_error_ = error == beast::http::error::need_buffer ? error_code() : error;
+  if (isAtEnd(read_error_)) {
+    read_error_ = failure_.judgeEnd(read_error_);
+  }
+  read_reset_ = read_reset_ || read_error_ == asio::error::connection_reset ||
+                read_error_ == asio::error::broken_pipe;
   timer_.cancel();
 }
 
+/// @return whether a read with this result has found the end of the input.
+bool RunnerConnection::isAtEnd(error_code read_error) const {
+  return read_error == asio::error::eof || read_error == beast::http::error::end_of_stream ||
+         read_error == beast::http::error::partial_message || (!read_error && bodyEndedWithInput());
+}
+
 /// Waits for the end of the read in progress. @param timeout zero means no limit
 /// @return whether it has ended.
 awaitable<bool> RunnerConnection::awaitReading(std::chrono::milliseconds timeout) {
@@ -226,12 +269,19 @@
   co_return ended ? std::optional(stateAfter(read_error_)) : std::nullopt;
 }
 
+/// Sends an empty line unless sending has ended.
+void RunnerConnection::sendEmptyLine() {
+  if (!sending_ended_) {
+    constexpr std::string_view kEmptyLine = "\r\n";
+    error_code error;
+    socket_.write_some(asio::buffer(kEmptyLine), error);
+    failure_.record(error);
+  }
+}
+
 awaitable<ConnectionState> RunnerConnection::discardUntilClosed(std::chrono::milliseconds timeout) {
   if (!reading_ && stateAfter(read_error_) == ConnectionState::ClosedByPeer) {
-    constexpr std::string_view kEmptyLine = "\r\n";
-    // A failure is the reset itself.
-    [[maybe_unused]] const ssize_t sent = ::send(socket_.native_handle(), kEmptyLine.data(),
-                                                 kEmptyLine.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    sendEmptyLine();
   }
   endSending();
   const auto end = std::chrono::steady_clock::now() + timeout;
@@ -257,20 +307,21 @@
 }
 
 bool RunnerConnection::closedWholly() {
-  found_reset_ = found_reset_ || tcp_options::hasFailed(socket_);
+  failure_.record(tcp_options::takeError(socket_));
   const bool ended_in_turn =
       ended_sending_first_ && !reading_ && stateAfter(read_error_) == ConnectionState::ClosedByPeer;
-  return read_reset_ || found_reset_ || ended_in_turn;
+  return failure_.isReset() || ended_in_turn;
 }
 
 RunnerConnection::Input RunnerConnection::peekInput() {
   char byte = 0;
   const ssize_t count = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const error_code error(count < 0 ? errno : 0, asio::error::get_system_category());
+  failure_.record(error);
   if (count > 0) {
     return Input::Pending;
   }
-  const bool none_yet = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-  return none_yet ? Input::None : Input::Ended;
+  return error == asio::error::would_block ? Input::None : Input::Ended;
 }
 
 void RunnerConnection::setIdle(bool idle) {
--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -18,6 +18,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 
+#include "adapters/http/connection_failure.h"
 #include "adapters/http/http_client.h"
 #include "adapters/http/http_types.h"
 #include "adapters/http/read_limits.h"
@@ -107,7 +108,7 @@
 
   /// @return whether the response was received completely, and only the end of the connection says
   /// so: a process that crashes may end it in the same way.
-  bool endedByClose() const { return parser_ && parser_->is_done() && parser_->need_eof(); }
+  bool endedByClose() const { return !read_error_ && bodyEndedWithInput(); }
 
   /// @return whether another request may be sent: the last request was sent completely, its
   /// response was received completely and allows it, and no further bytes arrived.
@@ -127,6 +128,13 @@
   void startTimer(std::chrono::milliseconds timeout);
   CallError makeError(CallPhase phase, boost::system::error_code error) const;
   ConnectionState stateAfter(boost::system::error_code error) const;
+  void continueSending();
+  void awaitSending();
+  void endRequest();
+  void sendEmptyLine();
+  /// @return whether the end of the input has ended the body of the response.
+  bool bodyEndedWithInput() const { return parser_ && parser_->is_done() && parser_->need_eof(); }
+  bool isAtEnd(boost::system::error_code read_error) const;
   void beginReadingHead();
   void beginReadingBody();
   void finishReading(boost::system::error_code error, size_t bytes);
@@ -136,7 +144,9 @@
   boost::asio::steady_timer timer_;
   boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
   std::optional<ResponseParser<boost::beast::http::buffer_body>> parser_;
+  /// The request that is being sent; empty otherwise.
   std::string request_;
+  size_t sent_bytes_ = 0;
   bool request_sent_ = false;
   /// Part of the body that is being read.
   std::string part_;
@@ -147,10 +157,10 @@
   bool sending_ended_ = false;
   bool reuse_prevented_ = false;
   bool closed_ = false;
+  /// What the system has told to any operation on the socket.
+  ConnectionFailure failure_;
   /// A read has failed because of a reset.
   bool read_reset_ = false;
-  /// The system has told of a reset outside of a read.
-  bool found_reset_ = false;
   /// This end has ended sending before the other one.
   bool ended_sending_first_ = false;
   bool timed_out_ = false;
--- a/src/adapters/tcp_options.cc
+++ b/src/adapters/tcp_options.cc
@@ -42,11 +42,11 @@
   return info.tcpi_unacked == 0 && info.tcpi_state != kEndNotAcknowledged;
 }
 
-bool hasFailed(boost::asio::ip::tcp::socket& socket) {
+boost::system::error_code takeError(boost::asio::ip::tcp::socket& socket) {
   int error = 0;
   socklen_t length = sizeof error;
   const int failed = ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &length);
-  return failed == 0 && error != 0;
+  return {failed == 0 ? error : 0, boost::asio::error::get_system_category()};
 }
 
 void setPeerTimeout(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds peer_timeout) {
--- a/src/adapters/tcp_options.h
+++ b/src/adapters/tcp_options.h
@@ -23,8 +23,9 @@
 /// @return whether the other end has acknowledged everything that was sent, also the end of
 /// sending; nothing if the system does not tell.
 std::optional<bool> allAcknowledged(boost::asio::ip::tcp::socket& socket);
-/// @return whether the connection has failed, as by a reset, since this was last asked.
-bool hasFailed(boost::asio::ip::tcp::socket& socket);
+/// @return the error with which the connection has failed, such as a reset, if no other call on the
+/// socket was told of it; no later call is.
+boost::system::error_code takeError(boost::asio::ip::tcp::socket& socket);
 
 /// Changes the time after which a configured connection fails.
 void setPeerTimeout(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds peer_timeout);
--- a/tests/unit/cut_response.h
+++ b/tests/unit/cut_response.h
@@ -85,4 +85,40 @@
   socket.close(ignored);
 }
 
+/// More than the system takes before the other end reads it.
+inline constexpr size_t kLongUploadBytes = size_t{16} * 1024 * 1024;
+
+/// A response that ends at the end of its connection, from a server that reads no more of a long
+/// request than what came with the head.
+struct EarlyAnswer {
+  std::string bytes;
+  Closing closing = Closing::Fin;
+  /// Time between the bytes and the end of the connection.
+  std::chrono::milliseconds pause{0};
+
+  void sendTo(boost::asio::ip::tcp::socket& socket) const {
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+    std::this_thread::sleep_for(pause);
+    sendAndEnd(socket, "", closing);
+  }
+  /// @return whether the server has ended the response in order. A system resets a connection that
+  /// its process closes with unread input.
+  bool isWhole() const { return closing == Closing::HalfClose; }
+};
+
+/// @param head without the line that ends it
+/// @return the response ended in each of the ways, at once and after a pause.
+inline std::vector<EarlyAnswer> earlyAnswers(const std::string& head, const std::string& body) {
+  std::vector<EarlyAnswer> answers;
+  for (const Closing closing : kClosings) {
+    for (const int pause_ms : {0, 50}) {
+      answers.push_back({.bytes = head + "Connection: close\r\n\r\n" + body,
+                         .closing = closing,
+                         .pause = std::chrono::milliseconds(pause_ms)});
+    }
+  }
+  return answers;
+}
+
 } // namespace workshatch::test
--- a/tests/unit/daemon/relay/relay_fixture.h
+++ b/tests/unit/daemon/relay/relay_fixture.h
@@ -366,7 +366,7 @@
                                        .policy = policy},
                clock_, dialect_),
         server_(
-            workers_, http::ServerLimits{},
+            workers_, http::ServerLimits{.body_bytes = kMaxBodyBytes},
             [this](http::Exchange& exchange) { return handle(exchange); },
             [](http::Status status, const std::string&) {
               return http::makeResponse(status, "text/plain", "");
@@ -430,6 +430,8 @@
   }
 
 private:
+  static constexpr uint64_t kMaxBodyBytes = uint64_t{32} * 1024 * 1024;
+
   http::awaitable<void> handle(http::Exchange& exchange) {
     auto admitted = daemon::admit(exchange.request(), state_, clock_.monotonicMs());
     if (auto* problem = std::get_if<http::Problem>(&admitted)) {
