Tests: other readers of answers and resets during uploads

Nothing that callers see. The issue asks to check every other place that reads answers: the client of the product's router and of the platform's list, the command line, and reports of runners. They write first and read afterwards, or write a request that is sent at once, and nothing else asks their sockets; none takes a part that is reset for whole.

--- a/tests/unit/daemon/relay/broken_response_test.cc
+++ b/tests/unit/daemon/relay/broken_response_test.cc
@@ -12,6 +12,7 @@
 #include "daemon/relay/runner_report_call.h"
 #include "daemon/runner_list_reader.h"
 #include "unit/broken_response.h"
+#include "unit/cut_response.h"
 #include "unit/daemon/list_codecs.h"
 #include "unit/daemon/relay/forwarding_relay.h"
 #include "unit/result_of.h"
@@ -74,7 +75,9 @@
 };
 
 /// Checks that neither a runner's report nor the platform's list is read from a response.
-void checkNoReportOrList(const std::vector<BrokenResponse>& responses) {
+/// @param script_of what a server does that sends such a response
+template <typename ScriptOf>
+void checkNoReportOrList(const std::vector<BrokenResponse>& responses, ScriptOf script_of) {
   const ScriptedReportDialect dialect;
   const EmptyListCodec codec;
   const SystemClock clock;
@@ -82,7 +85,7 @@
   const daemon::RunnerReportCall call(dialect, daemon::RunnerDialer(addresses));
   for (const BrokenResponse& response : responses) {
     CAPTURE(response.name);
-    ScriptedRunner server(brokenScript(response.bytes));
+    ScriptedRunner server(script_of(response.bytes));
     boost::asio::io_context context;
     relay::Runner runner;
     runner.entry.set_address(server.address());
@@ -98,6 +101,11 @@
   }
 }
 
+/// As above, for responses that leave the connection open.
+void checkNoReportOrList(const std::vector<BrokenResponse>& responses) {
+  checkNoReportOrList(responses, brokenScript);
+}
+
 const std::string kStreamFields = signedFields("q1") + "Content-Type: text/event-stream\r\n";
 
 } // namespace
@@ -137,6 +145,16 @@
   checkNotRelayedAsStream(interimResponsesWithBody(kStreamFields));
 }
 
+TEST_CASE("A report or a list is read from a part of a response that is reset") {
+  const auto resetScript = [](const std::string& bytes) {
+    return [bytes](auto& socket, const std::string&) { sendAndEnd(socket, bytes, Closing::Reset); };
+  };
+  checkNoReportOrList({{"without a length", "HTTP/1.1 200 OK\r\n\r\n0 "},
+                       {"with a length", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n0 "},
+                       {"of HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\n0 "}},
+                      resetScript);
+}
+
 TEST_CASE("An interim response that states a length of zero loses the final one") {
   const std::string bytes = "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n" +
                             wholeResponse(signedFields("q1"), "done");
--- a/tests/unit/daemon/router/cut_answer_test.cc
+++ b/tests/unit/daemon/router/cut_answer_test.cc
@@ -36,6 +36,17 @@
   }
 }
 
+TEST_CASE("A part of a response that is reset during the upload is whole for the router's client") {
+  const std::string upload(kLongUploadBytes, 'x');
+  for (const EarlyAnswer& early : earlyAnswers("HTTP/1.0 200 OK\r\n", "part")) {
+    CAPTURE(static_cast<int>(early.closing));
+    CAPTURE(early.pause.count());
+    ScriptedRunner server([&](auto& socket, const std::string&) { early.sendTo(socket); });
+    LoopClient client;
+    CHECK((!client.call(server.address(), upload) || early.isWhole()));
+  }
+}
+
 TEST_CASE("The router's client gets an interim response, and the next call the one after it") {
   for (const std::string status : {"100 Continue", "102 Processing", "103 Early Hints"}) {
     CAPTURE(status);
--- a/tests/unit/loop_client.h
+++ b/tests/unit/loop_client.h
@@ -28,12 +28,13 @@
 class LoopClient {
 public:
   /// @return the response; nothing if it is not complete.
-  std::optional<ClientAnswer> call(const std::string& address) {
+  std::optional<ClientAnswer> call(const std::string& address, const std::string& upload = "") {
     std::optional<ClientAnswer> answer;
     boost::asio::co_spawn(
         context_,
         [&]() -> http::awaitable<void> {
-          http::Request request(http::Verb::get, "/", 11);
+          http::Request request(upload.empty() ? http::Verb::get : http::Verb::post, "/", 11);
+          request.body() = upload;
           http::CallResult result = co_await client_.call(address, std::move(request), {});
           if (auto* response = std::get_if<std::unique_ptr<http::ClientResponse>>(&result)) {
             auto body = co_await (*response)->readAll(kMaxBodyBytes);
