An answer ends with the runner's side only if the connection outlives the request

Cause: a system ends the side of a connection that is closed without unread bytes in order, and resets only what arrives next. The relay read the end of the side, and the answer was out before the reset came.

Change: an end that only the runner's side marks is told once the request has arrived, or no reset has come for 300 ms while it goes on; a failure that the system tells until then makes the answer a part. A round trip is enough for the reset, and no process has to run for it. Answers with a length and requests that have arrived do not wait. A server that ends its side and reads on, or lets the rest stand, keeps its answer.

--- a/src/adapters/http/connection_failure.h
+++ b/src/adapters/http/connection_failure.h
@@ -31,11 +31,12 @@
   /// connection
   boost::system::error_code judgeEnd(boost::system::error_code end);
 
+  /// @return the first error that was recorded; none while the connection has not failed.
+  boost::system::error_code error() const { return first_; }
   /// @return whether the other end has reset the connection, before or after the end of its side.
   bool isReset() const;
 
 private:
-  /// The first error that was recorded; none while the connection has not failed.
   boost::system::error_code first_;
   bool ended_in_order_ = false;
 };
--- a/src/adapters/http/runner_connection.cc
+++ b/src/adapters/http/runner_connection.cc
@@ -30,6 +30,10 @@
 /// Size limit of the header of a response.
 constexpr uint32_t kHeaderBytes = 32U * 1024;
 constexpr size_t kMaxIdlePerAddress = 8;
+/// Longest wait for the reset of a connection that is closed while a request is being sent on it: a
+/// round trip. The system of the other end sends it, whatever its processes do.
+constexpr std::chrono::milliseconds kResetWait{300};
+constexpr std::chrono::milliseconds kResetPollInterval{5};
 /// Limit of what is discarded while the other end is expected to close the connection.
 constexpr size_t kMaxDiscardedBytes = size_t{1024} * 1024;
 
@@ -252,9 +256,41 @@
       co_return std::move(part_);
     }
   }
+  if (endedByClose()) {
+    co_await awaitRequestEnd(timeout);
+    read_error_ = failure_.error();
+    if (read_error_ || closed_) {
+      co_return makeError(CallPhase::Sent, read_error_);
+    }
+  }
   co_return std::string();
 }
 
+/// @return whether part of the request may not have arrived yet on a connection that has not
+/// failed.
+bool RunnerConnection::requestInProgress() {
+  failure_.record(tcp_options::takeError(socket_));
+  const bool arrived = request_sent_ && allAcknowledged().value_or(true);
+  return !arrived && !closed_ && !failure_.error();
+}
+
+/// After the end of the runner's side, waits until the request has arrived or the connection has
+/// failed. A runner that has closed the connection wholly gets no more of the request: its system
+/// resets what arrives. One that has ended only its side gets the rest, or leaves it unread.
+/// @param timeout longest wait, if it is shorter than that for a reset; zero means none
+awaitable<void> RunnerConnection::awaitRequestEnd(std::chrono::milliseconds timeout) {
+  const auto self = shared_from_this();
+  const auto limit = timeout.count() == 0 ? kResetWait : std::min(timeout, kResetWait);
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (requestInProgress() && std::chrono::steady_clock::now() < end) {
+    timer_.expires_after(kResetPollInterval);
+    const auto [ended_by_owner] = co_await timer_.async_wait(kAwait);
+    if (ended_by_owner) {
+      co_return;
+    }
+  }
+}
+
 void RunnerConnection::endSending() {
   const bool peer_ended = !reading_ && stateAfter(read_error_) == ConnectionState::ClosedByPeer;
   ended_sending_first_ = ended_sending_first_ || (!sending_ended_ && !peer_ended);
--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -33,6 +33,11 @@
 /// A time limit that passes while a response is awaited does not end the connection: the same call
 /// may be made again to wait on, and bytes that arrive meanwhile are not lost. The owner decides
 /// whether to close.
+///
+/// A body that only the end of the connection ends is complete if the runner has ended its side in
+/// order and does not close the connection wholly while it is being sent the request. It is
+/// incomplete if the connection fails before that is known, whichever operation the system tells of
+/// it (`ConnectionFailure`).
 class RunnerConnection : public std::enable_shared_from_this<RunnerConnection> {
 public:
   explicit RunnerConnection(boost::asio::io_context& context) : socket_(context), timer_(context) {}
@@ -67,7 +72,8 @@
   void expectNextResponse() { beginReadingHead(); }
 
   /// @param timeout longest wait for the next bytes; zero means no limit
-  /// @return the next part of the body; empty at the end of the body.
+  /// @return the next part of the body; empty at the end of the body. An end that only the end of
+  /// the runner's side marks is told late, by a round trip or so, while the request is being sent.
   awaitable<std::variant<std::string, CallError>> read(std::chrono::milliseconds timeout);
 
   /// Tells the other end that nothing more will be sent. It may go on sending. The connection can't
@@ -140,6 +146,8 @@
   void beginReadingBody();
   void finishReading(boost::system::error_code error, size_t bytes);
   awaitable<bool> awaitReading(std::chrono::milliseconds timeout);
+  bool requestInProgress();
+  awaitable<void> awaitRequestEnd(std::chrono::milliseconds timeout);
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
--- a/tests/unit/adapters/blocking_client_test.cc
+++ b/tests/unit/adapters/blocking_client_test.cc
@@ -44,7 +44,7 @@
 TEST_CASE("The command line takes a part of a response that is reset during the upload for whole") {
   const std::string upload(kLongUploadBytes, 'x');
   for (const EarlyAnswer& early : earlyAnswers("HTTP/1.0 200 OK\r\n", "part")) {
-    CAPTURE(static_cast<int>(early.closing));
+    CAPTURE(static_cast<int>(early.end));
     CAPTURE(early.pause.count());
     ScriptedRunner server([&](auto& socket, const std::string&) { early.sendTo(socket); });
     const auto response = http::blockingCall(server.address(), http::Verb::post, "/", upload, {});
--- a/tests/unit/adapters/runner_connection_test.cc
+++ b/tests/unit/adapters/runner_connection_test.cc
@@ -181,23 +181,44 @@
 TEST_CASE("A response that its runner has ended in order is incomplete since the upload goes on") {
   for (const Observer& observer : observers()) {
     CAPTURE(observer.name);
-    for (const bool reset_afterwards : {false, true}) {
-      CAPTURE(reset_afterwards);
-      RequestInProgress request(observer.upload_bytes);
-      request.answerPart();
-      request.beginRead();
-      request.endRunner();
-      if (reset_afterwards) {
-        request.resetByRunner();
-      }
-      observer.observe(*request.connection);
-      const auto rest = request.read();
-      REQUIRE(std::holds_alternative<std::string>(rest));
-      CHECK(std::get<std::string>(rest).empty());
-      CHECK(request.connection->endedByClose());
-      CHECK_FALSE(request.connection->wasReset());
-      CHECK_FALSE(request.connection->reusable());
+    RequestInProgress request(observer.upload_bytes);
+    request.answerPart();
+    request.beginRead();
+    request.endRunner();
+    observer.observe(*request.connection);
+    const auto rest = request.read();
+    REQUIRE(std::holds_alternative<std::string>(rest));
+    CHECK(std::get<std::string>(rest).empty());
+    CHECK(request.connection->endedByClose());
+    CHECK_FALSE(request.connection->wasReset());
+    CHECK_FALSE(request.connection->reusable());
+  }
+}
+
+TEST_CASE("A part of a response is complete since its runner closes having read what had arrived") {
+  for (const bool before_the_end_is_read : {false, true}) {
+    CAPTURE(before_the_end_is_read);
+    RequestInProgress request(kLongUploadBytes);
+    request.answerPart();
+    request.beginRead();
+    request.endRunner();
+    std::thread runner([&] {
+      std::this_thread::sleep_for(std::chrono::milliseconds(before_the_end_is_read ? 0 : 50));
+      request.resetByRunner();
+    });
+    if (before_the_end_is_read) {
+      runner.join();
+    }
+    const auto rest = request.read();
+    if (!before_the_end_is_read) {
+      runner.join();
     }
+    const auto* error = std::get_if<http::CallError>(&rest);
+    CHECK((error != nullptr && error->connection == http::ConnectionState::ClosedByPeer));
+    CHECK_FALSE(request.connection->endedByClose());
+    // The runner was in reach when it ended its side.
+    CHECK_FALSE(request.connection->wasReset());
+    CHECK(request.connection->closedWholly());
   }
 }
 
--- a/tests/unit/cut_response.h
+++ b/tests/unit/cut_response.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 namespace workshatch::test {
@@ -88,33 +89,61 @@
 /// More than the system takes before the other end reads it.
 inline constexpr size_t kLongUploadBytes = size_t{16} * 1024 * 1024;
 
-/// A response that ends at the end of its connection, from a server that reads no more of a long
+/// How a server ends the connection while it is still being sent a long request.
+enum class EarlyEnd {
+  Reset,
+  /// Closes with unread input, which its system resets.
+  Close,
+  /// Closes when it has read all that had arrived: ends its side, and its system resets the
+  /// connection when more arrives.
+  CloseWithoutInput,
+  /// Ends its side, and reads no more for longer than a client waits for a reset.
+  HalfClose,
+  /// Ends its side and reads the rest of the request.
+  HalfCloseAndRead
+};
+
+/// A response that ends at the end of its connection, from a server that has read no more of a long
 /// request than what came with the head.
 struct EarlyAnswer {
   std::string bytes;
-  Closing closing = Closing::Fin;
+  EarlyEnd end = EarlyEnd::Close;
   /// Time between the bytes and the end of the connection.
   std::chrono::milliseconds pause{0};
 
-  void sendTo(boost::asio::ip::tcp::socket& socket) const {
-    boost::system::error_code ignored;
-    boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
-    std::this_thread::sleep_for(pause);
-    sendAndEnd(socket, "", closing);
-  }
-  /// @return whether the server has ended the response in order. A system resets a connection that
-  /// its process closes with unread input.
-  bool isWhole() const { return closing == Closing::HalfClose; }
+  void sendTo(boost::asio::ip::tcp::socket& socket) const;
+  /// @return whether the server has ended the response and not the connection.
+  bool isWhole() const { return end == EarlyEnd::HalfClose || end == EarlyEnd::HalfCloseAndRead; }
 };
 
+inline void EarlyAnswer::sendTo(boost::asio::ip::tcp::socket& socket) const {
+  constexpr std::chrono::milliseconds kNoReset{600};
+  boost::system::error_code ignored;
+  boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+  std::this_thread::sleep_for(pause);
+  if (end == EarlyEnd::Reset) {
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  } else if (end != EarlyEnd::Close) {
+    socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  }
+  if (end == EarlyEnd::HalfClose) {
+    std::this_thread::sleep_for(kNoReset);
+  } else if (end == EarlyEnd::HalfCloseAndRead) {
+    std::string rest;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(rest), ignored);
+  }
+  socket.close(ignored);
+}
+
 /// @param head without the line that ends it
 /// @return the response ended in each of the ways, at once and after a pause.
 inline std::vector<EarlyAnswer> earlyAnswers(const std::string& head, const std::string& body) {
   std::vector<EarlyAnswer> answers;
-  for (const Closing closing : kClosings) {
+  for (const EarlyEnd end : {EarlyEnd::Reset, EarlyEnd::Close, EarlyEnd::CloseWithoutInput,
+                             EarlyEnd::HalfClose, EarlyEnd::HalfCloseAndRead}) {
     for (const int pause_ms : {0, 50}) {
       answers.push_back({.bytes = head + "Connection: close\r\n\r\n" + body,
-                         .closing = closing,
+                         .end = end,
                          .pause = std::chrono::milliseconds(pause_ms)});
     }
   }
--- a/tests/unit/daemon/relay/early_answer_test.cc
+++ b/tests/unit/daemon/relay/early_answer_test.cc
@@ -58,7 +58,7 @@
       const std::string head = version + status + " Early\r\n" + signedFields("q1");
       for (const EarlyAnswer& answer : earlyAnswers(head, "part")) {
         CAPTURE(head);
-        CAPTURE(static_cast<int>(answer.closing));
+        CAPTURE(static_cast<int>(answer.end));
         CAPTURE(answer.pause.count());
         checkPlainAnswer(answerOn(testRoute(RouteKind::RunOnce, 1), answer), answer, status);
         checkPlainAnswer(forwardedAnswerTo(answer), answer, status);
@@ -71,7 +71,7 @@
   const std::string head =
       "HTTP/1.1 200 OK\r\n" + signedFields("q1") + "Content-Type: text/event-stream\r\n";
   for (const EarlyAnswer& answer : earlyAnswers(head, "id: 1\ndata: a\n\n")) {
-    CAPTURE(static_cast<int>(answer.closing));
+    CAPTURE(static_cast<int>(answer.end));
     CAPTURE(answer.pause.count());
     for (const bool resumable : {false, true}) {
       CAPTURE(resumable);
--- a/tests/unit/daemon/router/cut_answer_test.cc
+++ b/tests/unit/daemon/router/cut_answer_test.cc
@@ -39,7 +39,7 @@
 TEST_CASE("A part of a response that is reset during the upload is whole for the router's client") {
   const std::string upload(kLongUploadBytes, 'x');
   for (const EarlyAnswer& early : earlyAnswers("HTTP/1.0 200 OK\r\n", "part")) {
-    CAPTURE(static_cast<int>(early.closing));
+    CAPTURE(static_cast<int>(early.end));
     CAPTURE(early.pause.count());
     ScriptedRunner server([&](auto& socket, const std::string&) { early.sendTo(socket); });
     LoopClient client;
