--- a/src/adapters/http/runner_connection.cc
+++ b/src/adapters/http/runner_connection.cc
@@ -31,7 +31,8 @@
 constexpr uint32_t kHeaderBytes = 32U * 1024;
 constexpr size_t kMaxIdlePerAddress = 8;
 /// Longest wait for the reset of a connection that is closed while a request is being sent on it: a
-/// round trip. The system of the other end sends it, whatever its processes do.
+/// round trip. The system of the other end sends it, whatever its processes do. Over a longer round
+/// trip the reset comes too late, and a part of a response counts as complete.
 constexpr std::chrono::milliseconds kResetWait{300};
 constexpr std::chrono::milliseconds kResetPollInterval{5};
 /// Limit of what is discarded while the other end is expected to close the connection.
@@ -277,6 +278,10 @@
 /// After the end of the runner's side, waits until the request has arrived or the connection has
 /// failed. A runner that has closed the connection wholly gets no more of the request: its system
 /// resets what arrives. One that has ended only its side gets the rest, or leaves it unread.
+///
+/// Load: two questions to the system every `kResetPollInterval`, and only for responses without a
+/// stated end whose request has not arrived. Where the system does not tell what is unacknowledged,
+/// the request counts as arrived once all of it was handed over.
 /// @param timeout longest wait, if it is shorter than that for a reset; zero means none
 awaitable<void> RunnerConnection::awaitRequestEnd(std::chrono::milliseconds timeout) {
   const auto self = shared_from_this();
