--- a/src/adapters/http/runner_connection.cc
+++ b/src/adapters/http/runner_connection.cc
@@ -129,7 +129,7 @@
   failure_.record(error);
   request_sent_ = sent_bytes_ == request_.size();
   if (request_sent_ || (error && error != asio::error::would_block)) {
-    endRequest();
+    freeRequest();
   } else {
     awaitSending();
   }
@@ -140,7 +140,7 @@
   socket_.async_wait(asio::ip::tcp::socket::wait_write,
                      [self = shared_from_this()](error_code cancelled) {
                        if (cancelled || self->sending_ended_) {
-                         self->endRequest();
+                         self->freeRequest();
                        } else {
                          self->continueSending();
                        }
@@ -148,7 +148,7 @@
 }
 
 /// Frees the memory of the request.
-void RunnerConnection::endRequest() { std::string().swap(request_); }
+void RunnerConnection::freeRequest() { std::string().swap(request_); }
 
 void RunnerConnection::beginReadingHead() {
   parser_.emplace();
--- a/src/adapters/http/runner_connection.h
+++ b/src/adapters/http/runner_connection.h
@@ -137,7 +137,7 @@
   ConnectionState stateAfter(boost::system::error_code error) const;
   void continueSending();
   void awaitSending();
-  void endRequest();
+  void freeRequest();
   void sendEmptyLine();
   /// @return whether the end of the input has ended the body of the response.
   bool bodyEndedWithInput() const { return parser_ && parser_->is_done() && parser_->need_eof(); }
